--- /dev/null
+++ b/src/app/cloud.c
@@ -0,0 +1,355 @@
+/* Types for every node; for the leader the list of machines, rentals and returns. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "app/node.h"
+#include "io/clock.h"
+#include "io/wire.h"
+#include "log.h"
+
+/* A rental whose answer is still owed: repeated under its name until it is answered. */
+typedef struct {
+    bool open;
+    char charter[64];
+    rental_wish_t wish;
+    uint64_t generation;
+} charter_t;
+
+typedef struct {
+    node_t *node;
+    http_client_t *client;
+    msec_t flavors_at; /* 0: never */
+    msec_t listed_at;
+    guint charters;
+    charter_t charter;
+    GHashTable *listed; /* ids of the newest list */
+    GPtrArray *failed;  /* ids that it calls failed */
+} cloud_t;
+
+static int cloud_call(cloud_t *cloud, const char *method, const char *path, const json_t *body,
+                      json_t **answer)
+{
+    char url[256];
+    g_snprintf(url, sizeof url, "http://%s%s", cloud->node->settings->cloud, path);
+    return http_call(cloud->client, method, url, body, CLOUD_TIMEOUT_MS, answer);
+}
+
+static void take_flavors(node_t *node, GArray *flavors)
+{
+    for (guint i = 0; i < node->flavors->len; i++)
+        g_strfreev(g_array_index(node->flavors, flavor_t, i).zones);
+    g_array_set_size(node->flavors, 0);
+    g_array_append_vals(node->flavors, flavors->data, flavors->len);
+    /* The zones' lists moved along with the values. */
+    g_array_set_clear_func(flavors, NULL);
+    if (node->part)
+        part_apply_flavors(node->part);
+}
+
+static void refresh_flavors(cloud_t *cloud)
+{
+    json_t *answer = NULL;
+    if (cloud_call(cloud, "GET", "/flavors", NULL, &answer) == 200) {
+        GArray *flavors = wire_parse_flavors(answer);
+        if (flavors && flavors->len) {
+            pthread_mutex_lock(&cloud->node->lock);
+            take_flavors(cloud->node, flavors);
+            pthread_mutex_unlock(&cloud->node->lock);
+            cloud->flavors_at = clock_steady();
+        }
+        if (flavors)
+            g_array_unref(flavors);
+    }
+    json_decref(answer);
+}
+
+static bool read_hosts(cloud_t *cloud, GArray *hosts)
+{
+    bool more = true;
+    while (more) {
+        char path[160];
+        json_t *answer = NULL;
+        const char *since =
+            hosts->len ? g_array_index(hosts, host_t, hosts->len - 1).machine : NULL;
+        g_snprintf(path, sizeof path, "/hosts?%s%s%sLimit=%d", since ? "Since=" : "",
+                   since ? since : "", since ? "&" : "", LIST_PAGE);
+        guint before = hosts->len;
+        bool read = cloud_call(cloud, "GET", path, NULL, &answer) == 200 &&
+                    wire_parse_hosts(answer, hosts, &more);
+        json_decref(answer);
+        if (!read)
+            return false;
+        more = more && hosts->len > before;
+    }
+    return true;
+}
+
+static void take_hosts(cloud_t *cloud, const GArray *hosts, msec_t now)
+{
+    node_t *node = cloud->node;
+    g_hash_table_remove_all(cloud->listed);
+    g_ptr_array_set_size(cloud->failed, 0);
+    for (guint i = 0; i < hosts->len; i++) {
+        const host_t *host = &g_array_index(hosts, host_t, i);
+        g_hash_table_add(cloud->listed, g_strdup(host->machine));
+        const machine_t *machine = g_hash_table_lookup(node->part->machines, host->machine);
+        if (host->state == HOST_FAILED)
+            g_ptr_array_add(cloud->failed, g_strdup(host->machine));
+        else if (!machine)
+            rental_booting(node->rental, host->machine, host->type, host->zone, host->spot,
+                           MAX(now - (msec_t)(host->age_s * 1000), node->loaded_at));
+    }
+    /* What was rented long enough ago to be listed and is not, was taken while it booted. */
+    GHashTableIter iter;
+    gpointer key, value;
+    msec_t lag = (msec_t)(node->settings->list_lag_s * 2000) + SETTLE_MS;
+    g_hash_table_iter_init(&iter, node->rental->boots);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const boot_t *boot = value;
+        const machine_t *machine = g_hash_table_lookup(node->part->machines, key);
+        if ((machine && machine->reported) ||
+            (now - boot->since > lag && !g_hash_table_contains(cloud->listed, key)))
+            g_hash_table_iter_remove(&iter);
+    }
+}
+
+static void refresh_hosts(cloud_t *cloud)
+{
+    node_t *node = cloud->node;
+    GArray *hosts = g_array_new(FALSE, FALSE, sizeof(host_t));
+    if (read_hosts(cloud, hosts)) {
+        pthread_mutex_lock(&node->lock);
+        if (node->loaded)
+            take_hosts(cloud, hosts, clock_steady());
+        pthread_mutex_unlock(&node->lock);
+        cloud->listed_at = clock_steady();
+    }
+    g_array_unref(hosts);
+}
+
+static void choose_wish(cloud_t *cloud)
+{
+    node_t *node = cloud->node;
+    pthread_mutex_lock(&node->lock);
+    msec_t now = clock_steady();
+    charter_t *charter = &cloud->charter;
+    if (charter->open && charter->generation != node->generation)
+        charter->open = false; /* if it was carried out, its machines will appear in the list */
+    if (!charter->open && node->loaded && now - node->loaded_at > SETTLE_MS &&
+        rental_next(node->rental, node->leader, node->flavors, now, clock_day(), &charter->wish)) {
+        /* The number is this leadership's alone, so the name can never have been used. */
+        g_snprintf(charter->charter, sizeof charter->charter, "c-%" G_GUINT64_FORMAT "-%u",
+                   node->view.number, ++cloud->charters);
+        charter->open = true;
+        charter->generation = node->generation;
+    }
+    pthread_mutex_unlock(&node->lock);
+}
+
+static void take_rental(cloud_t *cloud, const json_t *answer)
+{
+    node_t *node = cloud->node;
+    const rental_wish_t *wish = &cloud->charter.wish;
+    const json_t *names = json_object_get(answer, "Winches");
+    size_t i;
+    json_t *name;
+    pthread_mutex_lock(&node->lock);
+    msec_t now = clock_steady();
+    if (node->loaded) {
+        json_array_foreach(names, i, name)
+            if (json_is_string(name))
+                rental_booting(node->rental, json_string_value(name), wish->type, wish->zone,
+                               wish->spot, now);
+        if (json_array_size(names) < wish->count)
+            rental_refused(node->rental, wish, now + CAPACITY_MEMORY_MS);
+    }
+    pthread_mutex_unlock(&node->lock);
+    log_info("event=rented charter=%s type=%s zone=%s spot=%d asked=%u got=%zu",
+             cloud->charter.charter, wish->type, wish->zone, wish->spot, wish->count,
+             json_array_size(names));
+}
+
+static void rent(cloud_t *cloud)
+{
+    choose_wish(cloud);
+    charter_t *charter = &cloud->charter;
+    if (!charter->open)
+        return;
+    json_t *answer = NULL;
+    json_t *body = wire_build_rental(charter->charter, charter->wish.type, charter->wish.zone,
+                                     charter->wish.spot, charter->wish.count);
+    int status = cloud_call(cloud, "POST", "/hosts", body, &answer);
+    json_decref(body);
+    const char *error = json_string_value(json_object_get(answer, "error"));
+    if (status == 200) {
+        take_rental(cloud, answer);
+        charter->open = false;
+    } else if (status == 400 || (status == 503 && g_strcmp0(error, "no capacity") == 0)) {
+        pthread_mutex_lock(&cloud->node->lock);
+        if (cloud->node->rental)
+            rental_refused(cloud->node->rental, &charter->wish,
+                           clock_steady() + CAPACITY_MEMORY_MS);
+        pthread_mutex_unlock(&cloud->node->lock);
+        log_info("event=no_capacity type=%s zone=%s spot=%d status=%d", charter->wish.type,
+                 charter->wish.zone, charter->wish.spot, status);
+        charter->open = false;
+    }
+    json_decref(answer);
+}
+
+static void add_once(GPtrArray *names, const char *name)
+{
+    if (names->len < RELEASE_MAX && !g_ptr_array_find_with_equal_func(names, name, g_str_equal, NULL))
+        g_ptr_array_add(names, g_strdup(name));
+}
+
+/* Machines that some node keeps alive because they can't reach their owner. */
+static GHashTable *read_kept(cloud_t *cloud)
+{
+    GHashTable *kept = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    GArray *entries = state_entries_new();
+    budget_charge(&cloud->node->core_rps, 1, clock_steady());
+    state_result_t result =
+        state_list(&cloud->node->state, cloud->client, "kept/", entries, NULL);
+    int64_t day = clock_day();
+    for (guint i = 0; result == STATE_OK && i < entries->len; i++) {
+        const json_t *value = g_array_index(entries, state_entry_t, i).value;
+        if (day - json_integer_value(json_object_get(value, "At")) > KEPT_FRESH_MS)
+            continue;
+        size_t k;
+        json_t *name;
+        json_array_foreach(json_object_get(value, "Machines"), k, name)
+            if (json_is_string(name))
+                g_hash_table_add(kept, g_strdup(json_string_value(name)));
+    }
+    g_array_unref(entries);
+    if (result != STATE_OK)
+        g_clear_pointer(&kept, g_hash_table_unref);
+    return kept;
+}
+
+static GPtrArray *find_silent(cloud_t *cloud)
+{
+    node_t *node = cloud->node;
+    GPtrArray *silent = g_ptr_array_new_with_free_func(g_free);
+    msec_t most = (msec_t)(node->settings->lease_s * 1000) + SILENT_MARGIN_MS;
+    msec_t lag = (msec_t)(node->settings->list_lag_s * 2000) + SETTLE_MS;
+    GHashTableIter iter;
+    gpointer value;
+    msec_t now = clock_steady();
+    pthread_mutex_lock(&node->lock);
+    if (node->loaded) {
+        g_hash_table_iter_init(&iter, node->part->machines);
+        while (g_hash_table_iter_next(&iter, NULL, &value)) {
+            const machine_t *machine = value;
+            msec_t quiet = now - machine->last_report;
+            bool unlisted = cloud->listed_at > node->loaded_at + lag &&
+                            now - machine->first_seen > lag && quiet > DIRECT_FRESH_MS &&
+                            !g_hash_table_contains(cloud->listed, machine->id);
+            if (!machine->gone && (quiet > most || unlisted))
+                add_once(silent, machine->id);
+        }
+    }
+    pthread_mutex_unlock(&node->lock);
+    return silent;
+}
+
+/* With the lock held: what is to go, for whatever reason but silence. */
+static void find_unwanted(cloud_t *cloud, GPtrArray *names)
+{
+    node_t *node = cloud->node;
+    msec_t now = clock_steady();
+    for (guint i = 0; i < cloud->failed->len; i++)
+        add_once(names, g_ptr_array_index(cloud->failed, i));
+    GPtrArray *stuck = rental_stuck(node->rental, node->flavors, now);
+    for (guint i = 0; i < stuck->len; i++)
+        add_once(names, g_ptr_array_index(stuck, i));
+    g_ptr_array_unref(stuck);
+    const machine_row_t *surplus =
+        now - node->loaded_at > IDLE_KEEP_MS
+            ? rental_surplus(node->rental, node->leader, node->flavors, now, clock_day())
+            : NULL;
+    machine_t *machine =
+        surplus ? g_hash_table_lookup(node->part->machines, surplus->machine) : NULL;
+    if (machine && machine->attempts->len == 0) {
+        machine->draining = true;
+        log_info("event=surplus machine=%s", machine->id);
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->part->machines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const machine_t *other = value;
+        if (other->draining && !other->gone && other->attempts->len == 0)
+            add_once(names, other->id);
+    }
+}
+
+static void released(node_t *node, const GPtrArray *names)
+{
+    for (guint i = 0; i < names->len; i++) {
+        const char *id = g_ptr_array_index(names, i);
+        log_info("event=released machine=%s", id);
+        rental_boot_over(node->rental, id);
+        part_machine_gone(node->part, id);
+    }
+    node_wake(node);
+}
+
+static void give_back(cloud_t *cloud)
+{
+    node_t *node = cloud->node;
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    GPtrArray *silent = find_silent(cloud);
+    GHashTable *kept = silent->len ? read_kept(cloud) : NULL;
+    pthread_mutex_lock(&node->lock);
+    uint64_t generation = node->generation;
+    if (node->loaded) {
+        find_unwanted(cloud, names);
+        for (guint i = 0; kept && i < silent->len; i++)
+            if (!g_hash_table_contains(kept, g_ptr_array_index(silent, i)))
+                add_once(names, g_ptr_array_index(silent, i));
+    }
+    pthread_mutex_unlock(&node->lock);
+    if (kept)
+        g_hash_table_unref(kept);
+    g_ptr_array_unref(silent);
+    if (names->len) {
+        json_t *body = wire_build_release(names);
+        int status = cloud_call(cloud, "POST", "/hosts/release", body, NULL);
+        json_decref(body);
+        pthread_mutex_lock(&node->lock);
+        if (status == 200 && node->loaded && node->generation == generation) {
+            released(node, names);
+            g_ptr_array_set_size(cloud->failed, 0);
+        }
+        pthread_mutex_unlock(&node->lock);
+    }
+    g_ptr_array_unref(names);
+}
+
+void *cloud_run(void *data)
+{
+    cloud_t cloud = {.node = data,
+                     .client = http_client_new(2),
+                     .listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+                     .failed = g_ptr_array_new_with_free_func(g_free)};
+    node_t *node = cloud.node;
+    msec_t gap = MAX(CLOUD_GAP_MS, (msec_t)(CLOUD_CALLS_MS / node->settings->cloud_rps));
+    for (;;) {
+        msec_t now = clock_steady();
+        if (cloud.flavors_at == 0 || now - cloud.flavors_at > FLAVORS_MS)
+            refresh_flavors(&cloud);
+        pthread_mutex_lock(&node->lock);
+        bool leading = node->loaded;
+        pthread_mutex_unlock(&node->lock);
+        if (leading && now - cloud.listed_at > CLOUD_LIST_MS)
+            refresh_hosts(&cloud);
+        if (leading) {
+            rent(&cloud);
+            give_back(&cloud);
+        }
+        node_sleep(gap);
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/app/follow.c
@@ -0,0 +1,107 @@
+/* Keeps the live jobs of this node as jobs/ has them. */
+#include <string.h>
+
+#include "app/node.h"
+#include "io/clock.h"
+#include "io/wire.h"
+#include "log.h"
+
+static void take_set(node_t *node, const state_entry_t *entry)
+{
+    job_spec_t spec;
+    reason_t why;
+    if (!wire_parse_job(entry->value, true, &spec, &why)) {
+        log_error("event=bad_job key=%s why=\"%s\"", entry->key, why.text);
+        return;
+    }
+    node_job_set(node, &spec, entry->stamp);
+    job_spec_clear(&spec);
+}
+
+static const char *id_of(const char *key)
+{
+    return key + strlen("jobs/");
+}
+
+static void take_all(node_t *node, const GArray *entries)
+{
+    GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = 0; i < entries->len; i++) {
+        const state_entry_t *entry = &g_array_index(entries, state_entry_t, i);
+        g_hash_table_add(listed, (gpointer)id_of(entry->key));
+        take_set(node, entry);
+    }
+    GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, node->jobs);
+    while (g_hash_table_iter_next(&iter, &key, NULL))
+        if (!g_hash_table_contains(listed, key))
+            g_ptr_array_add(gone, g_strdup(key));
+    for (guint i = 0; i < gone->len; i++)
+        node_job_gone(node, g_ptr_array_index(gone, i));
+    g_ptr_array_unref(gone);
+    g_hash_table_unref(listed);
+}
+
+static bool resync(node_t *node, http_client_t *client, uint64_t *revision)
+{
+    GArray *entries = state_entries_new();
+    msec_t sent = clock_steady();
+    budget_charge(&node->core_rps, 1, sent);
+    bool listed = state_list(&node->state, client, "jobs/", entries, revision) == STATE_OK;
+    if (listed) {
+        pthread_mutex_lock(&node->lock);
+        take_all(node, entries);
+        node->jobs_synced = true;
+        node->jobs_proof = sent;
+        pthread_mutex_unlock(&node->lock);
+    }
+    g_array_unref(entries);
+    return listed;
+}
+
+static state_result_t follow(node_t *node, http_client_t *client, uint64_t *revision)
+{
+    GArray *changes = state_entries_new();
+    msec_t sent = clock_steady();
+    budget_charge(&node->core_rps, 1, sent);
+    state_result_t result =
+        state_follow(&node->state, client, "jobs/", FOLLOW_BLOCK_MS, revision, changes);
+    if (result == STATE_OK) {
+        pthread_mutex_lock(&node->lock);
+        for (guint i = 0; i < changes->len; i++) {
+            const state_entry_t *entry = &g_array_index(changes, state_entry_t, i);
+            if (entry->value)
+                take_set(node, entry);
+            else
+                node_job_gone(node, id_of(entry->key));
+        }
+        node->jobs_proof = sent;
+        pthread_mutex_unlock(&node->lock);
+    }
+    g_array_unref(changes);
+    return result;
+}
+
+void *follow_run(void *data)
+{
+    node_t *node = data;
+    http_client_t *client = http_client_new(2);
+    uint64_t revision = 0;
+    bool synced = false;
+    for (;;) {
+        if (!synced) {
+            synced = resync(node, client, &revision);
+            if (!synced)
+                node_sleep(ELECT_POLL_MS);
+            continue;
+        }
+        state_result_t result = follow(node, client, &revision);
+        if (result == STATE_EXPIRED)
+            synced = false;
+        else if (result != STATE_OK)
+            node_sleep(ELECT_POLL_MS);
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/app/front.c
@@ -0,0 +1,535 @@
+/* Users and workers over HTTP, a thread a connection.
+ *
+ * Users' requests go straight against the state service; only a budget stands between. What a node
+ * has told a user, no node may take back: live answers are read afresh each time, and only final
+ * states are kept. */
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <string.h>
+
+#include "app/node.h"
+#include "io/clock.h"
+#include "io/wire.h"
+#include "log.h"
+
+/* A request while its body arrives. */
+typedef struct {
+    GString *body;
+    bool too_long;
+} request_t;
+
+/* An answer to be sent; body may be NULL. */
+typedef struct {
+    unsigned status;
+    json_t *body;
+    unsigned retry_after_s; /* 0: none */
+} reply_t;
+
+typedef enum { JOB_LIVE, JOB_DONE, JOB_CANCELLED, JOB_NEVER, JOB_UNKNOWN } job_state_t;
+
+static reply_t refuse(unsigned status, const char *why, unsigned retry_after_s)
+{
+    return (reply_t){status, json_pack("{s:s}", "error", why), retry_after_s};
+}
+
+static reply_t come_back(void)
+{
+    return refuse(503, "the state service can't be asked now", 1);
+}
+
+static http_client_t *client_take(node_t *node)
+{
+    http_client_t *client = NULL;
+    pthread_mutex_lock(&node->lock);
+    msec_t until = clock_steady() + FRONT_TIMEOUT_MS;
+    while (node->front_free == 0 && clock_steady() < until)
+        node_wait(node, &node->clients, FRONT_TIMEOUT_MS);
+    if (node->front_free > 0)
+        client = node->front_clients[--node->front_free];
+    pthread_mutex_unlock(&node->lock);
+    return client;
+}
+
+static void client_return(node_t *node, http_client_t *client)
+{
+    pthread_mutex_lock(&node->lock);
+    node->front_clients[node->front_free++] = client;
+    pthread_cond_signal(&node->clients);
+    pthread_mutex_unlock(&node->lock);
+}
+
+static void remember_ended(node_t *node, const char *id, bool done)
+{
+    pthread_mutex_lock(&node->lock);
+    if (g_hash_table_size(node->ended) >= ENDED_CACHE)
+        g_hash_table_remove_all(node->ended);
+    g_hash_table_insert(node->ended, g_strdup(id), GINT_TO_POINTER(done ? JOB_DONE : JOB_CANCELLED));
+    pthread_mutex_unlock(&node->lock);
+}
+
+static state_result_t read_key(node_t *node, http_client_t *client, const char *prefix,
+                               const char *id, state_entry_t *entry)
+{
+    char key[128];
+    g_snprintf(key, sizeof key, "%s/%s", prefix, id);
+    budget_charge(&node->front_rps, 1, clock_steady());
+    return state_get(&node->state, client, key, FRONT_TIMEOUT_MS, entry);
+}
+
+static void entry_clear(state_entry_t *entry)
+{
+    g_free(entry->key);
+    json_decref(entry->value);
+    *entry = (state_entry_t){0};
+}
+
+static job_state_t read_ended(node_t *node, http_client_t *client, const char *id)
+{
+    state_entry_t entry = {0};
+    state_result_t result = read_key(node, client, "ended", id, &entry);
+    if (result == STATE_ABSENT)
+        return JOB_NEVER;
+    if (result != STATE_OK)
+        return JOB_UNKNOWN;
+    const char *state = json_string_value(json_object_get(entry.value, "Trim"));
+    bool done = g_strcmp0(state, "done") == 0;
+    entry_clear(&entry);
+    remember_ended(node, id, done);
+    return done ? JOB_DONE : JOB_CANCELLED;
+}
+
+static job_state_t read_live(node_t *node, http_client_t *client, const char *id)
+{
+    state_entry_t entry = {0};
+    state_result_t result = read_key(node, client, "jobs", id, &entry);
+    entry_clear(&entry);
+    return result == STATE_OK ? JOB_LIVE : result == STATE_ABSENT ? JOB_NEVER : JOB_UNKNOWN;
+}
+
+/* A job goes from jobs/ to ended/ and never back: one that is found in neither, asked in that
+ * order, had not been accepted when the first was asked. */
+static job_state_t look_up(node_t *node, http_client_t *client, const char *id, bool likely_live)
+{
+    job_state_t state = likely_live ? JOB_NEVER : read_ended(node, client, id);
+    if (state == JOB_NEVER)
+        state = read_live(node, client, id);
+    if (state == JOB_NEVER)
+        state = read_ended(node, client, id);
+    return state;
+}
+
+static reply_t status_reply(node_t *node, const char *id, job_state_t state, unsigned live_status)
+{
+    uint32_t done = 0, running = 0;
+    if (state == JOB_DONE || state == JOB_CANCELLED)
+        return (reply_t){200, wire_build_status(id, state == JOB_DONE ? "done" : "cancelled", 0, 0),
+                         0};
+    if (state == JOB_NEVER)
+        return refuse(404, "no such job", 0);
+    if (state == JOB_UNKNOWN)
+        return come_back();
+    pthread_mutex_lock(&node->lock);
+    const job_t *job = node->loaded ? g_hash_table_lookup(node->leader->jobs, id) : NULL;
+    if (job) {
+        done = job->n_done;
+        running = job->n_live;
+    }
+    pthread_mutex_unlock(&node->lock);
+    return (reply_t){live_status,
+                     wire_build_status(id, running ? "running" : "queued", done, running), 0};
+}
+
+/* What this node knows without asking: a final state, or whether it is probably live. */
+static job_state_t known_state(node_t *node, const char *id, bool *likely_live)
+{
+    pthread_mutex_lock(&node->lock);
+    gpointer ended = g_hash_table_lookup(node->ended, id);
+    *likely_live = g_hash_table_contains(node->jobs, id);
+    pthread_mutex_unlock(&node->lock);
+    return ended ? (job_state_t)GPOINTER_TO_INT(ended) : JOB_UNKNOWN;
+}
+
+static reply_t get_status(node_t *node, const char *id)
+{
+    bool live;
+    if (!wire_id_valid(id))
+        return refuse(404, "no such job", 0);
+    job_state_t state = known_state(node, id, &live);
+    if (state != JOB_UNKNOWN)
+        return status_reply(node, id, state, 200);
+    if (!budget_take(&node->front_rps, 1, clock_steady()))
+        return refuse(429, "too many requests", 2);
+    http_client_t *client = client_take(node);
+    if (!client)
+        return come_back();
+    state = look_up(node, client, id, live);
+    client_return(node, client);
+    return status_reply(node, id, state, 200);
+}
+
+static reply_t look_up_reply(node_t *node, const char *id, unsigned live_status)
+{
+    http_client_t *client = client_take(node);
+    if (!client)
+        return come_back();
+    job_state_t state = look_up(node, client, id, true);
+    client_return(node, client);
+    return status_reply(node, id, state, live_status);
+}
+
+/* A submission that is wrong: but if its id is that of an accepted job, it is a retry. */
+static reply_t reject(node_t *node, const char *id, unsigned status, const char *why)
+{
+    if (!id || !wire_id_valid(id))
+        return refuse(status, why, 0);
+    reply_t known = look_up_reply(node, id, 200);
+    if (known.status != 404)
+        return known;
+    json_decref(known.body);
+    return refuse(status, why, 0);
+}
+
+static const char *never_runs(node_t *node, const job_spec_t *spec, bool *undecided)
+{
+    const char *why = "unknown team";
+    pthread_mutex_lock(&node->lock);
+    *undecided = node->flavors->len == 0;
+    for (guint i = 0; i < node->settings->teams->len; i++) {
+        const team_t *team = &g_array_index(node->settings->teams, team_t, i);
+        if (strcmp(team->name, spec->team) != 0)
+            continue;
+        bool limited = (team->cpus_max > 0 && spec->need.cpus > team->cpus_max + EPSILON) ||
+                       (team->gpus_max > 0 && spec->need.gpus > team->gpus_max + EPSILON);
+        why = limited ? "a task needs more than the team's limit" : NULL;
+    }
+    if (!why && !job_spec_fits_some(spec, node->flavors))
+        why = "a task fits no allowed machine type";
+    pthread_mutex_unlock(&node->lock);
+    return why;
+}
+
+static reply_t commit_job(node_t *node, http_client_t *client, const job_spec_t *spec)
+{
+    char live[128], ended[128];
+    uint64_t revision = 0;
+    g_snprintf(live, sizeof live, "jobs/%s", spec->id);
+    g_snprintf(ended, sizeof ended, "ended/%s", spec->id);
+    txn_t txn = txn_new();
+    /* Both absent: applied late, after the job has ended, it must not bring the job back. */
+    txn_if(&txn, live, 0);
+    txn_if(&txn, ended, 0);
+    txn_set(&txn, live, wire_build_job(spec), 0);
+    state_result_t result =
+        state_commit(&node->state, client, &txn, FRONT_TIMEOUT_MS, &revision, NULL);
+    txn_free(&txn);
+    if (result == STATE_OK)
+        return (reply_t){201, wire_build_status(spec->id, "queued", 0, 0), 0};
+    if (result == STATE_REFUSED)
+        return come_back();
+    job_state_t state = look_up(node, client, spec->id, true);
+    if (state == JOB_NEVER)
+        return come_back(); /* no answer, and not applied so far */
+    return status_reply(node, spec->id, state, 200);
+}
+
+static reply_t submit(node_t *node, const request_t *request)
+{
+    if (request->too_long)
+        return refuse(400, "the body is over 64 KiB", 0);
+    json_error_t problem;
+    json_t *body = json_loadb(request->body->str, request->body->len, 0, &problem);
+    if (!json_is_object(body)) {
+        json_decref(body);
+        return refuse(400, "a JSON object is expected", 0);
+    }
+    job_spec_t spec;
+    reason_t why;
+    reply_t reply;
+    bool undecided = false;
+    const char *never = NULL;
+    if (!wire_parse_job(body, false, &spec, &why)) {
+        reply = reject(node, json_string_value(json_object_get(body, "Uid")), 400, why.text);
+        json_decref(body);
+        return reply;
+    }
+    json_decref(body);
+    never = never_runs(node, &spec, &undecided);
+    if (undecided) {
+        reply = refuse(503, "the machine types are not known yet", 1);
+    } else if (never) {
+        reply = reject(node, spec.id, 422, never);
+    } else if (!budget_take(&node->front_write, 1, clock_steady())) {
+        reply = refuse(429, "too many submissions", 2);
+    } else {
+        http_client_t *client = client_take(node);
+        spec.submitted_ms = clock_day();
+        budget_charge(&node->front_rps, 1, clock_steady());
+        reply = client ? commit_job(node, client, &spec) : come_back();
+        if (client)
+            client_return(node, client);
+    }
+    job_spec_clear(&spec);
+    return reply;
+}
+
+static state_result_t commit_abort(node_t *node, http_client_t *client, const char *id,
+                                   uint64_t stamp, uint32_t tasks)
+{
+    char key[128];
+    txn_t txn = txn_new();
+    g_snprintf(key, sizeof key, "jobs/%s", id);
+    txn_if(&txn, key, stamp);
+    txn_delete(&txn, key);
+    g_snprintf(key, sizeof key, "ended/%s", id);
+    txn_set(&txn, key, wire_build_ended(false, 0), 0);
+    for (uint32_t chunk = 0; chunk * CHUNK_BITS < tasks; chunk++) {
+        g_snprintf(key, sizeof key, "done/%s/%u", id, chunk);
+        txn_delete(&txn, key);
+    }
+    budget_charge(&node->front_rps, 1, clock_steady());
+    budget_charge(&node->front_write, (double)json_array_size(txn.changes), clock_steady());
+    state_result_t result =
+        state_commit(&node->state, client, &txn, FRONT_TIMEOUT_MS, NULL, NULL);
+    txn_free(&txn);
+    return result;
+}
+
+static reply_t abort_with(node_t *node, http_client_t *client, const char *id)
+{
+    state_entry_t entry = {0};
+    state_result_t result = read_key(node, client, "jobs", id, &entry);
+    if (result != STATE_OK && result != STATE_ABSENT)
+        return come_back();
+    if (result == STATE_OK) {
+        uint32_t tasks = (uint32_t)json_integer_value(json_object_get(entry.value, "Pieces"));
+        result = commit_abort(node, client, id, entry.stamp, tasks);
+        entry_clear(&entry);
+        if (result == STATE_OK) {
+            remember_ended(node, id, false);
+            log_info("event=abort job=%s", id);
+            return (reply_t){200, wire_build_status(id, "cancelled", 0, 0), 0};
+        }
+        if (result != STATE_FAILED && result != STATE_UNKNOWN)
+            return come_back();
+    }
+    /* It ended meanwhile, or the answer was lost: only a final state may be told. */
+    job_state_t state = look_up(node, client, id, true);
+    return state == JOB_LIVE ? come_back() : status_reply(node, id, state, 200);
+}
+
+static reply_t abort_job(node_t *node, const char *id)
+{
+    bool live;
+    if (!wire_id_valid(id))
+        return refuse(404, "no such job", 0);
+    job_state_t state = known_state(node, id, &live);
+    if (state != JOB_UNKNOWN)
+        return status_reply(node, id, state, 200);
+    http_client_t *client = client_take(node);
+    if (!client)
+        return come_back();
+    reply_t reply = abort_with(node, client, id);
+    client_return(node, client);
+    return reply;
+}
+
+static reply_t ready(node_t *node)
+{
+    pthread_mutex_lock(&node->lock);
+    bool able = node->flavors->len > 0 && node->jobs_synced;
+    pthread_mutex_unlock(&node->lock);
+    return able ? (reply_t){200, json_pack("{s:b}", "ready", 1), 0}
+                : refuse(503, "starting", 1);
+}
+
+static reply_t send_home(const node_t *node)
+{
+    if (node->view.number == 0 || strcmp(node->view.leader, node->settings->name) == 0)
+        return (reply_t){421, json_object(), 0};
+    return (reply_t){421, json_pack("{s:s}", "Bosun", node->view.leader), 0};
+}
+
+/* A worker that this node does not own. It is sent to the owner; if it comes right back, it can't
+ * reach the owner, and its lease is kept alive here: no starts, but stops for what is cancelled. */
+static reply_t host_guest(node_t *node, const report_t *report, msec_t now)
+{
+    guest_t *guest = g_hash_table_lookup(node->guests, report->machine);
+    if (!guest) {
+        guest = g_new0(guest_t, 1);
+        guest->sent_home = -HOME_TRY_MS;
+        g_hash_table_insert(node->guests, g_strdup(report->machine), guest);
+    }
+    guest->seen = now;
+    bool stays = now < guest->kept_until;
+    if (!stays && now - guest->sent_home < HOME_TRY_MS && guest->kept_until == 0) {
+        guest->kept_until = now + KEEP_MS;
+        log_info("event=keep machine=%s", report->machine);
+        stays = true;
+    }
+    if (!stays) {
+        guest->kept_until = 0;
+        guest->sent_home = now;
+        return send_home(node);
+    }
+    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
+    for (guint i = 0; i < report->pieces->len; i++) {
+        const piece_t *piece = &g_array_index(report->pieces, piece_t, i);
+        if (piece->state == PIECE_EXITED || g_hash_table_contains(node->jobs, piece->job))
+            continue;
+        call_t call = {.op = CALL_STOP, .task = piece->task, .attempt = piece->attempt};
+        g_strlcpy(call.job, piece->job, sizeof call.job);
+        g_array_append_val(calls, call);
+    }
+    reply_t reply = {200, wire_build_calls(node->view.number, calls), 0};
+    g_array_unref(calls);
+    return reply;
+}
+
+static reply_t take_report(node_t *node, const report_t *report)
+{
+    msec_t now = clock_steady();
+    /* A higher token is out: this node's view is old, and a 200 from it would be dropped while it
+     * holds the worker here. Silence about aborts ends the answers as well. */
+    if (node->view.number == 0 || report->token > node->view.number || !node_may_renew(node, now))
+        return refuse(503, "not entitled now", 0);
+    if (!node->leading)
+        return host_guest(node, report, now);
+    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
+    reply_t reply;
+    if (node->loaded && part_report(node->part, report, false, now, calls) == REPORT_STALE) {
+        reply = refuse(503, "a newer report was received", 0);
+    } else {
+        if (node->loaded && node->rental)
+            rental_boot_over(node->rental, report->machine);
+        reply = (reply_t){200, wire_build_calls(node->view.number, calls), 0};
+        node_wake(node);
+    }
+    g_array_unref(calls);
+    return reply;
+}
+
+static reply_t hello(node_t *node, const request_t *request)
+{
+    report_t report;
+    reason_t why = {"not JSON"};
+    json_t *body = request->too_long
+                       ? NULL
+                       : json_loadb(request->body->str, request->body->len, 0, NULL);
+    bool valid = body && wire_parse_report(body, &report, &why);
+    json_decref(body);
+    if (!valid)
+        return refuse(400, why.text, 0);
+    pthread_mutex_lock(&node->lock);
+    reply_t reply = take_report(node, &report);
+    pthread_mutex_unlock(&node->lock);
+    report_clear(&report);
+    return reply;
+}
+
+static reply_t route_run(node_t *node, const char *method, const char *rest)
+{
+    char id[ID_SIZE];
+    const char *slash = strchr(rest, '/');
+    gsize length = slash ? (gsize)(slash - rest) : strlen(rest);
+    if (length == 0 || length >= sizeof id)
+        return refuse(404, "no such job", 0);
+    memcpy(id, rest, length);
+    id[length] = '\0';
+    if (!slash)
+        return strcmp(method, "GET") == 0 ? get_status(node, id)
+                                          : refuse(405, "only GET is known here", 0);
+    if (strcmp(slash, "/abort") == 0)
+        return strcmp(method, "POST") == 0 ? abort_job(node, id)
+                                           : refuse(405, "only POST is known here", 0);
+    return refuse(404, "no such path", 0);
+}
+
+static reply_t route(node_t *node, const char *method, const char *path, const request_t *request)
+{
+    static const char runs[] = "/v2/runs/";
+    if (strcmp(path, "/hello") == 0 && strcmp(method, "POST") == 0)
+        return hello(node, request);
+    if (strcmp(path, "/ready") == 0 && strcmp(method, "GET") == 0)
+        return ready(node);
+    if (strcmp(path, "/v2/runs") == 0 && strcmp(method, "POST") == 0)
+        return submit(node, request);
+    if (g_str_has_prefix(path, runs))
+        return route_run(node, method, path + strlen(runs));
+    return refuse(404, "no such path", 0);
+}
+
+static enum MHD_Result send_reply(struct MHD_Connection *connection, reply_t reply)
+{
+    char *text = reply.body ? json_dumps(reply.body, JSON_COMPACT | JSON_REAL_PRECISION(9)) : NULL;
+    json_decref(reply.body);
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        text ? strlen(text) : 0, text ? text : (char *)"",
+        text ? MHD_RESPMEM_MUST_FREE : MHD_RESPMEM_PERSISTENT);
+    MHD_add_response_header(response, "Content-Type", "application/json");
+    if (reply.retry_after_s) {
+        char seconds[16];
+        g_snprintf(seconds, sizeof seconds, "%u", reply.retry_after_s);
+        MHD_add_response_header(response, "Retry-After", seconds);
+    }
+    enum MHD_Result result = MHD_queue_response(connection, reply.status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+static enum MHD_Result handle(void *data, struct MHD_Connection *connection, const char *path,
+                              const char *method, const char *version, const char *upload,
+                              size_t *upload_size, void **context)
+{
+    (void)version;
+    request_t *request = *context;
+    if (!request) {
+        request = g_new0(request_t, 1);
+        request->body = g_string_new(NULL);
+        *context = request;
+        return MHD_YES;
+    }
+    if (*upload_size) {
+        request->too_long = request->too_long || request->body->len + *upload_size > BODY_MAX;
+        if (!request->too_long)
+            g_string_append_len(request->body, upload, (gssize)*upload_size);
+        *upload_size = 0;
+        return MHD_YES;
+    }
+    return send_reply(connection, route(data, method, path, request));
+}
+
+static void completed(void *data, struct MHD_Connection *connection, void **context,
+                      enum MHD_RequestTerminationCode code)
+{
+    (void)data;
+    (void)connection;
+    (void)code;
+    request_t *request = *context;
+    if (request) {
+        g_string_free(request->body, TRUE);
+        g_free(request);
+    }
+    *context = NULL;
+}
+
+bool front_start(node_t *node)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    char host[ADDRESS_SIZE];
+    const char *listen = node->settings->client_listen;
+    const char *colon = strrchr(listen, ':');
+    g_strlcpy(host, listen, (gsize)(colon - listen) + 1);
+    inet_pton(AF_INET, host, &address.sin_addr);
+    address.sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10));
+    struct MHD_Daemon *daemon = MHD_start_daemon(
+        MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL, 0, NULL,
+        NULL, handle, node, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED, completed,
+        NULL, MHD_OPTION_CONNECTION_LIMIT, node->settings->connections - CONNECTIONS_SPARE,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+        MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+        MHD_OPTION_END);
+    if (!daemon)
+        log_error("event=listen_failed address=%s", listen);
+    return daemon != NULL;
+}
--- /dev/null
+++ b/src/app/sender.c
@@ -0,0 +1,69 @@
+/* Sends direct commands: starts and stops reach their worker at once, reports are the fallback. */
+#include <string.h>
+
+#include "app/node.h"
+#include "io/clock.h"
+#include "io/wire.h"
+#include "log.h"
+
+/* One exchange, copied out under the lock. */
+typedef struct {
+    char machine[ID_SIZE];
+    char url[ADDRESS_SIZE + 16];
+    uint64_t token;
+    uint64_t session;
+    uint64_t generation;
+} exchange_t;
+
+static void finish(node_t *node, const exchange_t *exchange, const GArray *calls, int status,
+                   const json_t *answer)
+{
+    report_t report = {0};
+    bool reported = answer && wire_parse_report(answer, &report, NULL);
+    direct_result_t result = status == 200 && reported ? DIRECT_EXECUTED
+                             : status == 409 || status == 400 || status == HTTP_NOT_SENT
+                                 ? DIRECT_REFUSED
+                                 : DIRECT_UNANSWERED;
+    log_debug("event=direct machine=%s calls=%u status=%d", exchange->machine, calls->len, status);
+    pthread_mutex_lock(&node->lock);
+    /* A view loaded meanwhile has its own data and a higher token, under which this one is void. */
+    if (node->generation == exchange->generation && node->loaded) {
+        part_direct_done(node->part, exchange->machine, calls, exchange->token, result);
+        if (reported && strcmp(report.machine, exchange->machine) == 0)
+            part_report(node->part, &report, true, clock_steady(), NULL);
+        node_wake(node);
+    }
+    pthread_mutex_unlock(&node->lock);
+    report_clear(&report);
+}
+
+void *sender_run(void *data)
+{
+    node_t *node = data;
+    http_client_t *client = http_client_new(10);
+    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
+    for (;;) {
+        g_array_set_size(calls, 0);
+        pthread_mutex_lock(&node->lock);
+        machine_t *machine =
+            node->loaded ? part_direct_take(node->part, clock_steady(), calls) : NULL;
+        if (!machine) {
+            node_wait(node, &node->direct, 10 * TICK_MS);
+            pthread_mutex_unlock(&node->lock);
+            continue;
+        }
+        exchange_t exchange = {.token = node->view.number,
+                               .session = machine->session,
+                               .generation = node->generation};
+        g_strlcpy(exchange.machine, machine->id, sizeof exchange.machine);
+        g_snprintf(exchange.url, sizeof exchange.url, "http://%s/do", machine->address);
+        pthread_mutex_unlock(&node->lock);
+        json_t *answer = NULL;
+        json_t *body = wire_build_direct(exchange.token, exchange.session, calls);
+        int status = http_call(client, "POST", exchange.url, body, DIRECT_TIMEOUT_MS, &answer);
+        json_decref(body);
+        finish(node, &exchange, calls, status, answer);
+        json_decref(answer);
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/app/settings.c
@@ -0,0 +1,218 @@
+#include "app/settings.h"
+
+#include <arpa/inet.h>
+#include <jansson.h>
+#include <math.h>
+#include <string.h>
+
+/* Where parsing stands: the first fault wins. */
+typedef struct {
+    const char *path;
+    char *error;
+} reader_t;
+
+static void fault(reader_t *reader, const char *where, const char *expected)
+{
+    if (!reader->error)
+        reader->error = g_strdup_printf("%s: %s: %s", reader->path, where, expected);
+}
+
+static json_t *find(reader_t *reader, const json_t *object, const char *name)
+{
+    json_t *value = json_object_get(object, name);
+    if (!value)
+        fault(reader, name, "missing");
+    return value;
+}
+
+static void read_text(reader_t *reader, const json_t *object, const char *name, char *to,
+                      gsize size)
+{
+    const json_t *value = find(reader, object, name);
+    if (!value)
+        return;
+    if (!json_is_string(value) || !*json_string_value(value))
+        fault(reader, name, "a non-empty string is expected");
+    else if (g_strlcpy(to, json_string_value(value), size) >= size)
+        fault(reader, name, "too long");
+}
+
+static void read_address(reader_t *reader, const json_t *object, const char *name, char *to)
+{
+    to[0] = '\0';
+    read_text(reader, object, name, to, ADDRESS_SIZE);
+    const char *colon = strrchr(to, ':');
+    char host[ADDRESS_SIZE];
+    struct in_addr in;
+    guint64 port;
+    if (reader->error)
+        return;
+    if (colon)
+        g_strlcpy(host, to, (gsize)(colon - to) + 1);
+    if (!colon || inet_pton(AF_INET, host, &in) != 1 ||
+        !g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &port, NULL))
+        fault(reader, name, "an IPv4 address with a port is expected");
+}
+
+static double read_number(reader_t *reader, const json_t *object, const char *name, double low)
+{
+    const json_t *value = find(reader, object, name);
+    if (!value)
+        return low;
+    double number = json_number_value(value);
+    if (!json_is_number(value) || !isfinite(number) || number < low) {
+        char expected[64];
+        g_snprintf(expected, sizeof expected, "a number of at least %g is expected", low);
+        fault(reader, name, expected);
+        return low;
+    }
+    return number;
+}
+
+static json_t *read_object(reader_t *reader, const json_t *object, const char *name)
+{
+    json_t *value = find(reader, object, name);
+    if (value && !json_is_object(value))
+        fault(reader, name, "an object is expected");
+    return value;
+}
+
+static json_t *read_list(reader_t *reader, const json_t *object, const char *name)
+{
+    json_t *value = find(reader, object, name);
+    if (value && !json_is_array(value))
+        fault(reader, name, "a list is expected");
+    return value;
+}
+
+static void read_siblings(reader_t *reader, const json_t *root, settings_t *settings)
+{
+    size_t i;
+    json_t *item;
+    json_array_foreach(read_list(reader, root, "siblings"), i, item) {
+        sibling_t sibling = {0};
+        read_text(reader, item, "host_name", sibling.name, sizeof sibling.name);
+        read_text(reader, item, "location", sibling.zone, sizeof sibling.zone);
+        read_address(reader, item, "endpoint", sibling.endpoint);
+        g_array_append_val(settings->siblings, sibling);
+    }
+}
+
+static void read_teams(reader_t *reader, const json_t *platform, settings_t *settings)
+{
+    size_t i;
+    json_t *item;
+    json_array_foreach(read_list(reader, platform, "teams"), i, item) {
+        team_t team = {0};
+        read_text(reader, item, "name", team.name, sizeof team.name);
+        team.cpus = read_number(reader, item, "cpus", 0);
+        team.cpus_max = read_number(reader, item, "cpus_max", 0);
+        team.gpus = read_number(reader, item, "gpus", 0);
+        team.gpus_max = read_number(reader, item, "gpus_max", 0);
+        g_array_append_val(settings->teams, team);
+    }
+}
+
+static void keep_shortest(GHashTable *table, const char *class_name, double seconds)
+{
+    double *kept = g_hash_table_lookup(table, class_name);
+    if (kept && *kept <= seconds)
+        return;
+    double *value = g_new(double, 1);
+    *value = seconds;
+    g_hash_table_insert(table, g_strdup(class_name), value);
+}
+
+/* The aims steer the order of work only; one of an unknown kind is left aside. */
+static void read_objectives(const json_t *platform, settings_t *settings)
+{
+    size_t i;
+    json_t *item;
+    json_array_foreach(json_object_get(platform, "objectives"), i, item) {
+        const char *kind = json_string_value(json_object_get(item, "kind"));
+        const char *class_name = json_string_value(json_object_get(item, "class"));
+        double within = json_number_value(json_object_get(item, "within_s"));
+        if (!kind || !class_name || within <= 0)
+            continue;
+        if (strcmp(kind, "finished") == 0)
+            keep_shortest(settings->targets, class_name, within);
+        else if (strcmp(kind, "wait") == 0)
+            keep_shortest(settings->urgent, class_name, within);
+    }
+}
+
+static void read_platform(reader_t *reader, const json_t *root, settings_t *settings)
+{
+    const json_t *platform = read_object(reader, root, "settings");
+    if (reader->error)
+        return;
+    const json_t *workers = read_object(reader, platform, "workers");
+    const json_t *state = read_object(reader, platform, "state");
+    const json_t *cloud = read_object(reader, platform, "cloud");
+    const json_t *limits = read_object(reader, platform, "limits");
+    if (reader->error)
+        return;
+    read_teams(reader, platform, settings);
+    read_objectives(platform, settings);
+    settings->report_s = read_number(reader, workers, "report_s", 0.01);
+    settings->lease_s = read_number(reader, workers, "lease_s", 1);
+    settings->cancel_s = read_number(reader, workers, "cancel_s", 1);
+    settings->state_rps = read_number(reader, state, "rps", 1);
+    settings->state_write_rps = read_number(reader, state, "write_rps", 1);
+    settings->value_kb = read_number(reader, state, "value_kb", 4);
+    settings->txn_ops = (guint)read_number(reader, state, "txn_ops", 10);
+    settings->cloud_rps = read_number(reader, cloud, "rps", 0.1);
+    settings->list_lag_s = read_number(reader, cloud, "list_lag_s", 0);
+    settings->connections = (guint)read_number(reader, limits, "fd_limit", 150);
+}
+
+void settings_free(settings_t *settings)
+{
+    if (!settings)
+        return;
+    g_array_unref(settings->siblings);
+    g_array_unref(settings->teams);
+    g_hash_table_unref(settings->targets);
+    g_hash_table_unref(settings->urgent);
+    g_free(settings);
+}
+
+settings_t *settings_load(const char *path, char **error)
+{
+    json_error_t problem;
+    reader_t reader = {.path = path};
+    json_t *root = json_load_file(path, 0, &problem);
+    if (!root) {
+        *error = problem.line > 0 ? g_strdup_printf("%s:%d:%d: %s", path, problem.line,
+                                                    problem.column, problem.text)
+                                  : g_strdup_printf("%s: %s", path, problem.text);
+        return NULL;
+    }
+    settings_t *settings = g_new0(settings_t, 1);
+    settings->siblings = g_array_new(FALSE, TRUE, sizeof(sibling_t));
+    settings->teams = g_array_new(FALSE, TRUE, sizeof(team_t));
+    settings->targets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    settings->urgent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    if (!json_is_object(root)) {
+        fault(&reader, "top level", "an object is expected");
+    } else {
+        read_text(&reader, root, "host_name", settings->name, sizeof settings->name);
+        read_text(&reader, root, "location", settings->zone, sizeof settings->zone);
+        read_address(&reader, root, "client_listen", settings->client_listen);
+        read_address(&reader, root, "mesh_addr", settings->mesh_listen);
+        read_siblings(&reader, root, settings);
+        const json_t *endpoints = read_object(&reader, root, "endpoints");
+        if (!reader.error) {
+            read_address(&reader, endpoints, "cloud", settings->cloud);
+            read_address(&reader, endpoints, "state", settings->state);
+        }
+        read_platform(&reader, root, settings);
+    }
+    json_decref(root);
+    if (reader.error) {
+        settings_free(settings);
+        *error = reader.error;
+        return NULL;
+    }
+    return settings;
+}
--- /dev/null
+++ b/src/app/settings.h
@@ -0,0 +1,40 @@
+/* The platform's settings file. Unknown fields are ignored; wrong ones are told in one line. */
+#ifndef PEPPERPULLEY_SETTINGS_H
+#define PEPPERPULLEY_SETTINGS_H
+
+#include "core/types.h"
+
+typedef struct {
+    char name[ID_SIZE];
+    char zone[LABEL_SIZE];
+    char endpoint[ADDRESS_SIZE];
+} sibling_t;
+
+typedef struct {
+    char name[ID_SIZE];
+    char zone[LABEL_SIZE];
+    char client_listen[ADDRESS_SIZE];
+    char mesh_listen[ADDRESS_SIZE];
+    char cloud[ADDRESS_SIZE];
+    char state[ADDRESS_SIZE];
+    GArray *siblings;    /* sibling_t */
+    GArray *teams;       /* team_t */
+    GHashTable *targets; /* class -> double *: seconds within which its jobs should finish */
+    GHashTable *urgent;  /* class -> double *: seconds within which its tasks should start */
+    double report_s;
+    double lease_s;
+    double cancel_s;
+    double state_rps;
+    double state_write_rps;
+    double value_kb;
+    guint txn_ops;
+    double cloud_rps;
+    double list_lag_s;
+    guint connections;
+} settings_t;
+
+/* Returns NULL with a message in *error (g_free it). */
+settings_t *settings_load(const char *path, char **error);
+void settings_free(settings_t *settings);
+
+#endif
--- /dev/null
+++ b/src/core/leader.c
@@ -0,0 +1,601 @@
+#include "core/leader.h"
+
+#include <math.h>
+#include <string.h>
+
+static bool bit_get(const uint8_t *bits, uint32_t at)
+{
+    return bits[at / 8] >> (at % 8) & 1;
+}
+
+static void bit_set(uint8_t *bits, uint32_t at, bool value)
+{
+    if (value)
+        bits[at / 8] |= (uint8_t)(1u << (at % 8));
+    else
+        bits[at / 8] &= (uint8_t)~(1u << (at % 8));
+}
+
+static void job_free(gpointer data)
+{
+    job_t *job = data;
+    job_spec_clear(&job->spec);
+    g_free(job->done);
+    g_free(job->live);
+    g_array_unref(job->chunk_stamps);
+    g_array_unref(job->unsettled);
+    if (job->settling)
+        g_array_unref(job->settling);
+    g_hash_table_unref(job->zone_live);
+    g_free(job);
+}
+
+static void rows_free(gpointer data)
+{
+    if (data)
+        g_array_unref(data);
+}
+
+leader_t *leader_new(const GArray *teams, GHashTable *targets, guint parts)
+{
+    leader_t *leader = g_new0(leader_t, 1);
+    leader->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+    leader->live = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    leader->teams = g_array_new(FALSE, TRUE, sizeof(team_state_t));
+    for (guint i = 0; i < teams->len; i++) {
+        team_state_t state = {.team = g_array_index(teams, team_t, i)};
+        g_array_append_val(leader->teams, state);
+    }
+    leader->targets = targets;
+    leader->rows = g_ptr_array_new_with_free_func(rows_free);
+    g_ptr_array_set_size(leader->rows, (gint)parts);
+    return leader;
+}
+
+void leader_free(leader_t *leader)
+{
+    g_hash_table_unref(leader->jobs);
+    g_hash_table_unref(leader->live);
+    g_array_unref(leader->teams);
+    g_ptr_array_unref(leader->rows);
+    g_free(leader);
+}
+
+void leader_set_view(leader_t *leader, uint64_t view)
+{
+    leader->view = view;
+    leader->count = 0;
+}
+
+static team_state_t *team_find(const leader_t *leader, const char *name, guint *at)
+{
+    for (guint i = 0; i < leader->teams->len; i++) {
+        team_state_t *state = &g_array_index(leader->teams, team_state_t, i);
+        if (strcmp(state->team.name, name) == 0) {
+            if (at)
+                *at = i;
+            return state;
+        }
+    }
+    return NULL;
+}
+
+static gsize bits_bytes(uint32_t tasks)
+{
+    return (tasks + 7) / 8;
+}
+
+static guint chunk_count(uint32_t tasks)
+{
+    return (tasks + CHUNK_BITS - 1) / CHUNK_BITS;
+}
+
+void leader_add_job(leader_t *leader, const job_spec_t *spec, uint64_t stamp, int64_t now)
+{
+    if (g_hash_table_contains(leader->jobs, spec->id))
+        return;
+    job_t *job = g_new0(job_t, 1);
+    job->spec = *spec;
+    job->spec.types = g_strdupv(spec->types);
+    job->stamp = stamp;
+    job->done = g_malloc0(bits_bytes(spec->tasks));
+    job->live = g_malloc0(bits_bytes(spec->tasks));
+    job->chunk_stamps = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+    g_array_set_size(job->chunk_stamps, chunk_count(spec->tasks));
+    job->unsettled = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    job->zone_live = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    job->first_pending = now;
+    g_hash_table_insert(leader->jobs, job->spec.id, job);
+}
+
+void leader_load_chunk(leader_t *leader, const char *id, guint chunk, const uint8_t *bits,
+                       gsize bytes, uint64_t stamp)
+{
+    job_t *job = g_hash_table_lookup(leader->jobs, id);
+    if (!job || chunk >= job->chunk_stamps->len)
+        return;
+    g_array_index(job->chunk_stamps, uint64_t, chunk) = stamp;
+    uint32_t first = chunk * CHUNK_BITS;
+    for (uint32_t i = 0; i < CHUNK_BITS && first + i < job->spec.tasks && i / 8 < bytes; i++) {
+        if (!bit_get(bits, i) || bit_get(job->done, first + i))
+            continue;
+        bit_set(job->done, first + i, true);
+        job->n_done++;
+    }
+}
+
+static void zone_count(job_t *job, const char *zone, int change)
+{
+    if (!zone[0])
+        return;
+    int count = GPOINTER_TO_INT(g_hash_table_lookup(job->zone_live, zone)) + change;
+    g_hash_table_insert(job->zone_live, g_strdup(zone), GINT_TO_POINTER(count));
+}
+
+static void live_add(leader_t *leader, uint64_t attempt, const char *job_id, uint32_t task,
+                     const char *team, room_t need, const char *zone, guint part)
+{
+    live_t *live = g_new0(live_t, 1);
+    g_strlcpy(live->job, job_id, sizeof live->job);
+    g_strlcpy(live->zone, zone, sizeof live->zone);
+    live->task = task;
+    live->need = need;
+    live->part = part;
+    team_state_t *state = team_find(leader, team, &live->team);
+    if (state) {
+        state->cpus += need.cpus;
+        state->gpus += need.gpus;
+    } else {
+        live->team = G_MAXUINT; /* the team left the settings; its work still ends normally */
+    }
+    uint64_t *key = g_new(uint64_t, 1);
+    *key = attempt;
+    g_hash_table_insert(leader->live, key, live);
+    job_t *job = g_hash_table_lookup(leader->jobs, job_id);
+    if (job && task < job->spec.tasks && !bit_get(job->live, task)) {
+        bit_set(job->live, task, true);
+        job->n_live++;
+    }
+    if (job)
+        zone_count(job, zone, 1);
+}
+
+void leader_load_attempt(leader_t *leader, const record_entry_t *entry, const char *zone,
+                         guint part)
+{
+    live_add(leader, entry->attempt, entry->job, entry->task, entry->team, entry->need, zone, part);
+}
+
+void leader_end_job(leader_t *leader, const char *id)
+{
+    g_hash_table_remove(leader->jobs, id);
+}
+
+void leader_set_rows(leader_t *leader, guint part, GArray *rows)
+{
+    rows_free(g_ptr_array_index(leader->rows, part));
+    g_ptr_array_index(leader->rows, part) = rows;
+}
+
+/* The moment by which the job should be started to be in time, time of day in ms. */
+static double job_due(const leader_t *leader, const job_t *job)
+{
+    double target = job->spec.deadline_s;
+    if (target <= 0) {
+        const double *aim = g_hash_table_lookup(leader->targets, job->spec.class_name);
+        target = aim ? *aim : 0;
+    }
+    if (target <= 0)
+        return INFINITY;
+    return (double)job->spec.submitted_ms + (target - job->spec.estimate_s) * 1000.0;
+}
+
+typedef struct {
+    job_t *job;
+    double due;
+} queued_t;
+
+static gint compare_queued(gconstpointer left, gconstpointer right)
+{
+    const queued_t *a = left, *b = right;
+    if (a->job->spec.urgency != b->job->spec.urgency)
+        return a->job->spec.urgency > b->job->spec.urgency ? -1 : 1;
+    if (a->due != b->due)
+        return a->due < b->due ? -1 : 1;
+    if (a->job->spec.submitted_ms != b->job->spec.submitted_ms)
+        return a->job->spec.submitted_ms < b->job->spec.submitted_ms ? -1 : 1;
+    return strcmp(a->job->spec.id, b->job->spec.id);
+}
+
+static uint32_t job_pending(const job_t *job)
+{
+    uint32_t out = job->n_done + job->n_live;
+    return out < job->spec.tasks ? job->spec.tasks - out : 0;
+}
+
+/* A job that fails wherever it runs must not fill the parts with its attempts (a soft place of the
+ * design): after repeated failures it gets one attempt at a time, ever more rarely. */
+static bool job_held(const job_t *job, msec_t now)
+{
+    if (job->ending || now < job->retry_at)
+        return true;
+    return job->errors >= JOB_ERRORS_ALARM && job->n_live > 0;
+}
+
+static bool next_task(job_t *job, uint32_t *task)
+{
+    for (uint32_t at = job->cursor; at < job->spec.tasks; at++) {
+        if (bit_get(job->done, at) || bit_get(job->live, at)) {
+            if (at == job->cursor)
+                job->cursor++;
+            continue;
+        }
+        *task = at;
+        return true;
+    }
+    return false;
+}
+
+static bool team_admits(const team_state_t *state, room_t need)
+{
+    const team_t *team = &state->team;
+    if (team->cpus_max > 0 && state->cpus + need.cpus > team->cpus_max + EPSILON)
+        return false;
+    return team->gpus_max <= 0 || state->gpus + need.gpus <= team->gpus_max + EPSILON;
+}
+
+static bool row_admits(const machine_row_t *row, const job_spec_t *spec, const char *zone)
+{
+    return row->open && (!zone[0] || strcmp(zone, row->zone) == 0) &&
+           job_spec_allows(spec, row->type, row->zone, row->spot) &&
+           room_fits(spec->need, row->free);
+}
+
+/* Whether the job's other tasks let one more stand in the zone. */
+static bool zone_open(const job_t *job, const char *zone)
+{
+    GHashTableIter iter;
+    gpointer key, value;
+    if (job->spec.same_zone) {
+        g_hash_table_iter_init(&iter, job->zone_live);
+        while (g_hash_table_iter_next(&iter, &key, &value))
+            if (GPOINTER_TO_INT(value) > 0 && strcmp(key, zone) != 0)
+                return false;
+    }
+    if (job->spec.spread) {
+        int count = GPOINTER_TO_INT(g_hash_table_lookup(job->zone_live, zone));
+        return count + 1 <= (int)((job->spec.tasks + 1) / 2);
+    }
+    return true;
+}
+
+/* The part with most free room on machines that take the task, and the row it would book. */
+static machine_row_t *choose_row(const leader_t *leader, const job_t *job, guint *part)
+{
+    bool zoned = job->spec.same_zone || job->spec.spread;
+    machine_row_t *chosen = NULL;
+    double most = -1;
+    for (guint i = 0; i < leader->rows->len; i++) {
+        GArray *rows = g_ptr_array_index(leader->rows, i);
+        double room = 0, lowest = INFINITY;
+        machine_row_t *best = NULL;
+        for (guint k = 0; rows && k < rows->len; k++) {
+            machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+            if (!row_admits(row, &job->spec, "") || (zoned && !zone_open(job, row->zone)))
+                continue;
+            room += row->free.cpus;
+            double pressure = MAX(
+                1 - (row->free.cpus - job->spec.need.cpus) / MAX(row->total.cpus, EPSILON),
+                1 - (row->free.memory - job->spec.need.memory) / MAX(row->total.memory, EPSILON));
+            if (pressure < lowest) {
+                lowest = pressure;
+                best = row;
+            }
+        }
+        if (best && room > most) {
+            most = room;
+            chosen = best;
+            *part = i;
+        }
+    }
+    return chosen;
+}
+
+static bool offer_one(leader_t *leader, team_state_t *state, job_t *job, GArray *offers)
+{
+    uint32_t task;
+    guint part = 0;
+    if (!team_admits(state, job->spec.need) || !next_task(job, &task))
+        return false;
+    machine_row_t *row = choose_row(leader, job, &part);
+    if (!row)
+        return false;
+    room_add(&row->free, job->spec.need, -1);
+    leader_offer_t made = {.part = part};
+    offer_t *offer = &made.offer;
+    g_strlcpy(offer->job, job->spec.id, sizeof offer->job);
+    g_strlcpy(offer->team, job->spec.team, sizeof offer->team);
+    g_strlcpy(offer->image, job->spec.image, sizeof offer->image);
+    /* Where the job's tasks bind each other, the zone is settled here and now, so that two parts
+     * can't decide differently; else the machine is the part's choice. */
+    if (job->spec.same_zone || job->spec.spread)
+        g_strlcpy(offer->zone, row->zone, sizeof offer->zone);
+    else
+        g_strlcpy(offer->zone, job->spec.zone, sizeof offer->zone);
+    offer->types = job->spec.types;
+    offer->need = job->spec.need;
+    offer->spot = job->spec.spot;
+    offer->urgency = job->spec.urgency;
+    offer->save_s = job->spec.save_s;
+    offer->checkpoint_s = job->spec.checkpoint_s;
+    offer->job_stamp = job->stamp;
+    offer->task = task;
+    offer->attempt = (leader->view << ATTEMPT_SHIFT) + ++leader->count;
+    live_add(leader, offer->attempt, job->spec.id, task, job->spec.team, job->spec.need,
+             offer->zone, part);
+    g_array_append_val(offers, made);
+    return true;
+}
+
+static GArray *team_queue(leader_t *leader, guint team, msec_t now)
+{
+    const char *name = g_array_index(leader->teams, team_state_t, team).team.name;
+    GArray *queue = g_array_new(FALSE, FALSE, sizeof(queued_t));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, leader->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        job_t *job = value;
+        if (!job_pending(job) || job_held(job, now) || strcmp(job->spec.team, name) != 0)
+            continue;
+        queued_t queued = {.job = job, .due = job_due(leader, job)};
+        g_array_append_val(queue, queued);
+    }
+    g_array_sort(queue, compare_queued);
+    return queue;
+}
+
+/* Serves one team's turn: from `at` on, until its allowance is spent. Returns what was spent. */
+static double serve_turn(leader_t *leader, team_state_t *state, GArray *queue, guint *at,
+                         double allowance, GArray *offers, guint most)
+{
+    double spent = 0;
+    while (*at < queue->len && offers->len < most) {
+        job_t *job = g_array_index(queue, queued_t, *at).job;
+        double cost = MAX(job->spec.need.cpus, EPSILON);
+        if (spent + cost > allowance + EPSILON)
+            break;
+        if (job_held(job, G_MAXINT64 - 1) || !offer_one(leader, state, job, offers))
+            (*at)++; /* nothing more of this job for now */
+        else
+            spent += cost;
+    }
+    return spent;
+}
+
+GArray *leader_schedule(leader_t *leader, msec_t now, int64_t day_ms, guint most)
+{
+    (void)day_ms;
+    GArray *offers = g_array_new(FALSE, FALSE, sizeof(leader_offer_t));
+    guint teams = leader->teams->len;
+    GPtrArray *queues = g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
+    guint *at = g_new0(guint, MAX(teams, 1));
+    for (guint i = 0; i < teams; i++)
+        g_ptr_array_add(queues, team_queue(leader, i, now));
+    /* What stays within a guarantee waits for no other team. */
+    for (guint i = 0; i < teams; i++) {
+        team_state_t *state = &g_array_index(leader->teams, team_state_t, i);
+        double left = state->team.cpus - state->cpus;
+        if (left > 0)
+            serve_turn(leader, state, g_ptr_array_index(queues, i), &at[i], left, offers, most);
+    }
+    /* The rest by deficit round robin: weight is the guarantee, cost the cpus asked. */
+    for (bool more = teams > 0; more && offers->len < most;) {
+        more = false;
+        for (guint k = 0; k < teams && offers->len < most; k++) {
+            guint i = leader->turn++ % teams;
+            GArray *queue = g_ptr_array_index(queues, i);
+            team_state_t *state = &g_array_index(leader->teams, team_state_t, i);
+            if (at[i] >= queue->len) {
+                state->deficit = 0;
+                continue;
+            }
+            state->deficit += MAX(state->team.cpus, 1);
+            state->deficit -=
+                serve_turn(leader, state, queue, &at[i], state->deficit, offers, most);
+            more = more || at[i] < queue->len;
+        }
+    }
+    g_free(at);
+    g_ptr_array_unref(queues);
+    return offers;
+}
+
+void leader_placed(leader_t *leader, uint64_t attempt, const char *zone)
+{
+    live_t *live = g_hash_table_lookup(leader->live, &attempt);
+    if (!live || strcmp(live->zone, zone) == 0)
+        return;
+    job_t *job = g_hash_table_lookup(leader->jobs, live->job);
+    if (job) {
+        zone_count(job, live->zone, -1);
+        zone_count(job, zone, 1);
+    }
+    g_strlcpy(live->zone, zone, sizeof live->zone);
+}
+
+static void job_failed(job_t *job, cause_t cause, msec_t now)
+{
+    if (cause == CAUSE_FULL || cause == CAUSE_BUSY) {
+        job->retry_at = MAX(job->retry_at, now + TASK_BACKOFF_MS);
+    } else if (cause == CAUSE_ERROR || cause == CAUSE_UNKNOWN) {
+        job->errors++;
+        if (job->errors >= JOB_ERRORS_ALARM) {
+            guint doublings = MIN(job->errors - JOB_ERRORS_ALARM, 5);
+            msec_t wait = MIN((msec_t)JOB_BACKOFF_MS << doublings, JOB_BACKOFF_MAX_MS);
+            job->retry_at = MAX(job->retry_at, now + wait);
+        }
+    }
+}
+
+void leader_outcome(leader_t *leader, const outcome_t *outcome, msec_t now)
+{
+    live_t *live = g_hash_table_lookup(leader->live, &outcome->attempt);
+    if (!live)
+        return;
+    if (live->team < leader->teams->len) {
+        team_state_t *state = &g_array_index(leader->teams, team_state_t, live->team);
+        state->cpus -= live->need.cpus;
+        state->gpus -= live->need.gpus;
+    }
+    job_t *job = g_hash_table_lookup(leader->jobs, live->job);
+    uint32_t task = live->task;
+    if (job)
+        zone_count(job, live->zone, -1);
+    g_hash_table_remove(leader->live, &outcome->attempt);
+    if (!job || task >= job->spec.tasks)
+        return;
+    if (bit_get(job->live, task)) {
+        bit_set(job->live, task, false);
+        job->n_live--;
+    }
+    if (outcome->cause == CAUSE_DONE) {
+        job->errors = 0;
+        if (!bit_get(job->done, task)) {
+            bit_set(job->done, task, true);
+            job->n_done++;
+        }
+        job->dirty_chunks |= 1u << (task / CHUNK_BITS);
+        g_array_append_val(job->unsettled, outcome->attempt);
+        return;
+    }
+    job->cursor = MIN(job->cursor, task);
+    job_failed(job, outcome->cause, now);
+}
+
+GArray *leader_demand(const leader_t *leader, msec_t now)
+{
+    GArray *demand = g_array_new(FALSE, FALSE, sizeof(demand_t));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, leader->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        job_t *job = value;
+        const team_state_t *state = team_find(leader, job->spec.team, NULL);
+        uint32_t tasks = job_pending(job);
+        if (!tasks || !state || job_held(job, now))
+            continue;
+        if (state->team.cpus_max > 0 && job->spec.need.cpus > 0) {
+            double left = MAX(state->team.cpus_max - state->cpus, 0) / job->spec.need.cpus;
+            tasks = MIN(tasks, (uint32_t)MIN(left, (double)PIECES_MAX));
+        }
+        if (job->errors >= JOB_ERRORS_ALARM)
+            tasks = MIN(tasks, 1);
+        demand_t entry = {.job = job, .tasks = tasks};
+        if (tasks)
+            g_array_append_val(demand, entry);
+    }
+    return demand;
+}
+
+static void progress_clear(gpointer data)
+{
+    progress_t *progress = data;
+    g_free(progress->bits);
+    if (progress->old_stamps)
+        g_array_unref(progress->old_stamps);
+}
+
+static void progress_end(job_t *job, GArray *batch, guint *ops)
+{
+    progress_t progress = {.end = true, .done = job->n_done, .job_stamp = job->stamp};
+    g_strlcpy(progress.job, job->spec.id, sizeof progress.job);
+    progress.old_stamps = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    g_array_append_vals(progress.old_stamps, job->chunk_stamps->data, job->chunk_stamps->len);
+    *ops += 2;
+    for (guint i = 0; i < job->chunk_stamps->len; i++)
+        *ops += g_array_index(job->chunk_stamps, uint64_t, i) != 0;
+    job->ending = true;
+    g_array_append_val(batch, progress);
+}
+
+static void progress_chunk(job_t *job, guint chunk, GArray *batch)
+{
+    uint32_t first = chunk * CHUNK_BITS;
+    uint32_t bits = MIN((uint32_t)CHUNK_BITS, job->spec.tasks - first);
+    progress_t progress = {.done = job->n_done, .chunk = chunk, .bytes = bits_bytes(bits)};
+    g_strlcpy(progress.job, job->spec.id, sizeof progress.job);
+    progress.job_stamp = job->stamp;
+    progress.stamp = g_array_index(job->chunk_stamps, uint64_t, chunk);
+    progress.bits = g_memdup2(job->done + first / 8, progress.bytes);
+    g_array_append_val(batch, progress);
+}
+
+GArray *leader_progress_take(leader_t *leader, guint max_ops, guint *ops)
+{
+    GArray *batch = g_array_new(FALSE, FALSE, sizeof(progress_t));
+    g_array_set_clear_func(batch, progress_clear);
+    GHashTableIter iter;
+    gpointer value;
+    *ops = 0;
+    g_hash_table_iter_init(&iter, leader->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        job_t *job = value;
+        if (!job->dirty_chunks && job->n_done < job->spec.tasks)
+            continue;
+        bool end = job->n_done == job->spec.tasks;
+        guint cost = end ? 2 + job->chunk_stamps->len
+                         : (guint)__builtin_popcount(job->dirty_chunks);
+        if (*ops + cost > max_ops)
+            continue;
+        if (end) {
+            progress_end(job, batch, ops);
+        } else {
+            for (guint chunk = 0; chunk < job->chunk_stamps->len; chunk++)
+                if (job->dirty_chunks >> chunk & 1)
+                    progress_chunk(job, chunk, batch);
+            *ops += cost;
+        }
+        job->dirty_chunks = 0;
+        job->settling = job->unsettled;
+        job->unsettled = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    }
+    return batch;
+}
+
+void leader_progress_commit(leader_t *leader, const GArray *batch, uint64_t revision,
+                            GArray *settled)
+{
+    for (guint i = 0; i < batch->len; i++) {
+        const progress_t *progress = &g_array_index(batch, progress_t, i);
+        job_t *job = g_hash_table_lookup(leader->jobs, progress->job);
+        if (!job)
+            continue;
+        if (job->settling) {
+            g_array_append_vals(settled, job->settling->data, job->settling->len);
+            g_array_unref(job->settling);
+            job->settling = NULL;
+        }
+        if (progress->end)
+            g_hash_table_remove(leader->jobs, progress->job);
+        else
+            g_array_index(job->chunk_stamps, uint64_t, progress->chunk) = revision;
+    }
+}
+
+void leader_progress_undo(leader_t *leader, const GArray *batch)
+{
+    for (guint i = 0; i < batch->len; i++) {
+        const progress_t *progress = &g_array_index(batch, progress_t, i);
+        job_t *job = g_hash_table_lookup(leader->jobs, progress->job);
+        if (!job)
+            continue;
+        job->ending = false;
+        job->dirty_chunks |= progress->end ? 1u : 1u << progress->chunk;
+        if (job->settling) {
+            g_array_append_vals(job->unsettled, job->settling->data, job->settling->len);
+            g_array_unref(job->settling);
+            job->settling = NULL;
+        }
+    }
+}
--- /dev/null
+++ b/src/core/part.c
@@ -0,0 +1,681 @@
+#include "core/part.h"
+
+#include <string.h>
+
+static void machine_free(gpointer data)
+{
+    machine_t *machine = data;
+    g_ptr_array_unref(machine->attempts);
+    g_array_unref(machine->reservations);
+    g_free(machine);
+}
+
+part_t *part_new(const GArray *flavors, msec_t lapse)
+{
+    part_t *part = g_new0(part_t, 1);
+    part->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
+    part->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
+    part->flavors = flavors;
+    part->outcomes = g_array_new(FALSE, TRUE, sizeof(outcome_t));
+    part->lapse = lapse;
+    return part;
+}
+
+void part_free(part_t *part)
+{
+    g_hash_table_unref(part->attempts);
+    g_hash_table_unref(part->machines);
+    g_array_unref(part->outcomes);
+    g_free(part);
+}
+
+void part_set_view(part_t *part, uint64_t view)
+{
+    part->view = view;
+}
+
+static void look_up_room(const part_t *part, machine_t *machine)
+{
+    for (guint i = 0; i < part->flavors->len; i++) {
+        const flavor_t *flavor = &g_array_index(part->flavors, flavor_t, i);
+        if (strcmp(flavor->name, machine->type) == 0) {
+            machine->room = flavor->room;
+            machine->known_room = true;
+        }
+    }
+}
+
+void part_apply_flavors(part_t *part)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, part->machines);
+    while (g_hash_table_iter_next(&iter, NULL, &value))
+        look_up_room(part, value);
+}
+
+static machine_t *machine_add(part_t *part, const char *id, msec_t now)
+{
+    machine_t *machine = g_new0(machine_t, 1);
+    g_strlcpy(machine->id, id, sizeof machine->id);
+    machine->attempts = g_ptr_array_new_with_free_func(g_free);
+    machine->reservations = g_array_new(FALSE, FALSE, sizeof(reservation_t));
+    machine->first_seen = machine->last_report = machine->idle_since = now;
+    g_hash_table_insert(part->machines, machine->id, machine);
+    return machine;
+}
+
+static attempt_t *attempt_add(part_t *part, machine_t *machine, const record_entry_t *entry)
+{
+    attempt_t *attempt = g_new0(attempt_t, 1);
+    attempt->entry = *entry;
+    attempt->machine = machine;
+    g_ptr_array_add(machine->attempts, attempt);
+    g_hash_table_insert(part->attempts, &attempt->entry.attempt, attempt);
+    return attempt;
+}
+
+static void attempt_drop(part_t *part, attempt_t *attempt)
+{
+    reservation_free(attempt->machine->reservations, attempt->entry.attempt);
+    g_hash_table_remove(part->attempts, &attempt->entry.attempt);
+    g_ptr_array_remove(attempt->machine->attempts, attempt);
+}
+
+void part_load(part_t *part, const machine_record_t *record, msec_t now)
+{
+    machine_t *machine = machine_add(part, record->machine, now);
+    g_strlcpy(machine->address, record->address, sizeof machine->address);
+    g_strlcpy(machine->type, record->type, sizeof machine->type);
+    g_strlcpy(machine->zone, record->zone, sizeof machine->zone);
+    machine->spot = record->spot;
+    machine->session = record->session;
+    machine->stamp = record->stamp;
+    look_up_room(part, machine);
+    for (guint i = 0; i < record->entries->len; i++) {
+        attempt_t *attempt =
+            attempt_add(part, machine, &g_array_index(record->entries, record_entry_t, i));
+        attempt->phase = ATTEMPT_RECORDED;
+        attempt->session = record->session;
+        attempt->in_record = true;
+        reservation_add(machine->reservations, attempt->entry.attempt, attempt->entry.need, 0, now);
+    }
+}
+
+room_t part_free_room(const machine_t *machine)
+{
+    room_t room = machine->room;
+    room_add(&room, machine->booked, -1);
+    room_add(&room, reservation_sum(machine->reservations), -1);
+    return room;
+}
+
+bool part_admits(const machine_t *machine, const offer_t *offer)
+{
+    if (!machine->known_room || machine->draining || machine->notice_at)
+        return false;
+    /* A worker that has seen a higher token refuses ours; a session not yet in the record would
+     * make the start's session unknown to the next owner. */
+    if (offer->zone[0] && strcmp(offer->zone, machine->zone) != 0)
+        return false;
+    if (machine->spot && !offer->spot)
+        return false;
+    if (offer->types && !g_strv_contains((const char *const *)offer->types, machine->type))
+        return false;
+    return room_fits(offer->need, part_free_room(machine));
+}
+
+static double pressure(const machine_t *machine, room_t need)
+{
+    room_t left = part_free_room(machine);
+    double cpus = (machine->room.cpus - left.cpus + need.cpus) / MAX(machine->room.cpus, EPSILON);
+    double memory =
+        (machine->room.memory - left.memory + need.memory) / MAX(machine->room.memory, EPSILON);
+    return MAX(cpus, memory);
+}
+
+/* The design's order: reported first, lower score, fewer starting, fewer running. 0: equal. */
+static int compare_rank(const machine_t *a, const machine_t *b, room_t need)
+{
+    if (a->reported != b->reported)
+        return a->reported ? -1 : 1;
+    double difference = pressure(a, need) - pressure(b, need);
+    if (difference < -EPSILON || difference > EPSILON)
+        return difference < 0 ? -1 : 1;
+    guint starting_a = a->starting + a->reservations->len;
+    guint starting_b = b->starting + b->reservations->len;
+    if (starting_a != starting_b)
+        return starting_a < starting_b ? -1 : 1;
+    if (a->running != b->running)
+        return a->running < b->running ? -1 : 1;
+    return 0;
+}
+
+machine_t *part_place(part_t *part, const offer_t *offer, msec_t now)
+{
+    machine_t *best = NULL;
+    guint equals = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, part->machines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        machine_t *machine = value;
+        /* A machine that has not reported in this view may be hanging or gone: it takes no starts
+         * (the design ranks it last; a start there would only wait for its first report). */
+        if (!machine->reported || !part_admits(machine, offer))
+            continue;
+        int rank = best ? compare_rank(machine, best, offer->need) : -1;
+        if (rank < 0) {
+            best = machine;
+            equals = 1;
+        } else if (rank == 0 && part->turn++ % ++equals == 0) {
+            best = machine;
+        }
+    }
+    if (!best)
+        return NULL;
+    record_entry_t entry = {.need = offer->need,
+                            .urgency = offer->urgency,
+                            .save_s = offer->save_s,
+                            .checkpoint_s = offer->checkpoint_s,
+                            .task = offer->task,
+                            .attempt = offer->attempt};
+    g_strlcpy(entry.job, offer->job, sizeof entry.job);
+    g_strlcpy(entry.team, offer->team, sizeof entry.team);
+    attempt_t *attempt = attempt_add(part, best, &entry);
+    attempt->phase = ATTEMPT_PLACED;
+    attempt->job_stamp = offer->job_stamp;
+    attempt->session = best->session;
+    reservation_add(best->reservations, offer->attempt, offer->need, best->receipt, now);
+    best->dirty = true;
+    return best;
+}
+
+static void tell(part_t *part, const attempt_t *attempt)
+{
+    outcome_t outcome = {.task = attempt->entry.task,
+                         .attempt = attempt->entry.attempt,
+                         .cause = attempt->cause,
+                         .started = attempt->listed_since != 0};
+    g_strlcpy(outcome.job, attempt->entry.job, sizeof outcome.job);
+    g_strlcpy(outcome.machine, attempt->machine->id, sizeof outcome.machine);
+    g_array_append_val(part->outcomes, outcome);
+}
+
+/* Proof stands: the attempt is over. One not yet recorded leaves with its batch's end. */
+static void attempt_over(part_t *part, attempt_t *attempt, cause_t cause)
+{
+    if (attempt->phase == ATTEMPT_OVER)
+        return;
+    attempt->phase = ATTEMPT_OVER;
+    attempt->cause = cause;
+    attempt->machine->dirty = true;
+    reservation_free(attempt->machine->reservations, attempt->entry.attempt);
+    if (cause == CAUSE_DONE) {
+        attempt->reported_done = true;
+        tell(part, attempt);
+    }
+}
+
+static attempt_t *find_attempt(part_t *part, const piece_t *piece, const machine_t *machine)
+{
+    attempt_t *attempt = g_hash_table_lookup(part->attempts, &piece->attempt);
+    if (!attempt || attempt->machine != machine || attempt->entry.task != piece->task ||
+        strcmp(attempt->entry.job, piece->job) != 0)
+        return NULL;
+    return attempt;
+}
+
+static void call_add(GArray *calls, call_op_t op, const char *job, uint32_t task, uint64_t number,
+                     double grace_s)
+{
+    call_t call = {.op = op, .task = task, .attempt = number, .grace_s = grace_s};
+    g_strlcpy(call.job, job, sizeof call.job);
+    g_array_append_val(calls, call);
+}
+
+static double stop_grace(const attempt_t *attempt, msec_t now)
+{
+    /* A task without checkpoints has nothing to save; one that is already saving is cut off only
+     * when its time is over. */
+    if (attempt->entry.checkpoint_s <= 0 || attempt->stop_kill <= now)
+        return 0;
+    return (double)(attempt->stop_kill - now) / 1000.0;
+}
+
+/* Commands that bring the machine to what is wanted: runs and stops. */
+static void wanted_calls(const machine_t *machine, msec_t now, GArray *calls)
+{
+    for (guint i = 0; i < machine->attempts->len; i++) {
+        const attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
+        if (attempt->phase != ATTEMPT_RECORDED || !attempt->in_record ||
+            attempt->session != machine->session)
+            continue;
+        const record_entry_t *entry = &attempt->entry;
+        if (!attempt->stop) {
+            if (!attempt->listed)
+                call_add(calls, CALL_RUN, entry->job, entry->task, entry->attempt, 0);
+        } else if (attempt->listed) {
+            double grace = stop_grace(attempt, now);
+            if (attempt->state != PIECE_SAVING || grace <= 0)
+                call_add(calls, CALL_STOP, entry->job, entry->task, entry->attempt, grace);
+        }
+    }
+}
+
+static void take_session(part_t *part, machine_t *machine, const report_t *report)
+{
+    if (report->session <= machine->session && machine->session)
+        return;
+    /* The worker killed and forgot all of its earlier sessions, and commands of those are refused
+     * there: proof for every attempt recorded under them. A placed one has not been sent. */
+    for (guint i = 0; i < machine->attempts->len; i++) {
+        attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
+        if (attempt->session < report->session)
+            attempt_over(part, attempt, CAUSE_NONE);
+    }
+    if (machine->session)
+        machine->dirty = true;
+    machine->session = report->session;
+    machine->unanswered_token = 0;
+    machine->booked = (room_t){0};
+}
+
+static void take_identity(part_t *part, machine_t *machine, const report_t *report)
+{
+    if (machine->reported && strcmp(machine->address, report->address) == 0)
+        return;
+    g_strlcpy(machine->address, report->address, sizeof machine->address);
+    g_strlcpy(machine->type, report->type, sizeof machine->type);
+    g_strlcpy(machine->zone, report->zone, sizeof machine->zone);
+    machine->spot = report->spot;
+    look_up_room(part, machine);
+}
+
+static void take_pieces(part_t *part, machine_t *machine, const report_t *report, msec_t now)
+{
+    room_t booked = {0}, grown = {0};
+    machine->starting = machine->running = 0;
+    for (guint i = 0; i < machine->attempts->len; i++) {
+        attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
+        attempt->listed = attempt->listed && attempt->phase == ATTEMPT_OVER;
+    }
+    for (guint i = 0; i < report->pieces->len; i++) {
+        const piece_t *piece = &g_array_index(report->pieces, piece_t, i);
+        attempt_t *attempt = find_attempt(part, piece, machine);
+        if (!attempt || attempt->phase == ATTEMPT_OVER)
+            continue;
+        attempt->listed = true;
+        attempt->state = piece->state;
+        if (piece->state == PIECE_EXITED) {
+            attempt_over(part, attempt, piece->cause);
+            continue;
+        }
+        if (piece->state == PIECE_FETCHING)
+            machine->starting++;
+        else
+            machine->running++;
+        room_add(&booked, attempt->entry.need, 1);
+        if (!attempt->listed_since) {
+            attempt->listed_since = now;
+            room_add(&grown, attempt->entry.need, 1);
+        }
+        if (piece->state == PIECE_FETCHING)
+            reservation_see_start(machine->reservations, piece->attempt, machine->receipt);
+        else
+            reservation_free(machine->reservations, piece->attempt);
+    }
+    /* Growth is counted by the tasks newly listed, so that one that ended meanwhile hides none. */
+    reservation_confirm(machine->reservations, grown, machine->receipt);
+    machine->booked = booked;
+}
+
+/* Whether no `run` of ours that the worker has not executed can still be executed there: it has
+ * seen this view's token, no direct command is under way, and none went unanswered under a token as
+ * high as the one it has seen. Commands in answers to reports need no more care: this report was
+ * sent after the answer to the one before arrived or was given up. That holds for ordinary reports
+ * only; the answer to a direct command may overtake what an earlier report's answer carries. */
+static bool nothing_under_way(const part_t *part, const machine_t *machine, const report_t *report)
+{
+    return report->token >= part->view && !machine->direct_busy &&
+           machine->unanswered_token < report->token;
+}
+
+static void prove_absent(part_t *part, machine_t *machine, const report_t *report)
+{
+    if (!nothing_under_way(part, machine, report))
+        return;
+    for (guint i = 0; i < machine->attempts->len; i++) {
+        attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
+        if (attempt->phase == ATTEMPT_RECORDED && attempt->stop && !attempt->listed)
+            attempt_over(part, attempt, CAUSE_STOPPED);
+    }
+}
+
+static void answer_unknown(part_t *part, machine_t *machine, const report_t *report, GArray *calls)
+{
+    /* `forget` ends the worker's memory of an attempt, after which a late copy of its `run` would
+     * start it anew. So it goes out only in an ordinary answer, to a report that lists the exit,
+     * and while no copy is under way. */
+    bool may_forget = nothing_under_way(part, machine, report);
+    for (guint i = 0; i < report->pieces->len; i++) {
+        const piece_t *piece = &g_array_index(report->pieces, piece_t, i);
+        if (find_attempt(part, piece, machine))
+            continue;
+        if (piece->state != PIECE_EXITED)
+            call_add(calls, CALL_STOP, piece->job, piece->task, piece->attempt, 0);
+        else if (may_forget)
+            call_add(calls, CALL_FORGET, piece->job, piece->task, piece->attempt, 0);
+    }
+}
+
+report_verdict_t part_report(part_t *part, const report_t *report, bool direct, msec_t now,
+                             GArray *calls)
+{
+    machine_t *machine = g_hash_table_lookup(part->machines, report->machine);
+    if (!machine)
+        machine = machine_add(part, report->machine, now);
+    if (machine->gone || report->session < machine->session ||
+        (machine->reported && report->session == machine->session && report->seq <= machine->seq))
+        return REPORT_STALE;
+    take_identity(part, machine, report);
+    take_session(part, machine, report);
+    machine->seq = report->seq;
+    machine->token = report->token;
+    machine->receipt++;
+    machine->notice_at =
+        report->notice_s >= 0 ? MAX(now + (msec_t)(report->notice_s * 1000), 1) : 0;
+    take_pieces(part, machine, report, now);
+    if (!direct) {
+        machine->reported = true;
+        machine->last_report = now;
+        prove_absent(part, machine, report);
+        wanted_calls(machine, now, calls);
+        answer_unknown(part, machine, report, calls);
+    }
+    if (machine->attempts->len)
+        machine->idle_since = now;
+    return REPORT_TAKEN;
+}
+
+void part_end_job(part_t *part, const char *job)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, part->attempts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        attempt_t *attempt = value;
+        if (strcmp(attempt->entry.job, job) != 0)
+            continue;
+        attempt->stop = true;
+        attempt->stop_kill = 0; /* nobody wants what it would save */
+        attempt->settled = true;
+        attempt->machine->direct_wanted = true;
+        attempt->machine->dirty = true;
+    }
+}
+
+void part_stop(part_t *part, attempt_t *attempt, msec_t now)
+{
+    (void)part;
+    if (attempt->stop)
+        return;
+    attempt->stop = true;
+    attempt->stop_kill =
+        attempt->entry.checkpoint_s > 0 ? now + (msec_t)(attempt->entry.save_s * 2000) + 1000 : 0;
+    attempt->machine->direct_wanted = true;
+}
+
+void part_settle(part_t *part, uint64_t number)
+{
+    attempt_t *attempt = g_hash_table_lookup(part->attempts, &number);
+    if (!attempt)
+        return;
+    attempt->settled = true;
+    attempt->machine->dirty = true;
+}
+
+void part_machine_gone(part_t *part, const char *id)
+{
+    machine_t *machine = g_hash_table_lookup(part->machines, id);
+    if (!machine)
+        return;
+    machine->draining = true;
+    for (guint i = 0; i < machine->attempts->len; i++)
+        attempt_over(part, g_ptr_array_index(machine->attempts, i), CAUSE_NONE);
+    machine->reported = false;
+    machine->gone = true;
+    machine->dirty = true;
+}
+
+void part_tick(part_t *part, msec_t now)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, part->machines);
+    while (g_hash_table_iter_next(&iter, NULL, &value))
+        reservation_lapse(((machine_t *)value)->reservations, now, part->lapse);
+}
+
+/* Whether the attempt is to leave the record. */
+static bool leaves(const attempt_t *attempt)
+{
+    return attempt->phase == ATTEMPT_OVER && (!attempt->reported_done || attempt->settled);
+}
+
+/* What never got into the record goes without a commit. */
+static void drop_unrecorded(part_t *part, machine_t *machine)
+{
+    for (guint i = machine->attempts->len; i-- > 0;) {
+        attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
+        if (attempt->in_record || attempt->batch != BATCH_NONE ||
+            (attempt->phase != ATTEMPT_OVER && !attempt->stop))
+            continue;
+        attempt->cause = CAUSE_NONE;
+        tell(part, attempt);
+        attempt_drop(part, attempt);
+    }
+}
+
+static bool has_change(const machine_t *machine)
+{
+    guint kept = 0, changed = 0;
+    for (guint i = 0; i < machine->attempts->len; i++) {
+        const attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
+        if (leaves(attempt) || !attempt->in_record)
+            changed++;
+        else
+            kept++;
+    }
+    /* The key of a machine that is gone goes only with the last result the leader has to settle. */
+    return machine->gone ? kept == 0 : changed > 0;
+}
+
+static void batch_machine(part_batch_t *batch, machine_t *machine, gsize value_max)
+{
+    machine_record_t record = {.spot = machine->spot,
+                               .session = machine->session,
+                               .stamp = machine->stamp,
+                               .entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t))};
+    g_strlcpy(record.machine, machine->id, sizeof record.machine);
+    g_strlcpy(record.address, machine->address, sizeof record.address);
+    g_strlcpy(record.type, machine->type, sizeof record.type);
+    g_strlcpy(record.zone, machine->zone, sizeof record.zone);
+    gsize size = RECORD_ROOM;
+    GHashTable *headers = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = 0; i < machine->attempts->len; i++) {
+        attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
+        if (leaves(attempt)) {
+            attempt->batch = BATCH_DROP;
+            continue;
+        }
+        size += RECORD_ATTEMPT;
+        if (g_hash_table_add(headers, attempt->entry.job))
+            size += RECORD_JOB;
+        /* A start that the value limit leaves no room for stays placed until a later commit. */
+        if (!attempt->in_record) {
+            if (size > value_max)
+                continue;
+            attempt->batch = BATCH_ADD;
+            g_hash_table_insert(batch->jobs, g_strdup(attempt->entry.job),
+                                GSIZE_TO_POINTER(attempt->job_stamp));
+        }
+        g_array_append_val(record.entries, attempt->entry);
+    }
+    g_hash_table_unref(headers);
+    g_array_append_val(batch->records, record);
+}
+
+static void batch_gone(part_batch_t *batch, machine_t *machine)
+{
+    for (guint i = 0; i < machine->attempts->len; i++)
+        ((attempt_t *)g_ptr_array_index(machine->attempts, i))->batch = BATCH_DROP;
+    g_ptr_array_add(batch->gone, g_strdup(machine->id));
+    g_array_append_val(batch->gone_stamps, machine->stamp);
+}
+
+static void record_clear(gpointer data)
+{
+    g_array_unref(((machine_record_t *)data)->entries);
+}
+
+part_batch_t *part_batch_take(part_t *part, guint max_ops, gsize value_max)
+{
+    part_batch_t *batch = g_new0(part_batch_t, 1);
+    batch->records = g_array_new(FALSE, FALSE, sizeof(machine_record_t));
+    g_array_set_clear_func(batch->records, record_clear);
+    batch->gone = g_ptr_array_new_with_free_func(g_free);
+    batch->gone_stamps = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    batch->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, part->machines);
+    while (batch->records->len + batch->gone->len < max_ops &&
+           g_hash_table_iter_next(&iter, NULL, &value)) {
+        machine_t *machine = value;
+        if (!machine->dirty)
+            continue;
+        machine->dirty = false;
+        drop_unrecorded(part, machine);
+        if (!has_change(machine))
+            continue;
+        if (!machine->gone)
+            batch_machine(batch, machine, value_max);
+        else if (machine->stamp)
+            batch_gone(batch, machine);
+        else
+            g_hash_table_iter_remove(&iter);
+    }
+    return batch;
+}
+
+static void machine_committed(part_t *part, machine_t *machine, msec_t now)
+{
+    for (guint i = machine->attempts->len; i-- > 0;) {
+        attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
+        if (attempt->batch == BATCH_ADD) {
+            attempt->in_record = true;
+            /* It may have been proved over while the commit was under way: then it is not sent, and
+             * leaves with the next one. */
+            if (attempt->phase == ATTEMPT_PLACED)
+                attempt->phase = ATTEMPT_RECORDED;
+            else
+                machine->dirty = true;
+            machine->direct_wanted = true;
+        } else if (attempt->batch == BATCH_DROP) {
+            if (!attempt->reported_done)
+                tell(part, attempt);
+            attempt_drop(part, attempt);
+            continue;
+        } else if (!attempt->in_record) {
+            machine->dirty = true; /* left out, or placed since */
+        }
+        attempt->batch = BATCH_NONE;
+    }
+    machine->idle_since = now;
+}
+
+void part_batch_commit(part_t *part, part_batch_t *batch, uint64_t revision, msec_t now)
+{
+    for (guint i = 0; i < batch->records->len; i++) {
+        const machine_record_t *record = &g_array_index(batch->records, machine_record_t, i);
+        machine_t *machine = g_hash_table_lookup(part->machines, record->machine);
+        machine->stamp = revision;
+        machine_committed(part, machine, now);
+    }
+    for (guint i = 0; i < batch->gone->len; i++) {
+        const char *id = g_ptr_array_index(batch->gone, i);
+        machine_committed(part, g_hash_table_lookup(part->machines, id), now);
+        g_hash_table_remove(part->machines, id);
+    }
+}
+
+static void machine_undone(part_t *part, const char *id)
+{
+    machine_t *machine = g_hash_table_lookup(part->machines, id);
+    machine->dirty = true;
+    for (guint i = 0; i < machine->attempts->len; i++)
+        ((attempt_t *)g_ptr_array_index(machine->attempts, i))->batch = BATCH_NONE;
+}
+
+void part_batch_undo(part_t *part, part_batch_t *batch)
+{
+    for (guint i = 0; i < batch->records->len; i++)
+        machine_undone(part, g_array_index(batch->records, machine_record_t, i).machine);
+    for (guint i = 0; i < batch->gone->len; i++)
+        machine_undone(part, g_ptr_array_index(batch->gone, i));
+}
+
+void part_batch_free(part_batch_t *batch)
+{
+    g_array_unref(batch->records);
+    g_ptr_array_unref(batch->gone);
+    g_array_unref(batch->gone_stamps);
+    g_hash_table_unref(batch->jobs);
+    g_free(batch);
+}
+
+machine_t *part_direct_take(part_t *part, msec_t now, GArray *calls)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, part->machines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        machine_t *machine = value;
+        if (!machine->direct_wanted || machine->direct_busy || !machine->reported ||
+            now - machine->last_report > DIRECT_FRESH_MS)
+            continue;
+        machine->direct_wanted = false;
+        wanted_calls(machine, now, calls);
+        if (!calls->len)
+            continue;
+        machine->direct_busy = true;
+        return machine;
+    }
+    return NULL;
+}
+
+void part_direct_done(part_t *part, const char *id, const GArray *calls, uint64_t token,
+                      direct_result_t result)
+{
+    machine_t *machine = g_hash_table_lookup(part->machines, id);
+    if (!machine)
+        return;
+    machine->direct_busy = false;
+    for (guint i = 0; result == DIRECT_UNANSWERED && i < calls->len; i++)
+        if (g_array_index(calls, call_t, i).op == CALL_RUN)
+            machine->unanswered_token = MAX(machine->unanswered_token, token);
+}
+
+bool part_wants_token(const part_t *part)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, part->machines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const machine_t *machine = value;
+        if (machine->unanswered_token >= part->view && machine->reported)
+            return true;
+    }
+    return false;
+}
--- /dev/null
+++ b/src/core/part.h
@@ -0,0 +1,193 @@
+/* A part: the machines that one controller owns in one view.
+ *
+ * Owns: machines, their attempts and reservations, in memory. Wanted: every recorded attempt
+ * listed by its worker, every stopped or ended one gone. The caller holds the lock of the node;
+ * nothing here waits, reads a clock or does input or output.
+ *
+ * An attempt is taken off a machine's record only on proof that it is over and cannot still begin:
+ *  - the worker reports a newer session (commands of an older one are refused there);
+ *  - a report of this session lists it as exited (a late copy of its `run` has no effect then, and
+ *    `forget` is held back while a copy may be under way);
+ *  - an ordinary report, sent under a token above any under which `run` went out, lacks it;
+ *  - the cloud confirmed that the machine is gone.
+ * Silence, a lapsed reservation, a list of machines or a refused connection is no proof. */
+#ifndef PEPPERPULLEY_PART_H
+#define PEPPERPULLEY_PART_H
+
+#include "core/reservation.h"
+#include "core/types.h"
+
+/* What the leader asks a part to place. */
+typedef struct {
+    char job[ID_SIZE];
+    char team[LABEL_SIZE];
+    char image[LABEL_SIZE];
+    char zone[LABEL_SIZE]; /* empty: any */
+    char **types;          /* borrowed for the call; NULL: any */
+    room_t need;
+    bool spot;
+    urgency_t urgency;
+    double save_s;
+    double checkpoint_s;
+    uint64_t job_stamp; /* of jobs/<id>, which the start's commit requires unchanged */
+    uint32_t task;
+    uint64_t attempt;
+} offer_t;
+
+/* What stands in a machine's record for one attempt. */
+typedef struct {
+    char job[ID_SIZE];
+    char team[LABEL_SIZE];
+    room_t need;
+    urgency_t urgency;
+    double save_s;
+    double checkpoint_s;
+    uint32_t task;
+    uint64_t attempt;
+} record_entry_t;
+
+/* machines/<id> in the state service. entries: array of record_entry_t. */
+typedef struct {
+    char machine[ID_SIZE];
+    char address[ADDRESS_SIZE];
+    char type[LABEL_SIZE];
+    char zone[LABEL_SIZE];
+    bool spot;
+    uint64_t session;
+    uint64_t stamp;
+    GArray *entries;
+} machine_record_t;
+
+typedef enum {
+    ATTEMPT_PLACED,   /* reserved, not in the record yet */
+    ATTEMPT_RECORDED, /* `run` may go out */
+    ATTEMPT_OVER,     /* proved over; leaves the record with the next commit (done: when settled) */
+} attempt_phase_t;
+
+typedef struct machine machine_t;
+
+typedef struct {
+    record_entry_t entry;
+    machine_t *machine;
+    attempt_phase_t phase;
+    uint64_t job_stamp;
+    uint64_t session;    /* under which it was recorded */
+    bool in_record;      /* the durable record has it */
+    enum { BATCH_NONE, BATCH_ADD, BATCH_DROP } batch; /* what a commit under way does to it */
+    bool listed;
+    piece_state_t state;
+    cause_t cause;
+    bool reported_done;  /* the leader was told; it stays recorded until settled */
+    bool settled;
+    bool stop;           /* wanted: gone */
+    msec_t stop_kill;    /* from then on without time to save */
+    msec_t listed_since;
+} attempt_t;
+
+struct machine {
+    char id[ID_SIZE];
+    char address[ADDRESS_SIZE];
+    char type[LABEL_SIZE];
+    char zone[LABEL_SIZE];
+    bool spot;
+    bool known_room;
+    room_t room;
+    bool reported;
+    uint64_t session;
+    uint64_t seq;
+    uint64_t token;
+    uint64_t receipt; /* local count of reports received */
+    msec_t last_report;
+    msec_t first_seen;
+    msec_t idle_since;
+    msec_t notice_at; /* when the cloud takes it; 0: not announced */
+    bool draining;
+    GPtrArray *attempts; /* attempt_t, owned */
+    GArray *reservations;
+    room_t booked; /* of the last report */
+    guint starting;
+    guint running;
+    guint errors; /* failures of jobs that run elsewhere */
+    uint64_t stamp;
+    bool dirty;
+    bool gone; /* the cloud confirmed it; the struct goes with its key */
+    bool direct_busy;
+    bool direct_wanted;
+    uint64_t unanswered_token; /* a direct `run` under it got no answer: a copy may still arrive */
+};
+
+/* Told to the leader: an attempt that is over. Anything but done is told after its record is gone. */
+typedef struct {
+    char job[ID_SIZE];
+    uint32_t task;
+    uint64_t attempt;
+    cause_t cause;
+    bool started; /* it had run */
+    char machine[ID_SIZE];
+} outcome_t;
+
+typedef struct {
+    uint64_t view;
+    GHashTable *machines; /* id -> machine_t, owned */
+    GHashTable *attempts; /* number -> attempt_t, borrowed from the machines */
+    const GArray *flavors;
+    GArray *outcomes; /* outcome_t, drained by the caller */
+    guint turn;       /* round robin among equals */
+    msec_t lapse;
+} part_t;
+
+part_t *part_new(const GArray *flavors, msec_t lapse);
+void part_free(part_t *part);
+/* A new token of the same leadership: nothing is read again. */
+void part_set_view(part_t *part, uint64_t view);
+void part_load(part_t *part, const machine_record_t *record, msec_t now);
+/* The types became known or changed: rooms are looked up again. */
+void part_apply_flavors(part_t *part);
+
+/* Chooses a machine by the score and reserves; NULL: none has room. */
+machine_t *part_place(part_t *part, const offer_t *offer, msec_t now);
+/* Whether the machine is open for the offer and has the room. */
+bool part_admits(const machine_t *machine, const offer_t *offer);
+/* Room that neither reports nor reservations take. */
+room_t part_free_room(const machine_t *machine);
+
+typedef enum { REPORT_TAKEN, REPORT_STALE } report_verdict_t;
+/* A report, or the body of a direct command's answer (direct). calls: array of call_t to append
+ * the answer's commands to; unused for direct ones. */
+report_verdict_t part_report(part_t *part, const report_t *report, bool direct, msec_t now,
+                             GArray *calls);
+/* The job was cancelled or is over: its attempts stop, those not yet recorded are dropped. */
+void part_end_job(part_t *part, const char *job);
+/* Asks one attempt to stop, saving if it can. */
+void part_stop(part_t *part, attempt_t *attempt, msec_t now);
+/* The leader has the finished bit durable. */
+void part_settle(part_t *part, uint64_t attempt);
+/* The cloud confirmed that the machine is gone. */
+void part_machine_gone(part_t *part, const char *id);
+/* Lapses reservations; once a tick. */
+void part_tick(part_t *part, msec_t now);
+
+/* Commits. A batch holds the records to write (array of machine_record_t; one without entries and
+ * of a machine that is gone is a deletion) and the jobs that must still exist. */
+typedef struct {
+    GArray *records;
+    GPtrArray *gone;      /* machine ids whose keys are deleted */
+    GArray *gone_stamps;  /* uint64_t, beside them */
+    GHashTable *jobs;     /* id -> stamp (pointer-sized): conditions, so that no start follows an end */
+} part_batch_t;
+
+part_batch_t *part_batch_take(part_t *part, guint max_ops, gsize value_max);
+void part_batch_commit(part_t *part, part_batch_t *batch, uint64_t revision, msec_t now);
+/* It was certainly not executed. */
+void part_batch_undo(part_t *part, part_batch_t *batch);
+void part_batch_free(part_batch_t *batch);
+
+/* Direct commands: the next machine that wants some, or NULL; its calls are appended. */
+machine_t *part_direct_take(part_t *part, msec_t now, GArray *calls);
+typedef enum { DIRECT_EXECUTED, DIRECT_REFUSED, DIRECT_UNANSWERED } direct_result_t;
+void part_direct_done(part_t *part, const char *machine, const GArray *calls, uint64_t token,
+                      direct_result_t result);
+/* Whether something waits for the token to move before it can be forgotten or proved. */
+bool part_wants_token(const part_t *part);
+
+#endif
--- /dev/null
+++ b/src/core/rental.c
@@ -0,0 +1,247 @@
+#include "core/rental.h"
+
+#include <math.h>
+#include <string.h>
+
+rental_t *rental_new(void)
+{
+    rental_t *rental = g_new0(rental_t, 1);
+    rental->boots = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    rental->refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return rental;
+}
+
+void rental_free(rental_t *rental)
+{
+    g_hash_table_unref(rental->boots);
+    g_hash_table_unref(rental->refused);
+    g_free(rental);
+}
+
+void rental_booting(rental_t *rental, const char *machine, const char *type, const char *zone,
+                    bool spot, msec_t since)
+{
+    if (g_hash_table_contains(rental->boots, machine))
+        return;
+    boot_t *boot = g_new0(boot_t, 1);
+    g_strlcpy(boot->machine, machine, sizeof boot->machine);
+    g_strlcpy(boot->type, type, sizeof boot->type);
+    g_strlcpy(boot->zone, zone, sizeof boot->zone);
+    boot->spot = spot;
+    boot->since = since;
+    g_hash_table_insert(rental->boots, boot->machine, boot);
+}
+
+void rental_boot_over(rental_t *rental, const char *machine)
+{
+    g_hash_table_remove(rental->boots, machine);
+}
+
+static char *wish_key(const char *type, const char *zone, bool spot)
+{
+    return g_strdup_printf("%s %s %s", type, zone, spot ? "spot" : "ordinary");
+}
+
+void rental_refused(rental_t *rental, const rental_wish_t *wish, msec_t until)
+{
+    msec_t *value = g_new(msec_t, 1);
+    *value = until;
+    g_hash_table_insert(rental->refused, wish_key(wish->type, wish->zone, wish->spot), value);
+}
+
+static const flavor_t *flavor_find(const GArray *flavors, const char *name)
+{
+    for (guint i = 0; i < flavors->len; i++) {
+        const flavor_t *flavor = &g_array_index(flavors, flavor_t, i);
+        if (strcmp(flavor->name, name) == 0)
+            return flavor;
+    }
+    return NULL;
+}
+
+/* Seconds within which the waiting work of a job should be under way: the sooner it is due, the
+ * more machines it deserves at once. */
+static double patience(const job_t *job, int64_t day_ms)
+{
+    if (job->spec.urgency >= URGENCY_HIGH)
+        return RENT_PATIENCE_URGENT_S;
+    if (job->spec.deadline_s > 0) {
+        double due = (double)(job->spec.submitted_ms - day_ms) / 1000.0 + job->spec.deadline_s -
+                     job->spec.estimate_s;
+        return CLAMP(due, RENT_PATIENCE_URGENT_S, RENT_PATIENCE_S);
+    }
+    return RENT_PATIENCE_S;
+}
+
+static room_t wanted_room(const leader_t *leader, msec_t now, int64_t day_ms)
+{
+    room_t wanted = {0};
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, leader->live);
+    while (g_hash_table_iter_next(&iter, NULL, &value))
+        room_add(&wanted, ((live_t *)value)->need, 1);
+    GArray *demand = leader_demand(leader, now);
+    for (guint i = 0; i < demand->len; i++) {
+        const demand_t *entry = &g_array_index(demand, demand_t, i);
+        const job_spec_t *spec = &entry->job->spec;
+        /* Tasks that one machine's room can run one after the other in time need it once. */
+        double rounds = MAX(1, patience(entry->job, day_ms) / MAX(spec->estimate_s, 1));
+        room_add(&wanted, spec->need, MAX(entry->tasks / rounds, MIN(entry->tasks, 1.0)));
+    }
+    g_array_unref(demand);
+    return wanted;
+}
+
+rental_balance_t rental_balance(const rental_t *rental, const leader_t *leader,
+                                const GArray *flavors, msec_t now, int64_t day_ms)
+{
+    rental_balance_t balance = {.wanted = wanted_room(leader, now, day_ms)};
+    for (guint i = 0; i < leader->rows->len; i++) {
+        const GArray *rows = g_ptr_array_index(leader->rows, i);
+        for (guint k = 0; rows && k < rows->len; k++) {
+            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+            if (row->open)
+                room_add(&balance.standing, row->total, 1);
+        }
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, rental->boots);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const flavor_t *flavor = flavor_find(flavors, ((boot_t *)value)->type);
+        if (flavor)
+            room_add(&balance.booting, flavor->room, 1);
+    }
+    return balance;
+}
+
+static bool is_refused(const rental_t *rental, const char *type, const char *zone, bool spot,
+                       msec_t now)
+{
+    char *key = wish_key(type, zone, spot);
+    const msec_t *until = g_hash_table_lookup(rental->refused, key);
+    g_free(key);
+    return until && now < *until;
+}
+
+static guint count_of(const leader_t *leader, const rental_t *rental, const char *type,
+                      const char *zone, bool spot)
+{
+    guint count = 0;
+    for (guint i = 0; i < leader->rows->len; i++) {
+        const GArray *rows = g_ptr_array_index(leader->rows, i);
+        for (guint k = 0; rows && k < rows->len; k++) {
+            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+            count += row->spot == spot && strcmp(row->type, type) == 0 &&
+                     strcmp(row->zone, zone) == 0;
+        }
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, rental->boots);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const boot_t *boot = value;
+        count += boot->spot == spot && strcmp(boot->type, type) == 0 &&
+                 strcmp(boot->zone, zone) == 0;
+    }
+    return count;
+}
+
+/* Some waiting job can use such a machine. */
+static bool is_useful(const GArray *demand, const flavor_t *flavor, const char *zone, bool spot)
+{
+    for (guint i = 0; i < demand->len; i++) {
+        const job_spec_t *spec = &g_array_index(demand, demand_t, i).job->spec;
+        if (job_spec_allows(spec, flavor->name, zone, spot) && room_fits(spec->need, flavor->room))
+            return true;
+    }
+    return false;
+}
+
+bool rental_next(const rental_t *rental, const leader_t *leader, const GArray *flavors, msec_t now,
+                 int64_t day_ms, rental_wish_t *wish)
+{
+    rental_balance_t balance = rental_balance(rental, leader, flavors, now, day_ms);
+    double cpus = balance.wanted.cpus * RENT_HEADROOM - balance.standing.cpus - balance.booting.cpus;
+    double memory =
+        balance.wanted.memory * RENT_HEADROOM - balance.standing.memory - balance.booting.memory;
+    if (cpus <= 0 && memory <= 0)
+        return false;
+    GArray *demand = leader_demand(leader, now);
+    double best = INFINITY;
+    for (guint i = 0; i < flavors->len; i++) {
+        const flavor_t *flavor = &g_array_index(flavors, flavor_t, i);
+        double units = MAX(cpus / MAX(flavor->room.cpus, EPSILON),
+                           memory / MAX(flavor->room.memory, EPSILON));
+        guint count = (guint)CLAMP(ceil(units - EPSILON), 1, RENT_MAX);
+        for (char **zone = flavor->zones; *zone; zone++) {
+            for (int spot = 0; spot < 2; spot++) {
+                if (is_refused(rental, flavor->name, *zone, spot, now) ||
+                    !is_useful(demand, flavor, *zone, spot))
+                    continue;
+                double price = spot ? flavor->spot_price : flavor->price;
+                /* The price of covering the want; of equals the type and zone with the fewest, so
+                 * that a wave or a cut takes less at once. */
+                double cost = price * count *
+                              (1 + RENT_SPREAD * count_of(leader, rental, flavor->name, *zone, spot));
+                if (cost >= best)
+                    continue;
+                best = cost;
+                *wish = (rental_wish_t){.spot = spot, .count = count};
+                g_strlcpy(wish->type, flavor->name, sizeof wish->type);
+                g_strlcpy(wish->zone, *zone, sizeof wish->zone);
+            }
+        }
+    }
+    g_array_unref(demand);
+    return isfinite(best);
+}
+
+static double row_price(const machine_row_t *row, const GArray *flavors)
+{
+    const flavor_t *flavor = flavor_find(flavors, row->type);
+    if (!flavor)
+        return 0;
+    return (row->spot ? flavor->spot_price : flavor->price) / MAX(flavor->room.cpus, EPSILON);
+}
+
+const machine_row_t *rental_surplus(const rental_t *rental, const leader_t *leader,
+                                    const GArray *flavors, msec_t now, int64_t day_ms)
+{
+    rental_balance_t balance = rental_balance(rental, leader, flavors, now, day_ms);
+    const machine_row_t *worst = NULL;
+    double worst_price = 0;
+    for (guint i = 0; i < leader->rows->len; i++) {
+        const GArray *rows = g_ptr_array_index(leader->rows, i);
+        for (guint k = 0; rows && k < rows->len; k++) {
+            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+            if (!row->open || row->attempts || row->idle_ms < IDLE_KEEP_MS ||
+                balance.standing.cpus - row->total.cpus < balance.wanted.cpus * RENT_KEEP ||
+                balance.standing.memory - row->total.memory < balance.wanted.memory * RENT_KEEP)
+                continue;
+            double price = row_price(row, flavors);
+            if (!worst || price > worst_price) {
+                worst = row;
+                worst_price = price;
+            }
+        }
+    }
+    return worst;
+}
+
+GPtrArray *rental_stuck(const rental_t *rental, const GArray *flavors, msec_t now)
+{
+    GPtrArray *stuck = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, rental->boots);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const boot_t *boot = value;
+        const flavor_t *flavor = flavor_find(flavors, boot->type);
+        msec_t usual = flavor ? (msec_t)(flavor->boot_s * 1000) : 0;
+        if (now - boot->since > BOOT_PATIENCE_MS + 3 * usual)
+            g_ptr_array_add(stuck, g_strdup(boot->machine));
+    }
+    return stuck;
+}
--- /dev/null
+++ b/src/core/rental.h
@@ -0,0 +1,54 @@
+/* What to rent and what to give back. Owns the machines under way and what was refused lately. */
+#ifndef PEPPERPULLEY_RENTAL_H
+#define PEPPERPULLEY_RENTAL_H
+
+#include "core/leader.h"
+#include "core/types.h"
+
+/* A machine that was rented or listed and has not reported yet. */
+typedef struct {
+    char machine[ID_SIZE];
+    char type[LABEL_SIZE];
+    char zone[LABEL_SIZE];
+    bool spot;
+    msec_t since; /* the rental */
+} boot_t;
+
+typedef struct {
+    GHashTable *boots;   /* id -> boot_t, owned */
+    GHashTable *refused; /* "type zone kind" -> msec_t *: not asked again before it */
+} rental_t;
+
+typedef struct {
+    char type[LABEL_SIZE];
+    char zone[LABEL_SIZE];
+    bool spot;
+    guint count;
+} rental_wish_t;
+
+rental_t *rental_new(void);
+void rental_free(rental_t *rental);
+void rental_booting(rental_t *rental, const char *machine, const char *type, const char *zone,
+                    bool spot, msec_t since);
+/* It reported, or is gone. */
+void rental_boot_over(rental_t *rental, const char *machine);
+void rental_refused(rental_t *rental, const rental_wish_t *wish, msec_t until);
+
+/* Room asked for, in cpus and memory, against what stands and boots. */
+typedef struct {
+    room_t wanted;
+    room_t standing;
+    room_t booting;
+} rental_balance_t;
+rental_balance_t rental_balance(const rental_t *rental, const leader_t *leader,
+                                const GArray *flavors, msec_t now, int64_t day_ms);
+/* The next rental to ask for; false: none. */
+bool rental_next(const rental_t *rental, const leader_t *leader, const GArray *flavors, msec_t now,
+                 int64_t day_ms, rental_wish_t *wish);
+/* A machine to drain and return because less is wanted; NULL: none. Borrowed from the rows. */
+const machine_row_t *rental_surplus(const rental_t *rental, const leader_t *leader,
+                                    const GArray *flavors, msec_t now, int64_t day_ms);
+/* Ids of boots that took too long. Strings owned by the array. */
+GPtrArray *rental_stuck(const rental_t *rental, const GArray *flavors, msec_t now);
+
+#endif
--- /dev/null
+++ b/src/core/reservation.h
@@ -0,0 +1,31 @@
+/* Reservations: room held on one machine for starts that its reports do not show yet.
+ *
+ * The list belongs to the machine that embeds it. A reservation frees projected room when it ends;
+ * it never frees the task itself: only proof does that (see part.h). */
+#ifndef PEPPERPULLEY_RESERVATION_H
+#define PEPPERPULLEY_RESERVATION_H
+
+#include "core/types.h"
+
+typedef struct {
+    uint64_t attempt;
+    uint64_t receipt;  /* the newest report of the machine when the reservation was made */
+    msec_t made;
+    bool start_seen;   /* a report listed the task as fetching */
+    double cpus;       /* still unconfirmed, per dimension */
+    double gpus;
+    double memory;
+} reservation_t;
+
+/* list: array of reservation_t. */
+void reservation_add(GArray *list, uint64_t attempt, room_t need, uint64_t receipt, msec_t now);
+void reservation_free(GArray *list, uint64_t attempt);
+void reservation_see_start(GArray *list, uint64_t attempt, uint64_t receipt);
+/* Growth of booked room, as a report newer than `receipt` shows it, confirms older reservations
+ * whose start was seen, each dimension by itself. What matches nothing is dropped. */
+void reservation_confirm(GArray *list, room_t growth, uint64_t receipt);
+/* Ends what is older than lapse; returns how many ended. */
+guint reservation_lapse(GArray *list, msec_t now, msec_t lapse);
+room_t reservation_sum(const GArray *list);
+
+#endif
--- /dev/null
+++ b/src/core/types.c
@@ -0,0 +1,38 @@
+#include "core/types.h"
+
+#include <string.h>
+
+void job_spec_clear(job_spec_t *spec)
+{
+    g_strfreev(spec->types);
+    spec->types = NULL;
+}
+
+void report_clear(report_t *report)
+{
+    if (report->pieces)
+        g_array_unref(report->pieces);
+    report->pieces = NULL;
+}
+
+bool job_spec_allows(const job_spec_t *spec, const char *type, const char *zone, bool spot)
+{
+    if (spot && !spec->spot)
+        return false;
+    if (spec->zone[0] && strcmp(spec->zone, zone) != 0)
+        return false;
+    return !spec->types || g_strv_contains((const char *const *)spec->types, type);
+}
+
+bool job_spec_fits_some(const job_spec_t *spec, const GArray *flavors)
+{
+    for (guint i = 0; i < flavors->len; i++) {
+        const flavor_t *flavor = &g_array_index(flavors, flavor_t, i);
+        if (!room_fits(spec->need, flavor->room))
+            continue;
+        for (char **zone = flavor->zones; zone && *zone; zone++)
+            if (job_spec_allows(spec, flavor->name, *zone, false))
+                return true;
+    }
+    return false;
+}
--- /dev/null
+++ b/src/io/http.c
@@ -0,0 +1,90 @@
+#include "io/http.h"
+
+#include <curl/curl.h>
+
+struct http_client {
+    CURL *curl;
+    GString *answer;
+    struct curl_slist *headers;
+};
+
+void http_start(void)
+{
+    curl_global_init(CURL_GLOBAL_NOTHING);
+}
+
+static size_t take(char *data, size_t size, size_t count, void *to)
+{
+    g_string_append_len(to, data, (gssize)(size * count));
+    return size * count;
+}
+
+http_client_t *http_client_new(long connections)
+{
+    http_client_t *client = g_new0(http_client_t, 1);
+    client->curl = curl_easy_init();
+    client->answer = g_string_new(NULL);
+    client->headers = curl_slist_append(NULL, "Content-Type: application/json");
+    client->headers = curl_slist_append(client->headers, "Expect:");
+    curl_easy_setopt(client->curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(client->curl, CURLOPT_PROXY, "");
+    curl_easy_setopt(client->curl, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(client->curl, CURLOPT_MAXCONNECTS, connections);
+    curl_easy_setopt(client->curl, CURLOPT_WRITEFUNCTION, take);
+    curl_easy_setopt(client->curl, CURLOPT_WRITEDATA, client->answer);
+    curl_easy_setopt(client->curl, CURLOPT_HTTPHEADER, client->headers);
+    curl_easy_setopt(client->curl, CURLOPT_BUFFERSIZE, 16384L);
+    return client;
+}
+
+void http_client_free(http_client_t *client)
+{
+    curl_easy_cleanup(client->curl);
+    curl_slist_free_all(client->headers);
+    g_string_free(client->answer, TRUE);
+    g_free(client);
+}
+
+static int failed_call(CURL *curl, CURLcode code)
+{
+    long sent = 0;
+    curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
+    if (code == CURLE_COULDNT_CONNECT && sent == 0)
+        return HTTP_NOT_SENT;
+    return HTTP_NO_ANSWER;
+}
+
+int http_call(http_client_t *client, const char *method, const char *url, const json_t *body,
+              long timeout_ms, json_t **answer)
+{
+    CURL *curl = client->curl;
+    char *text = body ? json_dumps(body, JSON_COMPACT | JSON_REAL_PRECISION(9)) : NULL;
+    if (answer)
+        *answer = NULL;
+    g_string_truncate(client->answer, 0);
+    curl_easy_setopt(curl, CURLOPT_URL, url);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, timeout_ms);
+    curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
+    if (g_strcmp0(method, "POST") == 0) {
+        curl_easy_setopt(curl, CURLOPT_POST, 1L);
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDS, text ? text : "");
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, (long)(text ? strlen(text) : 0));
+    } else {
+        curl_easy_setopt(curl, CURLOPT_HTTPGET, 1L);
+    }
+    CURLcode code = curl_easy_perform(curl);
+    free(text);
+    if (code != CURLE_OK)
+        return failed_call(curl, code);
+    long status = 0;
+    curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+    if (answer)
+        *answer = json_loadb(client->answer->str, client->answer->len, 0, NULL);
+    /* A follow can answer with a lot at once; that is not kept. */
+    if (client->answer->allocated_len > (1u << 18)) {
+        g_string_free(client->answer, TRUE);
+        client->answer = g_string_new(NULL);
+        curl_easy_setopt(curl, CURLOPT_WRITEDATA, client->answer);
+    }
+    return (int)status;
+}
--- /dev/null
+++ b/src/io/http.h
@@ -0,0 +1,25 @@
+/* Blocking HTTP calls with JSON bodies. One client belongs to one thread at a time and keeps its
+ * connections open. */
+#ifndef PEPPERPULLEY_HTTP_H
+#define PEPPERPULLEY_HTTP_H
+
+#include <jansson.h>
+
+#include "core/types.h"
+
+typedef struct http_client http_client_t;
+
+/* Statuses besides those of HTTP. */
+enum {
+    HTTP_NO_ANSWER = 0, /* it may have been executed, or may still be */
+    HTTP_NOT_SENT = -1  /* no byte of it left */
+};
+
+void http_start(void); /* once per process, before any thread */
+http_client_t *http_client_new(long connections);
+void http_client_free(http_client_t *client);
+/* body may be NULL and is not consumed; *answer (may be NULL) gets a new reference or NULL. */
+int http_call(http_client_t *client, const char *method, const char *url, const json_t *body,
+              long timeout_ms, json_t **answer);
+
+#endif
--- /dev/null
+++ b/src/io/state.c
@@ -0,0 +1,212 @@
+#include "io/state.h"
+
+#include <string.h>
+
+#include "io/clock.h"
+
+void state_init(state_t *state, const char *address, msec_t now)
+{
+    g_snprintf(state->base, sizeof state->base, "http://%s", address);
+    atomic_init(&state->contact, now);
+}
+
+static void entry_clear(gpointer data)
+{
+    state_entry_t *entry = data;
+    g_free(entry->key);
+    json_decref(entry->value);
+}
+
+GArray *state_entries_new(void)
+{
+    GArray *entries = g_array_new(FALSE, TRUE, sizeof(state_entry_t));
+    g_array_set_clear_func(entries, entry_clear);
+    return entries;
+}
+
+static state_result_t call(state_t *state, http_client_t *client, const char *method,
+                           const char *path, const json_t *body, long timeout_ms, json_t **answer)
+{
+    char url[512];
+    g_snprintf(url, sizeof url, "%s%s", state->base, path);
+    msec_t sent = clock_steady();
+    int status = http_call(client, method, url, body, timeout_ms, answer);
+    switch (status) {
+    case 200:
+        break;
+    case HTTP_NO_ANSWER:
+        return STATE_UNKNOWN;
+    case 404:
+    case 409:
+    case 410:
+        break;
+    case 400:
+        return STATE_INVALID;
+    case HTTP_NOT_SENT:
+    case 429:
+    case 503:
+        return STATE_REFUSED;
+    default:
+        return STATE_UNKNOWN;
+    }
+    msec_t before = atomic_load(&state->contact);
+    while (sent > before && !atomic_compare_exchange_weak(&state->contact, &before, sent))
+        ;
+    if (status == 200)
+        return *answer ? STATE_OK : STATE_UNKNOWN;
+    return status == 404 ? STATE_ABSENT : status == 409 ? STATE_FAILED : STATE_EXPIRED;
+}
+
+static uint64_t get_number(const json_t *object, const char *name)
+{
+    return (uint64_t)json_integer_value(json_object_get(object, name));
+}
+
+state_result_t state_get(state_t *state, http_client_t *client, const char *key, long timeout_ms,
+                         state_entry_t *entry)
+{
+    char path[300];
+    json_t *answer = NULL;
+    g_snprintf(path, sizeof path, "/keys/%s", key);
+    state_result_t result = call(state, client, "GET", path, NULL, timeout_ms, &answer);
+    if (result == STATE_OK) {
+        entry->key = g_strdup(key);
+        entry->value = json_incref(json_object_get(answer, "Value"));
+        entry->stamp = get_number(answer, "Stamp");
+    }
+    json_decref(answer);
+    return result;
+}
+
+state_result_t state_list(state_t *state, http_client_t *client, const char *prefix,
+                          GArray *entries, uint64_t *revision)
+{
+    char path[300];
+    bool more = true, first = true;
+    while (more) {
+        json_t *answer = NULL;
+        const char *since =
+            first ? NULL : g_array_index(entries, state_entry_t, entries->len - 1).key;
+        g_snprintf(path, sizeof path, "/keys?Under=%s%s%s&Limit=%d", prefix, since ? "&Since=" : "",
+                   since ? since : "", KEYS_PAGE);
+        state_result_t result = call(state, client, "GET", path, NULL, STATE_TIMEOUT_MS, &answer);
+        if (result != STATE_OK) {
+            json_decref(answer);
+            return result;
+        }
+        if (first && revision)
+            *revision = get_number(answer, "Logline");
+        size_t i;
+        json_t *item;
+        json_array_foreach(json_object_get(answer, "Entries"), i, item) {
+            state_entry_t entry = {.key = g_strdup(json_string_value(json_object_get(item, "K"))),
+                                   .value = json_incref(json_object_get(item, "Value")),
+                                   .stamp = get_number(item, "Stamp")};
+            g_array_append_val(entries, entry);
+            first = false;
+        }
+        more = json_is_true(json_object_get(answer, "More")) && !first;
+        json_decref(answer);
+    }
+    return STATE_OK;
+}
+
+txn_t txn_new(void)
+{
+    return (txn_t){.conditions = json_array(), .changes = json_array()};
+}
+
+void txn_free(txn_t *txn)
+{
+    json_decref(txn->conditions);
+    json_decref(txn->changes);
+}
+
+void txn_if(txn_t *txn, const char *key, uint64_t stamp)
+{
+    json_array_append_new(txn->conditions,
+                          json_pack("{s:s,s:I}", "K", key, "Stamp", (json_int_t)stamp));
+}
+
+void txn_set(txn_t *txn, const char *key, json_t *value, uint64_t grant)
+{
+    json_t *change = json_pack("{s:s,s:o}", "Set", key, "Value", value);
+    if (grant)
+        json_object_set_new(change, "Tether", json_integer((json_int_t)grant));
+    json_array_append_new(txn->changes, change);
+}
+
+void txn_delete(txn_t *txn, const char *key)
+{
+    json_array_append_new(txn->changes, json_pack("{s:s}", "Delete", key));
+}
+
+state_result_t state_commit(state_t *state, http_client_t *client, const txn_t *txn,
+                            long timeout_ms, uint64_t *revision, GPtrArray *failed)
+{
+    json_t *answer = NULL;
+    json_t *body = json_pack("{s:O,s:O}", "If", txn->conditions, "Then", txn->changes);
+    state_result_t result = call(state, client, "POST", "/txn", body, timeout_ms, &answer);
+    json_decref(body);
+    if (result == STATE_OK && revision)
+        *revision = get_number(answer, "Logline");
+    size_t i;
+    json_t *key;
+    if (result == STATE_FAILED && failed)
+        json_array_foreach(json_object_get(answer, "failed"), i, key)
+            g_ptr_array_add(failed, g_strdup(json_string_value(key)));
+    json_decref(answer);
+    return result;
+}
+
+state_result_t state_grant(state_t *state, http_client_t *client, guint life_ms, uint64_t *grant)
+{
+    json_t *answer = NULL;
+    json_t *body = json_pack("{s:i}", "LifeMs", (int)life_ms);
+    state_result_t result =
+        call(state, client, "POST", "/grants", body, STATE_TIMEOUT_MS, &answer);
+    json_decref(body);
+    if (result == STATE_OK)
+        *grant = get_number(answer, "Tether");
+    json_decref(answer);
+    return result;
+}
+
+state_result_t state_extend(state_t *state, http_client_t *client, uint64_t grant)
+{
+    char path[80];
+    json_t *answer = NULL;
+    g_snprintf(path, sizeof path, "/grants/%" G_GUINT64_FORMAT "/extend", grant);
+    state_result_t result =
+        call(state, client, "POST", path, NULL, GRANT_EXTEND_MS, &answer);
+    json_decref(answer);
+    return result;
+}
+
+state_result_t state_follow(state_t *state, http_client_t *client, const char *prefix,
+                            guint block_ms, uint64_t *revision, GArray *changes)
+{
+    char path[300];
+    json_t *answer = NULL;
+    g_snprintf(path, sizeof path, "/follow?Under=%s&Since=%" G_GUINT64_FORMAT "&BlockMs=%u", prefix,
+               *revision, block_ms);
+    state_result_t result = call(state, client, "GET", path, NULL,
+                                 (long)block_ms + STATE_TIMEOUT_MS, &answer);
+    if (result != STATE_OK) {
+        json_decref(answer);
+        return result;
+    }
+    size_t i;
+    json_t *item;
+    json_array_foreach(json_object_get(answer, "News"), i, item) {
+        json_t *set = json_object_get(item, "Set");
+        json_t *key = set ? set : json_object_get(item, "Delete");
+        state_entry_t entry = {.key = g_strdup(json_string_value(key)),
+                               .value = set ? json_incref(json_object_get(item, "Value")) : NULL,
+                               .stamp = get_number(item, "Stamp")};
+        g_array_append_val(changes, entry);
+    }
+    *revision = get_number(answer, "Logline");
+    json_decref(answer);
+    return STATE_OK;
+}
--- /dev/null
+++ b/src/io/state.h
@@ -0,0 +1,63 @@
+/* The state service's client. Says apart what was not executed from what may have been. */
+#ifndef PEPPERPULLEY_STATE_H
+#define PEPPERPULLEY_STATE_H
+
+#include <stdatomic.h>
+
+#include "io/http.h"
+
+typedef enum {
+    STATE_OK,
+    STATE_FAILED,  /* a condition did not hold: not executed */
+    STATE_ABSENT,  /* no such key or grant */
+    STATE_REFUSED, /* certainly not executed: outage, over the limit, or not sent */
+    STATE_UNKNOWN, /* no answer: may have been executed, or may still be */
+    STATE_EXPIRED, /* a follow from too old a revision */
+    STATE_INVALID
+} state_result_t;
+
+/* Shared by all threads; each brings its own client. */
+typedef struct {
+    char base[ADDRESS_SIZE + 8];
+    _Atomic(msec_t) contact; /* when the newest request that was answered had been sent */
+} state_t;
+
+typedef struct {
+    char *key;
+    json_t *value;
+    uint64_t stamp;
+} state_entry_t;
+
+void state_init(state_t *state, const char *address, msec_t now);
+/* entries: array of state_entry_t with a clear function. */
+GArray *state_entries_new(void);
+
+state_result_t state_get(state_t *state, http_client_t *client, const char *key, long timeout_ms,
+                         state_entry_t *entry);
+/* Reads everything under the prefix, page by page; *revision is of the first page, so that a follow
+ * from it misses nothing. */
+state_result_t state_list(state_t *state, http_client_t *client, const char *prefix,
+                          GArray *entries, uint64_t *revision);
+
+/* A transaction under construction. */
+typedef struct {
+    json_t *conditions;
+    json_t *changes;
+} txn_t;
+txn_t txn_new(void);
+void txn_free(txn_t *txn);
+void txn_if(txn_t *txn, const char *key, uint64_t stamp);
+void txn_set(txn_t *txn, const char *key, json_t *value, uint64_t grant); /* consumes value */
+void txn_delete(txn_t *txn, const char *key);
+/* failed (may be NULL): array of keys to append to. */
+state_result_t state_commit(state_t *state, http_client_t *client, const txn_t *txn,
+                            long timeout_ms, uint64_t *revision, GPtrArray *failed);
+
+state_result_t state_grant(state_t *state, http_client_t *client, guint life_ms, uint64_t *grant);
+state_result_t state_extend(state_t *state, http_client_t *client, uint64_t grant);
+
+/* changes: array of state_entry_t; value NULL: deleted. *revision: from, then up to. */
+state_result_t state_follow(state_t *state, http_client_t *client, const char *prefix,
+                            guint block_ms, uint64_t *revision, GArray *changes);
+
+#endif
--- /dev/null
+++ b/src/io/wire.c
@@ -0,0 +1,456 @@
+#include "io/wire.h"
+
+#include <math.h>
+#include <stdarg.h>
+#include <string.h>
+
+static bool fail(reason_t *why, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+static bool fail(reason_t *why, const char *format, ...)
+{
+    va_list args;
+    va_start(args, format);
+    if (why)
+        g_vsnprintf(why->text, sizeof why->text, format, args);
+    va_end(args);
+    return false;
+}
+
+bool wire_id_valid(const char *id)
+{
+    if (strncmp(id, "j-", 2) != 0)
+        return false;
+    gsize digits = strspn(id + 2, "0123456789");
+    return digits >= 6 && digits <= 18 && id[2 + digits] == '\0';
+}
+
+static bool get_text(const json_t *body, const char *name, char *to, gsize size, reason_t *why)
+{
+    const char *text = json_string_value(json_object_get(body, name));
+    if (!text || !*text)
+        return fail(why, "%s: a non-empty string is expected", name);
+    if (g_strlcpy(to, text, size) >= size)
+        return fail(why, "%s: longer than %zu bytes", name, (size_t)size - 1);
+    return true;
+}
+
+/* Null and absent are the same: to stays as it is. */
+static bool get_optional_text(const json_t *body, const char *name, char *to, gsize size,
+                              reason_t *why)
+{
+    const json_t *value = json_object_get(body, name);
+    return !value || json_is_null(value) || get_text(body, name, to, size, why);
+}
+
+static bool get_amount(const json_t *body, const char *name, double low, double *to, reason_t *why)
+{
+    const json_t *value = json_object_get(body, name);
+    if (!json_is_number(value))
+        return fail(why, "%s: a number is expected", name);
+    double amount = json_number_value(value);
+    if (!isfinite(amount) || amount < low || amount > 1e12)
+        return fail(why, "%s: out of range", name);
+    *to = amount;
+    return true;
+}
+
+static bool get_flag(const json_t *body, const char *name, bool *to, reason_t *why)
+{
+    const json_t *value = json_object_get(body, name);
+    if (!json_is_boolean(value))
+        return fail(why, "%s: true or false is expected", name);
+    *to = json_is_true(value);
+    return true;
+}
+
+static bool get_count(const json_t *body, const char *name, json_int_t low, json_int_t high,
+                      uint64_t *to, reason_t *why)
+{
+    const json_t *value = json_object_get(body, name);
+    if (!json_is_integer(value))
+        return fail(why, "%s: an integer is expected", name);
+    json_int_t count = json_integer_value(value);
+    if (count < low || count > high)
+        return fail(why, "%s: out of range", name);
+    *to = (uint64_t)count;
+    return true;
+}
+
+static const char *const urgency_names[] = {"low", "normal", "high", "critical"};
+
+static bool get_choice(const json_t *body, const char *name, const char *const *names, int count,
+                       int *to, reason_t *why)
+{
+    const char *text = json_string_value(json_object_get(body, name));
+    for (int i = 0; text && i < count; i++) {
+        if (strcmp(text, names[i]) == 0) {
+            *to = i;
+            return true;
+        }
+    }
+    return fail(why, "%s: not one of the known words", name);
+}
+
+static bool get_types(const json_t *body, job_spec_t *spec, reason_t *why)
+{
+    const json_t *list = json_object_get(body, "Hulls");
+    if (!list || json_is_null(list))
+        return true;
+    if (!json_is_array(list))
+        return fail(why, "Hulls: a list or null is expected");
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    size_t i;
+    json_t *value;
+    json_array_foreach(list, i, value) {
+        if (!json_is_string(value)) {
+            g_ptr_array_unref(names);
+            return fail(why, "Hulls: strings are expected");
+        }
+        g_ptr_array_add(names, g_strdup(json_string_value(value)));
+    }
+    g_ptr_array_add(names, NULL);
+    spec->types = (char **)g_ptr_array_free(names, FALSE);
+    return true;
+}
+
+bool wire_parse_job(const json_t *body, bool stored, job_spec_t *spec, reason_t *why)
+{
+    char kind[LABEL_SIZE];
+    uint64_t tasks = 0, submitted = 0;
+    int urgency = 0;
+    *spec = (job_spec_t){0};
+    if (!json_is_object(body))
+        return fail(why, "a JSON object is expected");
+    if (!get_text(body, "Uid", spec->id, sizeof spec->id, why))
+        return false;
+    if (!wire_id_valid(spec->id))
+        return fail(why, "Uid: j- and at least six digits are expected");
+    const json_t *deadline = json_object_get(body, "TideS");
+    bool valid =
+        get_text(body, "Reel", spec->class_name, sizeof spec->class_name, why) &&
+        get_text(body, "Crew", spec->team, sizeof spec->team, why) &&
+        get_text(body, "Rig", kind, sizeof kind, why) &&
+        (strcmp(kind, "sweep") == 0 || fail(why, "Rig: only sweep is known")) &&
+        get_choice(body, "Urgency", urgency_names, G_N_ELEMENTS(urgency_names), &urgency, why) &&
+        get_count(body, "Pieces", 1, PIECES_MAX, &tasks, why) &&
+        get_amount(body, "Cpus", 0, &spec->need.cpus, why) &&
+        get_amount(body, "Accelerators", 0, &spec->need.gpus, why) &&
+        get_amount(body, "MemGb", 0, &spec->need.memory, why) &&
+        get_text(body, "Cargo", spec->image, sizeof spec->image, why) &&
+        get_amount(body, "ImageGb", 0, &spec->image_gb, why) &&
+        get_optional_text(body, "Dock", spec->zone, sizeof spec->zone, why) &&
+        get_flag(body, "SamePlace", &spec->same_zone, why) &&
+        get_flag(body, "Apart", &spec->spread, why) &&
+        get_flag(body, "Driftwood", &spec->spot, why) &&
+        get_amount(body, "HaulS", 0, &spec->estimate_s, why) &&
+        get_amount(body, "KnotS", 0, &spec->checkpoint_s, why) &&
+        get_amount(body, "StowS", 0, &spec->save_s, why) &&
+        (!deadline || json_is_null(deadline) ||
+         get_amount(body, "TideS", 0, &spec->deadline_s, why)) &&
+        (!stored || get_count(body, "At", 0, G_MAXINT64, &submitted, why)) &&
+        (spec->need.cpus > 0 || fail(why, "Cpus: must be above 0")) &&
+        get_types(body, spec, why);
+    spec->tasks = (uint32_t)tasks;
+    spec->urgency = (urgency_t)urgency;
+    spec->submitted_ms = (int64_t)submitted;
+    if (!valid)
+        job_spec_clear(spec);
+    return valid;
+}
+
+json_t *wire_build_job(const job_spec_t *spec)
+{
+    json_t *types = spec->types ? json_array() : json_null();
+    for (char **type = spec->types; type && *type; type++)
+        json_array_append_new(types, json_string(*type));
+    return json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:f,s:f,s:f,s:s,s:f,s:o,s:s?,s:b,s:b,s:b,s:f,s:f,s:f,"
+                     "s:o,s:I}",
+                     "Uid", spec->id, "Reel", spec->class_name, "Crew", spec->team, "Rig", "sweep",
+                     "Urgency", urgency_names[spec->urgency], "Pieces", (json_int_t)spec->tasks,
+                     "Cpus", spec->need.cpus, "Accelerators", spec->need.gpus, "MemGb",
+                     spec->need.memory, "Cargo", spec->image, "ImageGb", spec->image_gb, "Hulls",
+                     types, "Dock", spec->zone[0] ? spec->zone : NULL, "SamePlace", spec->same_zone,
+                     "Apart", spec->spread, "Driftwood", spec->spot, "HaulS", spec->estimate_s,
+                     "KnotS", spec->checkpoint_s, "StowS", spec->save_s, "TideS",
+                     spec->deadline_s > 0 ? json_real(spec->deadline_s) : json_null(), "At",
+                     (json_int_t)spec->submitted_ms);
+}
+
+static bool parse_task_name(const char *text, piece_t *piece)
+{
+    const char *slash = text ? strchr(text, '/') : NULL;
+    guint64 task;
+    if (!slash || slash == text || (gsize)(slash - text) >= sizeof piece->job ||
+        !g_ascii_string_to_unsigned(slash + 1, 10, 0, G_MAXUINT32, &task, NULL))
+        return false;
+    memcpy(piece->job, text, (gsize)(slash - text));
+    piece->job[slash - text] = '\0';
+    piece->task = (uint32_t)task;
+    return true;
+}
+
+static bool parse_piece(const json_t *value, piece_t *piece, reason_t *why)
+{
+    static const char *const states[] = {"pulling", "running", "saving", "exited"};
+    static const char *const causes[] = {"",     "done",   "halted", "error",
+                                         "full", "in_use", "no_such"};
+    int state = 0, cause = CAUSE_NONE;
+    *piece = (piece_t){0};
+    if (!parse_task_name(json_string_value(json_object_get(value, "Piece")), piece))
+        return fail(why, "Pieces: Piece is not the name of a task");
+    if (!get_count(value, "Heave", 0, G_MAXINT64, &piece->attempt, why) ||
+        !get_choice(value, "Trim", states, G_N_ELEMENTS(states), &state, why))
+        return false;
+    piece->state = (piece_state_t)state;
+    if (piece->state != PIECE_EXITED)
+        return true;
+    /* A cause not known here counts as a failure: the attempt is over in any case. */
+    if (!get_choice(value, "Cause", causes, G_N_ELEMENTS(causes), &cause, NULL))
+        cause = CAUSE_ERROR;
+    piece->cause = (cause_t)cause;
+    return true;
+}
+
+bool wire_parse_report(const json_t *body, report_t *report, reason_t *why)
+{
+    *report = (report_t){.notice_s = -1};
+    if (!json_is_object(body))
+        return fail(why, "a JSON object is expected");
+    const json_t *notice = json_object_get(body, "WarningS");
+    const json_t *pieces = json_object_get(body, "Pieces");
+    if (!get_text(body, "Winch", report->machine, sizeof report->machine, why) ||
+        !get_text(body, "Address", report->address, sizeof report->address, why) ||
+        !get_text(body, "Hull", report->type, sizeof report->type, why) ||
+        !get_text(body, "Dock", report->zone, sizeof report->zone, why) ||
+        !get_flag(body, "Driftwood", &report->spot, why) ||
+        !get_count(body, "Watch", 0, G_MAXINT64, &report->session, why) ||
+        !get_count(body, "Tally", 0, G_MAXINT64, &report->seq, why) ||
+        !get_count(body, "Helm", 0, G_MAXINT64, &report->token, why) ||
+        (notice && !json_is_null(notice) && !get_amount(body, "WarningS", 0, &report->notice_s, why)))
+        return false;
+    if (pieces && !json_is_null(pieces) && !json_is_array(pieces))
+        return fail(why, "Pieces: a list is expected");
+    report->pieces = g_array_sized_new(FALSE, FALSE, sizeof(piece_t), (guint)json_array_size(pieces));
+    size_t i;
+    json_t *value;
+    json_array_foreach(pieces, i, value) {
+        piece_t piece;
+        if (!parse_piece(value, &piece, why)) {
+            report_clear(report);
+            return false;
+        }
+        g_array_append_val(report->pieces, piece);
+    }
+    return true;
+}
+
+static json_t *build_call_list(const GArray *calls)
+{
+    static const char *const names[] = {"run", "stop", "forget"};
+    json_t *list = json_array();
+    for (guint i = 0; calls && i < calls->len; i++) {
+        const call_t *call = &g_array_index(calls, call_t, i);
+        json_t *item = json_pack("{s:s,s:o,s:I}", "Call", names[call->op], "Piece",
+                                 json_sprintf("%s/%u", call->job, call->task), "Heave",
+                                 (json_int_t)call->attempt);
+        if (call->op == CALL_STOP)
+            json_object_set_new(item, "SlackS", json_real(call->grace_s));
+        json_array_append_new(list, item);
+    }
+    return list;
+}
+
+json_t *wire_build_calls(uint64_t token, const GArray *calls)
+{
+    return json_pack("{s:I,s:o}", "Helm", (json_int_t)token, "Calls", build_call_list(calls));
+}
+
+json_t *wire_build_direct(uint64_t token, uint64_t session, const GArray *calls)
+{
+    return json_pack("{s:I,s:I,s:o}", "Helm", (json_int_t)token, "Watch", (json_int_t)session,
+                     "Calls", build_call_list(calls));
+}
+
+static void flavor_clear(gpointer data)
+{
+    g_strfreev(((flavor_t *)data)->zones);
+}
+
+static char **parse_names(const json_t *list)
+{
+    GPtrArray *names = g_ptr_array_new();
+    size_t i;
+    json_t *value;
+    json_array_foreach(list, i, value)
+        if (json_is_string(value))
+            g_ptr_array_add(names, g_strdup(json_string_value(value)));
+    g_ptr_array_add(names, NULL);
+    return (char **)g_ptr_array_free(names, FALSE);
+}
+
+GArray *wire_parse_flavors(const json_t *body)
+{
+    const json_t *list = json_object_get(body, "Hulls");
+    if (!json_is_array(list))
+        return NULL;
+    GArray *flavors = g_array_new(FALSE, TRUE, sizeof(flavor_t));
+    g_array_set_clear_func(flavors, flavor_clear);
+    size_t i;
+    json_t *value;
+    json_array_foreach(list, i, value) {
+        flavor_t flavor = {0};
+        if (!get_text(value, "Name", flavor.name, sizeof flavor.name, NULL) ||
+            !get_amount(value, "Cpus", 0, &flavor.room.cpus, NULL) ||
+            !get_amount(value, "MemGb", 0, &flavor.room.memory, NULL))
+            continue;
+        flavor.room.gpus = json_number_value(json_object_get(value, "Accelerators"));
+        flavor.price = json_number_value(json_object_get(value, "Price"));
+        flavor.spot_price = json_number_value(json_object_get(value, "MarketPrice"));
+        flavor.boot_s = json_number_value(json_object_get(value, "BootS"));
+        flavor.zones = parse_names(json_object_get(value, "Docks"));
+        g_array_append_val(flavors, flavor);
+    }
+    return flavors;
+}
+
+bool wire_parse_hosts(const json_t *body, GArray *hosts, bool *more)
+{
+    static const char *const states[] = {"booting", "running", "failed"};
+    const json_t *list = json_object_get(body, "Winches");
+    if (!json_is_array(list))
+        return false;
+    size_t i;
+    json_t *value;
+    json_array_foreach(list, i, value) {
+        host_t host = {0};
+        int state = HOST_RUNNING;
+        if (!get_text(value, "Uid", host.machine, sizeof host.machine, NULL))
+            return false;
+        get_text(value, "Hull", host.type, sizeof host.type, NULL);
+        get_text(value, "Dock", host.zone, sizeof host.zone, NULL);
+        get_flag(value, "Driftwood", &host.spot, NULL);
+        get_choice(value, "Trim", states, G_N_ELEMENTS(states), &state, NULL);
+        host.state = (host_state_t)state;
+        host.age_s = json_number_value(json_object_get(value, "HeldS"));
+        g_array_append_val(hosts, host);
+    }
+    *more = json_is_true(json_object_get(body, "More"));
+    return true;
+}
+
+json_t *wire_build_rental(const char *charter, const char *type, const char *zone, bool spot,
+                          guint count)
+{
+    return json_pack("{s:s,s:s,s:s,s:b,s:i}", "Charter", charter, "Hull", type, "Dock", zone,
+                     "Driftwood", spot, "Number", (int)count);
+}
+
+json_t *wire_build_release(const GPtrArray *machines)
+{
+    json_t *names = json_array();
+    for (guint i = 0; i < machines->len; i++)
+        json_array_append_new(names, json_string(g_ptr_array_index(machines, i)));
+    return json_pack("{s:o}", "Winches", names);
+}
+
+/* Entries of one job share a header: {"Id","Team","Need":[c,g,m],"Rank","Save","Knot",
+ * "Tasks":[[task,attempt],...]}. */
+static json_t *record_job(json_t *jobs, const record_entry_t *entry)
+{
+    size_t i;
+    json_t *job;
+    json_array_foreach(jobs, i, job)
+        if (strcmp(json_string_value(json_object_get(job, "Id")), entry->job) == 0)
+            return job;
+    job = json_pack("{s:s,s:s,s:[f,f,f],s:i,s:f,s:f,s:[]}", "Id", entry->job, "Team", entry->team,
+                    "Need", entry->need.cpus, entry->need.gpus, entry->need.memory, "Rank",
+                    (int)entry->urgency, "Save", entry->save_s, "Knot", entry->checkpoint_s,
+                    "Tasks");
+    json_array_append_new(jobs, job);
+    return job;
+}
+
+json_t *wire_build_record(const machine_record_t *record)
+{
+    json_t *jobs = json_array();
+    for (guint i = 0; i < record->entries->len; i++) {
+        const record_entry_t *entry = &g_array_index(record->entries, record_entry_t, i);
+        json_array_append_new(
+            json_object_get(record_job(jobs, entry), "Tasks"),
+            json_pack("[I,I]", (json_int_t)entry->task, (json_int_t)entry->attempt));
+    }
+    return json_pack("{s:I,s:s,s:s,s:s,s:b,s:o}", "Session", (json_int_t)record->session, "Address",
+                     record->address, "Type", record->type, "Zone", record->zone, "Spot",
+                     record->spot, "Jobs", jobs);
+}
+
+static bool parse_record_job(const json_t *job, GArray *entries)
+{
+    record_entry_t entry = {0};
+    const json_t *need = json_object_get(job, "Need");
+    uint64_t rank = 0;
+    if (!get_text(job, "Id", entry.job, sizeof entry.job, NULL) ||
+        !get_text(job, "Team", entry.team, sizeof entry.team, NULL) ||
+        !get_count(job, "Rank", URGENCY_LOW, URGENCY_CRITICAL, &rank, NULL) ||
+        json_array_size(need) != 3)
+        return false;
+    entry.urgency = (urgency_t)rank;
+    entry.need.cpus = json_number_value(json_array_get(need, 0));
+    entry.need.gpus = json_number_value(json_array_get(need, 1));
+    entry.need.memory = json_number_value(json_array_get(need, 2));
+    entry.save_s = json_number_value(json_object_get(job, "Save"));
+    entry.checkpoint_s = json_number_value(json_object_get(job, "Knot"));
+    size_t i;
+    json_t *task;
+    json_array_foreach(json_object_get(job, "Tasks"), i, task) {
+        entry.task = (uint32_t)json_integer_value(json_array_get(task, 0));
+        entry.attempt = (uint64_t)json_integer_value(json_array_get(task, 1));
+        g_array_append_val(entries, entry);
+    }
+    return true;
+}
+
+bool wire_parse_record(const char *id, const json_t *value, uint64_t stamp,
+                       machine_record_t *record)
+{
+    *record = (machine_record_t){.stamp = stamp};
+    record->entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t));
+    bool valid = g_strlcpy(record->machine, id, sizeof record->machine) < sizeof record->machine &&
+                 get_text(value, "Address", record->address, sizeof record->address, NULL) &&
+                 get_text(value, "Type", record->type, sizeof record->type, NULL) &&
+                 get_text(value, "Zone", record->zone, sizeof record->zone, NULL) &&
+                 get_flag(value, "Spot", &record->spot, NULL) &&
+                 get_count(value, "Session", 0, G_MAXINT64, &record->session, NULL);
+    size_t i;
+    json_t *job;
+    json_array_foreach(json_object_get(value, "Jobs"), i, job)
+        valid = valid && parse_record_job(job, record->entries);
+    if (!valid)
+        g_array_unref(record->entries);
+    return valid;
+}
+
+json_t *wire_build_bits(const uint8_t *bits, gsize bytes, uint32_t done)
+{
+    char *text = g_base64_encode(bits, bytes);
+    json_t *value = json_pack("{s:s,s:I}", "Bits", text, "Done", (json_int_t)done);
+    g_free(text);
+    return value;
+}
+
+uint8_t *wire_parse_bits(const json_t *value, gsize *bytes)
+{
+    const char *text = json_string_value(json_object_get(value, "Bits"));
+    return text ? g_base64_decode(text, bytes) : NULL;
+}
+
+json_t *wire_build_ended(bool done, uint32_t tasks)
+{
+    return json_pack("{s:s,s:I}", "Trim", done ? "done" : "cancelled", "Done", (json_int_t)tasks);
+}
+
+json_t *wire_build_status(const char *id, const char *state, uint32_t done, uint32_t running)
+{
+    return json_pack("{s:s,s:s,s:I,s:I}", "Uid", id, "Trim", state, "done", (json_int_t)done,
+                     "running", (json_int_t)running);
+}
--- /dev/null
+++ b/src/io/wire.h
@@ -0,0 +1,59 @@
+/* The codec: JSON of the protocols to and from the core's plain values. Wire names end here.
+ *
+ * Parsers return false with a reason and leave nothing allocated; json_t results are new references
+ * of the caller. */
+#ifndef PEPPERPULLEY_WIRE_H
+#define PEPPERPULLEY_WIRE_H
+
+#include <jansson.h>
+
+#include "core/leader.h"
+#include "core/part.h"
+#include "core/types.h"
+
+typedef struct {
+    char text[160];
+} reason_t;
+
+bool wire_id_valid(const char *id);
+
+/* A job as its user sends it, or as the state service keeps it (stored: with its time). */
+bool wire_parse_job(const json_t *body, bool stored, job_spec_t *spec, reason_t *why);
+json_t *wire_build_job(const job_spec_t *spec);
+
+bool wire_parse_report(const json_t *body, report_t *report, reason_t *why);
+json_t *wire_build_calls(uint64_t token, const GArray *calls);
+json_t *wire_build_direct(uint64_t token, uint64_t session, const GArray *calls);
+
+/* array of flavor_t, or NULL */
+GArray *wire_parse_flavors(const json_t *body);
+
+/* One machine of the cloud's list. */
+typedef enum { HOST_BOOTING, HOST_RUNNING, HOST_FAILED } host_state_t;
+typedef struct {
+    char machine[ID_SIZE];
+    char type[LABEL_SIZE];
+    char zone[LABEL_SIZE];
+    bool spot;
+    host_state_t state;
+    double age_s;
+} host_t;
+/* Appends to array of host_t; false if malformed. */
+bool wire_parse_hosts(const json_t *body, GArray *hosts, bool *more);
+json_t *wire_build_rental(const char *charter, const char *type, const char *zone, bool spot,
+                          guint count);
+json_t *wire_build_release(const GPtrArray *machines);
+
+json_t *wire_build_record(const machine_record_t *record);
+/* value of machines/<id>; entries become the caller's */
+bool wire_parse_record(const char *id, const json_t *value, uint64_t stamp,
+                       machine_record_t *record);
+
+json_t *wire_build_bits(const uint8_t *bits, gsize bytes, uint32_t done);
+/* g_free the result */
+uint8_t *wire_parse_bits(const json_t *value, gsize *bytes);
+
+json_t *wire_build_ended(bool done, uint32_t tasks);
+json_t *wire_build_status(const char *id, const char *state, uint32_t done, uint32_t running);
+
+#endif
