--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -240,22 +240,41 @@
     g_array_set_size(outcomes, 0);
 }
 
+static void refuse(node_t *node, const offer_t *offer, msec_t now)
+{
+    outcome_t refused = {.task = offer->task, .attempt = offer->attempt, .cause = CAUSE_FULL};
+    leader_outcome(node->leader, &refused, now);
+}
+
+/* One task of the gang found no room: the holds of the others are freed. */
+static void withdraw_gang(node_t *node, const GArray *offers, const char *job, msec_t now)
+{
+    for (guint i = 0; i < offers->len; i++) {
+        const offer_t *offer = &g_array_index(offers, leader_offer_t, i).offer;
+        if (strcmp(offer->job, job) != 0)
+            continue;
+        part_withdraw(node->part, offer->attempt);
+        refuse(node, offer, now);
+    }
+}
+
 static void make_offers(node_t *node, msec_t now, guint most)
 {
     leader_set_rows(node->leader, 0, part_rows(node->part, now));
     GArray *offers = leader_schedule(node->leader, now, clock_day(), most);
     for (guint i = 0; i < offers->len; i++) {
         const offer_t *offer = &g_array_index(offers, leader_offer_t, i).offer;
+        if (!leader_is_out(node->leader, offer->attempt))
+            continue; /* of a gang that was withdrawn */
         machine_t *machine = part_place(node->part, offer, now);
         if (machine) {
             leader_placed(node->leader, offer->attempt, machine->zone);
             log_debug("event=place task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", offer->job,
                       offer->task, offer->attempt, machine->id);
         } else {
-            outcome_t refused = {.task = offer->task,
-                                 .attempt = offer->attempt,
-                                 .cause = CAUSE_FULL};
-            leader_outcome(node->leader, &refused, now);
+            refuse(node, offer, now);
+            if (offer->gang)
+                withdraw_gang(node, offers, offer->job, now);
         }
     }
     g_array_unref(offers);
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -160,6 +160,33 @@
         zone_count(job, zone, 1);
 }
 
+/* Takes an attempt off what is out. Returns its job if that is live, and the task. */
+static job_t *live_drop(leader_t *leader, uint64_t attempt, uint32_t *task_out)
+{
+    live_t *live = g_hash_table_lookup(leader->live, &attempt);
+    if (!live)
+        return NULL;
+    if (live->team < leader->teams->len) {
+        team_state_t *state = &g_array_index(leader->teams, team_state_t, live->team);
+        state->cpus -= live->need.cpus;
+        state->gpus -= live->need.gpus;
+    }
+    job_t *job = g_hash_table_lookup(leader->jobs, live->job);
+    uint32_t task = live->task;
+    if (job)
+        zone_count(job, live->zone, -1);
+    g_hash_table_remove(leader->live, &attempt);
+    if (!job || task >= job->spec.tasks)
+        return NULL;
+    if (bit_get(job->live, task)) {
+        bit_set(job->live, task, false);
+        job->n_live--;
+    }
+    if (task_out)
+        *task_out = task;
+    return job;
+}
+
 void leader_load_attempt(leader_t *leader, const record_entry_t *entry, const char *zone,
                          guint part)
 {
@@ -325,6 +352,7 @@
     offer->types = job->spec.types;
     offer->need = job->spec.need;
     offer->spot = job->spec.spot;
+    offer->gang = job->spec.kind == KIND_GANG;
     offer->urgency = job->spec.urgency;
     offer->save_s = job->spec.save_s;
     offer->checkpoint_s = job->spec.checkpoint_s;
@@ -337,6 +365,39 @@
     return true;
 }
 
+/* A gang starts whole or not at all: what was offered of it is taken back when one task finds no
+ * room. The rows are few, so their state is kept by a copy. */
+static bool offer_gang(leader_t *leader, team_state_t *state, job_t *job, GArray *offers)
+{
+    guint first = offers->len;
+    uint32_t wanted = job_pending(job);
+    if (wanted == 0)
+        return false; /* else this job would be served for ever */
+    GPtrArray *saved = g_ptr_array_new();
+    for (guint i = 0; i < leader->rows->len; i++) {
+        GArray *rows = g_ptr_array_index(leader->rows, i);
+        g_ptr_array_add(saved, rows ? g_array_copy(rows) : NULL);
+    }
+    for (uint32_t i = 0; i < wanted; i++)
+        if (!offer_one(leader, state, job, offers))
+            break;
+    bool whole = offers->len - first == wanted;
+    while (!whole && offers->len > first) {
+        const offer_t *offer = &g_array_index(offers, leader_offer_t, offers->len - 1).offer;
+        live_drop(leader, offer->attempt, NULL);
+        job->cursor = 0;
+        g_array_set_size(offers, offers->len - 1);
+    }
+    for (guint i = 0; i < saved->len; i++) {
+        if (whole)
+            rows_free(g_ptr_array_index(saved, i));
+        else
+            leader_set_rows(leader, i, g_ptr_array_index(saved, i));
+    }
+    g_ptr_array_unref(saved);
+    return whole;
+}
+
 static GArray *team_queue(leader_t *leader, guint team, msec_t now)
 {
     const char *name = g_array_index(leader->teams, team_state_t, team).team.name;
@@ -365,7 +426,9 @@
         double cost = MAX(job->spec.need.cpus, EPSILON);
         if (spent + cost > allowance + EPSILON)
             break;
-        if (job_held(job, G_MAXINT64 - 1) || !offer_one(leader, state, job, offers))
+        bool gang = job->spec.kind == KIND_GANG;
+        if (job_held(job, G_MAXINT64 - 1) ||
+            !(gang ? offer_gang : offer_one)(leader, state, job, offers))
             (*at)++; /* nothing more of this job for now */
         else
             spent += cost;
@@ -411,6 +474,11 @@
     return offers;
 }
 
+bool leader_is_out(const leader_t *leader, uint64_t attempt)
+{
+    return g_hash_table_contains(leader->live, &attempt);
+}
+
 void leader_placed(leader_t *leader, uint64_t attempt, const char *zone)
 {
     live_t *live = g_hash_table_lookup(leader->live, &attempt);
@@ -440,25 +508,10 @@
 
 void leader_outcome(leader_t *leader, const outcome_t *outcome, msec_t now)
 {
-    live_t *live = g_hash_table_lookup(leader->live, &outcome->attempt);
-    if (!live)
-        return;
-    if (live->team < leader->teams->len) {
-        team_state_t *state = &g_array_index(leader->teams, team_state_t, live->team);
-        state->cpus -= live->need.cpus;
-        state->gpus -= live->need.gpus;
-    }
-    job_t *job = g_hash_table_lookup(leader->jobs, live->job);
-    uint32_t task = live->task;
-    if (job)
-        zone_count(job, live->zone, -1);
-    g_hash_table_remove(leader->live, &outcome->attempt);
-    if (!job || task >= job->spec.tasks)
+    uint32_t task = 0;
+    job_t *job = live_drop(leader, outcome->attempt, &task);
+    if (!job)
         return;
-    if (bit_get(job->live, task)) {
-        bit_set(job->live, task, false);
-        job->n_live--;
-    }
     if (outcome->cause == CAUSE_DONE) {
         job->errors = 0;
         if (!bit_get(job->done, task)) {
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -96,6 +96,8 @@
 GArray *leader_schedule(leader_t *leader, msec_t now, int64_t day_ms, guint most);
 /* The part placed it on a machine of this zone. */
 void leader_placed(leader_t *leader, uint64_t attempt, const char *zone);
+/* Whether the attempt is offered or recorded and not over. */
+bool leader_is_out(const leader_t *leader, uint64_t attempt);
 /* An attempt is over, or an offer was refused (CAUSE_FULL). */
 void leader_outcome(leader_t *leader, const outcome_t *outcome, msec_t now);
 
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -191,6 +191,13 @@
     return best;
 }
 
+void part_withdraw(part_t *part, uint64_t number)
+{
+    attempt_t *attempt = g_hash_table_lookup(part->attempts, &number);
+    if (attempt && !attempt->in_record && attempt->batch == BATCH_NONE)
+        attempt_drop(part, attempt);
+}
+
 static void tell(part_t *part, const attempt_t *attempt)
 {
     outcome_t outcome = {.task = attempt->entry.task,
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -26,6 +26,7 @@
     char **types;          /* borrowed for the call; NULL: any */
     room_t need;
     bool spot;
+    bool gang; /* its tasks stand or fall together */
     urgency_t urgency;
     double save_s;
     double checkpoint_s;
@@ -148,6 +149,8 @@
 machine_t *part_place(part_t *part, const offer_t *offer, msec_t now);
 /* Whether the machine is open for the offer and has the room. */
 bool part_admits(const machine_t *machine, const offer_t *offer);
+/* Takes back what was placed and is not recorded yet. */
+void part_withdraw(part_t *part, uint64_t attempt);
 /* Room that neither reports nor reservations take. */
 room_t part_free_room(const machine_t *machine);
 
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -20,6 +20,9 @@
 
 typedef enum { URGENCY_LOW, URGENCY_NORMAL, URGENCY_HIGH, URGENCY_CRITICAL } urgency_t;
 
+/* Array: independent tasks. Gang: all tasks start together, or none. Service: runs until cancelled. */
+typedef enum { KIND_ARRAY, KIND_GANG, KIND_SERVICE } job_kind_t;
+
 /* A job as its user described it. Owned by whoever holds the struct; job_spec_clear frees inside. */
 typedef struct {
     char id[ID_SIZE];
@@ -28,6 +31,7 @@
     char zone[LABEL_SIZE]; /* empty: any */
     char image[LABEL_SIZE];
     char **types; /* NULL: any; else a null-terminated list */
+    job_kind_t kind;
     urgency_t urgency;
     uint32_t tasks;
     room_t need;
@@ -50,7 +54,9 @@
     CAUSE_ERROR,
     CAUSE_FULL,
     CAUSE_BUSY,
-    CAUSE_UNKNOWN
+    CAUSE_UNKNOWN,
+    CAUSE_PEERS, /* another task of the gang ended */
+    CAUSE_ALONE  /* the gang did not gather in time */
 } cause_t;
 
 /* One task attempt as a worker lists it. */
--- a/src/io/wire.c
+++ b/src/io/wire.c
@@ -77,6 +77,7 @@
 }
 
 static const char *const urgency_names[] = {"low", "normal", "high", "critical"};
+static const char *const kind_names[] = {"sweep", "ensemble", "daemon"};
 
 static bool get_choice(const json_t *body, const char *name, const char *const *names, int count,
                        int *to, reason_t *why)
@@ -115,9 +116,8 @@
 
 bool wire_parse_job(const json_t *body, bool stored, job_spec_t *spec, reason_t *why)
 {
-    char kind[LABEL_SIZE];
     uint64_t tasks = 0, submitted = 0;
-    int urgency = 0;
+    int urgency = 0, kind = 0;
     *spec = (job_spec_t){0};
     if (!json_is_object(body))
         return fail(why, "a JSON object is expected");
@@ -129,8 +129,7 @@
     bool valid =
         get_text(body, "Reel", spec->class_name, sizeof spec->class_name, why) &&
         get_text(body, "Crew", spec->team, sizeof spec->team, why) &&
-        get_text(body, "Rig", kind, sizeof kind, why) &&
-        (strcmp(kind, "sweep") == 0 || fail(why, "Rig: only sweep is known")) &&
+        get_choice(body, "Rig", kind_names, G_N_ELEMENTS(kind_names), &kind, why) &&
         get_choice(body, "Urgency", urgency_names, G_N_ELEMENTS(urgency_names), &urgency, why) &&
         get_count(body, "Pieces", 1, PIECES_MAX, &tasks, why) &&
         get_amount(body, "Cpus", 0, &spec->need.cpus, why) &&
@@ -151,6 +150,7 @@
         (spec->need.cpus > 0 || fail(why, "Cpus: must be above 0")) &&
         get_types(body, spec, why);
     spec->tasks = (uint32_t)tasks;
+    spec->kind = (job_kind_t)kind;
     spec->urgency = (urgency_t)urgency;
     spec->submitted_ms = (int64_t)submitted;
     if (!valid)
@@ -165,8 +165,8 @@
         json_array_append_new(types, json_string(*type));
     return json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:f,s:f,s:f,s:s,s:f,s:o,s:s?,s:b,s:b,s:b,s:f,s:f,s:f,"
                      "s:o,s:I}",
-                     "Uid", spec->id, "Reel", spec->class_name, "Crew", spec->team, "Rig", "sweep",
-                     "Urgency", urgency_names[spec->urgency], "Pieces", (json_int_t)spec->tasks,
+                     "Uid", spec->id, "Reel", spec->class_name, "Crew", spec->team, "Rig",
+                     kind_names[spec->kind], "Urgency", urgency_names[spec->urgency], "Pieces", (json_int_t)spec->tasks,
                      "Cpus", spec->need.cpus, "Accelerators", spec->need.gpus, "MemGb",
                      spec->need.memory, "Cargo", spec->image, "ImageGb", spec->image_gb, "Hulls",
                      types, "Dock", spec->zone[0] ? spec->zone : NULL, "SamePlace", spec->same_zone,
@@ -191,9 +191,10 @@
 
 static bool parse_piece(const json_t *value, piece_t *piece, reason_t *why)
 {
-    static const char *const states[] = {"pulling", "running", "saving", "exited"};
-    static const char *const causes[] = {"",     "done",   "halted", "error",
-                                         "full", "in_use", "no_such"};
+    /* A gang's task that waits for the others is one that starts: gathering counts as pulling. */
+    static const char *const states[] = {"pulling", "running", "saving", "exited", "gathering"};
+    static const char *const causes[] = {"",       "done",    "halted", "error", "full",
+                                         "in_use", "no_such", "peers",  "alone"};
     int state = 0, cause = CAUSE_NONE;
     *piece = (piece_t){0};
     if (!parse_task_name(json_string_value(json_object_get(value, "Piece")), piece))
@@ -201,7 +202,7 @@
     if (!get_count(value, "Heave", 0, G_MAXINT64, &piece->attempt, why) ||
         !get_choice(value, "Trim", states, G_N_ELEMENTS(states), &state, why))
         return false;
-    piece->state = (piece_state_t)state;
+    piece->state = state > PIECE_EXITED ? PIECE_FETCHING : (piece_state_t)state;
     if (piece->state != PIECE_EXITED)
         return true;
     /* A cause not known here counts as a failure: the attempt is over in any case. */
