--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -230,10 +230,10 @@
     for (guint i = 0; i < outcomes->len; i++) {
         const outcome_t *outcome = &g_array_index(outcomes, outcome_t, i);
         log_debug("event=over task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s cause=%d",
-                  outcome->job, outcome->task, outcome->attempt, outcome->machine,
+                  outcome->ref.job, outcome->ref.task, outcome->ref.attempt, outcome->machine,
                   (int)outcome->cause);
         if (outcome->cause == CAUSE_ERROR || outcome->cause == CAUSE_UNKNOWN)
-            log_info("event=failed task=%s/%u machine=%s cause=%d", outcome->job, outcome->task,
+            log_info("event=failed task=%s/%u machine=%s cause=%d", outcome->ref.job, outcome->ref.task,
                      outcome->machine, (int)outcome->cause);
         leader_outcome(node->leader, outcome, now);
     }
@@ -242,7 +242,8 @@
 
 static void refuse(node_t *node, const offer_t *offer, msec_t now)
 {
-    outcome_t refused = {.task = offer->task, .attempt = offer->attempt, .cause = CAUSE_FULL};
+    outcome_t refused = {.ref = task_ref(offer->job, offer->task, offer->attempt),
+                         .cause = CAUSE_FULL};
     leader_outcome(node->leader, &refused, now);
 }
 
@@ -253,7 +254,8 @@
         const offer_t *offer = &g_array_index(offers, leader_offer_t, i).offer;
         if (strcmp(offer->job, job) != 0)
             continue;
-        part_withdraw(node->part, offer->attempt);
+        task_ref_t ref = task_ref(offer->job, offer->task, offer->attempt);
+        part_withdraw(node->part, &ref);
         refuse(node, offer, now);
     }
 }
@@ -264,11 +266,12 @@
     GArray *offers = leader_schedule(node->leader, now, clock_day(), most);
     for (guint i = 0; i < offers->len; i++) {
         const offer_t *offer = &g_array_index(offers, leader_offer_t, i).offer;
-        if (!leader_is_out(node->leader, offer->attempt))
+        task_ref_t ref = task_ref(offer->job, offer->task, offer->attempt);
+        if (!leader_is_out(node->leader, &ref))
             continue; /* of a gang that was withdrawn */
         machine_t *machine = part_place(node->part, offer, now);
         if (machine) {
-            leader_placed(node->leader, offer->attempt, machine->zone);
+            leader_placed(node->leader, &ref, machine->zone);
             log_debug("event=place task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", offer->job,
                       offer->task, offer->attempt, machine->id);
         } else {
@@ -353,11 +356,11 @@
 
 static void committed(node_t *node, batch_t *batch, uint64_t revision)
 {
-    GArray *settled = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GArray *settled = g_array_new(FALSE, FALSE, sizeof(task_ref_t));
     part_batch_commit(node->part, batch->machines, revision, clock_steady());
     leader_progress_commit(node->leader, batch->progress, revision, settled);
     for (guint i = 0; i < settled->len; i++)
-        part_settle(node->part, g_array_index(settled, uint64_t, i));
+        part_settle(node->part, &g_array_index(settled, task_ref_t, i));
     for (guint i = 0; i < batch->progress->len; i++) {
         const progress_t *progress = &g_array_index(batch->progress, progress_t, i);
         if (progress->end)
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -40,7 +40,7 @@
 {
     leader_t *leader = g_new0(leader_t, 1);
     leader->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
-    leader->live = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    leader->live = g_hash_table_new_full(task_ref_hash, task_ref_equal, NULL, g_free);
     leader->teams = g_array_new(FALSE, TRUE, sizeof(team_state_t));
     for (guint i = 0; i < teams->len; i++) {
         team_state_t state = {.team = g_array_index(teams, team_t, i)};
@@ -102,7 +102,7 @@
     job->live = g_malloc0(bits_bytes(spec->tasks));
     job->chunk_stamps = g_array_new(FALSE, TRUE, sizeof(uint64_t));
     g_array_set_size(job->chunk_stamps, chunk_count(spec->tasks));
-    job->unsettled = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    job->unsettled = g_array_new(FALSE, FALSE, sizeof(task_ref_t));
     job->zone_live = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     job->first_pending = now;
     g_hash_table_insert(leader->jobs, job->spec.id, job);
@@ -132,13 +132,12 @@
     g_hash_table_insert(job->zone_live, g_strdup(zone), GINT_TO_POINTER(count));
 }
 
-static void live_add(leader_t *leader, uint64_t attempt, const char *job_id, uint32_t task,
-                     const char *team, room_t need, const char *zone, guint part)
+static void live_add(leader_t *leader, task_ref_t ref, const char *team, room_t need,
+                     const char *zone, guint part)
 {
     live_t *live = g_new0(live_t, 1);
-    g_strlcpy(live->job, job_id, sizeof live->job);
+    live->ref = ref;
     g_strlcpy(live->zone, zone, sizeof live->zone);
-    live->task = task;
     live->need = need;
     live->part = part;
     team_state_t *state = team_find(leader, team, &live->team);
@@ -148,49 +147,45 @@
     } else {
         live->team = G_MAXUINT; /* the team left the settings; its work still ends normally */
     }
-    uint64_t *key = g_new(uint64_t, 1);
-    *key = attempt;
-    g_hash_table_insert(leader->live, key, live);
-    job_t *job = g_hash_table_lookup(leader->jobs, job_id);
-    if (job && task < job->spec.tasks && !bit_get(job->live, task)) {
-        bit_set(job->live, task, true);
+    g_hash_table_insert(leader->live, &live->ref, live);
+    job_t *job = g_hash_table_lookup(leader->jobs, ref.job);
+    if (job && ref.task < job->spec.tasks && !bit_get(job->live, ref.task)) {
+        bit_set(job->live, ref.task, true);
         job->n_live++;
     }
     if (job)
         zone_count(job, zone, 1);
 }
 
-/* Takes an attempt off what is out. Returns its job if that is live, and the task. */
-static job_t *live_drop(leader_t *leader, uint64_t attempt, uint32_t *task_out)
+/* Takes an attempt off what is out. Returns its job if that is live. */
+static job_t *live_drop(leader_t *leader, const task_ref_t *ref)
 {
-    live_t *live = g_hash_table_lookup(leader->live, &attempt);
-    if (!live)
+    live_t *live = g_hash_table_lookup(leader->live, ref);
+    if (!live || live->ref.attempt != ref->attempt)
         return NULL;
     if (live->team < leader->teams->len) {
         team_state_t *state = &g_array_index(leader->teams, team_state_t, live->team);
         state->cpus -= live->need.cpus;
         state->gpus -= live->need.gpus;
     }
-    job_t *job = g_hash_table_lookup(leader->jobs, live->job);
-    uint32_t task = live->task;
+    job_t *job = g_hash_table_lookup(leader->jobs, live->ref.job);
     if (job)
         zone_count(job, live->zone, -1);
-    g_hash_table_remove(leader->live, &attempt);
-    if (!job || task >= job->spec.tasks)
+    g_hash_table_remove(leader->live, ref);
+    if (!job || ref->task >= job->spec.tasks)
         return NULL;
-    if (bit_get(job->live, task)) {
-        bit_set(job->live, task, false);
+    if (bit_get(job->live, ref->task)) {
+        bit_set(job->live, ref->task, false);
         job->n_live--;
     }
-    if (task_out)
-        *task_out = task;
     return job;
 }
 
 void leader_load_attempt(leader_t *leader, const record_entry_t *entry, const char *zone,
                          guint part)
 {
-    live_add(leader, entry->attempt, entry->job, entry->task, entry->team, entry->need, zone, part);
+    live_add(leader, task_ref(entry->job, entry->task, entry->attempt), entry->team, entry->need,
+             zone, part);
 }
 
 void leader_end_job(leader_t *leader, const char *id)
@@ -328,7 +323,8 @@
     return chosen;
 }
 
-static bool offer_one(leader_t *leader, team_state_t *state, job_t *job, GArray *offers)
+/* One task, under the attempt number that the count stands at. */
+static bool offer_task(leader_t *leader, team_state_t *state, job_t *job, GArray *offers)
 {
     uint32_t task;
     guint part = 0;
@@ -358,13 +354,19 @@
     offer->checkpoint_s = job->spec.checkpoint_s;
     offer->job_stamp = job->stamp;
     offer->task = task;
-    offer->attempt = (leader->view << ATTEMPT_SHIFT) + ++leader->count;
-    live_add(leader, offer->attempt, job->spec.id, task, job->spec.team, job->spec.need,
+    offer->attempt = (leader->view << ATTEMPT_SHIFT) + leader->count;
+    live_add(leader, task_ref(job->spec.id, task, offer->attempt), job->spec.team, job->spec.need,
              offer->zone, part);
     g_array_append_val(offers, made);
     return true;
 }
 
+static bool offer_one(leader_t *leader, team_state_t *state, job_t *job, GArray *offers)
+{
+    leader->count++;
+    return offer_task(leader, state, job, offers);
+}
+
 /* A gang starts whole or not at all: what was offered of it is taken back when one task finds no
  * room. The rows are few, so their state is kept by a copy. */
 static bool offer_gang(leader_t *leader, team_state_t *state, job_t *job, GArray *offers)
@@ -378,13 +380,15 @@
         GArray *rows = g_ptr_array_index(leader->rows, i);
         g_ptr_array_add(saved, rows ? g_array_copy(rows) : NULL);
     }
+    leader->count++;
     for (uint32_t i = 0; i < wanted; i++)
-        if (!offer_one(leader, state, job, offers))
+        if (!offer_task(leader, state, job, offers))
             break;
     bool whole = offers->len - first == wanted;
     while (!whole && offers->len > first) {
         const offer_t *offer = &g_array_index(offers, leader_offer_t, offers->len - 1).offer;
-        live_drop(leader, offer->attempt, NULL);
+        task_ref_t ref = task_ref(offer->job, offer->task, offer->attempt);
+        live_drop(leader, &ref);
         job->cursor = 0;
         g_array_set_size(offers, offers->len - 1);
     }
@@ -474,17 +478,18 @@
     return offers;
 }
 
-bool leader_is_out(const leader_t *leader, uint64_t attempt)
+bool leader_is_out(const leader_t *leader, const task_ref_t *ref)
 {
-    return g_hash_table_contains(leader->live, &attempt);
+    const live_t *live = g_hash_table_lookup(leader->live, ref);
+    return live && live->ref.attempt == ref->attempt;
 }
 
-void leader_placed(leader_t *leader, uint64_t attempt, const char *zone)
+void leader_placed(leader_t *leader, const task_ref_t *ref, const char *zone)
 {
-    live_t *live = g_hash_table_lookup(leader->live, &attempt);
+    live_t *live = g_hash_table_lookup(leader->live, ref);
     if (!live || strcmp(live->zone, zone) == 0)
         return;
-    job_t *job = g_hash_table_lookup(leader->jobs, live->job);
+    job_t *job = g_hash_table_lookup(leader->jobs, ref->job);
     if (job) {
         zone_count(job, live->zone, -1);
         zone_count(job, zone, 1);
@@ -508,8 +513,8 @@
 
 void leader_outcome(leader_t *leader, const outcome_t *outcome, msec_t now)
 {
-    uint32_t task = 0;
-    job_t *job = live_drop(leader, outcome->attempt, &task);
+    uint32_t task = outcome->ref.task;
+    job_t *job = live_drop(leader, &outcome->ref);
     if (!job)
         return;
     if (outcome->cause == CAUSE_DONE) {
@@ -519,7 +524,7 @@
             job->n_done++;
         }
         job->dirty_chunks |= 1u << (task / CHUNK_BITS);
-        g_array_append_val(job->unsettled, outcome->attempt);
+        g_array_append_val(job->unsettled, outcome->ref);
         return;
     }
     job->cursor = MIN(job->cursor, task);
@@ -611,7 +616,7 @@
         }
         job->dirty_chunks = 0;
         job->settling = job->unsettled;
-        job->unsettled = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+        job->unsettled = g_array_new(FALSE, FALSE, sizeof(task_ref_t));
     }
     return batch;
 }
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -36,7 +36,7 @@
     uint32_t cursor; /* no pending task below it */
     GArray *chunk_stamps; /* uint64_t; 0: no key */
     uint32_t dirty_chunks;
-    GArray *unsettled; /* attempts whose finish is not durable yet */
+    GArray *unsettled; /* task_ref_t: attempts whose finish is not durable yet */
     GArray *settling;  /* those in the commit under way */
     bool ending;       /* its end is in the commit under way */
     guint errors;      /* since the last success */
@@ -53,8 +53,7 @@
 } team_state_t;
 
 typedef struct {
-    char job[ID_SIZE];
-    uint32_t task;
+    task_ref_t ref;
     guint team;
     room_t need;
     char zone[LABEL_SIZE];
@@ -71,7 +70,7 @@
     uint64_t view;
     uint64_t count; /* attempts numbered in this view */
     GHashTable *jobs;   /* id -> job_t, owned */
-    GHashTable *live;   /* attempt -> live_t, owned */
+    GHashTable *live;   /* task_ref_t -> live_t, owned */
     GArray *teams;      /* team_state_t */
     GHashTable *targets; /* class -> seconds (double), from the aims; borrowed */
     GPtrArray *rows;    /* part -> GArray of machine_row_t, owned */
@@ -95,9 +94,9 @@
  * Returns an array of leader_offer_t, at most `most`. */
 GArray *leader_schedule(leader_t *leader, msec_t now, int64_t day_ms, guint most);
 /* The part placed it on a machine of this zone. */
-void leader_placed(leader_t *leader, uint64_t attempt, const char *zone);
+void leader_placed(leader_t *leader, const task_ref_t *ref, const char *zone);
 /* Whether the attempt is offered or recorded and not over. */
-bool leader_is_out(const leader_t *leader, uint64_t attempt);
+bool leader_is_out(const leader_t *leader, const task_ref_t *ref);
 /* An attempt is over, or an offer was refused (CAUSE_FULL). */
 void leader_outcome(leader_t *leader, const outcome_t *outcome, msec_t now);
 
@@ -121,7 +120,7 @@
     GArray *old_stamps; /* owned; chunk stamps to delete, when end */
 } progress_t;
 GArray *leader_progress_take(leader_t *leader, guint max_ops, guint *ops);
-/* settled: array of uint64_t to append the attempts to that may now be forgotten. */
+/* settled: array of task_ref_t to append the attempts to that may now be forgotten. */
 void leader_progress_commit(leader_t *leader, const GArray *batch, uint64_t revision,
                             GArray *settled);
 void leader_progress_undo(leader_t *leader, const GArray *batch);
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -14,7 +14,7 @@
 {
     part_t *part = g_new0(part_t, 1);
     part->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
-    part->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
+    part->attempts = g_hash_table_new(task_ref_hash, task_ref_equal);
     part->flavors = flavors;
     part->outcomes = g_array_new(FALSE, TRUE, sizeof(outcome_t));
     part->lapse = lapse;
@@ -69,16 +69,18 @@
 {
     attempt_t *attempt = g_new0(attempt_t, 1);
     attempt->entry = *entry;
+    attempt->ref = task_ref(entry->job, entry->task, entry->attempt);
+    attempt->hold = ++part->holds;
     attempt->machine = machine;
     g_ptr_array_add(machine->attempts, attempt);
-    g_hash_table_insert(part->attempts, &attempt->entry.attempt, attempt);
+    g_hash_table_insert(part->attempts, &attempt->ref, attempt);
     return attempt;
 }
 
 static void attempt_drop(part_t *part, attempt_t *attempt)
 {
-    reservation_free(attempt->machine->reservations, attempt->entry.attempt);
-    g_hash_table_remove(part->attempts, &attempt->entry.attempt);
+    reservation_free(attempt->machine->reservations, attempt->hold);
+    g_hash_table_remove(part->attempts, &attempt->ref);
     g_ptr_array_remove(attempt->machine->attempts, attempt);
 }
 
@@ -98,7 +100,7 @@
         attempt->phase = ATTEMPT_RECORDED;
         attempt->session = record->session;
         attempt->in_record = true;
-        reservation_add(machine->reservations, attempt->entry.attempt, attempt->entry.need, 0, now);
+        reservation_add(machine->reservations, attempt->hold, attempt->entry.need, 0, now);
     }
 }
 
@@ -186,25 +188,29 @@
     attempt->phase = ATTEMPT_PLACED;
     attempt->job_stamp = offer->job_stamp;
     attempt->session = best->session;
-    reservation_add(best->reservations, offer->attempt, offer->need, best->receipt, now);
+    reservation_add(best->reservations, attempt->hold, offer->need, best->receipt, now);
     best->dirty = true;
     return best;
 }
 
-void part_withdraw(part_t *part, uint64_t number)
+static attempt_t *find_ref(part_t *part, const task_ref_t *ref)
 {
-    attempt_t *attempt = g_hash_table_lookup(part->attempts, &number);
+    attempt_t *attempt = g_hash_table_lookup(part->attempts, ref);
+    return attempt && attempt->ref.attempt == ref->attempt ? attempt : NULL;
+}
+
+void part_withdraw(part_t *part, const task_ref_t *ref)
+{
+    attempt_t *attempt = find_ref(part, ref);
     if (attempt && !attempt->in_record && attempt->batch == BATCH_NONE)
         attempt_drop(part, attempt);
 }
 
 static void tell(part_t *part, const attempt_t *attempt)
 {
-    outcome_t outcome = {.task = attempt->entry.task,
-                         .attempt = attempt->entry.attempt,
+    outcome_t outcome = {.ref = attempt->ref,
                          .cause = attempt->cause,
                          .started = attempt->listed_since != 0};
-    g_strlcpy(outcome.job, attempt->entry.job, sizeof outcome.job);
     g_strlcpy(outcome.machine, attempt->machine->id, sizeof outcome.machine);
     g_array_append_val(part->outcomes, outcome);
 }
@@ -217,7 +223,7 @@
     attempt->phase = ATTEMPT_OVER;
     attempt->cause = cause;
     attempt->machine->dirty = true;
-    reservation_free(attempt->machine->reservations, attempt->entry.attempt);
+    reservation_free(attempt->machine->reservations, attempt->hold);
     if (cause == CAUSE_DONE) {
         attempt->reported_done = true;
         tell(part, attempt);
@@ -226,11 +232,9 @@
 
 static attempt_t *find_attempt(part_t *part, const piece_t *piece, const machine_t *machine)
 {
-    attempt_t *attempt = g_hash_table_lookup(part->attempts, &piece->attempt);
-    if (!attempt || attempt->machine != machine || attempt->entry.task != piece->task ||
-        strcmp(attempt->entry.job, piece->job) != 0)
-        return NULL;
-    return attempt;
+    task_ref_t ref = task_ref(piece->job, piece->task, piece->attempt);
+    attempt_t *attempt = find_ref(part, &ref);
+    return attempt && attempt->machine == machine ? attempt : NULL;
 }
 
 static void call_add(GArray *calls, call_op_t op, const char *job, uint32_t task, uint64_t number,
@@ -328,9 +332,9 @@
             room_add(&grown, attempt->entry.need, 1);
         }
         if (piece->state == PIECE_FETCHING)
-            reservation_see_start(machine->reservations, piece->attempt, machine->receipt);
+            reservation_see_start(machine->reservations, attempt->hold, machine->receipt);
         else
-            reservation_free(machine->reservations, piece->attempt);
+            reservation_free(machine->reservations, attempt->hold);
     }
     /* Growth is counted by the tasks newly listed, so that one that ended meanwhile hides none. */
     reservation_confirm(machine->reservations, grown, machine->receipt);
@@ -433,9 +437,9 @@
     attempt->machine->direct_wanted = true;
 }
 
-void part_settle(part_t *part, uint64_t number)
+void part_settle(part_t *part, const task_ref_t *ref)
 {
-    attempt_t *attempt = g_hash_table_lookup(part->attempts, &number);
+    attempt_t *attempt = find_ref(part, ref);
     if (!attempt)
         return;
     attempt->settled = true;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -68,7 +68,9 @@
 typedef struct machine machine_t;
 
 typedef struct {
+    task_ref_t ref; /* its key */
     record_entry_t entry;
+    uint64_t hold; /* names its reservation */
     machine_t *machine;
     attempt_phase_t phase;
     uint64_t job_stamp;
@@ -119,9 +121,7 @@
 
 /* Told to the leader: an attempt that is over. Anything but done is told after its record is gone. */
 typedef struct {
-    char job[ID_SIZE];
-    uint32_t task;
-    uint64_t attempt;
+    task_ref_t ref;
     cause_t cause;
     bool started; /* it had run */
     char machine[ID_SIZE];
@@ -130,7 +130,8 @@
 typedef struct {
     uint64_t view;
     GHashTable *machines; /* id -> machine_t, owned */
-    GHashTable *attempts; /* number -> attempt_t, borrowed from the machines */
+    GHashTable *attempts; /* task_ref_t -> attempt_t, borrowed from the machines */
+    uint64_t holds;
     const GArray *flavors;
     GArray *outcomes; /* outcome_t, drained by the caller */
     guint turn;       /* round robin among equals */
@@ -150,7 +151,7 @@
 /* Whether the machine is open for the offer and has the room. */
 bool part_admits(const machine_t *machine, const offer_t *offer);
 /* Takes back what was placed and is not recorded yet. */
-void part_withdraw(part_t *part, uint64_t attempt);
+void part_withdraw(part_t *part, const task_ref_t *ref);
 /* Room that neither reports nor reservations take. */
 room_t part_free_room(const machine_t *machine);
 
@@ -164,7 +165,7 @@
 /* Asks one attempt to stop, saving if it can. */
 void part_stop(part_t *part, attempt_t *attempt, msec_t now);
 /* The leader has the finished bit durable. */
-void part_settle(part_t *part, uint64_t attempt);
+void part_settle(part_t *part, const task_ref_t *ref);
 /* The cloud confirmed that the machine is gone. */
 void part_machine_gone(part_t *part, const char *id);
 /* Lapses reservations; once a tick. */
--- a/src/core/reservation.c
+++ b/src/core/reservation.c
@@ -1,8 +1,8 @@
 #include "core/reservation.h"
 
-void reservation_add(GArray *list, uint64_t attempt, room_t need, uint64_t receipt, msec_t now)
+void reservation_add(GArray *list, uint64_t hold, room_t need, uint64_t receipt, msec_t now)
 {
-    reservation_t entry = {.attempt = attempt,
+    reservation_t entry = {.hold = hold,
                            .receipt = receipt,
                            .made = now,
                            .cpus = need.cpus,
@@ -11,11 +11,11 @@
     g_array_append_val(list, entry);
 }
 
-static reservation_t *find(GArray *list, uint64_t attempt, guint *at)
+static reservation_t *find(GArray *list, uint64_t hold, guint *at)
 {
     for (guint i = 0; i < list->len; i++) {
         reservation_t *entry = &g_array_index(list, reservation_t, i);
-        if (entry->attempt == attempt) {
+        if (entry->hold == hold) {
             *at = i;
             return entry;
         }
@@ -23,17 +23,17 @@
     return NULL;
 }
 
-void reservation_free(GArray *list, uint64_t attempt)
+void reservation_free(GArray *list, uint64_t hold)
 {
     guint at;
-    if (find(list, attempt, &at))
+    if (find(list, hold, &at))
         g_array_remove_index(list, at);
 }
 
-void reservation_see_start(GArray *list, uint64_t attempt, uint64_t receipt)
+void reservation_see_start(GArray *list, uint64_t hold, uint64_t receipt)
 {
     guint at;
-    reservation_t *entry = find(list, attempt, &at);
+    reservation_t *entry = find(list, hold, &at);
     if (entry && entry->receipt < receipt)
         entry->start_seen = true;
 }
--- a/src/core/reservation.h
+++ b/src/core/reservation.h
@@ -8,7 +8,7 @@
 #include "core/types.h"
 
 typedef struct {
-    uint64_t attempt;
+    uint64_t hold; /* the part's own number for the attempt */
     uint64_t receipt;  /* the newest report of the machine when the reservation was made */
     msec_t made;
     bool start_seen;   /* a report listed the task as fetching */
@@ -18,9 +18,9 @@
 } reservation_t;
 
 /* list: array of reservation_t. */
-void reservation_add(GArray *list, uint64_t attempt, room_t need, uint64_t receipt, msec_t now);
-void reservation_free(GArray *list, uint64_t attempt);
-void reservation_see_start(GArray *list, uint64_t attempt, uint64_t receipt);
+void reservation_add(GArray *list, uint64_t hold, room_t need, uint64_t receipt, msec_t now);
+void reservation_free(GArray *list, uint64_t hold);
+void reservation_see_start(GArray *list, uint64_t hold, uint64_t receipt);
 /* Growth of booked room, as a report newer than `receipt` shows it, confirms older reservations
  * whose start was seen, each dimension by itself. What matches nothing is dropped. */
 void reservation_confirm(GArray *list, room_t growth, uint64_t receipt);
--- a/src/core/types.c
+++ b/src/core/types.c
@@ -15,6 +15,25 @@
     report->pieces = NULL;
 }
 
+guint task_ref_hash(gconstpointer ref)
+{
+    const task_ref_t *key = ref;
+    return g_str_hash(key->job) * 31 + key->task;
+}
+
+gboolean task_ref_equal(gconstpointer left, gconstpointer right)
+{
+    const task_ref_t *a = left, *b = right;
+    return a->task == b->task && strcmp(a->job, b->job) == 0;
+}
+
+task_ref_t task_ref(const char *job, uint32_t task, uint64_t attempt)
+{
+    task_ref_t ref = {.task = task, .attempt = attempt};
+    g_strlcpy(ref.job, job, sizeof ref.job);
+    return ref;
+}
+
 bool job_spec_allows(const job_spec_t *spec, const char *type, const char *zone, bool spot)
 {
     if (spot && !spec->spot)
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -112,6 +112,19 @@
     double gpus_max;
 } team_t;
 
+/* One attempt at one task. A task has one attempt at a time, so maps go by job and task alone; the
+ * attempts of a gang's tasks share one number, by which workers know that they belong together. */
+typedef struct {
+    char job[ID_SIZE];
+    uint32_t task;
+    uint64_t attempt;
+} task_ref_t;
+
+/* Hash and equality by job and task; for GHashTable. */
+guint task_ref_hash(gconstpointer ref);
+gboolean task_ref_equal(gconstpointer left, gconstpointer right);
+task_ref_t task_ref(const char *job, uint32_t task, uint64_t attempt);
+
 static inline bool room_fits(room_t need, room_t have)
 {
     return need.cpus <= have.cpus + EPSILON && need.gpus <= have.gpus + EPSILON &&
