--- /dev/null
+++ b/tests/stories_part.c
@@ -0,0 +1,428 @@
+/* Stories of one part and its workers: when a task may be placed again, and when not. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#include "core/part.h"
+#include "worker.h"
+
+typedef struct {
+    GArray *flavors;
+    part_t *part;
+    fake_worker_t *worker;
+    GArray *calls;
+    uint64_t revision;
+    msec_t now;
+} stage_t;
+
+static stage_t *stage;
+
+static int set_up(void **state)
+{
+    (void)state;
+    stage = g_new0(stage_t, 1);
+    stage->flavors = g_array_new(FALSE, FALSE, sizeof(flavor_t));
+    flavor_t flavor = {.name = "t16", .room = {16, 0, 64}};
+    g_array_append_val(stage->flavors, flavor);
+    stage->part = part_new(stage->flavors, RESERVATION_LAPSE_MS);
+    part_set_view(stage->part, 7);
+    stage->worker = fake_worker_new("m-000001");
+    stage->calls = g_array_new(FALSE, FALSE, sizeof(call_t));
+    stage->now = 1000;
+    stage->revision = 10;
+    return 0;
+}
+
+static int tear_down(void **state)
+{
+    (void)state;
+    part_free(stage->part);
+    fake_worker_free(stage->worker);
+    g_array_unref(stage->calls);
+    g_array_unref(stage->flavors);
+    g_free(stage);
+    return 0;
+}
+
+static report_verdict_t deliver(report_t *report, bool direct)
+{
+    g_array_set_size(stage->calls, 0);
+    report_verdict_t verdict = part_report(stage->part, report, direct, stage->now, stage->calls);
+    report_clear(report);
+    return verdict;
+}
+
+/* One report, taken and answered. */
+static void exchange(void)
+{
+    report_t report = fake_worker_report(stage->worker);
+    assert_int_equal(deliver(&report, false), REPORT_TAKEN);
+    assert_true(fake_worker_answer(stage->worker, stage->part->view, stage->calls));
+    stage->now += 1000;
+}
+
+static offer_t offer_of(const char *job, uint32_t task, uint64_t attempt, double cpus)
+{
+    offer_t offer = {.need = {cpus, 0, 4}, .task = task, .attempt = attempt, .job_stamp = 5};
+    g_strlcpy(offer.job, job, sizeof offer.job);
+    g_strlcpy(offer.team, "red", sizeof offer.team);
+    return offer;
+}
+
+static void commit(void)
+{
+    part_batch_t *batch = part_batch_take(stage->part, 20, 16384);
+    part_batch_commit(stage->part, batch, ++stage->revision, stage->now);
+    part_batch_free(batch);
+}
+
+static void place(const char *job, uint32_t task, uint64_t attempt)
+{
+    offer_t offer = offer_of(job, task, attempt, 4);
+    assert_non_null(part_place(stage->part, &offer, stage->now));
+}
+
+static guint count_calls(call_op_t op)
+{
+    guint count = 0;
+    for (guint i = 0; i < stage->calls->len; i++)
+        count += g_array_index(stage->calls, call_t, i).op == op;
+    return count;
+}
+
+/* Has the leader been told that the attempt is over, with this cause? */
+static bool told(uint32_t task, cause_t cause)
+{
+    for (guint i = 0; i < stage->part->outcomes->len; i++) {
+        const outcome_t *outcome = &g_array_index(stage->part->outcomes, outcome_t, i);
+        if (outcome->ref.task == task && outcome->cause == cause)
+            return true;
+    }
+    return false;
+}
+
+static void start_follows_its_record(void **state)
+{
+    (void)state;
+    exchange();
+    place("j-000001", 0, 100);
+    exchange();
+    assert_int_equal(stage->worker->runs, 0); /* not recorded: not sent */
+    commit();
+    exchange();
+    assert_int_equal(stage->worker->runs, 1);
+    exchange();
+    assert_int_equal(count_calls(CALL_RUN), 0); /* listed: not sent again */
+}
+
+static void lost_answer_repeats_the_same_attempt(void **state)
+{
+    (void)state;
+    exchange();
+    place("j-000001", 0, 100);
+    commit();
+    report_t report = fake_worker_report(stage->worker);
+    deliver(&report, false);
+    assert_int_equal(count_calls(CALL_RUN), 1); /* this answer is lost */
+    exchange();
+    assert_int_equal(stage->worker->runs, 1);
+    assert_int_equal(stage->part->outcomes->len, 0);
+}
+
+static void silence_is_no_proof(void **state)
+{
+    (void)state;
+    exchange();
+    place("j-000001", 0, 100);
+    commit();
+    exchange();
+    stage->now += 3600 * 1000;
+    part_tick(stage->part, stage->now);
+    commit();
+    assert_int_equal(stage->part->outcomes->len, 0);
+    assert_int_equal(g_hash_table_size(stage->part->attempts), 1);
+}
+
+static void lapsed_reservation_frees_room_but_not_the_task(void **state)
+{
+    (void)state;
+    exchange();
+    place("j-000001", 0, 100);
+    machine_t *machine = g_hash_table_lookup(stage->part->machines, "m-000001");
+    assert_true(part_free_room(machine).cpus < 12.5);
+    stage->now += RESERVATION_LAPSE_MS;
+    part_tick(stage->part, stage->now);
+    assert_true(part_free_room(machine).cpus > 15.5);
+    assert_int_equal(g_hash_table_size(stage->part->attempts), 1);
+    assert_int_equal(stage->part->outcomes->len, 0);
+}
+
+static void new_session_proves_the_old_one_over(void **state)
+{
+    (void)state;
+    exchange();
+    place("j-000001", 0, 100);
+    commit();
+    exchange();
+    fake_worker_lose_lease(stage->worker);
+    exchange();
+    assert_int_equal(stage->part->outcomes->len, 0); /* told only once the record is gone */
+    commit();
+    assert_true(told(0, CAUSE_NONE));
+    assert_int_equal(g_hash_table_size(stage->part->attempts), 0);
+}
+
+static void late_report_of_an_old_session_is_dropped(void **state)
+{
+    (void)state;
+    exchange();
+    report_t late = fake_worker_report(stage->worker);
+    fake_worker_lose_lease(stage->worker);
+    exchange();
+    assert_int_equal(deliver(&late, false), REPORT_STALE);
+}
+
+static void late_report_with_a_lower_number_is_dropped(void **state)
+{
+    (void)state;
+    report_t late = fake_worker_report(stage->worker);
+    exchange();
+    assert_int_equal(deliver(&late, false), REPORT_STALE);
+}
+
+static void done_is_forgotten_only_when_settled(void **state)
+{
+    (void)state;
+    task_ref_t ref = task_ref("j-000001", 0, 100);
+    exchange();
+    place("j-000001", 0, 100);
+    commit();
+    exchange();
+    fake_worker_exit(stage->worker, "j-000001", 0, CAUSE_DONE);
+    exchange();
+    assert_true(told(0, CAUSE_DONE));
+    commit();
+    exchange();
+    assert_int_equal(count_calls(CALL_FORGET), 0);
+    part_settle(stage->part, &ref);
+    commit();
+    exchange();
+    assert_int_equal(count_calls(CALL_FORGET), 1);
+    assert_int_equal(stage->worker->pieces->len, 0);
+}
+
+/* A direct `run` got no answer and arrives after the task has ended: were the attempt forgotten
+ * before, the worker would start it a second time. */
+static void late_run_meets_a_worker_that_still_knows_it(void **state)
+{
+    (void)state;
+    exchange();
+    place("j-000001", 0, 100);
+    commit();
+    GArray *late = g_array_new(FALSE, FALSE, sizeof(call_t));
+    assert_non_null(part_direct_take(stage->part, stage->now, late));
+    part_direct_done(stage->part, "m-000001", late, 7, DIRECT_UNANSWERED);
+    exchange(); /* the report's answer starts it */
+    assert_int_equal(stage->worker->runs, 1);
+    fake_worker_exit(stage->worker, "j-000001", 0, CAUSE_ERROR);
+    exchange();
+    commit();
+    exchange();
+    assert_int_equal(count_calls(CALL_FORGET), 0);
+    assert_true(part_wants_token(stage->part));
+    assert_true(fake_worker_direct(stage->worker, 7, 1, late));
+    assert_int_equal(stage->worker->runs, 1);
+    /* With the token moved on, the copy is void and the attempt may be forgotten. */
+    part_set_view(stage->part, 8);
+    exchange();
+    exchange();
+    assert_int_equal(stage->worker->pieces->len, 0);
+    assert_false(fake_worker_direct(stage->worker, 7, 1, late));
+    assert_int_equal(stage->worker->runs, 1);
+    g_array_unref(late);
+}
+
+static void abort_racing_a_start_under_way_waits_for_proof(void **state)
+{
+    (void)state;
+    exchange();
+    place("j-000001", 0, 100);
+    commit();
+    GArray *late = g_array_new(FALSE, FALSE, sizeof(call_t));
+    part_direct_take(stage->part, stage->now, late);
+    part_end_job(stage->part, "j-000001");
+    exchange(); /* not listed, but the direct command may still arrive */
+    commit();
+    assert_int_equal(stage->part->outcomes->len, 0);
+    assert_true(fake_worker_direct(stage->worker, 7, 1, late));
+    part_direct_done(stage->part, "m-000001", late, 7, DIRECT_UNANSWERED);
+    exchange();
+    assert_int_equal(fake_worker_active(stage->worker), 0); /* stopped as soon as it is seen */
+    exchange();
+    commit();
+    assert_true(told(0, CAUSE_STOPPED));
+    g_array_unref(late);
+}
+
+static void abort_before_the_record_drops_the_start(void **state)
+{
+    (void)state;
+    exchange();
+    place("j-000001", 0, 100);
+    part_end_job(stage->part, "j-000001");
+    commit();
+    exchange();
+    assert_int_equal(stage->worker->runs, 0);
+    assert_int_equal(g_hash_table_size(stage->part->attempts), 0);
+}
+
+static void abort_racing_done_frees_the_result(void **state)
+{
+    (void)state;
+    exchange();
+    place("j-000001", 0, 100);
+    commit();
+    exchange();
+    fake_worker_exit(stage->worker, "j-000001", 0, CAUSE_DONE);
+    exchange();
+    part_end_job(stage->part, "j-000001"); /* nobody will settle it now */
+    commit();
+    exchange();
+    assert_int_equal(stage->worker->pieces->len, 0);
+}
+
+/* Two controllers believe that they own the machine: the one with the older token can neither
+ * start anything there nor take its report for its own. */
+static void older_owner_is_powerless(void **state)
+{
+    (void)state;
+    part_t *older = part_new(stage->flavors, RESERVATION_LAPSE_MS);
+    part_set_view(older, 6);
+    exchange();
+    place("j-000001", 0, 100);
+    commit();
+    exchange();
+    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
+    report_t report = fake_worker_report(stage->worker);
+    part_report(older, &report, false, stage->now, calls);
+    assert_false(fake_worker_answer(stage->worker, 6, calls));
+    assert_int_equal(fake_worker_active(stage->worker), 1);
+    report_clear(&report);
+    g_array_unref(calls);
+    part_free(older);
+}
+
+/* The record of an earlier view: its attempts stand until the worker, under this view's token, says
+ * otherwise; one it does not know is sent again under the same number. */
+static void new_view_takes_over_from_the_record(void **state)
+{
+    (void)state;
+    machine_record_t record = {.session = 1, .stamp = 9, .address = "10.1.0.1:9000",
+                               .type = "t16", .zone = "north", .machine = "m-000001"};
+    record.entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t));
+    record_entry_t entry = {.job = "j-000001", .team = "red", .need = {4, 0, 4}, .attempt = 55};
+    g_array_append_val(record.entries, entry);
+    part_load(stage->part, &record, stage->now);
+    g_array_unref(record.entries);
+    exchange();
+    assert_int_equal(stage->worker->runs, 1);
+    exchange();
+    assert_int_equal(stage->worker->runs, 1);
+    assert_int_equal(g_hash_table_size(stage->part->attempts), 1);
+}
+
+/* Cancelled under an earlier view: absence proves nothing before the worker has seen this token. */
+static void absence_needs_the_present_token(void **state)
+{
+    (void)state;
+    machine_record_t record = {.session = 1, .stamp = 9, .address = "10.1.0.1:9000",
+                               .type = "t16", .zone = "north", .machine = "m-000001"};
+    record.entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t));
+    record_entry_t entry = {.job = "j-000001", .team = "red", .need = {4, 0, 4}, .attempt = 55};
+    g_array_append_val(record.entries, entry);
+    part_load(stage->part, &record, stage->now);
+    g_array_unref(record.entries);
+    part_end_job(stage->part, "j-000001");
+    stage->worker->token = 6;
+    exchange();
+    commit();
+    assert_int_equal(stage->part->outcomes->len, 0);
+    exchange();
+    commit();
+    assert_true(told(0, CAUSE_STOPPED));
+}
+
+static void released_machine_is_proof(void **state)
+{
+    (void)state;
+    exchange();
+    place("j-000001", 0, 100);
+    commit();
+    part_machine_gone(stage->part, "m-000001");
+    commit();
+    assert_true(told(0, CAUSE_NONE));
+    assert_int_equal(g_hash_table_size(stage->part->machines), 0);
+}
+
+static void full_machine_is_skipped(void **state)
+{
+    (void)state;
+    offer_t offer = offer_of("j-000001", 0, 100, 10);
+    offer_t second = offer_of("j-000001", 1, 101, 10);
+    exchange();
+    assert_non_null(part_place(stage->part, &offer, stage->now));
+    assert_null(part_place(stage->part, &second, stage->now));
+}
+
+static void lower_pressure_wins_and_equals_take_turns(void **state)
+{
+    (void)state;
+    fake_worker_t *other = fake_worker_new("m-000002");
+    report_t report = fake_worker_report(other);
+    exchange();
+    deliver(&report, false);
+    guint first = 0;
+    for (uint32_t i = 0; i < 4; i++) {
+        offer_t offer = offer_of("j-000001", i, 100 + i, 4);
+        machine_t *machine = part_place(stage->part, &offer, stage->now);
+        assert_non_null(machine);
+        first += strcmp(machine->id, "m-000001") == 0;
+    }
+    assert_int_equal(first, 2);
+    fake_worker_free(other);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(start_follows_its_record, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(lost_answer_repeats_the_same_attempt, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(silence_is_no_proof, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(lapsed_reservation_frees_room_but_not_the_task, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(new_session_proves_the_old_one_over, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(late_report_of_an_old_session_is_dropped, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(late_report_with_a_lower_number_is_dropped, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(done_is_forgotten_only_when_settled, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(late_run_meets_a_worker_that_still_knows_it, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(abort_racing_a_start_under_way_waits_for_proof, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(abort_before_the_record_drops_the_start, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(abort_racing_done_frees_the_result, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(older_owner_is_powerless, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(new_view_takes_over_from_the_record, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(absence_needs_the_present_token, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(released_machine_is_proof, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(full_machine_is_skipped, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(lower_pressure_wins_and_equals_take_turns, set_up,
+                                        tear_down),
+    };
+    return cmocka_run_group_tests_name("part", tests, NULL, NULL);
+}
