--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -539,7 +539,8 @@
     g_hash_table_iter_init(&iter, leader->jobs);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         job_t *job = value;
-        const team_state_t *state = team_find(leader, job->spec.team, NULL);
+        guint team = 0;
+        const team_state_t *state = team_find(leader, job->spec.team, &team);
         uint32_t tasks = job_pending(job);
         if (!tasks || !state || job_held(job, now))
             continue;
@@ -549,7 +550,7 @@
         }
         if (job->errors >= JOB_ERRORS_ALARM)
             tasks = MIN(tasks, 1);
-        demand_t entry = {.job = job, .tasks = tasks};
+        demand_t entry = {.job = job, .team = team, .tasks = tasks};
         if (tasks)
             g_array_append_val(demand, entry);
     }
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -103,6 +103,7 @@
 /* Room asked for by tasks that have no machine yet, with the jobs' limits applied. */
 typedef struct {
     job_t *job;
+    guint team;
     uint32_t tasks;
 } demand_t;
 GArray *leader_demand(const leader_t *leader, msec_t now);
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -93,25 +93,50 @@
     return wanted;
 }
 
+/* What the teams ask for within their guarantees. */
+static double promised_cpus(const leader_t *leader, msec_t now)
+{
+    double *asked = g_new0(double, leader->teams->len + 1);
+    double promised = 0;
+    GArray *demand = leader_demand(leader, now);
+    for (guint i = 0; i < demand->len; i++) {
+        const demand_t *entry = &g_array_index(demand, demand_t, i);
+        asked[entry->team] += entry->tasks * entry->job->spec.need.cpus;
+    }
+    for (guint i = 0; i < leader->teams->len; i++) {
+        const team_state_t *state = &g_array_index(leader->teams, team_state_t, i);
+        promised += MIN(state->cpus + asked[i], state->team.cpus);
+    }
+    g_array_unref(demand);
+    g_free(asked);
+    return promised;
+}
+
 rental_balance_t rental_balance(const rental_t *rental, const leader_t *leader,
                                 const GArray *flavors, msec_t now, int64_t day_ms)
 {
-    rental_balance_t balance = {.wanted = wanted_room(leader, now, day_ms)};
+    rental_balance_t balance = {.wanted = wanted_room(leader, now, day_ms),
+                                .promised = promised_cpus(leader, now)};
     for (guint i = 0; i < leader->rows->len; i++) {
         const GArray *rows = g_ptr_array_index(leader->rows, i);
         for (guint k = 0; rows && k < rows->len; k++) {
             const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            if (row->open)
-                room_add(&balance.standing, row->total, 1);
+            if (!row->open)
+                continue;
+            room_add(&balance.standing, row->total, 1);
+            balance.ordinary += row->spot ? 0 : row->total.cpus;
         }
     }
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, rental->boots);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const flavor_t *flavor = flavor_find(flavors, ((boot_t *)value)->type);
-        if (flavor)
-            room_add(&balance.booting, flavor->room, 1);
+        const boot_t *boot = value;
+        const flavor_t *flavor = flavor_find(flavors, boot->type);
+        if (!flavor)
+            continue;
+        room_add(&balance.booting, flavor->room, 1);
+        balance.ordinary += boot->spot ? 0 : flavor->room.cpus;
     }
     return balance;
 }
@@ -148,49 +173,68 @@
     return count;
 }
 
-/* Some waiting job can use such a machine. */
-static bool is_useful(const GArray *demand, const flavor_t *flavor, const char *zone, bool spot)
+/* Some waiting job can use such a machine. An ordinary one is for work that may not use spot, or
+ * within what is promised. */
+static bool is_useful(const GArray *demand, const flavor_t *flavor, const char *zone, bool spot,
+                      bool promised)
 {
     for (guint i = 0; i < demand->len; i++) {
         const job_spec_t *spec = &g_array_index(demand, demand_t, i).job->spec;
-        if (job_spec_allows(spec, flavor->name, zone, spot) && room_fits(spec->need, flavor->room))
+        if (job_spec_allows(spec, flavor->name, zone, spot) &&
+            room_fits(spec->need, flavor->room) && (spot || promised || !spec->spot))
             return true;
     }
     return false;
 }
 
+/* Machines of the type that cover what lacks. Larger ones are cheaper by the cpu and keep more images,
+ * but one that is larger than all that is wanted would mostly stand idle. */
+static guint units_of(const flavor_t *flavor, room_t lack, double wanted_cpus)
+{
+    double units = MAX(lack.cpus / MAX(flavor->room.cpus, EPSILON),
+                       lack.memory / MAX(flavor->room.memory, EPSILON));
+    if (flavor->room.cpus > wanted_cpus * RENT_LARGEST && units < 1)
+        return 0;
+    return (guint)CLAMP(ceil(units - RENT_ROUND), 1, (double)RENT_MAX);
+}
+
 bool rental_next(const rental_t *rental, const leader_t *leader, const GArray *flavors, msec_t now,
                  int64_t day_ms, rental_wish_t *wish)
 {
     rental_balance_t balance = rental_balance(rental, leader, flavors, now, day_ms);
-    double cpus = balance.wanted.cpus * RENT_HEADROOM - balance.standing.cpus - balance.booting.cpus;
-    double memory =
-        balance.wanted.memory * RENT_HEADROOM - balance.standing.memory - balance.booting.memory;
-    if (cpus <= 0 && memory <= 0)
+    room_t lack = {0};
+    room_add(&lack, balance.wanted, RENT_HEADROOM);
+    room_add(&lack, balance.standing, -1);
+    room_add(&lack, balance.booting, -1);
+    if (lack.cpus <= 0 && lack.memory <= 0)
         return false;
     GArray *demand = leader_demand(leader, now);
     double best = INFINITY;
-    for (guint i = 0; i < flavors->len; i++) {
-        const flavor_t *flavor = &g_array_index(flavors, flavor_t, i);
-        double units = MAX(cpus / MAX(flavor->room.cpus, EPSILON),
-                           memory / MAX(flavor->room.memory, EPSILON));
-        guint count = (guint)CLAMP(ceil(units - EPSILON), 1, RENT_MAX);
-        for (char **zone = flavor->zones; *zone; zone++) {
-            for (int spot = 0; spot < 2; spot++) {
-                if (is_refused(rental, flavor->name, *zone, spot, now) ||
-                    !is_useful(demand, flavor, *zone, spot))
-                    continue;
-                double price = spot ? flavor->spot_price : flavor->price;
-                /* The price of covering the want; of equals the type and zone with the fewest, so
-                 * that a wave or a cut takes less at once. */
-                double cost = price * count *
-                              (1 + RENT_SPREAD * count_of(leader, rental, flavor->name, *zone, spot));
-                if (cost >= best)
-                    continue;
-                best = cost;
-                *wish = (rental_wish_t){.spot = spot, .count = count};
-                g_strlcpy(wish->type, flavor->name, sizeof wish->type);
-                g_strlcpy(wish->zone, *zone, sizeof wish->zone);
+    for (int small = 0; small < 2 && isinf(best); small++) {
+        for (guint i = 0; i < flavors->len; i++) {
+            const flavor_t *flavor = &g_array_index(flavors, flavor_t, i);
+            guint count = units_of(flavor, lack, small ? INFINITY : balance.wanted.cpus);
+            for (char **zone = flavor->zones; count && *zone; zone++) {
+                for (int spot = 0; spot < 2; spot++) {
+                    bool promised = balance.ordinary + flavor->room.cpus <= balance.promised;
+                    if (is_refused(rental, flavor->name, *zone, spot, now) ||
+                        !is_useful(demand, flavor, *zone, spot, promised))
+                        continue;
+                    double price = (spot ? flavor->spot_price : flavor->price) /
+                                   MAX(flavor->room.cpus, EPSILON);
+                    /* Of equals the type and zone with the fewest, so that a wave or a cut takes
+                     * less at once. */
+                    double cost = price * (1 + RENT_SPREAD * count_of(leader, rental, flavor->name,
+                                                                      *zone, spot));
+                    if (cost >= best)
+                        continue;
+                    best = cost;
+                    *wish = (rental_wish_t){.spot = spot, .count = count};
+                    if (!spot && !promised)
+                        wish->count = 1;
+                    g_strlcpy(wish->type, flavor->name, sizeof wish->type);
+                    g_strlcpy(wish->zone, *zone, sizeof wish->zone);
+                }
             }
         }
     }
--- a/src/core/rental.h
+++ b/src/core/rental.h
@@ -14,6 +14,9 @@
     msec_t since; /* the rental */
 } boot_t;
 
+/* Ordinary machines cost a multiple of spot ones. They are rented for what is promised (the teams'
+ * guarantees) and for work that may not use spot; all else waits for spot. */
+
 typedef struct {
     GHashTable *boots;   /* id -> boot_t, owned */
     GHashTable *refused; /* "type zone kind" -> msec_t *: not asked again before it */
@@ -39,6 +42,8 @@
     room_t wanted;
     room_t standing;
     room_t booting;
+    double ordinary; /* cpus that stand or boot on ordinary machines */
+    double promised; /* cpus guaranteed and asked for */
 } rental_balance_t;
 rental_balance_t rental_balance(const rental_t *rental, const leader_t *leader,
                                 const GArray *flavors, msec_t now, int64_t day_ms);
