--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -142,7 +142,7 @@
         leader_free(node->leader);
     if (!node->rental)
         node->rental = rental_new();
-    node->part = part_new(node->flavors, RESERVATION_LAPSE_MS);
+    node->part = part_new(node->flavors, node->settings->teams, RESERVATION_LAPSE_MS);
     node->leader = leader_new(node->settings->teams, node->settings->targets, 1);
     part_set_view(node->part, node->view.number);
     leader_set_view(node->leader, node->view.number);
@@ -263,6 +263,10 @@
 static void make_offers(node_t *node, msec_t now, guint most)
 {
     leader_set_rows(node->leader, 0, part_rows(node->part, now));
+    for (guint i = 0; i < node->settings->teams->len; i++)
+        leader_set_yielding(node->leader, i,
+                            part_yielding(node->part,
+                                          g_array_index(node->settings->teams, team_t, i).name));
     GArray *offers = leader_schedule(node->leader, now, clock_day(), most);
     for (guint i = 0; i < offers->len; i++) {
         const offer_t *offer = &g_array_index(offers, leader_offer_t, i).offer;
--- a/src/constants.h
+++ b/src/constants.h
@@ -29,6 +29,7 @@
     FRONT_CLIENTS = 10,           /* state connections of the front: one blocked each, 10 ms a call */
     SENDERS = 6,                  /* threads that send direct commands: a hung machine blocks one 2 s */
     ENDED_CACHE = 4096,           /* final answers kept in memory, about 60 bytes each */
+    PREEMPT_MOST = 24,            /* offers in one round that may stop others */
     PLACE_MOST = 64,              /* offers in one round: about what one commit can record */
     JOB_ERRORS_ALARM = 4,         /* failures of one job on as many machines: the job is bad */
     MACHINE_ERRORS_ALARM = 3      /* failures of distinct sound jobs: the machine is bad */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -323,6 +323,59 @@
     return chosen;
 }
 
+void leader_set_yielding(leader_t *leader, guint team, double cpus)
+{
+    g_array_index(leader->teams, team_state_t, team).yielding = cpus;
+}
+
+/* Whose work may be stopped for this team's: that of teams beyond their own guarantee. */
+static uint64_t borrowers(const leader_t *leader, const team_state_t *state)
+{
+    uint64_t mask = 0;
+    for (guint i = 0; i < leader->teams->len && i < 64; i++) {
+        const team_state_t *other = &g_array_index(leader->teams, team_state_t, i);
+        if (other != state && other->cpus - other->yielding > other->team.cpus + EPSILON)
+            mask |= 1ULL << i;
+    }
+    return mask;
+}
+
+/* Where no room is free: the part may stop what the protocol lets it stop, if that is little. */
+static bool may_preempt(leader_t *leader, const team_state_t *state, const job_t *job,
+                        offer_t *offer)
+{
+    if (leader->preempting >= PREEMPT_MOST || job->spec.same_zone || job->spec.spread ||
+        job->spec.kind == KIND_GANG)
+        return false;
+    offer->victims = borrowers(leader, state);
+    offer->claim = state->cpus + job->spec.need.cpus <= state->team.cpus + EPSILON;
+    /* Measured: stopping low work for every normal task threw away more than it brought forward. */
+    offer->preempt = job->spec.urgency >= URGENCY_HIGH || (offer->claim && offer->victims);
+    leader->preempting += offer->preempt;
+    return offer->preempt;
+}
+
+/* The part with most room that the job may use, whoever has it now. */
+static guint largest_part(const leader_t *leader, const job_spec_t *spec)
+{
+    guint largest = 0;
+    double most = -1;
+    for (guint i = 0; i < leader->rows->len; i++) {
+        const GArray *rows = g_ptr_array_index(leader->rows, i);
+        double room = 0;
+        for (guint k = 0; rows && k < rows->len; k++) {
+            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+            if (row->open && job_spec_allows(spec, row->type, row->zone, row->spot))
+                room += row->total.cpus;
+        }
+        if (room > most) {
+            most = room;
+            largest = i;
+        }
+    }
+    return largest;
+}
+
 /* One task, under the attempt number that the count stands at. */
 static bool offer_task(leader_t *leader, team_state_t *state, job_t *job, GArray *offers)
 {
@@ -331,11 +384,15 @@
     if (!team_admits(state, job->spec.need) || !next_task(job, &task))
         return false;
     machine_row_t *row = choose_row(leader, job, &part);
-    if (!row)
-        return false;
-    room_add(&row->free, job->spec.need, -1);
-    leader_offer_t made = {.part = part};
+    leader_offer_t made = {0};
     offer_t *offer = &made.offer;
+    if (row)
+        room_add(&row->free, job->spec.need, -1);
+    else if (may_preempt(leader, state, job, offer))
+        part = largest_part(leader, &job->spec);
+    else
+        return false;
+    made.part = part;
     g_strlcpy(offer->job, job->spec.id, sizeof offer->job);
     g_strlcpy(offer->team, job->spec.team, sizeof offer->team);
     g_strlcpy(offer->image, job->spec.image, sizeof offer->image);
@@ -445,6 +502,7 @@
     (void)day_ms;
     GArray *offers = g_array_new(FALSE, FALSE, sizeof(leader_offer_t));
     guint teams = leader->teams->len;
+    leader->preempting = 0;
     GPtrArray *queues = g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
     guint *at = g_new0(guint, MAX(teams, 1));
     for (guint i = 0; i < teams; i++)
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -50,6 +50,7 @@
     double cpus; /* out */
     double gpus;
     double deficit;
+    double yielding; /* cpus of its work that is being stopped for others */
 } team_state_t;
 
 typedef struct {
@@ -75,6 +76,7 @@
     GHashTable *targets; /* class -> seconds (double), from the aims; borrowed */
     GPtrArray *rows;    /* part -> GArray of machine_row_t, owned */
     guint turn;
+    guint preempting; /* offers of this round that may stop others */
 } leader_t;
 
 leader_t *leader_new(const GArray *teams, GHashTable *targets, guint parts);
@@ -90,6 +92,8 @@
 
 /* Hands over a part's rows; takes ownership. */
 void leader_set_rows(leader_t *leader, guint part, GArray *rows);
+/* Cpus of the team's work that is being stopped, over all parts. */
+void leader_set_yielding(leader_t *leader, guint team, double cpus);
 /* Offers for what can be placed now; now in steady milliseconds, day_ms the time of day.
  * Returns an array of leader_offer_t, at most `most`. */
 GArray *leader_schedule(leader_t *leader, msec_t now, int64_t day_ms, guint most);
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -10,12 +10,13 @@
     g_free(machine);
 }
 
-part_t *part_new(const GArray *flavors, msec_t lapse)
+part_t *part_new(const GArray *flavors, const GArray *teams, msec_t lapse)
 {
     part_t *part = g_new0(part_t, 1);
     part->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
     part->attempts = g_hash_table_new(task_ref_hash, task_ref_equal);
     part->flavors = flavors;
+    part->teams = teams;
     part->outcomes = g_array_new(FALSE, TRUE, sizeof(outcome_t));
     part->lapse = lapse;
     return part;
@@ -112,19 +113,18 @@
     return room;
 }
 
-bool part_admits(const machine_t *machine, const offer_t *offer)
+/* Whether the machine is open for the offer, room aside. One that has not reported in this view may
+ * be hanging or gone: it takes no starts (the design ranks it last; a start there would only wait
+ * for its first report). */
+static bool is_open(const machine_t *machine, const offer_t *offer)
 {
-    if (!machine->known_room || machine->draining || machine->notice_at)
+    if (!machine->reported || !machine->known_room || machine->draining || machine->notice_at)
         return false;
-    /* A worker that has seen a higher token refuses ours; a session not yet in the record would
-     * make the start's session unknown to the next owner. */
     if (offer->zone[0] && strcmp(offer->zone, machine->zone) != 0)
         return false;
     if (machine->spot && !offer->spot)
         return false;
-    if (offer->types && !g_strv_contains((const char *const *)offer->types, machine->type))
-        return false;
-    return room_fits(offer->need, part_free_room(machine));
+    return !offer->types || g_strv_contains((const char *const *)offer->types, machine->type);
 }
 
 static double pressure(const machine_t *machine, room_t need)
@@ -153,7 +153,7 @@
     return 0;
 }
 
-machine_t *part_place(part_t *part, const offer_t *offer, msec_t now)
+static machine_t *choose_free(part_t *part, const offer_t *offer)
 {
     machine_t *best = NULL;
     guint equals = 0;
@@ -162,9 +162,7 @@
     g_hash_table_iter_init(&iter, part->machines);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         machine_t *machine = value;
-        /* A machine that has not reported in this view may be hanging or gone: it takes no starts
-         * (the design ranks it last; a start there would only wait for its first report). */
-        if (!machine->reported || !part_admits(machine, offer))
+        if (!is_open(machine, offer) || !room_fits(offer->need, part_free_room(machine)))
             continue;
         int rank = best ? compare_rank(machine, best, offer->need) : -1;
         if (rank < 0) {
@@ -174,6 +172,132 @@
             best = machine;
         }
     }
+    return best;
+}
+
+static bool is_victim(const part_t *part, const attempt_t *attempt, const offer_t *offer,
+                      msec_t now)
+{
+    if (attempt->phase != ATTEMPT_RECORDED || !attempt->listed || attempt->stop ||
+        now - attempt->listed_since < PREEMPT_PROTECT_MS)
+        return false;
+    bool same = strcmp(attempt->entry.team, offer->team) == 0;
+    bool yields = same;
+    for (guint i = 0; !yields && i < part->teams->len && i < 64; i++)
+        yields = (offer->victims >> i & 1) &&
+                 strcmp(g_array_index(part->teams, team_t, i).name, attempt->entry.team) == 0;
+    return yields && (attempt->entry.urgency < offer->urgency || (offer->claim && !same));
+}
+
+/* Work lost by a stop: what ran since the start, or at most since the last checkpoint. */
+static double lost_work(const attempt_t *attempt, msec_t now)
+{
+    double ran = (double)(now - attempt->listed_since) / 1000.0;
+    if (attempt->entry.checkpoint_s > 0)
+        ran = MIN(ran, attempt->entry.checkpoint_s / 2);
+    return ran * attempt->entry.need.cpus;
+}
+
+/* Cheapest first; lost work is compared as it was when the list was made. */
+typedef struct {
+    attempt_t *attempt;
+    double lost;
+} victim_t;
+
+static gint compare_victims(gconstpointer left, gconstpointer right)
+{
+    const victim_t *a = left, *b = right;
+    if (a->attempt->entry.urgency != b->attempt->entry.urgency)
+        return a->attempt->entry.urgency < b->attempt->entry.urgency ? -1 : 1;
+    return a->lost < b->lost ? -1 : a->lost > b->lost;
+}
+
+/* Victims that make room for the offer on the machine, cheapest first; NULL if there is no way. */
+static GArray *choose_victims(const part_t *part, const machine_t *machine, const offer_t *offer,
+                              msec_t now, double *lost)
+{
+    GArray *victims = g_array_new(FALSE, FALSE, sizeof(victim_t));
+    for (guint i = 0; i < machine->attempts->len; i++) {
+        victim_t victim = {.attempt = g_ptr_array_index(machine->attempts, i)};
+        if (!is_victim(part, victim.attempt, offer, now))
+            continue;
+        victim.lost = lost_work(victim.attempt, now);
+        g_array_append_val(victims, victim);
+    }
+    g_array_sort(victims, compare_victims);
+    room_t room = part_free_room(machine);
+    guint taken = 0;
+    *lost = 0;
+    while (!room_fits(offer->need, room) && taken < victims->len) {
+        const victim_t *victim = &g_array_index(victims, victim_t, taken++);
+        room_add(&room, victim->attempt->entry.need, 1);
+        *lost += victim->lost;
+    }
+    if (!room_fits(offer->need, room)) {
+        g_array_unref(victims);
+        return NULL;
+    }
+    g_array_set_size(victims, taken);
+    return victims;
+}
+
+/* Makes room by stopping what may be stopped, where that loses least. */
+static machine_t *choose_preempting(part_t *part, const offer_t *offer, msec_t now)
+{
+    machine_t *best = NULL;
+    GArray *best_victims = NULL;
+    double least = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, part->machines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        machine_t *machine = value;
+        double lost;
+        if (!is_open(machine, offer) || now - machine->last_report > DIRECT_FRESH_MS)
+            continue;
+        GArray *victims = choose_victims(part, machine, offer, now, &lost);
+        if (victims && (!best || lost < least)) {
+            if (best_victims)
+                g_array_unref(best_victims);
+            best = machine;
+            best_victims = victims;
+            least = lost;
+        } else if (victims) {
+            g_array_unref(victims);
+        }
+    }
+    for (guint i = 0; best && i < best_victims->len; i++) {
+        attempt_t *attempt = g_array_index(best_victims, victim_t, i).attempt;
+        part_stop(part, attempt, now);
+        attempt->preempted = true;
+        if (offer->urgency >= URGENCY_HIGH)
+            attempt->stop_kill = now; /* no time to save: the offer is to start at once */
+    }
+    if (best_victims)
+        g_array_unref(best_victims);
+    return best;
+}
+
+double part_yielding(const part_t *part, const char *team)
+{
+    double cpus = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, part->attempts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const attempt_t *attempt = value;
+        if (attempt->preempted && strcmp(attempt->entry.team, team) == 0)
+            cpus += attempt->entry.need.cpus;
+    }
+    return cpus;
+}
+
+machine_t *part_place(part_t *part, const offer_t *offer, msec_t now)
+{
+    machine_t *best = choose_free(part, offer);
+    bool waits = !best && offer->preempt;
+    if (waits)
+        best = choose_preempting(part, offer, now);
     if (!best)
         return NULL;
     record_entry_t entry = {.need = offer->need,
@@ -188,6 +312,7 @@
     attempt->phase = ATTEMPT_PLACED;
     attempt->job_stamp = offer->job_stamp;
     attempt->session = best->session;
+    attempt->waits = waits;
     reservation_add(best->reservations, attempt->hold, offer->need, best->receipt, now);
     best->dirty = true;
     return best;
@@ -254,23 +379,48 @@
     return (double)(attempt->stop_kill - now) / 1000.0;
 }
 
-/* Commands that bring the machine to what is wanted: runs and stops. */
+/* Room on the machine once the stops that give no time have been executed. */
+static room_t room_after_stops(const machine_t *machine, msec_t now)
+{
+    room_t room = machine->room;
+    for (guint i = 0; i < machine->attempts->len; i++) {
+        const attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
+        if (attempt->phase == ATTEMPT_RECORDED && attempt->listed &&
+            !(attempt->stop && stop_grace(attempt, now) <= 0))
+            room_add(&room, attempt->entry.need, -1);
+    }
+    return room;
+}
+
+static bool is_sent_here(const machine_t *machine, const attempt_t *attempt)
+{
+    return attempt->phase == ATTEMPT_RECORDED && attempt->in_record &&
+           attempt->session == machine->session;
+}
+
+/* Commands that bring the machine to what is wanted: stops, then runs. A start that waits for the
+ * room of others goes out when that is free, or in one message after the stops that free it. */
 static void wanted_calls(const machine_t *machine, msec_t now, GArray *calls)
 {
     for (guint i = 0; i < machine->attempts->len; i++) {
         const attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
-        if (attempt->phase != ATTEMPT_RECORDED || !attempt->in_record ||
-            attempt->session != machine->session)
+        const record_entry_t *entry = &attempt->entry;
+        if (!is_sent_here(machine, attempt) || !attempt->stop || !attempt->listed)
             continue;
+        double grace = stop_grace(attempt, now);
+        if (attempt->state != PIECE_SAVING || grace <= 0)
+            call_add(calls, CALL_STOP, entry->job, entry->task, entry->attempt, grace);
+    }
+    room_t room = room_after_stops(machine, now);
+    for (guint i = 0; i < machine->attempts->len; i++) {
+        const attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
         const record_entry_t *entry = &attempt->entry;
-        if (!attempt->stop) {
-            if (!attempt->listed)
-                call_add(calls, CALL_RUN, entry->job, entry->task, entry->attempt, 0);
-        } else if (attempt->listed) {
-            double grace = stop_grace(attempt, now);
-            if (attempt->state != PIECE_SAVING || grace <= 0)
-                call_add(calls, CALL_STOP, entry->job, entry->task, entry->attempt, grace);
-        }
+        if (!is_sent_here(machine, attempt) || attempt->stop || attempt->listed)
+            continue;
+        if (attempt->waits && !room_fits(entry->need, room))
+            continue;
+        room_add(&room, entry->need, -1);
+        call_add(calls, CALL_RUN, entry->job, entry->task, entry->attempt, 0);
     }
 }
 
@@ -397,6 +547,11 @@
     machine->notice_at =
         report->notice_s >= 0 ? MAX(now + (msec_t)(report->notice_s * 1000), 1) : 0;
     take_pieces(part, machine, report, now);
+    for (guint i = 0; i < machine->attempts->len; i++) {
+        const attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
+        machine->direct_wanted |= attempt->waits && attempt->phase == ATTEMPT_RECORDED &&
+                                  !attempt->listed;
+    }
     if (!direct) {
         machine->reported = true;
         machine->last_report = now;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -31,6 +31,9 @@
     double save_s;
     double checkpoint_s;
     uint64_t job_stamp; /* of jobs/<id>, which the start's commit requires unchanged */
+    bool preempt;       /* where no room is free, work of lower urgency may be stopped */
+    bool claim;         /* the team claims its guarantee: any urgency of the teams below may go */
+    uint64_t victims;   /* whose work may be stopped, a bit for each team of the settings */
     uint32_t task;
     uint64_t attempt;
 } offer_t;
@@ -82,6 +85,8 @@
     cause_t cause;
     bool reported_done;  /* the leader was told; it stays recorded until settled */
     bool settled;
+    bool waits;          /* for the room of work that is being stopped */
+    bool preempted;
     bool stop;           /* wanted: gone */
     msec_t stop_kill;    /* from then on without time to save */
     msec_t listed_since;
@@ -133,12 +138,13 @@
     GHashTable *attempts; /* task_ref_t -> attempt_t, borrowed from the machines */
     uint64_t holds;
     const GArray *flavors;
+    const GArray *teams; /* team_t, in the order of offer_t.victims */
     GArray *outcomes; /* outcome_t, drained by the caller */
     guint turn;       /* round robin among equals */
     msec_t lapse;
 } part_t;
 
-part_t *part_new(const GArray *flavors, msec_t lapse);
+part_t *part_new(const GArray *flavors, const GArray *teams, msec_t lapse);
 void part_free(part_t *part);
 /* A new token of the same leadership: nothing is read again. */
 void part_set_view(part_t *part, uint64_t view);
@@ -148,8 +154,8 @@
 
 /* Chooses a machine by the score and reserves; NULL: none has room. */
 machine_t *part_place(part_t *part, const offer_t *offer, msec_t now);
-/* Whether the machine is open for the offer and has the room. */
-bool part_admits(const machine_t *machine, const offer_t *offer);
+/* Cpus of a team's work that is being stopped for others. */
+double part_yielding(const part_t *part, const char *team);
 /* Takes back what was placed and is not recorded yet. */
 void part_withdraw(part_t *part, const task_ref_t *ref);
 /* Room that neither reports nor reservations take. */
--- a/tests/stories_part.c
+++ b/tests/stories_part.c
@@ -11,6 +11,7 @@
 
 typedef struct {
     GArray *flavors;
+    GArray *teams;
     part_t *part;
     fake_worker_t *worker;
     GArray *calls;
@@ -27,7 +28,8 @@
     stage->flavors = g_array_new(FALSE, FALSE, sizeof(flavor_t));
     flavor_t flavor = {.name = "t16", .room = {16, 0, 64}};
     g_array_append_val(stage->flavors, flavor);
-    stage->part = part_new(stage->flavors, RESERVATION_LAPSE_MS);
+    stage->teams = g_array_new(FALSE, FALSE, sizeof(team_t));
+    stage->part = part_new(stage->flavors, stage->teams, RESERVATION_LAPSE_MS);
     part_set_view(stage->part, 7);
     stage->worker = fake_worker_new("m-000001");
     stage->calls = g_array_new(FALSE, FALSE, sizeof(call_t));
@@ -43,6 +45,7 @@
     fake_worker_free(stage->worker);
     g_array_unref(stage->calls);
     g_array_unref(stage->flavors);
+    g_array_unref(stage->teams);
     g_free(stage);
     return 0;
 }
@@ -299,7 +302,7 @@
 static void older_owner_is_powerless(void **state)
 {
     (void)state;
-    part_t *older = part_new(stage->flavors, RESERVATION_LAPSE_MS);
+    part_t *older = part_new(stage->flavors, stage->teams, RESERVATION_LAPSE_MS);
     part_set_view(older, 6);
     exchange();
     place("j-000001", 0, 100);
