--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -20,6 +20,7 @@
     http_client_t *client;
     msec_t flavors_at; /* 0: never */
     msec_t listed_at;
+    msec_t kept_at;
     guint charters;
     charter_t charter;
     GHashTable *listed; /* ids of the newest list */
@@ -328,6 +329,38 @@
     g_ptr_array_unref(names);
 }
 
+/* Tells the leader, through the state service, which workers this node keeps alive. */
+static void publish_kept(cloud_t *cloud, msec_t now)
+{
+    node_t *node = cloud->node;
+    json_t *names = json_array();
+    GHashTableIter iter;
+    gpointer key, value;
+    pthread_mutex_lock(&node->lock);
+    g_hash_table_iter_init(&iter, node->guests);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const guest_t *guest = value;
+        if (now - guest->seen > GUEST_FORGET_MS)
+            g_hash_table_iter_remove(&iter);
+        else if (now < guest->kept_until && now - guest->seen < KEPT_FRESH_MS)
+            json_array_append_new(names, json_string(key));
+    }
+    pthread_mutex_unlock(&node->lock);
+    if (json_array_size(names) == 0) {
+        json_decref(names);
+        return;
+    }
+    char path[ID_SIZE + 8];
+    txn_t txn = txn_new();
+    g_snprintf(path, sizeof path, "kept/%s", node->settings->name);
+    txn_set(&txn, path, json_pack("{s:I,s:o}", "At", (json_int_t)clock_day(), "Machines", names),
+            0);
+    budget_charge(&node->core_rps, 1, now);
+    state_commit(&node->state, cloud->client, &txn, STATE_TIMEOUT_MS, NULL, NULL);
+    txn_free(&txn);
+    cloud->kept_at = now;
+}
+
 void *cloud_run(void *data)
 {
     cloud_t cloud = {.node = data,
@@ -345,6 +378,8 @@
         pthread_mutex_unlock(&node->lock);
         if (leading && now - cloud.listed_at > CLOUD_LIST_MS)
             refresh_hosts(&cloud);
+        if (!leading && now - cloud.kept_at > KEPT_WRITE_MS)
+            publish_kept(&cloud, now);
         if (leading) {
             rent(&cloud);
             give_back(&cloud);
--- a/src/app/member.c
+++ b/src/app/member.c
@@ -84,6 +84,10 @@
         if (seen->view.number != node->view.number)
             log_info("event=view view=%" G_GUINT64_FORMAT " leader=%s", seen->view.number,
                      seen->view.leader);
+        /* Workers kept here because they could not reach the former leader go to the new one: it
+         * takes a machine that it never hears for dead. */
+        if (seen->view.incarnation != node->view.incarnation)
+            g_hash_table_remove_all(node->guests);
         node->view = seen->view;
     }
     pthread_mutex_unlock(&node->lock);
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -113,14 +113,38 @@
     }
 }
 
-static void keep_shortest(GHashTable *table, const char *class_name, double seconds)
+static void targets_free(gpointer data)
 {
-    double *kept = g_hash_table_lookup(table, class_name);
-    if (kept && *kept <= seconds)
+    targets_t *targets = data;
+    g_array_unref(targets->times);
+    g_array_unref(targets->within);
+    g_free(targets);
+}
+
+static targets_t *targets_of(settings_t *settings, const char *class_name)
+{
+    targets_t *targets = g_hash_table_lookup(settings->targets, class_name);
+    if (!targets) {
+        targets = g_new(targets_t, 1);
+        targets->times = g_array_new(FALSE, FALSE, sizeof(double));
+        targets->within = g_array_new(FALSE, FALSE, sizeof(double));
+        g_hash_table_insert(settings->targets, g_strdup(class_name), targets);
+    }
+    return targets;
+}
+
+static gint compare_doubles(gconstpointer left, gconstpointer right)
+{
+    const double *a = left, *b = right;
+    return *a < *b ? -1 : *a > *b;
+}
+
+static void insert_sorted(GArray *list, double value)
+{
+    if (value <= 0)
         return;
-    double *value = g_new(double, 1);
-    *value = seconds;
-    g_hash_table_insert(table, g_strdup(class_name), value);
+    g_array_append_val(list, value);
+    g_array_sort(list, compare_doubles);
 }
 
 /* The aims steer the order of work only; one of an unknown kind is left aside. */
@@ -131,13 +155,14 @@
     json_array_foreach(json_object_get(platform, "objectives"), i, item) {
         const char *kind = json_string_value(json_object_get(item, "kind"));
         const char *class_name = json_string_value(json_object_get(item, "class"));
-        double within = json_number_value(json_object_get(item, "within_s"));
-        if (!kind || !class_name || within <= 0)
+        if (!kind || !class_name)
             continue;
+        targets_t *targets = targets_of(settings, class_name);
         if (strcmp(kind, "finished") == 0)
-            keep_shortest(settings->targets, class_name, within);
-        else if (strcmp(kind, "wait") == 0)
-            keep_shortest(settings->urgent, class_name, within);
+            insert_sorted(targets->within,
+                          json_number_value(json_object_get(item, "within_s")));
+        else if (strcmp(kind, "deadline") == 0)
+            insert_sorted(targets->times, json_number_value(json_object_get(item, "times")));
     }
 }
 
@@ -173,7 +198,6 @@
     g_array_unref(settings->siblings);
     g_array_unref(settings->teams);
     g_hash_table_unref(settings->targets);
-    g_hash_table_unref(settings->urgent);
     g_free(settings);
 }
 
@@ -191,8 +215,7 @@
     settings_t *settings = g_new0(settings_t, 1);
     settings->siblings = g_array_new(FALSE, TRUE, sizeof(sibling_t));
     settings->teams = g_array_new(FALSE, TRUE, sizeof(team_t));
-    settings->targets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    settings->urgent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    settings->targets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, targets_free);
     if (!json_is_object(root)) {
         fault(&reader, "top level", "an object is expected");
     } else {
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -19,8 +19,7 @@
     char state[ADDRESS_SIZE];
     GArray *siblings;    /* sibling_t */
     GArray *teams;       /* team_t */
-    GHashTable *targets; /* class -> double *: seconds within which its jobs should finish */
-    GHashTable *urgent;  /* class -> double *: seconds within which its tasks should start */
+    GHashTable *targets; /* class -> targets_t *: when its jobs should be finished */
     double report_s;
     double lease_s;
     double cancel_s;
--- a/src/constants.h
+++ b/src/constants.h
@@ -64,6 +64,8 @@
     SETTLE_MS = 4000,             /* a new leader waits for reports before it judges silence or rents */
     RENUMBER_GAP_MS = 15000,      /* least time between token moves made only to allow a forget */
     KEEP_MS = 20000,              /* so long a worker that can't reach its owner stays before a new try */
+    KEPT_WRITE_MS = 3000,         /* between writes of the kept list: a third of a write a second */
+    GUEST_FORGET_MS = 60000,      /* a worker that long gone from here is forgotten */
     KEPT_FRESH_MS = 8000,         /* a kept list older than that says nothing */
     HOME_TRY_MS = 6000,           /* a worker sent to the leader and back within it can't reach it */
     PREEMPT_PROTECT_MS = 2000,    /* a start is not preempted in its first moments */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -47,6 +47,9 @@
         g_array_append_val(leader->teams, state);
     }
     leader->targets = targets;
+    const double once = 1;
+    leader->once = g_array_new(FALSE, FALSE, sizeof(double));
+    g_array_append_val(leader->once, once);
     leader->rows = g_ptr_array_new_with_free_func(rows_free);
     g_ptr_array_set_size(leader->rows, (gint)parts);
     return leader;
@@ -58,6 +61,7 @@
     g_hash_table_unref(leader->live);
     g_array_unref(leader->teams);
     g_ptr_array_unref(leader->rows);
+    g_array_unref(leader->once);
     g_free(leader);
 }
 
@@ -199,29 +203,56 @@
     g_ptr_array_index(leader->rows, part) = rows;
 }
 
-/* The moment by which the job should be started to be in time, time of day in ms. */
-static double job_due(const leader_t *leader, const job_t *job)
+static uint32_t job_pending(const job_t *job)
 {
-    double target = job->spec.deadline_s;
-    if (target <= 0) {
-        const double *aim = g_hash_table_lookup(leader->targets, job->spec.class_name);
-        target = aim ? *aim : 0;
-    }
-    if (target <= 0)
-        return INFINITY;
-    return (double)job->spec.submitted_ms + (target - job->spec.estimate_s) * 1000.0;
+    uint32_t out = job->n_done + job->n_live;
+    return out < job->spec.tasks ? job->spec.tasks - out : 0;
 }
 
+/* A job in its team's queue. */
 typedef struct {
     job_t *job;
-    double due;
+    guint missed; /* targets that it can't keep any more */
+    double due;   /* the next target, time of day in ms; infinite: none left */
+    double work;  /* cpu seconds not yet out */
 } queued_t;
 
+static void next_target(const GArray *list, double unit_ms, double ready_ms, queued_t *queued)
+{
+    for (guint i = 0; list && i < list->len; i++) {
+        double due = (double)queued->job->spec.submitted_ms + g_array_index(list, double, i) * unit_ms;
+        if (due >= ready_ms) {
+            queued->due = MIN(queued->due, due);
+            return;
+        }
+        queued->missed++;
+    }
+}
+
+static queued_t queue_entry(const leader_t *leader, job_t *job, int64_t day_ms)
+{
+    const job_spec_t *spec = &job->spec;
+    queued_t queued = {.job = job, .due = INFINITY};
+    const targets_t *targets = g_hash_table_lookup(leader->targets, spec->class_name);
+    double ready = (double)day_ms + spec->estimate_s * 1000.0;
+    if (spec->deadline_s > 0 && targets && targets->times->len)
+        next_target(targets->times, spec->deadline_s * 1000.0, ready, &queued);
+    else if (spec->deadline_s > 0)
+        next_target(leader->once, spec->deadline_s * 1000.0, ready, &queued);
+    if (targets)
+        next_target(targets->within, 1000.0, ready, &queued);
+    queued.work = job_pending(job) * spec->need.cpus * MAX(spec->estimate_s, 1);
+    return queued;
+}
+
+/* By priority; then what can still keep more of its targets; then by the next target; then by age. */
 static gint compare_queued(gconstpointer left, gconstpointer right)
 {
     const queued_t *a = left, *b = right;
     if (a->job->spec.urgency != b->job->spec.urgency)
         return a->job->spec.urgency > b->job->spec.urgency ? -1 : 1;
+    if (a->missed != b->missed)
+        return a->missed < b->missed ? -1 : 1;
     if (a->due != b->due)
         return a->due < b->due ? -1 : 1;
     if (a->job->spec.submitted_ms != b->job->spec.submitted_ms)
@@ -229,12 +260,6 @@
     return strcmp(a->job->spec.id, b->job->spec.id);
 }
 
-static uint32_t job_pending(const job_t *job)
-{
-    uint32_t out = job->n_done + job->n_live;
-    return out < job->spec.tasks ? job->spec.tasks - out : 0;
-}
-
 /* A job that fails wherever it runs must not fill the parts with its attempts (a soft place of the
  * design): after repeated failures it gets one attempt at a time, ever more rarely. */
 static bool job_held(const job_t *job, msec_t now)
@@ -459,7 +484,7 @@
     return whole;
 }
 
-static GArray *team_queue(leader_t *leader, guint team, msec_t now)
+static GArray *team_queue(leader_t *leader, guint team, msec_t now, int64_t day_ms)
 {
     const char *name = g_array_index(leader->teams, team_state_t, team).team.name;
     GArray *queue = g_array_new(FALSE, FALSE, sizeof(queued_t));
@@ -470,7 +495,7 @@
         job_t *job = value;
         if (!job_pending(job) || job_held(job, now) || strcmp(job->spec.team, name) != 0)
             continue;
-        queued_t queued = {.job = job, .due = job_due(leader, job)};
+        queued_t queued = queue_entry(leader, job, day_ms);
         g_array_append_val(queue, queued);
     }
     g_array_sort(queue, compare_queued);
@@ -499,14 +524,13 @@
 
 GArray *leader_schedule(leader_t *leader, msec_t now, int64_t day_ms, guint most)
 {
-    (void)day_ms;
     GArray *offers = g_array_new(FALSE, FALSE, sizeof(leader_offer_t));
     guint teams = leader->teams->len;
     leader->preempting = 0;
     GPtrArray *queues = g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
     guint *at = g_new0(guint, MAX(teams, 1));
     for (guint i = 0; i < teams; i++)
-        g_ptr_array_add(queues, team_queue(leader, i, now));
+        g_ptr_array_add(queues, team_queue(leader, i, now, day_ms));
     /* What stays within a guarantee waits for no other team. */
     for (guint i = 0; i < teams; i++) {
         team_state_t *state = &g_array_index(leader->teams, team_state_t, i);
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -73,7 +73,8 @@
     GHashTable *jobs;   /* id -> job_t, owned */
     GHashTable *live;   /* task_ref_t -> live_t, owned */
     GArray *teams;      /* team_state_t */
-    GHashTable *targets; /* class -> seconds (double), from the aims; borrowed */
+    GHashTable *targets; /* class -> targets_t, from the aims; borrowed */
+    GArray *once;       /* the target of a deadline that no aim names */
     GPtrArray *rows;    /* part -> GArray of machine_row_t, owned */
     guint turn;
     guint preempting; /* offers of this round that may stop others */
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -103,6 +103,13 @@
     char **zones;
 } flavor_t;
 
+/* When the jobs of a class should be finished, each list ascending: in multiples of the deadline
+ * and in seconds. Arrays of double, owned. */
+typedef struct {
+    GArray *times;
+    GArray *within;
+} targets_t;
+
 /* A team as the settings describe it. */
 typedef struct {
     char name[LABEL_SIZE];
