--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -213,8 +213,7 @@
 typedef struct {
     job_t *job;
     guint missed; /* targets that it can't keep any more */
-    double due;   /* the next target, time of day in ms; infinite: none left */
-    double work;  /* cpu seconds not yet out */
+    double start; /* latest start for the next target, time of day in ms; infinite: none left */
 } queued_t;
 
 static void next_target(const GArray *list, double unit_ms, double ready_ms, queued_t *queued)
@@ -222,7 +221,7 @@
     for (guint i = 0; list && i < list->len; i++) {
         double due = (double)queued->job->spec.submitted_ms + g_array_index(list, double, i) * unit_ms;
         if (due >= ready_ms) {
-            queued->due = MIN(queued->due, due);
+            queued->start = MIN(queued->start, due - queued->job->spec.estimate_s * 1000.0);
             return;
         }
         queued->missed++;
@@ -232,7 +231,7 @@
 static queued_t queue_entry(const leader_t *leader, job_t *job, int64_t day_ms)
 {
     const job_spec_t *spec = &job->spec;
-    queued_t queued = {.job = job, .due = INFINITY};
+    queued_t queued = {.job = job, .start = INFINITY};
     const targets_t *targets = g_hash_table_lookup(leader->targets, spec->class_name);
     double ready = (double)day_ms + spec->estimate_s * 1000.0;
     if (spec->deadline_s > 0 && targets && targets->times->len)
@@ -241,11 +240,11 @@
         next_target(leader->once, spec->deadline_s * 1000.0, ready, &queued);
     if (targets)
         next_target(targets->within, 1000.0, ready, &queued);
-    queued.work = job_pending(job) * spec->need.cpus * MAX(spec->estimate_s, 1);
     return queued;
 }
 
-/* By priority; then what can still keep more of its targets; then by the next target; then by age. */
+/* By priority; then what can still keep more of its targets; then by the latest start that
+ * keeps the next one; then by age. */
 static gint compare_queued(gconstpointer left, gconstpointer right)
 {
     const queued_t *a = left, *b = right;
@@ -253,8 +252,8 @@
         return a->job->spec.urgency > b->job->spec.urgency ? -1 : 1;
     if (a->missed != b->missed)
         return a->missed < b->missed ? -1 : 1;
-    if (a->due != b->due)
-        return a->due < b->due ? -1 : 1;
+    if (a->start != b->start)
+        return a->start < b->start ? -1 : 1;
     if (a->job->spec.submitted_ms != b->job->spec.submitted_ms)
         return a->job->spec.submitted_ms < b->job->spec.submitted_ms ? -1 : 1;
     return strcmp(a->job->spec.id, b->job->spec.id);
