--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -85,6 +85,28 @@
     return true;
 }
 
+/* The row of a machine in the leader's data, and its part; NULL: no part knows it. */
+static const machine_row_t *find_row(const node_t *node, const char *id, guint *part)
+{
+    for (guint i = 0; i < node->leader->rows->len; i++) {
+        const GArray *rows = g_ptr_array_index(node->leader->rows, i);
+        for (guint k = 0; rows && k < rows->len; k++) {
+            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+            if (strcmp(row->machine, id) != 0)
+                continue;
+            if (part)
+                *part = i;
+            return row;
+        }
+    }
+    return NULL;
+}
+
+static bool leads(const node_t *node)
+{
+    return node->loaded && node->leading;
+}
+
 static void take_hosts(cloud_t *cloud, const GArray *hosts, msec_t now)
 {
     node_t *node = cloud->node;
@@ -93,7 +115,7 @@
     for (guint i = 0; i < hosts->len; i++) {
         const host_t *host = &g_array_index(hosts, host_t, i);
         g_hash_table_add(cloud->listed, g_strdup(host->machine));
-        const machine_t *machine = g_hash_table_lookup(node->part->machines, host->machine);
+        const machine_row_t *machine = find_row(node, host->machine, NULL);
         if (host->state == HOST_FAILED)
             g_ptr_array_add(cloud->failed, g_strdup(host->machine));
         else if (!machine)
@@ -107,8 +129,7 @@
     g_hash_table_iter_init(&iter, node->rental->boots);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         const boot_t *boot = value;
-        const machine_t *machine = g_hash_table_lookup(node->part->machines, key);
-        if ((machine && machine->reported) ||
+        if (find_row(node, key, NULL) ||
             (now - boot->since > lag && !g_hash_table_contains(cloud->listed, key)))
             g_hash_table_iter_remove(&iter);
     }
@@ -120,7 +141,7 @@
     GArray *hosts = g_array_new(FALSE, FALSE, sizeof(host_t));
     if (read_hosts(cloud, hosts)) {
         pthread_mutex_lock(&node->lock);
-        if (node->loaded)
+        if (leads(node))
             take_hosts(cloud, hosts, clock_steady());
         pthread_mutex_unlock(&node->lock);
         cloud->listed_at = clock_steady();
@@ -136,7 +157,7 @@
     charter_t *charter = &cloud->charter;
     if (charter->open && charter->generation != node->generation)
         charter->open = false; /* if it was carried out, its machines will appear in the list */
-    if (!charter->open && node->loaded && now - node->loaded_at > SETTLE_MS &&
+    if (!charter->open && leads(node) && now - node->loaded_at > SETTLE_MS &&
         rental_next(node->rental, node->leader, node->flavors, now, clock_day(), &charter->wish)) {
         /* The number is this leadership's alone, so the name can never have been used. */
         g_snprintf(charter->charter, sizeof charter->charter, "c-%" G_GUINT64_FORMAT "-%u",
@@ -156,7 +177,7 @@
     json_t *name;
     pthread_mutex_lock(&node->lock);
     msec_t now = clock_steady();
-    if (node->loaded) {
+    if (leads(node)) {
         json_array_foreach(names, i, name)
             if (json_is_string(name))
                 rental_booting(node->rental, json_string_value(name), wish->type, wish->zone,
@@ -235,31 +256,36 @@
     GPtrArray *silent = g_ptr_array_new_with_free_func(g_free);
     msec_t most = (msec_t)(node->settings->lease_s * 1000) + SILENT_MARGIN_MS;
     msec_t lag = (msec_t)(node->settings->list_lag_s * 2000) + SETTLE_MS;
-    GHashTableIter iter;
-    gpointer value;
-    msec_t now = clock_steady();
     pthread_mutex_lock(&node->lock);
-    if (node->loaded) {
-        g_hash_table_iter_init(&iter, node->part->machines);
-        while (g_hash_table_iter_next(&iter, NULL, &value)) {
-            const machine_t *machine = value;
-            msec_t quiet = now - machine->last_report;
-            bool unlisted = cloud->listed_at > node->loaded_at + lag &&
-                            now - machine->first_seen > lag && quiet > DIRECT_FRESH_MS &&
-                            !g_hash_table_contains(cloud->listed, machine->id);
-            if (!machine->gone && (quiet > most || unlisted))
-                add_once(silent, machine->id);
+    bool listed = leads(node) && cloud->listed_at > node->loaded_at + lag;
+    for (guint i = 0; leads(node) && i < node->leader->rows->len; i++) {
+        const GArray *rows = g_ptr_array_index(node->leader->rows, i);
+        for (guint k = 0; rows && k < rows->len; k++) {
+            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+            bool unlisted = listed && row->known_ms > lag && row->silent_ms > DIRECT_FRESH_MS &&
+                            !g_hash_table_contains(cloud->listed, row->machine);
+            if (row->silent_ms > most || unlisted)
+                add_once(silent, row->machine);
         }
     }
     pthread_mutex_unlock(&node->lock);
     return silent;
 }
 
-/* With the lock held: what is to go, for whatever reason but silence. */
+static void tell_machine(node_t *node, guint part, link_kind_t kind, const char *id)
+{
+    link_item_t item = {.kind = kind};
+    g_strlcpy(item.machine, id, sizeof item.machine);
+    node_tell(node, part, item);
+}
+
+/* With the lock held: what is to go, for whatever reason but silence. A machine is drained first: its
+ * part's rows must show it closed and empty, so that no start is under way to it. */
 static void find_unwanted(cloud_t *cloud, GPtrArray *names)
 {
     node_t *node = cloud->node;
     msec_t now = clock_steady();
+    guint part = 0;
     for (guint i = 0; i < cloud->failed->len; i++)
         add_once(names, g_ptr_array_index(cloud->failed, i));
     GPtrArray *stuck = rental_stuck(node->rental, node->flavors, now);
@@ -270,29 +296,30 @@
         now - node->loaded_at > IDLE_KEEP_MS
             ? rental_surplus(node->rental, node->leader, node->flavors, now, clock_day())
             : NULL;
-    machine_t *machine =
-        surplus ? g_hash_table_lookup(node->part->machines, surplus->machine) : NULL;
-    if (machine && machine->attempts->len == 0) {
-        machine->draining = true;
-        log_info("event=surplus machine=%s", machine->id);
+    if (surplus && find_row(node, surplus->machine, &part)) {
+        log_info("event=surplus machine=%s", surplus->machine);
+        tell_machine(node, part, LINK_DRAIN, surplus->machine);
     }
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, node->part->machines);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const machine_t *other = value;
-        if (other->draining && !other->gone && other->attempts->len == 0)
-            add_once(names, other->id);
+    for (guint i = 0; i < node->leader->rows->len; i++) {
+        const GArray *rows = g_ptr_array_index(node->leader->rows, i);
+        for (guint k = 0; rows && k < rows->len; k++) {
+            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+            if (row->draining && row->attempts == 0)
+                add_once(names, row->machine);
+        }
     }
 }
 
+/* The release is proof for whatever the machine's record holds, also when no part has rows of it. */
 static void released(node_t *node, const GPtrArray *names)
 {
     for (guint i = 0; i < names->len; i++) {
         const char *id = g_ptr_array_index(names, i);
+        guint part = 0;
         log_info("event=released machine=%s", id);
         rental_boot_over(node->rental, id);
-        part_machine_gone(node->part, id);
+        if (find_row(node, id, &part))
+            tell_machine(node, part, LINK_GONE, id);
     }
     node_wake(node);
 }
@@ -305,7 +332,7 @@
     GHashTable *kept = silent->len ? read_kept(cloud) : NULL;
     pthread_mutex_lock(&node->lock);
     uint64_t generation = node->generation;
-    if (node->loaded) {
+    if (leads(node)) {
         find_unwanted(cloud, names);
         for (guint i = 0; kept && i < silent->len; i++)
             if (!g_hash_table_contains(kept, g_ptr_array_index(silent, i)))
@@ -320,7 +347,7 @@
         int status = cloud_call(cloud, "POST", "/hosts/release", body, NULL);
         json_decref(body);
         pthread_mutex_lock(&node->lock);
-        if (status == 200 && node->loaded && node->generation == generation) {
+        if (status == 200 && leads(node) && node->generation == generation) {
             released(node, names);
             g_ptr_array_set_size(cloud->failed, 0);
         }
@@ -329,7 +356,7 @@
     g_ptr_array_unref(names);
 }
 
-/* Tells the leader, through the state service, which workers this node keeps alive. */
+/* Tells the leader, through the state service, which workers of others this node keeps alive. */
 static void publish_kept(cloud_t *cloud, msec_t now)
 {
     node_t *node = cloud->node;
@@ -374,11 +401,11 @@
         if (cloud.flavors_at == 0 || now - cloud.flavors_at > FLAVORS_MS)
             refresh_flavors(&cloud);
         pthread_mutex_lock(&node->lock);
-        bool leading = node->loaded;
+        bool leading = leads(node);
         pthread_mutex_unlock(&node->lock);
         if (leading && now - cloud.listed_at > CLOUD_LIST_MS)
             refresh_hosts(&cloud);
-        if (!leading && now - cloud.kept_at > KEPT_WRITE_MS)
+        if (now - cloud.kept_at > KEPT_WRITE_MS)
             publish_kept(&cloud, now);
         if (leading) {
             rent(&cloud);
--- a/src/app/front.c
+++ b/src/app/front.c
@@ -130,7 +130,7 @@
     if (state == JOB_UNKNOWN)
         return come_back();
     pthread_mutex_lock(&node->lock);
-    const job_t *job = node->loaded ? g_hash_table_lookup(node->leader->jobs, id) : NULL;
+    const job_t *job = node->loaded && node->leading ? g_hash_table_lookup(node->leader->jobs, id) : NULL;
     if (job) {
         done = job->n_done;
         running = job->n_live;
@@ -343,16 +343,9 @@
                 : refuse(503, "starting", 1);
 }
 
-static reply_t send_home(const node_t *node)
-{
-    if (node->view.number == 0 || strcmp(node->view.leader, node->settings->name) == 0)
-        return (reply_t){421, json_object(), 0};
-    return (reply_t){421, json_pack("{s:s}", "Bosun", node->view.leader), 0};
-}
-
 /* A worker that this node does not own. It is sent to the owner; if it comes right back, it can't
  * reach the owner, and its lease is kept alive here: no starts, but stops for what is cancelled. */
-static reply_t host_guest(node_t *node, const report_t *report, msec_t now)
+static reply_t host_guest(node_t *node, const report_t *report, const char *owner, msec_t now)
 {
     guest_t *guest = g_hash_table_lookup(node->guests, report->machine);
     if (!guest) {
@@ -370,7 +363,7 @@
     if (!stays) {
         guest->kept_until = 0;
         guest->sent_home = now;
-        return send_home(node);
+        return (reply_t){421, json_pack("{s:s}", "Bosun", owner), 0};
     }
     GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
     for (guint i = 0; i < report->pieces->len; i++) {
@@ -391,17 +384,17 @@
     msec_t now = clock_steady();
     /* A higher token is out: this node's view is old, and a 200 from it would be dropped while it
      * holds the worker here. Silence about aborts ends the answers as well. */
-    if (node->view.number == 0 || report->token > node->view.number || !node_may_renew(node, now))
+    if (node->view.count == 0 || MAX(report->token, node->superseded) > node->view.number ||
+        !node_may_renew(node, now))
         return refuse(503, "not entitled now", 0);
-    if (!node->leading)
-        return host_guest(node, report, now);
+    guint owner = node_owner(node, report->machine, report->zone);
+    if (owner != node->own)
+        return host_guest(node, report, node->view.members[owner].name, now);
     GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
     reply_t reply;
     if (node->loaded && part_report(node->part, report, false, now, calls) == REPORT_STALE) {
         reply = refuse(503, "a newer report was received", 0);
     } else {
-        if (node->loaded && node->rental)
-            rental_boot_over(node->rental, report->machine);
         reply = (reply_t){200, wire_build_calls(node->view.number, calls), 0};
         node_wake(node);
     }
--- /dev/null
+++ b/src/app/mesh.c
@@ -0,0 +1,214 @@
+/* The exchange between the leader and the parts. Each part calls the leader, over and over: what it
+ * has to tell goes with the call, what the leader wants comes with the answer, which the leader
+ * holds back for a moment while it has nothing to say. */
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "app/node.h"
+#include "io/clock.h"
+#include "io/mesh.h"
+#include "log.h"
+
+/* With the lock held: one message of this node. Rows are owned by the note. */
+static GByteArray *compose(const node_t *node, link_t *link, bool with_rows)
+{
+    mesh_note_t note = {.incarnation = node->incarnation, .view = node->view.number};
+    g_strlcpy(note.sender, node->settings->name, sizeof note.sender);
+    if (link) {
+        note.items = g_array_ref((GArray *)(void *)link_batch(link, MESH_BATCH));
+        note.number = link->sent;
+        note.ack = link->received;
+    }
+    if (with_rows) {
+        note.rows = node_rows(node, clock_steady());
+        note.yielding = node_yielding(node);
+    }
+    GByteArray *frame = mesh_encode(&note);
+    mesh_note_clear(&note);
+    return frame;
+}
+
+static bool is_member(const node_t *node, const mesh_note_t *note, guint *index)
+{
+    for (guint i = 0; i < node->view.count; i++) {
+        if (strcmp(node->view.members[i].name, note->sender) == 0 &&
+            node->view.members[i].incarnation == note->incarnation) {
+            *index = i;
+            return true;
+        }
+    }
+    return false;
+}
+
+/* With the lock held: what a part told. NULL: it is not of this view, so nothing of it counts. */
+static link_t *hear_part(node_t *node, mesh_note_t *note)
+{
+    guint index = 0;
+    msec_t now = clock_steady();
+    node->superseded = MAX(node->superseded, note->view);
+    if (!node->leading || !node->loaded || note->view != node->view.number ||
+        !is_member(node, note, &index) || index == node->own)
+        return NULL;
+    link_t *link = g_ptr_array_index(node->links, index);
+    link_ack(link, note->ack);
+    if (note->items->len && link_accept(link, note->number)) {
+        for (guint i = 0; i < note->items->len; i++) {
+            const link_item_t *item = &g_array_index(note->items, link_item_t, i);
+            if (item->kind == LINK_OUTCOME)
+                node_outcome(node, index, &item->outcome, now);
+        }
+    }
+    /* Rows from before the last batch of offers would show its room as free. */
+    if (note->rows && note->ack == link->sent) {
+        leader_set_rows(node->leader, index, g_steal_pointer(&note->rows));
+        leader_set_yielding(node->leader, index, g_steal_pointer(&note->yielding));
+    }
+    node_wake(node);
+    return link;
+}
+
+static GByteArray *answer_part(node_t *node, mesh_note_t *note)
+{
+    pthread_mutex_lock(&node->lock);
+    uint64_t generation = node->generation;
+    link_t *link = hear_part(node, note);
+    msec_t until = clock_steady() + MESH_HOLD_MS;
+    while (link && !link_busy(link) && clock_steady() < until) {
+        node_wait(node, &node->mesh, MESH_HOLD_MS);
+        if (node->generation != generation)
+            link = NULL; /* freed with its view while the lock was given up */
+    }
+    GByteArray *frame = compose(node, link, false);
+    pthread_mutex_unlock(&node->lock);
+    return frame;
+}
+
+typedef struct {
+    node_t *node;
+    int fd;
+} visit_t;
+
+static void *visit_run(void *data)
+{
+    visit_t *visit = data;
+    GByteArray *frame;
+    while ((frame = mesh_receive(visit->fd))) {
+        mesh_note_t note;
+        bool valid = mesh_decode(frame->data, frame->len, &note);
+        g_byte_array_unref(frame);
+        if (!valid)
+            break;
+        GByteArray *answer = answer_part(visit->node, &note);
+        mesh_note_clear(&note);
+        bool sent = answer && mesh_send(visit->fd, answer);
+        if (answer)
+            g_byte_array_unref(answer);
+        if (!sent)
+            break;
+    }
+    close(visit->fd);
+    g_free(visit);
+    return NULL;
+}
+
+void *mesh_serve_run(void *data)
+{
+    node_t *node = data;
+    int listener = mesh_listen(node->settings->mesh_listen);
+    if (listener < 0) {
+        log_error("event=listen_failed address=%s", node->settings->mesh_listen);
+        return NULL;
+    }
+    for (;;) {
+        int fd = accept(listener, NULL, NULL);
+        if (fd < 0) {
+            node_sleep(MESH_RETRY_MS);
+            continue;
+        }
+        mesh_set_timeout(fd, MESH_IDLE_MS);
+        visit_t *visit = g_new(visit_t, 1);
+        *visit = (visit_t){node, fd};
+        pthread_detach(node_thread(visit_run, visit));
+    }
+    return NULL;
+}
+
+static const char *leader_endpoint(const node_t *node)
+{
+    for (guint i = 0; i < node->settings->siblings->len; i++) {
+        const sibling_t *sibling = &g_array_index(node->settings->siblings, sibling_t, i);
+        if (strcmp(sibling->name, node->view.leader) == 0)
+            return sibling->endpoint;
+    }
+    return NULL;
+}
+
+/* With the lock held: what the leader answered. */
+static void hear_leader(node_t *node, const mesh_note_t *note)
+{
+    node->superseded = MAX(node->superseded, note->view);
+    if (!node->loaded || note->view != node->view.number ||
+        note->incarnation != node->view.incarnation)
+        return;
+    link_ack(node->uplink, note->ack);
+    if (!note->items->len || !link_accept(node->uplink, note->number))
+        return;
+    for (guint i = 0; i < note->items->len; i++)
+        node_obey(node, &g_array_index(note->items, link_item_t, i), clock_steady());
+}
+
+static bool exchange(node_t *node, int fd, const GByteArray *frame)
+{
+    mesh_note_t note;
+    if (!mesh_send(fd, frame))
+        return false;
+    GByteArray *answer = mesh_receive(fd);
+    bool valid = answer && mesh_decode(answer->data, answer->len, &note);
+    if (answer)
+        g_byte_array_unref(answer);
+    if (!valid)
+        return false;
+    pthread_mutex_lock(&node->lock);
+    hear_leader(node, &note);
+    pthread_mutex_unlock(&node->lock);
+    mesh_note_clear(&note);
+    return true;
+}
+
+void *mesh_run(void *data)
+{
+    node_t *node = data;
+    char connected[ADDRESS_SIZE] = "";
+    int fd = -1;
+    for (;;) {
+        char endpoint[ADDRESS_SIZE] = "";
+        GByteArray *frame = NULL;
+        pthread_mutex_lock(&node->lock);
+        if (!node->leading && node->loaded && node->own != G_MAXUINT && leader_endpoint(node)) {
+            g_strlcpy(endpoint, leader_endpoint(node), sizeof endpoint);
+            frame = compose(node, node->uplink, true);
+        } else {
+            node_wait(node, &node->mesh, MEMBER_TICK_MS);
+        }
+        pthread_mutex_unlock(&node->lock);
+        if (!frame)
+            continue;
+        if (fd >= 0 && strcmp(endpoint, connected) != 0) {
+            close(fd);
+            fd = -1;
+        }
+        if (fd < 0) {
+            fd = mesh_connect(endpoint, MESH_TIMEOUT_MS);
+            g_strlcpy(connected, endpoint, sizeof connected);
+        }
+        bool done = fd >= 0 && exchange(node, fd, frame);
+        g_byte_array_unref(frame);
+        if (!done && fd >= 0) {
+            close(fd);
+            fd = -1;
+        }
+        node_sleep(done ? MESH_GAP_MS : MESH_RETRY_MS);
+    }
+    return NULL;
+}
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -22,8 +22,8 @@
     arc4random_buf(&node->incarnation, sizeof node->incarnation);
     node->incarnation >>= 2; /* fits a signed JSON integer */
     state_init(&node->state, settings->state, now);
-    budget_init(&node->core_rps, settings->state_rps * SHARE_FRONT_RPS, now);
-    budget_init(&node->core_write, settings->state_write_rps * SHARE_LEADER_WRITE, now);
+    budget_init(&node->core_rps, settings->state_rps * SHARE_CORE_RPS, now);
+    budget_init(&node->core_write, settings->state_write_rps * SHARE_PART_WRITE, now);
     budget_init(&node->front_rps, settings->state_rps * SHARE_FRONT_RPS, now);
     budget_init(&node->front_write, settings->state_write_rps * SHARE_FRONT_WRITE, now);
     for (guint i = 0; i < FRONT_CLIENTS; i++)
@@ -36,21 +36,26 @@
     pthread_cond_init(&node->work, &steady);
     pthread_cond_init(&node->direct, &steady);
     pthread_cond_init(&node->clients, &steady);
+    pthread_cond_init(&node->members, &steady);
+    pthread_cond_init(&node->mesh, &steady);
     pthread_condattr_destroy(&steady);
     node->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, known_job_free);
     node->flavors = g_array_new(FALSE, FALSE, sizeof(flavor_t));
     node->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    node->present = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    node->links = g_ptr_array_new();
+    node->own = G_MAXUINT;
     node->guests = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return node;
 }
 
-pthread_t node_thread(void *(*run)(void *), node_t *node)
+pthread_t node_thread(void *(*run)(void *), void *data)
 {
     pthread_t thread;
     pthread_attr_t attr;
     pthread_attr_init(&attr);
     pthread_attr_setstacksize(&attr, THREAD_STACK);
-    if (pthread_create(&thread, &attr, run, node) != 0) {
+    if (pthread_create(&thread, &attr, run, data) != 0) {
         log_error("event=thread_failed errno=%d", errno);
         abort();
     }
@@ -60,7 +65,10 @@
 
 bool node_start(node_t *node)
 {
+    node_thread(view_run, node);
     node_thread(member_run, node);
+    node_thread(mesh_run, node);
+    node_thread(mesh_serve_run, node);
     node_thread(follow_run, node);
     node_thread(placer_run, node);
     node_thread(cloud_run, node);
@@ -96,7 +104,7 @@
     job->spec.types = g_strdupv(spec->types);
     job->stamp = stamp;
     g_hash_table_insert(node->jobs, job->spec.id, job);
-    if (node->loaded && node->leader)
+    if (node->loaded && node->leading)
         leader_add_job(node->leader, spec, stamp, clock_steady());
     node_wake(node);
 }
@@ -112,15 +120,180 @@
     node_wake(node);
 }
 
-void node_step_down(node_t *node, const char *why)
+static void drop_links(node_t *node)
 {
-    if (!node->leading)
+    for (guint i = 0; i < node->links->len; i++)
+        if (g_ptr_array_index(node->links, i))
+            link_free(g_ptr_array_index(node->links, i));
+    g_ptr_array_set_size(node->links, 0);
+    g_clear_pointer(&node->uplink, link_free);
+}
+
+void node_adopt(node_t *node, const view_t *view)
+{
+    if (view->stamp <= node->view.stamp)
         return;
-    log_info("event=step_down view=%" G_GUINT64_FORMAT " why=%s", node->view.number, why);
-    node->leading = node->loaded = false;
-    node->grant = 0;
+    /* Workers kept here because they could not reach the former leader's owners go to the new ones:
+     * the leader takes a machine that nobody hears for dead. */
+    if (view->incarnation != node->view.incarnation)
+        g_hash_table_remove_all(node->guests);
+    node->view = *view;
+    node->leading = view->incarnation == node->incarnation;
+    node->loaded = false;
     node->generation++;
-    budget_set_rate(&node->core_rps, node->settings->state_rps * SHARE_FRONT_RPS);
+    node->own = G_MAXUINT;
+    node->leader_index = 0;
+    drop_links(node);
+    for (guint i = 0; i < view->count; i++) {
+        if (view->members[i].incarnation == node->incarnation)
+            node->own = i;
+        if (view->members[i].incarnation == view->incarnation)
+            node->leader_index = i;
+        g_ptr_array_add(node->links, node->leading ? link_new() : NULL);
+    }
+    node->uplink = link_new();
+    budget_set_rate(&node->core_write,
+                    node->settings->state_write_rps *
+                        (node->leading ? SHARE_LEADER_WRITE : SHARE_PART_WRITE));
+    log_info("event=view view=%" G_GUINT64_FORMAT " leader=%s members=%u own=%d", view->number,
+             view->leader, view->count, node->own == G_MAXUINT ? -1 : (int)node->own);
+    node_wake(node);
+    pthread_cond_broadcast(&node->members);
+    pthread_cond_broadcast(&node->mesh);
+}
+
+guint node_owner(const node_t *node, const char *machine, const char *zone)
+{
+    return owner_of(node->view.members, node->view.count, machine, zone);
+}
+
+GArray *node_rows(const node_t *node, msec_t now)
+{
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(machine_row_t));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->part->machines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const machine_t *machine = value;
+        if (machine->gone)
+            continue;
+        machine_row_t row = {.spot = machine->spot,
+                             .open = machine->reported && machine->known_room &&
+                                     !machine->draining && !machine->notice_at &&
+                                     now - machine->last_report < DIRECT_FRESH_MS,
+                             .draining = machine->draining,
+                             .total = machine->room,
+                             .free = part_free_room(machine),
+                             .attempts = machine->attempts->len,
+                             .silent_ms = now - machine->last_report,
+                             .idle_ms = now - machine->idle_since,
+                             .known_ms = now - machine->first_seen};
+        g_strlcpy(row.machine, machine->id, sizeof row.machine);
+        g_strlcpy(row.type, machine->type, sizeof row.type);
+        g_strlcpy(row.zone, machine->zone, sizeof row.zone);
+        g_array_append_val(rows, row);
+    }
+    return rows;
+}
+
+GArray *node_yielding(const node_t *node)
+{
+    GArray *list = g_array_new(FALSE, FALSE, sizeof(double));
+    for (guint i = 0; i < node->settings->teams->len; i++) {
+        double cpus =
+            part_yielding(node->part, g_array_index(node->settings->teams, team_t, i).name);
+        g_array_append_val(list, cpus);
+    }
+    return list;
+}
+
+void node_tell(node_t *node, guint part, link_item_t item)
+{
+    if (part == node->own) {
+        node_obey(node, &item, clock_steady());
+        g_strfreev(item.offer.types);
+    } else if (part < node->links->len && g_ptr_array_index(node->links, part)) {
+        link_push(g_ptr_array_index(node->links, part), item);
+        pthread_cond_broadcast(&node->mesh);
+    }
+}
+
+/* A gang's task found no room: what its part holds for the others is freed. */
+static void withdraw_gang(node_t *node, const char *job)
+{
+    GArray *out = leader_out(node->leader, job);
+    for (guint i = 0; i < out->len; i++) {
+        const settle_t *entry = &g_array_index(out, settle_t, i);
+        node_tell(node, entry->part, (link_item_t){.kind = LINK_WITHDRAW, .ref = entry->ref});
+    }
+    g_array_unref(out);
+}
+
+void node_outcome(node_t *node, guint part, const outcome_t *outcome, msec_t now)
+{
+    log_debug("event=over task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s cause=%d",
+              outcome->ref.job, outcome->ref.task, outcome->ref.attempt, outcome->machine,
+              (int)outcome->cause);
+    if (outcome->cause == CAUSE_ERROR || outcome->cause == CAUSE_UNKNOWN)
+        log_info("event=failed task=%s/%u machine=%s cause=%d", outcome->ref.job,
+                 outcome->ref.task, outcome->machine, (int)outcome->cause);
+    const job_t *job = g_hash_table_lookup(node->leader->jobs, outcome->ref.job);
+    bool refused = job && job->spec.kind == KIND_GANG && outcome->cause == CAUSE_FULL;
+    leader_outcome(node->leader, part, outcome, now);
+    if (refused)
+        withdraw_gang(node, outcome->ref.job);
+}
+
+/* The leader itself hears at once; another's outcomes wait for the exchange. */
+static void refuse_offer(node_t *node, const offer_t *offer, msec_t now)
+{
+    outcome_t refused = {.ref = task_ref(offer->job, offer->task, offer->attempt),
+                         .cause = CAUSE_FULL};
+    if (node->leading)
+        node_outcome(node, node->own, &refused, now);
+    else
+        link_push(node->uplink, (link_item_t){.kind = LINK_OUTCOME, .outcome = refused});
+}
+
+static void take_offer(node_t *node, const offer_t *offer, msec_t now)
+{
+    const machine_t *machine = part_place(node->part, offer, now);
+    if (!machine) {
+        refuse_offer(node, offer, now);
+        return;
+    }
+    log_debug("event=place task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", offer->job,
+              offer->task, offer->attempt, machine->id);
+    node_wake(node);
+}
+
+void node_obey(node_t *node, const link_item_t *item, msec_t now)
+{
+    machine_t *machine;
+    switch (item->kind) {
+    case LINK_OFFER:
+        take_offer(node, &item->offer, now);
+        break;
+    case LINK_SETTLE:
+        part_settle(node->part, &item->ref);
+        node_wake(node);
+        break;
+    case LINK_WITHDRAW:
+        part_withdraw(node->part, &item->ref, now);
+        node_wake(node);
+        break;
+    case LINK_DRAIN:
+        machine = g_hash_table_lookup(node->part->machines, item->machine);
+        if (machine)
+            machine->draining = true;
+        break;
+    case LINK_GONE:
+        part_machine_gone(node->part, item->machine);
+        node_wake(node);
+        break;
+    case LINK_OUTCOME:
+        break; /* never said by a leader */
+    }
 }
 
 bool node_may_renew(const node_t *node, msec_t now)
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -2,9 +2,11 @@
  *
  * `lock` guards everything below it in the struct; it is never held across input or output. The
  * loops (one thread each) look at what is wanted and what is, and work out the difference:
- *   member  the view: leadership by a grant, its number the token
+ *   view    what view/ in the state service says
+ *   member  our grant; leadership; the leader's view of who is live
  *   follow  the live jobs, on every node
- *   placer  leader: offers, commits, settling
+ *   placer  our part: places and commits; the leader also offers and settles
+ *   mesh    the exchange between the leader and the parts
  *   sender  direct commands to workers
  *   cloud   types everywhere; leader: renting, returning, proof that machines are gone
  *   front   users and workers (one thread a connection, made by the HTTP server) */
@@ -15,6 +17,8 @@
 
 #include "app/settings.h"
 #include "core/leader.h"
+#include "core/link.h"
+#include "core/owner.h"
 #include "core/part.h"
 #include "core/rental.h"
 #include "io/budget.h"
@@ -27,6 +31,8 @@
     uint64_t stamp;  /* of view/number */
     char leader[ID_SIZE];
     uint64_t incarnation; /* of the leader */
+    member_t members[MEMBERS_MAX];
+    guint count;
 } view_t;
 
 typedef struct {
@@ -53,11 +59,21 @@
     pthread_cond_t work;   /* for the placer */
     pthread_cond_t direct; /* for the senders */
     pthread_cond_t clients; /* for the front's clients */
+    pthread_cond_t members; /* for the member loop */
+    pthread_cond_t mesh;    /* something to say to a part */
     guint front_free;      /* clients [0, front_free) are free */
     view_t view;
+    bool view_synced;
+    uint64_t superseded;  /* the highest view number that another node spoke of */
+    GHashTable *present;  /* name -> member_t, owned: who has a live grant */
+    msec_t present_since; /* last change of it */
+    uint64_t lease_stamp; /* of view/lease; 0: nobody leads */
+    char lease_holder[ID_SIZE];
+    uint64_t lease_incarnation;
     bool leading;   /* the view is ours */
-    bool loaded;    /* the part and the leader's data stand */
-    uint64_t grant; /* of the leadership */
+    bool loaded;    /* the part (and the leader's data) of this view stand */
+    guint own;      /* our index among the members; G_MAXUINT: not a member */
+    guint leader_index;
     uint64_t generation; /* of part and leader: grows with each load */
     msec_t loaded_at;
     GHashTable *jobs; /* live jobs: id -> known_job_t, owned */
@@ -67,6 +83,8 @@
     part_t *part;
     leader_t *leader;
     rental_t *rental;
+    link_t *uplink;    /* our part's end, towards the leader */
+    GPtrArray *links;  /* the leader's ends, a member each; NULL for its own */
     GHashTable *ended;  /* id -> final state (static string); a bounded cache */
     GHashTable *guests; /* machine -> guest_t, owned */
 } node_t;
@@ -79,16 +97,30 @@
 void node_wake(node_t *node);
 void node_job_set(node_t *node, const job_spec_t *spec, uint64_t stamp);
 void node_job_gone(node_t *node, const char *id);
-void node_step_down(node_t *node, const char *why);
+/* Takes over a newer view; everything of the older one is void. */
+void node_adopt(node_t *node, const view_t *view);
+/* Index of the machine's owner in the view; the view must have members. */
+guint node_owner(const node_t *node, const char *machine, const char *zone);
+/* What a part sums up: of ours, now. */
+GArray *node_rows(const node_t *node, msec_t now);
+GArray *node_yielding(const node_t *node);
+/* The leader's side: an outcome that a part told; an item for a part (taken over). */
+void node_outcome(node_t *node, guint part, const outcome_t *outcome, msec_t now);
+void node_tell(node_t *node, guint part, link_item_t item);
+/* The part's side: carries out what the leader said. */
+void node_obey(node_t *node, const link_item_t *item, msec_t now);
 /* Whether reports may still be answered: what aborts there are is known well enough. */
 bool node_may_renew(const node_t *node, msec_t now);
 void node_wait(node_t *node, pthread_cond_t *cond, msec_t ms);
 
 void node_sleep(msec_t ms);
-pthread_t node_thread(void *(*run)(void *), node_t *node);
+pthread_t node_thread(void *(*run)(void *), void *data);
 
 /* The loops. */
+void *view_run(void *node);
 void *member_run(void *node);
+void *mesh_run(void *node);
+void *mesh_serve_run(void *node);
 void *follow_run(void *node);
 void *placer_run(void *node);
 void *sender_run(void *node);
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -1,4 +1,4 @@
-/* The leader's loop: takes what is over, offers, commits, settles.
+/* The loop of our part, and of the leader: takes what is over, offers, commits, settles.
  *
  * Every transaction requires view/number unchanged and each key it writes as it was. One whose
  * outcome is unknown is followed by a new view number, under which it can no longer be applied, and
@@ -17,72 +17,20 @@
     msec_t renumbered;
 } placer_t;
 
-/* Moves the token on. True when the new number is certain to stand. */
-static bool renumber(placer_t *placer)
-{
-    node_t *node = placer->node;
-    pthread_mutex_lock(&node->lock);
-    bool leading = node->leading;
-    view_t view = node->view;
-    pthread_mutex_unlock(&node->lock);
-    if (!leading)
-        return false;
-    view_t next = view;
-    next.number++;
-    txn_t txn = txn_new();
-    txn_if(&txn, "view/number", view.stamp);
-    txn_set(&txn, "view/number", view_build(next.number, next.leader, next.incarnation), 0);
-    budget_charge(&node->core_rps, 1, clock_steady());
-    budget_charge(&node->core_write, 1, clock_steady());
-    state_result_t result = state_commit(&node->state, placer->client, &txn, STATE_TIMEOUT_MS,
-                                         &next.stamp, NULL);
-    txn_free(&txn);
-    if (result != STATE_OK) {
-        state_entry_t entry = {0};
-        bool mine = state_get(&node->state, placer->client, "view/number", STATE_TIMEOUT_MS,
-                              &entry) == STATE_OK &&
-                    view_parse(entry.value, entry.stamp, &next);
-        g_free(entry.key);
-        json_decref(entry.value);
-        if (!mine)
-            return false;
-        if (next.incarnation != node->incarnation) {
-            pthread_mutex_lock(&node->lock);
-            node_step_down(node, "another_leads");
-            pthread_mutex_unlock(&node->lock);
-            return false;
-        }
-        if (next.number <= view.number)
-            return false;
-    }
-    placer->renumbered = clock_steady();
-    pthread_mutex_lock(&node->lock);
-    bool still = node->leading && node->view.number == view.number;
-    if (still) {
-        node->view = next;
-        if (node->part)
-            part_set_view(node->part, next.number);
-        if (node->leader)
-            leader_set_view(node->leader, next.number);
-    }
-    pthread_mutex_unlock(&node->lock);
-    log_info("event=renumber view=%" G_GUINT64_FORMAT, next.number);
-    return still;
-}
-
 typedef struct {
     GArray *machines;
     GArray *done;
     GArray *jobs;
 } listing_t;
 
-static bool read_listing(placer_t *placer, listing_t *listing)
+static bool read_listing(placer_t *placer, listing_t *listing, bool leading)
 {
     state_t *state = &placer->node->state;
-    budget_charge(&placer->node->core_rps, 3, clock_steady());
-    /* Progress before jobs: a job listed then has all of its finished bits at hand. */
+    budget_charge(&placer->node->core_rps, leading ? 3 : 2, clock_steady());
+    /* Jobs last: a job listed then has its finished bits at hand, and one that is not, is over. */
     return state_list(state, placer->client, "machines/", listing->machines, NULL) == STATE_OK &&
-           state_list(state, placer->client, "done/", listing->done, NULL) == STATE_OK &&
+           (!leading ||
+            state_list(state, placer->client, "done/", listing->done, NULL) == STATE_OK) &&
            state_list(state, placer->client, "jobs/", listing->jobs, NULL) == STATE_OK;
 }
 
@@ -113,45 +61,61 @@
     }
 }
 
-static void load_machines(node_t *node, const GArray *entries, msec_t now)
+static void load_record(node_t *node, const machine_record_t *record, GHashTable *live_jobs,
+                        msec_t now)
 {
-    for (guint i = 0; i < entries->len; i++) {
-        const state_entry_t *entry = &g_array_index(entries, state_entry_t, i);
+    guint owner = node_owner(node, record->machine, record->zone);
+    if (owner == node->own)
+        part_load(node->part, record, now);
+    for (guint k = 0; k < record->entries->len; k++) {
+        const record_entry_t *attempt = &g_array_index(record->entries, record_entry_t, k);
+        if (node->leading)
+            leader_load_attempt(node->leader, attempt, record->zone, owner);
+        if (!g_hash_table_contains(live_jobs, attempt->job))
+            part_end_job(node->part, attempt->job);
+    }
+}
+
+static void load_machines(node_t *node, const listing_t *listing, msec_t now)
+{
+    GHashTable *live_jobs = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = 0; i < listing->jobs->len; i++)
+        g_hash_table_add(live_jobs, g_array_index(listing->jobs, state_entry_t, i).key +
+                                        strlen("jobs/"));
+    for (guint i = 0; i < listing->machines->len; i++) {
+        const state_entry_t *entry = &g_array_index(listing->machines, state_entry_t, i);
         machine_record_t record;
         if (!wire_parse_record(entry->key + strlen("machines/"), entry->value, entry->stamp,
                                &record)) {
             log_error("event=bad_record key=%s", entry->key);
             continue;
         }
-        part_load(node->part, &record, now);
-        for (guint k = 0; k < record.entries->len; k++) {
-            const record_entry_t *attempt = &g_array_index(record.entries, record_entry_t, k);
-            leader_load_attempt(node->leader, attempt, record.zone, 0);
-            if (!g_hash_table_contains(node->leader->jobs, attempt->job))
-                part_end_job(node->part, attempt->job);
-        }
+        load_record(node, &record, live_jobs, now);
         g_array_unref(record.entries);
     }
+    g_hash_table_unref(live_jobs);
 }
 
 static void load_all(node_t *node, const listing_t *listing, msec_t now)
 {
-    if (node->part)
-        part_free(node->part);
-    if (node->leader)
-        leader_free(node->leader);
+    g_clear_pointer(&node->part, part_free);
+    g_clear_pointer(&node->leader, leader_free);
     if (!node->rental)
         node->rental = rental_new();
     node->part = part_new(node->flavors, node->settings->teams, RESERVATION_LAPSE_MS);
-    node->leader = leader_new(node->settings->teams, node->settings->targets, 1);
     part_set_view(node->part, node->view.number);
-    leader_set_view(node->leader, node->view.number);
-    load_jobs(node, listing->jobs, now);
-    load_done(node, listing->done);
-    load_machines(node, listing->machines, now);
+    if (node->leading) {
+        node->leader =
+            leader_new(node->settings->teams, node->settings->targets, node->view.count);
+        leader_set_view(node->leader, node->view.number);
+        load_jobs(node, listing->jobs, now);
+        load_done(node, listing->done);
+    }
+    load_machines(node, listing, now);
     node->generation++;
     node->loaded = true;
     node->loaded_at = now;
+    pthread_cond_broadcast(&node->mesh);
 }
 
 static void load(placer_t *placer)
@@ -159,14 +123,15 @@
     node_t *node = placer->node;
     pthread_mutex_lock(&node->lock);
     uint64_t number = node->view.number;
+    bool leading = node->leading;
     pthread_mutex_unlock(&node->lock);
     listing_t listing = {state_entries_new(), state_entries_new(), state_entries_new()};
-    bool read = read_listing(placer, &listing);
+    bool read = read_listing(placer, &listing, leading);
     pthread_mutex_lock(&node->lock);
-    if (read && node->leading && node->view.number == number) {
+    if (read && node->view.number == number) {
         load_all(node, &listing, clock_steady());
-        log_info("event=loaded view=%" G_GUINT64_FORMAT " jobs=%u machines=%u attempts=%u", number,
-                 listing.jobs->len, listing.machines->len,
+        log_info("event=loaded view=%" G_GUINT64_FORMAT " leading=%d jobs=%u machines=%u attempts=%u",
+                 number, leading, listing.jobs->len, g_hash_table_size(node->part->machines),
                  g_hash_table_size(node->part->attempts));
     }
     pthread_mutex_unlock(&node->lock);
@@ -177,7 +142,7 @@
         node_sleep(ELECT_POLL_MS);
 }
 
-/* The data can't be trusted any more: a new number voids what is under way, then read again. */
+/* The data can't be trusted any more: a new number voids what is under way, then all read again. */
 static void reload(placer_t *placer, const char *why)
 {
     node_t *node = placer->node;
@@ -186,42 +151,9 @@
     node->loaded = false;
     node->generation++;
     pthread_mutex_unlock(&node->lock);
-    for (;;) {
-        pthread_mutex_lock(&node->lock);
-        bool leading = node->leading;
-        pthread_mutex_unlock(&node->lock);
-        if (!leading || renumber(placer))
-            return;
+    while (!view_renumber(node, placer->client))
         node_sleep(ELECT_POLL_MS);
-    }
-}
-
-static GArray *part_rows(const part_t *part, msec_t now)
-{
-    GArray *rows = g_array_new(FALSE, FALSE, sizeof(machine_row_t));
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, part->machines);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const machine_t *machine = value;
-        if (machine->gone)
-            continue;
-        machine_row_t row = {.spot = machine->spot,
-                             .open = machine->reported && machine->known_room &&
-                                     !machine->draining && !machine->notice_at &&
-                                     now - machine->last_report < DIRECT_FRESH_MS,
-                             .total = machine->room,
-                             .free = part_free_room(machine),
-                             .attempts = machine->attempts->len,
-                             .silent_ms = now - machine->last_report,
-                             .idle_ms = now - machine->idle_since,
-                             .known_ms = now - machine->first_seen};
-        g_strlcpy(row.machine, machine->id, sizeof row.machine);
-        g_strlcpy(row.type, machine->type, sizeof row.type);
-        g_strlcpy(row.zone, machine->zone, sizeof row.zone);
-        g_array_append_val(rows, row);
-    }
-    return rows;
+    placer->renumbered = clock_steady();
 }
 
 static void take_outcomes(node_t *node, msec_t now)
@@ -229,60 +161,29 @@
     GArray *outcomes = node->part->outcomes;
     for (guint i = 0; i < outcomes->len; i++) {
         const outcome_t *outcome = &g_array_index(outcomes, outcome_t, i);
-        log_debug("event=over task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s cause=%d",
-                  outcome->ref.job, outcome->ref.task, outcome->ref.attempt, outcome->machine,
-                  (int)outcome->cause);
-        if (outcome->cause == CAUSE_ERROR || outcome->cause == CAUSE_UNKNOWN)
-            log_info("event=failed task=%s/%u machine=%s cause=%d", outcome->ref.job, outcome->ref.task,
-                     outcome->machine, (int)outcome->cause);
-        leader_outcome(node->leader, outcome, now);
+        if (node->leading)
+            node_outcome(node, node->own, outcome, now);
+        else
+            link_push(node->uplink, (link_item_t){.kind = LINK_OUTCOME, .outcome = *outcome});
     }
     g_array_set_size(outcomes, 0);
 }
 
-static void refuse(node_t *node, const offer_t *offer, msec_t now)
-{
-    outcome_t refused = {.ref = task_ref(offer->job, offer->task, offer->attempt),
-                         .cause = CAUSE_FULL};
-    leader_outcome(node->leader, &refused, now);
-}
-
-/* One task of the gang found no room: the holds of the others are freed. */
-static void withdraw_gang(node_t *node, const GArray *offers, const char *job, msec_t now)
-{
-    for (guint i = 0; i < offers->len; i++) {
-        const offer_t *offer = &g_array_index(offers, leader_offer_t, i).offer;
-        if (strcmp(offer->job, job) != 0)
-            continue;
-        task_ref_t ref = task_ref(offer->job, offer->task, offer->attempt);
-        part_withdraw(node->part, &ref);
-        refuse(node, offer, now);
-    }
-}
-
 static void make_offers(node_t *node, msec_t now, guint most)
 {
-    leader_set_rows(node->leader, 0, part_rows(node->part, now));
-    for (guint i = 0; i < node->settings->teams->len; i++)
-        leader_set_yielding(node->leader, i,
-                            part_yielding(node->part,
-                                          g_array_index(node->settings->teams, team_t, i).name));
+    leader_set_rows(node->leader, node->own, node_rows(node, now));
+    leader_set_yielding(node->leader, node->own, node_yielding(node));
     GArray *offers = leader_schedule(node->leader, now, clock_day(), most);
     for (guint i = 0; i < offers->len; i++) {
-        const offer_t *offer = &g_array_index(offers, leader_offer_t, i).offer;
+        const leader_offer_t *made = &g_array_index(offers, leader_offer_t, i);
+        const offer_t *offer = &made->offer;
         task_ref_t ref = task_ref(offer->job, offer->task, offer->attempt);
-        if (!leader_is_out(node->leader, &ref))
-            continue; /* of a gang that was withdrawn */
-        machine_t *machine = part_place(node->part, offer, now);
-        if (machine) {
-            leader_placed(node->leader, &ref, machine->zone);
-            log_debug("event=place task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", offer->job,
-                      offer->task, offer->attempt, machine->id);
-        } else {
-            refuse(node, offer, now);
-            if (offer->gang)
-                withdraw_gang(node, offers, offer->job, now);
-        }
+        link_item_t item = {.kind = LINK_OFFER, .offer = *offer};
+        item.offer.types = g_strdupv(offer->types);
+        if (leader_is_out(node->leader, &ref)) /* else of a gang that was withdrawn */
+            node_tell(node, made->part, item);
+        else
+            g_strfreev(item.offer.types);
     }
     g_array_unref(offers);
 }
@@ -348,7 +249,7 @@
     txn_t txn = txn_new();
     GHashTable *written = g_hash_table_new(g_str_hash, g_str_equal);
     txn_if(&txn, "view/number", view_stamp);
-    for (guint i = 0; i < batch->progress->len; i++) {
+    for (guint i = 0; batch->progress && i < batch->progress->len; i++) {
         const progress_t *progress = &g_array_index(batch->progress, progress_t, i);
         write_progress(&txn, progress);
         g_hash_table_add(written, (gpointer)progress->job);
@@ -360,12 +261,15 @@
 
 static void committed(node_t *node, batch_t *batch, uint64_t revision)
 {
-    GArray *settled = g_array_new(FALSE, FALSE, sizeof(task_ref_t));
+    GArray *settled = g_array_new(FALSE, FALSE, sizeof(settle_t));
     part_batch_commit(node->part, batch->machines, revision, clock_steady());
-    leader_progress_commit(node->leader, batch->progress, revision, settled);
-    for (guint i = 0; i < settled->len; i++)
-        part_settle(node->part, &g_array_index(settled, task_ref_t, i));
-    for (guint i = 0; i < batch->progress->len; i++) {
+    if (batch->progress)
+        leader_progress_commit(node->leader, batch->progress, revision, settled);
+    for (guint i = 0; i < settled->len; i++) {
+        const settle_t *entry = &g_array_index(settled, settle_t, i);
+        node_tell(node, entry->part, (link_item_t){.kind = LINK_SETTLE, .ref = entry->ref});
+    }
+    for (guint i = 0; batch->progress && i < batch->progress->len; i++) {
         const progress_t *progress = &g_array_index(batch->progress, progress_t, i);
         if (progress->end)
             node_job_gone(node, progress->job);
@@ -377,7 +281,8 @@
 static void undo(node_t *node, batch_t *batch)
 {
     part_batch_undo(node->part, batch->machines);
-    leader_progress_undo(node->leader, batch->progress);
+    if (batch->progress)
+        leader_progress_undo(node->leader, batch->progress);
 }
 
 /* What a failed condition says. Only jobs failing: they were cancelled. */
@@ -385,6 +290,8 @@
 {
     for (guint i = 0; i < failed->len; i++) {
         const char *key = g_ptr_array_index(failed, i);
+        if (strcmp(key, "view/number") == 0)
+            return "view_changed";
         if (!g_str_has_prefix(key, "jobs/"))
             return "condition_failed";
     }
@@ -427,7 +334,9 @@
         node_sleep(TICK_MS);
     if (result == STATE_INVALID)
         log_error("event=invalid_transaction ops=%u", batch->ops);
-    if (broken)
+    if (broken && strcmp(broken, "view_changed") == 0)
+        view_refresh(node, placer->client);
+    else if (broken)
         reload(placer, broken);
 }
 
@@ -437,9 +346,11 @@
     part_tick(node->part, now);
     take_outcomes(node, now);
     double left = budget_left(&node->core_write, now);
-    make_offers(node, now, PLACE_MOST);
     guint most = left < 1 ? 0 : MIN((guint)left, node->settings->txn_ops);
-    batch->progress = leader_progress_take(node->leader, most, &batch->ops);
+    if (node->leading) {
+        make_offers(node, now, PLACE_MOST);
+        batch->progress = leader_progress_take(node->leader, most, &batch->ops);
+    }
     batch->machines = part_batch_take(node->part, most - batch->ops,
                                       (gsize)(node->settings->value_kb * 1024));
     batch->ops += batch->machines->records->len + batch->machines->gone->len;
@@ -454,10 +365,10 @@
     for (;;) {
         pthread_mutex_lock(&node->lock);
         node_wait(node, &node->work, TICK_MS);
-        if (!node->leading || !node->loaded) {
-            bool leading = node->leading;
+        if (!node->loaded) {
+            bool member = node->own != G_MAXUINT;
             pthread_mutex_unlock(&node->lock);
-            if (leading)
+            if (member)
                 load(&placer);
             continue;
         }
@@ -470,10 +381,11 @@
         pthread_mutex_unlock(&node->lock);
         if (changes)
             commit(&placer, &batch, stamp);
-        g_array_unref(batch.progress);
+        if (batch.progress)
+            g_array_unref(batch.progress);
         part_batch_free(batch.machines);
-        if (wants_token)
-            renumber(&placer);
+        if (wants_token && view_renumber(node, placer.client))
+            placer.renumbered = clock_steady();
         node_sleep(COMMIT_GAP_MS);
     }
     return NULL;
--- /dev/null
+++ b/src/app/view.c
@@ -0,0 +1,193 @@
+/* view/ in the state service. view/number holds the number, which is the token, with leader and
+ * members; view/lease hangs on the leader's grant, view/members/<name> on each node's own. */
+#include "app/view.h"
+
+#include <string.h>
+
+#include "io/clock.h"
+#include "log.h"
+
+static json_t *build_member(const member_t *member)
+{
+    return json_pack("{s:s,s:s,s:I}", "Name", member->name, "Zone", member->zone, "Incarnation",
+                     (json_int_t)member->incarnation);
+}
+
+static bool parse_member(const json_t *value, member_t *member)
+{
+    const char *name = json_string_value(json_object_get(value, "Name"));
+    const char *zone = json_string_value(json_object_get(value, "Zone"));
+    *member = (member_t){0};
+    if (!name || !zone)
+        return false;
+    g_strlcpy(member->name, name, sizeof member->name);
+    g_strlcpy(member->zone, zone, sizeof member->zone);
+    member->incarnation = (uint64_t)json_integer_value(json_object_get(value, "Incarnation"));
+    return true;
+}
+
+json_t *view_build(const view_t *view)
+{
+    json_t *members = json_array();
+    for (guint i = 0; i < view->count; i++)
+        json_array_append_new(members, build_member(&view->members[i]));
+    return json_pack("{s:I,s:s,s:I,s:o}", "Number", (json_int_t)view->number, "Leader",
+                     view->leader, "Incarnation", (json_int_t)view->incarnation, "Members",
+                     members);
+}
+
+bool view_parse(const json_t *value, uint64_t stamp, view_t *view)
+{
+    const char *leader = json_string_value(json_object_get(value, "Leader"));
+    if (!leader)
+        return false;
+    *view = (view_t){.stamp = stamp};
+    view->number = (uint64_t)json_integer_value(json_object_get(value, "Number"));
+    view->incarnation = (uint64_t)json_integer_value(json_object_get(value, "Incarnation"));
+    g_strlcpy(view->leader, leader, sizeof view->leader);
+    size_t i;
+    json_t *member;
+    json_array_foreach(json_object_get(value, "Members"), i, member)
+        if (view->count < MEMBERS_MAX && parse_member(member, &view->members[view->count]))
+            view->count++;
+    return true;
+}
+
+void view_refresh(node_t *node, http_client_t *client)
+{
+    state_entry_t entry = {0};
+    view_t view;
+    budget_charge(&node->core_rps, 1, clock_steady());
+    if (state_get(&node->state, client, "view/number", STATE_TIMEOUT_MS, &entry) == STATE_OK &&
+        view_parse(entry.value, entry.stamp, &view)) {
+        pthread_mutex_lock(&node->lock);
+        node_adopt(node, &view);
+        pthread_mutex_unlock(&node->lock);
+    }
+    g_free(entry.key);
+    json_decref(entry.value);
+}
+
+state_result_t view_change(node_t *node, http_client_t *client, view_t *next, uint64_t stamp,
+                           uint64_t grant, uint64_t lease_stamp)
+{
+    txn_t txn = txn_new();
+    txn_if(&txn, "view/number", stamp);
+    txn_set(&txn, "view/number", view_build(next), 0);
+    if (grant) {
+        member_t holder = {.incarnation = next->incarnation};
+        g_strlcpy(holder.name, next->leader, sizeof holder.name);
+        txn_if(&txn, "view/lease", lease_stamp);
+        txn_set(&txn, "view/lease", build_member(&holder), grant);
+    }
+    budget_charge(&node->core_rps, 1, clock_steady());
+    budget_charge(&node->core_write, grant ? 2 : 1, clock_steady());
+    state_result_t result =
+        state_commit(&node->state, client, &txn, STATE_TIMEOUT_MS, &next->stamp, NULL);
+    txn_free(&txn);
+    if (result == STATE_OK) {
+        pthread_mutex_lock(&node->lock);
+        node_adopt(node, next);
+        pthread_mutex_unlock(&node->lock);
+    } else if (result != STATE_REFUSED) {
+        view_refresh(node, client); /* another was quicker, or the answer was lost */
+    }
+    return result;
+}
+
+bool view_renumber(node_t *node, http_client_t *client)
+{
+    pthread_mutex_lock(&node->lock);
+    view_t next = node->view;
+    pthread_mutex_unlock(&node->lock);
+    uint64_t number = next.number++;
+    view_change(node, client, &next, next.stamp, 0, 0);
+    pthread_mutex_lock(&node->lock);
+    bool moved = node->view.number > number;
+    pthread_mutex_unlock(&node->lock);
+    return moved;
+}
+
+static void take_entry(node_t *node, const state_entry_t *entry)
+{
+    static const char members[] = "view/members/";
+    member_t member = {0};
+    view_t view;
+    if (strcmp(entry->key, "view/number") == 0) {
+        if (entry->value && view_parse(entry->value, entry->stamp, &view))
+            node_adopt(node, &view);
+    } else if (strcmp(entry->key, "view/lease") == 0) {
+        node->lease_stamp = entry->value ? entry->stamp : 0;
+        node->lease_incarnation =
+            (uint64_t)json_integer_value(json_object_get(entry->value, "Incarnation"));
+        const char *name = json_string_value(json_object_get(entry->value, "Name"));
+        g_strlcpy(node->lease_holder, name ? name : "", sizeof node->lease_holder);
+    } else if (g_str_has_prefix(entry->key, members)) {
+        const char *name = entry->key + strlen(members);
+        g_hash_table_remove(node->present, name);
+        if (entry->value && parse_member(entry->value, &member)) {
+            member_t *kept = g_memdup2(&member, sizeof member);
+            g_hash_table_insert(node->present, kept->name, kept);
+        }
+        node->present_since = clock_steady();
+    }
+}
+
+static bool read_all(node_t *node, http_client_t *client, uint64_t *revision)
+{
+    GArray *entries = state_entries_new();
+    budget_charge(&node->core_rps, 1, clock_steady());
+    bool read = state_list(&node->state, client, "view/", entries, revision) == STATE_OK;
+    if (read) {
+        pthread_mutex_lock(&node->lock);
+        g_hash_table_remove_all(node->present);
+        node->lease_stamp = 0;
+        for (guint i = 0; i < entries->len; i++)
+            take_entry(node, &g_array_index(entries, state_entry_t, i));
+        node->view_synced = true;
+        pthread_cond_broadcast(&node->members);
+        pthread_mutex_unlock(&node->lock);
+    }
+    g_array_unref(entries);
+    return read;
+}
+
+static state_result_t follow_on(node_t *node, http_client_t *client, uint64_t *revision)
+{
+    GArray *changes = state_entries_new();
+    budget_charge(&node->core_rps, 1, clock_steady());
+    state_result_t result =
+        state_follow(&node->state, client, "view/", FOLLOW_BLOCK_MS, revision, changes);
+    pthread_mutex_lock(&node->lock);
+    for (guint i = 0; result == STATE_OK && i < changes->len; i++)
+        take_entry(node, &g_array_index(changes, state_entry_t, i));
+    if (result == STATE_EXPIRED)
+        node->view_synced = false;
+    if (changes->len)
+        pthread_cond_broadcast(&node->members);
+    pthread_mutex_unlock(&node->lock);
+    g_array_unref(changes);
+    return result;
+}
+
+void *view_run(void *data)
+{
+    node_t *node = data;
+    http_client_t *client = http_client_new(2);
+    uint64_t revision = 0;
+    bool synced = false;
+    for (;;) {
+        if (!synced) {
+            synced = read_all(node, client, &revision);
+            if (!synced)
+                node_sleep(ELECT_POLL_MS);
+            continue;
+        }
+        state_result_t result = follow_on(node, client, &revision);
+        if (result == STATE_EXPIRED)
+            synced = false;
+        else if (result != STATE_OK)
+            node_sleep(ELECT_POLL_MS);
+    }
+    return NULL;
+}
--- a/src/app/view.h
+++ b/src/app/view.h
@@ -1,10 +1,18 @@
-/* view/number in the state service. */
+/* view/number in the state service: the number, the leader, the members. */
 #ifndef PEPPERPULLEY_VIEW_H
 #define PEPPERPULLEY_VIEW_H
 
 #include "app/node.h"
 
-json_t *view_build(uint64_t number, const char *leader, uint64_t incarnation);
+json_t *view_build(const view_t *view);
 bool view_parse(const json_t *value, uint64_t stamp, view_t *view);
+/* Sets view/number to next, if it still is as at `stamp`, and adopts it. Lock not held. lease: also
+ * takes view/lease, as at lease_stamp, with this grant (0: leaves it). */
+state_result_t view_change(node_t *node, http_client_t *client, view_t *next, uint64_t stamp,
+                           uint64_t grant, uint64_t lease_stamp);
+/* Moves the token on, leader and members as they are; false: try again or look again. */
+bool view_renumber(node_t *node, http_client_t *client);
+/* Reads view/number and adopts it if it is newer. */
+void view_refresh(node_t *node, http_client_t *client);
 
 #endif
--- a/src/constants.h
+++ b/src/constants.h
@@ -27,6 +27,8 @@
     CONNECTION_MEMORY = 16 * 1024, /* bytes of HTTP buffers per connection: 300 of them are 5 MB */
     CONNECTIONS_SPARE = 100,      /* sockets kept for our own calls out of fd_limit */
     FRONT_CLIENTS = 10,           /* state connections of the front: one blocked each, 10 ms a call */
+    MESH_FRAME_MAX = 1 << 20,     /* bytes of a message between controllers; usual ones have 10 KB */
+    MESH_BATCH = 48,              /* items in one message */
     SENDERS = 6,                  /* threads that send direct commands: a hung machine blocks one 2 s */
     ENDED_CACHE = 4096,           /* final answers kept in memory, about 60 bytes each */
     PREEMPT_MOST = 24,            /* offers in one round that may stop others */
@@ -63,6 +65,13 @@
     CONTACT_MARGIN_MS = 3000,     /* kept below cancel_s - lease_s for a report under way */
     SETTLE_MS = 4000,             /* a new leader waits for reports before it judges silence or rents */
     RENUMBER_GAP_MS = 15000,      /* least time between token moves made only to allow a forget */
+    MESH_TIMEOUT_MS = 1500,       /* an exchange between controllers; the answer is held back for less */
+    MESH_HOLD_MS = 200,           /* the leader holds an answer so long for something to say */
+    MESH_IDLE_MS = 15000,         /* a connection without a call for so long is closed */
+    MESH_GAP_MS = 20,             /* between exchanges; batches what comes in a burst */
+    MESH_RETRY_MS = 300,          /* after a failed one */
+    MEMBER_SETTLE_MS = 300,       /* changes of membership within it make one view */
+    MEMBER_TICK_MS = 250,         /* between looks at the membership */
     KEEP_MS = 20000,              /* so long a worker that can't reach its owner stays before a new try */
     KEPT_WRITE_MS = 3000,         /* between writes of the kept list: a third of a write a second */
     GUEST_FORGET_MS = 60000,      /* a worker that long gone from here is forgotten */
@@ -75,10 +84,11 @@
 };
 
 /* Shares of the outside services' budgets (1 = all of it). Three nodes together stay below 1. */
-#define SHARE_LEADER_RPS 0.45  /* commits, reads, cloud records */
-#define SHARE_LEADER_WRITE 0.60
-#define SHARE_FRONT_RPS 0.15   /* each of three fronts */
-#define SHARE_FRONT_WRITE 0.12 /* each of three fronts: submissions and aborts */
+#define SHARE_LEADER_WRITE 0.34 /* its part's commits and every job's progress */
+#define SHARE_PART_WRITE 0.18   /* each other part's commits */
+#define SHARE_CORE_RPS 0.15     /* each node's own loops */
+#define SHARE_FRONT_RPS 0.18    /* each of three fronts */
+#define SHARE_FRONT_WRITE 0.10  /* each of three fronts: submissions and aborts */
 
 /* Renting. */
 #define RENT_PATIENCE_URGENT_S 15.0 /* urgent work shares a machine's room only within that */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -52,6 +52,8 @@
     g_array_append_val(leader->once, once);
     leader->rows = g_ptr_array_new_with_free_func(rows_free);
     g_ptr_array_set_size(leader->rows, (gint)parts);
+    leader->yields = g_ptr_array_new_with_free_func(rows_free);
+    g_ptr_array_set_size(leader->yields, (gint)parts);
     return leader;
 }
 
@@ -61,6 +63,7 @@
     g_hash_table_unref(leader->live);
     g_array_unref(leader->teams);
     g_ptr_array_unref(leader->rows);
+    g_ptr_array_unref(leader->yields);
     g_array_unref(leader->once);
     g_free(leader);
 }
@@ -106,7 +109,7 @@
     job->live = g_malloc0(bits_bytes(spec->tasks));
     job->chunk_stamps = g_array_new(FALSE, TRUE, sizeof(uint64_t));
     g_array_set_size(job->chunk_stamps, chunk_count(spec->tasks));
-    job->unsettled = g_array_new(FALSE, FALSE, sizeof(task_ref_t));
+    job->unsettled = g_array_new(FALSE, FALSE, sizeof(settle_t));
     job->zone_live = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     job->first_pending = now;
     g_hash_table_insert(leader->jobs, job->spec.id, job);
@@ -347,9 +350,18 @@
     return chosen;
 }
 
-void leader_set_yielding(leader_t *leader, guint team, double cpus)
+void leader_set_yielding(leader_t *leader, guint part, GArray *cpus)
 {
-    g_array_index(leader->teams, team_state_t, team).yielding = cpus;
+    rows_free(g_ptr_array_index(leader->yields, part));
+    g_ptr_array_index(leader->yields, part) = cpus;
+    for (guint team = 0; team < leader->teams->len; team++) {
+        double sum = 0;
+        for (guint i = 0; i < leader->yields->len; i++) {
+            const GArray *list = g_ptr_array_index(leader->yields, i);
+            sum += list && team < list->len ? g_array_index(list, double, team) : 0;
+        }
+        g_array_index(leader->teams, team_state_t, team).yielding = sum;
+    }
 }
 
 /* Whose work may be stopped for this team's: that of teams beyond their own guarantee. */
@@ -565,17 +577,19 @@
     return live && live->ref.attempt == ref->attempt;
 }
 
-void leader_placed(leader_t *leader, const task_ref_t *ref, const char *zone)
+GArray *leader_out(const leader_t *leader, const char *job)
 {
-    live_t *live = g_hash_table_lookup(leader->live, ref);
-    if (!live || strcmp(live->zone, zone) == 0)
-        return;
-    job_t *job = g_hash_table_lookup(leader->jobs, ref->job);
-    if (job) {
-        zone_count(job, live->zone, -1);
-        zone_count(job, zone, 1);
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(settle_t));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, leader->live);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const live_t *live = value;
+        settle_t entry = {.ref = live->ref, .part = live->part};
+        if (strcmp(live->ref.job, job) == 0)
+            g_array_append_val(out, entry);
     }
-    g_strlcpy(live->zone, zone, sizeof live->zone);
+    return out;
 }
 
 static void job_failed(job_t *job, cause_t cause, msec_t now)
@@ -592,7 +606,7 @@
     }
 }
 
-void leader_outcome(leader_t *leader, const outcome_t *outcome, msec_t now)
+void leader_outcome(leader_t *leader, guint part, const outcome_t *outcome, msec_t now)
 {
     uint32_t task = outcome->ref.task;
     job_t *job = live_drop(leader, &outcome->ref);
@@ -605,7 +619,8 @@
             job->n_done++;
         }
         job->dirty_chunks |= 1u << (task / CHUNK_BITS);
-        g_array_append_val(job->unsettled, outcome->ref);
+        settle_t settle = {.ref = outcome->ref, .part = part};
+        g_array_append_val(job->unsettled, settle);
         return;
     }
     job->cursor = MIN(job->cursor, task);
@@ -698,7 +713,7 @@
         }
         job->dirty_chunks = 0;
         job->settling = job->unsettled;
-        job->unsettled = g_array_new(FALSE, FALSE, sizeof(task_ref_t));
+        job->unsettled = g_array_new(FALSE, FALSE, sizeof(settle_t));
     }
     return batch;
 }
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -18,6 +18,7 @@
     char zone[LABEL_SIZE];
     bool spot;
     bool open; /* takes starts */
+    bool draining;
     room_t total;
     room_t free;
     guint attempts;
@@ -26,6 +27,12 @@
     msec_t known_ms;  /* since the part first knew it */
 } machine_row_t;
 
+/* An attempt that its part may forget once its finish is durable. */
+typedef struct {
+    task_ref_t ref;
+    guint part;
+} settle_t;
+
 typedef struct {
     job_spec_t spec;
     uint64_t stamp; /* of jobs/<id> */
@@ -36,7 +43,7 @@
     uint32_t cursor; /* no pending task below it */
     GArray *chunk_stamps; /* uint64_t; 0: no key */
     uint32_t dirty_chunks;
-    GArray *unsettled; /* task_ref_t: attempts whose finish is not durable yet */
+    GArray *unsettled; /* settle_t: attempts whose finish is not durable yet */
     GArray *settling;  /* those in the commit under way */
     bool ending;       /* its end is in the commit under way */
     guint errors;      /* since the last success */
@@ -76,6 +83,7 @@
     GHashTable *targets; /* class -> targets_t, from the aims; borrowed */
     GArray *once;       /* the target of a deadline that no aim names */
     GPtrArray *rows;    /* part -> GArray of machine_row_t, owned */
+    GPtrArray *yields;  /* part -> GArray of double, a team each, owned */
     guint turn;
     guint preempting; /* offers of this round that may stop others */
 } leader_t;
@@ -93,17 +101,17 @@
 
 /* Hands over a part's rows; takes ownership. */
 void leader_set_rows(leader_t *leader, guint part, GArray *rows);
-/* Cpus of the team's work that is being stopped, over all parts. */
-void leader_set_yielding(leader_t *leader, guint team, double cpus);
+/* Cpus of each team's work that the part is stopping for others; takes ownership. */
+void leader_set_yielding(leader_t *leader, guint part, GArray *cpus);
 /* Offers for what can be placed now; now in steady milliseconds, day_ms the time of day.
  * Returns an array of leader_offer_t, at most `most`. */
 GArray *leader_schedule(leader_t *leader, msec_t now, int64_t day_ms, guint most);
-/* The part placed it on a machine of this zone. */
-void leader_placed(leader_t *leader, const task_ref_t *ref, const char *zone);
 /* Whether the attempt is offered or recorded and not over. */
 bool leader_is_out(const leader_t *leader, const task_ref_t *ref);
 /* An attempt is over, or an offer was refused (CAUSE_FULL). */
-void leader_outcome(leader_t *leader, const outcome_t *outcome, msec_t now);
+void leader_outcome(leader_t *leader, guint part, const outcome_t *outcome, msec_t now);
+/* Attempts of the job that are out. Array of settle_t. */
+GArray *leader_out(const leader_t *leader, const char *job);
 
 /* Room asked for by tasks that have no machine yet, with the jobs' limits applied. */
 typedef struct {
@@ -126,7 +134,7 @@
     GArray *old_stamps; /* owned; chunk stamps to delete, when end */
 } progress_t;
 GArray *leader_progress_take(leader_t *leader, guint max_ops, guint *ops);
-/* settled: array of task_ref_t to append the attempts to that may now be forgotten. */
+/* settled: array of settle_t to append the attempts to that may now be forgotten. */
 void leader_progress_commit(leader_t *leader, const GArray *batch, uint64_t revision,
                             GArray *settled);
 void leader_progress_undo(leader_t *leader, const GArray *batch);
--- /dev/null
+++ b/src/core/owner.c
@@ -0,0 +1,25 @@
+#include "core/owner.h"
+
+#include <string.h>
+
+#include <xxhash.h>
+
+guint owner_of(const member_t *members, guint count, const char *machine, const char *zone)
+{
+    bool local = false;
+    guint owner = 0;
+    uint64_t highest = 0;
+    for (guint i = 0; i < count; i++)
+        local = local || strcmp(members[i].zone, zone) == 0;
+    for (guint i = 0; i < count; i++) {
+        if (local && strcmp(members[i].zone, zone) != 0)
+            continue;
+        uint64_t seed = XXH64(members[i].name, strlen(members[i].name), 0);
+        uint64_t weight = XXH64(machine, strlen(machine), seed);
+        if (weight >= highest) {
+            highest = weight;
+            owner = i;
+        }
+    }
+    return owner;
+}
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -324,13 +324,6 @@
     return attempt && attempt->ref.attempt == ref->attempt ? attempt : NULL;
 }
 
-void part_withdraw(part_t *part, const task_ref_t *ref)
-{
-    attempt_t *attempt = find_ref(part, ref);
-    if (attempt && !attempt->in_record && attempt->batch == BATCH_NONE)
-        attempt_drop(part, attempt);
-}
-
 static void tell(part_t *part, const attempt_t *attempt)
 {
     outcome_t outcome = {.ref = attempt->ref,
@@ -340,6 +333,15 @@
     g_array_append_val(part->outcomes, outcome);
 }
 
+void part_withdraw(part_t *part, const task_ref_t *ref, msec_t now)
+{
+    attempt_t *attempt = find_ref(part, ref);
+    if (!attempt)
+        return;
+    part_stop(part, attempt, now);
+    attempt->machine->dirty = true; /* one not recorded goes with the next round */
+}
+
 /* Proof stands: the attempt is over. One not yet recorded leaves with its batch's end. */
 static void attempt_over(part_t *part, attempt_t *attempt, cause_t cause)
 {
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -156,8 +156,8 @@
 machine_t *part_place(part_t *part, const offer_t *offer, msec_t now);
 /* Cpus of a team's work that is being stopped for others. */
 double part_yielding(const part_t *part, const char *team);
-/* Takes back what was placed and is not recorded yet. */
-void part_withdraw(part_t *part, const task_ref_t *ref);
+/* Takes back what was placed: dropped and told if it is not recorded yet, else stopped. */
+void part_withdraw(part_t *part, const task_ref_t *ref, msec_t now);
 /* Room that neither reports nor reservations take. */
 room_t part_free_room(const machine_t *machine);
 
