--- a/src/app/mesh.c
+++ b/src/app/mesh.c
@@ -1,4 +1,8 @@
-/* The exchange between the leader and the parts. Each part calls the leader, over and over: what it
+/* The exchange between the leader and the parts, by sockets or, where those fail, by mail: the same
+ * messages as values in the state service, which a cut between zones leaves in reach. What is late
+ * or repeated there is as harmless as on a socket, by the numbers that the messages bear.
+ *
+ * Each part calls the leader, over and over: what it
  * has to tell goes with the call, what the leader wants comes with the answer, which the leader
  * holds back for a moment while it has nothing to say. */
 #include <string.h>
@@ -73,6 +77,9 @@
     pthread_mutex_lock(&node->lock);
     uint64_t generation = node->generation;
     link_t *link = hear_part(node, note);
+    guint index = 0;
+    if (link && is_member(node, note, &index))
+        node->heard[index] = clock_steady();
     msec_t until = clock_steady() + MESH_HOLD_MS;
     while (link && !link_busy(link) && clock_steady() < until) {
         node_wait(node, &node->mesh, MESH_HOLD_MS);
@@ -84,6 +91,124 @@
     return frame;
 }
 
+static bool write_mail(node_t *node, http_client_t *client, const char *direction,
+                       const char *name, const GByteArray *frame)
+{
+    char key[ID_SIZE + 16];
+    char *text = g_base64_encode(frame->data, frame->len);
+    txn_t txn = txn_new();
+    g_snprintf(key, sizeof key, "mail/%s/%s", direction, name);
+    txn_set(&txn, key, json_pack("{s:s}", "Message", text), 0);
+    budget_charge(&node->core_rps, 1, clock_steady());
+    budget_charge(&node->core_write, 1, clock_steady());
+    bool written =
+        state_commit(&node->state, client, &txn, STATE_TIMEOUT_MS, NULL, NULL) == STATE_OK;
+    txn_free(&txn);
+    g_free(text);
+    return written;
+}
+
+static bool open_mail(const state_entry_t *entry, mesh_note_t *note)
+{
+    gsize size = 0;
+    const char *text = json_string_value(json_object_get(entry->value, "Message"));
+    guchar *data = text ? g_base64_decode(text, &size) : NULL;
+    bool valid = data && mesh_decode(data, size, note);
+    g_free(data);
+    return valid;
+}
+
+/* The leader's side of the mail: answers every letter that is new. */
+static void answer_mail(node_t *node, http_client_t *client, GHashTable *stamps)
+{
+    GArray *letters = state_entries_new();
+    budget_charge(&node->core_rps, 1, clock_steady());
+    if (state_list(&node->state, client, "mail/up/", letters, NULL) != STATE_OK)
+        g_array_set_size(letters, 0);
+    for (guint i = 0; i < letters->len; i++) {
+        const state_entry_t *letter = &g_array_index(letters, state_entry_t, i);
+        mesh_note_t note;
+        if (GPOINTER_TO_SIZE(g_hash_table_lookup(stamps, letter->key)) == letter->stamp)
+            continue;
+        g_hash_table_insert(stamps, g_strdup(letter->key), GSIZE_TO_POINTER(letter->stamp));
+        if (!open_mail(letter, &note))
+            continue;
+        pthread_mutex_lock(&node->lock);
+        link_t *link = hear_part(node, &note);
+        GByteArray *frame = link ? compose(node, link, false) : NULL;
+        pthread_mutex_unlock(&node->lock);
+        if (frame) {
+            write_mail(node, client, "down", note.sender, frame);
+            g_byte_array_unref(frame);
+        }
+        mesh_note_clear(&note);
+    }
+    g_array_unref(letters);
+}
+
+/* With the lock held: some member has not called for a while. */
+static bool misses_part(const node_t *node, msec_t now)
+{
+    if (!node->leading || !node->loaded || now - node->loaded_at < MAIL_AFTER_MS)
+        return false;
+    for (guint i = 0; i < node->view.count; i++)
+        if (i != node->own && now - node->heard[i] > MAIL_AFTER_MS)
+            return true;
+    return false;
+}
+
+void *mail_run(void *data)
+{
+    node_t *node = data;
+    http_client_t *client = http_client_new(2);
+    GHashTable *stamps = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (;;) {
+        pthread_mutex_lock(&node->lock);
+        bool missing = misses_part(node, clock_steady());
+        pthread_mutex_unlock(&node->lock);
+        if (missing)
+            answer_mail(node, client, stamps);
+        node_sleep(MAIL_GAP_MS);
+    }
+    return NULL;
+}
+
+/* With the lock held: what the leader answered. */
+static void hear_leader(node_t *node, const mesh_note_t *note)
+{
+    node->superseded = MAX(node->superseded, note->view);
+    if (!node->loaded || note->view != node->view.number ||
+        note->incarnation != node->view.incarnation)
+        return;
+    link_ack(node->uplink, note->ack);
+    if (!note->items->len || !link_accept(node->uplink, note->number))
+        return;
+    for (guint i = 0; i < note->items->len; i++)
+        node_obey(node, &g_array_index(note->items, link_item_t, i), clock_steady());
+}
+
+/* The part's side: a letter up, and whatever letter lies there for us. */
+static void exchange_mail(node_t *node, http_client_t *client, const GByteArray *frame)
+{
+    char key[ID_SIZE + 16];
+    state_entry_t entry = {0};
+    mesh_note_t note;
+    if (!write_mail(node, client, "up", node->settings->name, frame))
+        return;
+    node_sleep(MAIL_GAP_MS);
+    g_snprintf(key, sizeof key, "mail/down/%s", node->settings->name);
+    budget_charge(&node->core_rps, 1, clock_steady());
+    if (state_get(&node->state, client, key, STATE_TIMEOUT_MS, &entry) == STATE_OK &&
+        open_mail(&entry, &note)) {
+        pthread_mutex_lock(&node->lock);
+        hear_leader(node, &note);
+        pthread_mutex_unlock(&node->lock);
+        mesh_note_clear(&note);
+    }
+    g_free(entry.key);
+    json_decref(entry.value);
+}
+
 typedef struct {
     node_t *node;
     int fd;
@@ -144,20 +269,6 @@
     return NULL;
 }
 
-/* With the lock held: what the leader answered. */
-static void hear_leader(node_t *node, const mesh_note_t *note)
-{
-    node->superseded = MAX(node->superseded, note->view);
-    if (!node->loaded || note->view != node->view.number ||
-        note->incarnation != node->view.incarnation)
-        return;
-    link_ack(node->uplink, note->ack);
-    if (!note->items->len || !link_accept(node->uplink, note->number))
-        return;
-    for (guint i = 0; i < note->items->len; i++)
-        node_obey(node, &g_array_index(note->items, link_item_t, i), clock_steady());
-}
-
 static bool exchange(node_t *node, int fd, const GByteArray *frame)
 {
     mesh_note_t note;
@@ -179,7 +290,9 @@
 void *mesh_run(void *data)
 {
     node_t *node = data;
+    http_client_t *client = http_client_new(2);
     char connected[ADDRESS_SIZE] = "";
+    msec_t reached = clock_steady();
     int fd = -1;
     for (;;) {
         char endpoint[ADDRESS_SIZE] = "";
@@ -203,6 +316,10 @@
             g_strlcpy(connected, endpoint, sizeof connected);
         }
         bool done = fd >= 0 && exchange(node, fd, frame);
+        if (done)
+            reached = clock_steady();
+        else if (clock_steady() - reached > MAIL_AFTER_MS)
+            exchange_mail(node, client, frame);
         g_byte_array_unref(frame);
         if (!done && fd >= 0) {
             close(fd);
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -69,6 +69,7 @@
     node_thread(member_run, node);
     node_thread(mesh_run, node);
     node_thread(mesh_serve_run, node);
+    node_thread(mail_run, node);
     node_thread(follow_run, node);
     node_thread(placer_run, node);
     node_thread(cloud_run, node);
@@ -149,6 +150,7 @@
             node->own = i;
         if (view->members[i].incarnation == view->incarnation)
             node->leader_index = i;
+        node->heard[i] = clock_steady();
         g_ptr_array_add(node->links, node->leading ? link_new() : NULL);
     }
     node->uplink = link_new();
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -85,6 +85,7 @@
     rental_t *rental;
     link_t *uplink;    /* our part's end, towards the leader */
     GPtrArray *links;  /* the leader's ends, a member each; NULL for its own */
+    msec_t heard[MEMBERS_MAX]; /* when each member last called by socket */
     GHashTable *ended;  /* id -> final state (static string); a bounded cache */
     GHashTable *guests; /* machine -> guest_t, owned */
 } node_t;
@@ -121,6 +122,7 @@
 void *member_run(void *node);
 void *mesh_run(void *node);
 void *mesh_serve_run(void *node);
+void *mail_run(void *node);
 void *follow_run(void *node);
 void *placer_run(void *node);
 void *sender_run(void *node);
--- a/src/constants.h
+++ b/src/constants.h
@@ -28,7 +28,7 @@
     CONNECTIONS_SPARE = 100,      /* sockets kept for our own calls out of fd_limit */
     FRONT_CLIENTS = 10,           /* state connections of the front: one blocked each, 10 ms a call */
     MESH_FRAME_MAX = 1 << 20,     /* bytes of a message between controllers; usual ones have 10 KB */
-    MESH_BATCH = 48,              /* items in one message */
+    MESH_BATCH = 32,              /* items in one message: one by mail stays below value_kb */
     SENDERS = 6,                  /* threads that send direct commands: a hung machine blocks one 2 s */
     ENDED_CACHE = 4096,           /* final answers kept in memory, about 60 bytes each */
     PREEMPT_MOST = 24,            /* offers in one round that may stop others */
@@ -69,6 +69,8 @@
     MESH_HOLD_MS = 200,           /* the leader holds an answer so long for something to say */
     MESH_IDLE_MS = 15000,         /* a connection without a call for so long is closed */
     MESH_GAP_MS = 20,             /* between exchanges; batches what comes in a burst */
+    MAIL_AFTER_MS = 2500,         /* without an exchange by socket for so long, mail is used */
+    MAIL_GAP_MS = 400,            /* between looks at the mail: few of the state service's requests */
     MESH_RETRY_MS = 300,          /* after a failed one */
     MEMBER_SETTLE_MS = 300,       /* changes of membership within it make one view */
     MEMBER_TICK_MS = 250,         /* between looks at the membership */
