--- a/src/app/mesh.c
+++ b/src/app/mesh.c
@@ -292,7 +292,8 @@
     node_t *node = data;
     http_client_t *client = http_client_new(2);
     char connected[ADDRESS_SIZE] = "";
-    msec_t reached = clock_steady();
+    msec_t reached = clock_steady(), told_at = 0;
+    uint64_t told = 0, generation = 0;
     int fd = -1;
     for (;;) {
         char endpoint[ADDRESS_SIZE] = "";
@@ -300,7 +301,15 @@
         pthread_mutex_lock(&node->lock);
         if (!node->leading && node->loaded && node->own != G_MAXUINT && leader_endpoint(node)) {
             g_strlcpy(endpoint, leader_endpoint(node), sizeof endpoint);
-            frame = compose(node, node->uplink, true);
+            /* Rows are most of a message: with news of batches, else at a slower pace. */
+            bool with_rows = node->uplink->received != told || node->generation != generation ||
+                             clock_steady() - told_at > MESH_ROWS_MS;
+            if (with_rows) {
+                told = node->uplink->received;
+                told_at = clock_steady();
+                generation = node->generation;
+            }
+            frame = compose(node, node->uplink, with_rows);
         } else {
             node_wait(node, &node->mesh, MEMBER_TICK_MS);
         }
@@ -321,6 +330,7 @@
         else if (clock_steady() - reached > MAIL_AFTER_MS)
             exchange_mail(node, client, frame);
         g_byte_array_unref(frame);
+        told_at = done ? told_at : 0;
         if (!done && fd >= 0) {
             close(fd);
             fd = -1;
--- a/src/constants.h
+++ b/src/constants.h
@@ -68,7 +68,8 @@
     MESH_TIMEOUT_MS = 1500,       /* an exchange between controllers; the answer is held back for less */
     MESH_HOLD_MS = 200,           /* the leader holds an answer so long for something to say */
     MESH_IDLE_MS = 15000,         /* a connection without a call for so long is closed */
-    MESH_GAP_MS = 20,             /* between exchanges; batches what comes in a burst */
+    MESH_ROWS_MS = 400,           /* between sums of a part that no new batch asks for */
+    MESH_GAP_MS = 50,             /* between exchanges; batches what comes in a burst */
     MAIL_AFTER_MS = 2500,         /* without an exchange by socket for so long, mail is used */
     MAIL_GAP_MS = 400,            /* between looks at the mail: few of the state service's requests */
     MESH_RETRY_MS = 300,          /* after a failed one */
