--- a/src/constants.h
+++ b/src/constants.h
@@ -97,7 +97,6 @@
 #define RENT_PATIENCE_URGENT_S 15.0 /* urgent work shares a machine's room only within that */
 #define RENT_PATIENCE_S 60.0        /* other waiting work may take turns on a machine that long */
 #define RENT_HEADROOM 1.10          /* asked above the want: least-loaded placement leaves gaps */
-#define RENT_RISK_S 20.0           /* waiting work that must start within it is worth an ordinary machine */
 #define RENT_LARGEST 0.6           /* a machine may be this share of all that is wanted */
 #define RENT_ROUND 0.25            /* of a machine: so little lacking is not worth another */
 #define RENT_KEEP 1.25              /* kept above the want before an idle machine goes back */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -246,11 +246,6 @@
     return queued;
 }
 
-double leader_slack(const leader_t *leader, job_t *job, int64_t day_ms)
-{
-    return (queue_entry(leader, job, day_ms).start - (double)day_ms) / 1000.0;
-}
-
 /* By priority; then what can still keep more of its targets; then by the latest start that
  * keeps the next one; then by age. */
 static gint compare_queued(gconstpointer left, gconstpointer right)
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -120,9 +120,6 @@
     uint32_t tasks;
 } demand_t;
 GArray *leader_demand(const leader_t *leader, msec_t now);
-/* Seconds until the job's waiting tasks must start to keep its next target; infinite: it has none
- * left to keep. */
-double leader_slack(const leader_t *leader, job_t *job, int64_t day_ms);
 
 /* Progress to make durable. */
 typedef struct {
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -112,24 +112,6 @@
     return promised;
 }
 
-static bool at_risk(const leader_t *leader, job_t *job, int64_t day_ms)
-{
-    return leader_slack(leader, job, day_ms) < RENT_RISK_S;
-}
-
-static double at_risk_cpus(const leader_t *leader, msec_t now, int64_t day_ms)
-{
-    double cpus = 0;
-    GArray *demand = leader_demand(leader, now);
-    for (guint i = 0; i < demand->len; i++) {
-        const demand_t *entry = &g_array_index(demand, demand_t, i);
-        if (at_risk(leader, entry->job, day_ms))
-            cpus += entry->tasks * entry->job->spec.need.cpus;
-    }
-    g_array_unref(demand);
-    return cpus;
-}
-
 rental_balance_t rental_balance(const rental_t *rental, const leader_t *leader,
                                 const GArray *flavors, msec_t now, int64_t day_ms)
 {
@@ -156,7 +138,6 @@
         room_add(&balance.booting, flavor->room, 1);
         balance.ordinary += boot->spot ? 0 : flavor->room.cpus;
     }
-    balance.at_risk = at_risk_cpus(leader, now, day_ms);
     return balance;
 }
 
@@ -235,7 +216,7 @@
             guint count = units_of(flavor, lack, small ? INFINITY : balance.wanted.cpus);
             for (char **zone = flavor->zones; count && *zone; zone++) {
                 for (int spot = 0; spot < 2; spot++) {
-                    bool promised = balance.ordinary + flavor->room.cpus <= balance.promised + balance.at_risk;
+                    bool promised = balance.ordinary + flavor->room.cpus <= balance.promised;
                     if (is_refused(rental, flavor->name, *zone, spot, now) ||
                         !is_useful(demand, flavor, *zone, spot, promised))
                         continue;
--- a/src/core/rental.h
+++ b/src/core/rental.h
@@ -15,8 +15,7 @@
 } boot_t;
 
 /* Ordinary machines cost a multiple of spot ones. They are rented for what is promised (the teams'
- * guarantees), for work that may not use spot and for work whose target is at risk; all else waits for
- * spot. */
+ * guarantees) and for work that may not use spot; all else waits for spot. */
 
 typedef struct {
     GHashTable *boots;   /* id -> boot_t, owned */
@@ -45,7 +44,6 @@
     room_t booting;
     double ordinary; /* cpus that stand or boot on ordinary machines */
     double promised; /* cpus guaranteed and asked for */
-    double at_risk;  /* cpus of waiting work whose next target is near */
 } rental_balance_t;
 rental_balance_t rental_balance(const rental_t *rental, const leader_t *leader,
                                 const GArray *flavors, msec_t now, int64_t day_ms);
