--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -250,7 +250,7 @@
     return (row->spot ? flavor->spot_price : flavor->price) / MAX(flavor->room.cpus, EPSILON);
 }
 
-const machine_row_t *rental_surplus(const rental_t *rental, const leader_t *leader,
+const machine_row_t *rental_surplus(rental_t *rental, const leader_t *leader,
                                     const GArray *flavors, msec_t now, int64_t day_ms)
 {
     rental_balance_t balance = rental_balance(rental, leader, flavors, now, day_ms);
@@ -260,18 +260,24 @@
         const GArray *rows = g_ptr_array_index(leader->rows, i);
         for (guint k = 0; rows && k < rows->len; k++) {
             const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            if (!row->open || row->attempts || row->idle_ms < IDLE_KEEP_MS ||
+            if (!row->open ||
                 balance.standing.cpus - row->total.cpus < balance.wanted.cpus * RENT_KEEP ||
                 balance.standing.memory - row->total.memory < balance.wanted.memory * RENT_KEEP)
                 continue;
-            double price = row_price(row, flavors);
+            /* Dear ones first; of equals the emptiest, which is free soonest. */
+            double price = row_price(row, flavors) * (2 - (row->total.cpus - row->free.cpus) /
+                                                              MAX(row->total.cpus, EPSILON));
             if (!worst || price > worst_price) {
                 worst = row;
                 worst_price = price;
             }
         }
     }
-    return worst;
+    if (!worst)
+        rental->surplus_since = 0;
+    else if (rental->surplus_since == 0)
+        rental->surplus_since = now;
+    return worst && now - rental->surplus_since >= IDLE_KEEP_MS ? worst : NULL;
 }
 
 GPtrArray *rental_stuck(const rental_t *rental, const GArray *flavors, msec_t now)
--- a/src/core/rental.h
+++ b/src/core/rental.h
@@ -19,6 +19,7 @@
 
 typedef struct {
     GHashTable *boots;   /* id -> boot_t, owned */
+    msec_t surplus_since; /* more stands than is wanted; 0: it does not */
     GHashTable *refused; /* "type zone kind" -> msec_t *: not asked again before it */
 } rental_t;
 
@@ -50,8 +51,9 @@
 /* The next rental to ask for; false: none. */
 bool rental_next(const rental_t *rental, const leader_t *leader, const GArray *flavors, msec_t now,
                  int64_t day_ms, rental_wish_t *wish);
-/* A machine to drain and return because less is wanted; NULL: none. Borrowed from the rows. */
-const machine_row_t *rental_surplus(const rental_t *rental, const leader_t *leader,
+/* A machine to drain and return because less has been wanted for a while; NULL: none. Borrowed from
+ * the rows. Least-loaded placement leaves few machines empty, so it need not be idle. */
+const machine_row_t *rental_surplus(rental_t *rental, const leader_t *leader,
                                     const GArray *flavors, msec_t now, int64_t day_ms);
 /* Ids of boots that took too long. Strings owned by the array. */
 GPtrArray *rental_stuck(const rental_t *rental, const GArray *flavors, msec_t now);
