--- a/src/constants.h
+++ b/src/constants.h
@@ -93,6 +93,9 @@
 #define SHARE_FRONT_RPS 0.18    /* each of three fronts */
 #define SHARE_FRONT_WRITE 0.10  /* each of three fronts: submissions and aborts */
 
+/* Preemption. */
+#define PREEMPT_COST_S 5.0 /* a stopped task waits and fetches again; larger ones find room later */
+
 /* Renting. */
 #define RENT_PATIENCE_URGENT_S 15.0 /* urgent work shares a machine's room only within that */
 #define RENT_PATIENCE_S 60.0        /* other waiting work may take turns on a machine that long */
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -189,13 +189,14 @@
     return yields && (attempt->entry.urgency < offer->urgency || (offer->claim && !same));
 }
 
-/* Work lost by a stop: what ran since the start, or at most since the last checkpoint. */
+/* Work lost by a stop, in cpu seconds: what ran since the start, or since the last checkpoint, and the
+ * wait for a new place. */
 static double lost_work(const attempt_t *attempt, msec_t now)
 {
     double ran = (double)(now - attempt->listed_since) / 1000.0;
     if (attempt->entry.checkpoint_s > 0)
         ran = MIN(ran, attempt->entry.checkpoint_s / 2);
-    return ran * attempt->entry.need.cpus;
+    return (ran + PREEMPT_COST_S) * attempt->entry.need.cpus;
 }
 
 /* Cheapest first; lost work is compared as it was when the list was made. */
