--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -293,7 +293,7 @@
         add_once(names, g_ptr_array_index(stuck, i));
     g_ptr_array_unref(stuck);
     const machine_row_t *surplus =
-        now - node->loaded_at > IDLE_KEEP_MS
+        now - node->loaded_at > RETURN_AFTER_MS
             ? rental_surplus(node->rental, node->leader, node->flavors, now, clock_day())
             : NULL;
     if (surplus && find_row(node, surplus->machine, &part)) {
--- a/src/app/main.c
+++ b/src/app/main.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "app/node.h"
@@ -11,27 +12,35 @@
 
 typedef struct {
     char *config;
+    char *policy;
     gboolean version;
+    char **rest;
 } arguments_t;
 
+enum { EXIT_FAULT = 1, EXIT_USAGE = 2 };
+
 static bool parse_arguments(int *argc, char ***argv, arguments_t *arguments)
 {
     GError *error = NULL;
     const GOptionEntry entries[] = {
         {"config", 'c', 0, G_OPTION_ARG_FILENAME, &arguments->config,
          "the platform's settings file (JSON)", "FILE"},
+        {"policy", 'p', 0, G_OPTION_ARG_FILENAME, &arguments->policy,
+         "the operators' own settings", "FILE"},
         {"version", 'V', 0, G_OPTION_ARG_NONE, &arguments->version, "print the version", NULL},
+        {G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_FILENAME_ARRAY, &arguments->rest, NULL,
+         "[check FILE]"},
         {0}};
-    GOptionContext *context = g_option_context_new("- place array tasks on rented machines");
+    GOptionContext *context = g_option_context_new(NULL);
     g_option_context_add_main_entries(context, entries, NULL);
+    g_option_context_set_summary(context,
+                                 "Places array tasks on rented machines, as one of several "
+                                 "controllers.\nWith `check FILE`: reports every fault of an "
+                                 "operators' settings file.");
     g_option_context_set_description(context,
                                      "Environment:\n  LOG_LEVEL  error, info (default) or debug\n");
     bool parsed = g_option_context_parse(context, argc, argv, &error);
     g_option_context_free(context);
-    if (parsed && *argc > 1) {
-        fprintf(stderr, "pepperpulley: unexpected argument: %s\n", (*argv)[1]);
-        return false;
-    }
     if (!parsed) {
         fprintf(stderr, "pepperpulley: %s\n", error->message);
         g_error_free(error);
@@ -39,39 +48,84 @@
     return parsed;
 }
 
-int main(int argc, char **argv)
+/* Compiles the file, or the defaults for NULL; faults go to standard error, a line each. */
+static policy_t *load_policy(const char *path)
 {
-    arguments_t arguments = {0};
-    /* Many threads, little memory: one arena, and freed memory goes back soon. */
-    mallopt(M_ARENA_MAX, 1);
-    mallopt(M_TRIM_THRESHOLD, 256 * 1024);
-    if (!parse_arguments(&argc, &argv, &arguments))
-        return 2;
-    if (arguments.version) {
-        puts("pepperpulley " PEPPERPULLEY_VERSION);
-        return 0;
+    char *text = NULL;
+    GError *error = NULL;
+    if (!path)
+        return policy_default();
+    if (!g_file_get_contents(path, &text, NULL, &error)) {
+        fprintf(stderr, "pepperpulley: %s\n", error->message);
+        g_error_free(error);
+        return NULL;
     }
-    if (!arguments.config) {
-        fputs("pepperpulley: --config FILE is required, see --help\n", stderr);
-        return 2;
+    GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+    policy_t *policy = policy_compile(path, text, faults);
+    for (guint i = 0; i < faults->len; i++)
+        fprintf(stderr, "%s\n", (char *)g_ptr_array_index(faults, i));
+    g_ptr_array_unref(faults);
+    g_free(text);
+    return policy;
+}
+
+static int check_policy(char **rest)
+{
+    if (strcmp(rest[0], "check") != 0 || !rest[1] || rest[2]) {
+        fprintf(stderr, "pepperpulley: unexpected argument: %s\n", rest[0]);
+        return EXIT_USAGE;
     }
+    policy_t *policy = load_policy(rest[1]);
+    if (!policy)
+        return EXIT_FAULT;
+    policy_free(policy);
+    printf("%s: no faults\n", rest[1]);
+    return EXIT_SUCCESS;
+}
+
+static int serve(const arguments_t *arguments)
+{
+    char *error = NULL;
     if (log_set_level(getenv("LOG_LEVEL")) != 0) {
         fputs("pepperpulley: LOG_LEVEL: error, info or debug is expected\n", stderr);
-        return 2;
+        return EXIT_USAGE;
     }
-    char *error = NULL;
-    settings_t *settings = settings_load(arguments.config, &error);
+    policy_t *policy = load_policy(arguments->policy);
+    if (!policy)
+        return EXIT_USAGE;
+    settings_t *settings = settings_load(arguments->config, &error);
     if (!settings) {
         fprintf(stderr, "pepperpulley: %s\n", error);
-        return 2;
+        return EXIT_USAGE;
     }
     signal(SIGPIPE, SIG_IGN);
     http_start();
-    node_t *node = node_new(settings);
+    node_t *node = node_new(settings, policy);
     log_info("event=start version=%s host=%s incarnation=%" G_GUINT64_FORMAT, PEPPERPULLEY_VERSION,
              settings->name, node->incarnation);
     if (!node_start(node))
-        return 1;
+        return EXIT_FAULT;
     for (;;)
         pause();
 }
+
+int main(int argc, char **argv)
+{
+    arguments_t arguments = {0};
+    /* Many threads, little memory: one arena, and freed memory goes back soon. */
+    mallopt(M_ARENA_MAX, 1);
+    mallopt(M_TRIM_THRESHOLD, 256 * 1024);
+    if (!parse_arguments(&argc, &argv, &arguments))
+        return EXIT_USAGE;
+    if (arguments.version) {
+        puts("pepperpulley " PEPPERPULLEY_VERSION);
+        return EXIT_SUCCESS;
+    }
+    if (arguments.rest)
+        return check_policy(arguments.rest);
+    if (!arguments.config) {
+        fputs("pepperpulley: --config FILE is required, see --help\n", stderr);
+        return EXIT_USAGE;
+    }
+    return serve(&arguments);
+}
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -14,11 +14,12 @@
     g_free(job);
 }
 
-node_t *node_new(const settings_t *settings)
+node_t *node_new(const settings_t *settings, const policy_t *policy)
 {
     node_t *node = g_new0(node_t, 1);
     msec_t now = clock_steady();
     node->settings = settings;
+    node->policy = policy;
     arc4random_buf(&node->incarnation, sizeof node->incarnation);
     node->incarnation >>= 2; /* fits a signed JSON integer */
     state_init(&node->state, settings->state, now);
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -49,6 +49,7 @@
 
 typedef struct {
     const settings_t *settings;
+    const policy_t *policy;
     uint64_t incarnation;
     state_t state;
     budget_t core_rps, core_write; /* member, follow, placer, cloud */
@@ -90,7 +91,8 @@
     GHashTable *guests; /* machine -> guest_t, owned */
 } node_t;
 
-node_t *node_new(const settings_t *settings);
+/* Both are borrowed for the life of the process. */
+node_t *node_new(const settings_t *settings, const policy_t *policy);
 /* Starts every loop and the HTTP server; false with a message logged. */
 bool node_start(node_t *node);
 
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -102,11 +102,12 @@
     g_clear_pointer(&node->leader, leader_free);
     if (!node->rental)
         node->rental = rental_new();
-    node->part = part_new(node->flavors, node->settings->teams, RESERVATION_LAPSE_MS);
+    node->part = part_new(node->flavors, node->settings->teams,
+                          (msec_t)(knob_value(node->policy, KNOB_RESERVATION_LAPSE) * 1000));
     part_set_view(node->part, node->view.number);
     if (node->leading) {
         node->leader =
-            leader_new(node->settings->teams, node->settings->targets, node->view.count);
+            leader_new(node->settings->teams, node->settings->targets, node->policy, node->view.count);
         leader_set_view(node->leader, node->view.number);
         load_jobs(node, listing->jobs, now);
         load_done(node, listing->done);
@@ -348,7 +349,7 @@
     double left = budget_left(&node->core_write, now);
     guint most = left < 1 ? 0 : MIN((guint)left, node->settings->txn_ops);
     if (node->leading) {
-        make_offers(node, now, PLACE_MOST);
+        make_offers(node, now, (guint)knob_value(node->policy, KNOB_OFFERS_PER_ROUND));
         batch->progress = leader_progress_take(node->leader, most, &batch->ops);
     }
     batch->machines = part_batch_take(node->part, most - batch->ops,
--- a/src/constants.h
+++ b/src/constants.h
@@ -31,15 +31,12 @@
     MESH_BATCH = 32,              /* items in one message: one by mail stays below value_kb */
     SENDERS = 6,                  /* threads that send direct commands: a hung machine blocks one 2 s */
     ENDED_CACHE = 4096,           /* final answers kept in memory, about 60 bytes each */
-    PREEMPT_MOST = 24,            /* offers in one round that may stop others */
-    PLACE_MOST = 64,              /* offers in one round: about what one commit can record */
     JOB_ERRORS_ALARM = 4,         /* failures of one job on as many machines: the job is bad */
     MACHINE_ERRORS_ALARM = 3      /* failures of distinct sound jobs: the machine is bad */
 };
 
 /* Durations in milliseconds. */
 enum {
-    RESERVATION_LAPSE_MS = 30000, /* DESIGN: unconfirmed reservations lapse */
     GRANT_LIFE_MS = 4000,         /* leader's grant: replaced well inside the shortest lease of 10 s */
     GRANT_EXTEND_MS = 1000,       /* three tries before the grant ends */
     ELECT_POLL_MS = 500,          /* between tries to read the view while it cannot be read */
@@ -82,7 +79,7 @@
     HOME_TRY_MS = 6000,           /* a worker sent to the leader and back within it can't reach it */
     PREEMPT_PROTECT_MS = 2000,    /* a start is not preempted in its first moments */
     BOOT_PATIENCE_MS = 30000,     /* added to three times BootS before a boot is given up */
-    IDLE_KEEP_MS = 40000,         /* a fresh machine costs a boot of 15 to 40 s and its images */
+    RETURN_AFTER_MS = 40000,      /* a new leader learns the demand before it returns machines */
     SHUT_OUT_MS = 3000            /* /ready turns 503 after so long without the state service */
 };
 
@@ -97,12 +94,9 @@
 #define PREEMPT_COST_S 5.0 /* a stopped task waits and fetches again; larger ones find room later */
 
 /* Renting. */
-#define RENT_PATIENCE_URGENT_S 15.0 /* urgent work shares a machine's room only within that */
-#define RENT_PATIENCE_S 60.0        /* other waiting work may take turns on a machine that long */
-#define RENT_HEADROOM 1.10          /* asked above the want: least-loaded placement leaves gaps */
+#define RENT_PATIENCE_LEAST_S 15.0  /* work near its deadline shares a machine's room only within that */
 #define RENT_LARGEST 0.6           /* a machine may be this share of all that is wanted */
 #define RENT_ROUND 0.25            /* of a machine: so little lacking is not worth another */
-#define RENT_KEEP 1.25              /* kept above the want before an idle machine goes back */
 #define RENT_SPREAD 0.02            /* price added per machine of the same type, zone and kind */
 
 #define EPSILON 1e-6 /* in cpus and GB: below any amount in use */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -36,7 +36,8 @@
         g_array_unref(data);
 }
 
-leader_t *leader_new(const GArray *teams, GHashTable *targets, guint parts)
+leader_t *leader_new(const GArray *teams, GHashTable *targets, const policy_t *policy,
+                     guint parts)
 {
     leader_t *leader = g_new0(leader_t, 1);
     leader->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
@@ -47,6 +48,7 @@
         g_array_append_val(leader->teams, state);
     }
     leader->targets = targets;
+    leader->policy = policy;
     const double once = 1;
     leader->once = g_array_new(FALSE, FALSE, sizeof(double));
     g_array_append_val(leader->once, once);
@@ -104,6 +106,8 @@
     job_t *job = g_new0(job_t, 1);
     job->spec = *spec;
     job->spec.types = g_strdupv(spec->types);
+    job->spec.spot =
+        spec->spot && knob_for_job(leader->policy, KNOB_USE_SPOT, spec) != 0;
     job->stamp = stamp;
     job->done = g_malloc0(bits_bytes(spec->tasks));
     job->live = g_malloc0(bits_bytes(spec->tasks));
@@ -380,13 +384,14 @@
 static bool may_preempt(leader_t *leader, const team_state_t *state, const job_t *job,
                         offer_t *offer)
 {
-    if (leader->preempting >= PREEMPT_MOST || job->spec.same_zone || job->spec.spread ||
+    if (leader->preempting >= knob_value(leader->policy, KNOB_PREEMPTIONS_PER_ROUND) || job->spec.same_zone || job->spec.spread ||
         job->spec.kind == KIND_GANG)
         return false;
     offer->victims = borrowers(leader, state);
     offer->claim = state->cpus + job->spec.need.cpus <= state->team.cpus + EPSILON;
     /* Measured: stopping low work for every normal task threw away more than it brought forward. */
-    offer->preempt = job->spec.urgency >= URGENCY_HIGH || (offer->claim && offer->victims);
+    bool wanted = knob_for_job(leader->policy, KNOB_PREEMPT, &job->spec) != 0;
+    offer->preempt = wanted || (offer->claim && offer->victims);
     leader->preempting += offer->preempt;
     return offer->preempt;
 }
@@ -440,7 +445,7 @@
         g_strlcpy(offer->zone, job->spec.zone, sizeof offer->zone);
     offer->types = job->spec.types;
     offer->need = job->spec.need;
-    offer->spot = job->spec.spot;
+    offer->spot = job->spec.spot; /* as the operators' settings left it */
     offer->gang = job->spec.kind == KIND_GANG;
     offer->urgency = job->spec.urgency;
     offer->save_s = job->spec.save_s;
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -8,6 +8,7 @@
 #ifndef PEPPERPULLEY_LEADER_H
 #define PEPPERPULLEY_LEADER_H
 
+#include "core/knobs.h"
 #include "core/part.h"
 #include "core/types.h"
 
@@ -81,6 +82,7 @@
     GHashTable *live;   /* task_ref_t -> live_t, owned */
     GArray *teams;      /* team_state_t */
     GHashTable *targets; /* class -> targets_t, from the aims; borrowed */
+    const policy_t *policy; /* borrowed */
     GArray *once;       /* the target of a deadline that no aim names */
     GPtrArray *rows;    /* part -> GArray of machine_row_t, owned */
     GPtrArray *yields;  /* part -> GArray of double, a team each, owned */
@@ -88,7 +90,8 @@
     guint preempting; /* offers of this round that may stop others */
 } leader_t;
 
-leader_t *leader_new(const GArray *teams, GHashTable *targets, guint parts);
+leader_t *leader_new(const GArray *teams, GHashTable *targets, const policy_t *policy,
+                     guint parts);
 void leader_free(leader_t *leader);
 void leader_set_view(leader_t *leader, uint64_t view);
 
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -61,16 +61,14 @@
 
 /* Seconds within which the waiting work of a job should be under way: the sooner it is due, the
  * more machines it deserves at once. */
-static double patience(const job_t *job, int64_t day_ms)
+static double patience(const leader_t *leader, const job_t *job, int64_t day_ms)
 {
-    if (job->spec.urgency >= URGENCY_HIGH)
-        return RENT_PATIENCE_URGENT_S;
-    if (job->spec.deadline_s > 0) {
-        double due = (double)(job->spec.submitted_ms - day_ms) / 1000.0 + job->spec.deadline_s -
-                     job->spec.estimate_s;
-        return CLAMP(due, RENT_PATIENCE_URGENT_S, RENT_PATIENCE_S);
-    }
-    return RENT_PATIENCE_S;
+    double most = knob_for_job(leader->policy, KNOB_RENT_PATIENCE, &job->spec);
+    if (job->spec.deadline_s <= 0)
+        return most;
+    double due = (double)(job->spec.submitted_ms - day_ms) / 1000.0 + job->spec.deadline_s -
+                 job->spec.estimate_s;
+    return CLAMP(due, MIN(most, RENT_PATIENCE_LEAST_S), most);
 }
 
 static room_t wanted_room(const leader_t *leader, msec_t now, int64_t day_ms)
@@ -86,7 +84,7 @@
         const demand_t *entry = &g_array_index(demand, demand_t, i);
         const job_spec_t *spec = &entry->job->spec;
         /* Tasks that one machine's room can run one after the other in time need it once. */
-        double rounds = MAX(1, patience(entry->job, day_ms) / MAX(spec->estimate_s, 1));
+        double rounds = MAX(1, patience(leader, entry->job, day_ms) / MAX(spec->estimate_s, 1));
         room_add(&wanted, spec->need, MAX(entry->tasks / rounds, MIN(entry->tasks, 1.0)));
     }
     g_array_unref(demand);
@@ -175,13 +173,14 @@
 
 /* Some waiting job can use such a machine. An ordinary one is for work that may not use spot, or
  * within what is promised. */
-static bool is_useful(const GArray *demand, const flavor_t *flavor, const char *zone, bool spot,
-                      bool promised)
+static bool is_useful(const policy_t *policy, const GArray *demand, const flavor_t *flavor,
+                      const char *zone, bool spot, bool promised)
 {
     for (guint i = 0; i < demand->len; i++) {
         const job_spec_t *spec = &g_array_index(demand, demand_t, i).job->spec;
         if (job_spec_allows(spec, flavor->name, zone, spot) &&
-            room_fits(spec->need, flavor->room) && (spot || promised || !spec->spot))
+            room_fits(spec->need, flavor->room) && (spot || promised || !spec->spot ||
+             knob_for_job(policy, KNOB_RENT_ORDINARY, spec) != 0))
             return true;
     }
     return false;
@@ -203,7 +202,7 @@
 {
     rental_balance_t balance = rental_balance(rental, leader, flavors, now, day_ms);
     room_t lack = {0};
-    room_add(&lack, balance.wanted, RENT_HEADROOM);
+    room_add(&lack, balance.wanted, knob_value(leader->policy, KNOB_RENT_HEADROOM));
     room_add(&lack, balance.standing, -1);
     room_add(&lack, balance.booting, -1);
     if (lack.cpus <= 0 && lack.memory <= 0)
@@ -218,7 +217,7 @@
                 for (int spot = 0; spot < 2; spot++) {
                     bool promised = balance.ordinary + flavor->room.cpus <= balance.promised;
                     if (is_refused(rental, flavor->name, *zone, spot, now) ||
-                        !is_useful(demand, flavor, *zone, spot, promised))
+                        !is_useful(leader->policy, demand, flavor, *zone, spot, promised))
                         continue;
                     double price = (spot ? flavor->spot_price : flavor->price) /
                                    MAX(flavor->room.cpus, EPSILON);
@@ -254,6 +253,7 @@
                                     const GArray *flavors, msec_t now, int64_t day_ms)
 {
     rental_balance_t balance = rental_balance(rental, leader, flavors, now, day_ms);
+    double keep = knob_value(leader->policy, KNOB_RENT_KEEP);
     const machine_row_t *worst = NULL;
     double worst_price = 0;
     for (guint i = 0; i < leader->rows->len; i++) {
@@ -261,8 +261,8 @@
         for (guint k = 0; rows && k < rows->len; k++) {
             const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
             if (!row->open ||
-                balance.standing.cpus - row->total.cpus < balance.wanted.cpus * RENT_KEEP ||
-                balance.standing.memory - row->total.memory < balance.wanted.memory * RENT_KEEP)
+                balance.standing.cpus - row->total.cpus < balance.wanted.cpus * keep ||
+                balance.standing.memory - row->total.memory < balance.wanted.memory * keep)
                 continue;
             /* Dear ones first; of equals the emptiest, which is free soonest. */
             double price = row_price(row, flavors) * (2 - (row->total.cpus - row->free.cpus) /
@@ -277,7 +277,11 @@
         rental->surplus_since = 0;
     else if (rental->surplus_since == 0)
         rental->surplus_since = now;
-    return worst && now - rental->surplus_since >= IDLE_KEEP_MS ? worst : NULL;
+    if (!worst)
+        return NULL;
+    double wait = knob_for_machine(leader->policy, KNOB_IDLE_KEEP, worst->type, worst->zone,
+                                   worst->spot, worst->total);
+    return (double)(now - rental->surplus_since) >= wait * 1000 ? worst : NULL;
 }
 
 GPtrArray *rental_stuck(const rental_t *rental, const GArray *flavors, msec_t now)
--- /dev/null
+++ b/src/policy/policy.c
@@ -0,0 +1,449 @@
+#include <math.h>
+#include <stdarg.h>
+#include <string.h>
+
+#include "policy/ast.h"
+#include "parser.h"
+
+int policy_yylex_init_extra(parse_t *extra, void **scanner);
+int policy_yylex_destroy(void *scanner);
+struct yy_buffer_state *policy_yy_scan_string(const char *text, void *scanner);
+
+enum { SCOPE_NONE = 0, SCOPE_JOB = 1, SCOPE_MACHINE = 2 };
+
+/* Deep nesting would take the parser's and the evaluator's stack. */
+enum { DEPTH_MAX = 64, TEXT_MAX = 64 * 1024 };
+
+static const char *const type_names[] = {"a boolean", "a plain number", "seconds", "cpus",
+                                         "gb",        "an urgency",     "a text",  "anything"};
+
+/* Defaults are written in the language itself. */
+static const struct {
+    const char *name;
+    policy_type_t type;
+    int scope;
+    double low, high;
+    const char *value;
+} knobs[KNOB_COUNT] = {
+    [KNOB_RESERVATION_LAPSE] = {"reservation_lapse", POLICY_SECONDS, SCOPE_NONE, 5, 600, "30 s"},
+    [KNOB_OFFERS_PER_ROUND] = {"offers_per_round", POLICY_NUMBER, SCOPE_NONE, 1, 500, "64"},
+    [KNOB_PREEMPTIONS_PER_ROUND] = {"preemptions_per_round", POLICY_NUMBER, SCOPE_NONE, 0, 200,
+                                    "24"},
+    [KNOB_RENT_HEADROOM] = {"rent_headroom", POLICY_NUMBER, SCOPE_NONE, 0.5, 3, "1.10"},
+    [KNOB_RENT_KEEP] = {"rent_keep", POLICY_NUMBER, SCOPE_NONE, 1, 5, "1.25"},
+    [KNOB_RENT_PATIENCE] = {"rent_patience", POLICY_SECONDS, SCOPE_JOB, 1, 3600,
+                            "if job.urgency >= high then 15 s else 60 s"},
+    [KNOB_IDLE_KEEP] = {"idle_keep", POLICY_SECONDS, SCOPE_MACHINE, 5, 3600, "40 s"},
+    [KNOB_USE_SPOT] = {"use_spot", POLICY_BOOL, SCOPE_JOB, 0, 1, "true"},
+    [KNOB_RENT_ORDINARY] = {"rent_ordinary", POLICY_BOOL, SCOPE_JOB, 0, 1, "false"},
+    [KNOB_PREEMPT] = {"preempt", POLICY_BOOL, SCOPE_JOB, 0, 1, "job.urgency >= high"},
+};
+
+static const struct {
+    const char *name;
+    policy_type_t type;
+    int scope;
+} attrs[ATTR_COUNT] = {
+    [ATTR_JOB_URGENCY] = {"job.urgency", POLICY_URGENCY, SCOPE_JOB},
+    [ATTR_JOB_CPUS] = {"job.cpus", POLICY_CPUS, SCOPE_JOB},
+    [ATTR_JOB_MEMORY] = {"job.memory", POLICY_MEMORY, SCOPE_JOB},
+    [ATTR_JOB_TASKS] = {"job.tasks", POLICY_NUMBER, SCOPE_JOB},
+    [ATTR_JOB_ESTIMATE] = {"job.estimate", POLICY_SECONDS, SCOPE_JOB},
+    [ATTR_JOB_DEADLINE] = {"job.deadline", POLICY_SECONDS, SCOPE_JOB},
+    [ATTR_JOB_CLASS] = {"job.class", POLICY_TEXT, SCOPE_JOB},
+    [ATTR_JOB_TEAM] = {"job.team", POLICY_TEXT, SCOPE_JOB},
+    [ATTR_MACHINE_SPOT] = {"machine.spot", POLICY_BOOL, SCOPE_MACHINE},
+    [ATTR_MACHINE_CPUS] = {"machine.cpus", POLICY_CPUS, SCOPE_MACHINE},
+    [ATTR_MACHINE_MEMORY] = {"machine.memory", POLICY_MEMORY, SCOPE_MACHINE},
+    [ATTR_MACHINE_TYPE] = {"machine.type", POLICY_TEXT, SCOPE_MACHINE},
+    [ATTR_MACHINE_ZONE] = {"machine.zone", POLICY_TEXT, SCOPE_MACHINE},
+};
+
+static const struct {
+    const char *name;
+    policy_type_t type;
+    double value;
+} words[] = {{"true", POLICY_BOOL, 1},      {"false", POLICY_BOOL, 0},
+             {"low", POLICY_URGENCY, 0},    {"normal", POLICY_URGENCY, 1},
+             {"high", POLICY_URGENCY, 2},   {"critical", POLICY_URGENCY, 3}};
+
+static const struct {
+    const char *name;
+    policy_type_t type;
+    double factor;
+} units[] = {{"s", POLICY_SECONDS, 1},      {"ms", POLICY_SECONDS, 0.001},
+             {"min", POLICY_SECONDS, 60},   {"h", POLICY_SECONDS, 3600},
+             {"cpus", POLICY_CPUS, 1},      {"gb", POLICY_MEMORY, 1}};
+
+struct policy {
+    ast_t *value[KNOB_COUNT];
+};
+
+void parse_fault(parse_t *parse, int line, int column, const char *format, ...)
+{
+    va_list args;
+    va_start(args, format);
+    char *text = g_strdup_vprintf(format, args);
+    va_end(args);
+    g_ptr_array_add(parse->faults,
+                    g_strdup_printf("%s:%d:%d: %s", parse->file, line, column, text));
+    g_free(text);
+}
+
+/* A compound stands where its first operand does. */
+ast_t *ast_new(ast_op_t op, ast_t *a, ast_t *b, ast_t *c)
+{
+    ast_t *ast = g_new0(ast_t, 1);
+    *ast = (ast_t){.op = op, .line = a->line, .column = a->column, .attr = -1, .kid = {a, b, c}};
+    return ast;
+}
+
+ast_t *ast_leaf(ast_op_t op, token_t token)
+{
+    ast_t *ast = g_new0(ast_t, 1);
+    *ast = (ast_t){.op = op, .line = token.line, .column = token.column, .attr = -1,
+                   .text = token.text, .number = token.number};
+    return ast;
+}
+
+void ast_free(ast_t *ast)
+{
+    if (!ast)
+        return;
+    for (int i = 0; i < 3; i++)
+        ast_free(ast->kid[i]);
+    g_free(ast->text);
+    g_free(ast);
+}
+
+ast_t *parse_number(parse_t *parse, token_t number, const token_t *unit)
+{
+    ast_t *ast = ast_leaf(AST_NUMBER, number);
+    ast->type = unit ? POLICY_FAULTY : POLICY_NUMBER;
+    for (guint i = 0; unit && i < G_N_ELEMENTS(units); i++) {
+        if (strcmp(unit->text, units[i].name) != 0)
+            continue;
+        ast->type = units[i].type;
+        ast->number *= units[i].factor;
+    }
+    if (ast->type == POLICY_FAULTY)
+        parse_fault(parse, unit->line, unit->column,
+                    "unknown unit %s: s, ms, min, h, cpus or gb is expected", unit->text);
+    if (unit)
+        g_free(unit->text);
+    return ast;
+}
+
+static bool is_amount(policy_type_t type)
+{
+    return type == POLICY_NUMBER || type == POLICY_SECONDS || type == POLICY_CPUS ||
+           type == POLICY_MEMORY;
+}
+
+static policy_type_t complain(parse_t *parse, const ast_t *ast, const char *expected,
+                              policy_type_t found)
+{
+    if (found != POLICY_FAULTY)
+        parse_fault(parse, ast->line, ast->column, "%s is expected, this is %s", expected,
+                    type_names[found]);
+    return POLICY_FAULTY;
+}
+
+static bool constant_value(const ast_t *ast, double *value);
+
+static policy_type_t check_name(parse_t *parse, ast_t *ast, int scope)
+{
+    for (guint i = 0; i < G_N_ELEMENTS(words); i++) {
+        if (strcmp(ast->text, words[i].name) == 0) {
+            ast->number = words[i].value;
+            return words[i].type;
+        }
+    }
+    for (int i = 0; i < ATTR_COUNT; i++) {
+        if (strcmp(ast->text, attrs[i].name) != 0)
+            continue;
+        if (!(attrs[i].scope & scope)) {
+            parse_fault(parse, ast->line, ast->column, "%s is not known to this setting",
+                        ast->text);
+            return POLICY_FAULTY;
+        }
+        ast->attr = i;
+        return attrs[i].type;
+    }
+    parse_fault(parse, ast->line, ast->column, "unknown name %s", ast->text);
+    return POLICY_FAULTY;
+}
+
+static policy_type_t check_same(parse_t *parse, const ast_t *ast, policy_type_t a, policy_type_t b)
+{
+    if (a == POLICY_FAULTY || b == POLICY_FAULTY)
+        return POLICY_FAULTY;
+    return a == b ? a : complain(parse, ast->kid[1], type_names[a], b);
+}
+
+static policy_type_t check_product(parse_t *parse, const ast_t *ast, policy_type_t a,
+                                   policy_type_t b)
+{
+    double divisor;
+    if (a == POLICY_FAULTY || b == POLICY_FAULTY)
+        return POLICY_FAULTY;
+    if (!is_amount(a))
+        return complain(parse, ast->kid[0], "an amount", a);
+    if (!is_amount(b))
+        return complain(parse, ast->kid[1], "an amount", b);
+    if (ast->op == AST_DIVIDE && constant_value(ast->kid[1], &divisor) && divisor == 0) {
+        parse_fault(parse, ast->kid[1]->line, ast->kid[1]->column, "division by zero");
+        return POLICY_FAULTY;
+    }
+    if (b == POLICY_NUMBER)
+        return a;
+    if (ast->op == AST_MULTIPLY && a == POLICY_NUMBER)
+        return b;
+    if (ast->op == AST_DIVIDE && a == b)
+        return POLICY_NUMBER;
+    return complain(parse, ast->kid[1], "a plain number", b);
+}
+
+static policy_type_t check_wanted(parse_t *parse, const ast_t *ast, policy_type_t found,
+                                  policy_type_t wanted)
+{
+    return found == wanted ? wanted : complain(parse, ast, type_names[wanted], found);
+}
+
+static policy_type_t check(parse_t *parse, ast_t *ast, int scope, int depth)
+{
+    policy_type_t kid[3] = {POLICY_FAULTY, POLICY_FAULTY, POLICY_FAULTY};
+    if (depth > DEPTH_MAX) {
+        parse_fault(parse, ast->line, ast->column, "nested deeper than %d", DEPTH_MAX);
+        return ast->type = POLICY_FAULTY;
+    }
+    for (int i = 0; i < 3; i++)
+        if (ast->kid[i])
+            kid[i] = check(parse, ast->kid[i], scope, depth + 1);
+    switch (ast->op) {
+    case AST_NUMBER:
+        break;
+    case AST_TEXT:
+        ast->type = POLICY_TEXT;
+        break;
+    case AST_NAME:
+        ast->type = check_name(parse, ast, scope);
+        break;
+    case AST_NOT:
+        ast->type = check_wanted(parse, ast->kid[0], kid[0], POLICY_BOOL);
+        break;
+    case AST_NEGATE:
+        ast->type = is_amount(kid[0]) ? kid[0] : complain(parse, ast->kid[0], "an amount", kid[0]);
+        break;
+    case AST_AND:
+    case AST_OR:
+        check_wanted(parse, ast->kid[0], kid[0], POLICY_BOOL);
+        ast->type = check_wanted(parse, ast->kid[1], kid[1], POLICY_BOOL);
+        break;
+    case AST_ADD:
+    case AST_SUBTRACT:
+    case AST_MIN:
+    case AST_MAX:
+        ast->type = is_amount(kid[0]) ? check_same(parse, ast, kid[0], kid[1])
+                                      : complain(parse, ast->kid[0], "an amount", kid[0]);
+        break;
+    case AST_MULTIPLY:
+    case AST_DIVIDE:
+        ast->type = check_product(parse, ast, kid[0], kid[1]);
+        break;
+    case AST_LESS:
+    case AST_LESS_EQUAL:
+    case AST_GREATER:
+    case AST_GREATER_EQUAL:
+        if (kid[0] == POLICY_TEXT || kid[0] == POLICY_BOOL)
+            complain(parse, ast->kid[0], "an amount or an urgency", kid[0]);
+        else
+            check_same(parse, ast, kid[0], kid[1]);
+        ast->type = POLICY_BOOL;
+        break;
+    case AST_EQUAL:
+    case AST_UNEQUAL:
+        check_same(parse, ast, kid[0], kid[1]);
+        ast->type = POLICY_BOOL;
+        break;
+    case AST_IF:
+        check_wanted(parse, ast->kid[0], kid[0], POLICY_BOOL);
+        ast->type = kid[1] == kid[2] || kid[1] == POLICY_FAULTY
+                        ? kid[1]
+                        : complain(parse, ast->kid[2], type_names[kid[1]], kid[2]);
+        break;
+    }
+    return ast->type;
+}
+
+static const char *text_of(const ast_t *ast, const policy_env_t *env)
+{
+    const char *text = ast->op == AST_TEXT ? ast->text : env->text[ast->attr];
+    return text ? text : "";
+}
+
+static double evaluate(const ast_t *ast, const policy_env_t *env)
+{
+    if (ast->op == AST_NUMBER)
+        return ast->number;
+    if (ast->op == AST_NAME)
+        return ast->attr < 0 ? ast->number : env->number[ast->attr];
+    if (ast->op == AST_IF)
+        return evaluate(ast->kid[evaluate(ast->kid[0], env) != 0 ? 1 : 2], env);
+    if (ast->kid[0]->type == POLICY_TEXT) {
+        bool same = strcmp(text_of(ast->kid[0], env), text_of(ast->kid[1], env)) == 0;
+        return same == (ast->op == AST_EQUAL);
+    }
+    double a = evaluate(ast->kid[0], env);
+    double b = ast->kid[1] ? evaluate(ast->kid[1], env) : 0;
+    switch (ast->op) {
+    case AST_NOT:
+        return a == 0;
+    case AST_NEGATE:
+        return -a;
+    case AST_AND:
+        return a != 0 && b != 0;
+    case AST_OR:
+        return a != 0 || b != 0;
+    case AST_ADD:
+        return a + b;
+    case AST_SUBTRACT:
+        return a - b;
+    case AST_MULTIPLY:
+        return a * b;
+    case AST_DIVIDE:
+        return b != 0 ? a / b : 0;
+    case AST_LESS:
+        return a < b;
+    case AST_LESS_EQUAL:
+        return a <= b;
+    case AST_GREATER:
+        return a > b;
+    case AST_GREATER_EQUAL:
+        return a >= b;
+    case AST_EQUAL:
+        return a == b;
+    case AST_UNEQUAL:
+        return a != b;
+    case AST_MIN:
+        return fmin(a, b);
+    case AST_MAX:
+        return fmax(a, b);
+    default:
+        return 0;
+    }
+}
+
+static bool is_constant(const ast_t *ast)
+{
+    if (ast->op == AST_NAME && ast->attr >= 0)
+        return false;
+    for (int i = 0; i < 3; i++)
+        if (ast->kid[i] && !is_constant(ast->kid[i]))
+            return false;
+    return ast->type != POLICY_FAULTY;
+}
+
+static bool constant_value(const ast_t *ast, double *value)
+{
+    static const policy_env_t nothing = {0};
+    if (!is_constant(ast))
+        return false;
+    *value = evaluate(ast, &nothing);
+    return true;
+}
+
+static int find_knob(const char *name)
+{
+    for (int i = 0; i < KNOB_COUNT; i++)
+        if (strcmp(knobs[i].name, name) == 0)
+            return i;
+    return -1;
+}
+
+static void check_value(parse_t *parse, int knob, ast_t *value)
+{
+    double constant;
+    policy_type_t type = check(parse, value, knobs[knob].scope, 0);
+    if (type != knobs[knob].type) {
+        complain(parse, value, type_names[knobs[knob].type], type);
+    } else if (constant_value(value, &constant) &&
+               (constant < knobs[knob].low || constant > knobs[knob].high)) {
+        parse_fault(parse, value->line, value->column, "%s: from %g to %g is expected, this is %g",
+                    knobs[knob].name, knobs[knob].low, knobs[knob].high, constant);
+    }
+}
+
+void parse_assign(parse_t *parse, token_t name, ast_t *value)
+{
+    int knob = find_knob(name.text);
+    if (knob < 0) {
+        parse_fault(parse, name.line, name.column, "unknown setting %s", name.text);
+        ast_free(value);
+    } else if (parse->values[knob]) {
+        parse_fault(parse, name.line, name.column, "%s is set twice", name.text);
+        ast_free(value);
+    } else {
+        parse->values[knob] = value;
+        check_value(parse, knob, value);
+    }
+    g_free(name.text);
+}
+
+static bool parse_text(parse_t *parse, const char *text)
+{
+    void *scanner;
+    guint before = parse->faults->len;
+    if (strlen(text) > TEXT_MAX) {
+        parse_fault(parse, 1, 1, "longer than %d bytes", TEXT_MAX);
+        return false;
+    }
+    policy_yylex_init_extra(parse, &scanner);
+    policy_yy_scan_string(text, scanner);
+    int result = policy_yyparse(scanner, parse);
+    policy_yylex_destroy(scanner);
+    if (result != 0 && parse->faults->len == before)
+        parse_fault(parse, parse->line, parse->column, "can't be read");
+    return parse->faults->len == before;
+}
+
+policy_t *policy_compile(const char *file, const char *text, GPtrArray *faults)
+{
+    policy_t *policy = g_new0(policy_t, 1);
+    parse_t parse = {.file = file, .faults = faults, .values = policy->value, .line = 1,
+                     .column = 1, .start = 1};
+    bool valid = parse_text(&parse, text);
+    for (int i = 0; valid && i < KNOB_COUNT; i++) {
+        if (policy->value[i])
+            continue;
+        char *line = g_strdup_printf("%s = %s;", knobs[i].name, knobs[i].value);
+        valid = parse_text(&parse, line);
+        g_free(line);
+    }
+    if (valid)
+        return policy;
+    policy_free(policy);
+    return NULL;
+}
+
+policy_t *policy_default(void)
+{
+    GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+    policy_t *policy = policy_compile("defaults", "", faults);
+    g_ptr_array_unref(faults);
+    return policy;
+}
+
+void policy_free(policy_t *policy)
+{
+    for (int i = 0; i < KNOB_COUNT; i++)
+        ast_free(policy->value[i]);
+    g_free(policy);
+}
+
+double policy_value(const policy_t *policy, policy_knob_t knob, const policy_env_t *env)
+{
+    static const policy_env_t nothing = {0};
+    double value = evaluate(policy->value[knob], env ? env : &nothing);
+    return CLAMP(value, knobs[knob].low, knobs[knob].high);
+}
--- a/tests/stories_part.c
+++ b/tests/stories_part.c
@@ -29,7 +29,7 @@
     flavor_t flavor = {.name = "t16", .room = {16, 0, 64}};
     g_array_append_val(stage->flavors, flavor);
     stage->teams = g_array_new(FALSE, FALSE, sizeof(team_t));
-    stage->part = part_new(stage->flavors, stage->teams, RESERVATION_LAPSE_MS);
+    stage->part = part_new(stage->flavors, stage->teams, 30000);
     part_set_view(stage->part, 7);
     stage->worker = fake_worker_new("m-000001");
     stage->calls = g_array_new(FALSE, FALSE, sizeof(call_t));
@@ -156,7 +156,7 @@
     place("j-000001", 0, 100);
     machine_t *machine = g_hash_table_lookup(stage->part->machines, "m-000001");
     assert_true(part_free_room(machine).cpus < 12.5);
-    stage->now += RESERVATION_LAPSE_MS;
+    stage->now += 30000;
     part_tick(stage->part, stage->now);
     assert_true(part_free_room(machine).cpus > 15.5);
     assert_int_equal(g_hash_table_size(stage->part->attempts), 1);
@@ -302,7 +302,7 @@
 static void older_owner_is_powerless(void **state)
 {
     (void)state;
-    part_t *older = part_new(stage->flavors, stage->teams, RESERVATION_LAPSE_MS);
+    part_t *older = part_new(stage->flavors, stage->teams, 30000);
     part_set_view(older, 6);
     exchange();
     place("j-000001", 0, 100);
