--- a/src/app/front.c
+++ b/src/app/front.c
@@ -10,6 +10,7 @@
 
 #include "app/node.h"
 #include "io/clock.h"
+#include "io/records.h"
 #include "io/wire.h"
 #include "log.h"
 
@@ -211,15 +212,8 @@
 
 static reply_t commit_job(node_t *node, http_client_t *client, const job_spec_t *spec)
 {
-    char live[128], ended[128];
     uint64_t revision = 0;
-    g_snprintf(live, sizeof live, "jobs/%s", spec->id);
-    g_snprintf(ended, sizeof ended, "ended/%s", spec->id);
-    txn_t txn = txn_new();
-    /* Both absent: applied late, after the job has ended, it must not bring the job back. */
-    txn_if(&txn, live, 0);
-    txn_if(&txn, ended, 0);
-    txn_set(&txn, live, wire_build_job(spec), 0);
+    txn_t txn = records_submit(spec);
     state_result_t result =
         state_commit(&node->state, client, &txn, FRONT_TIMEOUT_MS, &revision, NULL);
     txn_free(&txn);
@@ -276,17 +270,7 @@
 static state_result_t commit_abort(node_t *node, http_client_t *client, const char *id,
                                    uint64_t stamp, uint32_t tasks)
 {
-    char key[128];
-    txn_t txn = txn_new();
-    g_snprintf(key, sizeof key, "jobs/%s", id);
-    txn_if(&txn, key, stamp);
-    txn_delete(&txn, key);
-    g_snprintf(key, sizeof key, "ended/%s", id);
-    txn_set(&txn, key, wire_build_ended(false, 0), 0);
-    for (uint32_t chunk = 0; chunk * CHUNK_BITS < tasks; chunk++) {
-        g_snprintf(key, sizeof key, "done/%s/%u", id, chunk);
-        txn_delete(&txn, key);
-    }
+    txn_t txn = records_abort(id, stamp, tasks);
     budget_charge(&node->front_rps, 1, clock_steady());
     budget_charge(&node->front_write, (double)json_array_size(txn.changes), clock_steady());
     state_result_t result =
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -8,6 +8,7 @@
 #include "app/node.h"
 #include "app/view.h"
 #include "io/clock.h"
+#include "io/records.h"
 #include "io/wire.h"
 #include "log.h"
 
@@ -195,71 +196,6 @@
     guint ops;
 } batch_t;
 
-static void write_progress(txn_t *txn, const progress_t *progress)
-{
-    char key[128], job[128];
-    g_snprintf(job, sizeof job, "jobs/%s", progress->job);
-    if (!progress->end) {
-        g_snprintf(key, sizeof key, "done/%s/%u", progress->job, progress->chunk);
-        txn_if(txn, job, progress->job_stamp);
-        txn_if(txn, key, progress->stamp);
-        txn_set(txn, key, wire_build_bits(progress->bits, progress->bytes, progress->done), 0);
-        return;
-    }
-    txn_if(txn, job, progress->job_stamp);
-    txn_delete(txn, job);
-    g_snprintf(key, sizeof key, "ended/%s", progress->job);
-    txn_set(txn, key, wire_build_ended(true, progress->done), 0);
-    for (guint i = 0; i < progress->old_stamps->len; i++) {
-        uint64_t stamp = g_array_index(progress->old_stamps, uint64_t, i);
-        if (!stamp)
-            continue;
-        g_snprintf(key, sizeof key, "done/%s/%u", progress->job, i);
-        txn_if(txn, key, stamp);
-        txn_delete(txn, key);
-    }
-}
-
-static void write_machines(txn_t *txn, const part_batch_t *machines, GHashTable *written_jobs)
-{
-    char key[128];
-    for (guint i = 0; i < machines->records->len; i++) {
-        const machine_record_t *record = &g_array_index(machines->records, machine_record_t, i);
-        g_snprintf(key, sizeof key, "machines/%s", record->machine);
-        txn_if(txn, key, record->stamp);
-        txn_set(txn, key, wire_build_record(record), 0);
-    }
-    for (guint i = 0; i < machines->gone->len; i++) {
-        g_snprintf(key, sizeof key, "machines/%s", (char *)g_ptr_array_index(machines->gone, i));
-        txn_if(txn, key, g_array_index(machines->gone_stamps, uint64_t, i));
-        txn_delete(txn, key);
-    }
-    GHashTableIter iter;
-    gpointer id, stamp;
-    g_hash_table_iter_init(&iter, machines->jobs);
-    while (g_hash_table_iter_next(&iter, &id, &stamp)) {
-        if (g_hash_table_contains(written_jobs, id))
-            continue;
-        g_snprintf(key, sizeof key, "jobs/%s", (char *)id);
-        txn_if(txn, key, GPOINTER_TO_SIZE(stamp));
-    }
-}
-
-static txn_t build(const batch_t *batch, uint64_t view_stamp)
-{
-    txn_t txn = txn_new();
-    GHashTable *written = g_hash_table_new(g_str_hash, g_str_equal);
-    txn_if(&txn, "view/number", view_stamp);
-    for (guint i = 0; batch->progress && i < batch->progress->len; i++) {
-        const progress_t *progress = &g_array_index(batch->progress, progress_t, i);
-        write_progress(&txn, progress);
-        g_hash_table_add(written, (gpointer)progress->job);
-    }
-    write_machines(&txn, batch->machines, written);
-    g_hash_table_unref(written);
-    return txn;
-}
-
 static void committed(node_t *node, batch_t *batch, uint64_t revision)
 {
     GArray *settled = g_array_new(FALSE, FALSE, sizeof(settle_t));
@@ -307,7 +243,7 @@
     GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
     uint64_t revision = 0;
     const char *broken = NULL;
-    txn_t txn = build(batch, view_stamp);
+    txn_t txn = records_commit(batch->progress, batch->machines, view_stamp);
     msec_t now = clock_steady();
     budget_charge(&node->core_rps, 1, now);
     budget_charge(&node->core_write, batch->ops, now);
--- /dev/null
+++ b/src/io/records.c
@@ -0,0 +1,96 @@
+#include "io/records.h"
+
+#include "io/wire.h"
+
+static void write_progress(txn_t *txn, const progress_t *progress)
+{
+    char key[128], job[128];
+    g_snprintf(job, sizeof job, "jobs/%s", progress->job);
+    if (!progress->end) {
+        g_snprintf(key, sizeof key, "done/%s/%u", progress->job, progress->chunk);
+        txn_if(txn, job, progress->job_stamp);
+        txn_if(txn, key, progress->stamp);
+        txn_set(txn, key, wire_build_bits(progress->bits, progress->bytes, progress->done), 0);
+        return;
+    }
+    txn_if(txn, job, progress->job_stamp);
+    txn_delete(txn, job);
+    g_snprintf(key, sizeof key, "ended/%s", progress->job);
+    txn_set(txn, key, wire_build_ended(true, progress->done), 0);
+    for (guint i = 0; i < progress->old_stamps->len; i++) {
+        uint64_t stamp = g_array_index(progress->old_stamps, uint64_t, i);
+        if (!stamp)
+            continue;
+        g_snprintf(key, sizeof key, "done/%s/%u", progress->job, i);
+        txn_if(txn, key, stamp);
+        txn_delete(txn, key);
+    }
+}
+
+static void write_machines(txn_t *txn, const part_batch_t *machines, GHashTable *written_jobs)
+{
+    char key[128];
+    for (guint i = 0; i < machines->records->len; i++) {
+        const machine_record_t *record = &g_array_index(machines->records, machine_record_t, i);
+        g_snprintf(key, sizeof key, "machines/%s", record->machine);
+        txn_if(txn, key, record->stamp);
+        txn_set(txn, key, wire_build_record(record), 0);
+    }
+    for (guint i = 0; i < machines->gone->len; i++) {
+        g_snprintf(key, sizeof key, "machines/%s", (char *)g_ptr_array_index(machines->gone, i));
+        txn_if(txn, key, g_array_index(machines->gone_stamps, uint64_t, i));
+        txn_delete(txn, key);
+    }
+    GHashTableIter iter;
+    gpointer id, stamp;
+    g_hash_table_iter_init(&iter, machines->jobs);
+    while (g_hash_table_iter_next(&iter, &id, &stamp)) {
+        if (g_hash_table_contains(written_jobs, id))
+            continue;
+        g_snprintf(key, sizeof key, "jobs/%s", (char *)id);
+        txn_if(txn, key, GPOINTER_TO_SIZE(stamp));
+    }
+}
+
+txn_t records_commit(const GArray *progress, const part_batch_t *machines, uint64_t view_stamp)
+{
+    txn_t txn = txn_new();
+    GHashTable *written = g_hash_table_new(g_str_hash, g_str_equal);
+    txn_if(&txn, "view/number", view_stamp);
+    for (guint i = 0; progress && i < progress->len; i++) {
+        const progress_t *entry = &g_array_index(progress, progress_t, i);
+        write_progress(&txn, entry);
+        g_hash_table_add(written, (gpointer)entry->job);
+    }
+    write_machines(&txn, machines, written);
+    g_hash_table_unref(written);
+    return txn;
+}
+
+txn_t records_submit(const job_spec_t *spec)
+{
+    char live[128], ended[128];
+    g_snprintf(live, sizeof live, "jobs/%s", spec->id);
+    g_snprintf(ended, sizeof ended, "ended/%s", spec->id);
+    txn_t txn = txn_new();
+    txn_if(&txn, live, 0);
+    txn_if(&txn, ended, 0);
+    txn_set(&txn, live, wire_build_job(spec), 0);
+    return txn;
+}
+
+txn_t records_abort(const char *id, uint64_t stamp, uint32_t tasks)
+{
+    char key[128];
+    txn_t txn = txn_new();
+    g_snprintf(key, sizeof key, "jobs/%s", id);
+    txn_if(&txn, key, stamp);
+    txn_delete(&txn, key);
+    g_snprintf(key, sizeof key, "ended/%s", id);
+    txn_set(&txn, key, wire_build_ended(false, 0), 0);
+    for (uint32_t chunk = 0; chunk * CHUNK_BITS < tasks; chunk++) {
+        g_snprintf(key, sizeof key, "done/%s/%u", id, chunk);
+        txn_delete(&txn, key);
+    }
+    return txn;
+}
--- /dev/null
+++ b/src/io/records.h
@@ -0,0 +1,18 @@
+/* The transactions on jobs and machines: what each of them requires and changes. */
+#ifndef PEPPERPULLEY_RECORDS_H
+#define PEPPERPULLEY_RECORDS_H
+
+#include "core/leader.h"
+#include "core/part.h"
+#include "io/state.h"
+
+/* The commit of a part and, at the leader, of progress (may be NULL). It requires the view and each key
+ * it writes as they were, so one that an older view sent fails, however late it arrives; and it requires
+ * the jobs of its starts, so none follows a cancellation. */
+txn_t records_commit(const GArray *progress, const part_batch_t *machines, uint64_t view_stamp);
+/* Requires that the job is neither live nor ended: applied late, it must not bring the job back. */
+txn_t records_submit(const job_spec_t *spec);
+/* Ends the live job as cancelled, progress and all. */
+txn_t records_abort(const char *id, uint64_t stamp, uint32_t tasks);
+
+#endif
--- /dev/null
+++ b/tests/fakes/store.c
@@ -0,0 +1,71 @@
+#include "store.h"
+
+static void entry_free(gpointer data)
+{
+    state_entry_t *entry = data;
+    g_free(entry->key);
+    json_decref(entry->value);
+    g_free(entry);
+}
+
+fake_store_t *fake_store_new(void)
+{
+    fake_store_t *store = g_new0(fake_store_t, 1);
+    store->keys = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, entry_free);
+    return store;
+}
+
+void fake_store_free(fake_store_t *store)
+{
+    g_hash_table_unref(store->keys);
+    g_free(store);
+}
+
+const state_entry_t *fake_store_get(const fake_store_t *store, const char *key)
+{
+    return g_hash_table_lookup(store->keys, key);
+}
+
+uint64_t fake_store_stamp(const fake_store_t *store, const char *key)
+{
+    const state_entry_t *entry = fake_store_get(store, key);
+    return entry ? entry->stamp : 0;
+}
+
+static bool holds(const fake_store_t *store, const json_t *conditions)
+{
+    size_t i;
+    json_t *condition;
+    json_array_foreach(conditions, i, condition) {
+        const char *key = json_string_value(json_object_get(condition, "K"));
+        uint64_t stamp = (uint64_t)json_integer_value(json_object_get(condition, "Stamp"));
+        if (fake_store_stamp(store, key) != stamp)
+            return false;
+    }
+    return true;
+}
+
+state_result_t fake_store_apply(fake_store_t *store, txn_t txn)
+{
+    bool applies = holds(store, txn.conditions);
+    size_t i;
+    json_t *change;
+    store->revision += applies;
+    if (applies) {
+        json_array_foreach(txn.changes, i, change) {
+            const char *set = json_string_value(json_object_get(change, "Set"));
+            if (!set) {
+                g_hash_table_remove(store->keys,
+                                    json_string_value(json_object_get(change, "Delete")));
+                continue;
+            }
+            state_entry_t *entry = g_new0(state_entry_t, 1);
+            entry->key = g_strdup(set);
+            entry->value = json_incref(json_object_get(change, "Value"));
+            entry->stamp = store->revision;
+            g_hash_table_replace(store->keys, entry->key, entry);
+        }
+    }
+    txn_free(&txn);
+    return applies ? STATE_OK : STATE_FAILED;
+}
--- /dev/null
+++ b/tests/stories_leader.c
@@ -0,0 +1,323 @@
+/* Stories of the leader: whose work goes first, and what counts against limits. */
+#include "core/leader.h"
+#include "core/rental.h"
+#include "story.h"
+
+static GArray *teams;
+static GHashTable *targets;
+static policy_t *policy;
+static leader_t *leader;
+
+static void add_team(const char *name, double cpus, double cpus_max)
+{
+    team_t team = {.cpus = cpus, .cpus_max = cpus_max};
+    g_strlcpy(team.name, name, sizeof team.name);
+    g_array_append_val(teams, team);
+}
+
+static int set_up(void **state)
+{
+    (void)state;
+    teams = g_array_new(FALSE, FALSE, sizeof(team_t));
+    targets = g_hash_table_new(g_str_hash, g_str_equal);
+    policy = policy_default();
+    add_team("red", 8, 24);
+    add_team("blue", 24, 0);
+    leader = leader_new(teams, targets, policy, 2);
+    leader_set_view(leader, 3);
+    return 0;
+}
+
+static int tear_down(void **state)
+{
+    (void)state;
+    leader_free(leader);
+    policy_free(policy);
+    g_array_unref(teams);
+    g_hash_table_unref(targets);
+    return 0;
+}
+
+static void set_room(guint part, const char *zone, double cpus)
+{
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(machine_row_t));
+    machine_row_t row = {.open = true, .total = {cpus, 0, 999}, .free = {cpus, 0, 999}};
+    g_snprintf(row.machine, sizeof row.machine, "m-%s", zone);
+    g_strlcpy(row.type, "t", sizeof row.type);
+    g_strlcpy(row.zone, zone, sizeof row.zone);
+    g_array_append_val(rows, row);
+    leader_set_rows(leader, part, rows);
+}
+
+static job_spec_t job(const char *id, const char *team, uint32_t tasks)
+{
+    job_spec_t spec = {.tasks = tasks, .need = {2, 0, 1}, .estimate_s = 10, .submitted_ms = 1000,
+                       .urgency = URGENCY_NORMAL};
+    g_strlcpy(spec.id, id, sizeof spec.id);
+    g_strlcpy(spec.team, team, sizeof spec.team);
+    g_strlcpy(spec.class_name, "c", sizeof spec.class_name);
+    return spec;
+}
+
+static void add(const job_spec_t *spec)
+{
+    leader_add_job(leader, spec, 5, 0);
+}
+
+static GArray *schedule(void)
+{
+    return leader_schedule(leader, 1000, 2000, 100);
+}
+
+static guint count(const GArray *offers, const char *id)
+{
+    guint found = 0;
+    for (guint i = 0; i < offers->len; i++)
+        found += strcmp(g_array_index(offers, leader_offer_t, i).offer.job, id) == 0;
+    return found;
+}
+
+static void offers_go_to_the_part_with_most_room(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", "blue", 1);
+    set_room(0, "north", 4);
+    set_room(1, "south", 16);
+    add(&spec);
+    GArray *offers = schedule();
+    assert_int_equal(offers->len, 1);
+    assert_int_equal(g_array_index(offers, leader_offer_t, 0).part, 1);
+    g_array_unref(offers);
+}
+
+static void team_limit_counts_what_is_out(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", "red", 50);
+    set_room(0, "north", 1000);
+    add(&spec);
+    GArray *offers = schedule();
+    assert_int_equal(offers->len, 12); /* 24 cpus of 2 */
+    g_array_unref(offers);
+    offers = schedule();
+    assert_int_equal(offers->len, 0); /* nothing of it is proved over */
+    g_array_unref(offers);
+}
+
+static void recorded_attempts_count_even_for_jobs_that_ended(void **state)
+{
+    (void)state;
+    record_entry_t entry = {.job = "j-000009", .team = "red", .need = {23, 0, 1}, .attempt = 9};
+    leader_load_attempt(leader, &entry, "north", 0);
+    job_spec_t spec = job("j-000001", "red", 1);
+    set_room(0, "north", 1000);
+    add(&spec);
+    GArray *offers = schedule();
+    assert_int_equal(offers->len, 0);
+    g_array_unref(offers);
+    outcome_t over = {.ref = task_ref("j-000009", 0, 9), .cause = CAUSE_NONE};
+    leader_outcome(leader, 0, &over, 1000);
+    offers = schedule();
+    assert_int_equal(offers->len, 1);
+    g_array_unref(offers);
+}
+
+static void shares_are_served_in_turn(void **state)
+{
+    (void)state;
+    job_spec_t red = job("j-000001", "red", 100), blue = job("j-000002", "blue", 100);
+    set_room(0, "north", 64);
+    add(&red);
+    add(&blue);
+    GArray *offers = schedule();
+    assert_int_equal(offers->len, 32);
+    assert_true(count(offers, "j-000002") > 2 * count(offers, "j-000001"));
+    assert_true(count(offers, "j-000001") >= 4); /* its guarantee of 8 cpus */
+    g_array_unref(offers);
+}
+
+static void priority_comes_before_age(void **state)
+{
+    (void)state;
+    job_spec_t older = job("j-000001", "blue", 1), urgent = job("j-000002", "blue", 1);
+    urgent.urgency = URGENCY_HIGH;
+    urgent.submitted_ms = 1500;
+    set_room(0, "north", 2);
+    add(&older);
+    add(&urgent);
+    GArray *offers = schedule();
+    assert_int_equal(count(offers, "j-000002"), 1);
+    assert_int_equal(count(offers, "j-000001"), 0);
+    g_array_unref(offers);
+}
+
+static void hopeless_deadlines_come_last(void **state)
+{
+    (void)state;
+    job_spec_t hopeless = job("j-000001", "blue", 1), hopeful = job("j-000002", "blue", 1);
+    hopeless.deadline_s = 5; /* estimate 10 */
+    hopeful.deadline_s = 500;
+    set_room(0, "north", 2);
+    add(&hopeless);
+    add(&hopeful);
+    GArray *offers = schedule();
+    assert_int_equal(count(offers, "j-000002"), 1);
+    assert_int_equal(count(offers, "j-000001"), 0);
+    g_array_unref(offers);
+}
+
+static void same_zone_binds_the_later_tasks(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", "blue", 3);
+    spec.same_zone = true;
+    set_room(0, "north", 2);
+    set_room(1, "south", 3);
+    add(&spec);
+    GArray *offers = schedule();
+    assert_int_equal(offers->len, 1);
+    assert_string_equal(g_array_index(offers, leader_offer_t, 0).offer.zone, "south");
+    g_array_unref(offers);
+}
+
+static void apart_keeps_half_in_a_zone(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", "blue", 5);
+    spec.spread = true;
+    set_room(0, "north", 100);
+    add(&spec);
+    GArray *offers = schedule();
+    assert_int_equal(offers->len, 3);
+    g_array_unref(offers);
+}
+
+/* A job failing everywhere piles up reservations until its part looks full: a soft place of the
+ * design. */
+static void job_that_fails_everywhere_is_held_back(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", "blue", 50);
+    set_room(0, "north", 20);
+    add(&spec);
+    GArray *offers = schedule();
+    assert_int_equal(offers->len, 10);
+    for (guint i = 0; i < offers->len; i++) {
+        const offer_t *offer = &g_array_index(offers, leader_offer_t, i).offer;
+        outcome_t failed = {.ref = task_ref(offer->job, offer->task, offer->attempt),
+                            .cause = CAUSE_ERROR};
+        leader_outcome(leader, 0, &failed, 1000);
+    }
+    g_array_unref(offers);
+    set_room(0, "north", 20);
+    offers = schedule();
+    assert_int_equal(offers->len, 0);
+    g_array_unref(offers);
+    offers = leader_schedule(leader, 1000 + JOB_BACKOFF_MAX_MS, 2000, 100);
+    assert_int_equal(offers->len, 1);
+    g_array_unref(offers);
+}
+
+static void finished_bit_is_never_offered_again(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", "blue", 2);
+    const uint8_t bits = 1;
+    guint ops;
+    set_room(0, "north", 20);
+    add(&spec);
+    leader_load_chunk(leader, "j-000001", 0, &bits, 1, 8);
+    GArray *offers = schedule();
+    assert_int_equal(offers->len, 1);
+    const offer_t *offer = &g_array_index(offers, leader_offer_t, 0).offer;
+    assert_int_equal(offer->task, 1);
+    outcome_t done = {.ref = task_ref(offer->job, 1, offer->attempt), .cause = CAUSE_DONE};
+    leader_outcome(leader, 0, &done, 1000);
+    GArray *progress = leader_progress_take(leader, 20, &ops);
+    assert_int_equal(progress->len, 1);
+    assert_true(g_array_index(progress, progress_t, 0).end);
+    GArray *settled = g_array_new(FALSE, FALSE, sizeof(settle_t));
+    leader_progress_commit(leader, progress, 9, settled);
+    assert_int_equal(settled->len, 1);
+    g_array_unref(settled);
+    g_array_unref(progress);
+    g_array_unref(offers);
+}
+
+static void gang_is_offered_whole_or_not_at_all(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", "blue", 4);
+    spec.kind = KIND_GANG;
+    set_room(0, "north", 6);
+    add(&spec);
+    GArray *offers = schedule();
+    assert_int_equal(offers->len, 0);
+    g_array_unref(offers);
+    set_room(1, "south", 6);
+    offers = schedule();
+    assert_int_equal(offers->len, 4);
+    assert_int_equal(g_array_index(offers, leader_offer_t, 0).offer.attempt,
+                     g_array_index(offers, leader_offer_t, 3).offer.attempt);
+    g_array_unref(offers);
+}
+
+static bool next_rental(bool spot_allowed, rental_wish_t *wish)
+{
+    static char *zones[] = {"north", NULL};
+    GArray *flavors = g_array_new(FALSE, FALSE, sizeof(flavor_t));
+    flavor_t flavor = {.name = "t", .room = {16, 0, 64}, .price = 3, .spot_price = 1,
+                       .zones = zones};
+    g_array_append_val(flavors, flavor);
+    job_spec_t spec = job("j-000001", "green", 50);
+    spec.spot = spot_allowed;
+    add_team("green", 0, 0);
+    leader_free(leader);
+    leader = leader_new(teams, targets, policy, 1);
+    add(&spec);
+    rental_t *rental = rental_new();
+    rental_wish_t taken = {.type = "t", .zone = "north", .spot = true};
+    rental_refused(rental, &taken, 5000);
+    bool wished = rental_next(rental, leader, flavors, 1000, 2000, wish);
+    rental_free(rental);
+    g_array_unref(flavors);
+    return wished;
+}
+
+static void without_a_guarantee_spot_work_waits_for_spot(void **state)
+{
+    (void)state;
+    rental_wish_t wish;
+    assert_false(next_rental(true, &wish));
+}
+
+static void work_barred_from_spot_gets_ordinary_machines(void **state)
+{
+    (void)state;
+    rental_wish_t wish;
+    assert_true(next_rental(false, &wish));
+    assert_false(wish.spot);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(offers_go_to_the_part_with_most_room, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(team_limit_counts_what_is_out, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(recorded_attempts_count_even_for_jobs_that_ended, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(shares_are_served_in_turn, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(priority_comes_before_age, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(hopeless_deadlines_come_last, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(same_zone_binds_the_later_tasks, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(apart_keeps_half_in_a_zone, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(job_that_fails_everywhere_is_held_back, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(finished_bit_is_never_offered_again, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(gang_is_offered_whole_or_not_at_all, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(without_a_guarantee_spot_work_waits_for_spot, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(work_barred_from_spot_gets_ordinary_machines, set_up,
+                                        tear_down),
+    };
+    return cmocka_run_group_tests_name("leader", tests, NULL, NULL);
+}
--- a/tests/stories_part.c
+++ b/tests/stories_part.c
@@ -1,12 +1,8 @@
 /* Stories of one part and its workers: when a task may be placed again, and when not. */
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
 
-#include <cmocka.h>
-#include <string.h>
 
 #include "core/part.h"
+#include "story.h"
 #include "worker.h"
 
 typedef struct {
--- /dev/null
+++ b/tests/stories_settings.c
@@ -0,0 +1,95 @@
+/* Stories of the platform's settings file. */
+#include <jansson.h>
+#include <unistd.h>
+
+#include "app/settings.h"
+#include "story.h"
+
+static json_t *settings_body(void)
+{
+    return json_loads(
+        "{\"host_name\":\"hand-0\",\"location\":\"north\",\"client_listen\":\"127.0.0.1:1\","
+        "\"mesh_addr\":\"127.0.0.1:2\",\"siblings\":[{\"host_name\":\"hand-1\",\"location\":"
+        "\"south\",\"endpoint\":\"127.0.0.1:3\"}],\"endpoints\":{\"cloud\":\"127.0.0.1:4\","
+        "\"state\":\"127.0.0.1:5\"},\"settings\":{\"teams\":[{\"name\":\"red\",\"cpus\":1.0,"
+        "\"cpus_max\":2.0,\"gpus\":0.0,\"gpus_max\":0.0}],\"objectives\":[{\"kind\":\"finished\","
+        "\"class\":\"c\",\"within_s\":400.0},{\"kind\":\"finished\",\"class\":\"c\",\"within_s\":"
+        "250.0},{\"kind\":\"new\",\"x\":1}],\"workers\":{\"report_s\":1.0,\"lease_s\":10.0,"
+        "\"cancel_s\":30.0},\"state\":{\"rps\":120.0,\"write_rps\":40.0,\"value_kb\":16.0,"
+        "\"txn_ops\":24},\"cloud\":{\"rps\":5.0,\"list_lag_s\":3.0},\"limits\":{\"fd_limit\":600}},"
+        "\"unheard\":true}",
+        0, NULL);
+}
+
+/* Writes the body to a file of its own and loads it; consumes body. */
+static settings_t *load(json_t *body, char **error)
+{
+    char path[] = "/tmp/pepperpulley-story-XXXXXX";
+    int fd = mkstemp(path);
+    assert_true(fd >= 0);
+    assert_int_equal(json_dumpfd(body, fd, 0), 0);
+    close(fd);
+    json_decref(body);
+    settings_t *settings = settings_load(path, error);
+    unlink(path);
+    return settings;
+}
+
+static void complete_file_is_taken_and_unknown_fields_ignored(void **state)
+{
+    (void)state;
+    char *error = NULL;
+    settings_t *settings = load(settings_body(), &error);
+    assert_non_null(settings);
+    assert_string_equal(settings->name, "hand-0");
+    assert_int_equal(settings->siblings->len, 1);
+    const targets_t *targets = g_hash_table_lookup(settings->targets, "c");
+    assert_int_equal(targets->within->len, 2);
+    assert_true(g_array_index(targets->within, double, 0) == 250.0);
+    settings_free(settings);
+}
+
+static void refused(const char *object, const char *name, json_t *value)
+{
+    char *error = NULL;
+    json_t *body = settings_body();
+    json_t *at = body;
+    if (object)
+        at = json_object_get(json_object_get(body, "settings"), object);
+    json_object_set_new(at, name, value);
+    assert_null(load(body, &error));
+    assert_non_null(error);
+    assert_non_null(strstr(error, name));
+    assert_null(strchr(error, '\n'));
+    g_free(error);
+}
+
+static void wrong_types_and_values_are_told_by_name(void **state)
+{
+    (void)state;
+    refused(NULL, "host_name", json_integer(3));
+    refused(NULL, "client_listen", json_string("localhost"));
+    refused(NULL, "siblings", json_string("none"));
+    refused("workers", "lease_s", json_string("10"));
+    refused("workers", "cancel_s", json_real(-1));
+    refused("state", "txn_ops", json_null());
+}
+
+static void missing_file_is_told(void **state)
+{
+    (void)state;
+    char *error = NULL;
+    assert_null(settings_load("/nonexistent/settings.json", &error));
+    assert_non_null(strstr(error, "/nonexistent/settings.json"));
+    g_free(error);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(complete_file_is_taken_and_unknown_fields_ignored),
+        cmocka_unit_test(wrong_types_and_values_are_told_by_name),
+        cmocka_unit_test(missing_file_is_told),
+    };
+    return cmocka_run_group_tests_name("settings", tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/stories_wire.c
@@ -0,0 +1,160 @@
+/* Stories of the codec: what is taken, what is refused, what comes back as it went. */
+#include "io/wire.h"
+#include "story.h"
+
+static json_t *job_body(void)
+{
+    return json_pack("{s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:f,s:s,s:f,s:n,s:n,s:b,s:b,s:b,s:f,s:f,s:f,"
+                     "s:f}",
+                     "Uid", "j-000412", "Reel", "train", "Crew", "vision", "Rig", "sweep",
+                     "Urgency", "high", "Pieces", 16, "Cpus", 8.0, "Accelerators", 1.0, "MemGb",
+                     64.0, "Cargo", "img-07", "ImageGb", 6.2, "Hulls", "Dock", "SamePlace", 1,
+                     "Apart", 0, "Driftwood", 1, "HaulS", 240.0, "KnotS", 30.0, "StowS", 4.0,
+                     "TideS", 900.0);
+}
+
+static bool takes(json_t *body)
+{
+    job_spec_t spec;
+    reason_t why;
+    bool valid = wire_parse_job(body, false, &spec, &why);
+    if (valid)
+        job_spec_clear(&spec);
+    json_decref(body);
+    return valid;
+}
+
+static json_t *with(const char *name, json_t *value)
+{
+    json_t *body = job_body();
+    json_object_set_new(body, name, value);
+    return body;
+}
+
+static json_t *without(const char *name)
+{
+    json_t *body = job_body();
+    json_object_del(body, name);
+    return body;
+}
+
+static void complete_job_is_taken(void **state)
+{
+    (void)state;
+    assert_true(takes(job_body()));
+    assert_true(takes(with("Unheard", json_integer(1))));
+    assert_true(takes(without("TideS"))); /* may be null, so may be omitted */
+    assert_true(takes(without("Hulls")));
+    assert_true(takes(with("Cpus", json_integer(4))));
+    assert_true(takes(with("Pieces", json_integer(PIECES_MAX))));
+}
+
+static void faulty_job_is_refused(void **state)
+{
+    (void)state;
+    assert_false(takes(without("Cargo")));
+    assert_false(takes(with("Uid", json_string("run-7"))));
+    assert_false(takes(with("Uid", json_string("j-00041x"))));
+    assert_false(takes(with("Pieces", json_integer(0))));
+    assert_false(takes(with("Pieces", json_integer(PIECES_MAX + 1))));
+    assert_false(takes(with("Pieces", json_real(3.5))));
+    assert_false(takes(with("Cpus", json_string("8"))));
+    assert_false(takes(with("Cpus", json_real(-1))));
+    assert_false(takes(with("SamePlace", json_integer(1))));
+    assert_false(takes(with("Urgency", json_string("urgent"))));
+    assert_false(takes(with("Hulls", json_string("g8"))));
+    assert_false(takes(json_array()));
+}
+
+static void job_comes_back_from_the_store(void **state)
+{
+    (void)state;
+    job_spec_t spec, again;
+    json_t *body = with("Hulls", json_pack("[s,s]", "g8", "g4"));
+    assert_true(wire_parse_job(body, false, &spec, NULL));
+    spec.submitted_ms = 1234567;
+    json_t *stored = wire_build_job(&spec);
+    assert_true(wire_parse_job(stored, true, &again, NULL));
+    assert_string_equal(again.types[1], "g4");
+    assert_int_equal(again.submitted_ms, 1234567);
+    assert_int_equal(again.urgency, URGENCY_HIGH);
+    assert_true(again.deadline_s > 899 && again.same_zone && !again.spread);
+    job_spec_clear(&spec);
+    job_spec_clear(&again);
+    json_decref(stored);
+    json_decref(body);
+}
+
+static const char report_text[] =
+    "{\"Winch\":\"m-000231\",\"Address\":\"10.1.0.232:9000\",\"Hull\":\"g8\",\"Dock\":\"a\","
+    "\"Driftwood\":true,\"Watch\":1,\"Tally\":88,\"Helm\":41,\"WarningS\":null,\"Pieces\":["
+    "{\"Piece\":\"j-000412/3\",\"Heave\":2,\"Trim\":\"running\"},"
+    "{\"Piece\":\"j-000398/0\",\"Heave\":1,\"Trim\":\"exited\",\"Cause\":\"done\"}]}";
+
+static void report_is_read(void **state)
+{
+    (void)state;
+    report_t report;
+    json_t *body = json_loads(report_text, 0, NULL);
+    assert_true(wire_parse_report(body, &report, NULL));
+    assert_int_equal(report.token, 41);
+    assert_true(report.notice_s < 0);
+    assert_int_equal(report.pieces->len, 2);
+    assert_int_equal(g_array_index(report.pieces, piece_t, 0).task, 3);
+    assert_int_equal(g_array_index(report.pieces, piece_t, 1).cause, CAUSE_DONE);
+    report_clear(&report);
+    json_decref(body);
+}
+
+static void malformed_report_is_refused(void **state)
+{
+    (void)state;
+    static const char *const fields[] = {"Winch", "Address", "Watch", "Tally", "Helm", "Driftwood"};
+    for (guint i = 0; i < G_N_ELEMENTS(fields); i++) {
+        report_t report;
+        reason_t why;
+        json_t *body = json_loads(report_text, 0, NULL);
+        json_object_set_new(body, fields[i], json_array());
+        assert_false(wire_parse_report(body, &report, &why));
+        assert_non_null(strstr(why.text, fields[i]));
+        json_decref(body);
+    }
+    report_t report;
+    reason_t why;
+    json_t *body = json_loads(report_text, 0, NULL);
+    json_object_set_new(json_array_get(json_object_get(body, "Pieces"), 1), "Piece",
+                        json_string("j-000398"));
+    assert_false(wire_parse_report(body, &report, &why));
+    json_decref(body);
+}
+
+static void progress_bits_come_back(void **state)
+{
+    (void)state;
+    uint8_t bits[CHUNK_BITS / 8];
+    gsize bytes = 0;
+    for (guint i = 0; i < sizeof bits; i++)
+        bits[i] = (uint8_t)(i * 37);
+    json_t *value = wire_build_bits(bits, sizeof bits, 7);
+    char *text = json_dumps(value, JSON_COMPACT);
+    assert_true(strlen(text) < 4 * 1024); /* the least value_kb that settings may name */
+    uint8_t *back = wire_parse_bits(value, &bytes);
+    assert_int_equal(bytes, sizeof bits);
+    assert_memory_equal(back, bits, sizeof bits);
+    g_free(back);
+    free(text);
+    json_decref(value);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(complete_job_is_taken),
+        cmocka_unit_test(faulty_job_is_refused),
+        cmocka_unit_test(job_comes_back_from_the_store),
+        cmocka_unit_test(report_is_read),
+        cmocka_unit_test(malformed_report_is_refused),
+        cmocka_unit_test(progress_bits_come_back),
+    };
+    return cmocka_run_group_tests_name("wire", tests, NULL, NULL);
+}
