--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -178,14 +178,13 @@
     pthread_mutex_lock(&node->lock);
     msec_t now = clock_steady();
     if (leads(node)) {
-        json_array_foreach(names, i, name)
-            if (json_is_string(name))
-                rental_booting(node->rental, json_string_value(name), wish->type, wish->zone,
-                               wish->spot, now);
+        json_array_foreach(names, i, name) if (json_is_string(name)) rental_booting(
+            node->rental, json_string_value(name), wish->type, wish->zone, wish->spot, now);
         if (json_array_size(names) < wish->count)
             rental_refused(node->rental, wish, now + CAPACITY_MEMORY_MS);
     }
     pthread_mutex_unlock(&node->lock);
+    metrics_count(node->metrics, COUNT_RENTED, json_array_size(names));
     log_info("event=rented charter=%s type=%s zone=%s spot=%d asked=%u got=%zu",
              cloud->charter.charter, wish->type, wish->zone, wish->spot, wish->count,
              json_array_size(names));
@@ -221,7 +220,8 @@
 
 static void add_once(GPtrArray *names, const char *name)
 {
-    if (names->len < RELEASE_MAX && !g_ptr_array_find_with_equal_func(names, name, g_str_equal, NULL))
+    if (names->len < RELEASE_MAX &&
+        !g_ptr_array_find_with_equal_func(names, name, g_str_equal, NULL))
         g_ptr_array_add(names, g_strdup(name));
 }
 
@@ -231,8 +231,7 @@
     GHashTable *kept = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     GArray *entries = state_entries_new();
     budget_charge(&cloud->node->core_rps, 1, clock_steady());
-    state_result_t result =
-        state_list(&cloud->node->state, cloud->client, "kept/", entries, NULL);
+    state_result_t result = state_list(&cloud->node->state, cloud->client, "kept/", entries, NULL);
     int64_t day = clock_day();
     for (guint i = 0; result == STATE_OK && i < entries->len; i++) {
         const json_t *value = g_array_index(entries, state_entry_t, i).value;
@@ -240,9 +239,8 @@
             continue;
         size_t k;
         json_t *name;
-        json_array_foreach(json_object_get(value, "Machines"), k, name)
-            if (json_is_string(name))
-                g_hash_table_add(kept, g_strdup(json_string_value(name)));
+        json_array_foreach(json_object_get(value, "Machines"), k, name) if (json_is_string(name))
+            g_hash_table_add(kept, g_strdup(json_string_value(name)));
     }
     g_array_unref(entries);
     if (result != STATE_OK)
@@ -279,8 +277,8 @@
     node_tell(node, part, item);
 }
 
-/* With the lock held: what is to go, for whatever reason but silence. A machine is drained first: its
- * part's rows must show it closed and empty, so that no start is under way to it. */
+/* With the lock held: what is to go, for whatever reason but silence. A machine is drained first:
+ * its part's rows must show it closed and empty, so that no start is under way to it. */
 static void find_unwanted(cloud_t *cloud, GPtrArray *names)
 {
     node_t *node = cloud->node;
@@ -310,9 +308,11 @@
     }
 }
 
-/* The release is proof for whatever the machine's record holds, also when no part has rows of it. */
+/* The release is proof for whatever the machine's record holds, also when no part has rows of it.
+ */
 static void released(node_t *node, const GPtrArray *names)
 {
+    metrics_count(node->metrics, COUNT_RELEASED, names->len);
     for (guint i = 0; i < names->len; i++) {
         const char *id = g_ptr_array_index(names, i);
         guint part = 0;
--- a/src/app/front.c
+++ b/src/app/front.c
@@ -25,13 +25,15 @@
     unsigned status;
     json_t *body;
     unsigned retry_after_s; /* 0: none */
+    char *text;             /* instead of body; owned */
 } reply_t;
 
 typedef enum { JOB_LIVE, JOB_DONE, JOB_CANCELLED, JOB_NEVER, JOB_UNKNOWN } job_state_t;
 
 static reply_t refuse(unsigned status, const char *why, unsigned retry_after_s)
 {
-    return (reply_t){status, json_pack("{s:s}", "error", why), retry_after_s};
+    return (reply_t){
+        .status = status, .body = json_pack("{s:s}", "error", why), .retry_after_s = retry_after_s};
 }
 
 static reply_t come_back(void)
@@ -65,7 +67,8 @@
     pthread_mutex_lock(&node->lock);
     if (g_hash_table_size(node->ended) >= ENDED_CACHE)
         g_hash_table_remove_all(node->ended);
-    g_hash_table_insert(node->ended, g_strdup(id), GINT_TO_POINTER(done ? JOB_DONE : JOB_CANCELLED));
+    g_hash_table_insert(node->ended, g_strdup(id),
+                        GINT_TO_POINTER(done ? JOB_DONE : JOB_CANCELLED));
     pthread_mutex_unlock(&node->lock);
 }
 
@@ -124,21 +127,23 @@
 {
     uint32_t done = 0, running = 0;
     if (state == JOB_DONE || state == JOB_CANCELLED)
-        return (reply_t){200, wire_build_status(id, state == JOB_DONE ? "done" : "cancelled", 0, 0),
-                         0};
+        return (reply_t){.status = 200,
+                         .body =
+                             wire_build_status(id, state == JOB_DONE ? "done" : "cancelled", 0, 0)};
     if (state == JOB_NEVER)
         return refuse(404, "no such job", 0);
     if (state == JOB_UNKNOWN)
         return come_back();
     pthread_mutex_lock(&node->lock);
-    const job_t *job = node->loaded && node->leading ? g_hash_table_lookup(node->leader->jobs, id) : NULL;
+    const job_t *job =
+        node->loaded && node->leading ? g_hash_table_lookup(node->leader->jobs, id) : NULL;
     if (job) {
         done = job->n_done;
         running = job->n_live;
     }
     pthread_mutex_unlock(&node->lock);
-    return (reply_t){live_status,
-                     wire_build_status(id, running ? "running" : "queued", done, running), 0};
+    return (reply_t){.status = live_status,
+                     .body = wire_build_status(id, running ? "running" : "queued", done, running)};
 }
 
 /* What this node knows without asking: a final state, or whether it is probably live. */
@@ -164,7 +169,9 @@
     http_client_t *client = client_take(node);
     if (!client)
         return come_back();
+    msec_t begun = clock_steady();
     state = look_up(node, client, id, live);
+    metrics_time(node->metrics, TIME_STATUS, clock_steady() - begun);
     client_return(node, client);
     return status_reply(node, id, state, 200);
 }
@@ -218,7 +225,7 @@
         state_commit(&node->state, client, &txn, FRONT_TIMEOUT_MS, &revision, NULL);
     txn_free(&txn);
     if (result == STATE_OK)
-        return (reply_t){201, wire_build_status(spec->id, "queued", 0, 0), 0};
+        return (reply_t){.status = 201, .body = wire_build_status(spec->id, "queued", 0, 0)};
     if (result == STATE_REFUSED)
         return come_back();
     job_state_t state = look_up(node, client, spec->id, true);
@@ -267,14 +274,21 @@
     return reply;
 }
 
+static reply_t timed_submit(node_t *node, const request_t *request)
+{
+    msec_t begun = clock_steady();
+    reply_t reply = submit(node, request);
+    metrics_time(node->metrics, TIME_SUBMIT, clock_steady() - begun);
+    return reply;
+}
+
 static state_result_t commit_abort(node_t *node, http_client_t *client, const char *id,
                                    uint64_t stamp, uint32_t tasks)
 {
     txn_t txn = records_abort(id, stamp, tasks);
     budget_charge(&node->front_rps, 1, clock_steady());
     budget_charge(&node->front_write, (double)json_array_size(txn.changes), clock_steady());
-    state_result_t result =
-        state_commit(&node->state, client, &txn, FRONT_TIMEOUT_MS, NULL, NULL);
+    state_result_t result = state_commit(&node->state, client, &txn, FRONT_TIMEOUT_MS, NULL, NULL);
     txn_free(&txn);
     return result;
 }
@@ -292,7 +306,7 @@
         if (result == STATE_OK) {
             remember_ended(node, id, false);
             log_info("event=abort job=%s", id);
-            return (reply_t){200, wire_build_status(id, "cancelled", 0, 0), 0};
+            return (reply_t){.status = 200, .body = wire_build_status(id, "cancelled", 0, 0)};
         }
         if (result != STATE_FAILED && result != STATE_UNKNOWN)
             return come_back();
@@ -323,7 +337,7 @@
     pthread_mutex_lock(&node->lock);
     bool able = node->flavors->len > 0 && node->jobs_synced;
     pthread_mutex_unlock(&node->lock);
-    return able ? (reply_t){200, json_pack("{s:b}", "ready", 1), 0}
+    return able ? (reply_t){.status = 200, .body = json_pack("{s:b}", "ready", 1)}
                 : refuse(503, "starting", 1);
 }
 
@@ -347,7 +361,7 @@
     if (!stays) {
         guest->kept_until = 0;
         guest->sent_home = now;
-        return (reply_t){421, json_pack("{s:s}", "Bosun", owner), 0};
+        return (reply_t){.status = 421, .body = json_pack("{s:s}", "Bosun", owner)};
     }
     GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
     for (guint i = 0; i < report->pieces->len; i++) {
@@ -358,7 +372,7 @@
         g_strlcpy(call.job, piece->job, sizeof call.job);
         g_array_append_val(calls, call);
     }
-    reply_t reply = {200, wire_build_calls(node->view.number, calls), 0};
+    reply_t reply = {.status = 200, .body = wire_build_calls(node->view.number, calls)};
     g_array_unref(calls);
     return reply;
 }
@@ -366,12 +380,14 @@
 static reply_t take_report(node_t *node, const report_t *report)
 {
     msec_t now = clock_steady();
+    metrics_count(node->metrics, COUNT_REPORTS, 1);
     /* A higher token is out: this node's view is old, and a 200 from it would be dropped while it
      * holds the worker here. Silence about aborts ends the answers as well. */
     if (node->view.count == 0 || MAX(report->token, node->superseded) > node->view.number ||
         !node_may_renew(node, now))
         return refuse(503, "not entitled now", 0);
     guint owner = node_owner(node, report->machine, report->zone);
+    metrics_count(node->metrics, COUNT_GUESTS, owner != node->own);
     if (owner != node->own)
         return host_guest(node, report, node->view.members[owner].name, now);
     GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
@@ -379,7 +395,7 @@
     if (node->loaded && part_report(node->part, report, false, now, calls) == REPORT_STALE) {
         reply = refuse(503, "a newer report was received", 0);
     } else {
-        reply = (reply_t){200, wire_build_calls(node->view.number, calls), 0};
+        reply = (reply_t){.status = 200, .body = wire_build_calls(node->view.number, calls)};
         node_wake(node);
     }
     g_array_unref(calls);
@@ -390,9 +406,8 @@
 {
     report_t report;
     reason_t why = {"not JSON"};
-    json_t *body = request->too_long
-                       ? NULL
-                       : json_loadb(request->body->str, request->body->len, 0, NULL);
+    json_t *body =
+        request->too_long ? NULL : json_loadb(request->body->str, request->body->len, 0, NULL);
     bool valid = body && wire_parse_report(body, &report, &why);
     json_decref(body);
     if (!valid)
@@ -430,20 +445,34 @@
     if (strcmp(path, "/ready") == 0 && strcmp(method, "GET") == 0)
         return ready(node);
     if (strcmp(path, "/v2/runs") == 0 && strcmp(method, "POST") == 0)
-        return submit(node, request);
+        return timed_submit(node, request);
+    if (strcmp(path, "/metrics") == 0 && strcmp(method, "GET") == 0)
+        return (reply_t){.status = 200, .text = metrics_text(node->metrics)};
     if (g_str_has_prefix(path, runs))
         return route_run(node, method, path + strlen(runs));
     return refuse(404, "no such path", 0);
 }
 
+static void count_reply(node_t *node, const reply_t *reply)
+{
+    if (reply->status == 201)
+        metrics_count(node->metrics, COUNT_SUBMITTED, 1);
+    else if (reply->status == 429 || reply->status == 503)
+        metrics_count(node->metrics, COUNT_COME_BACK, 1);
+    else if (reply->status >= 400 && reply->status != 421)
+        metrics_count(node->metrics, COUNT_REFUSED, 1);
+}
+
 static enum MHD_Result send_reply(struct MHD_Connection *connection, reply_t reply)
 {
-    char *text = reply.body ? json_dumps(reply.body, JSON_COMPACT | JSON_REAL_PRECISION(9)) : NULL;
+    char *text =
+        reply.body ? json_dumps(reply.body, JSON_COMPACT | JSON_REAL_PRECISION(9)) : reply.text;
     json_decref(reply.body);
-    struct MHD_Response *response = MHD_create_response_from_buffer(
-        text ? strlen(text) : 0, text ? text : (char *)"",
-        text ? MHD_RESPMEM_MUST_FREE : MHD_RESPMEM_PERSISTENT);
-    MHD_add_response_header(response, "Content-Type", "application/json");
+    struct MHD_Response *response =
+        MHD_create_response_from_buffer(text ? strlen(text) : 0, text ? text : (char *)"",
+                                        text ? MHD_RESPMEM_MUST_FREE : MHD_RESPMEM_PERSISTENT);
+    MHD_add_response_header(response, "Content-Type",
+                            reply.text ? "text/plain" : "application/json");
     if (reply.retry_after_s) {
         char seconds[16];
         g_snprintf(seconds, sizeof seconds, "%u", reply.retry_after_s);
@@ -473,7 +502,9 @@
         *upload_size = 0;
         return MHD_YES;
     }
-    return send_reply(connection, route(data, method, path, request));
+    reply_t reply = route(data, method, path, request);
+    count_reply(data, &reply);
+    return send_reply(connection, reply);
 }
 
 static void completed(void *data, struct MHD_Connection *connection, void **context,
@@ -503,9 +534,8 @@
         MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL, 0, NULL,
         NULL, handle, node, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED, completed,
         NULL, MHD_OPTION_CONNECTION_LIMIT, node->settings->connections - CONNECTIONS_SPARE,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
-        MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
-        MHD_OPTION_END);
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY, MHD_OPTION_THREAD_STACK_SIZE,
+        (size_t)THREAD_STACK, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
     if (!daemon)
         log_error("event=listen_failed address=%s", listen);
     return daemon != NULL;
--- a/src/app/main.c
+++ b/src/app/main.c
@@ -25,8 +25,8 @@
     const GOptionEntry entries[] = {
         {"config", 'c', 0, G_OPTION_ARG_FILENAME, &arguments->config,
          "the platform's settings file (JSON)", "FILE"},
-        {"policy", 'p', 0, G_OPTION_ARG_FILENAME, &arguments->policy,
-         "the operators' own settings", "FILE"},
+        {"policy", 'p', 0, G_OPTION_ARG_FILENAME, &arguments->policy, "the operators' own settings",
+         "FILE"},
         {"version", 'V', 0, G_OPTION_ARG_NONE, &arguments->version, "print the version", NULL},
         {G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_FILENAME_ARRAY, &arguments->rest, NULL,
          "[check FILE]"},
--- a/src/app/mesh.c
+++ b/src/app/mesh.c
@@ -91,8 +91,8 @@
     return frame;
 }
 
-static bool write_mail(node_t *node, http_client_t *client, const char *direction,
-                       const char *name, const GByteArray *frame)
+static bool write_mail(node_t *node, http_client_t *client, const char *direction, const char *name,
+                       const GByteArray *frame)
 {
     char key[ID_SIZE + 16];
     char *text = g_base64_encode(frame->data, frame->len);
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -20,6 +20,7 @@
     msec_t now = clock_steady();
     node->settings = settings;
     node->policy = policy;
+    node->metrics = metrics_new();
     arc4random_buf(&node->incarnation, sizeof node->incarnation);
     node->incarnation >>= 2; /* fits a signed JSON integer */
     state_init(&node->state, settings->state, now);
@@ -155,9 +156,9 @@
         g_ptr_array_add(node->links, node->leading ? link_new() : NULL);
     }
     node->uplink = link_new();
-    budget_set_rate(&node->core_write,
-                    node->settings->state_write_rps *
-                        (node->leading ? SHARE_LEADER_WRITE : SHARE_PART_WRITE));
+    budget_set_rate(&node->core_write, node->settings->state_write_rps *
+                                           (node->leading ? SHARE_LEADER_WRITE : SHARE_PART_WRITE));
+    metrics_count(node->metrics, COUNT_VIEWS, 1);
     log_info("event=view view=%" G_GUINT64_FORMAT " leader=%s members=%u own=%d", view->number,
              view->leader, view->count, node->own == G_MAXUINT ? -1 : (int)node->own);
     node_wake(node);
@@ -238,8 +239,8 @@
               outcome->ref.job, outcome->ref.task, outcome->ref.attempt, outcome->machine,
               (int)outcome->cause);
     if (outcome->cause == CAUSE_ERROR || outcome->cause == CAUSE_UNKNOWN)
-        log_info("event=failed task=%s/%u machine=%s cause=%d", outcome->ref.job,
-                 outcome->ref.task, outcome->machine, (int)outcome->cause);
+        log_info("event=failed task=%s/%u machine=%s cause=%d", outcome->ref.job, outcome->ref.task,
+                 outcome->machine, (int)outcome->cause);
     const job_t *job = g_hash_table_lookup(node->leader->jobs, outcome->ref.job);
     bool refused = job && job->spec.kind == KIND_GANG && outcome->cause == CAUSE_FULL;
     leader_outcome(node->leader, part, outcome, now);
@@ -261,6 +262,7 @@
 static void take_offer(node_t *node, const offer_t *offer, msec_t now)
 {
     const machine_t *machine = part_place(node->part, offer, now);
+    metrics_count(node->metrics, machine ? COUNT_OFFERS : COUNT_OFFERS_REFUSED, 1);
     if (!machine) {
         refuse_offer(node, offer, now);
         return;
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -15,6 +15,7 @@
 
 #include <pthread.h>
 
+#include "app/metrics.h"
 #include "app/settings.h"
 #include "core/leader.h"
 #include "core/link.h"
@@ -50,6 +51,7 @@
 typedef struct {
     const settings_t *settings;
     const policy_t *policy;
+    metrics_t *metrics;
     uint64_t incarnation;
     state_t state;
     budget_t core_rps, core_write; /* member, follow, placer, cloud */
@@ -57,12 +59,12 @@
     http_client_t *front_clients[FRONT_CLIENTS];
 
     pthread_mutex_t lock;
-    pthread_cond_t work;   /* for the placer */
-    pthread_cond_t direct; /* for the senders */
+    pthread_cond_t work;    /* for the placer */
+    pthread_cond_t direct;  /* for the senders */
     pthread_cond_t clients; /* for the front's clients */
     pthread_cond_t members; /* for the member loop */
     pthread_cond_t mesh;    /* something to say to a part */
-    guint front_free;      /* clients [0, front_free) are free */
+    guint front_free;       /* clients [0, front_free) are free */
     view_t view;
     bool view_synced;
     uint64_t superseded;  /* the highest view number that another node spoke of */
@@ -71,9 +73,9 @@
     uint64_t lease_stamp; /* of view/lease; 0: nobody leads */
     char lease_holder[ID_SIZE];
     uint64_t lease_incarnation;
-    bool leading;   /* the view is ours */
-    bool loaded;    /* the part (and the leader's data) of this view stand */
-    guint own;      /* our index among the members; G_MAXUINT: not a member */
+    bool leading; /* the view is ours */
+    bool loaded;  /* the part (and the leader's data) of this view stand */
+    guint own;    /* our index among the members; G_MAXUINT: not a member */
     guint leader_index;
     uint64_t generation; /* of part and leader: grows with each load */
     msec_t loaded_at;
@@ -84,11 +86,11 @@
     part_t *part;
     leader_t *leader;
     rental_t *rental;
-    link_t *uplink;    /* our part's end, towards the leader */
-    GPtrArray *links;  /* the leader's ends, a member each; NULL for its own */
+    link_t *uplink;            /* our part's end, towards the leader */
+    GPtrArray *links;          /* the leader's ends, a member each; NULL for its own */
     msec_t heard[MEMBERS_MAX]; /* when each member last called by socket */
-    GHashTable *ended;  /* id -> final state (static string); a bounded cache */
-    GHashTable *guests; /* machine -> guest_t, owned */
+    GHashTable *ended;         /* id -> final state (static string); a bounded cache */
+    GHashTable *guests;        /* machine -> guest_t, owned */
 } node_t;
 
 /* Both are borrowed for the life of the process. */
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -81,8 +81,8 @@
 {
     GHashTable *live_jobs = g_hash_table_new(g_str_hash, g_str_equal);
     for (guint i = 0; i < listing->jobs->len; i++)
-        g_hash_table_add(live_jobs, g_array_index(listing->jobs, state_entry_t, i).key +
-                                        strlen("jobs/"));
+        g_hash_table_add(live_jobs,
+                         g_array_index(listing->jobs, state_entry_t, i).key + strlen("jobs/"));
     for (guint i = 0; i < listing->machines->len; i++) {
         const state_entry_t *entry = &g_array_index(listing->machines, state_entry_t, i);
         machine_record_t record;
@@ -107,8 +107,8 @@
                           (msec_t)(knob_value(node->policy, KNOB_RESERVATION_LAPSE) * 1000));
     part_set_view(node->part, node->view.number);
     if (node->leading) {
-        node->leader =
-            leader_new(node->settings->teams, node->settings->targets, node->policy, node->view.count);
+        node->leader = leader_new(node->settings->teams, node->settings->targets, node->policy,
+                                  node->view.count);
         leader_set_view(node->leader, node->view.number);
         load_jobs(node, listing->jobs, now);
         load_done(node, listing->done);
@@ -132,7 +132,8 @@
     pthread_mutex_lock(&node->lock);
     if (read && node->view.number == number) {
         load_all(node, &listing, clock_steady());
-        log_info("event=loaded view=%" G_GUINT64_FORMAT " leading=%d jobs=%u machines=%u attempts=%u",
+        log_info("event=loaded view=%" G_GUINT64_FORMAT
+                 " leading=%d jobs=%u machines=%u attempts=%u",
                  number, leading, listing.jobs->len, g_hash_table_size(node->part->machines),
                  g_hash_table_size(node->part->attempts));
     }
@@ -148,6 +149,7 @@
 static void reload(placer_t *placer, const char *why)
 {
     node_t *node = placer->node;
+    metrics_count(node->metrics, COUNT_RELOADS, 1);
     log_info("event=reload why=%s", why);
     pthread_mutex_lock(&node->lock);
     node->loaded = false;
@@ -250,6 +252,8 @@
     state_result_t result =
         state_commit(&node->state, placer->client, &txn, STATE_TIMEOUT_MS, &revision, failed);
     txn_free(&txn);
+    metrics_time(node->metrics, TIME_COMMIT, clock_steady() - now);
+    metrics_count(node->metrics, result == STATE_OK ? COUNT_COMMITS : COUNT_COMMITS_FAILED, 1);
     pthread_mutex_lock(&node->lock);
     switch (result) {
     case STATE_OK:
@@ -288,8 +292,8 @@
         make_offers(node, now, (guint)knob_value(node->policy, KNOB_OFFERS_PER_ROUND));
         batch->progress = leader_progress_take(node->leader, most, &batch->ops);
     }
-    batch->machines = part_batch_take(node->part, most - batch->ops,
-                                      (gsize)(node->settings->value_kb * 1024));
+    batch->machines =
+        part_batch_take(node->part, most - batch->ops, (gsize)(node->settings->value_kb * 1024));
     batch->ops += batch->machines->records->len + batch->machines->gone->len;
     take_outcomes(node, now);
     return batch->ops > 0;
--- a/src/app/sender.c
+++ b/src/app/sender.c
@@ -60,7 +60,11 @@
         pthread_mutex_unlock(&node->lock);
         json_t *answer = NULL;
         json_t *body = wire_build_direct(exchange.token, exchange.session, calls);
+        msec_t sent = clock_steady();
         int status = http_call(client, "POST", exchange.url, body, DIRECT_TIMEOUT_MS, &answer);
+        metrics_time(node->metrics, TIME_DIRECT, clock_steady() - sent);
+        metrics_count(node->metrics,
+                      status == HTTP_NO_ANSWER ? COUNT_DIRECT_UNANSWERED : COUNT_DIRECT, 1);
         json_decref(body);
         finish(node, &exchange, calls, status, answer);
         json_decref(answer);
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -89,7 +89,8 @@
 {
     size_t i;
     json_t *item;
-    json_array_foreach(read_list(reader, root, "siblings"), i, item) {
+    json_array_foreach(read_list(reader, root, "siblings"), i, item)
+    {
         sibling_t sibling = {0};
         read_text(reader, item, "host_name", sibling.name, sizeof sibling.name);
         read_text(reader, item, "location", sibling.zone, sizeof sibling.zone);
@@ -102,7 +103,8 @@
 {
     size_t i;
     json_t *item;
-    json_array_foreach(read_list(reader, platform, "teams"), i, item) {
+    json_array_foreach(read_list(reader, platform, "teams"), i, item)
+    {
         team_t team = {0};
         read_text(reader, item, "name", team.name, sizeof team.name);
         team.cpus = read_number(reader, item, "cpus", 0);
@@ -152,15 +154,15 @@
 {
     size_t i;
     json_t *item;
-    json_array_foreach(json_object_get(platform, "objectives"), i, item) {
+    json_array_foreach(json_object_get(platform, "objectives"), i, item)
+    {
         const char *kind = json_string_value(json_object_get(item, "kind"));
         const char *class_name = json_string_value(json_object_get(item, "class"));
         if (!kind || !class_name)
             continue;
         targets_t *targets = targets_of(settings, class_name);
         if (strcmp(kind, "finished") == 0)
-            insert_sorted(targets->within,
-                          json_number_value(json_object_get(item, "within_s")));
+            insert_sorted(targets->within, json_number_value(json_object_get(item, "within_s")));
         else if (strcmp(kind, "deadline") == 0)
             insert_sorted(targets->times, json_number_value(json_object_get(item, "times")));
     }
--- a/src/app/view.c
+++ b/src/app/view.c
@@ -47,9 +47,9 @@
     g_strlcpy(view->leader, leader, sizeof view->leader);
     size_t i;
     json_t *member;
-    json_array_foreach(json_object_get(value, "Members"), i, member)
-        if (view->count < MEMBERS_MAX && parse_member(member, &view->members[view->count]))
-            view->count++;
+    json_array_foreach(json_object_get(value, "Members"), i,
+                       member) if (view->count < MEMBERS_MAX &&
+                                   parse_member(member, &view->members[view->count])) view->count++;
     return true;
 }
 
--- a/src/constants.h
+++ b/src/constants.h
@@ -12,75 +12,76 @@
 };
 
 enum {
-    PIECES_MAX = 100000,          /* tasks of a job, from the protocol */
-    CHUNK_BITS = 16384,           /* done bits in one key: 2 KiB, 2.7 KiB as base64, under value_kb */
-    BODY_MAX = 64 * 1024,         /* bytes of a request body, from the protocol */
-    RENT_MAX = 50,                /* machines in one rental, from the protocol */
-    RELEASE_MAX = 100,            /* names in one release, from the protocol */
-    LIST_PAGE = 500,              /* machines in a page of the cloud's list, from the protocol */
-    KEYS_PAGE = 500,              /* keys in a page of the state service: half its limit, small memory */
-    ATTEMPT_SHIFT = 24,           /* attempts in one view: 16 million; view and count stay below 2^53 */
-    RECORD_ROOM = 1024,           /* bytes kept free below value_kb in a machine record */
-    RECORD_ATTEMPT = 32,          /* bytes that one attempt takes at most in a machine record */
-    RECORD_JOB = 220,             /* bytes that one job's header takes at most there */
-    THREAD_STACK = 128 * 1024,    /* bytes; the deepest path is a JSON parse inside an HTTP handler */
+    PIECES_MAX = 100000,  /* tasks of a job, from the protocol */
+    CHUNK_BITS = 16384,   /* done bits in one key: 2 KiB, 2.7 KiB as base64, under value_kb */
+    BODY_MAX = 64 * 1024, /* bytes of a request body, from the protocol */
+    RENT_MAX = 50,        /* machines in one rental, from the protocol */
+    RELEASE_MAX = 100,    /* names in one release, from the protocol */
+    LIST_PAGE = 500,      /* machines in a page of the cloud's list, from the protocol */
+    KEYS_PAGE = 500,      /* keys in a page of the state service: half its limit, small memory */
+    ATTEMPT_SHIFT = 24,   /* attempts in one view: 16 million; view and count stay below 2^53 */
+    RECORD_ROOM = 1024,   /* bytes kept free below value_kb in a machine record */
+    RECORD_ATTEMPT = 32,  /* bytes that one attempt takes at most in a machine record */
+    RECORD_JOB = 220,     /* bytes that one job's header takes at most there */
+    THREAD_STACK = 128 * 1024, /* bytes; the deepest path is a JSON parse inside an HTTP handler */
     CONNECTION_MEMORY = 16 * 1024, /* bytes of HTTP buffers per connection: 300 of them are 5 MB */
-    CONNECTIONS_SPARE = 100,      /* sockets kept for our own calls out of fd_limit */
-    FRONT_CLIENTS = 10,           /* state connections of the front: one blocked each, 10 ms a call */
-    MESH_FRAME_MAX = 1 << 20,     /* bytes of a message between controllers; usual ones have 10 KB */
-    MESH_BATCH = 32,              /* items in one message: one by mail stays below value_kb */
-    SENDERS = 6,                  /* threads that send direct commands: a hung machine blocks one 2 s */
-    ENDED_CACHE = 4096,           /* final answers kept in memory, about 60 bytes each */
-    JOB_ERRORS_ALARM = 4,         /* failures of one job on as many machines: the job is bad */
-    MACHINE_ERRORS_ALARM = 3      /* failures of distinct sound jobs: the machine is bad */
+    CONNECTIONS_SPARE = 100,       /* sockets kept for our own calls out of fd_limit */
+    FRONT_CLIENTS = 10,       /* state connections of the front: one blocked each, 10 ms a call */
+    MESH_FRAME_MAX = 1 << 20, /* bytes of a message between controllers; usual ones have 10 KB */
+    MESH_BATCH = 32,          /* items in one message: one by mail stays below value_kb */
+    SENDERS = 6,              /* threads that send direct commands: a hung machine blocks one 2 s */
+    ENDED_CACHE = 4096,       /* final answers kept in memory, about 60 bytes each */
+    JOB_ERRORS_ALARM = 4,     /* failures of one job on as many machines: the job is bad */
+    MACHINE_ERRORS_ALARM = 3  /* failures of distinct sound jobs: the machine is bad */
 };
 
 /* Durations in milliseconds. */
 enum {
-    GRANT_LIFE_MS = 4000,         /* leader's grant: replaced well inside the shortest lease of 10 s */
-    GRANT_EXTEND_MS = 1000,       /* three tries before the grant ends */
-    ELECT_POLL_MS = 500,          /* between tries to read the view while it cannot be read */
-    ELECT_SPREAD_MS = 150,        /* random wait before a candidacy, so that few collide */
-    STATE_TIMEOUT_MS = 2000,      /* a slow answer takes a few hundred ms; past this it is unknown */
-    FOLLOW_BLOCK_MS = 2000,       /* an answer also proves what aborts are known; half a request a second */
-    FRONT_TIMEOUT_MS = 1500,      /* users wait 2 s for a status and 5 s for a submission */
-    DIRECT_TIMEOUT_MS = 2000,     /* a worker answers in milliseconds; then the report is the path */
-    DIRECT_FRESH_MS = 4000,       /* a machine silent that long gets no direct command: it would hang */
-    CLOUD_TIMEOUT_MS = 10000,     /* rentals may be slow; a lost answer costs a repeat only */
-    TICK_MS = 250,                /* leader's longest sleep when nothing happens */
-    COMMIT_GAP_MS = 60,           /* between commits: batches starts, spares the write budget */
-    CLOUD_LIST_MS = 2500,         /* between lists; the list lags by seconds anyway */
-    CLOUD_CALLS_MS = 1500,        /* over cloud.rps: three calls of a round take turns within the limit */
-    CLOUD_GAP_MS = 300,           /* between other calls: under 5 a second with the lists */
-    FLAVORS_MS = 60000,           /* prices move slowly */
-    CAPACITY_MEMORY_MS = 12000,   /* a refused type, zone and kind is not asked again before that */
-    PROGRESS_MS = 1000,           /* leader's published counts, for display */
-    JOB_BACKOFF_MS = 5000,        /* after a failure, doubling, per job */
-    JOB_BACKOFF_MAX_MS = 60000,   /* a bad job costs at most one start a minute then */
-    TASK_BACKOFF_MS = 500,        /* after a refused start: the room was not there */
-    SILENT_MARGIN_MS = 5000,      /* beyond lease_s before a silent machine is released for proof */
-    CONTACT_MARGIN_MS = 3000,     /* kept below cancel_s - lease_s for a report under way */
-    SETTLE_MS = 4000,             /* a new leader waits for reports before it judges silence or rents */
-    RENUMBER_GAP_MS = 15000,      /* least time between token moves made only to allow a forget */
-    MESH_TIMEOUT_MS = 1500,       /* an exchange between controllers; the answer is held back for less */
-    MESH_HOLD_MS = 200,           /* the leader holds an answer so long for something to say */
-    MESH_IDLE_MS = 15000,         /* a connection without a call for so long is closed */
-    MESH_ROWS_MS = 400,           /* between sums of a part that no new batch asks for */
-    MESH_GAP_MS = 50,             /* between exchanges; batches what comes in a burst */
-    MAIL_AFTER_MS = 2500,         /* without an exchange by socket for so long, mail is used */
-    MAIL_GAP_MS = 400,            /* between looks at the mail: few of the state service's requests */
-    MESH_RETRY_MS = 300,          /* after a failed one */
-    MEMBER_SETTLE_MS = 300,       /* changes of membership within it make one view */
-    MEMBER_TICK_MS = 250,         /* between looks at the membership */
-    KEEP_MS = 20000,              /* so long a worker that can't reach its owner stays before a new try */
-    KEPT_WRITE_MS = 3000,         /* between writes of the kept list: a third of a write a second */
-    GUEST_FORGET_MS = 60000,      /* a worker that long gone from here is forgotten */
-    KEPT_FRESH_MS = 8000,         /* a kept list older than that says nothing */
-    HOME_TRY_MS = 6000,           /* a worker sent to the leader and back within it can't reach it */
-    PREEMPT_PROTECT_MS = 2000,    /* a start is not preempted in its first moments */
-    BOOT_PATIENCE_MS = 30000,     /* added to three times BootS before a boot is given up */
-    RETURN_AFTER_MS = 40000,      /* a new leader learns the demand before it returns machines */
-    SHUT_OUT_MS = 3000            /* /ready turns 503 after so long without the state service */
+    GRANT_LIFE_MS = 4000,    /* leader's grant: replaced well inside the shortest lease of 10 s */
+    GRANT_EXTEND_MS = 1000,  /* three tries before the grant ends */
+    ELECT_POLL_MS = 500,     /* between tries to read the view while it cannot be read */
+    ELECT_SPREAD_MS = 150,   /* random wait before a candidacy, so that few collide */
+    STATE_TIMEOUT_MS = 2000, /* a slow answer takes a few hundred ms; past this it is unknown */
+    FOLLOW_BLOCK_MS =
+        2000, /* an answer also proves what aborts are known; half a request a second */
+    FRONT_TIMEOUT_MS = 1500,  /* users wait 2 s for a status and 5 s for a submission */
+    DIRECT_TIMEOUT_MS = 2000, /* a worker answers in milliseconds; then the report is the path */
+    DIRECT_FRESH_MS = 4000,   /* a machine silent that long gets no direct command: it would hang */
+    CLOUD_TIMEOUT_MS = 10000, /* rentals may be slow; a lost answer costs a repeat only */
+    TICK_MS = 250,            /* leader's longest sleep when nothing happens */
+    COMMIT_GAP_MS = 60,       /* between commits: batches starts, spares the write budget */
+    CLOUD_LIST_MS = 2500,     /* between lists; the list lags by seconds anyway */
+    CLOUD_CALLS_MS = 1500, /* over cloud.rps: three calls of a round take turns within the limit */
+    CLOUD_GAP_MS = 300,    /* between other calls: under 5 a second with the lists */
+    FLAVORS_MS = 60000,    /* prices move slowly */
+    CAPACITY_MEMORY_MS = 12000, /* a refused type, zone and kind is not asked again before that */
+    PROGRESS_MS = 1000,         /* leader's published counts, for display */
+    JOB_BACKOFF_MS = 5000,      /* after a failure, doubling, per job */
+    JOB_BACKOFF_MAX_MS = 60000, /* a bad job costs at most one start a minute then */
+    TASK_BACKOFF_MS = 500,      /* after a refused start: the room was not there */
+    SILENT_MARGIN_MS = 5000,    /* beyond lease_s before a silent machine is released for proof */
+    CONTACT_MARGIN_MS = 3000,   /* kept below cancel_s - lease_s for a report under way */
+    SETTLE_MS = 4000,        /* a new leader waits for reports before it judges silence or rents */
+    RENUMBER_GAP_MS = 15000, /* least time between token moves made only to allow a forget */
+    MESH_TIMEOUT_MS = 1500,  /* an exchange between controllers; the answer is held back for less */
+    MESH_HOLD_MS = 200,      /* the leader holds an answer so long for something to say */
+    MESH_IDLE_MS = 15000,    /* a connection without a call for so long is closed */
+    MESH_ROWS_MS = 400,      /* between sums of a part that no new batch asks for */
+    MESH_GAP_MS = 50,        /* between exchanges; batches what comes in a burst */
+    MAIL_AFTER_MS = 2500,    /* without an exchange by socket for so long, mail is used */
+    MAIL_GAP_MS = 400,       /* between looks at the mail: few of the state service's requests */
+    MESH_RETRY_MS = 300,     /* after a failed one */
+    MEMBER_SETTLE_MS = 300,  /* changes of membership within it make one view */
+    MEMBER_TICK_MS = 250,    /* between looks at the membership */
+    KEEP_MS = 20000,      /* so long a worker that can't reach its owner stays before a new try */
+    KEPT_WRITE_MS = 3000, /* between writes of the kept list: a third of a write a second */
+    GUEST_FORGET_MS = 60000,   /* a worker that long gone from here is forgotten */
+    KEPT_FRESH_MS = 8000,      /* a kept list older than that says nothing */
+    HOME_TRY_MS = 6000,        /* a worker sent to the leader and back within it can't reach it */
+    PREEMPT_PROTECT_MS = 2000, /* a start is not preempted in its first moments */
+    BOOT_PATIENCE_MS = 30000,  /* added to three times BootS before a boot is given up */
+    RETURN_AFTER_MS = 40000,   /* a new leader learns the demand before it returns machines */
+    SHUT_OUT_MS = 3000         /* /ready turns 503 after so long without the state service */
 };
 
 /* Shares of the outside services' budgets (1 = all of it). Three nodes together stay below 1. */
@@ -91,13 +92,15 @@
 #define SHARE_FRONT_WRITE 0.10  /* each of three fronts: submissions and aborts */
 
 /* Preemption. */
-#define PREEMPT_COST_S 5.0 /* a stopped task waits and fetches again; larger ones find room later */
+#define PREEMPT_COST_S 5.0 /* a stopped task waits and fetches again; larger ones find room later  \
+                            */
 
 /* Renting. */
-#define RENT_PATIENCE_LEAST_S 15.0  /* work near its deadline shares a machine's room only within that */
-#define RENT_LARGEST 0.6           /* a machine may be this share of all that is wanted */
-#define RENT_ROUND 0.25            /* of a machine: so little lacking is not worth another */
-#define RENT_SPREAD 0.02            /* price added per machine of the same type, zone and kind */
+#define RENT_PATIENCE_LEAST_S                                                                      \
+    15.0                 /* work near its deadline shares a machine's room only within that */
+#define RENT_LARGEST 0.6 /* a machine may be this share of all that is wanted */
+#define RENT_ROUND 0.25  /* of a machine: so little lacking is not worth another */
+#define RENT_SPREAD 0.02 /* price added per machine of the same type, zone and kind */
 
 #define EPSILON 1e-6 /* in cpus and GB: below any amount in use */
 
--- a/src/core/knobs.c
+++ b/src/core/knobs.c
@@ -7,14 +7,14 @@
 
 double knob_for_job(const policy_t *policy, policy_knob_t knob, const job_spec_t *spec)
 {
-    policy_env_t env = {.number = {[ATTR_JOB_URGENCY] = spec->urgency,
-                                   [ATTR_JOB_CPUS] = spec->need.cpus,
-                                   [ATTR_JOB_MEMORY] = spec->need.memory,
-                                   [ATTR_JOB_TASKS] = spec->tasks,
-                                   [ATTR_JOB_ESTIMATE] = spec->estimate_s,
-                                   [ATTR_JOB_DEADLINE] = spec->deadline_s},
-                        .text = {[ATTR_JOB_CLASS] = spec->class_name,
-                                 [ATTR_JOB_TEAM] = spec->team}};
+    policy_env_t env = {
+        .number = {[ATTR_JOB_URGENCY] = spec->urgency,
+                   [ATTR_JOB_CPUS] = spec->need.cpus,
+                   [ATTR_JOB_MEMORY] = spec->need.memory,
+                   [ATTR_JOB_TASKS] = spec->tasks,
+                   [ATTR_JOB_ESTIMATE] = spec->estimate_s,
+                   [ATTR_JOB_DEADLINE] = spec->deadline_s},
+        .text = {[ATTR_JOB_CLASS] = spec->class_name, [ATTR_JOB_TEAM] = spec->team}};
     return policy_value(policy, knob, &env);
 }
 
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -13,7 +13,7 @@
     if (value)
         bits[at / 8] |= (uint8_t)(1u << (at % 8));
     else
-        bits[at / 8] &= (uint8_t)~(1u << (at % 8));
+        bits[at / 8] &= (uint8_t) ~(1u << (at % 8));
 }
 
 static void job_free(gpointer data)
@@ -36,8 +36,7 @@
         g_array_unref(data);
 }
 
-leader_t *leader_new(const GArray *teams, GHashTable *targets, const policy_t *policy,
-                     guint parts)
+leader_t *leader_new(const GArray *teams, GHashTable *targets, const policy_t *policy, guint parts)
 {
     leader_t *leader = g_new0(leader_t, 1);
     leader->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
@@ -106,8 +105,7 @@
     job_t *job = g_new0(job_t, 1);
     job->spec = *spec;
     job->spec.types = g_strdupv(spec->types);
-    job->spec.spot =
-        spec->spot && knob_for_job(leader->policy, KNOB_USE_SPOT, spec) != 0;
+    job->spec.spot = spec->spot && knob_for_job(leader->policy, KNOB_USE_SPOT, spec) != 0;
     job->stamp = stamp;
     job->done = g_malloc0(bits_bytes(spec->tasks));
     job->live = g_malloc0(bits_bytes(spec->tasks));
@@ -226,7 +224,8 @@
 static void next_target(const GArray *list, double unit_ms, double ready_ms, queued_t *queued)
 {
     for (guint i = 0; list && i < list->len; i++) {
-        double due = (double)queued->job->spec.submitted_ms + g_array_index(list, double, i) * unit_ms;
+        double due =
+            (double)queued->job->spec.submitted_ms + g_array_index(list, double, i) * unit_ms;
         if (due >= ready_ms) {
             queued->start = MIN(queued->start, due - queued->job->spec.estimate_s * 1000.0);
             return;
@@ -384,8 +383,8 @@
 static bool may_preempt(leader_t *leader, const team_state_t *state, const job_t *job,
                         offer_t *offer)
 {
-    if (leader->preempting >= knob_value(leader->policy, KNOB_PREEMPTIONS_PER_ROUND) || job->spec.same_zone || job->spec.spread ||
-        job->spec.kind == KIND_GANG)
+    if (leader->preempting >= knob_value(leader->policy, KNOB_PREEMPTIONS_PER_ROUND) ||
+        job->spec.same_zone || job->spec.spread || job->spec.kind == KIND_GANG)
         return false;
     offer->victims = borrowers(leader, state);
     offer->claim = state->cpus + job->spec.need.cpus <= state->team.cpus + EPSILON;
@@ -704,8 +703,8 @@
         if (!job->dirty_chunks && job->n_done < job->spec.tasks)
             continue;
         bool end = job->n_done == job->spec.tasks;
-        guint cost = end ? 2 + job->chunk_stamps->len
-                         : (guint)__builtin_popcount(job->dirty_chunks);
+        guint cost =
+            end ? 2 + job->chunk_stamps->len : (guint)__builtin_popcount(job->dirty_chunks);
         if (*ops + cost > max_ops)
             continue;
         if (end) {
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -41,7 +41,7 @@
     uint8_t *live;
     uint32_t n_done;
     uint32_t n_live;
-    uint32_t cursor; /* no pending task below it */
+    uint32_t cursor;      /* no pending task below it */
     GArray *chunk_stamps; /* uint64_t; 0: no key */
     uint32_t dirty_chunks;
     GArray *unsettled; /* settle_t: attempts whose finish is not durable yet */
@@ -50,7 +50,7 @@
     guint errors;      /* since the last success */
     msec_t retry_at;
     GHashTable *zone_live; /* zone -> count */
-    msec_t first_pending; /* when a task last became pending with none before */
+    msec_t first_pending;  /* when a task last became pending with none before */
 } job_t;
 
 typedef struct {
@@ -77,21 +77,20 @@
 
 typedef struct {
     uint64_t view;
-    uint64_t count; /* attempts numbered in this view */
-    GHashTable *jobs;   /* id -> job_t, owned */
-    GHashTable *live;   /* task_ref_t -> live_t, owned */
-    GArray *teams;      /* team_state_t */
-    GHashTable *targets; /* class -> targets_t, from the aims; borrowed */
+    uint64_t count;         /* attempts numbered in this view */
+    GHashTable *jobs;       /* id -> job_t, owned */
+    GHashTable *live;       /* task_ref_t -> live_t, owned */
+    GArray *teams;          /* team_state_t */
+    GHashTable *targets;    /* class -> targets_t, from the aims; borrowed */
     const policy_t *policy; /* borrowed */
-    GArray *once;       /* the target of a deadline that no aim names */
-    GPtrArray *rows;    /* part -> GArray of machine_row_t, owned */
-    GPtrArray *yields;  /* part -> GArray of double, a team each, owned */
+    GArray *once;           /* the target of a deadline that no aim names */
+    GPtrArray *rows;        /* part -> GArray of machine_row_t, owned */
+    GPtrArray *yields;      /* part -> GArray of double, a team each, owned */
     guint turn;
     guint preempting; /* offers of this round that may stop others */
 } leader_t;
 
-leader_t *leader_new(const GArray *teams, GHashTable *targets, const policy_t *policy,
-                     guint parts);
+leader_t *leader_new(const GArray *teams, GHashTable *targets, const policy_t *policy, guint parts);
 void leader_free(leader_t *leader);
 void leader_set_view(leader_t *leader, uint64_t view);
 
@@ -127,12 +126,12 @@
 /* Progress to make durable. */
 typedef struct {
     char job[ID_SIZE];
-    bool end;          /* every task is done: jobs/<id> and the chunks go, ended/<id> comes */
+    bool end; /* every task is done: jobs/<id> and the chunks go, ended/<id> comes */
     uint32_t done;
     uint64_t job_stamp;
     guint chunk;
     uint64_t stamp;
-    uint8_t *bits;     /* owned; NULL when end */
+    uint8_t *bits; /* owned; NULL when end */
     gsize bytes;
     GArray *old_stamps; /* owned; chunk stamps to delete, when end */
 } progress_t;
--- a/src/core/link.h
+++ b/src/core/link.h
@@ -1,20 +1,21 @@
 /* One end of the exchange between the leader and a part: batches that arrive once and in order,
  * whatever the road between loses, repeats or delays.
  *
- * Stop and wait: a batch is sent, under its number, until the other end has acknowledged it; a batch
- * whose number is not the next one is a copy. Both ends begin anew with each view. Owns its items. */
+ * Stop and wait: a batch is sent, under its number, until the other end has acknowledged it; a
+ * batch whose number is not the next one is a copy. Both ends begin anew with each view. Owns its
+ * items. */
 #ifndef PEPPERPULLEY_LINK_H
 #define PEPPERPULLEY_LINK_H
 
 #include "core/part.h"
 
 typedef enum {
-    LINK_OFFER,    /* leader to part */
+    LINK_OFFER, /* leader to part */
     LINK_SETTLE,
     LINK_WITHDRAW,
     LINK_DRAIN,
     LINK_GONE,
-    LINK_OUTCOME   /* part to leader */
+    LINK_OUTCOME /* part to leader */
 } link_kind_t;
 
 typedef struct {
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -189,8 +189,8 @@
     return yields && (attempt->entry.urgency < offer->urgency || (offer->claim && !same));
 }
 
-/* Work lost by a stop, in cpu seconds: what ran since the start, or since the last checkpoint, and the
- * wait for a new place. */
+/* Work lost by a stop, in cpu seconds: what ran since the start, or since the last checkpoint, and
+ * the wait for a new place. */
 static double lost_work(const attempt_t *attempt, msec_t now)
 {
     double ran = (double)(now - attempt->listed_since) / 1000.0;
@@ -327,9 +327,8 @@
 
 static void tell(part_t *part, const attempt_t *attempt)
 {
-    outcome_t outcome = {.ref = attempt->ref,
-                         .cause = attempt->cause,
-                         .started = attempt->listed_since != 0};
+    outcome_t outcome = {
+        .ref = attempt->ref, .cause = attempt->cause, .started = attempt->listed_since != 0};
     g_strlcpy(outcome.machine, attempt->machine->id, sizeof outcome.machine);
     g_array_append_val(part->outcomes, outcome);
 }
@@ -552,8 +551,8 @@
     take_pieces(part, machine, report, now);
     for (guint i = 0; i < machine->attempts->len; i++) {
         const attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
-        machine->direct_wanted |= attempt->waits && attempt->phase == ATTEMPT_RECORDED &&
-                                  !attempt->listed;
+        machine->direct_wanted |=
+            attempt->waits && attempt->phase == ATTEMPT_RECORDED && !attempt->listed;
     }
     if (!direct) {
         machine->reported = true;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -77,18 +77,18 @@
     machine_t *machine;
     attempt_phase_t phase;
     uint64_t job_stamp;
-    uint64_t session;    /* under which it was recorded */
-    bool in_record;      /* the durable record has it */
+    uint64_t session;                                 /* under which it was recorded */
+    bool in_record;                                   /* the durable record has it */
     enum { BATCH_NONE, BATCH_ADD, BATCH_DROP } batch; /* what a commit under way does to it */
     bool listed;
     piece_state_t state;
     cause_t cause;
-    bool reported_done;  /* the leader was told; it stays recorded until settled */
+    bool reported_done; /* the leader was told; it stays recorded until settled */
     bool settled;
-    bool waits;          /* for the room of work that is being stopped */
+    bool waits; /* for the room of work that is being stopped */
     bool preempted;
-    bool stop;           /* wanted: gone */
-    msec_t stop_kill;    /* from then on without time to save */
+    bool stop;        /* wanted: gone */
+    msec_t stop_kill; /* from then on without time to save */
     msec_t listed_since;
 } attempt_t;
 
@@ -124,7 +124,8 @@
     uint64_t unanswered_token; /* a direct `run` under it got no answer: a copy may still arrive */
 };
 
-/* Told to the leader: an attempt that is over. Anything but done is told after its record is gone. */
+/* Told to the leader: an attempt that is over. Anything but done is told after its record is gone.
+ */
 typedef struct {
     task_ref_t ref;
     cause_t cause;
@@ -139,8 +140,8 @@
     uint64_t holds;
     const GArray *flavors;
     const GArray *teams; /* team_t, in the order of offer_t.victims */
-    GArray *outcomes; /* outcome_t, drained by the caller */
-    guint turn;       /* round robin among equals */
+    GArray *outcomes;    /* outcome_t, drained by the caller */
+    guint turn;          /* round robin among equals */
     msec_t lapse;
 } part_t;
 
@@ -181,9 +182,9 @@
  * of a machine that is gone is a deletion) and the jobs that must still exist. */
 typedef struct {
     GArray *records;
-    GPtrArray *gone;      /* machine ids whose keys are deleted */
-    GArray *gone_stamps;  /* uint64_t, beside them */
-    GHashTable *jobs;     /* id -> stamp (pointer-sized): conditions, so that no start follows an end */
+    GPtrArray *gone;     /* machine ids whose keys are deleted */
+    GArray *gone_stamps; /* uint64_t, beside them */
+    GHashTable *jobs; /* id -> stamp (pointer-sized): conditions, so that no start follows an end */
 } part_batch_t;
 
 part_batch_t *part_batch_take(part_t *part, guint max_ops, gsize value_max);
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -156,8 +156,8 @@
         const GArray *rows = g_ptr_array_index(leader->rows, i);
         for (guint k = 0; rows && k < rows->len; k++) {
             const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            count += row->spot == spot && strcmp(row->type, type) == 0 &&
-                     strcmp(row->zone, zone) == 0;
+            count +=
+                row->spot == spot && strcmp(row->type, type) == 0 && strcmp(row->zone, zone) == 0;
         }
     }
     GHashTableIter iter;
@@ -165,8 +165,8 @@
     g_hash_table_iter_init(&iter, rental->boots);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const boot_t *boot = value;
-        count += boot->spot == spot && strcmp(boot->type, type) == 0 &&
-                 strcmp(boot->zone, zone) == 0;
+        count +=
+            boot->spot == spot && strcmp(boot->type, type) == 0 && strcmp(boot->zone, zone) == 0;
     }
     return count;
 }
@@ -179,15 +179,16 @@
     for (guint i = 0; i < demand->len; i++) {
         const job_spec_t *spec = &g_array_index(demand, demand_t, i).job->spec;
         if (job_spec_allows(spec, flavor->name, zone, spot) &&
-            room_fits(spec->need, flavor->room) && (spot || promised || !spec->spot ||
+            room_fits(spec->need, flavor->room) &&
+            (spot || promised || !spec->spot ||
              knob_for_job(policy, KNOB_RENT_ORDINARY, spec) != 0))
             return true;
     }
     return false;
 }
 
-/* Machines of the type that cover what lacks. Larger ones are cheaper by the cpu and keep more images,
- * but one that is larger than all that is wanted would mostly stand idle. */
+/* Machines of the type that cover what lacks. Larger ones are cheaper by the cpu and keep more
+ * images, but one that is larger than all that is wanted would mostly stand idle. */
 static guint units_of(const flavor_t *flavor, room_t lack, double wanted_cpus)
 {
     double units = MAX(lack.cpus / MAX(flavor->room.cpus, EPSILON),
@@ -249,8 +250,8 @@
     return (row->spot ? flavor->spot_price : flavor->price) / MAX(flavor->room.cpus, EPSILON);
 }
 
-const machine_row_t *rental_surplus(rental_t *rental, const leader_t *leader,
-                                    const GArray *flavors, msec_t now, int64_t day_ms)
+const machine_row_t *rental_surplus(rental_t *rental, const leader_t *leader, const GArray *flavors,
+                                    msec_t now, int64_t day_ms)
 {
     rental_balance_t balance = rental_balance(rental, leader, flavors, now, day_ms);
     double keep = knob_value(leader->policy, KNOB_RENT_KEEP);
@@ -265,8 +266,8 @@
                 balance.standing.memory - row->total.memory < balance.wanted.memory * keep)
                 continue;
             /* Dear ones first; of equals the emptiest, which is free soonest. */
-            double price = row_price(row, flavors) * (2 - (row->total.cpus - row->free.cpus) /
-                                                              MAX(row->total.cpus, EPSILON));
+            double price = row_price(row, flavors) *
+                           (2 - (row->total.cpus - row->free.cpus) / MAX(row->total.cpus, EPSILON));
             if (!worst || price > worst_price) {
                 worst = row;
                 worst_price = price;
--- a/src/core/rental.h
+++ b/src/core/rental.h
@@ -18,9 +18,9 @@
  * guarantees) and for work that may not use spot; all else waits for spot. */
 
 typedef struct {
-    GHashTable *boots;   /* id -> boot_t, owned */
+    GHashTable *boots;    /* id -> boot_t, owned */
     msec_t surplus_since; /* more stands than is wanted; 0: it does not */
-    GHashTable *refused; /* "type zone kind" -> msec_t *: not asked again before it */
+    GHashTable *refused;  /* "type zone kind" -> msec_t *: not asked again before it */
 } rental_t;
 
 typedef struct {
@@ -53,8 +53,8 @@
                  int64_t day_ms, rental_wish_t *wish);
 /* A machine to drain and return because less has been wanted for a while; NULL: none. Borrowed from
  * the rows. Least-loaded placement leaves few machines empty, so it need not be idle. */
-const machine_row_t *rental_surplus(rental_t *rental, const leader_t *leader,
-                                    const GArray *flavors, msec_t now, int64_t day_ms);
+const machine_row_t *rental_surplus(rental_t *rental, const leader_t *leader, const GArray *flavors,
+                                    msec_t now, int64_t day_ms);
 /* Ids of boots that took too long. Strings owned by the array. */
 GPtrArray *rental_stuck(const rental_t *rental, const GArray *flavors, msec_t now);
 
--- a/src/core/reservation.h
+++ b/src/core/reservation.h
@@ -8,11 +8,11 @@
 #include "core/types.h"
 
 typedef struct {
-    uint64_t hold; /* the part's own number for the attempt */
-    uint64_t receipt;  /* the newest report of the machine when the reservation was made */
+    uint64_t hold;    /* the part's own number for the attempt */
+    uint64_t receipt; /* the newest report of the machine when the reservation was made */
     msec_t made;
-    bool start_seen;   /* a report listed the task as fetching */
-    double cpus;       /* still unconfirmed, per dimension */
+    bool start_seen; /* a report listed the task as fetching */
+    double cpus;     /* still unconfirmed, per dimension */
     double gpus;
     double memory;
 } reservation_t;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -20,10 +20,12 @@
 
 typedef enum { URGENCY_LOW, URGENCY_NORMAL, URGENCY_HIGH, URGENCY_CRITICAL } urgency_t;
 
-/* Array: independent tasks. Gang: all tasks start together, or none. Service: runs until cancelled. */
+/* Array: independent tasks. Gang: all tasks start together, or none. Service: runs until cancelled.
+ */
 typedef enum { KIND_ARRAY, KIND_GANG, KIND_SERVICE } job_kind_t;
 
-/* A job as its user described it. Owned by whoever holds the struct; job_spec_clear frees inside. */
+/* A job as its user described it. Owned by whoever holds the struct; job_spec_clear frees inside.
+ */
 typedef struct {
     char id[ID_SIZE];
     char class_name[LABEL_SIZE];
@@ -42,7 +44,7 @@
     double estimate_s;
     double checkpoint_s;
     double save_s;
-    double deadline_s;   /* 0: none */
+    double deadline_s;    /* 0: none */
     int64_t submitted_ms; /* time of day */
 } job_spec_t;
 
--- a/src/io/mesh.c
+++ b/src/io/mesh.c
@@ -96,9 +96,9 @@
         to->mesh_item_u.machine = (char *)item->machine;
         break;
     case LINK_OUTCOME:
-        to->mesh_item_u.outcome = (mesh_outcome){ref_to(&item->outcome.ref), item->outcome.cause,
-                                                 item->outcome.started,
-                                                 (char *)item->outcome.machine};
+        to->mesh_item_u.outcome =
+            (mesh_outcome){ref_to(&item->outcome.ref), item->outcome.cause, item->outcome.started,
+                           (char *)item->outcome.machine};
         break;
     }
 }
--- a/src/io/records.h
+++ b/src/io/records.h
@@ -6,9 +6,9 @@
 #include "core/part.h"
 #include "io/state.h"
 
-/* The commit of a part and, at the leader, of progress (may be NULL). It requires the view and each key
- * it writes as they were, so one that an older view sent fails, however late it arrives; and it requires
- * the jobs of its starts, so none follows a cancellation. */
+/* The commit of a part and, at the leader, of progress (may be NULL). It requires the view and each
+ * key it writes as they were, so one that an older view sent fails, however late it arrives; and it
+ * requires the jobs of its starts, so none follows a cancellation. */
 txn_t records_commit(const GArray *progress, const part_batch_t *machines, uint64_t view_stamp);
 /* Requires that the job is neither live nor ended: applied late, it must not bring the job back. */
 txn_t records_submit(const job_spec_t *spec);
--- a/src/io/state.c
+++ b/src/io/state.c
@@ -98,7 +98,8 @@
             *revision = get_number(answer, "Logline");
         size_t i;
         json_t *item;
-        json_array_foreach(json_object_get(answer, "Entries"), i, item) {
+        json_array_foreach(json_object_get(answer, "Entries"), i, item)
+        {
             state_entry_t entry = {.key = g_strdup(json_string_value(json_object_get(item, "K"))),
                                    .value = json_incref(json_object_get(item, "Value")),
                                    .stamp = get_number(item, "Stamp")};
@@ -163,8 +164,7 @@
 {
     json_t *answer = NULL;
     json_t *body = json_pack("{s:i}", "LifeMs", (int)life_ms);
-    state_result_t result =
-        call(state, client, "POST", "/grants", body, STATE_TIMEOUT_MS, &answer);
+    state_result_t result = call(state, client, "POST", "/grants", body, STATE_TIMEOUT_MS, &answer);
     json_decref(body);
     if (result == STATE_OK)
         *grant = get_number(answer, "Tether");
@@ -177,8 +177,7 @@
     char path[80];
     json_t *answer = NULL;
     g_snprintf(path, sizeof path, "/grants/%" G_GUINT64_FORMAT "/extend", grant);
-    state_result_t result =
-        call(state, client, "POST", path, NULL, GRANT_EXTEND_MS, &answer);
+    state_result_t result = call(state, client, "POST", path, NULL, GRANT_EXTEND_MS, &answer);
     json_decref(answer);
     return result;
 }
@@ -190,15 +189,16 @@
     json_t *answer = NULL;
     g_snprintf(path, sizeof path, "/follow?Under=%s&Since=%" G_GUINT64_FORMAT "&BlockMs=%u", prefix,
                *revision, block_ms);
-    state_result_t result = call(state, client, "GET", path, NULL,
-                                 (long)block_ms + STATE_TIMEOUT_MS, &answer);
+    state_result_t result =
+        call(state, client, "GET", path, NULL, (long)block_ms + STATE_TIMEOUT_MS, &answer);
     if (result != STATE_OK) {
         json_decref(answer);
         return result;
     }
     size_t i;
     json_t *item;
-    json_array_foreach(json_object_get(answer, "News"), i, item) {
+    json_array_foreach(json_object_get(answer, "News"), i, item)
+    {
         json_t *set = json_object_get(item, "Set");
         json_t *key = set ? set : json_object_get(item, "Delete");
         state_entry_t entry = {.key = g_strdup(json_string_value(key)),
--- a/src/io/wire.c
+++ b/src/io/wire.c
@@ -102,7 +102,8 @@
     GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
     size_t i;
     json_t *value;
-    json_array_foreach(list, i, value) {
+    json_array_foreach(list, i, value)
+    {
         if (!json_is_string(value)) {
             g_ptr_array_unref(names);
             return fail(why, "Hulls: strings are expected");
@@ -147,8 +148,7 @@
         (!deadline || json_is_null(deadline) ||
          get_amount(body, "TideS", 0, &spec->deadline_s, why)) &&
         (!stored || get_count(body, "At", 0, G_MAXINT64, &submitted, why)) &&
-        (spec->need.cpus > 0 || fail(why, "Cpus: must be above 0")) &&
-        get_types(body, spec, why);
+        (spec->need.cpus > 0 || fail(why, "Cpus: must be above 0")) && get_types(body, spec, why);
     spec->tasks = (uint32_t)tasks;
     spec->kind = (job_kind_t)kind;
     spec->urgency = (urgency_t)urgency;
@@ -163,17 +163,17 @@
     json_t *types = spec->types ? json_array() : json_null();
     for (char **type = spec->types; type && *type; type++)
         json_array_append_new(types, json_string(*type));
-    return json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:f,s:f,s:f,s:s,s:f,s:o,s:s?,s:b,s:b,s:b,s:f,s:f,s:f,"
-                     "s:o,s:I}",
-                     "Uid", spec->id, "Reel", spec->class_name, "Crew", spec->team, "Rig",
-                     kind_names[spec->kind], "Urgency", urgency_names[spec->urgency], "Pieces", (json_int_t)spec->tasks,
-                     "Cpus", spec->need.cpus, "Accelerators", spec->need.gpus, "MemGb",
-                     spec->need.memory, "Cargo", spec->image, "ImageGb", spec->image_gb, "Hulls",
-                     types, "Dock", spec->zone[0] ? spec->zone : NULL, "SamePlace", spec->same_zone,
-                     "Apart", spec->spread, "Driftwood", spec->spot, "HaulS", spec->estimate_s,
-                     "KnotS", spec->checkpoint_s, "StowS", spec->save_s, "TideS",
-                     spec->deadline_s > 0 ? json_real(spec->deadline_s) : json_null(), "At",
-                     (json_int_t)spec->submitted_ms);
+    return json_pack(
+        "{s:s,s:s,s:s,s:s,s:s,s:I,s:f,s:f,s:f,s:s,s:f,s:o,s:s?,s:b,s:b,s:b,s:f,s:f,s:f,"
+        "s:o,s:I}",
+        "Uid", spec->id, "Reel", spec->class_name, "Crew", spec->team, "Rig",
+        kind_names[spec->kind], "Urgency", urgency_names[spec->urgency], "Pieces",
+        (json_int_t)spec->tasks, "Cpus", spec->need.cpus, "Accelerators", spec->need.gpus, "MemGb",
+        spec->need.memory, "Cargo", spec->image, "ImageGb", spec->image_gb, "Hulls", types, "Dock",
+        spec->zone[0] ? spec->zone : NULL, "SamePlace", spec->same_zone, "Apart", spec->spread,
+        "Driftwood", spec->spot, "HaulS", spec->estimate_s, "KnotS", spec->checkpoint_s, "StowS",
+        spec->save_s, "TideS", spec->deadline_s > 0 ? json_real(spec->deadline_s) : json_null(),
+        "At", (json_int_t)spec->submitted_ms);
 }
 
 static bool parse_task_name(const char *text, piece_t *piece)
@@ -227,14 +227,17 @@
         !get_count(body, "Watch", 0, G_MAXINT64, &report->session, why) ||
         !get_count(body, "Tally", 0, G_MAXINT64, &report->seq, why) ||
         !get_count(body, "Helm", 0, G_MAXINT64, &report->token, why) ||
-        (notice && !json_is_null(notice) && !get_amount(body, "WarningS", 0, &report->notice_s, why)))
+        (notice && !json_is_null(notice) &&
+         !get_amount(body, "WarningS", 0, &report->notice_s, why)))
         return false;
     if (pieces && !json_is_null(pieces) && !json_is_array(pieces))
         return fail(why, "Pieces: a list is expected");
-    report->pieces = g_array_sized_new(FALSE, FALSE, sizeof(piece_t), (guint)json_array_size(pieces));
+    report->pieces =
+        g_array_sized_new(FALSE, FALSE, sizeof(piece_t), (guint)json_array_size(pieces));
     size_t i;
     json_t *value;
-    json_array_foreach(pieces, i, value) {
+    json_array_foreach(pieces, i, value)
+    {
         piece_t piece;
         if (!parse_piece(value, &piece, why)) {
             report_clear(report);
@@ -282,9 +285,8 @@
     GPtrArray *names = g_ptr_array_new();
     size_t i;
     json_t *value;
-    json_array_foreach(list, i, value)
-        if (json_is_string(value))
-            g_ptr_array_add(names, g_strdup(json_string_value(value)));
+    json_array_foreach(list, i, value) if (json_is_string(value))
+        g_ptr_array_add(names, g_strdup(json_string_value(value)));
     g_ptr_array_add(names, NULL);
     return (char **)g_ptr_array_free(names, FALSE);
 }
@@ -298,7 +300,8 @@
     g_array_set_clear_func(flavors, flavor_clear);
     size_t i;
     json_t *value;
-    json_array_foreach(list, i, value) {
+    json_array_foreach(list, i, value)
+    {
         flavor_t flavor = {0};
         if (!get_text(value, "Name", flavor.name, sizeof flavor.name, NULL) ||
             !get_amount(value, "Cpus", 0, &flavor.room.cpus, NULL) ||
@@ -322,7 +325,8 @@
         return false;
     size_t i;
     json_t *value;
-    json_array_foreach(list, i, value) {
+    json_array_foreach(list, i, value)
+    {
         host_t host = {0};
         int state = HOST_RUNNING;
         if (!get_text(value, "Uid", host.machine, sizeof host.machine, NULL))
@@ -360,13 +364,12 @@
 {
     size_t i;
     json_t *job;
-    json_array_foreach(jobs, i, job)
-        if (strcmp(json_string_value(json_object_get(job, "Id")), entry->job) == 0)
-            return job;
-    job = json_pack("{s:s,s:s,s:[f,f,f],s:i,s:f,s:f,s:[]}", "Id", entry->job, "Team", entry->team,
-                    "Need", entry->need.cpus, entry->need.gpus, entry->need.memory, "Rank",
-                    (int)entry->urgency, "Save", entry->save_s, "Knot", entry->checkpoint_s,
-                    "Tasks");
+    json_array_foreach(jobs, i, job) if (strcmp(json_string_value(json_object_get(job, "Id")),
+                                                entry->job) == 0) return job;
+    job =
+        json_pack("{s:s,s:s,s:[f,f,f],s:i,s:f,s:f,s:[]}", "Id", entry->job, "Team", entry->team,
+                  "Need", entry->need.cpus, entry->need.gpus, entry->need.memory, "Rank",
+                  (int)entry->urgency, "Save", entry->save_s, "Knot", entry->checkpoint_s, "Tasks");
     json_array_append_new(jobs, job);
     return job;
 }
@@ -403,7 +406,8 @@
     entry.checkpoint_s = json_number_value(json_object_get(job, "Knot"));
     size_t i;
     json_t *task;
-    json_array_foreach(json_object_get(job, "Tasks"), i, task) {
+    json_array_foreach(json_object_get(job, "Tasks"), i, task)
+    {
         entry.task = (uint32_t)json_integer_value(json_array_get(task, 0));
         entry.attempt = (uint64_t)json_integer_value(json_array_get(task, 1));
         g_array_append_val(entries, entry);
@@ -424,8 +428,8 @@
                  get_count(value, "Session", 0, G_MAXINT64, &record->session, NULL);
     size_t i;
     json_t *job;
-    json_array_foreach(json_object_get(value, "Jobs"), i, job)
-        valid = valid && parse_record_job(job, record->entries);
+    json_array_foreach(json_object_get(value, "Jobs"), i, job) valid =
+        valid && parse_record_job(job, record->entries);
     if (!valid)
         g_array_unref(record->entries);
     return valid;
--- a/src/policy/ast.h
+++ b/src/policy/ast.h
@@ -60,8 +60,7 @@
 ast_t *ast_new(ast_op_t op, ast_t *a, ast_t *b, ast_t *c);
 ast_t *ast_leaf(ast_op_t op, token_t token);
 void ast_free(ast_t *ast);
-void parse_fault(parse_t *parse, int line, int column, const char *format, ...)
-    G_GNUC_PRINTF(4, 5);
+void parse_fault(parse_t *parse, int line, int column, const char *format, ...) G_GNUC_PRINTF(4, 5);
 void parse_assign(parse_t *parse, token_t name, ast_t *value);
 /* A number; unit may be NULL. */
 ast_t *parse_number(parse_t *parse, token_t number, const token_t *unit);
--- a/src/policy/policy.c
+++ b/src/policy/policy.c
@@ -2,8 +2,8 @@
 #include <stdarg.h>
 #include <string.h>
 
-#include "policy/ast.h"
 #include "parser.h"
+#include "policy/ast.h"
 
 int policy_yylex_init_extra(parse_t *extra, void **scanner);
 int policy_yylex_destroy(void *scanner);
@@ -63,17 +63,17 @@
     const char *name;
     policy_type_t type;
     double value;
-} words[] = {{"true", POLICY_BOOL, 1},      {"false", POLICY_BOOL, 0},
-             {"low", POLICY_URGENCY, 0},    {"normal", POLICY_URGENCY, 1},
-             {"high", POLICY_URGENCY, 2},   {"critical", POLICY_URGENCY, 3}};
+} words[] = {{"true", POLICY_BOOL, 1},    {"false", POLICY_BOOL, 0},
+             {"low", POLICY_URGENCY, 0},  {"normal", POLICY_URGENCY, 1},
+             {"high", POLICY_URGENCY, 2}, {"critical", POLICY_URGENCY, 3}};
 
 static const struct {
     const char *name;
     policy_type_t type;
     double factor;
-} units[] = {{"s", POLICY_SECONDS, 1},      {"ms", POLICY_SECONDS, 0.001},
-             {"min", POLICY_SECONDS, 60},   {"h", POLICY_SECONDS, 3600},
-             {"cpus", POLICY_CPUS, 1},      {"gb", POLICY_MEMORY, 1}};
+} units[] = {{"s", POLICY_SECONDS, 1},    {"ms", POLICY_SECONDS, 0.001},
+             {"min", POLICY_SECONDS, 60}, {"h", POLICY_SECONDS, 3600},
+             {"cpus", POLICY_CPUS, 1},    {"gb", POLICY_MEMORY, 1}};
 
 struct policy {
     ast_t *value[KNOB_COUNT];
@@ -101,8 +101,12 @@
 ast_t *ast_leaf(ast_op_t op, token_t token)
 {
     ast_t *ast = g_new0(ast_t, 1);
-    *ast = (ast_t){.op = op, .line = token.line, .column = token.column, .attr = -1,
-                   .text = token.text, .number = token.number};
+    *ast = (ast_t){.op = op,
+                   .line = token.line,
+                   .column = token.column,
+                   .attr = -1,
+                   .text = token.text,
+                   .number = token.number};
     return ast;
 }
 
@@ -410,8 +414,12 @@
 policy_t *policy_compile(const char *file, const char *text, GPtrArray *faults)
 {
     policy_t *policy = g_new0(policy_t, 1);
-    parse_t parse = {.file = file, .faults = faults, .values = policy->value, .line = 1,
-                     .column = 1, .start = 1};
+    parse_t parse = {.file = file,
+                     .faults = faults,
+                     .values = policy->value,
+                     .line = 1,
+                     .column = 1,
+                     .start = 1};
     bool valid = parse_text(&parse, text);
     for (int i = 0; valid && i < KNOB_COUNT; i++) {
         if (policy->value[i])
--- a/tests/fakes/store.c
+++ b/tests/fakes/store.c
@@ -36,7 +36,8 @@
 {
     size_t i;
     json_t *condition;
-    json_array_foreach(conditions, i, condition) {
+    json_array_foreach(conditions, i, condition)
+    {
         const char *key = json_string_value(json_object_get(condition, "K"));
         uint64_t stamp = (uint64_t)json_integer_value(json_object_get(condition, "Stamp"));
         if (fake_store_stamp(store, key) != stamp)
@@ -52,7 +53,8 @@
     json_t *change;
     store->revision += applies;
     if (applies) {
-        json_array_foreach(txn.changes, i, change) {
+        json_array_foreach(txn.changes, i, change)
+        {
             const char *set = json_string_value(json_object_get(change, "Set"));
             if (!set) {
                 g_hash_table_remove(store->keys,
--- a/tests/stories_leader.c
+++ b/tests/stories_leader.c
@@ -51,7 +51,10 @@
 
 static job_spec_t job(const char *id, const char *team, uint32_t tasks)
 {
-    job_spec_t spec = {.tasks = tasks, .need = {2, 0, 1}, .estimate_s = 10, .submitted_ms = 1000,
+    job_spec_t spec = {.tasks = tasks,
+                       .need = {2, 0, 1},
+                       .estimate_s = 10,
+                       .submitted_ms = 1000,
                        .urgency = URGENCY_NORMAL};
     g_strlcpy(spec.id, id, sizeof spec.id);
     g_strlcpy(spec.team, team, sizeof spec.team);
@@ -266,8 +269,8 @@
 {
     static char *zones[] = {"north", NULL};
     GArray *flavors = g_array_new(FALSE, FALSE, sizeof(flavor_t));
-    flavor_t flavor = {.name = "t", .room = {16, 0, 64}, .price = 3, .spot_price = 1,
-                       .zones = zones};
+    flavor_t flavor = {
+        .name = "t", .room = {16, 0, 64}, .price = 3, .spot_price = 1, .zones = zones};
     g_array_append_val(flavors, flavor);
     job_spec_t spec = job("j-000001", "green", 50);
     spec.spot = spot_allowed;
--- a/tests/stories_link.c
+++ b/tests/stories_link.c
@@ -54,8 +54,14 @@
     mesh_note_t note = {.sender = "hand-1", .incarnation = 77, .view = 5, .number = 3, .ack = 2};
     note.items = link_items_new();
     link_item_t offer = {.kind = LINK_OFFER};
-    offer.offer = (offer_t){.job = "j-000001", .team = "red", .zone = "north", .need = {2, 1, 11},
-                            .task = 4, .attempt = 1ULL << 40, .job_stamp = 9, .preempt = true};
+    offer.offer = (offer_t){.job = "j-000001",
+                            .team = "red",
+                            .zone = "north",
+                            .need = {2, 1, 11},
+                            .task = 4,
+                            .attempt = 1ULL << 40,
+                            .job_stamp = 9,
+                            .preempt = true};
     offer.offer.types = g_strdupv(types);
     link_item_t outcome = {.kind = LINK_OUTCOME};
     outcome.outcome.ref = task_ref("j-000002", 1, 8);
@@ -84,9 +90,9 @@
     mesh_note_clear(&heard);
 }
 
-static const member_t members[] = {
-    {.name = "hand-0", .zone = "north"}, {.name = "hand-1", .zone = "south"},
-    {.name = "hand-2", .zone = "north"}};
+static const member_t members[] = {{.name = "hand-0", .zone = "north"},
+                                   {.name = "hand-1", .zone = "south"},
+                                   {.name = "hand-2", .zone = "north"}};
 
 static void workers_stay_in_their_zone(void **state)
 {
--- a/tests/stories_part.c
+++ b/tests/stories_part.c
@@ -1,6 +1,5 @@
 /* Stories of one part and its workers: when a task may be placed again, and when not. */
 
-
 #include "core/part.h"
 #include "story.h"
 #include "worker.h"
@@ -319,8 +318,12 @@
 static void new_view_takes_over_from_the_record(void **state)
 {
     (void)state;
-    machine_record_t record = {.session = 1, .stamp = 9, .address = "10.1.0.1:9000",
-                               .type = "t16", .zone = "north", .machine = "m-000001"};
+    machine_record_t record = {.session = 1,
+                               .stamp = 9,
+                               .address = "10.1.0.1:9000",
+                               .type = "t16",
+                               .zone = "north",
+                               .machine = "m-000001"};
     record.entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t));
     record_entry_t entry = {.job = "j-000001", .team = "red", .need = {4, 0, 4}, .attempt = 55};
     g_array_append_val(record.entries, entry);
@@ -337,8 +340,12 @@
 static void absence_needs_the_present_token(void **state)
 {
     (void)state;
-    machine_record_t record = {.session = 1, .stamp = 9, .address = "10.1.0.1:9000",
-                               .type = "t16", .zone = "north", .machine = "m-000001"};
+    machine_record_t record = {.session = 1,
+                               .stamp = 9,
+                               .address = "10.1.0.1:9000",
+                               .type = "t16",
+                               .zone = "north",
+                               .machine = "m-000001"};
     record.entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t));
     record_entry_t entry = {.job = "j-000001", .team = "red", .need = {4, 0, 4}, .attempt = 55};
     g_array_append_val(record.entries, entry);
@@ -412,8 +419,7 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(abort_racing_a_start_under_way_waits_for_proof, set_up,
                                         tear_down),
-        cmocka_unit_test_setup_teardown(abort_before_the_record_drops_the_start, set_up,
-                                        tear_down),
+        cmocka_unit_test_setup_teardown(abort_before_the_record_drops_the_start, set_up, tear_down),
         cmocka_unit_test_setup_teardown(abort_racing_done_frees_the_result, set_up, tear_down),
         cmocka_unit_test_setup_teardown(older_owner_is_powerless, set_up, tear_down),
         cmocka_unit_test_setup_teardown(new_view_takes_over_from_the_record, set_up, tear_down),
--- a/tests/stories_records.c
+++ b/tests/stories_records.c
@@ -53,8 +53,14 @@
 
 static void place(const char *id, uint64_t job_stamp)
 {
-    report_t report = {.machine = "m-000001", .address = "10.1.0.1:9000", .type = "t16",
-                       .zone = "north", .session = 1, .seq = 1, .token = 1, .notice_s = -1};
+    report_t report = {.machine = "m-000001",
+                       .address = "10.1.0.1:9000",
+                       .type = "t16",
+                       .zone = "north",
+                       .session = 1,
+                       .seq = 1,
+                       .token = 1,
+                       .notice_s = -1};
     report.pieces = g_array_new(FALSE, FALSE, sizeof(piece_t));
     GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
     part_report(part, &report, false, 1000, calls);
@@ -68,8 +74,7 @@
 static state_result_t commit_part(uint64_t view_stamp)
 {
     part_batch_t *batch = part_batch_take(part, 20, 16384);
-    state_result_t result =
-        fake_store_apply(store, records_commit(NULL, batch, view_stamp));
+    state_result_t result = fake_store_apply(store, records_commit(NULL, batch, view_stamp));
     part_batch_free(batch);
     return result;
 }
@@ -119,8 +124,7 @@
     job_spec_t spec = job("j-000001", 1);
     txn_t late = records_submit(&spec);
     fake_store_apply(store, records_submit(&spec));
-    fake_store_apply(store,
-                     records_abort("j-000001", fake_store_stamp(store, "jobs/j-000001"), 1));
+    fake_store_apply(store, records_abort("j-000001", fake_store_stamp(store, "jobs/j-000001"), 1));
     assert_int_equal(fake_store_apply(store, late), STATE_FAILED);
     assert_null(fake_store_get(store, "jobs/j-000001"));
     assert_non_null(fake_store_get(store, "ended/j-000001"));
@@ -169,8 +173,8 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(start_record_after_the_abort_fails, set_up, tear_down),
         cmocka_unit_test_setup_teardown(start_record_holds_the_attempt, set_up, tear_down),
-        cmocka_unit_test_setup_teardown(submission_applied_late_does_not_bring_the_job_back,
-                                        set_up, tear_down),
+        cmocka_unit_test_setup_teardown(submission_applied_late_does_not_bring_the_job_back, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(abort_and_done_exclude_each_other, set_up, tear_down),
         cmocka_unit_test_setup_teardown(abort_takes_the_progress_along, set_up, tear_down),
     };
--- a/tests/stories_wire.c
+++ b/tests/stories_wire.c
@@ -149,12 +149,9 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(complete_job_is_taken),
-        cmocka_unit_test(faulty_job_is_refused),
-        cmocka_unit_test(job_comes_back_from_the_store),
-        cmocka_unit_test(report_is_read),
-        cmocka_unit_test(malformed_report_is_refused),
-        cmocka_unit_test(progress_bits_come_back),
+        cmocka_unit_test(complete_job_is_taken),         cmocka_unit_test(faulty_job_is_refused),
+        cmocka_unit_test(job_comes_back_from_the_store), cmocka_unit_test(report_is_read),
+        cmocka_unit_test(malformed_report_is_refused),   cmocka_unit_test(progress_bits_come_back),
     };
     return cmocka_run_group_tests_name("wire", tests, NULL, NULL);
 }
