Siblings' word on aborts keeps leases through long outages

Cause: in a 60 s outage answers ended after cancel_s - lease_s - 3 s and every lease ran out; the machines that were only refused were then taken for dead.

--- a/src/app/front.c
+++ b/src/app/front.c
@@ -305,6 +305,9 @@
         entry_clear(&entry);
         if (result == STATE_OK) {
             remember_ended(node, id, false);
+            pthread_mutex_lock(&node->lock);
+            node->quiet.own_abort = clock_steady(); /* before the user is told */
+            pthread_mutex_unlock(&node->lock);
             log_info("event=abort job=%s", id);
             return (reply_t){.status = 200, .body = wire_build_status(id, "cancelled", 0, 0)};
         }
@@ -383,9 +386,15 @@
     metrics_count(node->metrics, COUNT_REPORTS, 1);
     /* A higher token is out: this node's view is old, and a 200 from it would be dropped while it
      * holds the worker here. Silence about aborts ends the answers as well. */
-    if (node->view.count == 0 || MAX(report->token, node->superseded) > node->view.number ||
-        !node_may_renew(node, now))
+    if (node->view.count == 0 || MAX(report->token, node->superseded) > node->view.number)
         return refuse(503, "not entitled now", 0);
+    if (!node_may_renew(node, now)) {
+        /* It lives, though its lease may not be renewed: after an outage, machines that were only
+         * refused must not be taken for dead. */
+        if (node->loaded)
+            part_note_alive(node->part, report->machine, now);
+        return refuse(503, "not entitled now", 0);
+    }
     guint owner = node_owner(node, report->machine, report->zone);
     metrics_count(node->metrics, COUNT_GUESTS, owner != node->own);
     if (owner != node->own)
--- a/src/app/mesh.c
+++ b/src/app/mesh.c
@@ -17,7 +17,15 @@
 /* With the lock held: one message of this node. Rows are owned by the note. */
 static GByteArray *compose(const node_t *node, link_t *link, bool with_rows)
 {
+    msec_t now = clock_steady(), abort = node->quiet.own_abort, until = now;
     mesh_note_t note = {.incarnation = node->incarnation, .view = node->view.number};
+    /* A leader speaks for all it has heard; with one not heard, of an abort just now. */
+    if (node->leading && !quiet_sum(&node->quiet, node->own, node->view.count, now, &abort, &until))
+        abort = now;
+    note.stamp = now;
+    note.echo = node->heard_stamp;
+    note.abort_age = now - abort;
+    note.quiet_age = now - until;
     g_strlcpy(note.sender, node->settings->name, sizeof note.sender);
     if (link) {
         note.items = g_array_ref((GArray *)(void *)link_batch(link, MESH_BATCH));
@@ -56,6 +64,7 @@
         return NULL;
     link_t *link = g_ptr_array_index(node->links, index);
     link_ack(link, note->ack);
+    quiet_hear(&node->quiet, index, note->abort_age, note->echo, now);
     if (note->items->len && link_accept(link, note->number)) {
         for (guint i = 0; i < note->items->len; i++) {
             const link_item_t *item = &g_array_index(note->items, link_item_t, i);
@@ -173,14 +182,18 @@
     return NULL;
 }
 
-/* With the lock held: what the leader answered. */
-static void hear_leader(node_t *node, const mesh_note_t *note)
+/* With the lock held: what the leader answered to what was asked then (0: a letter, of no known
+ * age). */
+static void hear_leader(node_t *node, const mesh_note_t *note, msec_t asked)
 {
     node->superseded = MAX(node->superseded, note->view);
     if (!node->loaded || note->view != node->view.number ||
         note->incarnation != node->view.incarnation)
         return;
     link_ack(node->uplink, note->ack);
+    node->heard_stamp = note->stamp;
+    if (asked)
+        quiet_told(&node->quiet, note->abort_age, note->quiet_age, asked, clock_steady());
     if (!note->items->len || !link_accept(node->uplink, note->number))
         return;
     for (guint i = 0; i < note->items->len; i++)
@@ -201,7 +214,7 @@
     if (state_get(&node->state, client, key, STATE_TIMEOUT_MS, &entry) == STATE_OK &&
         open_mail(&entry, &note)) {
         pthread_mutex_lock(&node->lock);
-        hear_leader(node, &note);
+        hear_leader(node, &note, 0);
         pthread_mutex_unlock(&node->lock);
         mesh_note_clear(&note);
     }
@@ -272,6 +285,7 @@
 static bool exchange(node_t *node, int fd, const GByteArray *frame)
 {
     mesh_note_t note;
+    msec_t asked = clock_steady();
     if (!mesh_send(fd, frame))
         return false;
     GByteArray *answer = mesh_receive(fd);
@@ -281,7 +295,7 @@
     if (!valid)
         return false;
     pthread_mutex_lock(&node->lock);
-    hear_leader(node, &note);
+    hear_leader(node, &note, asked);
     pthread_mutex_unlock(&node->lock);
     mesh_note_clear(&note);
     return true;
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -22,7 +22,8 @@
     node->policy = policy;
     node->metrics = metrics_new();
     arc4random_buf(&node->incarnation, sizeof node->incarnation);
-    node->incarnation >>= 2; /* fits a signed JSON integer */
+    node->incarnation >>= 2;     /* fits a signed JSON integer */
+    node->quiet.own_abort = now; /* an earlier incarnation may have accepted one just before */
     state_init(&node->state, settings->state, now);
     budget_init(&node->core_rps, settings->state_rps * SHARE_CORE_RPS, now);
     budget_init(&node->core_write, settings->state_write_rps * SHARE_PART_WRITE, now);
@@ -156,6 +157,8 @@
         g_ptr_array_add(node->links, node->leading ? link_new() : NULL);
     }
     node->uplink = link_new();
+    quiet_reset(&node->quiet);
+    node->heard_stamp = 0;
     budget_set_rate(&node->core_write, node->settings->state_write_rps *
                                            (node->leading ? SHARE_LEADER_WRITE : SHARE_PART_WRITE));
     metrics_count(node->metrics, COUNT_VIEWS, 1);
@@ -307,5 +310,8 @@
      * must be gone within cancel_s, and a worker keeps them for lease_s after our last answer: so
      * answers end this long after the last moment at which every abort was known here. */
     double spare = node->settings->cancel_s - node->settings->lease_s;
-    return node->jobs_synced && now - node->jobs_proof < (msec_t)(spare * 1000) - CONTACT_MARGIN_MS;
+    bool whole = node->view.count == node->settings->siblings->len + 1;
+    msec_t proof = quiet_proof(&node->quiet, node->jobs_proof, node->leading, node->own,
+                               node->view.count, whole, now);
+    return node->jobs_synced && now - proof < (msec_t)(spare * 1000) - CONTACT_MARGIN_MS;
 }
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -21,6 +21,7 @@
 #include "core/link.h"
 #include "core/owner.h"
 #include "core/part.h"
+#include "core/quiet.h"
 #include "core/rental.h"
 #include "io/budget.h"
 #include "io/http.h"
@@ -82,12 +83,14 @@
     GHashTable *jobs; /* live jobs: id -> known_job_t, owned */
     bool jobs_synced;
     msec_t jobs_proof; /* every abort accepted before it is known here */
+    quiet_t quiet;     /* what siblings say of later ones */
     GArray *flavors;   /* flavor_t; empty: not known yet */
     part_t *part;
     leader_t *leader;
     rental_t *rental;
     link_t *uplink;            /* our part's end, towards the leader */
     GPtrArray *links;          /* the leader's ends, a member each; NULL for its own */
+    msec_t heard_stamp;        /* of the leader's newest answer */
     msec_t heard[MEMBERS_MAX]; /* when each member last called by socket */
     GHashTable *ended;         /* id -> final state (static string); a bounded cache */
     GHashTable *guests;        /* machine -> guest_t, owned */
--- a/src/constants.h
+++ b/src/constants.h
@@ -92,8 +92,9 @@
 #define SHARE_FRONT_WRITE 0.10  /* each of three fronts: submissions and aborts */
 
 /* Preemption. */
-#define PREEMPT_COST_S 5.0 /* a stopped task waits and fetches again; larger ones find room later  \
-                            */
+#define PREEMPT_COST_S                                                                             \
+    5.0 /* a stopped task waits and fetches again; larger ones find room later                     \
+         */
 
 /* Renting. */
 #define RENT_PATIENCE_LEAST_S                                                                      \
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -566,6 +566,13 @@
     return REPORT_TAKEN;
 }
 
+void part_note_alive(part_t *part, const char *id, msec_t now)
+{
+    machine_t *machine = g_hash_table_lookup(part->machines, id);
+    if (machine)
+        machine->last_report = now;
+}
+
 void part_end_job(part_t *part, const char *job)
 {
     GHashTableIter iter;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -167,6 +167,8 @@
  * the answer's commands to; unused for direct ones. */
 report_verdict_t part_report(part_t *part, const report_t *report, bool direct, msec_t now,
                              GArray *calls);
+/* A report came that could not be taken: the machine is not silent. */
+void part_note_alive(part_t *part, const char *machine, msec_t now);
 /* The job was cancelled or is over: its attempts stop, those not yet recorded are dropped. */
 void part_end_job(part_t *part, const char *job);
 /* Asks one attempt to stop, saving if it can. */
--- a/src/io/mesh.c
+++ b/src/io/mesh.c
@@ -181,6 +181,10 @@
                             .view = note->view,
                             .number = note->number,
                             .ack = note->ack,
+                            .stamp = note->stamp,
+                            .echo = note->echo,
+                            .abort_age = note->abort_age,
+                            .quiet_age = note->quiet_age,
                             .has_rows = note->rows != NULL};
     message.items.items_len = items;
     message.items.items_val = item_list;
@@ -210,6 +214,10 @@
     note->view = message->view;
     note->number = message->number;
     note->ack = message->ack;
+    note->stamp = message->stamp;
+    note->echo = message->echo;
+    note->abort_age = message->abort_age;
+    note->quiet_age = message->quiet_age;
     note->items = link_items_new();
     for (u_int i = 0; i < message->items.items_len; i++) {
         link_item_t item;
--- a/src/io/mesh.h
+++ b/src/io/mesh.h
@@ -12,6 +12,10 @@
     uint64_t view;
     uint64_t number; /* of the batch; 0: none sent so far */
     uint64_t ack;
+    msec_t stamp;
+    msec_t echo;
+    msec_t abort_age;
+    msec_t quiet_age;
     GArray *items;    /* link_item_t */
     GArray *rows;     /* machine_row_t; NULL: unchanged */
     GArray *yielding; /* double, a team each; NULL without rows */
--- a/src/io/mesh.x
+++ b/src/io/mesh.x
@@ -88,6 +88,10 @@
     unsigned hyper view;
     unsigned hyper number;
     unsigned hyper ack;
+    hyper stamp;       /* the sender's clock, ms; comes back as echo */
+    hyper echo;        /* the newest stamp received from the other end; 0: none */
+    hyper abort_age;   /* ms since anyone the sender speaks for accepted an abort */
+    hyper quiet_age;   /* ms since the moment up to which that is known */
     mesh_item items<MESH_ITEMS>;
     bool has_rows;
     mesh_row rows<MESH_ROWS>;
