A replaced leader is told; no surplus in an outage; drained machines are kept when wanted

Causes: a leader that the state service refused alone went on answering its workers, and its successor released them as silent; in an outage running work ran out and looked like surplus; drained machines went back while others were rented.

--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -149,6 +149,30 @@
     g_array_unref(hosts);
 }
 
+static void tell_machine(node_t *node, guint part, link_kind_t kind, const char *id)
+{
+    link_item_t item = {.kind = kind};
+    g_strlcpy(item.machine, id, sizeof item.machine);
+    node_tell(node, part, item);
+}
+
+/* With the lock held: a machine that is being drained is nearer than any to be rented. */
+static bool keep_drained(node_t *node)
+{
+    for (guint i = 0; i < node->leader->rows->len; i++) {
+        const GArray *rows = g_ptr_array_index(node->leader->rows, i);
+        for (guint k = 0; rows && k < rows->len; k++) {
+            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+            if (!row->draining || row->attempts == 0)
+                continue;
+            log_info("event=keep_drained machine=%s", row->machine);
+            tell_machine(node, i, LINK_KEEP, row->machine);
+            return true;
+        }
+    }
+    return false;
+}
+
 static void choose_wish(cloud_t *cloud)
 {
     node_t *node = cloud->node;
@@ -158,7 +182,8 @@
     if (charter->open && charter->generation != node->generation)
         charter->open = false; /* if it was carried out, its machines will appear in the list */
     if (!charter->open && leads(node) && now - node->loaded_at > SETTLE_MS &&
-        rental_next(node->rental, node->leader, node->flavors, now, clock_day(), &charter->wish)) {
+        rental_next(node->rental, node->leader, node->flavors, now, clock_day(), &charter->wish) &&
+        !keep_drained(node)) {
         /* The number is this leadership's alone, so the name can never have been used. */
         g_snprintf(charter->charter, sizeof charter->charter, "c-%" G_GUINT64_FORMAT "-%u",
                    node->view.number, ++cloud->charters);
@@ -270,13 +295,6 @@
     return silent;
 }
 
-static void tell_machine(node_t *node, guint part, link_kind_t kind, const char *id)
-{
-    link_item_t item = {.kind = kind};
-    g_strlcpy(item.machine, id, sizeof item.machine);
-    node_tell(node, part, item);
-}
-
 /* With the lock held: what is to go, for whatever reason but silence. A machine is drained first:
  * its part's rows must show it closed and empty, so that no start is under way to it. */
 static void find_unwanted(cloud_t *cloud, GPtrArray *names)
@@ -290,8 +308,12 @@
     for (guint i = 0; i < stuck->len; i++)
         add_once(names, g_ptr_array_index(stuck, i));
     g_ptr_array_unref(stuck);
+    /* In an outage nothing can be started, and what runs out looks like too many machines. */
+    bool informed = now - atomic_load(&node->state.contact) < FOLLOW_BLOCK_MS + STATE_TIMEOUT_MS;
+    if (!informed)
+        node->rental->surplus_since = 0;
     const machine_row_t *surplus =
-        now - node->loaded_at > RETURN_AFTER_MS
+        informed && now - node->loaded_at > RETURN_AFTER_MS
             ? rental_surplus(node->rental, node->leader, node->flavors, now, clock_day())
             : NULL;
     if (surplus && find_row(node, surplus->machine, &part)) {
--- a/src/app/mesh.c
+++ b/src/app/mesh.c
@@ -222,6 +222,51 @@
     json_decref(entry.value);
 }
 
+/* With the lock held: whom the leader greets next; NULL: nobody. */
+static const sibling_t *next_greeting(const node_t *node, guint turn)
+{
+    const GArray *siblings = node->settings->siblings;
+    if (!node->leading || siblings->len == 0)
+        return NULL;
+    return &g_array_index(siblings, sibling_t, turn % siblings->len);
+}
+
+/* A controller that the state service refuses alone can't see that it was replaced: it would hold
+ * its workers, whom the new leader then takes for dead. So the leader tells every sibling its view.
+ */
+void *greet_run(void *data)
+{
+    node_t *node = data;
+    for (guint turn = 0;; turn++) {
+        GByteArray *frame = NULL;
+        char endpoint[ADDRESS_SIZE] = "";
+        pthread_mutex_lock(&node->lock);
+        const sibling_t *sibling = next_greeting(node, turn);
+        if (sibling) {
+            g_strlcpy(endpoint, sibling->endpoint, sizeof endpoint);
+            frame = compose(node, NULL, false);
+        }
+        pthread_mutex_unlock(&node->lock);
+        int fd = frame ? mesh_connect(endpoint, MESH_TIMEOUT_MS) : -1;
+        mesh_note_t note;
+        GByteArray *answer = fd >= 0 && mesh_send(fd, frame) ? mesh_receive(fd) : NULL;
+        if (answer && mesh_decode(answer->data, answer->len, &note)) {
+            pthread_mutex_lock(&node->lock);
+            node->superseded = MAX(node->superseded, note.view);
+            pthread_mutex_unlock(&node->lock);
+            mesh_note_clear(&note);
+        }
+        if (answer)
+            g_byte_array_unref(answer);
+        if (fd >= 0)
+            close(fd);
+        if (frame)
+            g_byte_array_unref(frame);
+        node_sleep(GREET_GAP_MS);
+    }
+    return NULL;
+}
+
 typedef struct {
     node_t *node;
     int fd;
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -73,6 +73,7 @@
     node_thread(mesh_run, node);
     node_thread(mesh_serve_run, node);
     node_thread(mail_run, node);
+    node_thread(greet_run, node);
     node_thread(follow_run, node);
     node_thread(placer_run, node);
     node_thread(cloud_run, node);
@@ -295,6 +296,11 @@
         if (machine)
             machine->draining = true;
         break;
+    case LINK_KEEP:
+        machine = g_hash_table_lookup(node->part->machines, item->machine);
+        if (machine)
+            machine->draining = machine->gone;
+        break;
     case LINK_GONE:
         part_machine_gone(node->part, item->machine);
         node_wake(node);
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -130,6 +130,7 @@
 void *mesh_run(void *node);
 void *mesh_serve_run(void *node);
 void *mail_run(void *node);
+void *greet_run(void *node);
 void *follow_run(void *node);
 void *placer_run(void *node);
 void *sender_run(void *node);
--- a/src/constants.h
+++ b/src/constants.h
@@ -67,6 +67,7 @@
     MESH_HOLD_MS = 200,      /* the leader holds an answer so long for something to say */
     MESH_IDLE_MS = 15000,    /* a connection without a call for so long is closed */
     MESH_ROWS_MS = 400,      /* between sums of a part that no new batch asks for */
+    GREET_GAP_MS = 500,      /* between the leader's greetings: each of two siblings every second */
     MESH_GAP_MS = 50,        /* between exchanges; batches what comes in a burst */
     MAIL_AFTER_MS = 2500,    /* without an exchange by socket for so long, mail is used */
     MAIL_GAP_MS = 400,       /* between looks at the mail: few of the state service's requests */
--- a/src/core/link.h
+++ b/src/core/link.h
@@ -15,6 +15,7 @@
     LINK_WITHDRAW,
     LINK_DRAIN,
     LINK_GONE,
+    LINK_KEEP,   /* no longer to be drained */
     LINK_OUTCOME /* part to leader */
 } link_kind_t;
 
--- a/src/io/mesh.c
+++ b/src/io/mesh.c
@@ -93,6 +93,7 @@
         break;
     case LINK_DRAIN:
     case LINK_GONE:
+    case LINK_KEEP:
         to->mesh_item_u.machine = (char *)item->machine;
         break;
     case LINK_OUTCOME:
@@ -116,6 +117,7 @@
         break;
     case MESH_DRAIN:
     case MESH_GONE:
+    case MESH_KEEP:
         g_strlcpy(item->machine, from->mesh_item_u.machine, sizeof item->machine);
         break;
     case MESH_OUTCOME:
--- a/src/io/mesh.x
+++ b/src/io/mesh.x
@@ -51,7 +51,8 @@
     MESH_WITHDRAW = 2,
     MESH_DRAIN = 3,
     MESH_GONE = 4,
-    MESH_OUTCOME = 5
+    MESH_KEEP = 5,
+    MESH_OUTCOME = 6
 };
 
 union mesh_item switch (mesh_kind kind) {
@@ -62,6 +63,7 @@
     mesh_ref ref;
 case MESH_DRAIN:
 case MESH_GONE:
+case MESH_KEEP:
     mesh_name machine;
 case MESH_OUTCOME:
     mesh_outcome outcome;
