Image warmth; a node refused alone is not ready; records that can't be built or read stop the work

Now a transaction with a value that could not be built is never sent, and a record that can't be read keeps the view from loading; story in stories_records.

--- a/src/app/front.c
+++ b/src/app/front.c
@@ -338,7 +338,11 @@
 static reply_t ready(node_t *node)
 {
     pthread_mutex_lock(&node->lock);
-    bool able = node->flavors->len > 0 && node->jobs_synced;
+    msec_t now = clock_steady(), contact = atomic_load(&node->state.contact);
+    /* Refused alone, this node should get no users; in an outage of all, all stay: each removal
+     * by the load balancer lasts longer than the one before. */
+    bool alone = now - contact > SHUT_OUT_MS && node->others_contact > contact + SHUT_OUT_MS;
+    bool able = node->flavors->len > 0 && node->jobs_synced && !alone;
     pthread_mutex_unlock(&node->lock);
     return able ? (reply_t){.status = 200, .body = json_pack("{s:b}", "ready", 1)}
                 : refuse(503, "starting", 1);
--- a/src/app/mesh.c
+++ b/src/app/mesh.c
@@ -26,6 +26,7 @@
     note.echo = node->heard_stamp;
     note.abort_age = now - abort;
     note.quiet_age = now - until;
+    note.contact_age = now - atomic_load(&node->state.contact);
     g_strlcpy(note.sender, node->settings->name, sizeof note.sender);
     if (link) {
         note.items = g_array_ref((GArray *)(void *)link_batch(link, MESH_BATCH));
@@ -53,12 +54,19 @@
     return false;
 }
 
+/* With the lock held: what counts whoever says it, and in whatever view. */
+static void hear_anyone(node_t *node, const mesh_note_t *note)
+{
+    node->superseded = MAX(node->superseded, note->view);
+    node->others_contact = MAX(node->others_contact, clock_steady() - note->contact_age);
+}
+
 /* With the lock held: what a part told. NULL: it is not of this view, so nothing of it counts. */
 static link_t *hear_part(node_t *node, mesh_note_t *note)
 {
     guint index = 0;
     msec_t now = clock_steady();
-    node->superseded = MAX(node->superseded, note->view);
+    hear_anyone(node, note);
     if (!node->leading || !node->loaded || note->view != node->view.number ||
         !is_member(node, note, &index) || index == node->own)
         return NULL;
@@ -186,7 +194,7 @@
  * age). */
 static void hear_leader(node_t *node, const mesh_note_t *note, msec_t asked)
 {
-    node->superseded = MAX(node->superseded, note->view);
+    hear_anyone(node, note);
     if (!node->loaded || note->view != node->view.number ||
         note->incarnation != node->view.incarnation)
         return;
@@ -252,7 +260,7 @@
         GByteArray *answer = fd >= 0 && mesh_send(fd, frame) ? mesh_receive(fd) : NULL;
         if (answer && mesh_decode(answer->data, answer->len, &note)) {
             pthread_mutex_lock(&node->lock);
-            node->superseded = MAX(node->superseded, note.view);
+            hear_anyone(node, &note);
             pthread_mutex_unlock(&node->lock);
             mesh_note_clear(&note);
         }
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -68,10 +68,11 @@
     guint front_free;       /* clients [0, front_free) are free */
     view_t view;
     bool view_synced;
-    uint64_t superseded;  /* the highest view number that another node spoke of */
-    GHashTable *present;  /* name -> member_t, owned: who has a live grant */
-    msec_t present_since; /* last change of it */
-    uint64_t lease_stamp; /* of view/lease; 0: nobody leads */
+    msec_t others_contact; /* when the state service last answered a sibling, as it said */
+    uint64_t superseded;   /* the highest view number that another node spoke of */
+    GHashTable *present;   /* name -> member_t, owned: who has a live grant */
+    msec_t present_since;  /* last change of it */
+    uint64_t lease_stamp;  /* of view/lease; 0: nobody leads */
     char lease_holder[ID_SIZE];
     uint64_t lease_incarnation;
     bool leading; /* the view is ours */
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -77,8 +77,11 @@
     }
 }
 
-static void load_machines(node_t *node, const listing_t *listing, msec_t now)
+/* False: a record can't be read. Taken for empty, its tasks would run twice: then nothing is
+ * loaded. */
+static bool load_machines(node_t *node, const listing_t *listing, msec_t now)
 {
+    bool valid = true;
     GHashTable *live_jobs = g_hash_table_new(g_str_hash, g_str_equal);
     for (guint i = 0; i < listing->jobs->len; i++)
         g_hash_table_add(live_jobs,
@@ -89,12 +92,14 @@
         if (!wire_parse_record(entry->key + strlen("machines/"), entry->value, entry->stamp,
                                &record)) {
             log_error("event=bad_record key=%s", entry->key);
+            valid = false;
             continue;
         }
         load_record(node, &record, live_jobs, now);
         g_array_unref(record.entries);
     }
     g_hash_table_unref(live_jobs);
+    return valid;
 }
 
 static void load_all(node_t *node, const listing_t *listing, msec_t now)
@@ -113,9 +118,8 @@
         load_jobs(node, listing->jobs, now);
         load_done(node, listing->done);
     }
-    load_machines(node, listing, now);
+    node->loaded = load_machines(node, listing, now);
     node->generation++;
-    node->loaded = true;
     node->loaded_at = now;
     pthread_cond_broadcast(&node->mesh);
 }
--- a/src/constants.h
+++ b/src/constants.h
@@ -97,6 +97,9 @@
     5.0 /* a stopped task waits and fetches again; larger ones find room later                     \
          */
 
+#define PREEMPT_COLD_S                                                                             \
+    30.0 /* counts against stopping work where the image is still to be fetched */
+
 /* Renting. */
 #define RENT_PATIENCE_LEAST_S                                                                      \
     15.0                 /* work near its deadline shares a machine's room only within that */
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -7,6 +7,7 @@
     machine_t *machine = data;
     g_ptr_array_unref(machine->attempts);
     g_array_unref(machine->reservations);
+    g_hash_table_unref(machine->images);
     g_free(machine);
 }
 
@@ -61,6 +62,7 @@
     g_strlcpy(machine->id, id, sizeof machine->id);
     machine->attempts = g_ptr_array_new_with_free_func(g_free);
     machine->reservations = g_array_new(FALSE, FALSE, sizeof(reservation_t));
+    machine->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     machine->first_seen = machine->last_report = machine->idle_since = now;
     g_hash_table_insert(part->machines, machine->id, machine);
     return machine;
@@ -136,14 +138,26 @@
     return MAX(cpus, memory);
 }
 
-/* The design's order: reported first, lower score, fewer starting, fewer running. 0: equal. */
-static int compare_rank(const machine_t *a, const machine_t *b, room_t need)
+static bool is_warm(const machine_t *machine, const offer_t *offer)
 {
+    return g_hash_table_contains(machine->images, offer->image);
+}
+
+/* The design's order: reported first, lower score, fewer starting, fewer running. 0: equal. Whether
+ * the image is there already breaks ties of the score; for urgent work, which is to start within a
+ * second where a fetch takes five, it comes before the score. */
+static int compare_rank(const machine_t *a, const machine_t *b, const offer_t *offer)
+{
+    bool warm_a = is_warm(a, offer), warm_b = is_warm(b, offer);
     if (a->reported != b->reported)
         return a->reported ? -1 : 1;
-    double difference = pressure(a, need) - pressure(b, need);
+    if (offer->urgency >= URGENCY_HIGH && warm_a != warm_b)
+        return warm_a ? -1 : 1;
+    double difference = pressure(a, offer->need) - pressure(b, offer->need);
     if (difference < -EPSILON || difference > EPSILON)
         return difference < 0 ? -1 : 1;
+    if (warm_a != warm_b)
+        return warm_a ? -1 : 1;
     guint starting_a = a->starting + a->reservations->len;
     guint starting_b = b->starting + b->reservations->len;
     if (starting_a != starting_b)
@@ -164,7 +178,7 @@
         machine_t *machine = value;
         if (!is_open(machine, offer) || !room_fits(offer->need, part_free_room(machine)))
             continue;
-        int rank = best ? compare_rank(machine, best, offer->need) : -1;
+        int rank = best ? compare_rank(machine, best, offer) : -1;
         if (rank < 0) {
             best = machine;
             equals = 1;
@@ -257,6 +271,7 @@
         if (!is_open(machine, offer) || now - machine->last_report > DIRECT_FRESH_MS)
             continue;
         GArray *victims = choose_victims(part, machine, offer, now, &lost);
+        lost += is_warm(machine, offer) ? 0 : PREEMPT_COLD_S * offer->need.cpus;
         if (victims && (!best || lost < least)) {
             if (best_victims)
                 g_array_unref(best_victims);
@@ -309,6 +324,7 @@
                             .attempt = offer->attempt};
     g_strlcpy(entry.job, offer->job, sizeof entry.job);
     g_strlcpy(entry.team, offer->team, sizeof entry.team);
+    g_strlcpy(entry.image, offer->image, sizeof entry.image);
     attempt_t *attempt = attempt_add(part, best, &entry);
     attempt->phase = ATTEMPT_PLACED;
     attempt->job_stamp = offer->job_stamp;
@@ -455,6 +471,13 @@
     look_up_room(part, machine);
 }
 
+/* A task that runs has its image: the machine will not fetch that one again soon. */
+static void take_image(machine_t *machine, const attempt_t *attempt)
+{
+    if (!g_hash_table_contains(machine->images, attempt->entry.image))
+        g_hash_table_add(machine->images, g_strdup(attempt->entry.image));
+}
+
 static void take_pieces(part_t *part, machine_t *machine, const report_t *report, msec_t now)
 {
     room_t booked = {0}, grown = {0};
@@ -477,7 +500,8 @@
         if (piece->state == PIECE_FETCHING)
             machine->starting++;
         else
-            machine->running++;
+            take_image(machine, attempt);
+        machine->running += piece->state != PIECE_FETCHING;
         room_add(&booked, attempt->entry.need, 1);
         if (!attempt->listed_since) {
             attempt->listed_since = now;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -42,6 +42,7 @@
 typedef struct {
     char job[ID_SIZE];
     char team[LABEL_SIZE];
+    char image[LABEL_SIZE];
     room_t need;
     urgency_t urgency;
     double save_s;
@@ -112,7 +113,8 @@
     bool draining;
     GPtrArray *attempts; /* attempt_t, owned */
     GArray *reservations;
-    room_t booked; /* of the last report */
+    GHashTable *images; /* seen in use here, so probably in its cache */
+    room_t booked;      /* of the last report */
     guint starting;
     guint running;
     guint errors; /* failures of jobs that run elsewhere */
--- a/src/io/mesh.c
+++ b/src/io/mesh.c
@@ -187,6 +187,7 @@
                             .echo = note->echo,
                             .abort_age = note->abort_age,
                             .quiet_age = note->quiet_age,
+                            .contact_age = note->contact_age,
                             .has_rows = note->rows != NULL};
     message.items.items_len = items;
     message.items.items_val = item_list;
@@ -220,6 +221,7 @@
     note->echo = message->echo;
     note->abort_age = message->abort_age;
     note->quiet_age = message->quiet_age;
+    note->contact_age = message->contact_age;
     note->items = link_items_new();
     for (u_int i = 0; i < message->items.items_len; i++) {
         link_item_t item;
--- a/src/io/mesh.h
+++ b/src/io/mesh.h
@@ -16,6 +16,7 @@
     msec_t echo;
     msec_t abort_age;
     msec_t quiet_age;
+    msec_t contact_age;
     GArray *items;    /* link_item_t */
     GArray *rows;     /* machine_row_t; NULL: unchanged */
     GArray *yielding; /* double, a team each; NULL without rows */
--- a/src/io/mesh.x
+++ b/src/io/mesh.x
@@ -93,6 +93,7 @@
     hyper stamp;       /* the sender's clock, ms; comes back as echo */
     hyper echo;        /* the newest stamp received from the other end; 0: none */
     hyper abort_age;   /* ms since anyone the sender speaks for accepted an abort */
+    hyper contact_age; /* ms since the state service last answered the sender */
     hyper quiet_age;   /* ms since the moment up to which that is known */
     mesh_item items<MESH_ITEMS>;
     bool has_rows;
--- a/src/io/state.c
+++ b/src/io/state.c
@@ -132,6 +132,9 @@
 void txn_set(txn_t *txn, const char *key, json_t *value, uint64_t grant)
 {
     json_t *change = json_pack("{s:s,s:o}", "Set", key, "Value", value);
+    /* A record that could not be built must not be committed as something else: its attempts would
+     * be forgotten, and run twice. */
+    txn->faulty = txn->faulty || !change;
     if (grant)
         json_object_set_new(change, "Tether", json_integer((json_int_t)grant));
     json_array_append_new(txn->changes, change);
@@ -146,6 +149,8 @@
                             long timeout_ms, uint64_t *revision, GPtrArray *failed)
 {
     json_t *answer = NULL;
+    if (txn->faulty)
+        return STATE_INVALID;
     json_t *body = json_pack("{s:O,s:O}", "If", txn->conditions, "Then", txn->changes);
     state_result_t result = call(state, client, "POST", "/txn", body, timeout_ms, &answer);
     json_decref(body);
--- a/src/io/state.h
+++ b/src/io/state.h
@@ -43,6 +43,7 @@
 typedef struct {
     json_t *conditions;
     json_t *changes;
+    bool faulty; /* a value could not be built: never sent */
 } txn_t;
 txn_t txn_new(void);
 void txn_free(txn_t *txn);
--- a/src/io/wire.c
+++ b/src/io/wire.c
@@ -358,7 +358,7 @@
     return json_pack("{s:o}", "Winches", names);
 }
 
-/* Entries of one job share a header: {"Id","Team","Need":[c,g,m],"Rank","Save","Knot",
+/* Entries of one job share a header: {"Id","Team","Image","Need":[c,g,m],"Rank","Save","Knot",
  * "Tasks":[[task,attempt],...]}. */
 static json_t *record_job(json_t *jobs, const record_entry_t *entry)
 {
@@ -366,10 +366,10 @@
     json_t *job;
     json_array_foreach(jobs, i, job) if (strcmp(json_string_value(json_object_get(job, "Id")),
                                                 entry->job) == 0) return job;
-    job =
-        json_pack("{s:s,s:s,s:[f,f,f],s:i,s:f,s:f,s:[]}", "Id", entry->job, "Team", entry->team,
-                  "Need", entry->need.cpus, entry->need.gpus, entry->need.memory, "Rank",
-                  (int)entry->urgency, "Save", entry->save_s, "Knot", entry->checkpoint_s, "Tasks");
+    job = json_pack("{s:s,s:s,s:s,s:[f,f,f],s:i,s:f,s:f,s:[]}", "Id", entry->job, "Team",
+                    entry->team, "Image", entry->image, "Need", entry->need.cpus, entry->need.gpus,
+                    entry->need.memory, "Rank", (int)entry->urgency, "Save", entry->save_s, "Knot",
+                    entry->checkpoint_s, "Tasks");
     json_array_append_new(jobs, job);
     return job;
 }
@@ -395,6 +395,7 @@
     uint64_t rank = 0;
     if (!get_text(job, "Id", entry.job, sizeof entry.job, NULL) ||
         !get_text(job, "Team", entry.team, sizeof entry.team, NULL) ||
+        !get_text(job, "Image", entry.image, sizeof entry.image, NULL) ||
         !get_count(job, "Rank", URGENCY_LOW, URGENCY_CRITICAL, &rank, NULL) ||
         json_array_size(need) != 3)
         return false;
--- a/tests/stories_part.c
+++ b/tests/stories_part.c
@@ -325,7 +325,8 @@
                                .zone = "north",
                                .machine = "m-000001"};
     record.entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t));
-    record_entry_t entry = {.job = "j-000001", .team = "red", .need = {4, 0, 4}, .attempt = 55};
+    record_entry_t entry = {
+        .job = "j-000001", .team = "red", .image = "i", .need = {4, 0, 4}, .attempt = 55};
     g_array_append_val(record.entries, entry);
     part_load(stage->part, &record, stage->now);
     g_array_unref(record.entries);
@@ -347,7 +348,8 @@
                                .zone = "north",
                                .machine = "m-000001"};
     record.entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t));
-    record_entry_t entry = {.job = "j-000001", .team = "red", .need = {4, 0, 4}, .attempt = 55};
+    record_entry_t entry = {
+        .job = "j-000001", .team = "red", .image = "i", .need = {4, 0, 4}, .attempt = 55};
     g_array_append_val(record.entries, entry);
     part_load(stage->part, &record, stage->now);
     g_array_unref(record.entries);
--- a/tests/stories_records.c
+++ b/tests/stories_records.c
@@ -66,7 +66,8 @@
     part_report(part, &report, false, 1000, calls);
     report_clear(&report);
     g_array_unref(calls);
-    offer_t offer = {.need = {4, 0, 4}, .attempt = 100, .job_stamp = job_stamp, .team = "red"};
+    offer_t offer = {
+        .need = {4, 0, 4}, .attempt = 100, .job_stamp = job_stamp, .team = "red", .image = "i"};
     g_strlcpy(offer.job, id, sizeof offer.job);
     assert_non_null(part_place(part, &offer, 1000));
 }
@@ -166,6 +167,16 @@
     assert_null(fake_store_get(store, "done/j-000001/1"));
 }
 
+static void a_value_that_can_not_be_built_is_never_sent(void **state)
+{
+    (void)state;
+    state_t service = {0};
+    txn_t txn = txn_new();
+    txn_set(&txn, "machines/m-000001", NULL, 0);
+    assert_int_equal(state_commit(&service, NULL, &txn, 1, NULL, NULL), STATE_INVALID);
+    txn_free(&txn);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -177,6 +188,7 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(abort_and_done_exclude_each_other, set_up, tear_down),
         cmocka_unit_test_setup_teardown(abort_takes_the_progress_along, set_up, tear_down),
+        cmocka_unit_test(a_value_that_can_not_be_built_is_never_sent),
     };
     return cmocka_run_group_tests_name("records", tests, NULL, NULL);
 }
