--- a/src/constants.h
+++ b/src/constants.h
@@ -104,8 +104,6 @@
 /* Renting. */
 #define RENT_PATIENCE_LEAST_S                                                                      \
     15.0                 /* work near its deadline shares a machine's room only within that */
-#define RENT_BACKLOG_S 120.0       /* a longer backlog is worth ordinary machines */
-#define RENT_EXTRA 0.5             /* of what stands, at most so much more for it */
 #define RENT_LARGEST 0.6 /* a machine may be this share of all that is wanted */
 #define RENT_ROUND 0.25  /* of a machine: so little lacking is not worth another */
 #define RENT_SPREAD 0.02 /* price added per machine of the same type, zone and kind */
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -110,27 +110,6 @@
     return promised;
 }
 
-/* Cpu seconds of the work that waits. */
-static double waiting_work(const leader_t *leader, msec_t now)
-{
-    double work = 0;
-    GArray *demand = leader_demand(leader, now);
-    for (guint i = 0; i < demand->len; i++) {
-        const demand_t *entry = &g_array_index(demand, demand_t, i);
-        work += entry->tasks * entry->job->spec.need.cpus * entry->job->spec.estimate_s;
-    }
-    g_array_unref(demand);
-    return work;
-}
-
-/* Cpus on ordinary machines that are worth their price. */
-static double ordinary_allowed(const rental_balance_t *balance)
-{
-    double excess = balance->backlog_s / RENT_BACKLOG_S - 1;
-    double extra = CLAMP(excess, 0, RENT_EXTRA) * balance->standing.cpus;
-    return balance->promised + extra;
-}
-
 rental_balance_t rental_balance(const rental_t *rental, const leader_t *leader,
                                 const GArray *flavors, msec_t now, int64_t day_ms)
 {
@@ -157,8 +136,6 @@
         room_add(&balance.booting, flavor->room, 1);
         balance.ordinary += boot->spot ? 0 : flavor->room.cpus;
     }
-    balance.backlog_s =
-        balance.standing.cpus > 0 ? waiting_work(leader, now) / balance.standing.cpus : 0;
     return balance;
 }
 
@@ -239,8 +216,7 @@
             guint count = units_of(flavor, lack, small ? INFINITY : balance.wanted.cpus);
             for (char **zone = flavor->zones; count && *zone; zone++) {
                 for (int spot = 0; spot < 2; spot++) {
-                    bool promised =
-                        balance.ordinary + flavor->room.cpus <= ordinary_allowed(&balance);
+                    bool promised = balance.ordinary + flavor->room.cpus <= balance.promised;
                     if (is_refused(rental, flavor->name, *zone, spot, now) ||
                         !is_useful(leader->policy, demand, flavor, *zone, spot, promised))
                         continue;
@@ -274,16 +250,6 @@
     return (row->spot ? flavor->spot_price : flavor->price) / MAX(flavor->room.cpus, EPSILON);
 }
 
-/* The fleet does without the machine; or it is ordinary and was worth its price only for a backlog
- * that is gone. */
-static bool is_spare(const rental_balance_t *balance, const machine_row_t *row, double keep)
-{
-    if (!row->spot && balance->ordinary - row->total.cpus >= ordinary_allowed(balance))
-        return true;
-    return balance->standing.cpus - row->total.cpus >= balance->wanted.cpus * keep &&
-           balance->standing.memory - row->total.memory >= balance->wanted.memory * keep;
-}
-
 const machine_row_t *rental_surplus(rental_t *rental, const leader_t *leader, const GArray *flavors,
                                     msec_t now, int64_t day_ms)
 {
@@ -295,7 +261,9 @@
         const GArray *rows = g_ptr_array_index(leader->rows, i);
         for (guint k = 0; rows && k < rows->len; k++) {
             const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            if (!row->open || !is_spare(&balance, row, keep))
+            if (!row->open ||
+                balance.standing.cpus - row->total.cpus < balance.wanted.cpus * keep ||
+                balance.standing.memory - row->total.memory < balance.wanted.memory * keep)
                 continue;
             /* Dear ones first; of equals the emptiest, which is free soonest. */
             double price = row_price(row, flavors) *
--- a/src/core/rental.h
+++ b/src/core/rental.h
@@ -15,8 +15,7 @@
 } boot_t;
 
 /* Ordinary machines cost a multiple of spot ones. They are rented for what is promised (the teams'
- * guarantees), for work that may not use spot, and, as far as they shorten it, for a backlog that
- * spot alone would take minutes for; all else waits for spot. */
+ * guarantees) and for work that may not use spot; all else waits for spot. */
 
 typedef struct {
     GHashTable *boots;    /* id -> boot_t, owned */
@@ -44,9 +43,8 @@
     room_t wanted;
     room_t standing;
     room_t booting;
-    double ordinary;  /* cpus that stand or boot on ordinary machines */
-    double promised;  /* cpus guaranteed and asked for */
-    double backlog_s; /* how long all that stands would take for the waiting work */
+    double ordinary; /* cpus that stand or boot on ordinary machines */
+    double promised; /* cpus guaranteed and asked for */
 } rental_balance_t;
 rental_balance_t rental_balance(const rental_t *rental, const leader_t *leader,
                                 const GArray *flavors, msec_t now, int64_t day_ms);
