--- a/src/app/node.c
+++ b/src/app/node.c
@@ -40,6 +40,7 @@
     pthread_cond_init(&node->direct, &steady);
     pthread_cond_init(&node->clients, &steady);
     pthread_cond_init(&node->members, &steady);
+    pthread_cond_init(&node->inquiries, &steady);
     pthread_cond_init(&node->mesh, &steady);
     pthread_condattr_destroy(&steady);
     node->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, known_job_free);
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -49,6 +49,14 @@
     msec_t seen;
 } guest_t;
 
+/* Status reads of live jobs that are asked together. Owned by those who wait for it. */
+typedef struct {
+    GHashTable *asked; /* id -> stamp of jobs/<id> (pointer-sized) */
+    GHashTable *live;  /* ids found unchanged, so live; set when done */
+    bool done;
+    guint waiting;
+} inquiry_t;
+
 typedef struct {
     const settings_t *settings;
     const policy_t *policy;
@@ -63,6 +71,8 @@
     pthread_cond_t work;    /* for the placer */
     pthread_cond_t direct;  /* for the senders */
     pthread_cond_t clients; /* for the front's clients */
+    pthread_cond_t inquiries;
+    inquiry_t *inquiry;     /* still taking questions; NULL: none */
     pthread_cond_t members; /* for the member loop */
     pthread_cond_t mesh;    /* something to say to a part */
     guint front_free;       /* clients [0, front_free) are free */
--- a/src/constants.h
+++ b/src/constants.h
@@ -82,11 +82,12 @@
     PREEMPT_PROTECT_MS = 2000, /* a start is not preempted in its first moments */
     BOOT_PATIENCE_MS = 30000,  /* added to three times BootS before a boot is given up */
     RETURN_AFTER_MS = 40000,   /* a new leader learns the demand before it returns machines */
+    STATUS_GATHER_MS = 200,    /* status reads of so long are asked together; users wait 2 s */
     SHUT_OUT_MS = 3000         /* /ready turns 503 after so long without the state service */
 };
 
-/* Shares of the outside services' budgets (1 = all of it). Peaks of the three nodes seldom meet, and what
- * is refused above the limit is repeated: together they may exceed 1. */
+/* Shares of the outside services' budgets (1 = all of it). Peaks of the three nodes seldom meet,
+ * and what is refused above the limit is repeated: together they may exceed 1. */
 #define SHARE_LEADER_WRITE 0.45 /* its part's commits and every job's progress */
 #define SHARE_PART_WRITE 0.35   /* each other part's commits */
 #define SHARE_CORE_RPS 0.15     /* each node's own loops */
