--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -218,6 +218,7 @@
 typedef struct {
     job_t *job;
     guint missed; /* targets that it can't keep any more */
+    double work;  /* cpu seconds not yet out */
     double start; /* latest start for the next target, time of day in ms; infinite: none left */
 } queued_t;
 
@@ -238,6 +239,7 @@
 {
     const job_spec_t *spec = &job->spec;
     queued_t queued = {.job = job, .start = INFINITY};
+    queued.work = job_pending(job) * spec->need.cpus * MAX(spec->estimate_s, 1);
     const targets_t *targets = g_hash_table_lookup(leader->targets, spec->class_name);
     double ready = (double)day_ms + spec->estimate_s * 1000.0;
     if (spec->deadline_s > 0 && targets && targets->times->len)
@@ -249,8 +251,9 @@
     return queued;
 }
 
-/* By priority; then what can still keep more of its targets; then by the latest start that
- * keeps the next one; then by age. */
+/* By priority; then what can still keep more of its targets; then the least work left, which keeps
+ * most targets where not all can be kept; then by the latest start that keeps the next one; then by
+ * age. */
 static gint compare_queued(gconstpointer left, gconstpointer right)
 {
     const queued_t *a = left, *b = right;
@@ -258,6 +261,8 @@
         return a->job->spec.urgency > b->job->spec.urgency ? -1 : 1;
     if (a->missed != b->missed)
         return a->missed < b->missed ? -1 : 1;
+    if (a->work != b->work)
+        return a->work < b->work ? -1 : 1;
     if (a->start != b->start)
         return a->start < b->start ? -1 : 1;
     if (a->job->spec.submitted_ms != b->job->spec.submitted_ms)
