--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -23,8 +23,9 @@
     msec_t kept_at;
     guint charters;
     charter_t charter;
-    GHashTable *listed; /* ids of the newest list */
-    GPtrArray *failed;  /* ids that it calls failed */
+    GHashTable *listed;   /* ids of the newest list */
+    GPtrArray *failed;    /* ids that it calls failed */
+    GHashTable *returned; /* id -> msec_t *: released so lately that lists may still show it */
 } cloud_t;
 
 static int cloud_call(cloud_t *cloud, const char *method, const char *path, const json_t *body,
@@ -243,6 +244,13 @@
     json_decref(answer);
 }
 
+/* Whether its release was confirmed within the list's lag: asking again would only cost calls. */
+static bool is_returned(const cloud_t *cloud, const char *id, msec_t now)
+{
+    const msec_t *at = g_hash_table_lookup(cloud->returned, id);
+    return at && now - *at < (msec_t)(cloud->node->settings->list_lag_s * 2000) + SETTLE_MS;
+}
+
 static void add_once(GPtrArray *names, const char *name)
 {
     if (names->len < RELEASE_MAX &&
@@ -279,6 +287,7 @@
     GPtrArray *silent = g_ptr_array_new_with_free_func(g_free);
     msec_t most = (msec_t)(node->settings->lease_s * 1000) + SILENT_MARGIN_MS;
     msec_t lag = (msec_t)(node->settings->list_lag_s * 2000) + SETTLE_MS;
+    msec_t now = clock_steady();
     pthread_mutex_lock(&node->lock);
     bool listed = leads(node) && cloud->listed_at > node->loaded_at + lag;
     for (guint i = 0; leads(node) && i < node->leader->rows->len; i++) {
@@ -287,7 +296,7 @@
             const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
             bool unlisted = listed && row->known_ms > lag && row->silent_ms > DIRECT_FRESH_MS &&
                             !g_hash_table_contains(cloud->listed, row->machine);
-            if (row->silent_ms > most || unlisted)
+            if ((row->silent_ms > most || unlisted) && !is_returned(cloud, row->machine, now))
                 add_once(silent, row->machine);
         }
     }
@@ -303,7 +312,8 @@
     msec_t now = clock_steady();
     guint part = 0;
     for (guint i = 0; i < cloud->failed->len; i++)
-        add_once(names, g_ptr_array_index(cloud->failed, i));
+        if (!is_returned(cloud, g_ptr_array_index(cloud->failed, i), now))
+            add_once(names, g_ptr_array_index(cloud->failed, i));
     GPtrArray *stuck = rental_stuck(node->rental, node->flavors, now);
     for (guint i = 0; i < stuck->len; i++)
         add_once(names, g_ptr_array_index(stuck, i));
@@ -324,7 +334,7 @@
         const GArray *rows = g_ptr_array_index(node->leader->rows, i);
         for (guint k = 0; rows && k < rows->len; k++) {
             const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            if (row->draining && row->attempts == 0)
+            if (row->draining && row->attempts == 0 && !is_returned(cloud, row->machine, now))
                 add_once(names, row->machine);
         }
     }
@@ -346,6 +356,20 @@
     node_wake(node);
 }
 
+static void note_returned(cloud_t *cloud, const GPtrArray *names)
+{
+    msec_t now = clock_steady();
+    GHashTableIter iter;
+    gpointer id;
+    g_hash_table_iter_init(&iter, cloud->returned);
+    while (g_hash_table_iter_next(&iter, &id, NULL))
+        if (!is_returned(cloud, id, now))
+            g_hash_table_iter_remove(&iter);
+    for (guint i = 0; i < names->len; i++)
+        g_hash_table_insert(cloud->returned, g_strdup(g_ptr_array_index(names, i)),
+                            g_memdup2(&now, sizeof now));
+}
+
 static void give_back(cloud_t *cloud)
 {
     node_t *node = cloud->node;
@@ -371,6 +395,7 @@
         pthread_mutex_lock(&node->lock);
         if (status == 200 && leads(node) && node->generation == generation) {
             released(node, names);
+            note_returned(cloud, names);
             g_ptr_array_set_size(cloud->failed, 0);
         }
         pthread_mutex_unlock(&node->lock);
@@ -415,7 +440,8 @@
     cloud_t cloud = {.node = data,
                      .client = http_client_new(2),
                      .listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
-                     .failed = g_ptr_array_new_with_free_func(g_free)};
+                     .failed = g_ptr_array_new_with_free_func(g_free),
+                     .returned = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free)};
     node_t *node = cloud.node;
     msec_t gap = MAX(CLOUD_GAP_MS, (msec_t)(CLOUD_CALLS_MS / node->settings->cloud_rps));
     for (;;) {
