--- a/src/app/view.c
+++ b/src/app/view.c
@@ -87,6 +87,12 @@
     txn_free(&txn);
     if (result == STATE_OK) {
         pthread_mutex_lock(&node->lock);
+        if (grant) {
+            /* Known before the follow tells: else the lease would look free, and be taken again. */
+            node->lease_stamp = next->stamp;
+            node->lease_incarnation = next->incarnation;
+            g_strlcpy(node->lease_holder, next->leader, sizeof node->lease_holder);
+        }
         node_adopt(node, next);
         pthread_mutex_unlock(&node->lock);
     } else if (result != STATE_REFUSED) {
@@ -116,7 +122,7 @@
     if (strcmp(entry->key, "view/number") == 0) {
         if (entry->value && view_parse(entry->value, entry->stamp, &view))
             node_adopt(node, &view);
-    } else if (strcmp(entry->key, "view/lease") == 0) {
+    } else if (strcmp(entry->key, "view/lease") == 0 && entry->stamp >= node->lease_stamp) {
         node->lease_stamp = entry->value ? entry->stamp : 0;
         node->lease_incarnation =
             (uint64_t)json_integer_value(json_object_get(entry->value, "Incarnation"));
