Faulty machines are condemned; stories of preemption

An error is mostly the machine's, and one that fails at once is always the emptiest, so least-loaded placement would feed it everything.

--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -164,7 +164,7 @@
         const GArray *rows = g_ptr_array_index(node->leader->rows, i);
         for (guint k = 0; rows && k < rows->len; k++) {
             const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            if (!row->draining || row->attempts == 0)
+            if (!row->draining || row->attempts == 0 || leader_condemns(node->leader, row->machine))
                 continue;
             log_info("event=keep_drained machine=%s", row->machine);
             tell_machine(node, i, LINK_KEEP, row->machine);
@@ -336,6 +336,10 @@
             const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
             if (row->draining && row->attempts == 0 && !is_returned(cloud, row->machine, now))
                 add_once(names, row->machine);
+            if (!row->draining && leader_condemns(node->leader, row->machine)) {
+                log_info("event=condemned machine=%s", row->machine);
+                tell_machine(node, i, LINK_DRAIN, row->machine);
+            }
         }
     }
 }
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -48,6 +48,7 @@
     }
     leader->targets = targets;
     leader->policy = policy;
+    leader->suspects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     const double once = 1;
     leader->once = g_array_new(FALSE, FALSE, sizeof(double));
     g_array_append_val(leader->once, once);
@@ -66,6 +67,7 @@
     g_ptr_array_unref(leader->rows);
     g_ptr_array_unref(leader->yields);
     g_array_unref(leader->once);
+    g_hash_table_unref(leader->suspects);
     g_free(leader);
 }
 
@@ -615,10 +617,40 @@
     }
 }
 
+/* An error is mostly the machine's. One that fails at once is always the emptiest, so least-loaded
+ * placement would feed it everything; but a job submitted with a mistake fails on every machine,
+ * and must not condemn them all. So it takes several failures without a success between, of more
+ * than one job or of a job that has finished tasks. */
+static void suspect_machine(leader_t *leader, const outcome_t *outcome, const job_t *job)
+{
+    if (outcome->cause == CAUSE_DONE) {
+        g_hash_table_remove(leader->suspects, outcome->machine);
+        return;
+    }
+    if (outcome->cause != CAUSE_ERROR || !outcome->machine[0])
+        return;
+    suspect_t *suspect = g_hash_table_lookup(leader->suspects, outcome->machine);
+    if (!suspect) {
+        suspect = g_new0(suspect_t, 1);
+        g_strlcpy(suspect->job, outcome->ref.job, sizeof suspect->job);
+        g_hash_table_insert(leader->suspects, g_strdup(outcome->machine), suspect);
+    }
+    suspect->errors++;
+    if ((job && job->n_done > 0) || strcmp(suspect->job, outcome->ref.job) != 0)
+        suspect->sound = true;
+}
+
+bool leader_condemns(const leader_t *leader, const char *machine)
+{
+    const suspect_t *suspect = g_hash_table_lookup(leader->suspects, machine);
+    return suspect && suspect->sound && suspect->errors >= MACHINE_ERRORS_ALARM;
+}
+
 void leader_outcome(leader_t *leader, guint part, const outcome_t *outcome, msec_t now)
 {
     uint32_t task = outcome->ref.task;
     job_t *job = live_drop(leader, &outcome->ref);
+    suspect_machine(leader, outcome, job);
     if (!job)
         return;
     if (outcome->cause == CAUSE_DONE) {
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -75,6 +75,13 @@
     offer_t offer;
 } leader_offer_t;
 
+/* A machine on which attempts failed since the last success there. */
+typedef struct {
+    guint errors;
+    char job[ID_SIZE]; /* of the first */
+    bool sound;        /* some failed job runs elsewhere, or more than one job failed */
+} suspect_t;
+
 typedef struct {
     uint64_t view;
     uint64_t count;         /* attempts numbered in this view */
@@ -83,6 +90,7 @@
     GArray *teams;          /* team_state_t */
     GHashTable *targets;    /* class -> targets_t, from the aims; borrowed */
     const policy_t *policy; /* borrowed */
+    GHashTable *suspects;   /* machine -> suspect_t, owned: where work failed lately */
     GArray *once;           /* the target of a deadline that no aim names */
     GPtrArray *rows;        /* part -> GArray of machine_row_t, owned */
     GPtrArray *yields;      /* part -> GArray of double, a team each, owned */
@@ -112,6 +120,8 @@
 bool leader_is_out(const leader_t *leader, const task_ref_t *ref);
 /* An attempt is over, or an offer was refused (CAUSE_FULL). */
 void leader_outcome(leader_t *leader, guint part, const outcome_t *outcome, msec_t now);
+/* Whether the machine is taken for faulty: it is to be drained, and not kept. */
+bool leader_condemns(const leader_t *leader, const char *machine);
 /* Attempts of the job that are out. Array of settle_t. */
 GArray *leader_out(const leader_t *leader, const char *job);
 
--- a/tests/stories_leader.c
+++ b/tests/stories_leader.c
@@ -221,6 +221,32 @@
     g_array_unref(offers);
 }
 
+static void fail_on(const char *machine, const char *id, uint32_t task)
+{
+    record_entry_t entry = {.team = "blue", .need = {2, 0, 1}, .task = task, .attempt = 77};
+    g_strlcpy(entry.job, id, sizeof entry.job);
+    leader_load_attempt(leader, &entry, "north", 0);
+    outcome_t failed = {.ref = task_ref(id, task, 77), .cause = CAUSE_ERROR};
+    g_strlcpy(failed.machine, machine, sizeof failed.machine);
+    leader_outcome(leader, 0, &failed, 1000);
+}
+
+static void machine_that_fails_sound_jobs_is_condemned(void **state)
+{
+    (void)state;
+    job_spec_t first = job("j-000001", "blue", 9), second = job("j-000002", "blue", 9);
+    add(&first);
+    add(&second);
+    for (uint32_t i = 0; i < 5; i++)
+        fail_on("m-1", "j-000001", i); /* it may be the job */
+    assert_false(leader_condemns(leader, "m-1"));
+    fail_on("m-1", "j-000002", 0);
+    assert_true(leader_condemns(leader, "m-1"));
+    fail_on("m-2", "j-000001", 6);
+    fail_on("m-2", "j-000002", 1);
+    assert_false(leader_condemns(leader, "m-2"));
+}
+
 static void finished_bit_is_never_offered_again(void **state)
 {
     (void)state;
@@ -315,6 +341,8 @@
         cmocka_unit_test_setup_teardown(same_zone_binds_the_later_tasks, set_up, tear_down),
         cmocka_unit_test_setup_teardown(apart_keeps_half_in_a_zone, set_up, tear_down),
         cmocka_unit_test_setup_teardown(job_that_fails_everywhere_is_held_back, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(machine_that_fails_sound_jobs_is_condemned, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(finished_bit_is_never_offered_again, set_up, tear_down),
         cmocka_unit_test_setup_teardown(gang_is_offered_whole_or_not_at_all, set_up, tear_down),
         cmocka_unit_test_setup_teardown(without_a_guarantee_spot_work_waits_for_spot, set_up,
--- a/tests/stories_part.c
+++ b/tests/stories_part.c
@@ -403,6 +403,78 @@
     fake_worker_free(other);
 }
 
+/* The machine is full of low work; an urgent task makes room for itself, in one message. */
+static void urgent_work_takes_the_place_of_low_work(void **state)
+{
+    (void)state;
+    exchange();
+    for (uint32_t i = 0; i < 4; i++)
+        place("j-000001", i, 100 + i);
+    commit();
+    exchange();
+    exchange();
+    stage->now += PREEMPT_PROTECT_MS;
+    exchange();
+    offer_t urgent = offer_of("j-000002", 0, 200, 4);
+    urgent.urgency = URGENCY_HIGH;
+    assert_null(part_place(stage->part, &urgent, stage->now));
+    urgent.preempt = true;
+    assert_non_null(part_place(stage->part, &urgent, stage->now));
+    commit();
+    exchange();
+    assert_int_equal(count_calls(CALL_STOP), 1);
+    assert_int_equal(count_calls(CALL_RUN), 1);
+    assert_int_equal(fake_worker_active(stage->worker), 4);
+    exchange();
+    commit();
+    assert_true(told(3, CAUSE_STOPPED) || told(2, CAUSE_STOPPED) || told(1, CAUSE_STOPPED) ||
+                told(0, CAUSE_STOPPED));
+}
+
+static void equal_urgency_is_never_stopped(void **state)
+{
+    (void)state;
+    exchange();
+    for (uint32_t i = 0; i < 4; i++)
+        place("j-000001", i, 100 + i);
+    commit();
+    exchange();
+    exchange();
+    stage->now += PREEMPT_PROTECT_MS;
+    exchange();
+    offer_t equal = offer_of("j-000002", 0, 200, 4);
+    equal.preempt = true;
+    assert_null(part_place(stage->part, &equal, stage->now));
+}
+
+/* A task that saves when it is stopped holds its room until it has: the start waits for that. */
+static void start_waits_for_the_room_of_a_saving_task(void **state)
+{
+    (void)state;
+    exchange();
+    offer_t saving = offer_of("j-000001", 0, 100, 16);
+    saving.checkpoint_s = 10;
+    saving.save_s = 4;
+    assert_non_null(part_place(stage->part, &saving, stage->now));
+    commit();
+    exchange();
+    exchange();
+    stage->now += PREEMPT_PROTECT_MS;
+    exchange();
+    offer_t normal = offer_of("j-000002", 0, 200, 4);
+    normal.urgency = URGENCY_NORMAL;
+    normal.preempt = true;
+    assert_non_null(part_place(stage->part, &normal, stage->now));
+    commit();
+    report_t report = fake_worker_report(stage->worker);
+    deliver(&report, false);
+    assert_int_equal(count_calls(CALL_STOP), 1);
+    assert_int_equal(count_calls(CALL_RUN), 0);
+    fake_worker_exit(stage->worker, "j-000001", 0, CAUSE_STOPPED);
+    exchange();
+    assert_int_equal(count_calls(CALL_RUN), 1);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -427,6 +499,10 @@
         cmocka_unit_test_setup_teardown(new_view_takes_over_from_the_record, set_up, tear_down),
         cmocka_unit_test_setup_teardown(absence_needs_the_present_token, set_up, tear_down),
         cmocka_unit_test_setup_teardown(released_machine_is_proof, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(urgent_work_takes_the_place_of_low_work, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(equal_urgency_is_never_stopped, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(start_waits_for_the_room_of_a_saving_task, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(full_machine_is_skipped, set_up, tear_down),
         cmocka_unit_test_setup_teardown(lower_pressure_wins_and_equals_take_turns, set_up,
                                         tear_down),
