A controller that its workers can't reach is set aside

Cause: its workers were kept alive elsewhere and got no starts as long as the cut lasted. The view now marks it as owning no machines for 90 s. Story in stories_link.

--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -360,6 +360,59 @@
     node_wake(node);
 }
 
+/* With the lock held: machines of a part that have gone silent, if they are most of it. */
+static GPtrArray *lost_of(const node_t *node, guint part)
+{
+    const GArray *rows = g_ptr_array_index(node->leader->rows, part);
+    GPtrArray *lost = g_ptr_array_new_with_free_func(g_free);
+    for (guint k = 0; rows && k < rows->len; k++) {
+        const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+        if (row->silent_ms > LOST_SILENT_MS)
+            g_ptr_array_add(lost, g_strdup(row->machine));
+    }
+    if (lost->len < LOST_LEAST || 2 * lost->len <= rows->len)
+        g_ptr_array_set_size(lost, 0);
+    return lost;
+}
+
+/* A controller that its workers can't reach owns machines in vain: they are kept alive elsewhere
+ * and get no starts. It is set aside, and its machines go to the others. */
+static void set_aside(cloud_t *cloud, msec_t now)
+{
+    node_t *node = cloud->node;
+    GHashTable *kept = NULL;
+    guint parts = 0;
+    pthread_mutex_lock(&node->lock);
+    uint64_t generation = node->generation;
+    /* In a view's first seconds, workers are still on their way to their owners. */
+    parts = leads(node) && now - node->loaded_at > 2 * LOST_SILENT_MS ? node->view.count : 0;
+    pthread_mutex_unlock(&node->lock);
+    for (guint i = 0; i < parts; i++) {
+        pthread_mutex_lock(&node->lock);
+        GPtrArray *lost = node->generation == generation ? lost_of(node, i) : g_ptr_array_new();
+        pthread_mutex_unlock(&node->lock);
+        if (lost->len && !kept)
+            kept = read_kept(cloud);
+        guint alive = 0;
+        for (guint k = 0; kept && k < lost->len; k++)
+            alive += g_hash_table_contains(kept, g_ptr_array_index(lost, k));
+        if (lost->len && 2 * alive > lost->len) {
+            msec_t until = now + ASIDE_MS;
+            pthread_mutex_lock(&node->lock);
+            if (node->generation == generation) {
+                log_info("event=aside member=%s machines=%u", node->view.members[i].name, alive);
+                g_hash_table_insert(node->aside, g_strdup(node->view.members[i].name),
+                                    g_memdup2(&until, sizeof until));
+                pthread_cond_broadcast(&node->members);
+            }
+            pthread_mutex_unlock(&node->lock);
+        }
+        g_ptr_array_unref(lost);
+    }
+    if (kept)
+        g_hash_table_unref(kept);
+}
+
 static void note_returned(cloud_t *cloud, const GPtrArray *names)
 {
     msec_t now = clock_steady();
@@ -455,8 +508,10 @@
         pthread_mutex_lock(&node->lock);
         bool leading = leads(node);
         pthread_mutex_unlock(&node->lock);
-        if (leading && now - cloud.listed_at > CLOUD_LIST_MS)
+        if (leading && now - cloud.listed_at > CLOUD_LIST_MS) {
             refresh_hosts(&cloud);
+            set_aside(&cloud, now);
+        }
         if (now - cloud.kept_at > KEPT_WRITE_MS)
             publish_kept(&cloud, now);
         if (leading) {
--- a/src/app/member.c
+++ b/src/app/member.c
@@ -68,6 +68,10 @@
         if (strcmp(member->name, self.name) != 0 && view->count < MEMBERS_MAX)
             view->members[view->count++] = *member;
     }
+    for (guint i = 0; i < view->count; i++) {
+        const msec_t *until = g_hash_table_lookup(node->aside, view->members[i].name);
+        view->members[i].aside = until && clock_steady() < *until;
+    }
     qsort(view->members, view->count, sizeof(member_t), compare_members);
 }
 
@@ -77,6 +81,7 @@
         return false;
     for (guint i = 0; i < a->count; i++)
         if (a->members[i].incarnation != b->members[i].incarnation ||
+            a->members[i].aside != b->members[i].aside ||
             strcmp(a->members[i].name, b->members[i].name) != 0)
             return false;
     return true;
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -48,6 +48,7 @@
     node->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     node->present = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     node->links = g_ptr_array_new();
+    node->aside = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     node->own = G_MAXUINT;
     node->guests = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return node;
@@ -135,13 +136,24 @@
     g_clear_pointer(&node->uplink, link_free);
 }
 
+static bool same_owners(const view_t *a, const view_t *b)
+{
+    if (a->count != b->count || a->incarnation != b->incarnation)
+        return false;
+    for (guint i = 0; i < a->count; i++)
+        if (a->members[i].incarnation != b->members[i].incarnation ||
+            a->members[i].aside != b->members[i].aside)
+            return false;
+    return true;
+}
+
 void node_adopt(node_t *node, const view_t *view)
 {
     if (view->stamp <= node->view.stamp)
         return;
-    /* Workers kept here because they could not reach the former leader's owners go to the new ones:
-     * the leader takes a machine that nobody hears for dead. */
-    if (view->incarnation != node->view.incarnation)
+    /* Workers kept here because they could not reach a former owner go to the new ones: the leader
+     * takes a machine that nobody hears for dead. */
+    if (!same_owners(view, &node->view))
         g_hash_table_remove_all(node->guests);
     node->view = *view;
     node->leading = view->incarnation == node->incarnation;
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -81,6 +81,7 @@
     msec_t others_contact; /* when the state service last answered a sibling, as it said */
     uint64_t superseded;   /* the highest view number that another node spoke of */
     GHashTable *present;   /* name -> member_t, owned: who has a live grant */
+    GHashTable *aside;     /* leader: name -> msec_t *: owns no machines until then */
     msec_t present_since;  /* last change of it */
     uint64_t lease_stamp;  /* of view/lease; 0: nobody leads */
     char lease_holder[ID_SIZE];
--- a/src/app/view.c
+++ b/src/app/view.c
@@ -9,8 +9,8 @@
 
 static json_t *build_member(const member_t *member)
 {
-    return json_pack("{s:s,s:s,s:I}", "Name", member->name, "Zone", member->zone, "Incarnation",
-                     (json_int_t)member->incarnation);
+    return json_pack("{s:s,s:s,s:I,s:b}", "Name", member->name, "Zone", member->zone, "Incarnation",
+                     (json_int_t)member->incarnation, "Aside", member->aside);
 }
 
 static bool parse_member(const json_t *value, member_t *member)
@@ -23,6 +23,7 @@
     g_strlcpy(member->name, name, sizeof member->name);
     g_strlcpy(member->zone, zone, sizeof member->zone);
     member->incarnation = (uint64_t)json_integer_value(json_object_get(value, "Incarnation"));
+    member->aside = json_is_true(json_object_get(value, "Aside"));
     return true;
 }
 
--- a/src/constants.h
+++ b/src/constants.h
@@ -74,6 +74,9 @@
     MESH_RETRY_MS = 300,     /* after a failed one */
     MEMBER_SETTLE_MS = 300,  /* changes of membership within it make one view */
     MEMBER_TICK_MS = 250,    /* between looks at the membership */
+    LOST_SILENT_MS = 5000,   /* silence after which a worker may have lost its owner */
+    LOST_LEAST = 3,          /* machines: fewer say little about their owner */
+    ASIDE_MS = 90000,        /* so long a controller without workers owns none before a new try */
     KEEP_MS = 20000,      /* so long a worker that can't reach its owner stays before a new try */
     KEPT_WRITE_MS = 3000, /* between writes of the kept list: a third of a write a second */
     GUEST_FORGET_MS = 60000,   /* a worker that long gone from here is forgotten */
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -6,13 +6,15 @@
 
 guint owner_of(const member_t *members, guint count, const char *machine, const char *zone)
 {
-    bool local = false;
+    bool local = false, any = false;
     guint owner = 0;
     uint64_t highest = 0;
     for (guint i = 0; i < count; i++)
-        local = local || strcmp(members[i].zone, zone) == 0;
+        any = any || !members[i].aside;
+    for (guint i = 0; i < count; i++)
+        local = local || ((!any || !members[i].aside) && strcmp(members[i].zone, zone) == 0);
     for (guint i = 0; i < count; i++) {
-        if (local && strcmp(members[i].zone, zone) != 0)
+        if ((any && members[i].aside) || (local && strcmp(members[i].zone, zone) != 0))
             continue;
         uint64_t seed = XXH64(members[i].name, strlen(members[i].name), 0);
         uint64_t weight = XXH64(machine, strlen(machine), seed);
--- a/tests/stories_link.c
+++ b/tests/stories_link.c
@@ -122,6 +122,21 @@
     assert_true(owned > 30 && owned < 110);
 }
 
+static void member_set_aside_owns_nothing(void **state)
+{
+    (void)state;
+    member_t some[3];
+    memcpy(some, members, sizeof some);
+    some[1].aside = true;
+    for (int i = 0; i < 50; i++) {
+        char machine[ID_SIZE];
+        g_snprintf(machine, sizeof machine, "m-%06d", i);
+        assert_int_not_equal(owner_of(some, 3, machine, "south"), 1);
+    }
+    some[0].aside = some[2].aside = true;
+    assert_int_equal(owner_of(some, 3, "m-000001", "south"), 1);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -129,6 +144,7 @@
         cmocka_unit_test(late_batch_and_late_acknowledgement_change_nothing),
         cmocka_unit_test(message_survives_its_encoding),
         cmocka_unit_test(workers_stay_in_their_zone),
+        cmocka_unit_test(member_set_aside_owns_nothing),
         cmocka_unit_test(lost_member_moves_only_its_own_machines),
     };
     return cmocka_run_group_tests_name("link", tests, NULL, NULL);
