--- a/src/app/follow.c
+++ b/src/app/follow.c
@@ -86,22 +86,6 @@
 
 void *follow_run(void *data)
 {
-    node_t *node = data;
-    http_client_t *client = http_client_new(2);
-    uint64_t revision = 0;
-    bool synced = false;
-    for (;;) {
-        if (!synced) {
-            synced = resync(node, client, &revision);
-            if (!synced)
-                node_sleep(ELECT_POLL_MS);
-            continue;
-        }
-        state_result_t result = follow(node, client, &revision);
-        if (result == STATE_EXPIRED)
-            synced = false;
-        else if (result != STATE_OK)
-            node_sleep(ELECT_POLL_MS);
-    }
+    node_follow(data, resync, follow);
     return NULL;
 }
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -102,6 +102,27 @@
     nanosleep(&left, NULL);
 }
 
+void node_follow(node_t *node, bool (*read)(node_t *, http_client_t *, uint64_t *),
+                 state_result_t (*follow)(node_t *, http_client_t *, uint64_t *))
+{
+    http_client_t *client = http_client_new(2);
+    uint64_t revision = 0;
+    bool synced = false;
+    for (;;) {
+        if (!synced) {
+            synced = read(node, client, &revision);
+            if (!synced)
+                node_sleep(ELECT_POLL_MS);
+            continue;
+        }
+        state_result_t result = follow(node, client, &revision);
+        if (result == STATE_EXPIRED)
+            synced = false;
+        else if (result != STATE_OK)
+            node_sleep(ELECT_POLL_MS);
+    }
+}
+
 void node_job_set(node_t *node, const job_spec_t *spec, uint64_t stamp)
 {
     if (g_hash_table_contains(node->jobs, spec->id))
@@ -112,7 +133,7 @@
     job->stamp = stamp;
     g_hash_table_insert(node->jobs, job->spec.id, job);
     if (node->loaded && node->leading)
-        leader_add_job(node->leader, spec, stamp, clock_steady());
+        leader_add_job(node->leader, spec, stamp);
     node_wake(node);
 }
 
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -136,6 +136,11 @@
 void node_sleep(msec_t ms);
 pthread_t node_thread(void *(*run)(void *), void *data);
 
+/* Follows a prefix for ever: reads it whole, then its changes, and whole again when they are gone.
+ */
+void node_follow(node_t *node, bool (*read)(node_t *, http_client_t *, uint64_t *revision),
+                 state_result_t (*follow)(node_t *, http_client_t *, uint64_t *revision));
+
 /* The loops. */
 void *view_run(void *node);
 void *member_run(void *node);
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -35,14 +35,14 @@
            state_list(state, placer->client, "jobs/", listing->jobs, NULL) == STATE_OK;
 }
 
-static void load_jobs(node_t *node, const GArray *entries, msec_t now)
+static void load_jobs(node_t *node, const GArray *entries)
 {
     for (guint i = 0; i < entries->len; i++) {
         const state_entry_t *entry = &g_array_index(entries, state_entry_t, i);
         job_spec_t spec;
         if (!wire_parse_job(entry->value, true, &spec, NULL))
             continue;
-        leader_add_job(node->leader, &spec, entry->stamp, now);
+        leader_add_job(node->leader, &spec, entry->stamp);
         job_spec_clear(&spec);
     }
 }
@@ -115,7 +115,7 @@
         node->leader = leader_new(node->settings->teams, node->settings->targets, node->policy,
                                   node->view.count);
         leader_set_view(node->leader, node->view.number);
-        load_jobs(node, listing->jobs, now);
+        load_jobs(node, listing->jobs);
         load_done(node, listing->done);
     }
     node->loaded = load_machines(node, listing, now);
--- a/src/app/view.c
+++ b/src/app/view.c
@@ -179,22 +179,6 @@
 
 void *view_run(void *data)
 {
-    node_t *node = data;
-    http_client_t *client = http_client_new(2);
-    uint64_t revision = 0;
-    bool synced = false;
-    for (;;) {
-        if (!synced) {
-            synced = read_all(node, client, &revision);
-            if (!synced)
-                node_sleep(ELECT_POLL_MS);
-            continue;
-        }
-        state_result_t result = follow_on(node, client, &revision);
-        if (result == STATE_EXPIRED)
-            synced = false;
-        else if (result != STATE_OK)
-            node_sleep(ELECT_POLL_MS);
-    }
+    node_follow(data, read_all, follow_on);
     return NULL;
 }
--- a/src/constants.h
+++ b/src/constants.h
@@ -55,7 +55,6 @@
     CLOUD_GAP_MS = 300,    /* between other calls: under 5 a second with the lists */
     FLAVORS_MS = 60000,    /* prices move slowly */
     CAPACITY_MEMORY_MS = 12000, /* a refused type, zone and kind is not asked again before that */
-    PROGRESS_MS = 1000,         /* leader's published counts, for display */
     JOB_BACKOFF_MS = 5000,      /* after a failure, doubling, per job */
     JOB_BACKOFF_MAX_MS = 60000, /* a bad job costs at most one start a minute then */
     TASK_BACKOFF_MS = 500,      /* after a refused start: the room was not there */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -100,7 +100,7 @@
     return (tasks + CHUNK_BITS - 1) / CHUNK_BITS;
 }
 
-void leader_add_job(leader_t *leader, const job_spec_t *spec, uint64_t stamp, int64_t now)
+void leader_add_job(leader_t *leader, const job_spec_t *spec, uint64_t stamp)
 {
     if (g_hash_table_contains(leader->jobs, spec->id))
         return;
@@ -115,7 +115,6 @@
     g_array_set_size(job->chunk_stamps, chunk_count(spec->tasks));
     job->unsettled = g_array_new(FALSE, FALSE, sizeof(settle_t));
     job->zone_live = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    job->first_pending = now;
     g_hash_table_insert(leader->jobs, job->spec.id, job);
 }
 
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -50,7 +50,6 @@
     guint errors;      /* since the last success */
     msec_t retry_at;
     GHashTable *zone_live; /* zone -> count */
-    msec_t first_pending;  /* when a task last became pending with none before */
 } job_t;
 
 typedef struct {
@@ -102,7 +101,7 @@
 void leader_free(leader_t *leader);
 void leader_set_view(leader_t *leader, uint64_t view);
 
-void leader_add_job(leader_t *leader, const job_spec_t *spec, uint64_t stamp, int64_t now_ms);
+void leader_add_job(leader_t *leader, const job_spec_t *spec, uint64_t stamp);
 void leader_load_chunk(leader_t *leader, const char *id, guint chunk, const uint8_t *bits,
                        gsize bytes, uint64_t stamp);
 void leader_load_attempt(leader_t *leader, const record_entry_t *entry, const char *zone,
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -343,8 +343,7 @@
 
 static void tell(part_t *part, const attempt_t *attempt)
 {
-    outcome_t outcome = {
-        .ref = attempt->ref, .cause = attempt->cause, .started = attempt->listed_since != 0};
+    outcome_t outcome = {.ref = attempt->ref, .cause = attempt->cause};
     g_strlcpy(outcome.machine, attempt->machine->id, sizeof outcome.machine);
     g_array_append_val(part->outcomes, outcome);
 }
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -131,7 +131,6 @@
 typedef struct {
     task_ref_t ref;
     cause_t cause;
-    bool started; /* it had run */
     char machine[ID_SIZE];
 } outcome_t;
 
--- a/src/io/http.c
+++ b/src/io/http.c
@@ -37,14 +37,6 @@
     return client;
 }
 
-void http_client_free(http_client_t *client)
-{
-    curl_easy_cleanup(client->curl);
-    curl_slist_free_all(client->headers);
-    g_string_free(client->answer, TRUE);
-    g_free(client);
-}
-
 static int failed_call(CURL *curl, CURLcode code)
 {
     long sent = 0;
--- a/src/io/http.h
+++ b/src/io/http.h
@@ -17,7 +17,6 @@
 
 void http_start(void); /* once per process, before any thread */
 http_client_t *http_client_new(long connections);
-void http_client_free(http_client_t *client);
 /* body may be NULL and is not consumed; *answer (may be NULL) gets a new reference or NULL. */
 int http_call(http_client_t *client, const char *method, const char *url, const json_t *body,
               long timeout_ms, json_t **answer);
--- a/src/io/mesh.c
+++ b/src/io/mesh.c
@@ -97,9 +97,8 @@
         to->mesh_item_u.machine = (char *)item->machine;
         break;
     case LINK_OUTCOME:
-        to->mesh_item_u.outcome =
-            (mesh_outcome){ref_to(&item->outcome.ref), item->outcome.cause, item->outcome.started,
-                           (char *)item->outcome.machine};
+        to->mesh_item_u.outcome = (mesh_outcome){ref_to(&item->outcome.ref), item->outcome.cause,
+                                                 (char *)item->outcome.machine};
         break;
     }
 }
@@ -123,7 +122,6 @@
     case MESH_OUTCOME:
         item->outcome.ref = ref_from(&from->mesh_item_u.outcome.ref);
         item->outcome.cause = (cause_t)MIN(from->mesh_item_u.outcome.cause, CAUSE_ALONE);
-        item->outcome.started = from->mesh_item_u.outcome.started;
         g_strlcpy(item->outcome.machine, from->mesh_item_u.outcome.machine,
                   sizeof item->outcome.machine);
         break;
--- a/src/io/mesh.x
+++ b/src/io/mesh.x
@@ -41,7 +41,6 @@
 struct mesh_outcome {
     mesh_ref ref;
     unsigned int cause;
-    bool started;
     mesh_name machine;
 };
 
--- a/tests/stories_leader.c
+++ b/tests/stories_leader.c
@@ -64,7 +64,7 @@
 
 static void add(const job_spec_t *spec)
 {
-    leader_add_job(leader, spec, 5, 0);
+    leader_add_job(leader, spec, 5);
 }
 
 static GArray *schedule(void)
--- a/tests/stories_part.c
+++ b/tests/stories_part.c
@@ -313,11 +313,9 @@
     part_free(older);
 }
 
-/* The record of an earlier view: its attempts stand until the worker, under this view's token, says
- * otherwise; one it does not know is sent again under the same number. */
-static void new_view_takes_over_from_the_record(void **state)
+/* The part takes over a record of an earlier view with one attempt. */
+static void load_record(void)
 {
-    (void)state;
     machine_record_t record = {.session = 1,
                                .stamp = 9,
                                .address = "10.1.0.1:9000",
@@ -330,6 +328,14 @@
     g_array_append_val(record.entries, entry);
     part_load(stage->part, &record, stage->now);
     g_array_unref(record.entries);
+}
+
+/* The record of an earlier view: its attempts stand until the worker, under this view's token, says
+ * otherwise; one it does not know is sent again under the same number. */
+static void new_view_takes_over_from_the_record(void **state)
+{
+    (void)state;
+    load_record();
     exchange();
     assert_int_equal(stage->worker->runs, 1);
     exchange();
@@ -341,18 +347,7 @@
 static void absence_needs_the_present_token(void **state)
 {
     (void)state;
-    machine_record_t record = {.session = 1,
-                               .stamp = 9,
-                               .address = "10.1.0.1:9000",
-                               .type = "t16",
-                               .zone = "north",
-                               .machine = "m-000001"};
-    record.entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t));
-    record_entry_t entry = {
-        .job = "j-000001", .team = "red", .image = "i", .need = {4, 0, 4}, .attempt = 55};
-    g_array_append_val(record.entries, entry);
-    part_load(stage->part, &record, stage->now);
-    g_array_unref(record.entries);
+    load_record();
     part_end_job(stage->part, "j-000001");
     stage->worker->token = 6;
     exchange();
