--- a/src/app/front.c
+++ b/src/app/front.c
@@ -499,7 +499,7 @@
     GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
     reply_t reply;
     if (node->loaded && part_report(node->part, report, false, now, calls) == REPORT_STALE) {
-        reply = refuse(503, "a newer report was received", 0);
+        reply = refuse(503, "a report of an earlier session", 0);
     } else {
         reply = (reply_t){.status = 200, .body = wire_build_calls(node->view.number, calls)};
         node_wake(node);
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -561,9 +561,12 @@
     machine_t *machine = g_hash_table_lookup(part->machines, report->machine);
     if (!machine)
         machine = machine_add(part, report->machine, now);
-    if (machine->gone || report->session < machine->session ||
-        (machine->reported && report->session == machine->session && report->seq <= machine->seq))
+    if (machine->gone || report->session < machine->session)
         return REPORT_STALE;
+    if (machine->reported && report->session == machine->session && report->seq <= machine->seq) {
+        machine->last_report = direct ? machine->last_report : now;
+        return REPORT_OVERTAKEN;
+    }
     take_identity(part, machine, report);
     take_session(part, machine, report);
     machine->seq = report->seq;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -163,7 +163,10 @@
 /* Room that neither reports nor reservations take. */
 room_t part_free_room(const machine_t *machine);
 
-typedef enum { REPORT_TAKEN, REPORT_STALE } report_verdict_t;
+/* Overtaken: older than what is known of this session, as when the answer to a direct command came
+ * first. Nothing of it is taken, but its worker waits for an answer. Stale: of an earlier session.
+ */
+typedef enum { REPORT_TAKEN, REPORT_OVERTAKEN, REPORT_STALE } report_verdict_t;
 /* A report, or the body of a direct command's answer (direct). calls: array of call_t to append
  * the answer's commands to; unused for direct ones. */
 report_verdict_t part_report(part_t *part, const report_t *report, bool direct, msec_t now,
