--- a/tests/stories_part.c
+++ b/tests/stories_part.c
@@ -407,10 +407,9 @@
     fake_worker_free(other);
 }
 
-/* The machine is full of low work; an urgent task makes room for itself, in one message. */
-static void urgent_work_takes_the_place_of_low_work(void **state)
+/* Four tasks take all of the machine, and have run long enough to be stopped. */
+static void fill_machine(void)
 {
-    (void)state;
     exchange();
     for (uint32_t i = 0; i < 4; i++)
         place("j-000001", i, 100 + i);
@@ -419,6 +418,13 @@
     exchange();
     stage->now += PREEMPT_PROTECT_MS;
     exchange();
+}
+
+/* The machine is full of low work; an urgent task makes room for itself, in one message. */
+static void urgent_work_takes_the_place_of_low_work(void **state)
+{
+    (void)state;
+    fill_machine();
     offer_t urgent = offer_of("j-000002", 0, 200, 4);
     urgent.urgency = URGENCY_HIGH;
     assert_null(part_place(stage->part, &urgent, stage->now));
@@ -438,14 +444,7 @@
 static void equal_urgency_is_never_stopped(void **state)
 {
     (void)state;
-    exchange();
-    for (uint32_t i = 0; i < 4; i++)
-        place("j-000001", i, 100 + i);
-    commit();
-    exchange();
-    exchange();
-    stage->now += PREEMPT_PROTECT_MS;
-    exchange();
+    fill_machine();
     offer_t equal = offer_of("j-000002", 0, 200, 4);
     equal.preempt = true;
     assert_null(part_place(stage->part, &equal, stage->now));
