Machine records share a key by shard

Change: machines of a zone are hashed into 12 shards, a shard has one key and one owner; what only leaves the record waits 3 s for a start that rewrites it anyway; shards are written first come, first served, within the limits of a transaction.

--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -62,21 +62,31 @@
     }
 }
 
-static void load_record(node_t *node, const machine_record_t *record, GHashTable *live_jobs,
-                        msec_t now)
+static void load_machine(node_t *node, const machine_record_t *record, guint owner,
+                         GHashTable *live_jobs)
 {
-    guint owner = node_owner(node, record->machine, record->zone);
-    if (owner == node->own)
-        part_load(node->part, record, now);
     for (guint k = 0; k < record->entries->len; k++) {
         const record_entry_t *attempt = &g_array_index(record->entries, record_entry_t, k);
         if (node->leading)
             leader_load_attempt(node->leader, attempt, record->zone, owner);
-        if (!g_hash_table_contains(live_jobs, attempt->job))
+        if (owner == node->own && !g_hash_table_contains(live_jobs, attempt->job))
             part_end_job(node->part, attempt->job);
     }
 }
 
+static void load_record(node_t *node, const shard_record_t *record, GHashTable *live_jobs,
+                        msec_t now)
+{
+    if (record->machines->len == 0)
+        return;
+    const machine_record_t *first = &g_array_index(record->machines, machine_record_t, 0);
+    guint owner = node_owner(node, first->machine, first->zone);
+    if (owner == node->own)
+        part_load(node->part, record, now);
+    for (guint i = 0; i < record->machines->len; i++)
+        load_machine(node, &g_array_index(record->machines, machine_record_t, i), owner, live_jobs);
+}
+
 /* False: a record can't be read. Taken for empty, its tasks would run twice: then nothing is
  * loaded. */
 static bool load_machines(node_t *node, const listing_t *listing, msec_t now)
@@ -88,7 +98,7 @@
                          g_array_index(listing->jobs, state_entry_t, i).key + strlen("jobs/"));
     for (guint i = 0; i < listing->machines->len; i++) {
         const state_entry_t *entry = &g_array_index(listing->machines, state_entry_t, i);
-        machine_record_t record;
+        shard_record_t record;
         if (!wire_parse_record(entry->key + strlen("machines/"), entry->value, entry->stamp,
                                &record)) {
             log_error("event=bad_record key=%s", entry->key);
@@ -96,7 +106,7 @@
             continue;
         }
         load_record(node, &record, live_jobs, now);
-        g_array_unref(record.entries);
+        g_array_unref(record.machines);
     }
     g_hash_table_unref(live_jobs);
     return valid;
@@ -296,9 +306,13 @@
         make_offers(node, now, (guint)knob_value(node->policy, KNOB_OFFERS_PER_ROUND));
         batch->progress = leader_progress_take(node->leader, most, &batch->ops);
     }
+    guint conditions = 4 * node->settings->txn_ops;
+    guint spoken_for = 1 + 2 * MAX(most, batch->ops); /* the view, and two for each key written */
     batch->machines =
-        part_batch_take(node->part, most - batch->ops, (gsize)(node->settings->value_kb * 1024));
-    batch->ops += batch->machines->records->len + batch->machines->gone->len;
+        part_batch_take(node->part, most - MIN(most, batch->ops),
+                        conditions - MIN(conditions, spoken_for),
+                        (gsize)(node->settings->value_kb * 1024), now);
+    batch->ops += batch->machines->records->len;
     take_outcomes(node, now);
     return batch->ops > 0;
 }
--- a/src/constants.h
+++ b/src/constants.h
@@ -20,9 +20,12 @@
     LIST_PAGE = 500,      /* machines in a page of the cloud's list, from the protocol */
     KEYS_PAGE = 500,      /* keys in a page of the state service: half its limit, small memory */
     ATTEMPT_SHIFT = 24,   /* attempts in one view: 16 million; view and count stay below 2^53 */
-    RECORD_ROOM = 1024,   /* bytes kept free below value_kb in a machine record */
-    RECORD_ATTEMPT = 32,  /* bytes that one attempt takes at most in a machine record */
-    RECORD_JOB = 220,     /* bytes that one job's header takes at most there */
+    SHARDS_PER_ZONE = 12, /* records a zone's machines share: 180 machines make 8 a key in 2 zones */
+    RECORD_ROOM = 1024,   /* bytes kept free below value_kb in a shard's record */
+    RECORD_ATTEMPT = 32,  /* bytes that one attempt takes at most there */
+    RECORD_MACHINE = 240, /* bytes that a machine takes at most there, its attempts aside */
+    RECORD_JOB = 240,     /* bytes that one job's header takes at most there */
+    TXN_VALUES = 48 * 1024, /* bytes of values in a transaction; the rest of 64 KiB: conditions */
     THREAD_STACK = 128 * 1024, /* bytes; the deepest path is a JSON parse inside an HTTP handler */
     CONNECTION_MEMORY = 16 * 1024, /* bytes of HTTP buffers per connection: 300 of them are 5 MB */
     CONNECTIONS_SPARE = 100,       /* sockets kept for our own calls out of fd_limit */
@@ -71,6 +74,8 @@
     MAIL_AFTER_MS = 2500,    /* without an exchange by socket for so long, mail is used */
     MAIL_GAP_MS = 400,       /* between looks at the mail: few of the state service's requests */
     MESH_RETRY_MS = 300,     /* after a failed one */
+    RECORD_LAZY_MS = 3000,   /* a record waits so long for a start that rewrites it anyway, if only
+                                settled results leave it */
     MEMBER_SETTLE_MS = 300,  /* changes of membership within it make one view */
     MEMBER_TICK_MS = 250,    /* between looks at the membership */
     LOST_SILENT_MS = 5000,   /* silence after which a worker may have lost its owner */
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -4,11 +4,19 @@
 
 #include <xxhash.h>
 
+void shard_of(const char *machine, const char *zone, char *name, gsize size)
+{
+    guint number = (guint)(XXH64(machine, strlen(machine), 0) % SHARDS_PER_ZONE);
+    g_snprintf(name, size, "%s.%02u", zone, number);
+}
+
 guint owner_of(const member_t *members, guint count, const char *machine, const char *zone)
 {
+    char shard[SHARD_NAME];
     bool local = false, any = false;
     guint owner = 0;
     uint64_t highest = 0;
+    shard_of(machine, zone, shard, sizeof shard);
     for (guint i = 0; i < count; i++)
         any = any || !members[i].aside;
     for (guint i = 0; i < count; i++)
@@ -17,7 +25,7 @@
         if ((any && members[i].aside) || (local && strcmp(members[i].zone, zone) != 0))
             continue;
         uint64_t seed = XXH64(members[i].name, strlen(members[i].name), 0);
-        uint64_t weight = XXH64(machine, strlen(machine), seed);
+        uint64_t weight = XXH64(shard, strlen(shard), seed);
         if (weight >= highest) {
             highest = weight;
             owner = i;
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -1,10 +1,13 @@
-/* Which member owns a machine: rendezvous hashing over the members of the view. */
+/* Which member owns a machine: rendezvous hashing over the members of the view.
+ *
+ * Machines of a zone are spread over a fixed number of shards, and members own shards: what one key
+ * of the state service records together must have one owner. */
 #ifndef PEPPERPULLEY_OWNER_H
 #define PEPPERPULLEY_OWNER_H
 
 #include "core/types.h"
 
-enum { MEMBERS_MAX = 16 };
+enum { MEMBERS_MAX = 16, SHARD_NAME = LABEL_SIZE + 8 };
 
 /* One live controller of a view. */
 typedef struct {
@@ -14,7 +17,9 @@
     bool aside; /* workers can't reach it: it owns no machines */
 } member_t;
 
-/* Index of the owner; count must be above 0. Members in the machine's zone go first, so that a cut
+/* The shard of a machine; every controller finds the same. */
+void shard_of(const char *machine, const char *zone, char *name, gsize size);
+/* Index of the machine's owner; count must be above 0. Members in the machine's zone go first, so that a cut
  * between zones leaves workers with their owner; a zone without members is hashed over all.
  * Those set aside own nothing, unless all are. */
 guint owner_of(const member_t *members, guint count, const char *machine, const char *zone);
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -11,10 +11,29 @@
     g_free(machine);
 }
 
+static void shard_free(gpointer data)
+{
+    g_ptr_array_unref(((shard_t *)data)->machines);
+    g_free(data);
+}
+
+static void record_clear(gpointer data)
+{
+    g_array_unref(((machine_record_t *)data)->entries);
+}
+
+GArray *machine_records_new(void)
+{
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(machine_record_t));
+    g_array_set_clear_func(records, record_clear);
+    return records;
+}
+
 part_t *part_new(const GArray *flavors, const GArray *teams, msec_t lapse)
 {
     part_t *part = g_new0(part_t, 1);
     part->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
+    part->shards = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, shard_free);
     part->attempts = g_hash_table_new(task_ref_hash, task_ref_equal);
     part->flavors = flavors;
     part->teams = teams;
@@ -27,6 +46,7 @@
 {
     g_hash_table_unref(part->attempts);
     g_hash_table_unref(part->machines);
+    g_hash_table_unref(part->shards);
     g_array_unref(part->outcomes);
     g_free(part);
 }
@@ -56,10 +76,34 @@
         look_up_room(part, value);
 }
 
-static machine_t *machine_add(part_t *part, const char *id, msec_t now)
+static shard_t *shard_find(part_t *part, const char *name)
 {
+    shard_t *shard = g_hash_table_lookup(part->shards, name);
+    if (!shard) {
+        shard = g_new0(shard_t, 1);
+        g_strlcpy(shard->name, name, sizeof shard->name);
+        shard->machines = g_ptr_array_new();
+        g_hash_table_insert(part->shards, shard->name, shard);
+    }
+    return shard;
+}
+
+/* Its record is to be written soon: something can't start or be placed again before. */
+static void touch(part_t *part, const machine_t *machine)
+{
+    if (!machine->shard->urgent)
+        machine->shard->urgent = ++part->turns;
+}
+
+static machine_t *machine_add(part_t *part, const char *id, const char *zone, msec_t now)
+{
+    char name[SHARD_NAME];
     machine_t *machine = g_new0(machine_t, 1);
     g_strlcpy(machine->id, id, sizeof machine->id);
+    g_strlcpy(machine->zone, zone, sizeof machine->zone);
+    shard_of(id, zone, name, sizeof name);
+    machine->shard = shard_find(part, name);
+    g_ptr_array_add(machine->shard->machines, machine);
     machine->attempts = g_ptr_array_new_with_free_func(g_free);
     machine->reservations = g_array_new(FALSE, FALSE, sizeof(reservation_t));
     machine->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -68,6 +112,12 @@
     return machine;
 }
 
+static void machine_drop(part_t *part, machine_t *machine)
+{
+    g_ptr_array_remove(machine->shard->machines, machine);
+    g_hash_table_remove(part->machines, machine->id);
+}
+
 static attempt_t *attempt_add(part_t *part, machine_t *machine, const record_entry_t *entry)
 {
     attempt_t *attempt = g_new0(attempt_t, 1);
@@ -87,15 +137,13 @@
     g_ptr_array_remove(attempt->machine->attempts, attempt);
 }
 
-void part_load(part_t *part, const machine_record_t *record, msec_t now)
+static void load_machine(part_t *part, const machine_record_t *record, msec_t now)
 {
-    machine_t *machine = machine_add(part, record->machine, now);
+    machine_t *machine = machine_add(part, record->machine, record->zone, now);
     g_strlcpy(machine->address, record->address, sizeof machine->address);
     g_strlcpy(machine->type, record->type, sizeof machine->type);
-    g_strlcpy(machine->zone, record->zone, sizeof machine->zone);
     machine->spot = record->spot;
     machine->session = record->session;
-    machine->stamp = record->stamp;
     look_up_room(part, machine);
     for (guint i = 0; i < record->entries->len; i++) {
         attempt_t *attempt =
@@ -107,6 +155,13 @@
     }
 }
 
+void part_load(part_t *part, const shard_record_t *record, msec_t now)
+{
+    shard_find(part, record->shard)->stamp = record->stamp;
+    for (guint i = 0; i < record->machines->len; i++)
+        load_machine(part, &g_array_index(record->machines, machine_record_t, i), now);
+}
+
 room_t part_free_room(const machine_t *machine)
 {
     room_t room = machine->room;
@@ -331,7 +386,7 @@
     attempt->session = best->session;
     attempt->waits = waits;
     reservation_add(best->reservations, attempt->hold, offer->need, best->receipt, now);
-    best->dirty = true;
+    touch(part, best);
     return best;
 }
 
@@ -354,7 +409,7 @@
     if (!attempt)
         return;
     part_stop(part, attempt, now);
-    attempt->machine->dirty = true; /* one not recorded goes with the next round */
+    touch(part, attempt->machine); /* one not recorded goes with the next round */
 }
 
 /* Proof stands: the attempt is over. One not yet recorded leaves with its batch's end. */
@@ -364,11 +419,13 @@
         return;
     attempt->phase = ATTEMPT_OVER;
     attempt->cause = cause;
-    attempt->machine->dirty = true;
     reservation_free(attempt->machine->reservations, attempt->hold);
     if (cause == CAUSE_DONE) {
         attempt->reported_done = true;
         tell(part, attempt);
+        attempt->machine->shard->lazy |= attempt->settled;
+    } else {
+        touch(part, attempt->machine);
     }
 }
 
@@ -452,8 +509,6 @@
         if (attempt->session < report->session)
             attempt_over(part, attempt, CAUSE_NONE);
     }
-    if (machine->session)
-        machine->dirty = true;
     machine->session = report->session;
     machine->unanswered_token = 0;
     machine->booked = (room_t){0};
@@ -465,7 +520,6 @@
         return;
     g_strlcpy(machine->address, report->address, sizeof machine->address);
     g_strlcpy(machine->type, report->type, sizeof machine->type);
-    g_strlcpy(machine->zone, report->zone, sizeof machine->zone);
     machine->spot = report->spot;
     look_up_room(part, machine);
 }
@@ -560,7 +614,7 @@
 {
     machine_t *machine = g_hash_table_lookup(part->machines, report->machine);
     if (!machine)
-        machine = machine_add(part, report->machine, now);
+        machine = machine_add(part, report->machine, report->zone, now);
     if (machine->gone || report->session < machine->session)
         return REPORT_STALE;
     if (machine->reported && report->session == machine->session && report->seq <= machine->seq) {
@@ -612,7 +666,10 @@
         attempt->stop_kill = 0; /* nobody wants what it would save */
         attempt->settled = true;
         attempt->machine->direct_wanted = true;
-        attempt->machine->dirty = true;
+        if (attempt->in_record)
+            attempt->machine->shard->lazy = true;
+        else
+            touch(part, attempt->machine);
     }
 }
 
@@ -633,7 +690,7 @@
     if (!attempt)
         return;
     attempt->settled = true;
-    attempt->machine->dirty = true;
+    attempt->machine->shard->lazy = true;
 }
 
 void part_machine_gone(part_t *part, const char *id)
@@ -646,7 +703,7 @@
         attempt_over(part, g_ptr_array_index(machine->attempts, i), CAUSE_NONE);
     machine->reported = false;
     machine->gone = true;
-    machine->dirty = true;
+    touch(part, machine);
 }
 
 void part_tick(part_t *part, msec_t now)
@@ -656,6 +713,12 @@
     g_hash_table_iter_init(&iter, part->machines);
     while (g_hash_table_iter_next(&iter, NULL, &value))
         reservation_lapse(((machine_t *)value)->reservations, now, part->lapse);
+    g_hash_table_iter_init(&iter, part->shards);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        shard_t *shard = value;
+        if (!shard->lazy)
+            shard->lazy_since = now;
+    }
 }
 
 /* Whether the attempt is to leave the record. */
@@ -678,102 +741,179 @@
     }
 }
 
-static bool has_change(const machine_t *machine)
+/* Whether what the record is to hold differs from what it holds. */
+static bool has_change(const shard_t *shard)
 {
-    guint kept = 0, changed = 0;
-    for (guint i = 0; i < machine->attempts->len; i++) {
-        const attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
-        if (leaves(attempt) || !attempt->in_record)
-            changed++;
-        else
-            kept++;
+    for (guint i = 0; i < shard->machines->len; i++) {
+        const machine_t *machine = g_ptr_array_index(shard->machines, i);
+        for (guint k = 0; k < machine->attempts->len; k++) {
+            const attempt_t *attempt = g_ptr_array_index(machine->attempts, k);
+            if (leaves(attempt) || !attempt->in_record)
+                return true;
+        }
     }
-    /* The key of a machine that is gone goes only with the last result the leader has to settle. */
-    return machine->gone ? kept == 0 : changed > 0;
+    return false;
+}
+
+/* A record while it is put together. */
+typedef struct {
+    part_batch_t *batch;
+    GHashTable *headers; /* jobs that it has a header for */
+    gsize size;
+    gsize value_max;
+    guint max_jobs;
+} writer_t;
+
+static gsize attempt_size(writer_t *writer, const attempt_t *attempt)
+{
+    bool known = g_hash_table_contains(writer->headers, attempt->entry.job);
+    return RECORD_ATTEMPT + (known ? 0 : RECORD_JOB);
+}
+
+/* A start that the limits leave no room for stays placed until a later commit. */
+static bool admit_start(writer_t *writer, const attempt_t *attempt)
+{
+    GHashTable *jobs = writer->batch->jobs;
+    return writer->size + attempt_size(writer, attempt) <= writer->value_max &&
+           (g_hash_table_size(jobs) < writer->max_jobs ||
+            g_hash_table_contains(jobs, attempt->entry.job));
 }
 
-static void batch_machine(part_batch_t *batch, machine_t *machine, gsize value_max)
+static void write_attempt(writer_t *writer, const attempt_t *attempt, machine_record_t *record)
 {
-    machine_record_t record = {.spot = machine->spot,
-                               .session = machine->session,
-                               .stamp = machine->stamp,
-                               .entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t))};
-    g_strlcpy(record.machine, machine->id, sizeof record.machine);
-    g_strlcpy(record.address, machine->address, sizeof record.address);
-    g_strlcpy(record.type, machine->type, sizeof record.type);
-    g_strlcpy(record.zone, machine->zone, sizeof record.zone);
-    gsize size = RECORD_ROOM;
-    GHashTable *headers = g_hash_table_new(g_str_hash, g_str_equal);
+    writer->size += attempt_size(writer, attempt);
+    g_hash_table_add(writer->headers, (gpointer)attempt->entry.job);
+    g_array_append_val(record->entries, attempt->entry);
+}
+
+/* What stays in the record must be in it, whatever the room; starts come into what that leaves. */
+static void write_kept(writer_t *writer, machine_t *machine, machine_record_t *record)
+{
+    writer->size += RECORD_MACHINE;
     for (guint i = 0; i < machine->attempts->len; i++) {
         attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
-        if (leaves(attempt)) {
+        if (leaves(attempt))
             attempt->batch = BATCH_DROP;
+        else if (attempt->in_record)
+            write_attempt(writer, attempt, record);
+    }
+}
+
+static void write_starts(writer_t *writer, machine_t *machine, machine_record_t *record)
+{
+    for (guint i = 0; i < machine->attempts->len; i++) {
+        attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
+        if (attempt->in_record || leaves(attempt) || !admit_start(writer, attempt))
             continue;
-        }
-        size += RECORD_ATTEMPT;
-        if (g_hash_table_add(headers, attempt->entry.job))
-            size += RECORD_JOB;
-        /* A start that the value limit leaves no room for stays placed until a later commit. */
-        if (!attempt->in_record) {
-            if (size > value_max)
-                continue;
-            attempt->batch = BATCH_ADD;
-            g_hash_table_insert(batch->jobs, g_strdup(attempt->entry.job),
-                                GSIZE_TO_POINTER(attempt->job_stamp));
-        }
-        g_array_append_val(record.entries, attempt->entry);
+        attempt->batch = BATCH_ADD;
+        g_hash_table_insert(writer->batch->jobs, g_strdup(attempt->entry.job),
+                            GSIZE_TO_POINTER(attempt->job_stamp));
+        write_attempt(writer, attempt, record);
     }
-    g_hash_table_unref(headers);
+}
+
+/* Appends the shard's record to the batch; returns its size. Only machines with attempts are listed. */
+static gsize batch_shard(part_batch_t *batch, shard_t *shard, guint max_jobs, gsize value_max)
+{
+    shard_record_t record = {.stamp = shard->stamp, .machines = machine_records_new()};
+    writer_t writer = {.batch = batch,
+                       .headers = g_hash_table_new(g_str_hash, g_str_equal),
+                       .size = RECORD_ROOM,
+                       .value_max = value_max,
+                       .max_jobs = max_jobs};
+    g_strlcpy(record.shard, shard->name, sizeof record.shard);
+    for (guint i = 0; i < shard->machines->len; i++) {
+        machine_t *machine = g_ptr_array_index(shard->machines, i);
+        machine_record_t entry = {.spot = machine->spot,
+                                  .session = machine->session,
+                                  .entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t))};
+        g_strlcpy(entry.machine, machine->id, sizeof entry.machine);
+        g_strlcpy(entry.address, machine->address, sizeof entry.address);
+        g_strlcpy(entry.type, machine->type, sizeof entry.type);
+        g_strlcpy(entry.zone, machine->zone, sizeof entry.zone);
+        write_kept(&writer, machine, &entry);
+        g_array_append_val(record.machines, entry);
+    }
+    for (guint i = shard->machines->len; i-- > 0;) {
+        machine_record_t *entry = &g_array_index(record.machines, machine_record_t, i);
+        write_starts(&writer, g_ptr_array_index(shard->machines, i), entry);
+        if (entry->entries->len == 0)
+            g_array_remove_index(record.machines, i);
+    }
+    g_hash_table_unref(writer.headers);
     g_array_append_val(batch->records, record);
+    return writer.size;
 }
 
-static void batch_gone(part_batch_t *batch, machine_t *machine)
+static gint compare_shards(gconstpointer left, gconstpointer right)
 {
-    for (guint i = 0; i < machine->attempts->len; i++)
-        ((attempt_t *)g_ptr_array_index(machine->attempts, i))->batch = BATCH_DROP;
-    g_ptr_array_add(batch->gone, g_strdup(machine->id));
-    g_array_append_val(batch->gone_stamps, machine->stamp);
+    const shard_t *a = *(shard_t *const *)left, *b = *(shard_t *const *)right;
+    uint64_t turn_a = a->urgent ? a->urgent : UINT64_MAX;
+    uint64_t turn_b = b->urgent ? b->urgent : UINT64_MAX;
+    return turn_a < turn_b ? -1 : turn_a > turn_b;
 }
 
-static void record_clear(gpointer data)
+/* Shards to write now, first come first: else, with a short budget, the last would never be. */
+static GPtrArray *shards_due(const part_t *part, msec_t now)
 {
-    g_array_unref(((machine_record_t *)data)->entries);
+    GPtrArray *due = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, part->shards);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        shard_t *shard = value;
+        if (shard->urgent || (shard->lazy && now - shard->lazy_since >= RECORD_LAZY_MS))
+            g_ptr_array_add(due, shard);
+    }
+    g_ptr_array_sort(due, compare_shards);
+    return due;
 }
 
-part_batch_t *part_batch_take(part_t *part, guint max_ops, gsize value_max)
+static void drop_idle_gone(part_t *part, shard_t *shard)
+{
+    for (guint i = shard->machines->len; i-- > 0;) {
+        machine_t *machine = g_ptr_array_index(shard->machines, i);
+        drop_unrecorded(part, machine);
+        if (machine->gone && machine->attempts->len == 0)
+            machine_drop(part, machine);
+    }
+}
+
+static void shard_record_clear(gpointer data)
+{
+    g_array_unref(((shard_record_t *)data)->machines);
+}
+
+part_batch_t *part_batch_take(part_t *part, guint max_ops, guint max_jobs, gsize value_max,
+                              msec_t now)
 {
     part_batch_t *batch = g_new0(part_batch_t, 1);
-    batch->records = g_array_new(FALSE, FALSE, sizeof(machine_record_t));
-    g_array_set_clear_func(batch->records, record_clear);
-    batch->gone = g_ptr_array_new_with_free_func(g_free);
-    batch->gone_stamps = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    batch->records = g_array_new(FALSE, FALSE, sizeof(shard_record_t));
+    g_array_set_clear_func(batch->records, shard_record_clear);
     batch->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, part->machines);
-    while (batch->records->len + batch->gone->len < max_ops &&
-           g_hash_table_iter_next(&iter, NULL, &value)) {
-        machine_t *machine = value;
-        if (!machine->dirty)
-            continue;
-        machine->dirty = false;
-        drop_unrecorded(part, machine);
-        if (!has_change(machine))
-            continue;
-        if (!machine->gone)
-            batch_machine(batch, machine, value_max);
-        else if (machine->stamp)
-            batch_gone(batch, machine);
-        else
-            g_hash_table_iter_remove(&iter);
+    GPtrArray *due = shards_due(part, now);
+    gsize size = 0;
+    for (guint i = 0; i < due->len && batch->records->len < max_ops; i++) {
+        shard_t *shard = g_ptr_array_index(due, i);
+        drop_idle_gone(part, shard);
+        if (has_change(shard)) {
+            if (size > 0 && size + value_max > TXN_VALUES)
+                break;
+            size += batch_shard(batch, shard, max_jobs, value_max);
+        }
+        shard->urgent = 0;
+        shard->lazy = false;
     }
+    g_ptr_array_unref(due);
     return batch;
 }
 
 static void machine_committed(part_t *part, machine_t *machine, msec_t now)
 {
+    bool changed = false;
     for (guint i = machine->attempts->len; i-- > 0;) {
         attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
+        changed = changed || attempt->batch != BATCH_NONE;
         if (attempt->batch == BATCH_ADD) {
             attempt->in_record = true;
             /* It may have been proved over while the commit was under way: then it is not sent, and
@@ -781,7 +921,7 @@
             if (attempt->phase == ATTEMPT_PLACED)
                 attempt->phase = ATTEMPT_RECORDED;
             else
-                machine->dirty = true;
+                touch(part, machine);
             machine->direct_wanted = true;
         } else if (attempt->batch == BATCH_DROP) {
             if (!attempt->reported_done)
@@ -789,49 +929,47 @@
             attempt_drop(part, attempt);
             continue;
         } else if (!attempt->in_record) {
-            machine->dirty = true; /* left out, or placed since */
+            touch(part, machine); /* left out, or placed since */
         }
         attempt->batch = BATCH_NONE;
     }
-    machine->idle_since = now;
+    if (changed)
+        machine->idle_since = now;
 }
 
 void part_batch_commit(part_t *part, part_batch_t *batch, uint64_t revision, msec_t now)
 {
     for (guint i = 0; i < batch->records->len; i++) {
-        const machine_record_t *record = &g_array_index(batch->records, machine_record_t, i);
-        machine_t *machine = g_hash_table_lookup(part->machines, record->machine);
-        machine->stamp = revision;
-        machine_committed(part, machine, now);
-    }
-    for (guint i = 0; i < batch->gone->len; i++) {
-        const char *id = g_ptr_array_index(batch->gone, i);
-        machine_committed(part, g_hash_table_lookup(part->machines, id), now);
-        g_hash_table_remove(part->machines, id);
+        const shard_record_t *record = &g_array_index(batch->records, shard_record_t, i);
+        shard_t *shard = g_hash_table_lookup(part->shards, record->shard);
+        shard->stamp = record->machines->len ? revision : 0;
+        for (guint k = shard->machines->len; k-- > 0;) {
+            machine_t *machine = g_ptr_array_index(shard->machines, k);
+            machine_committed(part, machine, now);
+            if (machine->gone && machine->attempts->len == 0)
+                machine_drop(part, machine);
+        }
     }
 }
 
-static void machine_undone(part_t *part, const char *id)
-{
-    machine_t *machine = g_hash_table_lookup(part->machines, id);
-    machine->dirty = true;
-    for (guint i = 0; i < machine->attempts->len; i++)
-        ((attempt_t *)g_ptr_array_index(machine->attempts, i))->batch = BATCH_NONE;
-}
-
 void part_batch_undo(part_t *part, part_batch_t *batch)
 {
-    for (guint i = 0; i < batch->records->len; i++)
-        machine_undone(part, g_array_index(batch->records, machine_record_t, i).machine);
-    for (guint i = 0; i < batch->gone->len; i++)
-        machine_undone(part, g_ptr_array_index(batch->gone, i));
+    for (guint i = 0; i < batch->records->len; i++) {
+        const shard_record_t *record = &g_array_index(batch->records, shard_record_t, i);
+        shard_t *shard = g_hash_table_lookup(part->shards, record->shard);
+        if (!shard->urgent)
+            shard->urgent = ++part->turns;
+        for (guint k = 0; k < shard->machines->len; k++) {
+            machine_t *machine = g_ptr_array_index(shard->machines, k);
+            for (guint n = 0; n < machine->attempts->len; n++)
+                ((attempt_t *)g_ptr_array_index(machine->attempts, n))->batch = BATCH_NONE;
+        }
+    }
 }
 
 void part_batch_free(part_batch_t *batch)
 {
     g_array_unref(batch->records);
-    g_ptr_array_unref(batch->gone);
-    g_array_unref(batch->gone_stamps);
     g_hash_table_unref(batch->jobs);
     g_free(batch);
 }
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -14,6 +14,7 @@
 #ifndef PEPPERPULLEY_PART_H
 #define PEPPERPULLEY_PART_H
 
+#include "core/owner.h"
 #include "core/reservation.h"
 #include "core/types.h"
 
@@ -51,7 +52,7 @@
     uint64_t attempt;
 } record_entry_t;
 
-/* machines/<id> in the state service. entries: array of record_entry_t. */
+/* A machine in its shard's record. entries: array of record_entry_t, owned. */
 typedef struct {
     char machine[ID_SIZE];
     char address[ADDRESS_SIZE];
@@ -59,10 +60,18 @@
     char zone[LABEL_SIZE];
     bool spot;
     uint64_t session;
-    uint64_t stamp;
     GArray *entries;
 } machine_record_t;
 
+/* machines/<shard> in the state service: one key for several machines, since every change of a key
+ * is paid for, whatever its size. machines: array of machine_record_t, owned. */
+typedef struct {
+    char shard[SHARD_NAME];
+    uint64_t stamp;
+    GArray *machines;
+} shard_record_t;
+GArray *machine_records_new(void);
+
 typedef enum {
     ATTEMPT_PLACED,   /* reserved, not in the record yet */
     ATTEMPT_RECORDED, /* `run` may go out */
@@ -71,6 +80,17 @@
 
 typedef struct machine machine_t;
 
+/* The machines of one key. It is written when something is to start or to be placed again (urgent),
+ * and when it has been long enough that settled results stand in it (lazy). */
+typedef struct {
+    char name[SHARD_NAME];
+    uint64_t stamp;      /* of its key; 0: none */
+    GPtrArray *machines; /* borrowed */
+    uint64_t urgent;     /* 0, or its turn: first come, first written */
+    bool lazy;
+    msec_t lazy_since;
+} shard_t;
+
 typedef struct {
     task_ref_t ref; /* its key */
     record_entry_t entry;
@@ -118,9 +138,8 @@
     guint starting;
     guint running;
     guint errors; /* failures of jobs that run elsewhere */
-    uint64_t stamp;
-    bool dirty;
-    bool gone; /* the cloud confirmed it; the struct goes with its key */
+    shard_t *shard;
+    bool gone; /* the cloud confirmed it; the struct goes with its last attempt */
     bool direct_busy;
     bool direct_wanted;
     uint64_t unanswered_token; /* a direct `run` under it got no answer: a copy may still arrive */
@@ -137,7 +156,9 @@
 typedef struct {
     uint64_t view;
     GHashTable *machines; /* id -> machine_t, owned */
+    GHashTable *shards;   /* name -> shard_t, owned */
     GHashTable *attempts; /* task_ref_t -> attempt_t, borrowed from the machines */
+    uint64_t turns;       /* of urgent shards */
     uint64_t holds;
     const GArray *flavors;
     const GArray *teams; /* team_t, in the order of offer_t.victims */
@@ -150,7 +171,7 @@
 void part_free(part_t *part);
 /* A new token of the same leadership: nothing is read again. */
 void part_set_view(part_t *part, uint64_t view);
-void part_load(part_t *part, const machine_record_t *record, msec_t now);
+void part_load(part_t *part, const shard_record_t *record, msec_t now);
 /* The types became known or changed: rooms are looked up again. */
 void part_apply_flavors(part_t *part);
 
@@ -184,16 +205,16 @@
 /* Lapses reservations; once a tick. */
 void part_tick(part_t *part, msec_t now);
 
-/* Commits. A batch holds the records to write (array of machine_record_t; one without entries and
- * of a machine that is gone is a deletion) and the jobs that must still exist. */
+/* Commits. A batch holds the records to write (array of shard_record_t; one without machines is a
+ * deletion) and the jobs that must still exist. */
 typedef struct {
     GArray *records;
-    GPtrArray *gone;     /* machine ids whose keys are deleted */
-    GArray *gone_stamps; /* uint64_t, beside them */
     GHashTable *jobs; /* id -> stamp (pointer-sized): conditions, so that no start follows an end */
 } part_batch_t;
 
-part_batch_t *part_batch_take(part_t *part, guint max_ops, gsize value_max);
+/* At most max_ops keys of value_max bytes each, with at most max_jobs conditions on jobs. */
+part_batch_t *part_batch_take(part_t *part, guint max_ops, guint max_jobs, gsize value_max,
+                              msec_t now);
 void part_batch_commit(part_t *part, part_batch_t *batch, uint64_t revision, msec_t now);
 /* It was certainly not executed. */
 void part_batch_undo(part_t *part, part_batch_t *batch);
--- a/src/io/records.c
+++ b/src/io/records.c
@@ -31,15 +31,13 @@
 {
     char key[128];
     for (guint i = 0; i < machines->records->len; i++) {
-        const machine_record_t *record = &g_array_index(machines->records, machine_record_t, i);
-        g_snprintf(key, sizeof key, "machines/%s", record->machine);
+        const shard_record_t *record = &g_array_index(machines->records, shard_record_t, i);
+        g_snprintf(key, sizeof key, "machines/%s", record->shard);
         txn_if(txn, key, record->stamp);
-        txn_set(txn, key, wire_build_record(record), 0);
-    }
-    for (guint i = 0; i < machines->gone->len; i++) {
-        g_snprintf(key, sizeof key, "machines/%s", (char *)g_ptr_array_index(machines->gone, i));
-        txn_if(txn, key, g_array_index(machines->gone_stamps, uint64_t, i));
-        txn_delete(txn, key);
+        if (record->machines->len)
+            txn_set(txn, key, wire_build_record(record), 0);
+        else
+            txn_delete(txn, key);
     }
     GHashTableIter iter;
     gpointer id, stamp;
--- a/src/io/wire.c
+++ b/src/io/wire.c
@@ -358,81 +358,132 @@
     return json_pack("{s:o}", "Winches", names);
 }
 
-/* Entries of one job share a header: {"Id","Team","Image","Need":[c,g,m],"Rank","Save","Knot",
- * "Tasks":[[task,attempt],...]}. */
-static json_t *record_job(json_t *jobs, const record_entry_t *entry)
+/* A shard's record: {"Jobs":[[id,team,image,cpus,gpus,memory,urgency,save,checkpoint],...],
+ * "Machines":[{"Id","Session","Address","Type","Zone","Spot","Tasks":[[job,task,attempt],...]},...]}
+ * where job is the index in Jobs, which all its machines share. */
+static json_int_t record_job(json_t *jobs, GHashTable *known, const record_entry_t *entry)
 {
-    size_t i;
-    json_t *job;
-    json_array_foreach(jobs, i, job) if (strcmp(json_string_value(json_object_get(job, "Id")),
-                                                entry->job) == 0) return job;
-    job = json_pack("{s:s,s:s,s:s,s:[f,f,f],s:i,s:f,s:f,s:[]}", "Id", entry->job, "Team",
-                    entry->team, "Image", entry->image, "Need", entry->need.cpus, entry->need.gpus,
-                    entry->need.memory, "Rank", (int)entry->urgency, "Save", entry->save_s, "Knot",
-                    entry->checkpoint_s, "Tasks");
-    json_array_append_new(jobs, job);
-    return job;
+    gpointer at;
+    if (g_hash_table_lookup_extended(known, entry->job, NULL, &at))
+        return GPOINTER_TO_INT(at);
+    json_int_t index = (json_int_t)json_array_size(jobs);
+    json_array_append_new(jobs,
+                          json_pack("[s,s,s,f,f,f,i,f,f]", entry->job, entry->team, entry->image,
+                                    entry->need.cpus, entry->need.gpus, entry->need.memory,
+                                    (int)entry->urgency, entry->save_s, entry->checkpoint_s));
+    g_hash_table_insert(known, (gpointer)entry->job, GINT_TO_POINTER((gint)index));
+    return index;
 }
 
-json_t *wire_build_record(const machine_record_t *record)
+static json_t *build_machine_record(const machine_record_t *record, json_t *jobs, GHashTable *known)
 {
-    json_t *jobs = json_array();
+    json_t *tasks = json_array();
     for (guint i = 0; i < record->entries->len; i++) {
         const record_entry_t *entry = &g_array_index(record->entries, record_entry_t, i);
-        json_array_append_new(
-            json_object_get(record_job(jobs, entry), "Tasks"),
-            json_pack("[I,I]", (json_int_t)entry->task, (json_int_t)entry->attempt));
+        json_array_append_new(tasks,
+                              json_pack("[I,I,I]", record_job(jobs, known, entry),
+                                        (json_int_t)entry->task, (json_int_t)entry->attempt));
     }
-    return json_pack("{s:I,s:s,s:s,s:s,s:b,s:o}", "Session", (json_int_t)record->session, "Address",
-                     record->address, "Type", record->type, "Zone", record->zone, "Spot",
-                     record->spot, "Jobs", jobs);
+    return json_pack("{s:s,s:I,s:s,s:s,s:s,s:b,s:o}", "Id", record->machine, "Session",
+                     (json_int_t)record->session, "Address", record->address, "Type", record->type,
+                     "Zone", record->zone, "Spot", record->spot, "Tasks", tasks);
 }
 
-static bool parse_record_job(const json_t *job, GArray *entries)
+json_t *wire_build_record(const shard_record_t *record)
 {
-    record_entry_t entry = {0};
-    const json_t *need = json_object_get(job, "Need");
-    uint64_t rank = 0;
-    if (!get_text(job, "Id", entry.job, sizeof entry.job, NULL) ||
-        !get_text(job, "Team", entry.team, sizeof entry.team, NULL) ||
-        !get_text(job, "Image", entry.image, sizeof entry.image, NULL) ||
-        !get_count(job, "Rank", URGENCY_LOW, URGENCY_CRITICAL, &rank, NULL) ||
-        json_array_size(need) != 3)
-        return false;
-    entry.urgency = (urgency_t)rank;
-    entry.need.cpus = json_number_value(json_array_get(need, 0));
-    entry.need.gpus = json_number_value(json_array_get(need, 1));
-    entry.need.memory = json_number_value(json_array_get(need, 2));
-    entry.save_s = json_number_value(json_object_get(job, "Save"));
-    entry.checkpoint_s = json_number_value(json_object_get(job, "Knot"));
-    size_t i;
-    json_t *task;
-    json_array_foreach(json_object_get(job, "Tasks"), i, task)
-    {
-        entry.task = (uint32_t)json_integer_value(json_array_get(task, 0));
-        entry.attempt = (uint64_t)json_integer_value(json_array_get(task, 1));
-        g_array_append_val(entries, entry);
+    json_t *jobs = json_array(), *machines = json_array();
+    GHashTable *known = g_hash_table_new(g_str_hash, g_str_equal);
+    bool whole = true;
+    for (guint i = 0; i < record->machines->len; i++) {
+        json_t *machine = build_machine_record(
+            &g_array_index(record->machines, machine_record_t, i), jobs, known);
+        whole = whole && machine && json_array_append_new(machines, machine) == 0;
     }
+    /* A header that could not be built would shift the indexes of those after it. */
+    whole = whole && json_array_size(jobs) == g_hash_table_size(known);
+    g_hash_table_unref(known);
+    if (whole)
+        return json_pack("{s:o,s:o}", "Jobs", jobs, "Machines", machines);
+    json_decref(jobs);
+    json_decref(machines);
+    return NULL;
+}
+
+static bool parse_record_job(const json_t *job, record_entry_t *entry)
+{
+    const char *id = json_string_value(json_array_get(job, 0));
+    const char *team = json_string_value(json_array_get(job, 1));
+    const char *image = json_string_value(json_array_get(job, 2));
+    json_int_t urgency = json_integer_value(json_array_get(job, 6));
+    if (json_array_size(job) != 9 || !id || !team || !image || urgency < URGENCY_LOW ||
+        urgency > URGENCY_CRITICAL)
+        return false;
+    *entry = (record_entry_t){.urgency = (urgency_t)urgency};
+    entry->need.cpus = json_number_value(json_array_get(job, 3));
+    entry->need.gpus = json_number_value(json_array_get(job, 4));
+    entry->need.memory = json_number_value(json_array_get(job, 5));
+    entry->save_s = json_number_value(json_array_get(job, 7));
+    entry->checkpoint_s = json_number_value(json_array_get(job, 8));
+    return g_strlcpy(entry->job, id, sizeof entry->job) < sizeof entry->job &&
+           g_strlcpy(entry->team, team, sizeof entry->team) < sizeof entry->team &&
+           g_strlcpy(entry->image, image, sizeof entry->image) < sizeof entry->image;
+}
+
+static bool parse_record_task(const json_t *task, const json_t *jobs, record_entry_t *entry)
+{
+    json_int_t index = json_integer_value(json_array_get(task, 0));
+    json_int_t attempt = json_integer_value(json_array_get(task, 2));
+    if (json_array_size(task) != 3 || index < 0 || attempt <= 0 ||
+        !parse_record_job(json_array_get(jobs, (size_t)index), entry))
+        return false;
+    entry->task = (uint32_t)json_integer_value(json_array_get(task, 1));
+    entry->attempt = (uint64_t)attempt;
     return true;
 }
 
-bool wire_parse_record(const char *id, const json_t *value, uint64_t stamp,
-                       machine_record_t *record)
+static bool parse_machine_record(const json_t *value, const json_t *jobs, machine_record_t *record)
 {
-    *record = (machine_record_t){.stamp = stamp};
-    record->entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t));
-    bool valid = g_strlcpy(record->machine, id, sizeof record->machine) < sizeof record->machine &&
+    bool valid = get_text(value, "Id", record->machine, sizeof record->machine, NULL) &&
                  get_text(value, "Address", record->address, sizeof record->address, NULL) &&
                  get_text(value, "Type", record->type, sizeof record->type, NULL) &&
                  get_text(value, "Zone", record->zone, sizeof record->zone, NULL) &&
                  get_flag(value, "Spot", &record->spot, NULL) &&
-                 get_count(value, "Session", 0, G_MAXINT64, &record->session, NULL);
+                 get_count(value, "Session", 0, G_MAXINT64, &record->session, NULL) &&
+                 json_is_array(json_object_get(value, "Tasks"));
     size_t i;
-    json_t *job;
-    json_array_foreach(json_object_get(value, "Jobs"), i, job) valid =
-        valid && parse_record_job(job, record->entries);
+    json_t *task;
+    json_array_foreach(json_object_get(value, "Tasks"), i, task)
+    {
+        record_entry_t entry;
+        valid = valid && parse_record_task(task, jobs, &entry);
+        if (valid)
+            g_array_append_val(record->entries, entry);
+    }
+    return valid;
+}
+
+bool wire_parse_record(const char *shard, const json_t *value, uint64_t stamp,
+                       shard_record_t *record)
+{
+    const json_t *machines = json_object_get(value, "Machines");
+    *record = (shard_record_t){.stamp = stamp, .machines = machine_records_new()};
+    bool valid = g_strlcpy(record->shard, shard, sizeof record->shard) < sizeof record->shard &&
+                 json_is_array(machines);
+    size_t i;
+    json_t *item;
+    json_array_foreach(machines, i, item)
+    {
+        machine_record_t machine = {
+            .entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t))};
+        char home[SHARD_NAME];
+        valid = parse_machine_record(item, json_object_get(value, "Jobs"), &machine) && valid;
+        /* In another shard than its own, two owners would write it. */
+        shard_of(machine.machine, machine.zone, home, sizeof home);
+        valid = valid && strcmp(home, shard) == 0;
+        g_array_append_val(record->machines, machine);
+    }
     if (!valid)
-        g_array_unref(record->entries);
+        g_array_unref(record->machines);
     return valid;
 }
 
--- a/tests/stories_part.c
+++ b/tests/stories_part.c
@@ -72,7 +72,7 @@
 
 static void commit(void)
 {
-    part_batch_t *batch = part_batch_take(stage->part, 20, 16384);
+    part_batch_t *batch = part_batch_take(stage->part, 20, 80, 16384, stage->now);
     part_batch_commit(stage->part, batch, ++stage->revision, stage->now);
     part_batch_free(batch);
 }
@@ -200,6 +200,14 @@
                 1);
 }
 
+/* Settled results leave the record with the next start, or when it has waited for one. */
+static void commit_later(void)
+{
+    part_tick(stage->part, stage->now);
+    stage->now += RECORD_LAZY_MS;
+    commit();
+}
+
 static void done_is_forgotten_only_when_settled(void **state)
 {
     (void)state;
@@ -215,12 +223,36 @@
     exchange();
     assert_int_equal(count_calls(CALL_FORGET), 0);
     part_settle(stage->part, &ref);
-    commit();
+    commit_later();
     exchange();
     assert_int_equal(count_calls(CALL_FORGET), 1);
     assert_int_equal(stage->worker->pieces->len, 0);
 }
 
+/* Every write of a key is paid for: a result that is settled goes with the next start on any of the
+ * shard's machines, and has no write of its own before. */
+static void settled_result_goes_with_the_next_start(void **state)
+{
+    (void)state;
+    task_ref_t ref = task_ref("j-000001", 0, 100);
+    exchange();
+    place("j-000001", 0, 100);
+    commit();
+    exchange();
+    fake_worker_exit(stage->worker, "j-000001", 0, CAUSE_DONE);
+    exchange();
+    part_tick(stage->part, stage->now);
+    part_settle(stage->part, &ref);
+    uint64_t before = stage->revision;
+    part_batch_t *batch = part_batch_take(stage->part, 20, 80, 16384, stage->now);
+    assert_int_equal(batch->records->len, 0);
+    part_batch_free(batch);
+    place("j-000001", 1, 101);
+    commit();
+    assert_int_equal(stage->revision, before + 1);
+    assert_int_equal(g_hash_table_size(stage->part->attempts), 1);
+}
+
 /* A direct `run` got no answer and arrives after the task has ended: were the attempt forgotten
  * before, the worker would start it a second time. */
 static void late_run_meets_a_worker_that_still_knows_it(void **state)
@@ -296,7 +328,7 @@
     fake_worker_exit(stage->worker, "j-000001", 0, CAUSE_DONE);
     exchange();
     part_end_job(stage->part, "j-000001"); /* nobody will settle it now */
-    commit();
+    commit_later();
     exchange();
     assert_int_equal(stage->worker->pieces->len, 0);
 }
@@ -325,18 +357,20 @@
 /* The part takes over a record of an earlier view with one attempt. */
 static void load_record(void)
 {
-    machine_record_t record = {.session = 1,
-                               .stamp = 9,
-                               .address = "10.1.0.1:9000",
-                               .type = "t16",
-                               .zone = "north",
-                               .machine = "m-000001"};
-    record.entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t));
+    shard_record_t record = {.stamp = 9, .machines = machine_records_new()};
+    machine_record_t machine = {.session = 1,
+                                .address = "10.1.0.1:9000",
+                                .type = "t16",
+                                .zone = "north",
+                                .machine = "m-000001"};
+    machine.entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t));
     record_entry_t entry = {
         .job = "j-000001", .team = "red", .image = "i", .need = {4, 0, 4}, .attempt = 55};
-    g_array_append_val(record.entries, entry);
+    g_array_append_val(machine.entries, entry);
+    g_array_append_val(record.machines, machine);
+    shard_of(machine.machine, machine.zone, record.shard, sizeof record.shard);
     part_load(stage->part, &record, stage->now);
-    g_array_unref(record.entries);
+    g_array_unref(record.machines);
 }
 
 /* The record of an earlier view: its attempts stand until the worker, under this view's token, says
@@ -491,6 +525,7 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(overtaken_report_changes_nothing, set_up, tear_down),
         cmocka_unit_test_setup_teardown(done_is_forgotten_only_when_settled, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(settled_result_goes_with_the_next_start, set_up, tear_down),
         cmocka_unit_test_setup_teardown(late_run_meets_a_worker_that_still_knows_it, set_up,
                                         tear_down),
         cmocka_unit_test_setup_teardown(abort_racing_a_start_under_way_waits_for_proof, set_up,
--- a/tests/stories_records.c
+++ b/tests/stories_records.c
@@ -74,12 +74,22 @@
 
 static state_result_t commit_part(uint64_t view_stamp)
 {
-    part_batch_t *batch = part_batch_take(part, 20, 16384);
+    part_batch_t *batch = part_batch_take(part, 20, 80, 16384, 1000);
     state_result_t result = fake_store_apply(store, records_commit(NULL, batch, view_stamp));
     part_batch_free(batch);
     return result;
 }
 
+/* The key of the shard of the one machine. */
+static const char *record_key(void)
+{
+    static char key[SHARD_NAME + 16];
+    char shard[SHARD_NAME];
+    shard_of("m-000001", "north", shard, sizeof shard);
+    g_snprintf(key, sizeof key, "machines/%s", shard);
+    return key;
+}
+
 static void late_start_record_of_an_older_view_fails(void **state)
 {
     (void)state;
@@ -89,7 +99,7 @@
     place("j-000001", fake_store_stamp(store, "jobs/j-000001"));
     move_view();
     assert_int_equal(commit_part(view), STATE_FAILED);
-    assert_null(fake_store_get(store, "machines/m-000001"));
+    assert_null(fake_store_get(store, record_key()));
 }
 
 static void start_record_after_the_abort_fails(void **state)
@@ -106,17 +116,26 @@
 static void start_record_holds_the_attempt(void **state)
 {
     (void)state;
-    machine_record_t record;
+    shard_record_t record;
     job_spec_t spec = job("j-000001", 1);
     fake_store_apply(store, records_submit(&spec));
     place("j-000001", fake_store_stamp(store, "jobs/j-000001"));
     assert_int_equal(commit_part(fake_store_stamp(store, "view/number")), STATE_OK);
-    const state_entry_t *entry = fake_store_get(store, "machines/m-000001");
+    const state_entry_t *entry = fake_store_get(store, record_key());
     assert_non_null(entry);
-    assert_true(wire_parse_record("m-000001", entry->value, entry->stamp, &record));
-    assert_int_equal(record.entries->len, 1);
-    assert_int_equal(g_array_index(record.entries, record_entry_t, 0).attempt, 100);
-    g_array_unref(record.entries);
+    assert_true(wire_parse_record(entry->key + strlen("machines/"), entry->value, entry->stamp,
+                                  &record));
+    assert_int_equal(record.machines->len, 1);
+    const machine_record_t *machine = &g_array_index(record.machines, machine_record_t, 0);
+    assert_string_equal(machine->machine, "m-000001");
+    assert_int_equal(machine->entries->len, 1);
+    const record_entry_t *attempt = &g_array_index(machine->entries, record_entry_t, 0);
+    assert_int_equal(attempt->attempt, 100);
+    assert_string_equal(attempt->job, "j-000001");
+    assert_true(attempt->need.cpus > 3.9 && attempt->need.memory > 3.9);
+    g_array_unref(record.machines);
+    /* Under another shard's key it would have two owners: it is not taken. */
+    assert_false(wire_parse_record("north.99", entry->value, entry->stamp, &record));
 }
 
 static void submission_applied_late_does_not_bring_the_job_back(void **state)
@@ -141,7 +160,7 @@
     end.old_stamps = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     GArray *progress = g_array_new(FALSE, FALSE, sizeof(progress_t));
     g_array_append_val(progress, end);
-    part_batch_t *nothing = part_batch_take(part, 20, 16384);
+    part_batch_t *nothing = part_batch_take(part, 20, 80, 16384, 1000);
     uint64_t view = fake_store_stamp(store, "view/number");
     assert_int_equal(fake_store_apply(store, records_commit(progress, nothing, view)), STATE_OK);
     assert_int_equal(fake_store_apply(store, records_abort("j-000001", stamp, 1)), STATE_FAILED);
