Ends of jobs go before progress, and progress is gathered

Ruled out: the tasks themselves, all of whose results were known. Change: ends first; progress waits 2 s for more and is written oldest first with what starts leave, before them after 8 s.

--- a/src/app/front.c
+++ b/src/app/front.c
@@ -317,6 +317,8 @@
     state_result_t result =
         state_commit(&node->state, client, &txn, FRONT_TIMEOUT_MS, &revision, NULL);
     txn_free(&txn);
+    if (result == STATE_OK)
+        log_info("event=accept job=%s class=%s tasks=%u", spec->id, spec->class_name, spec->tasks);
     if (result == STATE_OK)
         return (reply_t){.status = 201, .body = wire_build_status(spec->id, "queued", 0, 0)};
     if (result == STATE_REFUSED)
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -224,8 +224,10 @@
     }
     for (guint i = 0; batch->progress && i < batch->progress->len; i++) {
         const progress_t *progress = &g_array_index(batch->progress, progress_t, i);
-        if (progress->end)
-            node_job_gone(node, progress->job);
+        if (!progress->end)
+            continue;
+        log_info("event=done job=%s tasks=%u", progress->job, progress->done);
+        node_job_gone(node, progress->job);
     }
     g_array_unref(settled);
     pthread_cond_broadcast(&node->direct);
@@ -304,7 +306,9 @@
     guint most = left < 1 ? 0 : MIN((guint)left, node->settings->txn_ops);
     if (node->leading) {
         make_offers(node, now, (guint)knob_value(node->policy, KNOB_OFFERS_PER_ROUND));
-        batch->progress = leader_progress_take(node->leader, most, &batch->ops);
+        batch->progress = leader_progress_new();
+        leader_progress_take(node->leader, now, PROGRESS_LATE_MS, most, batch->progress,
+                             &batch->ops);
     }
     guint conditions = 4 * node->settings->txn_ops;
     guint spoken_for = 1 + 2 * MAX(most, batch->ops); /* the view, and two for each key written */
@@ -313,6 +317,9 @@
                         conditions - MIN(conditions, spoken_for),
                         (gsize)(node->settings->value_kb * 1024), now);
     batch->ops += batch->machines->records->len;
+    if (node->leading)
+        leader_progress_take(node->leader, now, PROGRESS_GAP_MS, most, batch->progress,
+                             &batch->ops);
     take_outcomes(node, now);
     return batch->ops > 0;
 }
--- a/src/constants.h
+++ b/src/constants.h
@@ -74,6 +74,9 @@
     MAIL_AFTER_MS = 2500,    /* without an exchange by socket for so long, mail is used */
     MAIL_GAP_MS = 400,       /* between looks at the mail: few of the state service's requests */
     MESH_RETRY_MS = 300,     /* after a failed one */
+    PROGRESS_GAP_MS = 2000,  /* progress of a job waits so long for more, if the budget has room */
+    PROGRESS_LATE_MS = 8000, /* older than that it goes before starts: a machine that ends takes the
+                                results with it that are not durable */
     RECORD_LAZY_MS = 3000,   /* a record waits so long for a start that rewrites it anyway, if only
                                 settled results leave it */
     MEMBER_SETTLE_MS = 300,  /* changes of membership within it make one view */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -658,6 +658,8 @@
             bit_set(job->done, task, true);
             job->n_done++;
         }
+        if (!job->dirty_chunks)
+            job->dirty_since = now;
         job->dirty_chunks |= 1u << (task / CHUNK_BITS);
         settle_t settle = {.ref = outcome->ref, .part = part};
         g_array_append_val(job->unsettled, settle);
@@ -726,36 +728,76 @@
     g_array_append_val(batch, progress);
 }
 
-GArray *leader_progress_take(leader_t *leader, guint max_ops, guint *ops)
+GArray *leader_progress_new(void)
 {
     GArray *batch = g_array_new(FALSE, FALSE, sizeof(progress_t));
     g_array_set_clear_func(batch, progress_clear);
+    return batch;
+}
+
+static void progress_taken(job_t *job)
+{
+    job->dirty_chunks = 0;
+    job->settling = job->unsettled;
+    job->unsettled = g_array_new(FALSE, FALSE, sizeof(settle_t));
+}
+
+static void take_ends(leader_t *leader, guint max_ops, GArray *batch, guint *ops)
+{
     GHashTableIter iter;
     gpointer value;
-    *ops = 0;
     g_hash_table_iter_init(&iter, leader->jobs);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         job_t *job = value;
-        if (!job->dirty_chunks && job->n_done < job->spec.tasks)
+        if (job->n_done < job->spec.tasks || job->settling ||
+            *ops + 2 + job->chunk_stamps->len > max_ops)
             continue;
-        bool end = job->n_done == job->spec.tasks;
-        guint cost =
-            end ? 2 + job->chunk_stamps->len : (guint)__builtin_popcount(job->dirty_chunks);
+        progress_end(job, batch, ops);
+        progress_taken(job);
+    }
+}
+
+static gint compare_dirty(gconstpointer left, gconstpointer right)
+{
+    const job_t *a = *(job_t *const *)left, *b = *(job_t *const *)right;
+    return a->dirty_since < b->dirty_since ? -1 : a->dirty_since > b->dirty_since;
+}
+
+/* Oldest first: with a short budget, those at the end of the table would never be. */
+static void take_chunks(leader_t *leader, msec_t before, guint max_ops, GArray *batch, guint *ops)
+{
+    GPtrArray *due = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, leader->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        job_t *job = value;
+        if (job->dirty_chunks && !job->settling && job->dirty_since <= before &&
+            job->n_done < job->spec.tasks)
+            g_ptr_array_add(due, job);
+    }
+    g_ptr_array_sort(due, compare_dirty);
+    for (guint i = 0; i < due->len; i++) {
+        job_t *job = g_ptr_array_index(due, i);
+        guint cost = (guint)__builtin_popcount(job->dirty_chunks);
         if (*ops + cost > max_ops)
-            continue;
-        if (end) {
-            progress_end(job, batch, ops);
-        } else {
-            for (guint chunk = 0; chunk < job->chunk_stamps->len; chunk++)
-                if (job->dirty_chunks >> chunk & 1)
-                    progress_chunk(job, chunk, batch);
-            *ops += cost;
-        }
-        job->dirty_chunks = 0;
-        job->settling = job->unsettled;
-        job->unsettled = g_array_new(FALSE, FALSE, sizeof(settle_t));
+            break;
+        for (guint chunk = 0; chunk < job->chunk_stamps->len; chunk++)
+            if (job->dirty_chunks >> chunk & 1)
+                progress_chunk(job, chunk, batch);
+        *ops += cost;
+        progress_taken(job);
     }
-    return batch;
+    g_ptr_array_unref(due);
+}
+
+/* Progress on the way is kept by the workers and their records until it is durable: it can wait and
+ * go in one write. An end can't, since users wait for it. */
+void leader_progress_take(leader_t *leader, msec_t now, msec_t min_age, guint max_ops,
+                          GArray *batch, guint *ops)
+{
+    take_ends(leader, max_ops, batch, ops);
+    take_chunks(leader, now - min_age, max_ops, batch, ops);
 }
 
 void leader_progress_commit(leader_t *leader, const GArray *batch, uint64_t revision,
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -46,6 +46,7 @@
     uint32_t dirty_chunks;
     GArray *unsettled; /* settle_t: attempts whose finish is not durable yet */
     GArray *settling;  /* those in the commit under way */
+    msec_t dirty_since;   /* the oldest progress that is not durable */
     bool ending;       /* its end is in the commit under way */
     guint errors;      /* since the last success */
     msec_t retry_at;
@@ -144,7 +145,11 @@
     gsize bytes;
     GArray *old_stamps; /* owned; chunk stamps to delete, when end */
 } progress_t;
-GArray *leader_progress_take(leader_t *leader, guint max_ops, guint *ops);
+GArray *leader_progress_new(void);
+/* Appends the ends of jobs, then progress that has waited for min_age; ops grows to max_ops at
+ * most. */
+void leader_progress_take(leader_t *leader, msec_t now, msec_t min_age, guint max_ops,
+                          GArray *batch, guint *ops);
 /* settled: array of settle_t to append the attempts to that may now be forgotten. */
 void leader_progress_commit(leader_t *leader, const GArray *batch, uint64_t revision,
                             GArray *settled);
--- a/tests/stories_leader.c
+++ b/tests/stories_leader.c
@@ -252,7 +252,7 @@
     (void)state;
     job_spec_t spec = job("j-000001", "blue", 2);
     const uint8_t bits = 1;
-    guint ops;
+    guint ops = 0;
     set_room(0, "north", 20);
     add(&spec);
     leader_load_chunk(leader, "j-000001", 0, &bits, 1, 8);
@@ -262,7 +262,8 @@
     assert_int_equal(offer->task, 1);
     outcome_t done = {.ref = task_ref(offer->job, 1, offer->attempt), .cause = CAUSE_DONE};
     leader_outcome(leader, 0, &done, 1000);
-    GArray *progress = leader_progress_take(leader, 20, &ops);
+    GArray *progress = leader_progress_new();
+    leader_progress_take(leader, 1000, 0, 20, progress, &ops);
     assert_int_equal(progress->len, 1);
     assert_true(g_array_index(progress, progress_t, 0).end);
     GArray *settled = g_array_new(FALSE, FALSE, sizeof(settle_t));
@@ -273,6 +274,49 @@
     g_array_unref(offers);
 }
 
+static void finish(const leader_offer_t *made)
+{
+    outcome_t done = {.ref = task_ref(made->offer.job, made->offer.task, made->offer.attempt),
+                      .cause = CAUSE_DONE};
+    leader_outcome(leader, made->part, &done, 1000);
+}
+
+/* With a short budget, the progress of dozens of jobs kept finished ones waiting for minutes until
+ * their users were told. */
+static void end_of_a_job_goes_before_progress_of_others(void **state)
+{
+    (void)state;
+    job_spec_t half = job("j-000001", "blue", 2), whole = job("j-000002", "blue", 1);
+    job_spec_t other = job("j-000003", "blue", 2);
+    set_room(0, "north", 20);
+    add(&half);
+    add(&whole);
+    add(&other);
+    GArray *offers = schedule();
+    assert_int_equal(offers->len, 5);
+    bool begun[4] = {0};
+    for (guint i = 0; i < offers->len; i++) {
+        const leader_offer_t *made = &g_array_index(offers, leader_offer_t, i);
+        char job = made->offer.job[7];
+        if (job == '2' || !begun[job - '0'])
+            finish(made);
+        begun[job - '0'] = true;
+    }
+    guint ops = 0;
+    GArray *progress = leader_progress_new();
+    leader_progress_take(leader, 1000, 0, 3, progress, &ops);
+    assert_int_equal(progress->len, 2); /* the end, and what the limit leaves */
+    assert_true(g_array_index(progress, progress_t, 0).end);
+    assert_string_equal(g_array_index(progress, progress_t, 0).job, "j-000002");
+    leader_progress_undo(leader, progress);
+    g_array_set_size(progress, 0);
+    ops = 0;
+    leader_progress_take(leader, 1000, 500, 20, progress, &ops);
+    assert_int_equal(progress->len, 1); /* what is young waits for more */
+    g_array_unref(progress);
+    g_array_unref(offers);
+}
+
 static void gang_is_offered_whole_or_not_at_all(void **state)
 {
     (void)state;
@@ -344,6 +388,8 @@
         cmocka_unit_test_setup_teardown(machine_that_fails_sound_jobs_is_condemned, set_up,
                                         tear_down),
         cmocka_unit_test_setup_teardown(finished_bit_is_never_offered_again, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(end_of_a_job_goes_before_progress_of_others, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(gang_is_offered_whole_or_not_at_all, set_up, tear_down),
         cmocka_unit_test_setup_teardown(without_a_guarantee_spot_work_waits_for_spot, set_up,
                                         tear_down),
