--- a/src/app/front.c
+++ b/src/app/front.c
@@ -643,7 +643,9 @@
         NULL, handle, node, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED, completed,
         NULL, MHD_OPTION_CONNECTION_LIMIT, node->settings->connections - CONNECTIONS_SPARE,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY, MHD_OPTION_THREAD_STACK_SIZE,
-        (size_t)THREAD_STACK, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+        (size_t)THREAD_STACK, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+        /* A peer behind a cut or hanging never closes: its sockets would add up to the limit. */
+        MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)CONNECTION_IDLE_S, MHD_OPTION_END);
     if (!daemon)
         log_error("event=listen_failed address=%s", listen);
     return daemon != NULL;
--- a/src/constants.h
+++ b/src/constants.h
@@ -28,6 +28,7 @@
     TXN_VALUES = 48 * 1024, /* bytes of values in a transaction; the rest of 64 KiB: conditions */
     THREAD_STACK = 128 * 1024, /* bytes; the deepest path is a JSON parse inside an HTTP handler */
     CONNECTION_MEMORY = 16 * 1024, /* bytes of HTTP buffers per connection: 300 of them are 5 MB */
+    CONNECTION_IDLE_S = 30, /* s; workers and users that are there speak every few seconds */
     CONNECTIONS_SPARE = 100,       /* sockets kept for our own calls out of fd_limit */
     FRONT_CLIENTS = 10,       /* state connections of the front: one blocked each, 10 ms a call */
     MESH_FRAME_MAX = 1 << 20, /* bytes of a message between controllers; usual ones have 10 KB */
