Copies of reports prove nothing; a machine must be reached; rent at once, return in numbers

Causes: (1) a late copy of a report refreshed the liveness of its machine and, at a fresh owner, was taken for the newest word; a machine that is heard but gets no answers was given starts that were lost with its lease, time after time. Change: (1) an ordinary report must be newer than every one before it; the first to a new part must bear the view's token; starts and liveness need a sign that answers arrive; guests moved to core/ and told to the leader on the same terms. Stories of each. (2) Before the first view nobody rented, so the leader need not wait; eight drains a round, idle_keep 20 s.

--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -182,7 +182,10 @@
     charter_t *charter = &cloud->charter;
     if (charter->open && charter->generation != node->generation)
         charter->open = false; /* if it was carried out, its machines will appear in the list */
-    if (!charter->open && leads(node) && now - node->loaded_at > SETTLE_MS &&
+    /* Before the first view nobody rented: what the list shows is all there is. */
+    bool settled = now - node->loaded_at > SETTLE_MS ||
+                   (node->view.number == 1 && cloud->listed_at > node->loaded_at);
+    if (!charter->open && leads(node) && settled &&
         rental_next(node->rental, node->leader, node->flavors, now, clock_day(), &charter->wish) &&
         !keep_drained(node)) {
         /* The number is this leadership's alone, so the name can never have been used. */
@@ -322,12 +325,14 @@
     bool informed = now - atomic_load(&node->state.contact) < FOLLOW_BLOCK_MS + STATE_TIMEOUT_MS;
     if (!informed)
         node->rental->surplus_since = 0;
-    const machine_row_t *surplus =
-        informed && now - node->loaded_at > RETURN_AFTER_MS
-            ? rental_surplus(node->rental, node->leader, node->flavors, now, clock_day())
-            : NULL;
-    if (surplus && find_row(node, surplus->machine, &part)) {
+    bool may_return = informed && now - node->loaded_at > RETURN_AFTER_MS;
+    for (guint drained = 0; may_return && drained < DRAINS_PER_ROUND; drained++) {
+        machine_row_t *surplus =
+            rental_surplus(node->rental, node->leader, node->flavors, now, clock_day());
+        if (!surplus || !find_row(node, surplus->machine, &part))
+            break;
         log_info("event=surplus machine=%s", surplus->machine);
+        surplus->open = false; /* no more offers; draining only when its part says so */
         tell_machine(node, part, LINK_DRAIN, surplus->machine);
     }
     for (guint i = 0; i < node->leader->rows->len; i++) {
@@ -465,18 +470,12 @@
 {
     node_t *node = cloud->node;
     json_t *names = json_array();
-    GHashTableIter iter;
-    gpointer key, value;
     pthread_mutex_lock(&node->lock);
-    g_hash_table_iter_init(&iter, node->guests);
-    while (g_hash_table_iter_next(&iter, &key, &value)) {
-        const guest_t *guest = value;
-        if (now - guest->seen > GUEST_FORGET_MS)
-            g_hash_table_iter_remove(&iter);
-        else if (now < guest->kept_until && now - guest->seen < KEPT_FRESH_MS)
-            json_array_append_new(names, json_string(key));
-    }
+    GPtrArray *kept = guests_kept(node->guests, now);
     pthread_mutex_unlock(&node->lock);
+    for (guint i = 0; i < kept->len; i++)
+        json_array_append_new(names, json_string(g_ptr_array_index(kept, i)));
+    g_ptr_array_unref(kept);
     if (json_array_size(names) == 0) {
         json_decref(names);
         return;
--- a/src/app/front.c
+++ b/src/app/front.c
@@ -443,28 +443,16 @@
                 : refuse(503, "starting", 1);
 }
 
-/* A worker that this node does not own. It is sent to the owner; if it comes right back, it can't
- * reach the owner, and its lease is kept alive here: no starts, but stops for what is cancelled. */
+/* A worker that this node does not own: sent to the owner or, if it can't reach that, kept alive
+ * here: no starts, but stops for what is cancelled. */
 static reply_t host_guest(node_t *node, const report_t *report, const char *owner, msec_t now)
 {
-    guest_t *guest = g_hash_table_lookup(node->guests, report->machine);
-    if (!guest) {
-        guest = g_new0(guest_t, 1);
-        guest->sent_home = -HOME_TRY_MS;
-        g_hash_table_insert(node->guests, g_strdup(report->machine), guest);
-    }
-    guest->seen = now;
-    bool stays = now < guest->kept_until;
-    if (!stays && now - guest->sent_home < HOME_TRY_MS && guest->kept_until == 0) {
-        guest->kept_until = now + KEEP_MS;
-        log_info("event=keep machine=%s", report->machine);
-        stays = true;
-    }
-    if (!stays) {
-        guest->kept_until = 0;
-        guest->sent_home = now;
+    guest_verdict_t verdict = guests_report(node->guests, report, now);
+    if (verdict == GUEST_OLD)
+        return refuse(503, "an old report", 0);
+    if (verdict == GUEST_HOME)
         return (reply_t){.status = 421, .body = json_pack("{s:s}", "Bosun", owner)};
-    }
+    log_debug("event=keep machine=%s", report->machine);
     GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
     for (guint i = 0; i < report->pieces->len; i++) {
         const piece_t *piece = &g_array_index(report->pieces, piece_t, i);
@@ -491,7 +479,7 @@
         /* It lives, though its lease may not be renewed: after an outage, machines that were only
          * refused must not be taken for dead. */
         if (node->loaded)
-            part_note_alive(node->part, report->machine, now);
+            part_note_alive(node->part, report, now);
         return refuse(503, "not entitled now", 0);
     }
     guint owner = node_owner(node, report->machine, report->zone);
@@ -501,7 +489,7 @@
     GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
     reply_t reply;
     if (node->loaded && part_report(node->part, report, false, now, calls) == REPORT_STALE) {
-        reply = refuse(503, "a report of an earlier session", 0);
+        reply = refuse(503, "an old report", 0);
     } else {
         reply = (reply_t){.status = 200, .body = wire_build_calls(node->view.number, calls)};
         node_wake(node);
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -50,7 +50,7 @@
     node->links = g_ptr_array_new();
     node->aside = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     node->own = G_MAXUINT;
-    node->guests = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    node->guests = guests_new();
     return node;
 }
 
@@ -175,7 +175,7 @@
     /* Workers kept here because they could not reach a former owner go to the new ones: the leader
      * takes a machine that nobody hears for dead. */
     if (!same_owners(view, &node->view))
-        g_hash_table_remove_all(node->guests);
+        guests_clear(node->guests);
     node->view = *view;
     node->leading = view->incarnation == node->incarnation;
     node->loaded = false;
@@ -220,14 +220,13 @@
         if (machine->gone)
             continue;
         machine_row_t row = {.spot = machine->spot,
-                             .open = machine->reported && machine->known_room &&
-                                     !machine->draining && !machine->notice_at &&
-                                     now - machine->last_report < DIRECT_FRESH_MS,
+                             .open = part_is_reached(machine, now) && machine->known_room &&
+                                     !machine->draining && !machine->notice_at,
                              .draining = machine->draining,
                              .total = machine->room,
                              .free = part_free_room(machine),
                              .attempts = machine->attempts->len,
-                             .silent_ms = now - machine->last_report,
+                             .silent_ms = now - machine->reached,
                              .idle_ms = now - machine->idle_since,
                              .known_ms = now - machine->first_seen};
         g_strlcpy(row.machine, machine->id, sizeof row.machine);
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -17,6 +17,7 @@
 
 #include "app/metrics.h"
 #include "app/settings.h"
+#include "core/guest.h"
 #include "core/leader.h"
 #include "core/link.h"
 #include "core/owner.h"
@@ -42,13 +43,6 @@
     uint64_t stamp;
 } known_job_t;
 
-/* A worker that this node, not its owner, keeps alive because it can't reach the owner. */
-typedef struct {
-    msec_t sent_home;
-    msec_t kept_until;
-    msec_t seen;
-} guest_t;
-
 /* Status reads of live jobs that are asked together. Owned by those who wait for it. */
 typedef struct {
     GHashTable *asked; /* id -> stamp of jobs/<id> (pointer-sized) */
@@ -105,7 +99,7 @@
     msec_t heard_stamp;        /* of the leader's newest answer */
     msec_t heard[MEMBERS_MAX]; /* when each member last called by socket */
     GHashTable *ended;         /* id -> final state (static string); a bounded cache */
-    GHashTable *guests;        /* machine -> guest_t, owned */
+    guests_t *guests;
 } node_t;
 
 /* Both are borrowed for the life of the process. */
--- a/src/constants.h
+++ b/src/constants.h
@@ -36,6 +36,7 @@
     SENDERS = 6,              /* threads that send direct commands: a hung machine blocks one 2 s */
     ENDED_CACHE = 4096,       /* final answers kept in memory, about 60 bytes each */
     JOB_ERRORS_ALARM = 4,     /* failures of one job on as many machines: the job is bad */
+    DRAINS_PER_ROUND = 8,       /* a fleet of hundreds goes back in seconds, not in minutes */
     MACHINE_ERRORS_ALARM = 3  /* failures of distinct sound jobs: the machine is bad */
 };
 
@@ -50,7 +51,8 @@
         2000, /* an answer also proves what aborts are known; half a request a second */
     FRONT_TIMEOUT_MS = 1500,  /* users wait 2 s for a status and 5 s for a submission */
     DIRECT_TIMEOUT_MS = 2000, /* a worker answers in milliseconds; then the report is the path */
-    DIRECT_FRESH_MS = 4000,   /* a machine silent that long gets no direct command: it would hang */
+    DIRECT_FRESH_MS = 4000,   /* a machine not reached for so long gets no starts and no commands */
+    REPORT_PATIENCE_MS = 4000, /* a worker waits so long for an answer, from the protocol */
     CLOUD_TIMEOUT_MS = 10000, /* rentals may be slow; a lost answer costs a repeat only */
     TICK_MS = 250,            /* leader's longest sleep when nothing happens */
     COMMIT_GAP_MS = 60,       /* between commits: batches starts, spares the write budget */
--- /dev/null
+++ b/src/core/guest.c
@@ -0,0 +1,82 @@
+#include "core/guest.h"
+
+typedef struct {
+    msec_t sent_home;
+    msec_t kept_until; /* 0: not kept */
+    msec_t seen;
+    msec_t reached; /* when it showed last that an answer of ours arrived */
+    uint64_t session;
+    uint64_t seq;
+} guest_t;
+
+struct guests {
+    GHashTable *machines; /* id -> guest_t, owned */
+};
+
+guests_t *guests_new(void)
+{
+    guests_t *guests = g_new0(guests_t, 1);
+    guests->machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return guests;
+}
+
+void guests_free(guests_t *guests)
+{
+    g_hash_table_unref(guests->machines);
+    g_free(guests);
+}
+
+void guests_clear(guests_t *guests)
+{
+    g_hash_table_remove_all(guests->machines);
+}
+
+static guest_t *find(guests_t *guests, const char *machine)
+{
+    guest_t *guest = g_hash_table_lookup(guests->machines, machine);
+    if (!guest) {
+        guest = g_new0(guest_t, 1);
+        guest->sent_home = guest->seen = guest->reached = -GUEST_FORGET_MS;
+        g_hash_table_insert(guests->machines, g_strdup(machine), guest);
+    }
+    return guest;
+}
+
+guest_verdict_t guests_report(guests_t *guests, const report_t *report, msec_t now)
+{
+    guest_t *guest = find(guests, report->machine);
+    if (report->session < guest->session ||
+        (report->session == guest->session && report->seq <= guest->seq))
+        return GUEST_OLD;
+    /* Without the answer that kept it here it would have waited, and turned to another node. */
+    if (now < guest->kept_until && now - guest->seen < REPORT_PATIENCE_MS)
+        guest->reached = now;
+    guest->session = report->session;
+    guest->seq = report->seq;
+    guest->seen = now;
+    if (now < guest->kept_until)
+        return GUEST_KEPT;
+    if (guest->kept_until == 0 && now - guest->sent_home < HOME_TRY_MS) {
+        guest->kept_until = now + KEEP_MS;
+        return GUEST_KEPT;
+    }
+    guest->kept_until = 0;
+    guest->sent_home = now;
+    return GUEST_HOME;
+}
+
+GPtrArray *guests_kept(guests_t *guests, msec_t now)
+{
+    GPtrArray *kept = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter iter;
+    gpointer id, value;
+    g_hash_table_iter_init(&iter, guests->machines);
+    while (g_hash_table_iter_next(&iter, &id, &value)) {
+        const guest_t *guest = value;
+        if (now - guest->seen > GUEST_FORGET_MS)
+            g_hash_table_iter_remove(&iter);
+        else if (now < guest->kept_until && now - guest->reached < KEPT_FRESH_MS)
+            g_ptr_array_add(kept, g_strdup(id));
+    }
+    return kept;
+}
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -23,7 +23,7 @@
     room_t total;
     room_t free;
     guint attempts;
-    msec_t silent_ms; /* since its last report */
+    msec_t silent_ms; /* since it was last reached */
     msec_t idle_ms;   /* since it last had work */
     msec_t known_ms;  /* since the part first knew it */
 } machine_row_t;
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -107,7 +107,7 @@
     machine->attempts = g_ptr_array_new_with_free_func(g_free);
     machine->reservations = g_array_new(FALSE, FALSE, sizeof(reservation_t));
     machine->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    machine->first_seen = machine->last_report = machine->idle_since = now;
+    machine->first_seen = machine->last_report = machine->reached = machine->idle_since = now;
     g_hash_table_insert(part->machines, machine->id, machine);
     return machine;
 }
@@ -170,12 +170,20 @@
     return room;
 }
 
-/* Whether the machine is open for the offer, room aside. One that has not reported in this view may
- * be hanging or gone: it takes no starts (the design ranks it last; a start there would only wait
- * for its first report). */
-static bool is_open(const machine_t *machine, const offer_t *offer)
+/* A machine can be heard and not reached: its reports come, our answers and commands are lost. A
+ * worker without an answer waits 4 s and turns to another node, so one that reports here again within
+ * that time has had the answer; so has one that answered a command. */
+bool part_is_reached(const machine_t *machine, msec_t now)
 {
-    if (!machine->reported || !machine->known_room || machine->draining || machine->notice_at)
+    return machine->reported && now - machine->reached < DIRECT_FRESH_MS;
+}
+
+/* Whether the machine is open for the offer, room aside. One that has not reported in this view, or
+ * is not reached, may be hanging, cut off or gone: it takes no starts (the design ranks it last; a
+ * start there would only wait, and be lost with its lease). */
+static bool is_open(const machine_t *machine, const offer_t *offer, msec_t now)
+{
+    if (!part_is_reached(machine, now) || !machine->known_room || machine->draining || machine->notice_at)
         return false;
     if (offer->zone[0] && strcmp(offer->zone, machine->zone) != 0)
         return false;
@@ -222,7 +230,7 @@
     return 0;
 }
 
-static machine_t *choose_free(part_t *part, const offer_t *offer)
+static machine_t *choose_free(part_t *part, const offer_t *offer, msec_t now)
 {
     machine_t *best = NULL;
     guint equals = 0;
@@ -231,7 +239,7 @@
     g_hash_table_iter_init(&iter, part->machines);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         machine_t *machine = value;
-        if (!is_open(machine, offer) || !room_fits(offer->need, part_free_room(machine)))
+        if (!is_open(machine, offer, now) || !room_fits(offer->need, part_free_room(machine)))
             continue;
         int rank = best ? compare_rank(machine, best, offer) : -1;
         if (rank < 0) {
@@ -323,7 +331,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         machine_t *machine = value;
         double lost;
-        if (!is_open(machine, offer) || now - machine->last_report > DIRECT_FRESH_MS)
+        if (!is_open(machine, offer, now))
             continue;
         GArray *victims = choose_victims(part, machine, offer, now, &lost);
         lost += is_warm(machine, offer) ? 0 : PREEMPT_COLD_S * offer->need.cpus;
@@ -365,7 +373,7 @@
 
 machine_t *part_place(part_t *part, const offer_t *offer, msec_t now)
 {
-    machine_t *best = choose_free(part, offer);
+    machine_t *best = choose_free(part, offer, now);
     bool waits = !best && offer->preempt;
     if (waits)
         best = choose_preempting(part, offer, now);
@@ -609,18 +617,45 @@
     }
 }
 
+/* What a report is worth by its order alone. A copy may come seconds to minutes late, here or at a
+ * controller that never saw the original: it must not rewind, prove, confirm or keep anything alive.
+ * Within what this part has seen, the worker's numbers tell. For a first report there is nothing to
+ * compare with, but one that bears this view's token was sent in this view. */
+static report_verdict_t judge_report(part_t *part, machine_t *machine, const report_t *report,
+                                     bool direct)
+{
+    if (machine->gone || report->session < machine->session)
+        return REPORT_STALE;
+    if (!machine->reported)
+        return direct || report->token >= part->view ? REPORT_TAKEN : REPORT_UNPROVEN;
+    if (report->session > machine->session)
+        return REPORT_TAKEN;
+    if (!direct && report->seq <= machine->spoken)
+        return REPORT_STALE;
+    return report->seq <= machine->seq ? REPORT_OVERTAKEN : REPORT_TAKEN;
+}
+
+/* An ordinary report came in its turn: what does it show about our answers? */
+static void note_turn(machine_t *machine, const report_t *report, msec_t now)
+{
+    bool follows = machine->reported && now - machine->last_report < REPORT_PATIENCE_MS;
+    if (follows || !machine->reported)
+        machine->reached = now;
+    machine->last_report = now;
+    machine->spoken = report->seq;
+}
+
 report_verdict_t part_report(part_t *part, const report_t *report, bool direct, msec_t now,
                              GArray *calls)
 {
     machine_t *machine = g_hash_table_lookup(part->machines, report->machine);
     if (!machine)
         machine = machine_add(part, report->machine, report->zone, now);
-    if (machine->gone || report->session < machine->session)
-        return REPORT_STALE;
-    if (machine->reported && report->session == machine->session && report->seq <= machine->seq) {
-        machine->last_report = direct ? machine->last_report : now;
-        return REPORT_OVERTAKEN;
-    }
+    report_verdict_t verdict = judge_report(part, machine, report, direct);
+    if (verdict == REPORT_OVERTAKEN && !direct)
+        note_turn(machine, report, now);
+    if (verdict != REPORT_TAKEN)
+        return verdict;
     take_identity(part, machine, report);
     take_session(part, machine, report);
     machine->seq = report->seq;
@@ -635,8 +670,8 @@
             attempt->waits && attempt->phase == ATTEMPT_RECORDED && !attempt->listed;
     }
     if (!direct) {
+        note_turn(machine, report, now);
         machine->reported = true;
-        machine->last_report = now;
         prove_absent(part, machine, report);
         wanted_calls(machine, now, calls);
         answer_unknown(part, machine, report, calls);
@@ -646,11 +681,13 @@
     return REPORT_TAKEN;
 }
 
-void part_note_alive(part_t *part, const char *id, msec_t now)
+void part_note_alive(part_t *part, const report_t *report, msec_t now)
 {
-    machine_t *machine = g_hash_table_lookup(part->machines, id);
-    if (machine)
-        machine->last_report = now;
+    machine_t *machine = g_hash_table_lookup(part->machines, report->machine);
+    if (!machine || report->session < machine->session ||
+        (report->session == machine->session && report->seq <= machine->spoken))
+        return;
+    machine->reached = machine->last_report = now;
 }
 
 void part_end_job(part_t *part, const char *job)
@@ -981,8 +1018,7 @@
     g_hash_table_iter_init(&iter, part->machines);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         machine_t *machine = value;
-        if (!machine->direct_wanted || machine->direct_busy || !machine->reported ||
-            now - machine->last_report > DIRECT_FRESH_MS)
+        if (!machine->direct_wanted || machine->direct_busy || !part_is_reached(machine, now))
             continue;
         machine->direct_wanted = false;
         wanted_calls(machine, now, calls);
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -124,9 +124,11 @@
     bool reported;
     uint64_t session;
     uint64_t seq;
+    uint64_t spoken; /* number of the newest ordinary report of this session; a copy has no higher */
     uint64_t token;
     uint64_t receipt; /* local count of reports received */
     msec_t last_report;
+    msec_t reached; /* last sign that what we say arrives there; reports alone are none */
     msec_t first_seen;
     msec_t idle_since;
     msec_t notice_at; /* when the cloud takes it; 0: not announced */
@@ -185,15 +187,19 @@
 room_t part_free_room(const machine_t *machine);
 
 /* Overtaken: older than what is known of this session, as when the answer to a direct command came
- * first. Nothing of it is taken, but its worker waits for an answer. Stale: of an earlier session.
- */
-typedef enum { REPORT_TAKEN, REPORT_OVERTAKEN, REPORT_STALE } report_verdict_t;
+ * first. Nothing of it is taken, but its worker waits for an answer. Unproven: the first report to
+ * this part, and from before its view, so perhaps a copy that comes minutes late; nothing of it is
+ * taken, and the answer gives the worker the token that its next report will show. Stale: of an
+ * earlier session, or a copy of a report that came before. */
+typedef enum { REPORT_TAKEN, REPORT_OVERTAKEN, REPORT_UNPROVEN, REPORT_STALE } report_verdict_t;
 /* A report, or the body of a direct command's answer (direct). calls: array of call_t to append
  * the answer's commands to; unused for direct ones. */
 report_verdict_t part_report(part_t *part, const report_t *report, bool direct, msec_t now,
                              GArray *calls);
-/* A report came that could not be taken: the machine is not silent. */
-void part_note_alive(part_t *part, const char *machine, msec_t now);
+/* A report came that could not be answered: the machine is not silent. */
+void part_note_alive(part_t *part, const report_t *report, msec_t now);
+/* Whether what we say has arrived at the machine of late, so that it may get starts. */
+bool part_is_reached(const machine_t *machine, msec_t now);
 /* The job was cancelled or is over: its attempts stop, those not yet recorded are dropped. */
 void part_end_job(part_t *part, const char *job);
 /* Asks one attempt to stop, saving if it can. */
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -250,17 +250,17 @@
     return (row->spot ? flavor->spot_price : flavor->price) / MAX(flavor->room.cpus, EPSILON);
 }
 
-const machine_row_t *rental_surplus(rental_t *rental, const leader_t *leader, const GArray *flavors,
-                                    msec_t now, int64_t day_ms)
+machine_row_t *rental_surplus(rental_t *rental, const leader_t *leader, const GArray *flavors,
+                              msec_t now, int64_t day_ms)
 {
     rental_balance_t balance = rental_balance(rental, leader, flavors, now, day_ms);
     double keep = knob_value(leader->policy, KNOB_RENT_KEEP);
-    const machine_row_t *worst = NULL;
+    machine_row_t *worst = NULL;
     double worst_price = 0;
     for (guint i = 0; i < leader->rows->len; i++) {
-        const GArray *rows = g_ptr_array_index(leader->rows, i);
+        GArray *rows = g_ptr_array_index(leader->rows, i);
         for (guint k = 0; rows && k < rows->len; k++) {
-            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+            machine_row_t *row = &g_array_index(rows, machine_row_t, k);
             if (!row->open ||
                 balance.standing.cpus - row->total.cpus < balance.wanted.cpus * keep ||
                 balance.standing.memory - row->total.memory < balance.wanted.memory * keep)
--- a/src/core/rental.h
+++ b/src/core/rental.h
@@ -53,8 +53,8 @@
                  int64_t day_ms, rental_wish_t *wish);
 /* A machine to drain and return because less has been wanted for a while; NULL: none. Borrowed from
  * the rows. Least-loaded placement leaves few machines empty, so it need not be idle. */
-const machine_row_t *rental_surplus(rental_t *rental, const leader_t *leader, const GArray *flavors,
-                                    msec_t now, int64_t day_ms);
+machine_row_t *rental_surplus(rental_t *rental, const leader_t *leader, const GArray *flavors,
+                              msec_t now, int64_t day_ms);
 /* Ids of boots that took too long. Strings owned by the array. */
 GPtrArray *rental_stuck(const rental_t *rental, const GArray *flavors, msec_t now);
 
--- a/src/policy/policy.c
+++ b/src/policy/policy.c
@@ -33,7 +33,7 @@
     [KNOB_RENT_KEEP] = {"rent_keep", POLICY_NUMBER, SCOPE_NONE, 1, 5, "1.25"},
     [KNOB_RENT_PATIENCE] = {"rent_patience", POLICY_SECONDS, SCOPE_JOB, 1, 3600,
                             "if job.urgency >= high then 15 s else 60 s"},
-    [KNOB_IDLE_KEEP] = {"idle_keep", POLICY_SECONDS, SCOPE_MACHINE, 5, 3600, "40 s"},
+    [KNOB_IDLE_KEEP] = {"idle_keep", POLICY_SECONDS, SCOPE_MACHINE, 5, 3600, "20 s"},
     [KNOB_USE_SPOT] = {"use_spot", POLICY_BOOL, SCOPE_JOB, 0, 1, "true"},
     [KNOB_RENT_ORDINARY] = {"rent_ordinary", POLICY_BOOL, SCOPE_JOB, 0, 1, "false"},
     [KNOB_PREEMPT] = {"preempt", POLICY_BOOL, SCOPE_JOB, 0, 1, "job.urgency >= high"},
--- a/tests/stories_part.c
+++ b/tests/stories_part.c
@@ -27,6 +27,7 @@
     stage->part = part_new(stage->flavors, stage->teams, 30000);
     part_set_view(stage->part, 7);
     stage->worker = fake_worker_new("m-000001");
+    stage->worker->token = 7; /* it has heard of this view */
     stage->calls = g_array_new(FALSE, FALSE, sizeof(call_t));
     stage->now = 1000;
     stage->revision = 10;
@@ -192,8 +193,12 @@
     place("j-000001", 0, 100);
     commit();
     report_t late = fake_worker_report(stage->worker);
-    exchange(); /* the task runs and is listed from now on */
-    exchange();
+    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
+    assert_non_null(part_direct_take(stage->part, stage->now, calls));
+    assert_true(fake_worker_direct(stage->worker, 7, 1, calls));
+    g_array_unref(calls);
+    report_t answer = fake_worker_report(stage->worker);
+    assert_int_equal(deliver(&answer, true), REPORT_TAKEN); /* the task runs and is listed */
     assert_int_equal(deliver(&late, false), REPORT_OVERTAKEN);
     assert_int_equal(stage->calls->len, 0);
     assert_true(((machine_t *)g_hash_table_lookup(stage->part->machines, "m-000001"))->running ==
@@ -393,7 +398,9 @@
     load_record();
     part_end_job(stage->part, "j-000001");
     stage->worker->token = 6;
-    exchange();
+    report_t report = fake_worker_report(stage->worker);
+    assert_int_equal(deliver(&report, false), REPORT_UNPROVEN);
+    fake_worker_answer(stage->worker, 7, stage->calls);
     commit();
     assert_int_equal(stage->part->outcomes->len, 0);
     exchange();
@@ -401,6 +408,80 @@
     assert_true(told(0, CAUSE_STOPPED));
 }
 
+static const machine_t *the_machine(void)
+{
+    return g_hash_table_lookup(stage->part->machines, "m-000001");
+}
+
+/* A fresh owner, after a restart or a change of view, has nothing to compare a report with. A copy
+ * from minutes ago must not rewind session or address, prove absence, forget, or keep alive. */
+static void copy_at_a_fresh_owner_changes_nothing(void **state)
+{
+    (void)state;
+    load_record();
+    part_end_job(stage->part, "j-000001");
+    fake_worker_t *past = fake_worker_new("m-000001");
+    past->token = 6;
+    past->seq = 40;
+    report_t copy = fake_worker_report(past);
+    g_strlcpy(copy.address, "10.9.9.9:1", sizeof copy.address);
+    stage->now += 5000;
+    assert_int_equal(deliver(&copy, false), REPORT_UNPROVEN);
+    assert_int_equal(stage->calls->len, 0);
+    assert_string_equal(the_machine()->address, "10.1.0.1:9000");
+    assert_int_equal(the_machine()->reached, stage->now - 5000);
+    assert_false(part_is_reached(the_machine(), stage->now));
+    commit();
+    assert_int_equal(stage->part->outcomes->len, 0);
+    fake_worker_free(past);
+}
+
+/* At the owner that saw the original: not newer than it, so nothing of it counts, and the machine
+ * stays as silent as it is. */
+static void copy_at_the_owner_keeps_nothing_alive(void **state)
+{
+    (void)state;
+    exchange();
+    report_t original = fake_worker_report(stage->worker), copy = original;
+    copy.pieces = g_array_copy(original.pieces);
+    deliver(&original, false);
+    msec_t last = stage->now;
+    place("j-000001", 0, 100);
+    commit();
+    stage->now += 20000;
+    assert_int_equal(deliver(&copy, false), REPORT_STALE);
+    assert_int_equal(the_machine()->reached, last);
+    assert_int_equal(the_machine()->last_report, last);
+    assert_int_equal(the_machine()->reservations->len, 1); /* confirmed by nothing */
+    assert_int_equal(stage->calls->len, 0);
+}
+
+/* Reports come, answers and commands are lost: the worker waits 4 s for each answer and goes from
+ * node to node, so it is heard here every 15 s. Starts sent there would all be lost with its lease,
+ * time after time. */
+static void heard_but_not_reached_gets_no_starts(void **state)
+{
+    (void)state;
+    offer_t offer = offer_of("j-000001", 1, 101, 4);
+    exchange();
+    place("j-000001", 0, 100);
+    commit();
+    exchange();
+    for (int round = 0; round < 3; round++) {
+        stage->now += 15000;
+        fake_worker_lose_lease(stage->worker);
+        report_t report = fake_worker_report(stage->worker);
+        assert_int_equal(deliver(&report, false), REPORT_TAKEN);
+        assert_null(part_place(stage->part, &offer, stage->now));
+        assert_true(stage->now - the_machine()->reached >= 15000); /* as good as silent */
+        commit();
+        assert_true(told(0, CAUSE_NONE)); /* its new session is proof: the task goes on elsewhere */
+    }
+    exchange();
+    exchange(); /* a second report at once: the answer has arrived */
+    assert_non_null(part_place(stage->part, &offer, stage->now));
+}
+
 static void released_machine_is_proof(void **state)
 {
     (void)state;
@@ -427,6 +508,7 @@
 {
     (void)state;
     fake_worker_t *other = fake_worker_new("m-000002");
+    other->token = 7;
     report_t report = fake_worker_report(other);
     exchange();
     deliver(&report, false);
@@ -535,6 +617,9 @@
         cmocka_unit_test_setup_teardown(older_owner_is_powerless, set_up, tear_down),
         cmocka_unit_test_setup_teardown(new_view_takes_over_from_the_record, set_up, tear_down),
         cmocka_unit_test_setup_teardown(absence_needs_the_present_token, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(copy_at_a_fresh_owner_changes_nothing, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(copy_at_the_owner_keeps_nothing_alive, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(heard_but_not_reached_gets_no_starts, set_up, tear_down),
         cmocka_unit_test_setup_teardown(released_machine_is_proof, set_up, tear_down),
         cmocka_unit_test_setup_teardown(urgent_work_takes_the_place_of_low_work, set_up, tear_down),
         cmocka_unit_test_setup_teardown(equal_urgency_is_never_stopped, set_up, tear_down),
