--- a/src/constants.h
+++ b/src/constants.h
@@ -120,7 +120,6 @@
     15.0                 /* work near its deadline shares a machine's room only within that */
 #define RENT_LARGEST 0.6 /* a machine may be this share of all that is wanted */
 #define RENT_ROUND 0.25  /* of a machine: so little lacking is not worth another */
-#define ORDINARY_RETURN 0.3 /* of the backlog that calls for ordinary machines: with less, they go */
 #define RENT_SPREAD 0.02 /* price added per machine of the same type, zone and kind */
 
 #define EPSILON 1e-6 /* in cpus and GB: below any amount in use */
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -71,10 +71,9 @@
     return CLAMP(due, MIN(most, RENT_PATIENCE_LEAST_S), most);
 }
 
-static room_t wanted_room(const leader_t *leader, msec_t now, int64_t day_ms, double *backlog)
+static room_t wanted_room(const leader_t *leader, msec_t now, int64_t day_ms)
 {
     room_t wanted = {0};
-    *backlog = 0;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, leader->live);
@@ -85,7 +84,6 @@
         const demand_t *entry = &g_array_index(demand, demand_t, i);
         const job_spec_t *spec = &entry->job->spec;
         /* Tasks that one machine's room can run one after the other in time need it once. */
-        *backlog += entry->tasks * spec->need.cpus * spec->estimate_s;
         double rounds = MAX(1, patience(leader, entry->job, day_ms) / MAX(spec->estimate_s, 1));
         room_add(&wanted, spec->need, MAX(entry->tasks / rounds, MIN(entry->tasks, 1.0)));
     }
@@ -115,8 +113,8 @@
 rental_balance_t rental_balance(const rental_t *rental, const leader_t *leader,
                                 const GArray *flavors, msec_t now, int64_t day_ms)
 {
-    rental_balance_t balance = {.promised = promised_cpus(leader, now)};
-    balance.wanted = wanted_room(leader, now, day_ms, &balance.backlog);
+    rental_balance_t balance = {.wanted = wanted_room(leader, now, day_ms),
+                                .promised = promised_cpus(leader, now)};
     for (guint i = 0; i < leader->rows->len; i++) {
         const GArray *rows = g_ptr_array_index(leader->rows, i);
         for (guint k = 0; rows && k < rows->len; k++) {
@@ -173,14 +171,6 @@
     return count;
 }
 
-/* Spot machines alone would take too long: some ordinary ones are worth their price. */
-static bool is_backed_up(const policy_t *policy, const rental_balance_t *balance)
-{
-    double cpus = balance->standing.cpus + balance->booting.cpus;
-    return balance->backlog > cpus * knob_value(policy, KNOB_ORDINARY_BACKLOG) &&
-           balance->ordinary < cpus * knob_value(policy, KNOB_ORDINARY_SHARE);
-}
-
 /* Some waiting job can use such a machine. An ordinary one is for work that may not use spot, or
  * within what is promised. */
 static bool is_useful(const policy_t *policy, const GArray *demand, const flavor_t *flavor,
@@ -226,8 +216,7 @@
             guint count = units_of(flavor, lack, small ? INFINITY : balance.wanted.cpus);
             for (char **zone = flavor->zones; count && *zone; zone++) {
                 for (int spot = 0; spot < 2; spot++) {
-                    bool promised = balance.ordinary + flavor->room.cpus <= balance.promised ||
-                                    is_backed_up(leader->policy, &balance);
+                    bool promised = balance.ordinary + flavor->room.cpus <= balance.promised;
                     if (is_refused(rental, flavor->name, *zone, spot, now) ||
                         !is_useful(leader->policy, demand, flavor, *zone, spot, promised))
                         continue;
@@ -261,33 +250,12 @@
     return (row->spot ? flavor->spot_price : flavor->price) / MAX(flavor->room.cpus, EPSILON);
 }
 
-/* An ordinary machine beyond what is promised goes as soon as the backlog it was rented for has
- * shrunk, whatever else stands: it costs a multiple. */
-static machine_row_t *dear_surplus(const leader_t *leader, const rental_balance_t *balance)
-{
-    double cpus = balance->standing.cpus + balance->booting.cpus;
-    double backlog = cpus * knob_value(leader->policy, KNOB_ORDINARY_BACKLOG) * ORDINARY_RETURN;
-    machine_row_t *emptiest = NULL;
-    for (guint i = 0; balance->backlog < backlog && i < leader->rows->len; i++) {
-        GArray *rows = g_ptr_array_index(leader->rows, i);
-        for (guint k = 0; rows && k < rows->len; k++) {
-            machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            if (row->open && !row->spot && balance->ordinary - row->total.cpus >= balance->promised &&
-                (!emptiest || row->free.cpus > emptiest->free.cpus))
-                emptiest = row;
-        }
-    }
-    return emptiest;
-}
-
 machine_row_t *rental_surplus(rental_t *rental, const leader_t *leader, const GArray *flavors,
                               msec_t now, int64_t day_ms)
 {
     rental_balance_t balance = rental_balance(rental, leader, flavors, now, day_ms);
     double keep = knob_value(leader->policy, KNOB_RENT_KEEP);
-    machine_row_t *worst = dear_surplus(leader, &balance);
-    if (worst)
-        return worst;
+    machine_row_t *worst = NULL;
     double worst_price = 0;
     for (guint i = 0; i < leader->rows->len; i++) {
         GArray *rows = g_ptr_array_index(leader->rows, i);
--- a/src/core/rental.h
+++ b/src/core/rental.h
@@ -45,7 +45,6 @@
     room_t booting;
     double ordinary; /* cpus that stand or boot on ordinary machines */
     double promised; /* cpus guaranteed and asked for */
-    double backlog;  /* cpu seconds of waiting work, by its owners' estimates */
 } rental_balance_t;
 rental_balance_t rental_balance(const rental_t *rental, const leader_t *leader,
                                 const GArray *flavors, msec_t now, int64_t day_ms);
--- a/src/policy/policy.c
+++ b/src/policy/policy.c
@@ -36,8 +36,6 @@
     [KNOB_IDLE_KEEP] = {"idle_keep", POLICY_SECONDS, SCOPE_MACHINE, 5, 3600, "20 s"},
     [KNOB_USE_SPOT] = {"use_spot", POLICY_BOOL, SCOPE_JOB, 0, 1, "true"},
     [KNOB_RENT_ORDINARY] = {"rent_ordinary", POLICY_BOOL, SCOPE_JOB, 0, 1, "false"},
-    [KNOB_ORDINARY_BACKLOG] = {"ordinary_backlog", POLICY_SECONDS, SCOPE_NONE, 1, 86400, "45 s"},
-    [KNOB_ORDINARY_SHARE] = {"ordinary_share", POLICY_NUMBER, SCOPE_NONE, 0, 1, "0.10"},
     [KNOB_PREEMPT] = {"preempt", POLICY_BOOL, SCOPE_JOB, 0, 1, "job.urgency >= high"},
 };
 
