--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -48,7 +48,6 @@
     }
     leader->targets = targets;
     leader->policy = policy;
-    leader->arrivals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     leader->suspects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     const double once = 1;
     leader->once = g_array_new(FALSE, FALSE, sizeof(double));
@@ -69,7 +68,6 @@
     g_ptr_array_unref(leader->yields);
     g_array_unref(leader->once);
     g_hash_table_unref(leader->suspects);
-    g_hash_table_unref(leader->arrivals);
     g_free(leader);
 }
 
@@ -118,8 +116,6 @@
     job->unsettled = g_array_new(FALSE, FALSE, sizeof(settle_t));
     job->zone_live = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_hash_table_insert(leader->jobs, job->spec.id, job);
-    gsize seen = GPOINTER_TO_SIZE(g_hash_table_lookup(leader->arrivals, spec->class_name));
-    g_hash_table_insert(leader->arrivals, g_strdup(spec->class_name), GSIZE_TO_POINTER(seen + 1));
 }
 
 void leader_load_chunk(leader_t *leader, const char *id, guint chunk, const uint8_t *bits,
@@ -223,7 +219,7 @@
 typedef struct {
     job_t *job;
     guint missed; /* targets that it can't keep any more */
-    double work;  /* cpu seconds not yet out, times the jobs of its class */
+    double work;  /* cpu seconds not yet out */
     double start; /* latest start for the next target, time of day in ms; infinite: none left */
 } queued_t;
 
@@ -244,9 +240,7 @@
 {
     const job_spec_t *spec = &job->spec;
     queued_t queued = {.job = job, .start = INFINITY};
-    /* Each class is judged by the share of its jobs in time: one of few counts for more. */
-    gsize seen = GPOINTER_TO_SIZE(g_hash_table_lookup(leader->arrivals, spec->class_name));
-    queued.work = job_pending(job) * spec->need.cpus * MAX(spec->estimate_s, 1) * (double)seen;
+    queued.work = job_pending(job) * spec->need.cpus * MAX(spec->estimate_s, 1);
     const targets_t *targets = g_hash_table_lookup(leader->targets, spec->class_name);
     double ready = (double)day_ms + spec->estimate_s * 1000.0;
     if (spec->deadline_s > 0 && targets && targets->times->len)
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -89,7 +89,6 @@
     GHashTable *live;       /* task_ref_t -> live_t, owned */
     GArray *teams;          /* team_state_t */
     GHashTable *targets;    /* class -> targets_t, from the aims; borrowed */
-    GHashTable *arrivals;   /* class -> jobs seen (pointer-sized), owned */
     const policy_t *policy; /* borrowed */
     GHashTable *suspects;   /* machine -> suspect_t, owned: where work failed lately */
     GArray *once;           /* the target of a deadline that no aim names */
