Machines are held for work that goes first but is too large for the room small tasks free

Ruled out: the order of the queue (normal goes before low), capacity alone (ordinary machines, tried). Change: where a task above the lowest urgency fits nowhere, the machines that lack least for it are closed to work of lower urgency until it does, an eighth of the machines at most.

--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -312,10 +312,9 @@
     }
     guint conditions = 4 * node->settings->txn_ops;
     guint spoken_for = 1 + 2 * MAX(most, batch->ops); /* the view, and two for each key written */
-    batch->machines =
-        part_batch_take(node->part, most - MIN(most, batch->ops),
-                        conditions - MIN(conditions, spoken_for),
-                        (gsize)(node->settings->value_kb * 1024), now);
+    batch->machines = part_batch_take(node->part, most - MIN(most, batch->ops),
+                                      conditions - MIN(conditions, spoken_for),
+                                      (gsize)(node->settings->value_kb * 1024), now);
     batch->ops += batch->machines->records->len;
     if (node->leading)
         leader_progress_take(node->leader, now, PROGRESS_GAP_MS, most, batch->progress,
--- a/src/constants.h
+++ b/src/constants.h
@@ -20,15 +20,16 @@
     LIST_PAGE = 500,      /* machines in a page of the cloud's list, from the protocol */
     KEYS_PAGE = 500,      /* keys in a page of the state service: half its limit, small memory */
     ATTEMPT_SHIFT = 24,   /* attempts in one view: 16 million; view and count stay below 2^53 */
-    SHARDS_PER_ZONE = 12, /* records a zone's machines share: 180 machines make 8 a key in 2 zones */
-    RECORD_ROOM = 1024,   /* bytes kept free below value_kb in a shard's record */
-    RECORD_ATTEMPT = 32,  /* bytes that one attempt takes at most there */
-    RECORD_MACHINE = 240, /* bytes that a machine takes at most there, its attempts aside */
-    RECORD_JOB = 240,     /* bytes that one job's header takes at most there */
+    SHARDS_PER_ZONE =
+        12,              /* records a zone's machines share: 180 machines make 8 a key in 2 zones */
+    RECORD_ROOM = 1024,  /* bytes kept free below value_kb in a shard's record */
+    RECORD_ATTEMPT = 32, /* bytes that one attempt takes at most there */
+    RECORD_MACHINE = 240,   /* bytes that a machine takes at most there, its attempts aside */
+    RECORD_JOB = 240,       /* bytes that one job's header takes at most there */
     TXN_VALUES = 48 * 1024, /* bytes of values in a transaction; the rest of 64 KiB: conditions */
     THREAD_STACK = 128 * 1024, /* bytes; the deepest path is a JSON parse inside an HTTP handler */
     CONNECTION_MEMORY = 16 * 1024, /* bytes of HTTP buffers per connection: 300 of them are 5 MB */
-    CONNECTION_IDLE_S = 30, /* s; workers and users that are there speak every few seconds */
+    CONNECTION_IDLE_S = 30,        /* s; workers and users that are there speak every few seconds */
     CONNECTIONS_SPARE = 100,       /* sockets kept for our own calls out of fd_limit */
     FRONT_CLIENTS = 10,       /* state connections of the front: one blocked each, 10 ms a call */
     MESH_FRAME_MAX = 1 << 20, /* bytes of a message between controllers; usual ones have 10 KB */
@@ -36,8 +37,10 @@
     SENDERS = 6,              /* threads that send direct commands: a hung machine blocks one 2 s */
     ENDED_CACHE = 4096,       /* final answers kept in memory, about 60 bytes each */
     JOB_ERRORS_ALARM = 4,     /* failures of one job on as many machines: the job is bad */
-    DRAINS_PER_ROUND = 8,       /* a fleet of hundreds goes back in seconds, not in minutes */
-    MACHINE_ERRORS_ALARM = 3  /* failures of distinct sound jobs: the machine is bad */
+    HELD_PART = 8, /* a part of the machines: so many at most are held for work too large to fit */
+    HELD_A_JOB = 16,         /* machines held for one job */
+    DRAINS_PER_ROUND = 8,    /* a fleet of hundreds goes back in seconds, not in minutes */
+    MACHINE_ERRORS_ALARM = 3 /* failures of distinct sound jobs: the machine is bad */
 };
 
 /* Durations in milliseconds. */
@@ -53,10 +56,10 @@
     DIRECT_TIMEOUT_MS = 2000, /* a worker answers in milliseconds; then the report is the path */
     DIRECT_FRESH_MS = 4000,   /* a machine not reached for so long gets no starts and no commands */
     REPORT_PATIENCE_MS = 4000, /* a worker waits so long for an answer, from the protocol */
-    CLOUD_TIMEOUT_MS = 10000, /* rentals may be slow; a lost answer costs a repeat only */
-    TICK_MS = 250,            /* leader's longest sleep when nothing happens */
-    COMMIT_GAP_MS = 60,       /* between commits: batches starts, spares the write budget */
-    CLOUD_LIST_MS = 2500,     /* between lists; the list lags by seconds anyway */
+    CLOUD_TIMEOUT_MS = 10000,  /* rentals may be slow; a lost answer costs a repeat only */
+    TICK_MS = 250,             /* leader's longest sleep when nothing happens */
+    COMMIT_GAP_MS = 60,        /* between commits: batches starts, spares the write budget */
+    CLOUD_LIST_MS = 2500,      /* between lists; the list lags by seconds anyway */
     CLOUD_CALLS_MS = 1500, /* over cloud.rps: three calls of a round take turns within the limit */
     CLOUD_GAP_MS = 300,    /* between other calls: under 5 a second with the lists */
     FLAVORS_MS = 60000,    /* prices move slowly */
--- a/src/core/guest.h
+++ b/src/core/guest.h
@@ -1,8 +1,8 @@
 /* Guests: workers that report to this node, which does not own them.
  *
  * Owns: what each of them said last. A guest is sent to its owner; one that comes right back can't
- * reach it and is kept alive here, without starts, until a new try. The leader is told of those kept,
- * so that it does not take them for dead. */
+ * reach it and is kept alive here, without starts, until a new try. The leader is told of those
+ * kept, so that it does not take them for dead. */
 #ifndef PEPPERPULLEY_GUEST_H
 #define PEPPERPULLEY_GUEST_H
 
@@ -21,9 +21,9 @@
 /* The owners changed: everybody is sent home anew. */
 void guests_clear(guests_t *guests);
 guest_verdict_t guests_report(guests_t *guests, const report_t *report, msec_t now);
-/* Machines kept here that showed of late that our answers reach them: a worker's reports alone, late
- * copies among them, are no sign that it lives. Array of strings, owned by the array. Forgets those
- * long gone. */
+/* Machines kept here that showed of late that our answers reach them: a worker's reports alone,
+ * late copies among them, are no sign that it lives. Array of strings, owned by the array. Forgets
+ * those long gone. */
 GPtrArray *guests_kept(guests_t *guests, msec_t now);
 
 #endif
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -304,7 +304,8 @@
 
 static bool row_admits(const machine_row_t *row, const job_spec_t *spec, const char *zone)
 {
-    return row->open && (!zone[0] || strcmp(zone, row->zone) == 0) &&
+    return row->open && (int)spec->urgency >= row->held &&
+           (!zone[0] || strcmp(zone, row->zone) == 0) &&
            job_spec_allows(spec, row->type, row->zone, row->spot) &&
            room_fits(spec->need, row->free);
 }
@@ -422,6 +423,55 @@
     return largest;
 }
 
+/* Room is freed a small task at a time, and small tasks of lower urgency would take it each time:
+ * a large one would wait for ever, though it goes first. So machines that lack least for it are
+ * held until it fits; once it has, the next of its kind fits when it ends. */
+static bool hold_row(leader_t *leader, const job_t *job)
+{
+    const job_spec_t *spec = &job->spec;
+    machine_row_t *chosen = NULL;
+    double least = INFINITY;
+    guint count = 0, held = 0;
+    for (guint i = 0; i < leader->rows->len; i++) {
+        GArray *rows = g_ptr_array_index(leader->rows, i);
+        for (guint k = 0; rows && k < rows->len; k++) {
+            machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+            count++;
+            held += row->held > URGENCY_LOW;
+            double lack = spec->need.cpus - row->free.cpus;
+            if (row->held > URGENCY_LOW || !row->open || lack >= least ||
+                !room_fits(spec->need, row->total) ||
+                !job_spec_allows(spec, row->type, row->zone, row->spot) ||
+                (spec->zone[0] && strcmp(spec->zone, row->zone) != 0))
+                continue;
+            chosen = row;
+            least = lack;
+        }
+    }
+    bool holds = chosen && held < MAX(1, count / HELD_PART);
+    if (holds)
+        chosen->held = (int)spec->urgency;
+    return holds;
+}
+
+static void hold_rows(leader_t *leader, const team_state_t *state, const job_t *job)
+{
+    if (job->spec.urgency == URGENCY_LOW || !team_admits(state, job->spec.need))
+        return;
+    guint wanted = MIN(job_pending(job), (uint32_t)HELD_A_JOB);
+    while (wanted > 0 && hold_row(leader, job))
+        wanted--;
+}
+
+static void release_rows(leader_t *leader)
+{
+    for (guint i = 0; i < leader->rows->len; i++) {
+        GArray *rows = g_ptr_array_index(leader->rows, i);
+        for (guint k = 0; rows && k < rows->len; k++)
+            g_array_index(rows, machine_row_t, k).held = URGENCY_LOW;
+    }
+}
+
 /* One task, under the attempt number that the count stands at. */
 static bool offer_task(leader_t *leader, team_state_t *state, job_t *job, GArray *offers)
 {
@@ -535,10 +585,12 @@
             break;
         bool gang = job->spec.kind == KIND_GANG;
         if (job_held(job, G_MAXINT64 - 1) ||
-            !(gang ? offer_gang : offer_one)(leader, state, job, offers))
+            !(gang ? offer_gang : offer_one)(leader, state, job, offers)) {
+            hold_rows(leader, state, job);
             (*at)++; /* nothing more of this job for now */
-        else
+        } else {
             spent += cost;
+        }
     }
     return spent;
 }
@@ -548,6 +600,7 @@
     GArray *offers = g_array_new(FALSE, FALSE, sizeof(leader_offer_t));
     guint teams = leader->teams->len;
     leader->preempting = 0;
+    release_rows(leader);
     GPtrArray *queues = g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
     guint *at = g_new0(guint, MAX(teams, 1));
     for (guint i = 0; i < teams; i++)
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -20,6 +20,7 @@
     bool spot;
     bool open; /* takes starts */
     bool draining;
+    int held; /* the leader's: work below this urgency waits until something larger has fitted */
     room_t total;
     room_t free;
     guint attempts;
@@ -44,11 +45,11 @@
     uint32_t cursor;      /* no pending task below it */
     GArray *chunk_stamps; /* uint64_t; 0: no key */
     uint32_t dirty_chunks;
-    GArray *unsettled; /* settle_t: attempts whose finish is not durable yet */
-    GArray *settling;  /* those in the commit under way */
-    msec_t dirty_since;   /* the oldest progress that is not durable */
-    bool ending;       /* its end is in the commit under way */
-    guint errors;      /* since the last success */
+    GArray *unsettled;  /* settle_t: attempts whose finish is not durable yet */
+    GArray *settling;   /* those in the commit under way */
+    msec_t dirty_since; /* the oldest progress that is not durable */
+    bool ending;        /* its end is in the commit under way */
+    guint errors;       /* since the last success */
     msec_t retry_at;
     GHashTable *zone_live; /* zone -> count */
 } job_t;
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -19,9 +19,9 @@
 
 /* The shard of a machine; every controller finds the same. */
 void shard_of(const char *machine, const char *zone, char *name, gsize size);
-/* Index of the machine's owner; count must be above 0. Members in the machine's zone go first, so that a cut
- * between zones leaves workers with their owner; a zone without members is hashed over all.
- * Those set aside own nothing, unless all are. */
+/* Index of the machine's owner; count must be above 0. Members in the machine's zone go first, so
+ * that a cut between zones leaves workers with their owner; a zone without members is hashed over
+ * all. Those set aside own nothing, unless all are. */
 guint owner_of(const member_t *members, guint count, const char *machine, const char *zone);
 
 #endif
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -171,8 +171,8 @@
 }
 
 /* A machine can be heard and not reached: its reports come, our answers and commands are lost. A
- * worker without an answer waits 4 s and turns to another node, so one that reports here again within
- * that time has had the answer; so has one that answered a command. */
+ * worker without an answer waits 4 s and turns to another node, so one that reports here again
+ * within that time has had the answer; so has one that answered a command. */
 bool part_is_reached(const machine_t *machine, msec_t now)
 {
     return machine->reported && now - machine->reached < DIRECT_FRESH_MS;
@@ -183,7 +183,8 @@
  * start there would only wait, and be lost with its lease). */
 static bool is_open(const machine_t *machine, const offer_t *offer, msec_t now)
 {
-    if (!part_is_reached(machine, now) || !machine->known_room || machine->draining || machine->notice_at)
+    if (!part_is_reached(machine, now) || !machine->known_room || machine->draining ||
+        machine->notice_at)
         return false;
     if (offer->zone[0] && strcmp(offer->zone, machine->zone) != 0)
         return false;
@@ -618,9 +619,9 @@
 }
 
 /* What a report is worth by its order alone. A copy may come seconds to minutes late, here or at a
- * controller that never saw the original: it must not rewind, prove, confirm or keep anything alive.
- * Within what this part has seen, the worker's numbers tell. For a first report there is nothing to
- * compare with, but one that bears this view's token was sent in this view. */
+ * controller that never saw the original: it must not rewind, prove, confirm or keep anything
+ * alive. Within what this part has seen, the worker's numbers tell. For a first report there is
+ * nothing to compare with, but one that bears this view's token was sent in this view. */
 static report_verdict_t judge_report(part_t *part, machine_t *machine, const report_t *report,
                                      bool direct)
 {
@@ -849,7 +850,8 @@
     }
 }
 
-/* Appends the shard's record to the batch; returns its size. Only machines with attempts are listed. */
+/* Appends the shard's record to the batch; returns its size. Only machines with attempts are
+ * listed. */
 static gsize batch_shard(part_batch_t *batch, shard_t *shard, guint max_jobs, gsize value_max)
 {
     shard_record_t record = {.stamp = shard->stamp, .machines = machine_records_new()};
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -124,7 +124,8 @@
     bool reported;
     uint64_t session;
     uint64_t seq;
-    uint64_t spoken; /* number of the newest ordinary report of this session; a copy has no higher */
+    uint64_t
+        spoken; /* number of the newest ordinary report of this session; a copy has no higher */
     uint64_t token;
     uint64_t receipt; /* local count of reports received */
     msec_t last_report;
--- a/src/io/wire.c
+++ b/src/io/wire.c
@@ -473,8 +473,7 @@
     json_t *item;
     json_array_foreach(machines, i, item)
     {
-        machine_record_t machine = {
-            .entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t))};
+        machine_record_t machine = {.entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t))};
         char home[SHARD_NAME];
         valid = parse_machine_record(item, json_object_get(value, "Jobs"), &machine) && valid;
         /* In another shard than its own, two owners would write it. */
--- a/tests/stories_guest.c
+++ b/tests/stories_guest.c
@@ -43,8 +43,8 @@
     assert_int_equal(kept(5000 + KEEP_MS), 0);
 }
 
-/* Copies of two old reports look like a worker that came back: the leader would keep a dead machine,
- * tasks and all. */
+/* Copies of two old reports look like a worker that came back: the leader would keep a dead
+ * machine, tasks and all. */
 static void copies_keep_no_machine_alive(void **state)
 {
     (void)state;
--- a/tests/stories_leader.c
+++ b/tests/stories_leader.c
@@ -154,6 +154,29 @@
     g_array_unref(offers);
 }
 
+/* Small low tasks took each cpu that was freed, and a large normal task never saw four at once. */
+static void room_is_held_for_a_large_task_that_goes_first(void **state)
+{
+    (void)state;
+    job_spec_t large = job("j-000001", "blue", 1), small = job("j-000002", "blue", 9);
+    large.need.cpus = 4;
+    small.need.cpus = 1;
+    small.urgency = URGENCY_LOW;
+    set_room(0, "north", 4);
+    g_array_index((GArray *)g_ptr_array_index(leader->rows, 0), machine_row_t, 0).free.cpus = 3;
+    add(&large);
+    add(&small);
+    GArray *offers = schedule();
+    assert_int_equal(offers->len, 0); /* held: the last small task there ends soon */
+    g_array_unref(offers);
+    set_room(0, "north", 4);
+    set_room(1, "south", 2);
+    offers = schedule();
+    assert_int_equal(count(offers, "j-000001"), 1);
+    assert_int_equal(count(offers, "j-000002"), 2); /* where the large one can't go, others can */
+    g_array_unref(offers);
+}
+
 static void hopeless_deadlines_come_last(void **state)
 {
     (void)state;
@@ -381,6 +404,8 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(shares_are_served_in_turn, set_up, tear_down),
         cmocka_unit_test_setup_teardown(priority_comes_before_age, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(room_is_held_for_a_large_task_that_goes_first, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(hopeless_deadlines_come_last, set_up, tear_down),
         cmocka_unit_test_setup_teardown(same_zone_binds_the_later_tasks, set_up, tear_down),
         cmocka_unit_test_setup_teardown(apart_keeps_half_in_a_zone, set_up, tear_down),
--- a/tests/stories_records.c
+++ b/tests/stories_records.c
@@ -123,8 +123,8 @@
     assert_int_equal(commit_part(fake_store_stamp(store, "view/number")), STATE_OK);
     const state_entry_t *entry = fake_store_get(store, record_key());
     assert_non_null(entry);
-    assert_true(wire_parse_record(entry->key + strlen("machines/"), entry->value, entry->stamp,
-                                  &record));
+    assert_true(
+        wire_parse_record(entry->key + strlen("machines/"), entry->value, entry->stamp, &record));
     assert_int_equal(record.machines->len, 1);
     const machine_record_t *machine = &g_array_index(record.machines, machine_record_t, 0);
     assert_string_equal(machine->machine, "m-000001");
