A cut-off controller lets its workers go; displaced members; large jobs begin in time; shares by members

Causes: (1) a controller without state service and siblings held its workers for cancel_s - lease_s - 3 s, about when the new leader gave them up; it also said ready. (2) A late request of an earlier incarnation could take a node's member key, for good. (3) Nothing bounded the wait of large or low jobs. (4) The budgets' shares were written for three controllers; five asked for 2.4 times the writes. Change: contact.c tells outage, refused alone and cut off; election.c holds what a node decides from view/, a displaced key is written anew; a job that waited 120 s gets its first task before others, after 240 s a sixteenth of its tasks at a time; shares divide by members.

--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -406,7 +406,7 @@
             pthread_mutex_lock(&node->lock);
             if (node->generation == generation) {
                 log_info("event=aside member=%s machines=%u", node->view.members[i].name, alive);
-                g_hash_table_insert(node->aside, g_strdup(node->view.members[i].name),
+                g_hash_table_insert(node->election.aside, g_strdup(node->view.members[i].name),
                                     g_memdup2(&until, sizeof until));
                 pthread_cond_broadcast(&node->members);
             }
--- a/src/app/front.c
+++ b/src/app/front.c
@@ -247,6 +247,23 @@
     return live;
 }
 
+/* With the lock held: others are served, or may be: whoever asks here should ask there, at once. */
+static bool is_shut_out(const node_t *node)
+{
+    contact_t contact = node_contact(node);
+    contact_state_t state = contact_judge(&contact, clock_steady());
+    return state == CONTACT_REFUSED || state == CONTACT_NONE;
+}
+
+/* Requests that can't be answered without the state service don't wait for it in vain. */
+static bool must_turn_away(node_t *node)
+{
+    pthread_mutex_lock(&node->lock);
+    bool shut_out = is_shut_out(node);
+    pthread_mutex_unlock(&node->lock);
+    return shut_out;
+}
+
 static reply_t get_status(node_t *node, const char *id)
 {
     bool live;
@@ -255,6 +272,8 @@
     job_state_t state = known_state(node, id, &live);
     if (state != JOB_UNKNOWN)
         return status_reply(node, id, state, 200);
+    if (must_turn_away(node))
+        return come_back();
     if (live && is_live(node, id))
         return status_reply(node, id, JOB_LIVE, 200);
     if (!budget_take(&node->front_rps, 1, clock_steady()))
@@ -271,7 +290,7 @@
 
 static reply_t look_up_reply(node_t *node, const char *id, unsigned live_status)
 {
-    http_client_t *client = client_take(node);
+    http_client_t *client = must_turn_away(node) ? NULL : client_take(node);
     if (!client)
         return come_back();
     job_state_t state = look_up(node, client, id, true);
@@ -355,6 +374,8 @@
         reply = refuse(503, "the machine types are not known yet", 1);
     } else if (never) {
         reply = reject(node, spec.id, 422, never);
+    } else if (must_turn_away(node)) {
+        reply = come_back();
     } else if (!budget_take(&node->front_write, 1, clock_steady())) {
         reply = refuse(429, "too many submissions", 2);
     } else {
@@ -422,7 +443,7 @@
     job_state_t state = known_state(node, id, &live);
     if (state != JOB_UNKNOWN)
         return status_reply(node, id, state, 200);
-    http_client_t *client = client_take(node);
+    http_client_t *client = must_turn_away(node) ? NULL : client_take(node);
     if (!client)
         return come_back();
     reply_t reply = abort_with(node, client, id);
@@ -433,11 +454,9 @@
 static reply_t ready(node_t *node)
 {
     pthread_mutex_lock(&node->lock);
-    msec_t now = clock_steady(), contact = atomic_load(&node->state.contact);
     /* Refused alone, this node should get no users; in an outage of all, all stay: each removal
      * by the load balancer lasts longer than the one before. */
-    bool alone = now - contact > SHUT_OUT_MS && node->others_contact > contact + SHUT_OUT_MS;
-    bool able = node->flavors->len > 0 && node->jobs_synced && !alone;
+    bool able = node->flavors->len > 0 && node->jobs_synced && !is_shut_out(node);
     pthread_mutex_unlock(&node->lock);
     return able ? (reply_t){.status = 200, .body = json_pack("{s:b}", "ready", 1)}
                 : refuse(503, "starting", 1);
--- a/src/app/member.c
+++ b/src/app/member.c
@@ -1,5 +1,4 @@
 /* Our grant, leadership, and the leader's view of who is live. */
-#include <stdlib.h>
 #include <string.h>
 
 #include "app/node.h"
@@ -12,6 +11,7 @@
     http_client_t *client;
     uint64_t grant;
     msec_t extended;
+    msec_t written; /* our key */
 } member_loop_t;
 
 static void keep_grant(member_loop_t *loop, msec_t now)
@@ -42,49 +42,19 @@
     budget_charge(&node->core_write, 1, now);
     if (state_commit(&node->state, loop->client, &txn, STATE_TIMEOUT_MS, NULL, NULL) == STATE_OK) {
         loop->grant = grant;
-        loop->extended = now;
+        loop->extended = loop->written = now;
     }
     txn_free(&txn);
 }
 
-static gint compare_members(gconstpointer left, gconstpointer right)
+/* With the lock held: our key is not what we wrote. A request that our earlier incarnation sent may
+ * be carried out after ours, when we were back within a moment: it puts that incarnation in our
+ * place, and takes the key along when its grant ends. Then it is written anew. */
+static bool is_displaced(const member_loop_t *loop, msec_t now)
 {
-    return strcmp(((const member_t *)left)->name, ((const member_t *)right)->name);
-}
-
-/* With the lock held: who is to be in the next view. We ourselves always are. */
-static void gather_members(const node_t *node, view_t *view)
-{
-    member_t self = {.incarnation = node->incarnation};
-    g_strlcpy(self.name, node->settings->name, sizeof self.name);
-    g_strlcpy(self.zone, node->settings->zone, sizeof self.zone);
-    view->members[0] = self;
-    view->count = 1;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, node->present);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const member_t *member = value;
-        if (strcmp(member->name, self.name) != 0 && view->count < MEMBERS_MAX)
-            view->members[view->count++] = *member;
-    }
-    for (guint i = 0; i < view->count; i++) {
-        const msec_t *until = g_hash_table_lookup(node->aside, view->members[i].name);
-        view->members[i].aside = until && clock_steady() < *until;
-    }
-    qsort(view->members, view->count, sizeof(member_t), compare_members);
-}
-
-static bool same_members(const view_t *a, const view_t *b)
-{
-    if (a->count != b->count)
-        return false;
-    for (guint i = 0; i < a->count; i++)
-        if (a->members[i].incarnation != b->members[i].incarnation ||
-            a->members[i].aside != b->members[i].aside ||
-            strcmp(a->members[i].name, b->members[i].name) != 0)
-            return false;
-    return true;
+    const node_t *node = loop->node;
+    return node->view_synced && loop->grant && now - loop->written > MEMBER_RECHECK_MS &&
+           election_is_displaced(&node->election);
 }
 
 static void try_lead(member_loop_t *loop)
@@ -93,11 +63,11 @@
     node_sleep(arc4random_uniform(ELECT_SPREAD_MS));
     pthread_mutex_lock(&node->lock);
     view_t next = {.number = node->view.number + 1, .incarnation = node->incarnation};
-    uint64_t stamp = node->view.stamp, lease = node->lease_stamp;
+    uint64_t stamp = node->view.stamp, lease = node->election.lease_stamp;
     g_strlcpy(next.leader, node->settings->name, sizeof next.leader);
-    gather_members(node, &next);
+    election_members(&node->election, &next, clock_steady());
     /* Someone else may have taken it while we waited. */
-    bool taken = lease && strcmp(node->lease_holder, node->settings->name) != 0;
+    bool taken = election_is_taken(&node->election);
     pthread_mutex_unlock(&node->lock);
     if (taken)
         return;
@@ -112,7 +82,7 @@
     node_t *node = loop->node;
     pthread_mutex_lock(&node->lock);
     view_t next = node->view;
-    gather_members(node, &next);
+    election_members(&node->election, &next, clock_steady());
     pthread_mutex_unlock(&node->lock);
     uint64_t stamp = next.stamp;
     next.number++;
@@ -127,14 +97,15 @@
         msec_t now = clock_steady();
         keep_grant(&loop, now);
         pthread_mutex_lock(&node->lock);
-        /* A lease in our name by an earlier incarnation is free: that process is gone. */
-        bool mine = strcmp(node->lease_holder, node->settings->name) == 0 &&
-                    node->lease_incarnation != node->incarnation;
-        bool vacant = node->view_synced && loop.grant && (node->lease_stamp == 0 || mine);
+        if (is_displaced(&loop, now)) {
+            log_info("event=displaced host=%s", node->settings->name);
+            loop.grant = 0;
+        }
+        bool vacant = node->view_synced && loop.grant && election_is_vacant(&node->election);
         view_t next = node->view;
-        gather_members(node, &next);
-        bool changed = node->leading && !same_members(&next, &node->view) &&
-                       now - node->present_since > MEMBER_SETTLE_MS;
+        election_members(&node->election, &next, now);
+        bool changed = node->leading && !election_same_members(&next, &node->view) &&
+                       now - node->election.present_since > MEMBER_SETTLE_MS;
         if (!vacant && !changed)
             node_wait(node, &node->members, MEMBER_TICK_MS);
         pthread_mutex_unlock(&node->lock);
--- a/src/app/mesh.c
+++ b/src/app/mesh.c
@@ -58,6 +58,7 @@
 static void hear_anyone(node_t *node, const mesh_note_t *note)
 {
     node->superseded = MAX(node->superseded, note->view);
+    node->others_heard = clock_steady();
     node->others_contact = MAX(node->others_contact, clock_steady() - note->contact_age);
 }
 
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -14,6 +14,21 @@
     g_free(job);
 }
 
+/* The state service's limits are for all of us together: shares follow the number of members. */
+static void share_budgets(node_t *node, guint members)
+{
+    const settings_t *settings = node->settings;
+    double part = MIN(SHARE_PART_WRITE, SHARE_PARTS_WRITE / members);
+    budget_set_rate(&node->core_rps,
+                    settings->state_rps * MIN(SHARE_CORE_RPS, SHARE_CORES_RPS / members));
+    budget_set_rate(&node->core_write,
+                    settings->state_write_rps * (node->leading ? SHARE_LEADER_WRITE : part));
+    budget_set_rate(&node->front_rps,
+                    settings->state_rps * MIN(SHARE_FRONT_RPS, SHARE_FRONTS_RPS / members));
+    budget_set_rate(&node->front_write, settings->state_write_rps *
+                                            MIN(SHARE_FRONT_WRITE, SHARE_FRONTS_WRITE / members));
+}
+
 node_t *node_new(const settings_t *settings, const policy_t *policy)
 {
     node_t *node = g_new0(node_t, 1);
@@ -22,13 +37,18 @@
     node->policy = policy;
     node->metrics = metrics_new();
     arc4random_buf(&node->incarnation, sizeof node->incarnation);
-    node->incarnation >>= 2;     /* fits a signed JSON integer */
+    node->incarnation >>= 2; /* fits a signed JSON integer */
+    member_t self = {.incarnation = node->incarnation};
+    g_strlcpy(self.name, settings->name, sizeof self.name);
+    g_strlcpy(self.zone, settings->zone, sizeof self.zone);
+    election_init(&node->election, &self);
     node->quiet.own_abort = now; /* an earlier incarnation may have accepted one just before */
     state_init(&node->state, settings->state, now);
-    budget_init(&node->core_rps, settings->state_rps * SHARE_CORE_RPS, now);
-    budget_init(&node->core_write, settings->state_write_rps * SHARE_PART_WRITE, now);
-    budget_init(&node->front_rps, settings->state_rps * SHARE_FRONT_RPS, now);
-    budget_init(&node->front_write, settings->state_write_rps * SHARE_FRONT_WRITE, now);
+    budget_init(&node->core_rps, 0, now);
+    budget_init(&node->core_write, 0, now);
+    budget_init(&node->front_rps, 0, now);
+    budget_init(&node->front_write, 0, now);
+    share_budgets(node, settings->siblings->len + 1);
     for (guint i = 0; i < FRONT_CLIENTS; i++)
         node->front_clients[i] = http_client_new(1);
     node->front_free = FRONT_CLIENTS;
@@ -46,9 +66,7 @@
     node->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, known_job_free);
     node->flavors = g_array_new(FALSE, FALSE, sizeof(flavor_t));
     node->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    node->present = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     node->links = g_ptr_array_new();
-    node->aside = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     node->own = G_MAXUINT;
     node->guests = guests_new();
     return node;
@@ -157,24 +175,13 @@
     g_clear_pointer(&node->uplink, link_free);
 }
 
-static bool same_owners(const view_t *a, const view_t *b)
-{
-    if (a->count != b->count || a->incarnation != b->incarnation)
-        return false;
-    for (guint i = 0; i < a->count; i++)
-        if (a->members[i].incarnation != b->members[i].incarnation ||
-            a->members[i].aside != b->members[i].aside)
-            return false;
-    return true;
-}
-
 void node_adopt(node_t *node, const view_t *view)
 {
     if (view->stamp <= node->view.stamp)
         return;
     /* Workers kept here because they could not reach a former owner go to the new ones: the leader
      * takes a machine that nobody hears for dead. */
-    if (!same_owners(view, &node->view))
+    if (view->incarnation != node->view.incarnation || !election_same_members(view, &node->view))
         guests_clear(node->guests);
     node->view = *view;
     node->leading = view->incarnation == node->incarnation;
@@ -194,8 +201,7 @@
     node->uplink = link_new();
     quiet_reset(&node->quiet);
     node->heard_stamp = 0;
-    budget_set_rate(&node->core_write, node->settings->state_write_rps *
-                                           (node->leading ? SHARE_LEADER_WRITE : SHARE_PART_WRITE));
+    share_budgets(node, MAX(view->count, 1));
     metrics_count(node->metrics, COUNT_VIEWS, 1);
     log_info("event=view view=%" G_GUINT64_FORMAT " leader=%s members=%u own=%d", view->number,
              view->leader, view->count, node->own == G_MAXUINT ? -1 : (int)node->own);
@@ -343,8 +349,19 @@
     }
 }
 
+contact_t node_contact(const node_t *node)
+{
+    return (contact_t){.state = atomic_load(&node->state.contact),
+                       .heard = node->others_heard,
+                       .siblings = node->others_contact,
+                       .lone = node->settings->siblings->len == 0};
+}
+
 bool node_may_renew(const node_t *node, msec_t now)
 {
+    contact_t contact = node_contact(node);
+    if (!contact_may_hold(&contact, now))
+        return false;
     /* A job may be cancelled at any moment through a node that reaches the state service. Its tasks
      * must be gone within cancel_s, and a worker keeps them for lease_s after our last answer: so
      * answers end this long after the last moment at which every abort was known here. */
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -17,6 +17,8 @@
 
 #include "app/metrics.h"
 #include "app/settings.h"
+#include "core/contact.h"
+#include "core/election.h"
 #include "core/guest.h"
 #include "core/leader.h"
 #include "core/link.h"
@@ -28,16 +30,6 @@
 #include "io/http.h"
 #include "io/state.h"
 
-/* The view as this node last read it. */
-typedef struct {
-    uint64_t number; /* 0: none known */
-    uint64_t stamp;  /* of view/number */
-    char leader[ID_SIZE];
-    uint64_t incarnation; /* of the leader */
-    member_t members[MEMBERS_MAX];
-    guint count;
-} view_t;
-
 typedef struct {
     job_spec_t spec;
     uint64_t stamp;
@@ -73,13 +65,9 @@
     view_t view;
     bool view_synced;
     msec_t others_contact; /* when the state service last answered a sibling, as it said */
+    msec_t others_heard;   /* when a sibling was last heard */
     uint64_t superseded;   /* the highest view number that another node spoke of */
-    GHashTable *present;   /* name -> member_t, owned: who has a live grant */
-    GHashTable *aside;     /* leader: name -> msec_t *: owns no machines until then */
-    msec_t present_since;  /* last change of it */
-    uint64_t lease_stamp;  /* of view/lease; 0: nobody leads */
-    char lease_holder[ID_SIZE];
-    uint64_t lease_incarnation;
+    election_t election;
     bool leading; /* the view is ours */
     bool loaded;  /* the part (and the leader's data) of this view stand */
     guint own;    /* our index among the members; G_MAXUINT: not a member */
@@ -123,6 +111,7 @@
 void node_tell(node_t *node, guint part, link_item_t item);
 /* The part's side: carries out what the leader said. */
 void node_obey(node_t *node, const link_item_t *item, msec_t now);
+contact_t node_contact(const node_t *node);
 /* Whether reports may still be answered: what aborts there are is known well enough. */
 bool node_may_renew(const node_t *node, msec_t now);
 void node_wait(node_t *node, pthread_cond_t *cond, msec_t ms);
--- a/src/app/view.c
+++ b/src/app/view.c
@@ -90,9 +90,7 @@
         pthread_mutex_lock(&node->lock);
         if (grant) {
             /* Known before the follow tells: else the lease would look free, and be taken again. */
-            node->lease_stamp = next->stamp;
-            node->lease_incarnation = next->incarnation;
-            g_strlcpy(node->lease_holder, next->leader, sizeof node->lease_holder);
+            election_take_lease(&node->election, next->leader, next->incarnation, next->stamp);
         }
         node_adopt(node, next);
         pthread_mutex_unlock(&node->lock);
@@ -123,20 +121,15 @@
     if (strcmp(entry->key, "view/number") == 0) {
         if (entry->value && view_parse(entry->value, entry->stamp, &view))
             node_adopt(node, &view);
-    } else if (strcmp(entry->key, "view/lease") == 0 && entry->stamp >= node->lease_stamp) {
-        node->lease_stamp = entry->value ? entry->stamp : 0;
-        node->lease_incarnation =
-            (uint64_t)json_integer_value(json_object_get(entry->value, "Incarnation"));
-        const char *name = json_string_value(json_object_get(entry->value, "Name"));
-        g_strlcpy(node->lease_holder, name ? name : "", sizeof node->lease_holder);
+    } else if (strcmp(entry->key, "view/lease") == 0) {
+        election_take_lease(
+            &node->election, json_string_value(json_object_get(entry->value, "Name")),
+            (uint64_t)json_integer_value(json_object_get(entry->value, "Incarnation")),
+            entry->stamp);
     } else if (g_str_has_prefix(entry->key, members)) {
         const char *name = entry->key + strlen(members);
-        g_hash_table_remove(node->present, name);
-        if (entry->value && parse_member(entry->value, &member)) {
-            member_t *kept = g_memdup2(&member, sizeof member);
-            g_hash_table_insert(node->present, kept->name, kept);
-        }
-        node->present_since = clock_steady();
+        bool listed = entry->value && parse_member(entry->value, &member);
+        election_take_member(&node->election, name, listed ? &member : NULL, clock_steady());
     }
 }
 
@@ -147,8 +140,7 @@
     bool read = state_list(&node->state, client, "view/", entries, revision) == STATE_OK;
     if (read) {
         pthread_mutex_lock(&node->lock);
-        g_hash_table_remove_all(node->present);
-        node->lease_stamp = 0;
+        election_clear(&node->election);
         for (guint i = 0; i < entries->len; i++)
             take_entry(node, &g_array_index(entries, state_entry_t, i));
         node->view_synced = true;
--- a/src/constants.h
+++ b/src/constants.h
@@ -37,7 +37,8 @@
     SENDERS = 6,              /* threads that send direct commands: a hung machine blocks one 2 s */
     ENDED_CACHE = 4096,       /* final answers kept in memory, about 60 bytes each */
     JOB_ERRORS_ALARM = 4,     /* failures of one job on as many machines: the job is bad */
-    HELD_PART = 8, /* a part of the machines: so many at most are held for work too large to fit */
+    AGED_PART = 16, /* of a job's tasks: so many at a time go first once it has waited too long */
+    HELD_PART = 8,  /* a part of the machines: so many at most are held for work too large to fit */
     HELD_A_JOB = 16,         /* machines held for one job */
     DRAINS_PER_ROUND = 8,    /* a fleet of hundreds goes back in seconds, not in minutes */
     MACHINE_ERRORS_ALARM = 3 /* failures of distinct sound jobs: the machine is bad */
@@ -80,16 +81,20 @@
     MAIL_AFTER_MS = 2500,    /* without an exchange by socket for so long, mail is used */
     MAIL_GAP_MS = 400,       /* between looks at the mail: few of the state service's requests */
     MESH_RETRY_MS = 300,     /* after a failed one */
+    AGED_MS = 120000, /* a job none of whose tasks has begun by then goes first: the largest are
+                         to begin within four minutes */
+    AGED_MORE_MS = 240000,   /* and from then on it gets on steadily */
     PROGRESS_GAP_MS = 2000,  /* progress of a job waits so long for more, if the budget has room */
     PROGRESS_LATE_MS = 8000, /* older than that it goes before starts: a machine that ends takes the
                                 results with it that are not durable */
     RECORD_LAZY_MS = 3000,   /* a record waits so long for a start that rewrites it anyway, if only
                                 settled results leave it */
     MEMBER_SETTLE_MS = 300,  /* changes of membership within it make one view */
-    MEMBER_TICK_MS = 250,    /* between looks at the membership */
-    LOST_SILENT_MS = 5000,   /* silence after which a worker may have lost its owner */
-    LOST_LEAST = 3,          /* machines: fewer say little about their owner */
-    ASIDE_MS = 90000,        /* so long a controller without workers owns none before a new try */
+    MEMBER_RECHECK_MS = 2500, /* a written key is followed within that, usually at once */
+    MEMBER_TICK_MS = 250,     /* between looks at the membership */
+    LOST_SILENT_MS = 5000,    /* silence after which a worker may have lost its owner */
+    LOST_LEAST = 3,           /* machines: fewer say little about their owner */
+    ASIDE_MS = 90000,         /* so long a controller without workers owns none before a new try */
     KEEP_MS = 20000,      /* so long a worker that can't reach its owner stays before a new try */
     KEPT_WRITE_MS = 3000, /* between writes of the kept list: a third of a write a second */
     GUEST_FORGET_MS = 60000,   /* a worker that long gone from here is forgotten */
@@ -99,16 +104,23 @@
     BOOT_PATIENCE_MS = 30000,  /* added to three times BootS before a boot is given up */
     RETURN_AFTER_MS = 40000,   /* a new leader learns the demand before it returns machines */
     STATUS_GATHER_MS = 200,    /* status reads of so long are asked together; users wait 2 s */
-    SHUT_OUT_MS = 3000         /* /ready turns 503 after so long without the state service */
+    UNHEARD_MS = 5000,    /* without a sibling's word: they greet each other every second or two */
+    HOLD_ALONE_MS = 8000, /* so long workers are held without state service and siblings: their
+                             new owner, there after 5 s, waits 15 s before it gives them up */
+    SHUT_OUT_MS = 3000    /* /ready turns 503 after so long without the state service */
 };
 
 /* Shares of the outside services' budgets (1 = all of it). Peaks of the three nodes seldom meet,
  * and what is refused above the limit is repeated: together they may exceed 1. */
 #define SHARE_LEADER_WRITE 0.45 /* its part's commits and every job's progress */
-#define SHARE_PART_WRITE 0.35   /* each other part's commits */
-#define SHARE_CORE_RPS 0.15     /* each node's own loops */
-#define SHARE_FRONT_RPS 0.18    /* each of three fronts */
-#define SHARE_FRONT_WRITE 0.10  /* each of three fronts: submissions and aborts */
+#define SHARE_PART_WRITE 0.35   /* another part's commits, at most */
+#define SHARE_PARTS_WRITE 1.05  /* of all parts together */
+#define SHARE_CORE_RPS 0.15     /* a node's own loops, at most */
+#define SHARE_CORES_RPS 0.50    /* of all nodes together */
+#define SHARE_FRONT_RPS 0.18    /* a front, at most */
+#define SHARE_FRONTS_RPS 0.60   /* of all fronts together */
+#define SHARE_FRONT_WRITE 0.10  /* a front's submissions and aborts, at most */
+#define SHARE_FRONTS_WRITE 0.35 /* of all fronts together */
 
 /* Preemption. */
 #define PREEMPT_COST_S                                                                             \
--- /dev/null
+++ b/src/core/election.c
@@ -0,0 +1,96 @@
+#include "core/election.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void election_init(election_t *election, const member_t *self)
+{
+    *election = (election_t){.self = *self};
+    election->present = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    election->aside = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void election_clear(election_t *election)
+{
+    g_hash_table_remove_all(election->present);
+    election->lease_stamp = 0;
+}
+
+void election_take_member(election_t *election, const char *name, const member_t *member,
+                          msec_t now)
+{
+    g_hash_table_remove(election->present, name);
+    if (member) {
+        member_t *kept = g_memdup2(member, sizeof *member);
+        g_hash_table_insert(election->present, kept->name, kept);
+    }
+    election->present_since = now;
+}
+
+void election_take_lease(election_t *election, const char *holder, uint64_t incarnation,
+                         uint64_t stamp)
+{
+    if (stamp < election->lease_stamp)
+        return;
+    election->lease_stamp = holder ? stamp : 0;
+    election->lease_incarnation = incarnation;
+    g_strlcpy(election->lease_holder, holder ? holder : "", sizeof election->lease_holder);
+}
+
+static bool holds_name(const election_t *election)
+{
+    return strcmp(election->lease_holder, election->self.name) == 0;
+}
+
+bool election_is_vacant(const election_t *election)
+{
+    return election->lease_stamp == 0 ||
+           (holds_name(election) && election->lease_incarnation != election->self.incarnation);
+}
+
+bool election_is_taken(const election_t *election)
+{
+    return election->lease_stamp && !holds_name(election);
+}
+
+static gint compare_members(gconstpointer left, gconstpointer right)
+{
+    return strcmp(((const member_t *)left)->name, ((const member_t *)right)->name);
+}
+
+void election_members(const election_t *election, view_t *view, msec_t now)
+{
+    view->members[0] = election->self;
+    view->count = 1;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, election->present);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const member_t *member = value;
+        if (strcmp(member->name, election->self.name) != 0 && view->count < MEMBERS_MAX)
+            view->members[view->count++] = *member;
+    }
+    for (guint i = 0; i < view->count; i++) {
+        const msec_t *until = g_hash_table_lookup(election->aside, view->members[i].name);
+        view->members[i].aside = until && now < *until;
+    }
+    qsort(view->members, view->count, sizeof(member_t), compare_members);
+}
+
+bool election_same_members(const view_t *a, const view_t *b)
+{
+    if (a->count != b->count)
+        return false;
+    for (guint i = 0; i < a->count; i++)
+        if (a->members[i].incarnation != b->members[i].incarnation ||
+            a->members[i].aside != b->members[i].aside ||
+            strcmp(a->members[i].name, b->members[i].name) != 0)
+            return false;
+    return true;
+}
+
+bool election_is_displaced(const election_t *election)
+{
+    const member_t *listed = g_hash_table_lookup(election->present, election->self.name);
+    return !listed || listed->incarnation != election->self.incarnation;
+}
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -218,9 +218,11 @@
 /* A job in its team's queue. */
 typedef struct {
     job_t *job;
-    guint missed; /* targets that it can't keep any more */
-    double work;  /* cpu seconds not yet out */
-    double start; /* latest start for the next target, time of day in ms; infinite: none left */
+    uint32_t owed; /* tasks out that it must get for its long wait, whatever goes first; 0: a job's
+                      ordinary place */
+    guint missed;  /* targets that it can't keep any more */
+    double work;   /* cpu seconds not yet out */
+    double start;  /* latest start for the next target, time of day in ms; infinite: none left */
 } queued_t;
 
 static void next_target(const GArray *list, double unit_ms, double ready_ms, queued_t *queued)
@@ -236,6 +238,17 @@
     }
 }
 
+/* Whatever the order, it must not starve anyone: under a lasting overload large jobs, low ones and
+ * those past their targets would wait for ever. One that has waited long gets its first task begun,
+ * and later a small part of its tasks at a time. */
+static uint32_t owed_tasks(const job_t *job, int64_t day_ms)
+{
+    int64_t age = day_ms - job->spec.submitted_ms;
+    if (age < AGED_MS || (age < AGED_MORE_MS && job->n_done > 0))
+        return 0;
+    return age < AGED_MORE_MS ? 1 : 1 + job->spec.tasks / AGED_PART;
+}
+
 static queued_t queue_entry(const leader_t *leader, job_t *job, int64_t day_ms)
 {
     const job_spec_t *spec = &job->spec;
@@ -252,12 +265,18 @@
     return queued;
 }
 
-/* By priority; then what can still keep more of its targets; then the least work left, which keeps
- * most targets where not all can be kept; then by the latest start that keeps the next one; then by
- * age. */
+/* Urgent work, then what has waited too long; by priority; then what can still keep more of its
+ * targets; then the least work left, which keeps most targets where not all can be kept; then by
+ * the latest start that keeps the next one; then by age. */
 static gint compare_queued(gconstpointer left, gconstpointer right)
 {
     const queued_t *a = left, *b = right;
+    bool urgent_a = a->job->spec.urgency >= URGENCY_HIGH;
+    bool urgent_b = b->job->spec.urgency >= URGENCY_HIGH;
+    if (urgent_a != urgent_b)
+        return urgent_a ? -1 : 1;
+    if (!a->owed != !b->owed)
+        return a->owed ? -1 : 1;
     if (a->job->spec.urgency != b->job->spec.urgency)
         return a->job->spec.urgency > b->job->spec.urgency ? -1 : 1;
     if (a->missed != b->missed)
@@ -426,7 +445,7 @@
 /* Room is freed a small task at a time, and small tasks of lower urgency would take it each time:
  * a large one would wait for ever, though it goes first. So machines that lack least for it are
  * held until it fits; once it has, the next of its kind fits when it ends. */
-static bool hold_row(leader_t *leader, const job_t *job)
+static bool hold_row(leader_t *leader, const job_t *job, urgency_t below)
 {
     const job_spec_t *spec = &job->spec;
     machine_row_t *chosen = NULL;
@@ -450,16 +469,18 @@
     }
     bool holds = chosen && held < MAX(1, count / HELD_PART);
     if (holds)
-        chosen->held = (int)spec->urgency;
+        chosen->held = (int)below;
     return holds;
 }
 
-static void hold_rows(leader_t *leader, const team_state_t *state, const job_t *job)
+static void hold_rows(leader_t *leader, const team_state_t *state, const queued_t *queued)
 {
-    if (job->spec.urgency == URGENCY_LOW || !team_admits(state, job->spec.need))
+    const job_t *job = queued->job;
+    urgency_t below = queued->owed ? MAX(URGENCY_HIGH, job->spec.urgency) : job->spec.urgency;
+    guint wanted = queued->owed ? queued->owed - job->n_live : MIN(job_pending(job), HELD_A_JOB);
+    if (!team_admits(state, job->spec.need))
         return;
-    guint wanted = MIN(job_pending(job), (uint32_t)HELD_A_JOB);
-    while (wanted > 0 && hold_row(leader, job))
+    while (below > URGENCY_LOW && wanted > 0 && hold_row(leader, job, below))
         wanted--;
 }
 
@@ -568,6 +589,9 @@
             continue;
         queued_t queued = queue_entry(leader, job, day_ms);
         g_array_append_val(queue, queued);
+        queued.owed = owed_tasks(job, day_ms);
+        if (job->n_live < queued.owed)
+            g_array_append_val(queue, queued);
     }
     g_array_sort(queue, compare_queued);
     return queue;
@@ -579,14 +603,17 @@
 {
     double spent = 0;
     while (*at < queue->len && offers->len < most) {
-        job_t *job = g_array_index(queue, queued_t, *at).job;
+        const queued_t *queued = &g_array_index(queue, queued_t, *at);
+        job_t *job = queued->job;
         double cost = MAX(job->spec.need.cpus, EPSILON);
         if (spent + cost > allowance + EPSILON)
             break;
         bool gang = job->spec.kind == KIND_GANG;
-        if (job_held(job, G_MAXINT64 - 1) ||
-            !(gang ? offer_gang : offer_one)(leader, state, job, offers)) {
-            hold_rows(leader, state, job);
+        if (queued->owed && job->n_live >= queued->owed) {
+            (*at)++;
+        } else if (job_held(job, G_MAXINT64 - 1) ||
+                   !(gang ? offer_gang : offer_one)(leader, state, job, offers)) {
+            hold_rows(leader, state, queued);
             (*at)++; /* nothing more of this job for now */
         } else {
             spent += cost;
--- /dev/null
+++ b/tests/stories_election.c
@@ -0,0 +1,109 @@
+/* Stories of elections: a process that is back within a moment is a stranger under a known name. */
+#include "core/election.h"
+#include "story.h"
+
+static election_t election;
+
+static int set_up(void **state)
+{
+    (void)state;
+    member_t self = {.name = "hand-1", .zone = "north", .incarnation = 200};
+    election_init(&election, &self);
+    return 0;
+}
+
+static int tear_down(void **state)
+{
+    (void)state;
+    g_hash_table_unref(election.present);
+    g_hash_table_unref(election.aside);
+    return 0;
+}
+
+static void present(const char *name, uint64_t incarnation, msec_t now)
+{
+    member_t member = {.zone = "north", .incarnation = incarnation};
+    g_strlcpy(member.name, name, sizeof member.name);
+    election_take_member(&election, name, &member, now);
+}
+
+static uint64_t incarnation_in(const view_t *view, const char *name)
+{
+    for (guint i = 0; i < view->count; i++)
+        if (strcmp(view->members[i].name, name) == 0)
+            return view->members[i].incarnation;
+    return 0;
+}
+
+/* The leader is back before its grant ended: the lease bears its name and nobody's process. It need
+ * not wait, and it must not believe that it leads. */
+static void leader_back_at_once_takes_its_lease_over(void **state)
+{
+    (void)state;
+    election_take_lease(&election, "hand-1", 100, 50);
+    assert_true(election_is_vacant(&election));
+    assert_false(election_is_taken(&election));
+    election_take_lease(&election, "hand-1", 200, 60); /* ours now */
+    assert_false(election_is_vacant(&election));
+}
+
+/* A candidate that was slower by a moment sees the lease taken, and late news of its end, from
+ * before that, does not free it. */
+static void late_news_does_not_free_a_taken_lease(void **state)
+{
+    (void)state;
+    assert_true(election_is_vacant(&election));
+    election_take_lease(&election, "hand-2", 300, 60);
+    assert_true(election_is_taken(&election));
+    election_take_lease(&election, NULL, 0, 55);
+    election_take_lease(&election, "hand-1", 100, 50);
+    assert_true(election_is_taken(&election));
+    assert_false(election_is_vacant(&election));
+    election_take_lease(&election, NULL, 0, 70);
+    assert_true(election_is_vacant(&election));
+}
+
+/* A member that is back within a moment makes a new view: its parts' offers, reservations and
+ * messages were another's. */
+static void member_back_at_once_makes_a_new_view(void **state)
+{
+    (void)state;
+    view_t view = {0}, next = {0};
+    present("hand-0", 10, 1000);
+    present("hand-2", 30, 1000);
+    election_members(&election, &view, 2000);
+    assert_int_equal(view.count, 3);
+    assert_int_equal(incarnation_in(&view, "hand-1"), 200);
+    present("hand-2", 31, 3000);
+    election_members(&election, &next, 4000);
+    assert_false(election_same_members(&view, &next));
+    assert_int_equal(incarnation_in(&next, "hand-2"), 31);
+}
+
+/* The request by which the earlier incarnation entered itself is carried out after ours: we would
+ * be listed as a process that is gone, and then not at all. */
+static void late_entry_of_an_earlier_incarnation_is_noticed(void **state)
+{
+    (void)state;
+    assert_true(election_is_displaced(&election));
+    present("hand-1", 200, 1000);
+    assert_false(election_is_displaced(&election));
+    present("hand-1", 100, 2000);
+    assert_true(election_is_displaced(&election));
+    view_t view = {0};
+    election_members(&election, &view, 3000);
+    assert_int_equal(incarnation_in(&view, "hand-1"), 200); /* leading, we know better */
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(leader_back_at_once_takes_its_lease_over, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(late_news_does_not_free_a_taken_lease, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(member_back_at_once_makes_a_new_view, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(late_entry_of_an_earlier_incarnation_is_noticed, set_up,
+                                        tear_down),
+    };
+    return cmocka_run_group_tests_name("election", tests, NULL, NULL);
+}
--- a/tests/stories_leader.c
+++ b/tests/stories_leader.c
@@ -177,6 +177,32 @@
     g_array_unref(offers);
 }
 
+/* Small jobs keep coming, and all room goes to them: the large one is begun after two minutes all
+ * the same, and gets on after four. */
+static void large_job_is_begun_under_lasting_overload(void **state)
+{
+    (void)state;
+    job_spec_t large = job("j-000001", "blue", 160);
+    large.urgency = URGENCY_LOW;
+    add(&large);
+    for (int i = 2; i < 60; i++) {
+        char id[ID_SIZE];
+        g_snprintf(id, sizeof id, "j-%06d", i);
+        job_spec_t small = job(id, "blue", 2);
+        small.submitted_ms = large.submitted_ms + 5000 * i;
+        add(&small);
+    }
+    int64_t ages[] = {AGED_MS - 1000, AGED_MS, AGED_MS + 10000, AGED_MORE_MS};
+    guint begun[] = {0, 1, 0, 10}; /* offered then, with room for twenty tasks */
+    for (int i = 0; i < 4; i++) {
+        set_room(0, "north", 40);
+        GArray *offers = leader_schedule(leader, 1000, large.submitted_ms + ages[i], 100);
+        assert_int_equal(offers->len, 20);
+        assert_int_equal(count(offers, "j-000001"), begun[i]);
+        g_array_unref(offers);
+    }
+}
+
 static void hopeless_deadlines_come_last(void **state)
 {
     (void)state;
@@ -406,6 +432,8 @@
         cmocka_unit_test_setup_teardown(priority_comes_before_age, set_up, tear_down),
         cmocka_unit_test_setup_teardown(room_is_held_for_a_large_task_that_goes_first, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(large_job_is_begun_under_lasting_overload, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(hopeless_deadlines_come_last, set_up, tear_down),
         cmocka_unit_test_setup_teardown(same_zone_binds_the_later_tasks, set_up, tear_down),
         cmocka_unit_test_setup_teardown(apart_keeps_half_in_a_zone, set_up, tear_down),
