Leaders by preference from zones with several controllers; lagging lists make no boots

(2) A released machine that a lagging list still showed was taken for a boot that takes too long, counted as coming room, and released again (by the log).

--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -108,6 +108,13 @@
     return node->loaded && node->leading;
 }
 
+/* Whether its release was confirmed within the list's lag: asking again would only cost calls. */
+static bool is_returned(const cloud_t *cloud, const char *id, msec_t now)
+{
+    const msec_t *at = g_hash_table_lookup(cloud->returned, id);
+    return at && now - *at < (msec_t)(cloud->node->settings->list_lag_s * 2000) + SETTLE_MS;
+}
+
 static void take_hosts(cloud_t *cloud, const GArray *hosts, msec_t now)
 {
     node_t *node = cloud->node;
@@ -119,7 +126,7 @@
         const machine_row_t *machine = find_row(node, host->machine, NULL);
         if (host->state == HOST_FAILED)
             g_ptr_array_add(cloud->failed, g_strdup(host->machine));
-        else if (!machine)
+        else if (!machine && !is_returned(cloud, host->machine, now)) /* else the list lags */
             rental_booting(node->rental, host->machine, host->type, host->zone, host->spot,
                            MAX(now - (msec_t)(host->age_s * 1000), node->loaded_at));
     }
@@ -247,13 +254,6 @@
     json_decref(answer);
 }
 
-/* Whether its release was confirmed within the list's lag: asking again would only cost calls. */
-static bool is_returned(const cloud_t *cloud, const char *id, msec_t now)
-{
-    const msec_t *at = g_hash_table_lookup(cloud->returned, id);
-    return at && now - *at < (msec_t)(cloud->node->settings->list_lag_s * 2000) + SETTLE_MS;
-}
-
 static void add_once(GPtrArray *names, const char *name)
 {
     if (names->len < RELEASE_MAX &&
--- a/src/app/member.c
+++ b/src/app/member.c
@@ -57,10 +57,34 @@
            election_is_displaced(&node->election);
 }
 
+static guint count_in_zone(const settings_t *settings, const char *zone)
+{
+    guint count = strcmp(settings->zone, zone) == 0;
+    for (guint i = 0; i < settings->siblings->len; i++)
+        count += strcmp(g_array_index(settings->siblings, sibling_t, i).zone, zone) == 0;
+    return count;
+}
+
+/* A controller alone in its zone owns all the machines there, and in a cut nobody else reaches
+ * them: it should not carry the leader's load as well, which others can. */
+static bool should_yield(const settings_t *settings)
+{
+    guint own = count_in_zone(settings, settings->zone), most = own;
+    for (guint i = 0; i < settings->siblings->len; i++) {
+        const char *zone = g_array_index(settings->siblings, sibling_t, i).zone;
+        most = MAX(most, count_in_zone(settings, zone));
+    }
+    return own < most;
+}
+
 static void try_lead(member_loop_t *loop)
 {
     node_t *node = loop->node;
-    node_sleep(arc4random_uniform(ELECT_SPREAD_MS));
+    pthread_mutex_lock(&node->lock);
+    bool resumes = node->election.lease_stamp != 0; /* in our name: nobody else can have it now */
+    pthread_mutex_unlock(&node->lock);
+    node_sleep(arc4random_uniform(ELECT_SPREAD_MS) +
+               (!resumes && should_yield(node->settings) ? ELECT_YIELD_MS : 0));
     pthread_mutex_lock(&node->lock);
     view_t next = {.number = node->view.number + 1, .incarnation = node->incarnation};
     uint64_t stamp = node->view.stamp, lease = node->election.lease_stamp;
--- a/src/constants.h
+++ b/src/constants.h
@@ -49,6 +49,7 @@
     GRANT_LIFE_MS = 4000,    /* leader's grant: replaced well inside the shortest lease of 10 s */
     GRANT_EXTEND_MS = 1000,  /* three tries before the grant ends */
     ELECT_POLL_MS = 500,     /* between tries to read the view while it cannot be read */
+    ELECT_YIELD_MS = 400,    /* more for one that others had better go before */
     ELECT_SPREAD_MS = 150,   /* random wait before a candidacy, so that few collide */
     STATE_TIMEOUT_MS = 2000, /* a slow answer takes a few hundred ms; past this it is unknown */
     FOLLOW_BLOCK_MS =
