Mail in pages

Cause: while zones are cut, leader and parts talk through a value in the state service. The part also tried the dead socket, 1.5 s, before each letter. Change: a message goes in pages of one transaction; up to 128 items a message; the socket is tried every 6 s meanwhile; a refused letter is logged.

--- a/src/app/mesh.c
+++ b/src/app/mesh.c
@@ -11,6 +11,7 @@
 
 #include "app/node.h"
 #include "io/clock.h"
+#include "io/mail.h"
 #include "io/mesh.h"
 #include "log.h"
 
@@ -109,47 +110,44 @@
     return frame;
 }
 
-static bool write_mail(node_t *node, http_client_t *client, const char *direction, const char *name,
+static bool write_mail(node_t *node, http_client_t *client, const char *box, const char *name,
                        const GByteArray *frame)
 {
-    char key[ID_SIZE + 16];
-    char *text = g_base64_encode(frame->data, frame->len);
     txn_t txn = txn_new();
-    g_snprintf(key, sizeof key, "mail/%s/%s", direction, name);
-    txn_set(&txn, key, json_pack("{s:s}", "Message", text), 0);
+    guint pages = mail_write(&txn, box, name, frame, (gsize)(node->settings->value_kb * 1024));
     budget_charge(&node->core_rps, 1, clock_steady());
-    budget_charge(&node->core_write, 1, clock_steady());
-    bool written =
-        state_commit(&node->state, client, &txn, STATE_TIMEOUT_MS, NULL, NULL) == STATE_OK;
+    budget_charge(&node->core_write, pages, clock_steady());
+    state_result_t result = state_commit(&node->state, client, &txn, STATE_TIMEOUT_MS, NULL, NULL);
     txn_free(&txn);
-    g_free(text);
-    return written;
+    if (result == STATE_INVALID)
+        log_error("event=mail_refused box=%s name=%s bytes=%u", box, name, frame->len);
+    return result == STATE_OK;
 }
 
-static bool open_mail(const state_entry_t *entry, mesh_note_t *note)
+static GArray *read_mail(node_t *node, http_client_t *client, const char *box, const char *name)
 {
-    gsize size = 0;
-    const char *text = json_string_value(json_object_get(entry->value, "Message"));
-    guchar *data = text ? g_base64_decode(text, &size) : NULL;
-    bool valid = data && mesh_decode(data, size, note);
-    g_free(data);
-    return valid;
+    char prefix[ID_SIZE + 16];
+    GArray *entries = state_entries_new();
+    g_snprintf(prefix, sizeof prefix, "mail/%s/%s", box, name);
+    budget_charge(&node->core_rps, 1, clock_steady());
+    if (state_list(&node->state, client, prefix, entries, NULL) != STATE_OK)
+        g_array_set_size(entries, 0);
+    GArray *letters = mail_read(entries, box);
+    g_array_unref(entries);
+    return letters;
 }
 
 /* The leader's side of the mail: answers every letter that is new. */
 static void answer_mail(node_t *node, http_client_t *client, GHashTable *stamps)
 {
-    GArray *letters = state_entries_new();
-    budget_charge(&node->core_rps, 1, clock_steady());
-    if (state_list(&node->state, client, "mail/up/", letters, NULL) != STATE_OK)
-        g_array_set_size(letters, 0);
+    GArray *letters = read_mail(node, client, "up", "");
     for (guint i = 0; i < letters->len; i++) {
-        const state_entry_t *letter = &g_array_index(letters, state_entry_t, i);
+        const letter_t *letter = &g_array_index(letters, letter_t, i);
         mesh_note_t note;
-        if (GPOINTER_TO_SIZE(g_hash_table_lookup(stamps, letter->key)) == letter->stamp)
+        if (GPOINTER_TO_SIZE(g_hash_table_lookup(stamps, letter->name)) == letter->stamp)
             continue;
-        g_hash_table_insert(stamps, g_strdup(letter->key), GSIZE_TO_POINTER(letter->stamp));
-        if (!open_mail(letter, &note))
+        g_hash_table_insert(stamps, g_strdup(letter->name), GSIZE_TO_POINTER(letter->stamp));
+        if (!mesh_decode(letter->frame->data, letter->frame->len, &note))
             continue;
         pthread_mutex_lock(&node->lock);
         link_t *link = hear_part(node, &note);
@@ -212,23 +210,22 @@
 /* The part's side: a letter up, and whatever letter lies there for us. */
 static void exchange_mail(node_t *node, http_client_t *client, const GByteArray *frame)
 {
-    char key[ID_SIZE + 16];
-    state_entry_t entry = {0};
     mesh_note_t note;
     if (!write_mail(node, client, "up", node->settings->name, frame))
         return;
     node_sleep(MAIL_GAP_MS);
-    g_snprintf(key, sizeof key, "mail/down/%s", node->settings->name);
-    budget_charge(&node->core_rps, 1, clock_steady());
-    if (state_get(&node->state, client, key, STATE_TIMEOUT_MS, &entry) == STATE_OK &&
-        open_mail(&entry, &note)) {
+    GArray *letters = read_mail(node, client, "down", node->settings->name);
+    for (guint i = 0; i < letters->len; i++) {
+        const letter_t *letter = &g_array_index(letters, letter_t, i);
+        if (strcmp(letter->name, node->settings->name) != 0 ||
+            !mesh_decode(letter->frame->data, letter->frame->len, &note))
+            continue;
         pthread_mutex_lock(&node->lock);
         hear_leader(node, &note, 0);
         pthread_mutex_unlock(&node->lock);
         mesh_note_clear(&note);
     }
-    g_free(entry.key);
-    json_decref(entry.value);
+    g_array_unref(letters);
 }
 
 /* With the lock held: whom the leader greets next; NULL: nobody. */
@@ -360,7 +357,7 @@
     node_t *node = data;
     http_client_t *client = http_client_new(2);
     char connected[ADDRESS_SIZE] = "";
-    msec_t reached = clock_steady(), told_at = 0;
+    msec_t reached = clock_steady(), tried = 0, told_at = 0;
     uint64_t told = 0, generation = 0;
     int fd = -1;
     for (;;) {
@@ -388,14 +385,17 @@
             close(fd);
             fd = -1;
         }
-        if (fd < 0) {
+        /* While mail goes, sockets are tried now and then only: behind a cut each try hangs. */
+        bool by_mail = clock_steady() - reached > MAIL_AFTER_MS;
+        if (fd < 0 && (!by_mail || clock_steady() - tried > MAIL_SOCKET_MS)) {
             fd = mesh_connect(endpoint, MESH_TIMEOUT_MS);
             g_strlcpy(connected, endpoint, sizeof connected);
+            tried = clock_steady();
         }
         bool done = fd >= 0 && exchange(node, fd, frame);
         if (done)
             reached = clock_steady();
-        else if (clock_steady() - reached > MAIL_AFTER_MS)
+        else if (by_mail)
             exchange_mail(node, client, frame);
         g_byte_array_unref(frame);
         told_at = done ? told_at : 0;
--- a/src/constants.h
+++ b/src/constants.h
@@ -33,10 +33,13 @@
     CONNECTIONS_SPARE = 100,       /* sockets kept for our own calls out of fd_limit */
     FRONT_CLIENTS = 10,       /* state connections of the front: one blocked each, 10 ms a call */
     MESH_FRAME_MAX = 1 << 20, /* bytes of a message between controllers; usual ones have 10 KB */
-    MESH_BATCH = 32,          /* items in one message: one by mail stays below value_kb */
-    SENDERS = 6,              /* threads that send direct commands: a hung machine blocks one 2 s */
-    ENDED_CACHE = 4096,       /* final answers kept in memory, about 60 bytes each */
-    JOB_ERRORS_ALARM = 4,     /* failures of one job on as many machines: the job is bad */
+    MESH_BATCH = 128,     /* items in one message: a second's starts and ends of 200 machines, when
+                             an exchange by mail takes one */
+    MAIL_ROOM = 512,      /* bytes kept free below value_kb in a page of mail */
+    MAIL_PAGES = 10,      /* of a message; a transaction takes about four of 16 KiB */
+    SENDERS = 6,          /* threads that send direct commands: a hung machine blocks one 2 s */
+    ENDED_CACHE = 4096,   /* final answers kept in memory, about 60 bytes each */
+    JOB_ERRORS_ALARM = 4, /* failures of one job on as many machines: the job is bad */
     AGED_PART = 16, /* of a job's tasks: so many at a time go first once it has waited too long */
     HELD_PART = 8,  /* a part of the machines: so many at most are held for work too large to fit */
     HELD_A_JOB = 16,         /* machines held for one job */
@@ -80,6 +83,7 @@
     GREET_GAP_MS = 500,      /* between the leader's greetings: each of two siblings every second */
     MESH_GAP_MS = 50,        /* between exchanges; batches what comes in a burst */
     MAIL_AFTER_MS = 2500,    /* without an exchange by socket for so long, mail is used */
+    MAIL_SOCKET_MS = 6000,   /* between tries by socket meanwhile */
     MAIL_GAP_MS = 400,       /* between looks at the mail: few of the state service's requests */
     MESH_RETRY_MS = 300,     /* after a failed one */
     AGED_MS = 120000, /* a job none of whose tasks has begun by then goes first: the largest are
