A larger share of changes for submissions

Cause: the first seconds bring 34 submissions at once; a front's tenth of 40 changes a second answered 429 to 11 to 20 of them (each costs its user a second or more, and its job the start).

--- a/src/app/node.c
+++ b/src/app/node.c
@@ -44,10 +44,10 @@
     election_init(&node->election, &self);
     node->quiet.own_abort = now; /* an earlier incarnation may have accepted one just before */
     state_init(&node->state, settings->state, now);
-    budget_init(&node->core_rps, 0, now);
-    budget_init(&node->core_write, 0, now);
-    budget_init(&node->front_rps, 0, now);
-    budget_init(&node->front_write, 0, now);
+    budget_init(&node->core_rps, settings->state_rps * SHARE_CORE_RPS, now);
+    budget_init(&node->core_write, settings->state_write_rps * SHARE_PART_WRITE, now);
+    budget_init(&node->front_rps, settings->state_rps * SHARE_FRONT_RPS, now);
+    budget_init(&node->front_write, settings->state_write_rps * SHARE_FRONT_WRITE, now);
     share_budgets(node, settings->siblings->len + 1);
     for (guint i = 0; i < FRONT_CLIENTS; i++)
         node->front_clients[i] = http_client_new(1);
--- a/src/constants.h
+++ b/src/constants.h
@@ -124,8 +124,8 @@
 #define SHARE_CORES_RPS 0.50    /* of all nodes together */
 #define SHARE_FRONT_RPS 0.18    /* a front, at most */
 #define SHARE_FRONTS_RPS 0.60   /* of all fronts together */
-#define SHARE_FRONT_WRITE 0.10  /* a front's submissions and aborts, at most */
-#define SHARE_FRONTS_WRITE 0.35 /* of all fronts together */
+#define SHARE_FRONT_WRITE 0.25  /* a front's submissions and aborts, at most: they come in bursts */
+#define SHARE_FRONTS_WRITE 0.75 /* of all fronts together */
 
 /* Preemption. */
 #define PREEMPT_COST_S                                                                             \
