--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -279,8 +279,8 @@
         return a->owed ? -1 : 1;
     if (a->job->spec.urgency != b->job->spec.urgency)
         return a->job->spec.urgency > b->job->spec.urgency ? -1 : 1;
-    if (a->missed != b->missed)
-        return a->missed < b->missed ? -1 : 1;
+    if (isinf(a->start) != isinf(b->start))
+        return isinf(b->start) ? -1 : 1;
     if (a->work != b->work)
         return a->work < b->work ? -1 : 1;
     if (a->start != b->start)
