--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -220,7 +220,6 @@
     job_t *job;
     uint32_t owed; /* tasks out that it must get for its long wait, whatever goes first; 0: a job's
                       ordinary place */
-    guint missed;  /* targets that it can't keep any more */
     double work;   /* cpu seconds not yet out */
     double start;  /* latest start for the next target, time of day in ms; infinite: none left */
 } queued_t;
@@ -234,7 +233,6 @@
             queued->start = MIN(queued->start, due - queued->job->spec.estimate_s * 1000.0);
             return;
         }
-        queued->missed++;
     }
 }
 
@@ -265,9 +263,9 @@
     return queued;
 }
 
-/* Urgent work, then what has waited too long; by priority; then what can still keep more of its
- * targets; then the least work left, which keeps most targets where not all can be kept; then by
- * the latest start that keeps the next one; then by age. */
+/* Urgent work, then what has waited too long; by priority; then what can still keep a target; then
+ * the least work left, which keeps most targets where not all can be kept; then by the latest start
+ * that keeps the next one; then by age. */
 static gint compare_queued(gconstpointer left, gconstpointer right)
 {
     const queued_t *a = left, *b = right;
