Nothing is rented in a zone that went silent as a whole

Change: where machines are given up for silence, several at once, and no machine of their zone is open, nothing is rented in the zone for a minute.

--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -418,6 +418,32 @@
         g_hash_table_unref(kept);
 }
 
+static bool is_zone_open(const node_t *node, const char *zone)
+{
+    for (guint i = 0; i < node->leader->rows->len; i++) {
+        const GArray *rows = g_ptr_array_index(node->leader->rows, i);
+        for (guint k = 0; rows && k < rows->len; k++) {
+            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+            if (row->open && strcmp(row->zone, zone) == 0)
+                return true;
+        }
+    }
+    return false;
+}
+
+/* With the lock held: machines are given up for their silence. Where all of several in a zone are
+ * silent, the zone is cut off: anything rented there would boot, cost and not be heard. */
+static void darken_zones(node_t *node, const GPtrArray *silent, msec_t now)
+{
+    for (guint i = 0; silent->len >= LOST_LEAST && i < silent->len; i++) {
+        const machine_row_t *row = find_row(node, g_ptr_array_index(silent, i), NULL);
+        if (!row || is_zone_open(node, row->zone))
+            continue;
+        log_info("event=dark zone=%s", row->zone);
+        rental_darken(node->rental, row->zone, now + DARK_ZONE_MS);
+    }
+}
+
 static void note_returned(cloud_t *cloud, const GPtrArray *names)
 {
     msec_t now = clock_steady();
@@ -442,6 +468,8 @@
     uint64_t generation = node->generation;
     if (leads(node)) {
         find_unwanted(cloud, names);
+        if (kept)
+            darken_zones(node, silent, clock_steady());
         for (guint i = 0; kept && i < silent->len; i++)
             if (!g_hash_table_contains(kept, g_ptr_array_index(silent, i)))
                 add_once(names, g_ptr_array_index(silent, i));
--- a/src/constants.h
+++ b/src/constants.h
@@ -69,6 +69,7 @@
     CLOUD_GAP_MS = 300,    /* between other calls: under 5 a second with the lists */
     FLAVORS_MS = 60000,    /* prices move slowly */
     CAPACITY_MEMORY_MS = 12000, /* a refused type, zone and kind is not asked again before that */
+    DARK_ZONE_MS = 60000,       /* nothing is rented for so long in a zone that went silent */
     JOB_BACKOFF_MS = 5000,      /* after a failure, doubling, per job */
     JOB_BACKOFF_MAX_MS = 60000, /* a bad job costs at most one start a minute then */
     TASK_BACKOFF_MS = 500,      /* after a refused start: the room was not there */
@@ -124,7 +125,8 @@
 #define SHARE_CORES_RPS 0.50    /* of all nodes together */
 #define SHARE_FRONT_RPS 0.18    /* a front, at most */
 #define SHARE_FRONTS_RPS 0.60   /* of all fronts together */
-#define SHARE_FRONT_WRITE 0.25  /* a front's submissions and aborts, at most: they come in bursts */
+#define SHARE_FRONT_WRITE 0.25  /* a front's submissions and aborts, at most: they come in bursts  \
+                                 */
 #define SHARE_FRONTS_WRITE 0.75 /* of all fronts together */
 
 /* Preemption. */
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -8,6 +8,7 @@
     rental_t *rental = g_new0(rental_t, 1);
     rental->boots = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     rental->refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    rental->dark = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return rental;
 }
 
@@ -15,6 +16,7 @@
 {
     g_hash_table_unref(rental->boots);
     g_hash_table_unref(rental->refused);
+    g_hash_table_unref(rental->dark);
     g_free(rental);
 }
 
@@ -49,6 +51,17 @@
     g_hash_table_insert(rental->refused, wish_key(wish->type, wish->zone, wish->spot), value);
 }
 
+void rental_darken(rental_t *rental, const char *zone, msec_t until)
+{
+    g_hash_table_insert(rental->dark, g_strdup(zone), g_memdup2(&until, sizeof until));
+}
+
+static bool is_dark(const rental_t *rental, const char *zone, msec_t now)
+{
+    const msec_t *until = g_hash_table_lookup(rental->dark, zone);
+    return until && now < *until;
+}
+
 static const flavor_t *flavor_find(const GArray *flavors, const char *name)
 {
     for (guint i = 0; i < flavors->len; i++) {
@@ -217,7 +230,8 @@
             for (char **zone = flavor->zones; count && *zone; zone++) {
                 for (int spot = 0; spot < 2; spot++) {
                     bool promised = balance.ordinary + flavor->room.cpus <= balance.promised;
-                    if (is_refused(rental, flavor->name, *zone, spot, now) ||
+                    if (is_dark(rental, *zone, now) ||
+                        is_refused(rental, flavor->name, *zone, spot, now) ||
                         !is_useful(leader->policy, demand, flavor, *zone, spot, promised))
                         continue;
                     double price = (spot ? flavor->spot_price : flavor->price) /
--- a/src/core/rental.h
+++ b/src/core/rental.h
@@ -21,6 +21,7 @@
     GHashTable *boots;    /* id -> boot_t, owned */
     msec_t surplus_since; /* more stands than is wanted; 0: it does not */
     GHashTable *refused;  /* "type zone kind" -> msec_t *: not asked again before it */
+    GHashTable *dark;     /* zone -> msec_t *: nothing is rented there before it */
 } rental_t;
 
 typedef struct {
@@ -36,6 +37,9 @@
                     bool spot, msec_t since);
 /* It reported, or is gone. */
 void rental_boot_over(rental_t *rental, const char *machine);
+/* All of a zone went silent: it is probably cut off, and machines rented there now could not
+ * report. */
+void rental_darken(rental_t *rental, const char *zone, msec_t until);
 void rental_refused(rental_t *rental, const rental_wish_t *wish, msec_t until);
 
 /* Room asked for, in cpus and memory, against what stands and boots. */
--- a/tests/stories_leader.c
+++ b/tests/stories_leader.c
@@ -384,7 +384,7 @@
     g_array_unref(offers);
 }
 
-static bool next_rental(bool spot_allowed, rental_wish_t *wish)
+static bool next_rental(bool spot_allowed, msec_t dark_until, rental_wish_t *wish)
 {
     static char *zones[] = {"north", NULL};
     GArray *flavors = g_array_new(FALSE, FALSE, sizeof(flavor_t));
@@ -400,6 +400,8 @@
     rental_t *rental = rental_new();
     rental_wish_t taken = {.type = "t", .zone = "north", .spot = true};
     rental_refused(rental, &taken, 5000);
+    if (dark_until)
+        rental_darken(rental, "north", dark_until);
     bool wished = rental_next(rental, leader, flavors, 1000, 2000, wish);
     rental_free(rental);
     g_array_unref(flavors);
@@ -410,17 +412,33 @@
 {
     (void)state;
     rental_wish_t wish;
-    assert_false(next_rental(true, &wish));
+    assert_false(next_rental(true, 0, &wish));
 }
 
 static void work_barred_from_spot_gets_ordinary_machines(void **state)
 {
     (void)state;
     rental_wish_t wish;
-    assert_true(next_rental(false, &wish));
+    assert_true(next_rental(false, 0, &wish));
     assert_false(wish.spot);
 }
 
+/* A zone went silent as a whole and its machines were given up: what was rented there at once
+ * booted, cost, and could not be heard either. */
+static void nothing_is_rented_in_a_dark_zone(void **state)
+{
+    (void)state;
+    rental_wish_t wish;
+    assert_false(next_rental(false, 1001, &wish));
+}
+
+static void a_zone_is_dark_for_a_while_only(void **state)
+{
+    (void)state;
+    rental_wish_t wish;
+    assert_true(next_rental(false, 1000, &wish));
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -446,6 +464,8 @@
         cmocka_unit_test_setup_teardown(gang_is_offered_whole_or_not_at_all, set_up, tear_down),
         cmocka_unit_test_setup_teardown(without_a_guarantee_spot_work_waits_for_spot, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(nothing_is_rented_in_a_dark_zone, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(a_zone_is_dark_for_a_while_only, set_up, tear_down),
         cmocka_unit_test_setup_teardown(work_barred_from_spot_gets_ordinary_machines, set_up,
                                         tear_down),
     };
