--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -419,11 +419,12 @@
     return offer->preempt;
 }
 
-/* The part with most room that the job may use, whoever has it now. */
+/* The part with most room that the job may use, whoever has it now; G_MAXUINT: none has any, and an
+ * offer would only come back. */
 static guint largest_part(const leader_t *leader, const job_spec_t *spec)
 {
-    guint largest = 0;
-    double most = -1;
+    guint largest = G_MAXUINT;
+    double most = 0;
     for (guint i = 0; i < leader->rows->len; i++) {
         const GArray *rows = g_ptr_array_index(leader->rows, i);
         double room = 0;
@@ -503,9 +504,8 @@
     offer_t *offer = &made.offer;
     if (row)
         room_add(&row->free, job->spec.need, -1);
-    else if (may_preempt(leader, state, job, offer))
-        part = largest_part(leader, &job->spec);
-    else
+    else if ((part = largest_part(leader, &job->spec)) == G_MAXUINT ||
+             !may_preempt(leader, state, job, offer))
         return false;
     made.part = part;
     g_strlcpy(offer->job, job->spec.id, sizeof offer->job);
--- a/tests/stories_leader.c
+++ b/tests/stories_leader.c
@@ -203,6 +203,23 @@
     }
 }
 
+/* Before the first machine is up, urgent work was offered for preemption round after round, and
+ * each refusal held its job back for a moment. */
+static void nothing_is_offered_where_there_is_no_machine(void **state)
+{
+    (void)state;
+    job_spec_t urgent = job("j-000001", "blue", 3);
+    urgent.urgency = URGENCY_HIGH;
+    add(&urgent);
+    GArray *offers = schedule();
+    assert_int_equal(offers->len, 0);
+    g_array_unref(offers);
+    set_room(1, "north", 2);
+    offers = schedule();
+    assert_int_equal(offers->len, 3); /* one fits, others may be stopped for two */
+    g_array_unref(offers);
+}
+
 static void hopeless_deadlines_come_last(void **state)
 {
     (void)state;
@@ -452,6 +469,8 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(large_job_is_begun_under_lasting_overload, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(nothing_is_offered_where_there_is_no_machine, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(hopeless_deadlines_come_last, set_up, tear_down),
         cmocka_unit_test_setup_teardown(same_zone_binds_the_later_tasks, set_up, tear_down),
         cmocka_unit_test_setup_teardown(apart_keeps_half_in_a_zone, set_up, tear_down),
