What can save leaves a drained machine that is half empty

Change: on a drained machine with half of its cpus free, tasks with checkpoints are stopped with time to save, and are placed elsewhere on the usual proof.

--- a/src/constants.h
+++ b/src/constants.h
@@ -144,6 +144,8 @@
 #define RENT_ROUND 0.25  /* of a machine: so little lacking is not worth another */
 #define RENT_SPREAD 0.02 /* price added per machine of the same type, zone and kind */
 
+#define DRAIN_EMPTY 0.5 /* of a drained machine's cpus: with so much free, what can save is moved */
+
 #define EPSILON 1e-6 /* in cpus and GB: below any amount in use */
 
 #endif
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -744,13 +744,32 @@
     touch(part, machine);
 }
 
+/* Least-loaded placement leaves a machine that is to go back with a few tasks, and a long one would
+ * keep all of it for minutes. What can save goes on elsewhere, once most of the machine is empty.
+ */
+static void empty_drained(part_t *part, machine_t *machine, msec_t now)
+{
+    if (!machine->draining || machine->gone ||
+        part_free_room(machine).cpus < machine->room.cpus * DRAIN_EMPTY)
+        return;
+    for (guint i = 0; i < machine->attempts->len; i++) {
+        attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
+        if (attempt->phase == ATTEMPT_RECORDED && attempt->listed &&
+            attempt->entry.checkpoint_s > 0)
+            part_stop(part, attempt, now);
+    }
+}
+
 void part_tick(part_t *part, msec_t now)
 {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, part->machines);
-    while (g_hash_table_iter_next(&iter, NULL, &value))
-        reservation_lapse(((machine_t *)value)->reservations, now, part->lapse);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        machine_t *machine = value;
+        reservation_lapse(machine->reservations, now, part->lapse);
+        empty_drained(part, machine, now);
+    }
     g_hash_table_iter_init(&iter, part->shards);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         shard_t *shard = value;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -209,7 +209,7 @@
 void part_settle(part_t *part, const task_ref_t *ref);
 /* The cloud confirmed that the machine is gone. */
 void part_machine_gone(part_t *part, const char *id);
-/* Lapses reservations; once a tick. */
+/* Lapses reservations, empties what is being drained; once a tick. */
 void part_tick(part_t *part, msec_t now);
 
 /* Commits. A batch holds the records to write (array of shard_record_t; one without machines is a
--- a/tests/stories_part.c
+++ b/tests/stories_part.c
@@ -567,6 +567,36 @@
     assert_null(part_place(stage->part, &equal, stage->now));
 }
 
+/* One long task kept a whole machine up for minutes that was to go back. It saves and goes on
+ * elsewhere; what can't save is left to end, and so is all while much of the machine is used. */
+static void what_can_save_leaves_a_drained_machine(void **state)
+{
+    (void)state;
+    machine_t *machine;
+    exchange();
+    for (uint32_t task = 0; task < 3; task++) {
+        offer_t offer = offer_of("j-000001", task, 100 + task, 4);
+        offer.checkpoint_s = task == 1 ? 0 : 15;
+        offer.save_s = 4;
+        assert_non_null(part_place(stage->part, &offer, stage->now));
+    }
+    commit();
+    exchange();
+    exchange();
+    machine = g_hash_table_lookup(stage->part->machines, "m-000001");
+    machine->draining = true;
+    part_tick(stage->part, stage->now);
+    exchange();
+    assert_int_equal(count_calls(CALL_STOP), 0); /* 12 of 16 cpus are in use */
+    fake_worker_exit(stage->worker, "j-000001", 2, CAUSE_DONE);
+    exchange();
+    part_tick(stage->part, stage->now);
+    exchange();
+    assert_int_equal(count_calls(CALL_STOP), 1);
+    assert_int_equal(g_array_index(stage->calls, call_t, 0).task, 0);
+    assert_true(g_array_index(stage->calls, call_t, 0).grace_s > 4);
+}
+
 /* A task that saves when it is stopped holds its room until it has: the start waits for that. */
 static void start_waits_for_the_room_of_a_saving_task(void **state)
 {
@@ -624,6 +654,7 @@
         cmocka_unit_test_setup_teardown(released_machine_is_proof, set_up, tear_down),
         cmocka_unit_test_setup_teardown(urgent_work_takes_the_place_of_low_work, set_up, tear_down),
         cmocka_unit_test_setup_teardown(equal_urgency_is_never_stopped, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(what_can_save_leaves_a_drained_machine, set_up, tear_down),
         cmocka_unit_test_setup_teardown(start_waits_for_the_room_of_a_saving_task, set_up,
                                         tear_down),
         cmocka_unit_test_setup_teardown(full_machine_is_skipped, set_up, tear_down),
