--- a/src/policy/policy.c
+++ b/src/policy/policy.c
@@ -30,7 +30,7 @@
     [KNOB_PREEMPTIONS_PER_ROUND] = {"preemptions_per_round", POLICY_NUMBER, SCOPE_NONE, 0, 200,
                                     "24"},
     [KNOB_RENT_HEADROOM] = {"rent_headroom", POLICY_NUMBER, SCOPE_NONE, 0.5, 3, "1.10"},
-    [KNOB_RENT_KEEP] = {"rent_keep", POLICY_NUMBER, SCOPE_NONE, 1, 5, "1.25"},
+    [KNOB_RENT_KEEP] = {"rent_keep", POLICY_NUMBER, SCOPE_NONE, 1, 5, "1.18"},
     [KNOB_RENT_PATIENCE] = {"rent_patience", POLICY_SECONDS, SCOPE_JOB, 1, 3600,
                             "if job.urgency >= high then 15 s else 60 s"},
     [KNOB_IDLE_KEEP] = {"idle_keep", POLICY_SECONDS, SCOPE_MACHINE, 5, 3600, "20 s"},
