A copy of a report does not bring a released machine back

Cause: a part forgot a machine once its release was confirmed; a report of it that came late in the same view made it known again, reached and empty, and it was given starts that waited until it was released once more. Change: the names of machines that are gone are kept for the view (they never come back); earlier views' reports prove nothing already.

--- a/src/core/part.c
+++ b/src/core/part.c
@@ -34,6 +34,7 @@
     part_t *part = g_new0(part_t, 1);
     part->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
     part->shards = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, shard_free);
+    part->departed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     part->attempts = g_hash_table_new(task_ref_hash, task_ref_equal);
     part->flavors = flavors;
     part->teams = teams;
@@ -47,6 +48,7 @@
     g_hash_table_unref(part->attempts);
     g_hash_table_unref(part->machines);
     g_hash_table_unref(part->shards);
+    g_hash_table_unref(part->departed);
     g_array_unref(part->outcomes);
     g_free(part);
 }
@@ -115,6 +117,7 @@
 static void machine_drop(part_t *part, machine_t *machine)
 {
     g_ptr_array_remove(machine->shard->machines, machine);
+    g_hash_table_add(part->departed, g_strdup(machine->id));
     g_hash_table_remove(part->machines, machine->id);
 }
 
@@ -649,6 +652,9 @@
 report_verdict_t part_report(part_t *part, const report_t *report, bool direct, msec_t now,
                              GArray *calls)
 {
+    /* A late copy would bring a machine that is gone back to life, with all its room free. */
+    if (g_hash_table_contains(part->departed, report->machine))
+        return REPORT_STALE;
     machine_t *machine = g_hash_table_lookup(part->machines, report->machine);
     if (!machine)
         machine = machine_add(part, report->machine, report->zone, now);
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -160,6 +160,7 @@
     uint64_t view;
     GHashTable *machines; /* id -> machine_t, owned */
     GHashTable *shards;   /* name -> shard_t, owned */
+    GHashTable *departed; /* ids of machines that are gone, owned: their names never come back */
     GHashTable *attempts; /* task_ref_t -> attempt_t, borrowed from the machines */
     uint64_t turns;       /* of urgent shards */
     uint64_t holds;
--- a/tests/stories_part.c
+++ b/tests/stories_part.c
@@ -495,6 +495,20 @@
     assert_int_equal(g_hash_table_size(stage->part->machines), 0);
 }
 
+/* Its room would look free, and starts would wait there for minutes. */
+static void copy_does_not_bring_a_released_machine_back(void **state)
+{
+    (void)state;
+    offer_t offer = offer_of("j-000001", 0, 100, 4);
+    exchange();
+    report_t copy = fake_worker_report(stage->worker);
+    part_machine_gone(stage->part, "m-000001");
+    commit();
+    assert_int_equal(deliver(&copy, false), REPORT_STALE);
+    assert_int_equal(g_hash_table_size(stage->part->machines), 0);
+    assert_null(part_place(stage->part, &offer, stage->now));
+}
+
 static void full_machine_is_skipped(void **state)
 {
     (void)state;
@@ -657,6 +671,8 @@
         cmocka_unit_test_setup_teardown(what_can_save_leaves_a_drained_machine, set_up, tear_down),
         cmocka_unit_test_setup_teardown(start_waits_for_the_room_of_a_saving_task, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(copy_does_not_bring_a_released_machine_back, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(full_machine_is_skipped, set_up, tear_down),
         cmocka_unit_test_setup_teardown(lower_pressure_wins_and_equals_take_turns, set_up,
                                         tear_down),
