A replaced leader leaves the cloud alone until it knows the view

Change: renting and returning need the view followed within 5 s and no higher number heard of; silent machines are logged with what they are given up for.

--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -103,9 +103,13 @@
     return NULL;
 }
 
+/* Whether we may act for all. A leader that was replaced while it was refused has rows that show
+ * all its machines silent; back in touch, it gave them up in the moment before it heard of the new
+ * view. */
 static bool leads(const node_t *node)
 {
-    return node->loaded && node->leading;
+    return node->loaded && node->leading &&
+           election_may_act(&node->view, node->superseded, node->view_proof, clock_steady());
 }
 
 /* Whether its release was confirmed within the list's lag: asking again would only cost calls. */
@@ -299,8 +303,13 @@
             const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
             bool unlisted = listed && row->known_ms > lag && row->silent_ms > DIRECT_FRESH_MS &&
                             !g_hash_table_contains(cloud->listed, row->machine);
-            if ((row->silent_ms > most || unlisted) && !is_returned(cloud, row->machine, now))
-                add_once(silent, row->machine);
+            if ((row->silent_ms <= most && !unlisted) || is_returned(cloud, row->machine, now))
+                continue;
+            log_info("event=silent machine=%s silent_ms=%" G_GINT64_FORMAT
+                     " known_ms=%" G_GINT64_FORMAT " listed=%d",
+                     row->machine, row->silent_ms, row->known_ms,
+                     g_hash_table_contains(cloud->listed, row->machine));
+            add_once(silent, row->machine);
         }
     }
     pthread_mutex_unlock(&node->lock);
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -64,6 +64,7 @@
     guint front_free;       /* clients [0, front_free) are free */
     view_t view;
     bool view_synced;
+    msec_t view_proof;     /* every view made before it is known here */
     msec_t others_contact; /* when the state service last answered a sibling, as it said */
     msec_t others_heard;   /* when a sibling was last heard */
     uint64_t superseded;   /* the highest view number that another node spoke of */
--- a/src/app/view.c
+++ b/src/app/view.c
@@ -136,7 +136,8 @@
 static bool read_all(node_t *node, http_client_t *client, uint64_t *revision)
 {
     GArray *entries = state_entries_new();
-    budget_charge(&node->core_rps, 1, clock_steady());
+    msec_t sent = clock_steady();
+    budget_charge(&node->core_rps, 1, sent);
     bool read = state_list(&node->state, client, "view/", entries, revision) == STATE_OK;
     if (read) {
         pthread_mutex_lock(&node->lock);
@@ -144,6 +145,7 @@
         for (guint i = 0; i < entries->len; i++)
             take_entry(node, &g_array_index(entries, state_entry_t, i));
         node->view_synced = true;
+        node->view_proof = sent;
         pthread_cond_broadcast(&node->members);
         pthread_mutex_unlock(&node->lock);
     }
@@ -154,12 +156,15 @@
 static state_result_t follow_on(node_t *node, http_client_t *client, uint64_t *revision)
 {
     GArray *changes = state_entries_new();
-    budget_charge(&node->core_rps, 1, clock_steady());
+    msec_t sent = clock_steady();
+    budget_charge(&node->core_rps, 1, sent);
     state_result_t result =
         state_follow(&node->state, client, "view/", FOLLOW_BLOCK_MS, revision, changes);
     pthread_mutex_lock(&node->lock);
     for (guint i = 0; result == STATE_OK && i < changes->len; i++)
         take_entry(node, &g_array_index(changes, state_entry_t, i));
+    if (result == STATE_OK)
+        node->view_proof = sent;
     if (result == STATE_EXPIRED)
         node->view_synced = false;
     if (changes->len)
--- a/src/constants.h
+++ b/src/constants.h
@@ -96,6 +96,8 @@
     RECORD_LAZY_MS = 3000,   /* a record waits so long for a start that rewrites it anyway, if only
                                 settled results leave it */
     MEMBER_SETTLE_MS = 300,  /* changes of membership within it make one view */
+    VIEW_FRESH_MS =
+        5000, /* a leader whose view is not confirmed for so long leaves the cloud alone */
     MEMBER_RECHECK_MS = 2500, /* a written key is followed within that, usually at once */
     MEMBER_TICK_MS = 250,     /* between looks at the membership */
     LOST_SILENT_MS = 5000,    /* silence after which a worker may have lost its owner */
@@ -125,7 +127,8 @@
 #define SHARE_CORES_RPS 0.50    /* of all nodes together */
 #define SHARE_FRONT_RPS 0.18    /* a front, at most */
 #define SHARE_FRONTS_RPS 0.60   /* of all fronts together */
-#define SHARE_FRONT_WRITE 0.25  /* a front's submissions and aborts, at most: they come in bursts  \
+#define SHARE_FRONT_WRITE                                                                          \
+    0.25                        /* a front's submissions and aborts, at most: they come in bursts  \
                                  */
 #define SHARE_FRONTS_WRITE 0.75 /* of all fronts together */
 
@@ -144,7 +147,8 @@
 #define RENT_ROUND 0.25  /* of a machine: so little lacking is not worth another */
 #define RENT_SPREAD 0.02 /* price added per machine of the same type, zone and kind */
 
-#define DRAIN_EMPTY 0.5 /* of a drained machine's cpus: with so much free, what can save is moved */
+#define DRAIN_EMPTY 0.5 /* of a drained machine's cpus: with so much free, what can save is moved  \
+                         */
 
 #define EPSILON 1e-6 /* in cpus and GB: below any amount in use */
 
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -89,6 +89,11 @@
     return true;
 }
 
+bool election_may_act(const view_t *view, uint64_t superseded, msec_t proof, msec_t now)
+{
+    return superseded <= view->number && now - proof < VIEW_FRESH_MS;
+}
+
 bool election_is_displaced(const election_t *election)
 {
     const member_t *listed = g_hash_table_lookup(election->present, election->self.name);
--- a/src/core/election.h
+++ b/src/core/election.h
@@ -45,6 +45,10 @@
 /* Fills in the members of the next view; we ourselves always are. */
 void election_members(const election_t *election, view_t *view, msec_t now);
 bool election_same_members(const view_t *a, const view_t *b);
+/* Whether the leader of the view may act for all outside the state service, where nothing checks
+ * its number: `proof`: all views made before it are known; `superseded`: the highest number heard
+ * of. */
+bool election_may_act(const view_t *view, uint64_t superseded, msec_t proof, msec_t now);
 /* Our member's key is not ours. */
 bool election_is_displaced(const election_t *election);
 
--- a/tests/stories_election.c
+++ b/tests/stories_election.c
@@ -95,12 +95,24 @@
     assert_int_equal(incarnation_in(&view, "hand-1"), 200); /* leading, we know better */
 }
 
+/* Refused alone for 30 s, a leader was replaced. Back in touch, its rows showed all its machines
+ * silent, and it gave 48 working ones back in the moment before it heard of the new view. */
+static void replaced_leader_leaves_the_cloud_alone(void **state)
+{
+    (void)state;
+    view_t view = {.number = 7};
+    assert_true(election_may_act(&view, 7, 10000, 12000));
+    assert_false(election_may_act(&view, 8, 10000, 12000));
+    assert_false(election_may_act(&view, 7, 10000, 40000));
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(leader_back_at_once_takes_its_lease_over, set_up,
                                         tear_down),
         cmocka_unit_test_setup_teardown(late_news_does_not_free_a_taken_lease, set_up, tear_down),
+        cmocka_unit_test(replaced_leader_leaves_the_cloud_alone),
         cmocka_unit_test_setup_teardown(member_back_at_once_makes_a_new_view, set_up, tear_down),
         cmocka_unit_test_setup_teardown(late_entry_of_an_earlier_incarnation_is_noticed, set_up,
                                         tear_down),
