Silent machines and dark zones are logged without repeating themselves

A machine that another controller keeps alive was logged as silent at every pass of the cloud loop, and a dark zone once for each of its machines. Behaviour is the same: levels and repeats of two log lines only.

--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -305,10 +305,10 @@
                             !g_hash_table_contains(cloud->listed, row->machine);
             if ((row->silent_ms <= most && !unlisted) || is_returned(cloud, row->machine, now))
                 continue;
-            log_info("event=silent machine=%s silent_ms=%" G_GINT64_FORMAT
-                     " known_ms=%" G_GINT64_FORMAT " listed=%d",
-                     row->machine, row->silent_ms, row->known_ms,
-                     g_hash_table_contains(cloud->listed, row->machine));
+            log_debug("event=silent machine=%s silent_ms=%" G_GINT64_FORMAT
+                      " known_ms=%" G_GINT64_FORMAT " listed=%d",
+                      row->machine, row->silent_ms, row->known_ms,
+                      g_hash_table_contains(cloud->listed, row->machine));
             add_once(silent, row->machine);
         }
     }
@@ -448,7 +448,8 @@
         const machine_row_t *row = find_row(node, g_ptr_array_index(silent, i), NULL);
         if (!row || is_zone_open(node, row->zone))
             continue;
-        log_info("event=dark zone=%s", row->zone);
+        if (!rental_is_dark(node->rental, row->zone, now))
+            log_info("event=dark zone=%s", row->zone);
         rental_darken(node->rental, row->zone, now + DARK_ZONE_MS);
     }
 }
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -56,7 +56,7 @@
     g_hash_table_insert(rental->dark, g_strdup(zone), g_memdup2(&until, sizeof until));
 }
 
-static bool is_dark(const rental_t *rental, const char *zone, msec_t now)
+bool rental_is_dark(const rental_t *rental, const char *zone, msec_t now)
 {
     const msec_t *until = g_hash_table_lookup(rental->dark, zone);
     return until && now < *until;
@@ -230,7 +230,7 @@
             for (char **zone = flavor->zones; count && *zone; zone++) {
                 for (int spot = 0; spot < 2; spot++) {
                     bool promised = balance.ordinary + flavor->room.cpus <= balance.promised;
-                    if (is_dark(rental, *zone, now) ||
+                    if (rental_is_dark(rental, *zone, now) ||
                         is_refused(rental, flavor->name, *zone, spot, now) ||
                         !is_useful(leader->policy, demand, flavor, *zone, spot, promised))
                         continue;
--- a/src/core/rental.h
+++ b/src/core/rental.h
@@ -40,6 +40,7 @@
 /* All of a zone went silent: it is probably cut off, and machines rented there now could not
  * report. */
 void rental_darken(rental_t *rental, const char *zone, msec_t until);
+bool rental_is_dark(const rental_t *rental, const char *zone, msec_t now);
 void rental_refused(rental_t *rental, const rental_wish_t *wish, msec_t until);
 
 /* Room asked for, in cpus and memory, against what stands and boots. */
