A shard's record in pages, divided before it nears the value limit

Cause: 12 records a zone, chosen for 180 machines.

Now a shard has as many pages as it needs, a key each. A page in which a start finds no room is divided; both halves are written in one conditional transaction, so a machine stands under one key at every moment, which the loader checks. A machine that fills a page alone takes no more starts until some end. Sizes are reckoned by the names' lengths, no longer by the longest; pages stay below half a transaction whatever value_kb grants. The first page has the shard's old name, so records of the build before are read. Machines that want direct commands stand in a queue, served in turn.

--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -74,7 +74,7 @@
     }
 }
 
-static void load_record(node_t *node, const shard_record_t *record, GHashTable *live_jobs,
+static void load_record(node_t *node, const page_record_t *record, GHashTable *live_jobs,
                         msec_t now)
 {
     if (record->machines->len == 0)
@@ -92,23 +92,34 @@
 static bool load_machines(node_t *node, const listing_t *listing, msec_t now)
 {
     bool valid = true;
+    GHashTable *machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     GHashTable *live_jobs = g_hash_table_new(g_str_hash, g_str_equal);
     for (guint i = 0; i < listing->jobs->len; i++)
         g_hash_table_add(live_jobs,
                          g_array_index(listing->jobs, state_entry_t, i).key + strlen("jobs/"));
     for (guint i = 0; i < listing->machines->len; i++) {
         const state_entry_t *entry = &g_array_index(listing->machines, state_entry_t, i);
-        shard_record_t record;
+        page_record_t record;
         if (!wire_parse_record(entry->key + strlen("machines/"), entry->value, entry->stamp,
                                &record)) {
             log_error("event=bad_record key=%s", entry->key);
             valid = false;
             continue;
         }
-        load_record(node, &record, live_jobs, now);
+        /* Under two keys, its attempts would be taken off one only. */
+        for (guint k = 0; k < record.machines->len; k++) {
+            const char *id = g_array_index(record.machines, machine_record_t, k).machine;
+            if (!g_hash_table_add(machines, g_strdup(id))) {
+                log_error("event=bad_record key=%s machine=%s", entry->key, id);
+                valid = false;
+            }
+        }
+        if (valid)
+            load_record(node, &record, live_jobs, now);
         g_array_unref(record.machines);
     }
     g_hash_table_unref(live_jobs);
+    g_hash_table_unref(machines);
     return valid;
 }
 
@@ -311,10 +322,11 @@
                              &batch->ops);
     }
     guint conditions = 4 * node->settings->txn_ops;
+    gsize value_max = (gsize)(node->settings->value_kb * 1024);
     guint spoken_for = 1 + 2 * MAX(most, batch->ops); /* the view, and two for each key written */
     batch->machines = part_batch_take(node->part, most - MIN(most, batch->ops),
                                       conditions - MIN(conditions, spoken_for),
-                                      (gsize)(node->settings->value_kb * 1024), now);
+                                      MIN(value_max, (gsize)TXN_VALUES / 2), now);
     batch->ops += batch->machines->records->len;
     if (node->leading)
         leader_progress_take(node->leader, now, PROGRESS_GAP_MS, most, batch->progress,
--- a/src/constants.h
+++ b/src/constants.h
@@ -12,20 +12,19 @@
 };
 
 enum {
-    PIECES_MAX = 100000,  /* tasks of a job, from the protocol */
-    CHUNK_BITS = 16384,   /* done bits in one key: 2 KiB, 2.7 KiB as base64, under value_kb */
-    BODY_MAX = 64 * 1024, /* bytes of a request body, from the protocol */
-    RENT_MAX = 50,        /* machines in one rental, from the protocol */
-    RELEASE_MAX = 100,    /* names in one release, from the protocol */
-    LIST_PAGE = 500,      /* machines in a page of the cloud's list, from the protocol */
-    KEYS_PAGE = 500,      /* keys in a page of the state service: half its limit, small memory */
-    ATTEMPT_SHIFT = 24,   /* attempts in one view: 16 million; view and count stay below 2^53 */
-    SHARDS_PER_ZONE =
-        12,              /* records a zone's machines share: 180 machines make 8 a key in 2 zones */
-    RECORD_ROOM = 1024,  /* bytes kept free below value_kb in a shard's record */
-    RECORD_ATTEMPT = 32, /* bytes that one attempt takes at most there */
-    RECORD_MACHINE = 240,   /* bytes that a machine takes at most there, its attempts aside */
-    RECORD_JOB = 240,       /* bytes that one job's header takes at most there */
+    PIECES_MAX = 100000,    /* tasks of a job, from the protocol */
+    CHUNK_BITS = 16384,     /* done bits in one key: 2 KiB, 2.7 KiB as base64, under value_kb */
+    BODY_MAX = 64 * 1024,   /* bytes of a request body, from the protocol */
+    RENT_MAX = 50,          /* machines in one rental, from the protocol */
+    RELEASE_MAX = 100,      /* names in one release, from the protocol */
+    LIST_PAGE = 500,        /* machines in a page of the cloud's list, from the protocol */
+    KEYS_PAGE = 500,        /* keys in a page of the state service: half its limit, small memory */
+    ATTEMPT_SHIFT = 24,     /* attempts in one view: 16 million; view and count stay below 2^53 */
+    SHARDS_PER_ZONE = 12,   /* what moves between owners together; larger ones have several pages */
+    RECORD_ROOM = 512,      /* bytes kept free below value_kb in a page's record */
+    RECORD_ATTEMPT = 32,    /* bytes that one attempt takes at most there */
+    RECORD_MACHINE = 110,   /* bytes that a machine takes at most there, names and attempts aside */
+    RECORD_JOB = 100,       /* bytes that one job's header takes at most there, names aside */
     TXN_VALUES = 48 * 1024, /* bytes of values in a transaction; the rest of 64 KiB: conditions */
     THREAD_STACK = 128 * 1024, /* bytes; the deepest path is a JSON parse inside an HTTP handler */
     CONNECTION_MEMORY = 16 * 1024, /* bytes of HTTP buffers per connection: 300 of them are 5 MB */
@@ -147,8 +146,9 @@
 #define RENT_ROUND 0.25  /* of a machine: so little lacking is not worth another */
 #define RENT_SPREAD 0.02 /* price added per machine of the same type, zone and kind */
 
-#define DRAIN_EMPTY 0.5 /* of a drained machine's cpus: with so much free, what can save is moved  \
-                         */
+#define DRAIN_EMPTY                                                                                \
+    0.5 /* of a drained machine's cpus: with so much free, what can save is moved                  \
+         */
 
 #define EPSILON 1e-6 /* in cpus and GB: below any amount in use */
 
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -10,6 +10,29 @@
     g_snprintf(name, size, "%s.%02u", zone, number);
 }
 
+void page_name(const char *shard, guint page, char *name, gsize size)
+{
+    if (page == 0)
+        g_strlcpy(name, shard, size);
+    else
+        g_snprintf(name, size, "%s+%u", shard, page);
+}
+
+bool page_parse(const char *name, char *shard, gsize size, guint *page)
+{
+    /* The shard's number follows the last dot, whatever the zone's name holds. */
+    const char *dot = strrchr(name, '.'), *plus = dot ? strchr(dot, '+') : NULL;
+    gsize length = plus ? (gsize)(plus - name) : strlen(name);
+    guint64 number = 0;
+    if (!dot || length >= size ||
+        (plus && !g_ascii_string_to_unsigned(plus + 1, 10, 1, G_MAXINT, &number, NULL)))
+        return false;
+    memcpy(shard, name, length);
+    shard[length] = '\0';
+    *page = (guint)number;
+    return true;
+}
+
 guint owner_of(const member_t *members, guint count, const char *machine, const char *zone)
 {
     char shard[SHARD_NAME];
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -11,9 +11,15 @@
     g_free(machine);
 }
 
+static void page_free(gpointer data)
+{
+    g_ptr_array_unref(((page_t *)data)->machines);
+    g_free(data);
+}
+
 static void shard_free(gpointer data)
 {
-    g_ptr_array_unref(((shard_t *)data)->machines);
+    g_ptr_array_unref(((shard_t *)data)->pages);
     g_free(data);
 }
 
@@ -35,6 +41,7 @@
     part->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
     part->shards = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, shard_free);
     part->departed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    part->wanted = g_queue_new();
     part->attempts = g_hash_table_new(task_ref_hash, task_ref_equal);
     part->flavors = flavors;
     part->teams = teams;
@@ -49,6 +56,7 @@
     g_hash_table_unref(part->machines);
     g_hash_table_unref(part->shards);
     g_hash_table_unref(part->departed);
+    g_queue_free(part->wanted);
     g_array_unref(part->outcomes);
     g_free(part);
 }
@@ -84,28 +92,73 @@
     if (!shard) {
         shard = g_new0(shard_t, 1);
         g_strlcpy(shard->name, name, sizeof shard->name);
-        shard->machines = g_ptr_array_new();
+        shard->pages = g_ptr_array_new_with_free_func(page_free);
         g_hash_table_insert(part->shards, shard->name, shard);
     }
     return shard;
 }
 
+static page_t *page_lookup(const shard_t *shard, guint number)
+{
+    for (guint i = 0; shard && i < shard->pages->len; i++) {
+        page_t *page = g_ptr_array_index(shard->pages, i);
+        if (page->number == number)
+            return page;
+    }
+    return NULL;
+}
+
+static page_t *page_find(shard_t *shard, guint number)
+{
+    page_t *page = page_lookup(shard, number);
+    if (!page) {
+        page = g_new0(page_t, 1);
+        g_strlcpy(page->shard, shard->name, sizeof page->shard);
+        page->number = number;
+        page->machines = g_ptr_array_new();
+        g_ptr_array_add(shard->pages, page);
+    }
+    return page;
+}
+
+/* The page with the fewest machines; the first one is there from the start. */
+static page_t *page_for_new(shard_t *shard)
+{
+    page_t *best = page_find(shard, 0);
+    for (guint i = 0; i < shard->pages->len; i++) {
+        page_t *page = g_ptr_array_index(shard->pages, i);
+        if (page->machines->len < best->machines->len)
+            best = page;
+    }
+    return best;
+}
+
+static void page_touch(part_t *part, page_t *page)
+{
+    if (!page->urgent)
+        page->urgent = ++part->turns;
+}
+
 /* Its record is to be written soon: something can't start or be placed again before. */
 static void touch(part_t *part, const machine_t *machine)
 {
-    if (!machine->shard->urgent)
-        machine->shard->urgent = ++part->turns;
+    page_touch(part, machine->page);
 }
 
-static machine_t *machine_add(part_t *part, const char *id, const char *zone, msec_t now)
+/* page: of its record; NULL: it has none yet. */
+static machine_t *machine_add(part_t *part, const char *id, const char *zone, page_t *page,
+                              msec_t now)
 {
-    char name[SHARD_NAME];
     machine_t *machine = g_new0(machine_t, 1);
     g_strlcpy(machine->id, id, sizeof machine->id);
     g_strlcpy(machine->zone, zone, sizeof machine->zone);
-    shard_of(id, zone, name, sizeof name);
-    machine->shard = shard_find(part, name);
-    g_ptr_array_add(machine->shard->machines, machine);
+    machine->page = page;
+    if (!page) {
+        char shard[SHARD_NAME];
+        shard_of(id, zone, shard, sizeof shard);
+        machine->page = page_for_new(shard_find(part, shard));
+    }
+    g_ptr_array_add(machine->page->machines, machine);
     machine->attempts = g_ptr_array_new_with_free_func(g_free);
     machine->reservations = g_array_new(FALSE, FALSE, sizeof(reservation_t));
     machine->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -116,11 +169,21 @@
 
 static void machine_drop(part_t *part, machine_t *machine)
 {
-    g_ptr_array_remove(machine->shard->machines, machine);
+    g_ptr_array_remove(machine->page->machines, machine);
+    if (machine->direct_wanted)
+        g_queue_remove(part->wanted, machine);
     g_hash_table_add(part->departed, g_strdup(machine->id));
     g_hash_table_remove(part->machines, machine->id);
 }
 
+/* Its commands are to go out at once. */
+static void want_direct(part_t *part, machine_t *machine)
+{
+    if (!machine->direct_wanted)
+        g_queue_push_tail(part->wanted, machine);
+    machine->direct_wanted = true;
+}
+
 static attempt_t *attempt_add(part_t *part, machine_t *machine, const record_entry_t *entry)
 {
     attempt_t *attempt = g_new0(attempt_t, 1);
@@ -140,9 +203,9 @@
     g_ptr_array_remove(attempt->machine->attempts, attempt);
 }
 
-static void load_machine(part_t *part, const machine_record_t *record, msec_t now)
+static void load_machine(part_t *part, const machine_record_t *record, page_t *page, msec_t now)
 {
-    machine_t *machine = machine_add(part, record->machine, record->zone, now);
+    machine_t *machine = machine_add(part, record->machine, record->zone, page, now);
     g_strlcpy(machine->address, record->address, sizeof machine->address);
     g_strlcpy(machine->type, record->type, sizeof machine->type);
     machine->spot = record->spot;
@@ -158,11 +221,12 @@
     }
 }
 
-void part_load(part_t *part, const shard_record_t *record, msec_t now)
+void part_load(part_t *part, const page_record_t *record, msec_t now)
 {
-    shard_find(part, record->shard)->stamp = record->stamp;
+    page_t *page = page_find(shard_find(part, record->shard), record->page);
+    page->stamp = record->stamp;
     for (guint i = 0; i < record->machines->len; i++)
-        load_machine(part, &g_array_index(record->machines, machine_record_t, i), now);
+        load_machine(part, &g_array_index(record->machines, machine_record_t, i), page, now);
 }
 
 room_t part_free_room(const machine_t *machine)
@@ -187,7 +251,7 @@
 static bool is_open(const machine_t *machine, const offer_t *offer, msec_t now)
 {
     if (!part_is_reached(machine, now) || !machine->known_room || machine->draining ||
-        machine->notice_at)
+        machine->notice_at || machine->crowded)
         return false;
     if (offer->zone[0] && strcmp(offer->zone, machine->zone) != 0)
         return false;
@@ -435,7 +499,7 @@
     if (cause == CAUSE_DONE) {
         attempt->reported_done = true;
         tell(part, attempt);
-        attempt->machine->shard->lazy |= attempt->settled;
+        attempt->machine->page->lazy |= attempt->settled;
     } else {
         touch(part, attempt->machine);
     }
@@ -643,8 +707,9 @@
 static void note_turn(machine_t *machine, const report_t *report, msec_t now)
 {
     bool follows = machine->reported && now - machine->last_report < REPORT_PATIENCE_MS;
-    if (follows || !machine->reported)
+    if (follows || !machine->reported) {
         machine->reached = now;
+    }
     machine->last_report = now;
     machine->spoken = report->seq;
 }
@@ -657,7 +722,7 @@
         return REPORT_STALE;
     machine_t *machine = g_hash_table_lookup(part->machines, report->machine);
     if (!machine)
-        machine = machine_add(part, report->machine, report->zone, now);
+        machine = machine_add(part, report->machine, report->zone, NULL, now);
     report_verdict_t verdict = judge_report(part, machine, report, direct);
     if (verdict == REPORT_OVERTAKEN && !direct)
         note_turn(machine, report, now);
@@ -673,8 +738,8 @@
     take_pieces(part, machine, report, now);
     for (guint i = 0; i < machine->attempts->len; i++) {
         const attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
-        machine->direct_wanted |=
-            attempt->waits && attempt->phase == ATTEMPT_RECORDED && !attempt->listed;
+        if (attempt->waits && attempt->phase == ATTEMPT_RECORDED && !attempt->listed)
+            want_direct(part, machine);
     }
     if (!direct) {
         note_turn(machine, report, now);
@@ -709,9 +774,9 @@
         attempt->stop = true;
         attempt->stop_kill = 0; /* nobody wants what it would save */
         attempt->settled = true;
-        attempt->machine->direct_wanted = true;
+        want_direct(part, attempt->machine);
         if (attempt->in_record)
-            attempt->machine->shard->lazy = true;
+            attempt->machine->page->lazy = true;
         else
             touch(part, attempt->machine);
     }
@@ -719,13 +784,12 @@
 
 void part_stop(part_t *part, attempt_t *attempt, msec_t now)
 {
-    (void)part;
     if (attempt->stop)
         return;
     attempt->stop = true;
     attempt->stop_kill =
         attempt->entry.checkpoint_s > 0 ? now + (msec_t)(attempt->entry.save_s * 2000) + 1000 : 0;
-    attempt->machine->direct_wanted = true;
+    want_direct(part, attempt->machine);
 }
 
 void part_settle(part_t *part, const task_ref_t *ref)
@@ -734,7 +798,7 @@
     if (!attempt)
         return;
     attempt->settled = true;
-    attempt->machine->shard->lazy = true;
+    attempt->machine->page->lazy = true;
 }
 
 void part_machine_gone(part_t *part, const char *id)
@@ -778,9 +842,12 @@
     }
     g_hash_table_iter_init(&iter, part->shards);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        shard_t *shard = value;
-        if (!shard->lazy)
-            shard->lazy_since = now;
+        const shard_t *shard = value;
+        for (guint i = 0; i < shard->pages->len; i++) {
+            page_t *page = g_ptr_array_index(shard->pages, i);
+            if (!page->lazy)
+                page->lazy_since = now;
+        }
     }
 }
 
@@ -805,10 +872,10 @@
 }
 
 /* Whether what the record is to hold differs from what it holds. */
-static bool has_change(const shard_t *shard)
+static bool has_change(const page_t *page)
 {
-    for (guint i = 0; i < shard->machines->len; i++) {
-        const machine_t *machine = g_ptr_array_index(shard->machines, i);
+    for (guint i = 0; i < page->machines->len; i++) {
+        const machine_t *machine = g_ptr_array_index(page->machines, i);
         for (guint k = 0; k < machine->attempts->len; k++) {
             const attempt_t *attempt = g_ptr_array_index(machine->attempts, k);
             if (leaves(attempt) || !attempt->in_record)
@@ -825,21 +892,34 @@
     gsize size;
     gsize value_max;
     guint max_jobs;
+    bool full; /* a start was left out for the size */
 } writer_t;
 
 static gsize attempt_size(writer_t *writer, const attempt_t *attempt)
 {
-    bool known = g_hash_table_contains(writer->headers, attempt->entry.job);
-    return RECORD_ATTEMPT + (known ? 0 : RECORD_JOB);
+    const record_entry_t *entry = &attempt->entry;
+    bool known = g_hash_table_contains(writer->headers, entry->job);
+    return RECORD_ATTEMPT +
+           (known ? 0
+                  : RECORD_JOB + strlen(entry->job) + strlen(entry->team) + strlen(entry->image));
+}
+
+static gsize machine_size(const machine_t *machine)
+{
+    return RECORD_MACHINE + strlen(machine->id) + strlen(machine->address) + strlen(machine->type) +
+           strlen(machine->zone);
 }
 
 /* A start that the limits leave no room for stays placed until a later commit. */
 static bool admit_start(writer_t *writer, const attempt_t *attempt)
 {
     GHashTable *jobs = writer->batch->jobs;
-    return writer->size + attempt_size(writer, attempt) <= writer->value_max &&
-           (g_hash_table_size(jobs) < writer->max_jobs ||
-            g_hash_table_contains(jobs, attempt->entry.job));
+    if (writer->size + attempt_size(writer, attempt) > writer->value_max) {
+        writer->full = true;
+        return false;
+    }
+    return g_hash_table_size(jobs) < writer->max_jobs ||
+           g_hash_table_contains(jobs, attempt->entry.job);
 }
 
 static void write_attempt(writer_t *writer, const attempt_t *attempt, machine_record_t *record)
@@ -852,7 +932,8 @@
 /* What stays in the record must be in it, whatever the room; starts come into what that leaves. */
 static void write_kept(writer_t *writer, machine_t *machine, machine_record_t *record)
 {
-    writer->size += RECORD_MACHINE;
+    if (machine->attempts->len)
+        writer->size += machine_size(machine);
     for (guint i = 0; i < machine->attempts->len; i++) {
         attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
         if (leaves(attempt))
@@ -875,98 +956,173 @@
     }
 }
 
-/* Appends the shard's record to the batch; returns its size. Only machines with attempts are
- * listed. */
-static gsize batch_shard(part_batch_t *batch, shard_t *shard, guint max_jobs, gsize value_max)
+static machine_record_t machine_record(const machine_t *machine)
+{
+    machine_record_t record = {.spot = machine->spot,
+                               .session = machine->session,
+                               .entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t))};
+    g_strlcpy(record.machine, machine->id, sizeof record.machine);
+    g_strlcpy(record.address, machine->address, sizeof record.address);
+    g_strlcpy(record.type, machine->type, sizeof record.type);
+    g_strlcpy(record.zone, machine->zone, sizeof record.zone);
+    return record;
+}
+
+/* Appends the page's record to the batch. Only machines with attempts are listed. */
+static void batch_page(part_batch_t *batch, page_t *page, guint max_jobs, gsize value_max)
 {
-    shard_record_t record = {.stamp = shard->stamp, .machines = machine_records_new()};
+    page_record_t record = {
+        .page = page->number, .stamp = page->stamp, .machines = machine_records_new()};
     writer_t writer = {.batch = batch,
                        .headers = g_hash_table_new(g_str_hash, g_str_equal),
                        .size = RECORD_ROOM,
                        .value_max = value_max,
                        .max_jobs = max_jobs};
-    g_strlcpy(record.shard, shard->name, sizeof record.shard);
-    for (guint i = 0; i < shard->machines->len; i++) {
-        machine_t *machine = g_ptr_array_index(shard->machines, i);
-        machine_record_t entry = {.spot = machine->spot,
-                                  .session = machine->session,
-                                  .entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t))};
-        g_strlcpy(entry.machine, machine->id, sizeof entry.machine);
-        g_strlcpy(entry.address, machine->address, sizeof entry.address);
-        g_strlcpy(entry.type, machine->type, sizeof entry.type);
-        g_strlcpy(entry.zone, machine->zone, sizeof entry.zone);
+    g_strlcpy(record.shard, page->shard, sizeof record.shard);
+    for (guint i = 0; i < page->machines->len; i++) {
+        machine_t *machine = g_ptr_array_index(page->machines, i);
+        machine_record_t entry = machine_record(machine);
         write_kept(&writer, machine, &entry);
         g_array_append_val(record.machines, entry);
     }
-    for (guint i = shard->machines->len; i-- > 0;) {
+    for (guint i = page->machines->len; i-- > 0;) {
         machine_record_t *entry = &g_array_index(record.machines, machine_record_t, i);
-        write_starts(&writer, g_ptr_array_index(shard->machines, i), entry);
+        write_starts(&writer, g_ptr_array_index(page->machines, i), entry);
         if (entry->entries->len == 0)
             g_array_remove_index(record.machines, i);
     }
     g_hash_table_unref(writer.headers);
     g_array_append_val(batch->records, record);
-    return writer.size;
+    page->size = writer.size;
+    page->full = writer.full;
+    page->batched = true;
+    page->urgent = 0;
+    page->lazy = false;
+}
+
+/* Half of a full page's machines go to another page of the shard. Both records are written in one
+ * transaction, so that each machine stands under one key at every moment. Without it a shard that
+ * nears the value limit would refuse its starts for as long as the fleet is that large. */
+static void divide(part_t *part, page_t *page)
+{
+    shard_t *shard = g_hash_table_lookup(part->shards, page->shard);
+    guint total = 0, busy = 0, number = 0, moved = 0;
+    page->full = false;
+    for (guint i = 0; i < page->machines->len; i++) {
+        const machine_t *machine = g_ptr_array_index(page->machines, i);
+        total += machine->attempts->len;
+        busy += machine->attempts->len > 0;
+    }
+    for (guint i = 0; busy == 1 && i < page->machines->len; i++) {
+        machine_t *machine = g_ptr_array_index(page->machines, i);
+        machine->crowded = machine->attempts->len > 0;
+    }
+    if (busy < 2)
+        return;
+    while (page_lookup(shard, number))
+        number++;
+    page_t *half = page_find(shard, number);
+    for (guint i = page->machines->len; i-- > 0 && 2 * moved < total;) {
+        machine_t *machine = g_ptr_array_index(page->machines, i);
+        if (moved > 0 && moved + machine->attempts->len >= total)
+            break; /* the last with any work stays */
+        moved += machine->attempts->len;
+        machine->page = half;
+        g_ptr_array_remove_index(page->machines, i);
+        g_ptr_array_add(half->machines, machine);
+    }
+    page->half = half;
+    half->half = page;
 }
 
-static gint compare_shards(gconstpointer left, gconstpointer right)
+static gint compare_pages(gconstpointer left, gconstpointer right)
 {
-    const shard_t *a = *(shard_t *const *)left, *b = *(shard_t *const *)right;
+    const page_t *a = *(page_t *const *)left, *b = *(page_t *const *)right;
     uint64_t turn_a = a->urgent ? a->urgent : UINT64_MAX;
     uint64_t turn_b = b->urgent ? b->urgent : UINT64_MAX;
     return turn_a < turn_b ? -1 : turn_a > turn_b;
 }
 
-/* Shards to write now, first come first: else, with a short budget, the last would never be. */
-static GPtrArray *shards_due(const part_t *part, msec_t now)
+/* Pages to write now, first come first: else, with a short budget, the last would never be. */
+static GPtrArray *pages_due(const part_t *part, msec_t now)
 {
     GPtrArray *due = g_ptr_array_new();
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, part->shards);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        shard_t *shard = value;
-        if (shard->urgent || (shard->lazy && now - shard->lazy_since >= RECORD_LAZY_MS))
-            g_ptr_array_add(due, shard);
+        const shard_t *shard = value;
+        for (guint i = 0; i < shard->pages->len; i++) {
+            page_t *page = g_ptr_array_index(shard->pages, i);
+            if (page->urgent || (page->lazy && now - page->lazy_since >= RECORD_LAZY_MS))
+                g_ptr_array_add(due, page);
+        }
     }
-    g_ptr_array_sort(due, compare_shards);
+    g_ptr_array_sort(due, compare_pages);
     return due;
 }
 
-static void drop_idle_gone(part_t *part, shard_t *shard)
+static void drop_idle_gone(part_t *part, page_t *page)
 {
-    for (guint i = shard->machines->len; i-- > 0;) {
-        machine_t *machine = g_ptr_array_index(shard->machines, i);
+    for (guint i = page->machines->len; i-- > 0;) {
+        machine_t *machine = g_ptr_array_index(page->machines, i);
         drop_unrecorded(part, machine);
         if (machine->gone && machine->attempts->len == 0)
             machine_drop(part, machine);
     }
 }
 
-static void shard_record_clear(gpointer data)
+static void page_record_clear(gpointer data)
+{
+    g_array_unref(((page_record_t *)data)->machines);
+}
+
+/* What the page's record may take at most now. */
+static gsize page_bound(const page_t *page, gsize value_max)
 {
-    g_array_unref(((shard_record_t *)data)->machines);
+    gsize fresh = 0;
+    for (guint i = 0; i < page->machines->len; i++) {
+        const machine_t *machine = g_ptr_array_index(page->machines, i);
+        for (guint k = 0; k < machine->attempts->len; k++)
+            fresh += !((const attempt_t *)g_ptr_array_index(machine->attempts, k))->in_record;
+    }
+    gsize each = RECORD_ATTEMPT + RECORD_MACHINE + RECORD_JOB + 4 * LABEL_SIZE;
+    return page->size ? MIN(value_max, page->size + fresh * each) : value_max;
 }
 
 part_batch_t *part_batch_take(part_t *part, guint max_ops, guint max_jobs, gsize value_max,
                               msec_t now)
 {
     part_batch_t *batch = g_new0(part_batch_t, 1);
-    batch->records = g_array_new(FALSE, FALSE, sizeof(shard_record_t));
-    g_array_set_clear_func(batch->records, shard_record_clear);
+    batch->records = g_array_new(FALSE, FALSE, sizeof(page_record_t));
+    g_array_set_clear_func(batch->records, page_record_clear);
     batch->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    GPtrArray *due = shards_due(part, now);
+    GPtrArray *due = pages_due(part, now);
     gsize size = 0;
     for (guint i = 0; i < due->len && batch->records->len < max_ops; i++) {
-        shard_t *shard = g_ptr_array_index(due, i);
-        drop_idle_gone(part, shard);
-        if (has_change(shard)) {
-            if (size > 0 && size + value_max > TXN_VALUES)
-                break;
-            size += batch_shard(batch, shard, max_jobs, value_max);
+        page_t *page = g_ptr_array_index(due, i);
+        if (page->batched)
+            continue; /* with its half */
+        drop_idle_gone(part, page);
+        if (page->full && !page->half)
+            divide(part, page);
+        if (!page->half && !has_change(page)) {
+            page->urgent = 0;
+            page->lazy = false;
+            continue;
+        }
+        gsize bound = page_bound(page, value_max) + (page->half ? value_max : 0);
+        if (page->half && batch->records->len + 2 > max_ops)
+            continue;
+        if (size > 0 && size + bound > TXN_VALUES)
+            break;
+        batch_page(batch, page, max_jobs, value_max);
+        size += page->size;
+        if (page->half) {
+            drop_idle_gone(part, page->half);
+            batch_page(batch, page->half, max_jobs, value_max);
+            size += page->half->size;
         }
-        shard->urgent = 0;
-        shard->lazy = false;
     }
     g_ptr_array_unref(due);
     return batch;
@@ -986,8 +1142,9 @@
                 attempt->phase = ATTEMPT_RECORDED;
             else
                 touch(part, machine);
-            machine->direct_wanted = true;
+            want_direct(part, machine);
         } else if (attempt->batch == BATCH_DROP) {
+            machine->crowded = false;
             if (!attempt->reported_done)
                 tell(part, attempt);
             attempt_drop(part, attempt);
@@ -1001,14 +1158,21 @@
         machine->idle_since = now;
 }
 
+static page_t *page_of_record(const part_t *part, const page_record_t *record)
+{
+    return page_lookup(g_hash_table_lookup(part->shards, record->shard), record->page);
+}
+
 void part_batch_commit(part_t *part, part_batch_t *batch, uint64_t revision, msec_t now)
 {
     for (guint i = 0; i < batch->records->len; i++) {
-        const shard_record_t *record = &g_array_index(batch->records, shard_record_t, i);
-        shard_t *shard = g_hash_table_lookup(part->shards, record->shard);
-        shard->stamp = record->machines->len ? revision : 0;
-        for (guint k = shard->machines->len; k-- > 0;) {
-            machine_t *machine = g_ptr_array_index(shard->machines, k);
+        const page_record_t *record = &g_array_index(batch->records, page_record_t, i);
+        page_t *page = page_of_record(part, record);
+        page->stamp = record->machines->len ? revision : 0;
+        page->batched = false;
+        page->half = NULL; /* its half was in the same commit */
+        for (guint k = page->machines->len; k-- > 0;) {
+            machine_t *machine = g_ptr_array_index(page->machines, k);
             machine_committed(part, machine, now);
             if (machine->gone && machine->attempts->len == 0)
                 machine_drop(part, machine);
@@ -1019,12 +1183,11 @@
 void part_batch_undo(part_t *part, part_batch_t *batch)
 {
     for (guint i = 0; i < batch->records->len; i++) {
-        const shard_record_t *record = &g_array_index(batch->records, shard_record_t, i);
-        shard_t *shard = g_hash_table_lookup(part->shards, record->shard);
-        if (!shard->urgent)
-            shard->urgent = ++part->turns;
-        for (guint k = 0; k < shard->machines->len; k++) {
-            machine_t *machine = g_ptr_array_index(shard->machines, k);
+        page_t *page = page_of_record(part, &g_array_index(batch->records, page_record_t, i));
+        page_touch(part, page);
+        page->batched = false;
+        for (guint k = 0; k < page->machines->len; k++) {
+            machine_t *machine = g_ptr_array_index(page->machines, k);
             for (guint n = 0; n < machine->attempts->len; n++)
                 ((attempt_t *)g_ptr_array_index(machine->attempts, n))->batch = BATCH_NONE;
         }
@@ -1040,13 +1203,12 @@
 
 machine_t *part_direct_take(part_t *part, msec_t now, GArray *calls)
 {
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, part->machines);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        machine_t *machine = value;
-        if (!machine->direct_wanted || machine->direct_busy || !part_is_reached(machine, now))
+    for (GList *at = part->wanted->head, *next; at; at = next) {
+        machine_t *machine = at->data;
+        next = at->next;
+        if (machine->direct_busy || !part_is_reached(machine, now))
             continue;
+        g_queue_delete_link(part->wanted, at);
         machine->direct_wanted = false;
         wanted_calls(machine, now, calls);
         if (!calls->len)
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -63,13 +63,14 @@
     GArray *entries;
 } machine_record_t;
 
-/* machines/<shard> in the state service: one key for several machines, since every change of a key
- * is paid for, whatever its size. machines: array of machine_record_t, owned. */
+/* machines/<page> in the state service: one key for several machines of a shard, since every change
+ * of a key is paid for, whatever its size. machines: array of machine_record_t, owned. */
 typedef struct {
     char shard[SHARD_NAME];
+    guint page;
     uint64_t stamp;
     GArray *machines;
-} shard_record_t;
+} page_record_t;
 GArray *machine_records_new(void);
 
 typedef enum {
@@ -82,13 +83,25 @@
 
 /* The machines of one key. It is written when something is to start or to be placed again (urgent),
  * and when it has been long enough that settled results stand in it (lazy). */
-typedef struct {
-    char name[SHARD_NAME];
+typedef struct page {
+    char shard[SHARD_NAME];
+    guint number;        /* in its shard */
     uint64_t stamp;      /* of its key; 0: none */
     GPtrArray *machines; /* borrowed */
     uint64_t urgent;     /* 0, or its turn: first come, first written */
     bool lazy;
     msec_t lazy_since;
+    gsize size;        /* estimated bytes of its record when it was put together last; 0: never */
+    bool full;         /* a start found no room in it: it is to be divided */
+    struct page *half; /* machines went from one to the other, and the record does not say so yet:
+                          both are written in one transaction */
+    bool batched;      /* in the commit under way */
+} page_t;
+
+/* Pages of a shard: one, until its record nears the value limit. Owns them. */
+typedef struct {
+    char name[SHARD_NAME];
+    GPtrArray *pages;
 } shard_t;
 
 typedef struct {
@@ -141,8 +154,9 @@
     guint starting;
     guint running;
     guint errors; /* failures of jobs that run elsewhere */
-    shard_t *shard;
-    bool gone; /* the cloud confirmed it; the struct goes with its last attempt */
+    page_t *page;
+    bool crowded; /* alone in its page, and that is full: no more starts for now */
+    bool gone;    /* the cloud confirmed it; the struct goes with its last attempt */
     bool direct_busy;
     bool direct_wanted;
     uint64_t unanswered_token; /* a direct `run` under it got no answer: a copy may still arrive */
@@ -162,7 +176,8 @@
     GHashTable *shards;   /* name -> shard_t, owned */
     GHashTable *departed; /* ids of machines that are gone, owned: their names never come back */
     GHashTable *attempts; /* task_ref_t -> attempt_t, borrowed from the machines */
-    uint64_t turns;       /* of urgent shards */
+    GQueue *wanted; /* machines that want direct commands, borrowed; first come first served */
+    uint64_t turns; /* of urgent pages */
     uint64_t holds;
     const GArray *flavors;
     const GArray *teams; /* team_t, in the order of offer_t.victims */
@@ -175,7 +190,7 @@
 void part_free(part_t *part);
 /* A new token of the same leadership: nothing is read again. */
 void part_set_view(part_t *part, uint64_t view);
-void part_load(part_t *part, const shard_record_t *record, msec_t now);
+void part_load(part_t *part, const page_record_t *record, msec_t now);
 /* The types became known or changed: rooms are looked up again. */
 void part_apply_flavors(part_t *part);
 
@@ -213,7 +228,7 @@
 /* Lapses reservations, empties what is being drained; once a tick. */
 void part_tick(part_t *part, msec_t now);
 
-/* Commits. A batch holds the records to write (array of shard_record_t; one without machines is a
+/* Commits. A batch holds the records to write (array of page_record_t; one without machines is a
  * deletion) and the jobs that must still exist. */
 typedef struct {
     GArray *records;
--- a/src/io/records.c
+++ b/src/io/records.c
@@ -29,10 +29,11 @@
 
 static void write_machines(txn_t *txn, const part_batch_t *machines, GHashTable *written_jobs)
 {
-    char key[128];
+    char key[128], page[PAGE_NAME];
     for (guint i = 0; i < machines->records->len; i++) {
-        const shard_record_t *record = &g_array_index(machines->records, shard_record_t, i);
-        g_snprintf(key, sizeof key, "machines/%s", record->shard);
+        const page_record_t *record = &g_array_index(machines->records, page_record_t, i);
+        page_name(record->shard, record->page, page, sizeof page);
+        g_snprintf(key, sizeof key, "machines/%s", page);
         txn_if(txn, key, record->stamp);
         if (record->machines->len)
             txn_set(txn, key, wire_build_record(record), 0);
--- a/src/io/wire.c
+++ b/src/io/wire.c
@@ -358,7 +358,7 @@
     return json_pack("{s:o}", "Winches", names);
 }
 
-/* A shard's record: {"Jobs":[[id,team,image,cpus,gpus,memory,urgency,save,checkpoint],...],
+/* A page's record: {"Jobs":[[id,team,image,cpus,gpus,memory,urgency,save,checkpoint],...],
  * "Machines":[{"Id","Session","Address","Type","Zone","Spot","Tasks":[[job,task,attempt],...]},...]}
  * where job is the index in Jobs, which all its machines share. */
 static json_int_t record_job(json_t *jobs, GHashTable *known, const record_entry_t *entry)
@@ -389,7 +389,7 @@
                      "Zone", record->zone, "Spot", record->spot, "Tasks", tasks);
 }
 
-json_t *wire_build_record(const shard_record_t *record)
+json_t *wire_build_record(const page_record_t *record)
 {
     json_t *jobs = json_array(), *machines = json_array();
     GHashTable *known = g_hash_table_new(g_str_hash, g_str_equal);
@@ -462,12 +462,11 @@
     return valid;
 }
 
-bool wire_parse_record(const char *shard, const json_t *value, uint64_t stamp,
-                       shard_record_t *record)
+bool wire_parse_record(const char *page, const json_t *value, uint64_t stamp, page_record_t *record)
 {
     const json_t *machines = json_object_get(value, "Machines");
-    *record = (shard_record_t){.stamp = stamp, .machines = machine_records_new()};
-    bool valid = g_strlcpy(record->shard, shard, sizeof record->shard) < sizeof record->shard &&
+    *record = (page_record_t){.stamp = stamp, .machines = machine_records_new()};
+    bool valid = page_parse(page, record->shard, sizeof record->shard, &record->page) &&
                  json_is_array(machines);
     size_t i;
     json_t *item;
@@ -478,7 +477,7 @@
         valid = parse_machine_record(item, json_object_get(value, "Jobs"), &machine) && valid;
         /* In another shard than its own, two owners would write it. */
         shard_of(machine.machine, machine.zone, home, sizeof home);
-        valid = valid && strcmp(home, shard) == 0;
+        valid = valid && strcmp(home, record->shard) == 0;
         g_array_append_val(record->machines, machine);
     }
     if (!valid)
--- a/src/io/wire.h
+++ b/src/io/wire.h
@@ -44,10 +44,10 @@
                           guint count);
 json_t *wire_build_release(const GPtrArray *machines);
 
-json_t *wire_build_record(const shard_record_t *record);
-/* value of machines/<shard>; machines become the caller's */
-bool wire_parse_record(const char *shard, const json_t *value, uint64_t stamp,
-                       shard_record_t *record);
+json_t *wire_build_record(const page_record_t *record);
+/* value of machines/<page>; machines become the caller's */
+bool wire_parse_record(const char *page, const json_t *value, uint64_t stamp,
+                       page_record_t *record);
 
 json_t *wire_build_bits(const uint8_t *bits, gsize bytes, uint32_t done);
 /* g_free the result */
--- a/tests/stories_part.c
+++ b/tests/stories_part.c
@@ -255,7 +255,7 @@
     place("j-000001", 1, 101);
     batch = part_batch_take(stage->part, 20, 80, 16384, stage->now);
     assert_int_equal(batch->records->len, 1);
-    const shard_record_t *record = &g_array_index(batch->records, shard_record_t, 0);
+    const page_record_t *record = &g_array_index(batch->records, page_record_t, 0);
     const machine_record_t *machine = &g_array_index(record->machines, machine_record_t, 0);
     assert_int_equal(machine->entries->len, 1); /* the start, and no more the result */
     assert_int_equal(g_array_index(machine->entries, record_entry_t, 0).attempt, 101);
@@ -363,7 +363,7 @@
 /* The part takes over a record of an earlier view with one attempt. */
 static void load_record(void)
 {
-    shard_record_t record = {.stamp = 9, .machines = machine_records_new()};
+    page_record_t record = {.stamp = 9, .machines = machine_records_new()};
     machine_record_t machine = {.session = 1,
                                 .address = "10.1.0.1:9000",
                                 .type = "t16",
--- a/tests/stories_records.c
+++ b/tests/stories_records.c
@@ -116,7 +116,7 @@
 static void start_record_holds_the_attempt(void **state)
 {
     (void)state;
-    shard_record_t record;
+    page_record_t record;
     job_spec_t spec = job("j-000001", 1);
     fake_store_apply(store, records_submit(&spec));
     place("j-000001", fake_store_stamp(store, "jobs/j-000001"));
@@ -196,6 +196,209 @@
     txn_free(&txn);
 }
 
+enum { FLEET = 90, EACH = 8, VALUE = 16384, TXN = 64 * 1024 };
+
+/* Machines of one shard: more than its share of a thousand in one zone. */
+static GPtrArray *fleet_of_one_shard(void)
+{
+    GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+    char home[SHARD_NAME], shard[SHARD_NAME];
+    shard_of("m-000001", "north", home, sizeof home);
+    for (guint i = 1; ids->len < FLEET; i++) {
+        char *id = g_strdup_printf("m-%06u", i);
+        shard_of(id, "north", shard, sizeof shard);
+        if (strcmp(shard, home) == 0)
+            g_ptr_array_add(ids, id);
+        else
+            g_free(id);
+    }
+    return ids;
+}
+
+static void report_of(const char *id, const char *type, uint64_t seq)
+{
+    report_t report = {.session = 1, .seq = seq, .token = 1, .notice_s = -1};
+    g_strlcpy(report.machine, id, sizeof report.machine);
+    g_strlcpy(report.address, "10.1.255.254:9000", sizeof report.address);
+    g_strlcpy(report.type, type, sizeof report.type);
+    g_strlcpy(report.zone, "north", sizeof report.zone);
+    report.pieces = g_array_new(FALSE, FALSE, sizeof(piece_t));
+    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
+    part_report(part, &report, false, 1000 * (msec_t)seq, calls);
+    report_clear(&report);
+    g_array_unref(calls);
+}
+
+/* Starts of `tasks` tasks of 2 cpus, three to a job. */
+static void fill(guint tasks, double cpus)
+{
+    for (guint i = 0; i < tasks; i++) {
+        offer_t offer = {.need = {cpus, 0, 1.23456789}, .task = 99999, .attempt = (7u << 24) + i};
+        g_snprintf(offer.job, sizeof offer.job, "j-%06u", i / 3);
+        g_strlcpy(offer.team, "a-team-with-a-name", sizeof offer.team);
+        g_strlcpy(offer.image, "an-image-with-a-name", sizeof offer.image);
+        offer.task = 99000 + i % 3;
+        assert_non_null(part_place(part, &offer, 1000));
+    }
+}
+
+/* One commit; what it writes is checked against the limits. refused: it meets an older view. */
+static guint commit_within_limits(bool refused)
+{
+    uint64_t view = fake_store_stamp(store, "view/number") - refused;
+    part_batch_t *batch = part_batch_take(part, 24, 96, VALUE, 1000);
+    txn_t txn = records_commit(NULL, batch, view);
+    size_t i;
+    json_t *change;
+    json_array_foreach(txn.changes, i, change)
+    {
+        char *value = json_dumps(json_object_get(change, "Value"), JSON_COMPACT | JSON_ENCODE_ANY);
+        assert_true(!value || strlen(value) <= VALUE);
+        free(value);
+    }
+    json_t *whole = json_pack("{s:O,s:O}", "If", txn.conditions, "Then", txn.changes);
+    char *text = json_dumps(whole, JSON_COMPACT | JSON_REAL_PRECISION(9));
+    assert_true(strlen(text) <= TXN);
+    assert_in_range(json_array_size(txn.changes), 0, 24);
+    assert_in_range(json_array_size(txn.conditions), 1, 96);
+    free(text);
+    json_decref(whole);
+    guint records = batch->records->len;
+    state_result_t result = fake_store_apply(store, txn);
+    assert_int_equal(result, refused ? STATE_FAILED : STATE_OK);
+    if (refused)
+        part_batch_undo(part, batch);
+    else
+        part_batch_commit(part, batch, store->revision, 1000);
+    part_batch_free(batch);
+    return records;
+}
+
+/* What the records hold: machine -> attempts; each machine under one key only. */
+static guint recorded(GHashTable *machines)
+{
+    guint attempts = 0;
+    GHashTableIter iter;
+    gpointer key, value;
+    g_hash_table_remove_all(machines);
+    g_hash_table_iter_init(&iter, store->keys);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const state_entry_t *entry = value;
+        page_record_t record;
+        if (!g_str_has_prefix(key, "machines/"))
+            continue;
+        assert_true(wire_parse_record(entry->key + strlen("machines/"), entry->value, entry->stamp,
+                                      &record));
+        for (guint i = 0; i < record.machines->len; i++) {
+            const machine_record_t *machine = &g_array_index(record.machines, machine_record_t, i);
+            assert_true(g_hash_table_add(machines, g_strdup(machine->machine)));
+            attempts += machine->entries->len;
+        }
+        g_array_unref(record.machines);
+    }
+    return attempts;
+}
+
+/* The offers carry stamp 0, so the jobs stay unwritten here and the condition holds. */
+static void a_shard_of_any_size_records_all_its_starts(void **state)
+{
+    (void)state;
+    GPtrArray *ids = fleet_of_one_shard();
+    GHashTable *machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (guint i = 0; i < ids->len; i++)
+        report_of(g_ptr_array_index(ids, i), "t16", 1);
+    fill(FLEET * EACH, 2);
+    /* Refused now and then: what was divided in memory only must still be written together. */
+    for (guint round = 0; round < 60; round++) {
+        commit_within_limits(round % 3 == 1);
+        recorded(machines);
+    }
+    assert_int_equal(recorded(machines), FLEET * EACH);
+    assert_int_equal(g_hash_table_size(machines), FLEET);
+    assert_in_range(g_hash_table_size(store->keys), 3, 24);
+    assert_int_equal(commit_within_limits(false), 0); /* nothing is written for nothing */
+    g_hash_table_unref(machines);
+    g_ptr_array_unref(ids);
+}
+
+/* A later owner reads the pages as they were written. */
+static void pages_are_loaded_as_they_are(void **state)
+{
+    (void)state;
+    GPtrArray *ids = fleet_of_one_shard();
+    for (guint i = 0; i < ids->len; i++)
+        report_of(g_ptr_array_index(ids, i), "t16", 1);
+    fill(FLEET * EACH, 2);
+    for (guint round = 0; round < 40; round++)
+        commit_within_limits(false);
+    part_free(part);
+    part = part_new(flavors, teams, 30000);
+    part_set_view(part, 1);
+    GHashTableIter iter;
+    gpointer key, value;
+    g_hash_table_iter_init(&iter, store->keys);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const state_entry_t *entry = value;
+        page_record_t record;
+        if (!g_str_has_prefix(key, "machines/"))
+            continue;
+        assert_true(wire_parse_record(entry->key + strlen("machines/"), entry->value, entry->stamp,
+                                      &record));
+        part_load(part, &record, 1000);
+        g_array_unref(record.machines);
+    }
+    assert_int_equal(g_hash_table_size(part->attempts), FLEET * EACH);
+    part_machine_gone(part, g_ptr_array_index(ids, 0)); /* its page is written under its stamp */
+    assert_int_equal(commit_within_limits(false), 1);
+    assert_int_equal(g_hash_table_size(part->attempts), (FLEET - 1) * EACH);
+    g_ptr_array_unref(ids);
+}
+
+/* More small tasks than one key can hold for one machine: it takes no more, instead of holding
+ * their reservations for ever, and takes some again when others have ended. */
+static void a_machine_that_fills_a_page_takes_no_more(void **state)
+{
+    (void)state;
+    flavor_t large = {.name = "t1000", .room = {1000, 0, 4000}};
+    g_array_append_val(flavors, large);
+    report_of("m-000001", "t1000", 1);
+    fill(600, 1);
+    guint before = 0, after = 1;
+    GHashTable *machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    while (before != after) {
+        before = recorded(machines);
+        commit_within_limits(false);
+        commit_within_limits(false);
+        after = recorded(machines);
+    }
+    assert_in_range(after, 100, 599);
+    offer_t offer = {.need = {1, 0, 1}, .job = "j-000999", .attempt = 9u << 24};
+    assert_null(part_place(part, &offer, 1000));
+    part_end_job(part, "j-000000");
+    report_of("m-000001", "t1000", 2);
+    commit_within_limits(false);
+    assert_non_null(part_place(part, &offer, 2000));
+    g_hash_table_unref(machines);
+}
+
+static void names_of_pages_are_read_back(void **state)
+{
+    (void)state;
+    char name[PAGE_NAME], shard[SHARD_NAME];
+    guint page = 9;
+    page_name("east+1.b.07", 0, name, sizeof name);
+    assert_string_equal(name, "east+1.b.07"); /* as builds without pages wrote it */
+    assert_true(page_parse(name, shard, sizeof shard, &page));
+    assert_string_equal(shard, "east+1.b.07");
+    assert_int_equal(page, 0);
+    page_name("east+1.b.07", 12, name, sizeof name);
+    assert_true(page_parse(name, shard, sizeof shard, &page));
+    assert_string_equal(shard, "east+1.b.07");
+    assert_int_equal(page, 12);
+    assert_false(page_parse("east.07+x", shard, sizeof shard, &page));
+    assert_false(page_parse("east", shard, sizeof shard, &page));
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -207,6 +410,12 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(abort_and_done_exclude_each_other, set_up, tear_down),
         cmocka_unit_test_setup_teardown(abort_takes_the_progress_along, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(a_shard_of_any_size_records_all_its_starts, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(pages_are_loaded_as_they_are, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(a_machine_that_fills_a_page_takes_no_more, set_up,
+                                        tear_down),
+        cmocka_unit_test(names_of_pages_are_read_back),
         cmocka_unit_test(a_value_that_can_not_be_built_is_never_sent),
     };
     return cmocka_run_group_tests_name("records", tests, NULL, NULL);
