Connections within threads and memory too; more senders, and none held up by machines that hang

Cause: the limit of connections was taken from the sockets alone. With 2,537 sockets a process may have 2,437 threads where 2,000 are allowed, and stacks beyond its memory. Found by reading, and by measuring memory: 24.8 MB at 327 connections, some 50 KB each (simulated). Now it is the least of sockets, threads and memory, a part kept for ourselves; above three quarters of it users' connections are closed after their answer, so that workers find room.

Six senders of direct commands wait 2 s for each machine that hangs: 50 that hang at once held up the others for 17 s. Now 16, 1 s to connect, and a machine that did not answer gets no start and no further command until it is reached. A connection that was given up counts as not sent: it does not complete later.

The platform's numbers have an upper bound, and cancel_s must leave time beyond lease_s: else the service would start and keep no worker.

--- a/src/app/front.c
+++ b/src/app/front.c
@@ -578,7 +578,8 @@
         metrics_count(node->metrics, COUNT_REFUSED, 1);
 }
 
-static enum MHD_Result send_reply(struct MHD_Connection *connection, reply_t reply)
+/* close: the connection is given up after this answer. */
+static enum MHD_Result send_reply(struct MHD_Connection *connection, reply_t reply, bool close)
 {
     char *text =
         reply.body ? json_dumps(reply.body, JSON_COMPACT | JSON_REAL_PRECISION(9)) : reply.text;
@@ -588,6 +589,8 @@
                                         text ? MHD_RESPMEM_MUST_FREE : MHD_RESPMEM_PERSISTENT);
     MHD_add_response_header(response, "Content-Type",
                             reply.text ? "text/plain" : "application/json");
+    if (close)
+        MHD_add_response_header(response, "Connection", "close");
     if (reply.retry_after_s) {
         char seconds[16];
         g_snprintf(seconds, sizeof seconds, "%u", reply.retry_after_s);
@@ -619,7 +622,12 @@
     }
     reply_t reply = route(data, method, path, request);
     count_reply(data, &reply);
-    return send_reply(connection, reply);
+    /* A worker that finds no connection loses its lease, a user asks again: above three quarters of
+     * the limit, users' connections are not kept. */
+    const node_t *node = data;
+    guint most = node->settings->connections;
+    bool crowded = atomic_load(&node->connections) > most - most / CONNECTIONS_FOR_WORKERS;
+    return send_reply(connection, reply, crowded && strcmp(path, "/hello") != 0);
 }
 
 static void completed(void *data, struct MHD_Connection *connection, void **context,
@@ -636,6 +644,15 @@
     *context = NULL;
 }
 
+static void count_connection(void *data, struct MHD_Connection *connection, void **context,
+                             enum MHD_ConnectionNotificationCode code)
+{
+    node_t *node = data;
+    (void)connection;
+    (void)context;
+    atomic_fetch_add(&node->connections, code == MHD_CONNECTION_NOTIFY_STARTED ? 1 : -1);
+}
+
 bool front_start(node_t *node)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
@@ -648,9 +665,9 @@
     struct MHD_Daemon *daemon = MHD_start_daemon(
         MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL, 0, NULL,
         NULL, handle, node, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED, completed,
-        NULL, MHD_OPTION_CONNECTION_LIMIT, node->settings->connections - CONNECTIONS_SPARE,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY, MHD_OPTION_THREAD_STACK_SIZE,
-        (size_t)THREAD_STACK, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+        NULL, MHD_OPTION_NOTIFY_CONNECTION, count_connection, node, MHD_OPTION_CONNECTION_LIMIT,
+        node->settings->connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+        MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
         /* A peer behind a cut or hanging never closes: its sockets would add up to the limit. */
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)CONNECTION_IDLE_S, MHD_OPTION_END);
     if (!daemon)
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -14,6 +14,7 @@
 #define PEPPERPULLEY_NODE_H
 
 #include <pthread.h>
+#include <stdatomic.h>
 
 #include "app/metrics.h"
 #include "app/settings.h"
@@ -89,6 +90,7 @@
     msec_t heard[MEMBERS_MAX]; /* when each member last called by socket */
     GHashTable *ended;         /* id -> final state (static string); a bounded cache */
     guests_t *guests;
+    atomic_uint connections; /* of users and workers, open now */
 } node_t;
 
 /* Both are borrowed for the life of the process. */
--- a/src/app/sender.c
+++ b/src/app/sender.c
@@ -20,10 +20,10 @@
 {
     report_t report = {0};
     bool reported = answer && wire_parse_report(answer, &report, NULL);
-    direct_result_t result = status == 200 && reported ? DIRECT_EXECUTED
-                             : status == 409 || status == 400 || status == HTTP_NOT_SENT
-                                 ? DIRECT_REFUSED
-                                 : DIRECT_UNANSWERED;
+    direct_result_t result = status == 200 && reported        ? DIRECT_EXECUTED
+                             : status == 409 || status == 400 ? DIRECT_REFUSED
+                             : status == HTTP_NOT_SENT        ? DIRECT_NOT_SENT
+                                                              : DIRECT_UNANSWERED;
     log_debug("event=direct machine=%s calls=%u status=%d", exchange->machine, calls->len, status);
     pthread_mutex_lock(&node->lock);
     /* A view loaded meanwhile has its own data and a higher token, under which this one is void. */
@@ -40,7 +40,8 @@
 void *sender_run(void *data)
 {
     node_t *node = data;
-    http_client_t *client = http_client_new(10);
+    http_client_t *client = http_client_new(2);
+    http_client_hurry(client, DIRECT_CONNECT_MS);
     GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
     for (;;) {
         g_array_set_size(calls, 0);
@@ -64,7 +65,7 @@
         int status = http_call(client, "POST", exchange.url, body, DIRECT_TIMEOUT_MS, &answer);
         metrics_time(node->metrics, TIME_DIRECT, clock_steady() - sent);
         metrics_count(node->metrics,
-                      status == HTTP_NO_ANSWER ? COUNT_DIRECT_UNANSWERED : COUNT_DIRECT, 1);
+                      status <= HTTP_NO_ANSWER ? COUNT_DIRECT_UNANSWERED : COUNT_DIRECT, 1);
         json_decref(body);
         finish(node, &exchange, calls, status, answer);
         json_decref(answer);
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -60,9 +60,10 @@
     if (!value)
         return low;
     double number = json_number_value(value);
-    if (!json_is_number(value) || !isfinite(number) || number < low) {
+    if (!json_is_number(value) || !isfinite(number) || number < low || number > SETTING_MAX) {
         char expected[64];
-        g_snprintf(expected, sizeof expected, "a number of at least %g is expected", low);
+        g_snprintf(expected, sizeof expected, "a number from %g to %g is expected", low,
+                   SETTING_MAX);
         fault(reader, name, expected);
         return low;
     }
@@ -168,6 +169,19 @@
     }
 }
 
+/* A thread serves each connection, so the sockets are not all that limits them: with thousands of
+ * sockets granted, threads ran out first, and then memory. */
+static guint read_connections(reader_t *reader, const json_t *limits)
+{
+    double most = read_number(reader, limits, "fd_limit", 150) - CONNECTIONS_SPARE;
+    most = MIN(most, THREADS_MAX - THREADS_SPARE);
+    if (json_object_get(limits, "ram_mb")) {
+        double memory = read_number(reader, limits, "ram_mb", 16) * 1024;
+        most = MIN(most, memory * CONNECTIONS_MEMORY / CONNECTION_COST_KB);
+    }
+    return (guint)most;
+}
+
 static void read_platform(reader_t *reader, const json_t *root, settings_t *settings)
 {
     const json_t *platform = read_object(reader, root, "settings");
@@ -184,13 +198,17 @@
     settings->report_s = read_number(reader, workers, "report_s", 0.01);
     settings->lease_s = read_number(reader, workers, "lease_s", 1);
     settings->cancel_s = read_number(reader, workers, "cancel_s", 1);
+    /* Between them lies all the time in which reports can be answered after the last word on
+     * cancelled jobs: without it no worker would keep its lease. */
+    if (!reader->error && settings->cancel_s * 1000 <= settings->lease_s * 1000 + CONTACT_MARGIN_MS)
+        fault(reader, "cancel_s", "it must exceed lease_s by more than 3 s");
     settings->state_rps = read_number(reader, state, "rps", 1);
     settings->state_write_rps = read_number(reader, state, "write_rps", 1);
     settings->value_kb = read_number(reader, state, "value_kb", 4);
     settings->txn_ops = (guint)read_number(reader, state, "txn_ops", 10);
     settings->cloud_rps = read_number(reader, cloud, "rps", 0.1);
     settings->list_lag_s = read_number(reader, cloud, "list_lag_s", 0);
-    settings->connections = (guint)read_number(reader, limits, "fd_limit", 150);
+    settings->connections = read_connections(reader, limits);
 }
 
 void settings_free(settings_t *settings)
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -29,7 +29,8 @@
     guint txn_ops;
     double cloud_rps;
     double list_lag_s;
-    guint connections;
+    guint connections; /* of users and workers at once, within the limits of sockets, threads and
+                          memory */
 } settings_t;
 
 /* Returns NULL with a message in *error (g_free it). */
--- a/src/constants.h
+++ b/src/constants.h
@@ -32,11 +32,16 @@
     CONNECTIONS_SPARE = 100,       /* sockets kept for our own calls out of fd_limit */
     FRONT_CLIENTS = 10,       /* state connections of the front: one blocked each, 10 ms a call */
     MESH_FRAME_MAX = 1 << 20, /* bytes of a message between controllers; usual ones have 10 KB */
-    MESH_BATCH = 128,     /* items in one message: a second's starts and ends of 200 machines, when
-                             an exchange by mail takes one */
-    MAIL_ROOM = 512,      /* bytes kept free below value_kb in a page of mail */
-    MAIL_PAGES = 10,      /* of a message; a transaction takes about four of 16 KiB */
-    SENDERS = 6,          /* threads that send direct commands: a hung machine blocks one 2 s */
+    MESH_BATCH = 128,    /* items in one message: a second's starts and ends of 200 machines, when
+                            an exchange by mail takes one */
+    MAIL_ROOM = 512,     /* bytes kept free below value_kb in a page of mail */
+    MAIL_PAGES = 10,     /* of a message; a transaction takes about four of 16 KiB */
+    THREADS_MAX = 2000,  /* of a process, from the platform */
+    THREADS_SPARE = 200, /* of them our own: loops, senders, siblings' calls */
+    CONNECTION_COST_KB = 64, /* of memory a connection takes at most: stack, buffers, a request */
+    CONNECTIONS_FOR_WORKERS = 4, /* a fourth of the connections is kept for workers */
+    SENDERS = 16,         /* threads that send direct commands: of 60 machines that hang at once, a
+                             controller has up to 20, and each blocks one for a moment */
     ENDED_CACHE = 4096,   /* final answers kept in memory, about 60 bytes each */
     JOB_ERRORS_ALARM = 4, /* failures of one job on as many machines: the job is bad */
     AGED_PART = 16, /* of a job's tasks: so many at a time go first once it has waited too long */
@@ -58,7 +63,9 @@
         2000, /* an answer also proves what aborts are known; half a request a second */
     FRONT_TIMEOUT_MS = 1500,  /* users wait 2 s for a status and 5 s for a submission */
     DIRECT_TIMEOUT_MS = 2000, /* a worker answers in milliseconds; then the report is the path */
-    DIRECT_FRESH_MS = 4000,   /* a machine not reached for so long gets no starts and no commands */
+    DIRECT_CONNECT_MS =
+        1000,               /* to connect takes milliseconds; a machine that hangs never answers */
+    DIRECT_FRESH_MS = 4000, /* a machine not reached for so long gets no starts and no commands */
     REPORT_PATIENCE_MS = 4000, /* a worker waits so long for an answer, from the protocol */
     CLOUD_TIMEOUT_MS = 10000,  /* rentals may be slow; a lost answer costs a repeat only */
     TICK_MS = 250,             /* leader's longest sleep when nothing happens */
@@ -117,8 +124,11 @@
     SHUT_OUT_MS = 3000    /* /ready turns 503 after so long without the state service */
 };
 
+#define SETTING_MAX 1e9 /* of any number in the platform's file; more is a slip */
+
 /* Shares of the outside services' budgets (1 = all of it). Peaks of the three nodes seldom meet,
  * and what is refused above the limit is repeated: together they may exceed 1. */
+#define CONNECTIONS_MEMORY 0.6  /* of memory for connections; the rest for records and our own */
 #define SHARE_LEADER_WRITE 0.45 /* its part's commits and every job's progress */
 #define SHARE_PART_WRITE 0.35   /* another part's commits, at most */
 #define SHARE_PARTS_WRITE 1.05  /* of all parts together */
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -242,7 +242,7 @@
  * within that time has had the answer; so has one that answered a command. */
 bool part_is_reached(const machine_t *machine, msec_t now)
 {
-    return machine->reported && now - machine->reached < DIRECT_FRESH_MS;
+    return machine->reported && !machine->doubtful && now - machine->reached < DIRECT_FRESH_MS;
 }
 
 /* Whether the machine is open for the offer, room aside. One that has not reported in this view, or
@@ -709,6 +709,7 @@
     bool follows = machine->reported && now - machine->last_report < REPORT_PATIENCE_MS;
     if (follows || !machine->reported) {
         machine->reached = now;
+        machine->doubtful = false;
     }
     machine->last_report = now;
     machine->spoken = report->seq;
@@ -1226,6 +1227,7 @@
     if (!machine)
         return;
     machine->direct_busy = false;
+    machine->doubtful = result == DIRECT_UNANSWERED || result == DIRECT_NOT_SENT;
     for (guint i = 0; result == DIRECT_UNANSWERED && i < calls->len; i++)
         if (g_array_index(calls, call_t, i).op == CALL_RUN)
             machine->unanswered_token = MAX(machine->unanswered_token, token);
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -155,8 +155,10 @@
     guint running;
     guint errors; /* failures of jobs that run elsewhere */
     page_t *page;
-    bool crowded; /* alone in its page, and that is full: no more starts for now */
-    bool gone;    /* the cloud confirmed it; the struct goes with its last attempt */
+    bool crowded;  /* alone in its page, and that is full: no more starts for now */
+    bool doubtful; /* a direct command did not get through since it was last reached: one machine
+                      that hangs must not hold up those that don't */
+    bool gone;     /* the cloud confirmed it; the struct goes with its last attempt */
     bool direct_busy;
     bool direct_wanted;
     uint64_t unanswered_token; /* a direct `run` under it got no answer: a copy may still arrive */
@@ -245,7 +247,12 @@
 
 /* Direct commands: the next machine that wants some, or NULL; its calls are appended. */
 machine_t *part_direct_take(part_t *part, msec_t now, GArray *calls);
-typedef enum { DIRECT_EXECUTED, DIRECT_REFUSED, DIRECT_UNANSWERED } direct_result_t;
+typedef enum {
+    DIRECT_EXECUTED,
+    DIRECT_REFUSED,
+    DIRECT_NOT_SENT,
+    DIRECT_UNANSWERED
+} direct_result_t;
 void part_direct_done(part_t *part, const char *machine, const GArray *calls, uint64_t token,
                       direct_result_t result);
 /* Whether something waits for the token to move before it can be forgotten or proved. */
--- a/src/io/http.c
+++ b/src/io/http.c
@@ -37,11 +37,17 @@
     return client;
 }
 
+void http_client_hurry(http_client_t *client, long connect_ms)
+{
+    curl_easy_setopt(client->curl, CURLOPT_CONNECTTIMEOUT_MS, connect_ms);
+}
+
 static int failed_call(CURL *curl, CURLcode code)
 {
     long sent = 0;
     curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
-    if (code == CURLE_COULDNT_CONNECT && sent == 0)
+    /* A connection attempt that was given up does not complete later. */
+    if ((code == CURLE_COULDNT_CONNECT || code == CURLE_OPERATION_TIMEDOUT) && sent == 0)
         return HTTP_NOT_SENT;
     return HTTP_NO_ANSWER;
 }
--- a/src/io/http.h
+++ b/src/io/http.h
@@ -17,6 +17,8 @@
 
 void http_start(void); /* once per process, before any thread */
 http_client_t *http_client_new(long connections);
+/* A connection that takes longer is given up (HTTP_NOT_SENT). */
+void http_client_hurry(http_client_t *client, long connect_ms);
 /* body may be NULL and is not consumed; *answer (may be NULL) gets a new reference or NULL. */
 int http_call(http_client_t *client, const char *method, const char *url, const json_t *body,
               long timeout_ms, json_t **answer);
--- a/tests/stories_part.c
+++ b/tests/stories_part.c
@@ -483,6 +483,26 @@
     assert_non_null(part_place(stage->part, &offer, stage->now));
 }
 
+/* A command to a machine that hangs holds a sender for its whole patience. It gets no further one,
+ * and no start, until it shows that it is reached; those behind it in the queue have their turn. */
+static void hanging_machine_holds_one_sender_once(void **state)
+{
+    (void)state;
+    offer_t offer = offer_of("j-000001", 1, 101, 4);
+    exchange();
+    place("j-000001", 0, 100);
+    commit();
+    machine_t *machine = part_direct_take(stage->part, stage->now, stage->calls);
+    assert_ptr_equal(machine, the_machine());
+    part_direct_done(stage->part, "m-000001", stage->calls, 7, DIRECT_UNANSWERED);
+    part_end_job(stage->part, "j-000001"); /* wants a stop there */
+    assert_null(part_direct_take(stage->part, stage->now, stage->calls));
+    assert_null(part_place(stage->part, &offer, stage->now));
+    exchange();
+    exchange();
+    assert_non_null(part_place(stage->part, &offer, stage->now));
+}
+
 static void released_machine_is_proof(void **state)
 {
     (void)state;
@@ -665,6 +685,7 @@
         cmocka_unit_test_setup_teardown(copy_at_a_fresh_owner_changes_nothing, set_up, tear_down),
         cmocka_unit_test_setup_teardown(copy_at_the_owner_keeps_nothing_alive, set_up, tear_down),
         cmocka_unit_test_setup_teardown(heard_but_not_reached_gets_no_starts, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(hanging_machine_holds_one_sender_once, set_up, tear_down),
         cmocka_unit_test_setup_teardown(released_machine_is_proof, set_up, tear_down),
         cmocka_unit_test_setup_teardown(urgent_work_takes_the_place_of_low_work, set_up, tear_down),
         cmocka_unit_test_setup_teardown(equal_urgency_is_never_stopped, set_up, tear_down),
--- a/tests/stories_settings.c
+++ b/tests/stories_settings.c
@@ -73,6 +73,37 @@
     refused("workers", "lease_s", json_string("10"));
     refused("workers", "cancel_s", json_real(-1));
     refused("state", "txn_ops", json_null());
+    refused("state", "rps", json_real(1e300));
+    refused("workers", "cancel_s", json_real(12)); /* lease_s is 10: no time to answer in */
+    refused("limits", "fd_limit", json_integer(20));
+    refused("limits", "ram_mb", json_integer(-188));
+}
+
+static guint connections(double fd_limit, double ram_mb)
+{
+    char *error = NULL;
+    json_t *body = settings_body();
+    json_t *limits = json_object_get(json_object_get(body, "settings"), "limits");
+    json_object_set_new(limits, "fd_limit", json_real(fd_limit));
+    if (ram_mb > 0)
+        json_object_set_new(limits, "ram_mb", json_real(ram_mb));
+    settings_t *settings = load(body, &error);
+    assert_non_null(settings);
+    guint most = settings->connections;
+    settings_free(settings);
+    return most;
+}
+
+/* A thread serves each connection: with 2,537 sockets granted, the limit of 2,000 threads a process
+ * was met first, and the process ended. */
+static void connections_stay_below_sockets_threads_and_memory(void **state)
+{
+    (void)state;
+    assert_int_equal(connections(600, 0), 500);
+    assert_in_range(connections(2537, 0), 1500, THREADS_MAX - 100);
+    assert_in_range(connections(1e9, 0), 1500, THREADS_MAX - 100);
+    assert_in_range(connections(2537, 188), 1000, 188 * 1024 / CONNECTION_COST_KB);
+    assert_in_range(connections(2537, 56), 300, 56 * 1024 / CONNECTION_COST_KB);
 }
 
 static void missing_file_is_told(void **state)
@@ -89,6 +120,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(complete_file_is_taken_and_unknown_fields_ignored),
         cmocka_unit_test(wrong_types_and_values_are_told_by_name),
+        cmocka_unit_test(connections_stay_below_sockets_threads_and_memory),
         cmocka_unit_test(missing_file_is_told),
     };
     return cmocka_run_group_tests_name("settings", tests, NULL, NULL);
