New owners ask their machines; what counts as reached follows report_s

Now a new owner sends its recorded machines an empty command at once: an answer under its own token and session is no copy, and opens the machine until it reports. At most half of the senders wait for such answers. A report follows an answer that arrived if it comes within 4.8 s (a worker waits 4 s, then a second, from the protocol), and a machine stays fresh for one and a half report_s and a second.

--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -301,7 +301,8 @@
         const GArray *rows = g_ptr_array_index(node->leader->rows, i);
         for (guint k = 0; rows && k < rows->len; k++) {
             const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            bool unlisted = listed && row->known_ms > lag && row->silent_ms > DIRECT_FRESH_MS &&
+            bool unlisted = listed && row->known_ms > lag && !row->open &&
+                            row->silent_ms > DIRECT_FRESH_MS &&
                             !g_hash_table_contains(cloud->listed, row->machine);
             if ((row->silent_ms <= most && !unlisted) || is_returned(cloud, row->machine, now))
                 continue;
@@ -374,6 +375,14 @@
     node_wake(node);
 }
 
+/* Silence after which a worker may have lost its owner: a report and a half, and the time it takes.
+ */
+static msec_t lost_after(const node_t *node)
+{
+    return MAX(LOST_SILENT_MS,
+               (msec_t)(node->settings->report_s * REPORT_SPREAD * 1000) + 2 * REPORT_LATE_MS);
+}
+
 /* With the lock held: machines of a part that have gone silent, if they are most of it. */
 static GPtrArray *lost_of(const node_t *node, guint part)
 {
@@ -381,7 +390,7 @@
     GPtrArray *lost = g_ptr_array_new_with_free_func(g_free);
     for (guint k = 0; rows && k < rows->len; k++) {
         const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-        if (row->silent_ms > LOST_SILENT_MS)
+        if (row->silent_ms > lost_after(node))
             g_ptr_array_add(lost, g_strdup(row->machine));
     }
     if (lost->len < LOST_LEAST || 2 * lost->len <= rows->len)
@@ -399,7 +408,7 @@
     pthread_mutex_lock(&node->lock);
     uint64_t generation = node->generation;
     /* In a view's first seconds, workers are still on their way to their owners. */
-    parts = leads(node) && now - node->loaded_at > 2 * LOST_SILENT_MS ? node->view.count : 0;
+    parts = leads(node) && now - node->loaded_at > 2 * lost_after(node) ? node->view.count : 0;
     pthread_mutex_unlock(&node->lock);
     for (guint i = 0; i < parts; i++) {
         pthread_mutex_lock(&node->lock);
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -226,8 +226,9 @@
         if (machine->gone)
             continue;
         machine_row_t row = {.spot = machine->spot,
-                             .open = part_is_reached(machine, now) && machine->known_room &&
-                                     !machine->draining && !machine->notice_at,
+                             .open = part_is_reached(node->part, machine, now) &&
+                                     machine->known_room && !machine->draining &&
+                                     !machine->notice_at,
                              .draining = machine->draining,
                              .total = machine->room,
                              .free = part_free_room(machine),
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -132,6 +132,7 @@
     node->part = part_new(node->flavors, node->settings->teams,
                           (msec_t)(knob_value(node->policy, KNOB_RESERVATION_LAPSE) * 1000));
     part_set_view(node->part, node->view.number);
+    part_set_report(node->part, node->settings->report_s);
     if (node->leading) {
         node->leader = leader_new(node->settings->teams, node->settings->targets, node->policy,
                                   node->view.count);
@@ -143,6 +144,7 @@
     node->generation++;
     node->loaded_at = now;
     pthread_cond_broadcast(&node->mesh);
+    pthread_cond_broadcast(&node->direct);
 }
 
 static void load(placer_t *placer)
--- a/src/app/sender.c
+++ b/src/app/sender.c
@@ -29,8 +29,11 @@
     /* A view loaded meanwhile has its own data and a higher token, under which this one is void. */
     if (node->generation == exchange->generation && node->loaded) {
         part_direct_done(node->part, exchange->machine, calls, exchange->token, result);
-        if (reported && strcmp(report.machine, exchange->machine) == 0)
-            part_report(node->part, &report, true, clock_steady(), NULL);
+        msec_t now = clock_steady();
+        if (reported && strcmp(report.machine, exchange->machine) == 0 &&
+            part_report(node->part, &report, true, now, NULL) == REPORT_TAKEN &&
+            result == DIRECT_EXECUTED)
+            part_probed(node->part, exchange->machine, now);
         node_wake(node);
     }
     pthread_mutex_unlock(&node->lock);
--- a/src/constants.h
+++ b/src/constants.h
@@ -65,12 +65,16 @@
     DIRECT_TIMEOUT_MS = 2000, /* a worker answers in milliseconds; then the report is the path */
     DIRECT_CONNECT_MS =
         1000,               /* to connect takes milliseconds; a machine that hangs never answers */
-    DIRECT_FRESH_MS = 4000, /* a machine not reached for so long gets no starts and no commands */
-    REPORT_PATIENCE_MS = 4000, /* a worker waits so long for an answer, from the protocol */
-    CLOUD_TIMEOUT_MS = 10000,  /* rentals may be slow; a lost answer costs a repeat only */
-    TICK_MS = 250,             /* leader's longest sleep when nothing happens */
-    COMMIT_GAP_MS = 60,        /* between commits: batches starts, spares the write budget */
-    CLOUD_LIST_MS = 2500,      /* between lists; the list lags by seconds anyway */
+    DIRECT_FRESH_MS = 4000, /* a machine not reached for so long gets no starts and no commands;
+                               longer where workers report seldom */
+    REPORT_FOLLOWS_MS = 4800, /* a worker waits 4 s for an answer and a second more before it turns
+                                 elsewhere, from the protocol: a report sooner than that follows an
+                                 answer that arrived */
+    REPORT_LATE_MS = 1000,    /* a report is under way or waits for its turn so long at most */
+    CLOUD_TIMEOUT_MS = 10000, /* rentals may be slow; a lost answer costs a repeat only */
+    TICK_MS = 250,            /* leader's longest sleep when nothing happens */
+    COMMIT_GAP_MS = 60,       /* between commits: batches starts, spares the write budget */
+    CLOUD_LIST_MS = 2500,     /* between lists; the list lags by seconds anyway */
     CLOUD_CALLS_MS = 1500, /* over cloud.rps: three calls of a round take turns within the limit */
     CLOUD_GAP_MS = 300,    /* between other calls: under 5 a second with the lists */
     FLAVORS_MS = 60000,    /* prices move slowly */
@@ -141,6 +145,9 @@
                                  */
 #define SHARE_FRONTS_WRITE 0.75 /* of all fronts together */
 
+#define REPORT_SPREAD                                                                              \
+    1.5 /* of report_s: a quarter more, and some machines slower than they should */
+
 /* Preemption. */
 #define PREEMPT_COST_S                                                                             \
     5.0 /* a stopped task waits and fetches again; larger ones find room later                     \
--- a/src/core/guest.c
+++ b/src/core/guest.c
@@ -49,7 +49,7 @@
         (report->session == guest->session && report->seq <= guest->seq))
         return GUEST_OLD;
     /* Without the answer that kept it here it would have waited, and turned to another node. */
-    if (now < guest->kept_until && now - guest->seen < REPORT_PATIENCE_MS)
+    if (now < guest->kept_until && now - guest->seen < REPORT_FOLLOWS_MS)
         guest->reached = now;
     guest->session = report->session;
     guest->seq = report->seq;
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -47,6 +47,7 @@
     part->teams = teams;
     part->outcomes = g_array_new(FALSE, TRUE, sizeof(outcome_t));
     part->lapse = lapse;
+    part->fresh = DIRECT_FRESH_MS;
     return part;
 }
 
@@ -66,6 +67,12 @@
     part->view = view;
 }
 
+/* Fleets that report every 3 s, some of them late by a half, looked silent between two reports. */
+void part_set_report(part_t *part, double report_s)
+{
+    part->fresh = MAX(DIRECT_FRESH_MS, (msec_t)(report_s * REPORT_SPREAD * 1000) + REPORT_LATE_MS);
+}
+
 static void look_up_room(const part_t *part, machine_t *machine)
 {
     for (guint i = 0; i < part->flavors->len; i++) {
@@ -211,6 +218,8 @@
     machine->spot = record->spot;
     machine->session = record->session;
     look_up_room(part, machine);
+    machine->probe = true;
+    want_direct(part, machine);
     for (guint i = 0; i < record->entries->len; i++) {
         attempt_t *attempt =
             attempt_add(part, machine, &g_array_index(record->entries, record_entry_t, i));
@@ -238,19 +247,19 @@
 }
 
 /* A machine can be heard and not reached: its reports come, our answers and commands are lost. A
- * worker without an answer waits 4 s and turns to another node, so one that reports here again
- * within that time has had the answer; so has one that answered a command. */
-bool part_is_reached(const machine_t *machine, msec_t now)
+ * worker without an answer waits 4 s and turns to another node a second later, so one that reports
+ * here again within that time has had the answer. */
+bool part_is_reached(const part_t *part, const machine_t *machine, msec_t now)
 {
-    return machine->reported && !machine->doubtful && now - machine->reached < DIRECT_FRESH_MS;
+    return machine->reported && !machine->doubtful && now - machine->reached < part->fresh;
 }
 
 /* Whether the machine is open for the offer, room aside. One that has not reported in this view, or
  * is not reached, may be hanging, cut off or gone: it takes no starts (the design ranks it last; a
  * start there would only wait, and be lost with its lease). */
-static bool is_open(const machine_t *machine, const offer_t *offer, msec_t now)
+static bool is_open(const part_t *part, const machine_t *machine, const offer_t *offer, msec_t now)
 {
-    if (!part_is_reached(machine, now) || !machine->known_room || machine->draining ||
+    if (!part_is_reached(part, machine, now) || !machine->known_room || machine->draining ||
         machine->notice_at || machine->crowded)
         return false;
     if (offer->zone[0] && strcmp(offer->zone, machine->zone) != 0)
@@ -307,7 +316,7 @@
     g_hash_table_iter_init(&iter, part->machines);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         machine_t *machine = value;
-        if (!is_open(machine, offer, now) || !room_fits(offer->need, part_free_room(machine)))
+        if (!is_open(part, machine, offer, now) || !room_fits(offer->need, part_free_room(machine)))
             continue;
         int rank = best ? compare_rank(machine, best, offer) : -1;
         if (rank < 0) {
@@ -399,7 +408,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         machine_t *machine = value;
         double lost;
-        if (!is_open(machine, offer, now))
+        if (!is_open(part, machine, offer, now))
             continue;
         GArray *victims = choose_victims(part, machine, offer, now, &lost);
         lost += is_warm(machine, offer) ? 0 : PREEMPT_COLD_S * offer->need.cpus;
@@ -694,9 +703,9 @@
 {
     if (machine->gone || report->session < machine->session)
         return REPORT_STALE;
-    if (!machine->reported)
-        return direct || report->token >= part->view ? REPORT_TAKEN : REPORT_UNPROVEN;
-    if (report->session > machine->session)
+    if (!direct && !machine->spoke && report->token < part->view)
+        return REPORT_UNPROVEN;
+    if (!machine->reported || report->session > machine->session)
         return REPORT_TAKEN;
     if (!direct && report->seq <= machine->spoken)
         return REPORT_STALE;
@@ -706,8 +715,9 @@
 /* An ordinary report came in its turn: what does it show about our answers? */
 static void note_turn(machine_t *machine, const report_t *report, msec_t now)
 {
-    bool follows = machine->reported && now - machine->last_report < REPORT_PATIENCE_MS;
-    if (follows || !machine->reported) {
+    bool follows = now - machine->last_report < REPORT_FOLLOWS_MS;
+    if (follows || !machine->spoke) {
+        machine->spoke = true;
         machine->reached = now;
         machine->doubtful = false;
     }
@@ -754,6 +764,18 @@
     return REPORT_TAKEN;
 }
 
+/* Only where it has not spoken yet: the lease of a machine that answers commands, but gets no
+ * answers to its reports, ends all the same. */
+void part_probed(part_t *part, const char *id, msec_t now)
+{
+    machine_t *machine = g_hash_table_lookup(part->machines, id);
+    if (!machine || machine->reported)
+        return;
+    machine->reported = true;
+    machine->reached = now;
+    want_direct(part, machine); /* starts that were recorded and perhaps not sent */
+}
+
 void part_note_alive(part_t *part, const report_t *report, msec_t now)
 {
     machine_t *machine = g_hash_table_lookup(part->machines, report->machine);
@@ -1202,20 +1224,34 @@
     g_free(batch);
 }
 
+/* Whether the machine's turn has come; calls: what to say. Some probes hang, and must leave senders
+ * for the live. */
+static bool take_direct(part_t *part, machine_t *machine, msec_t now, GArray *calls)
+{
+    machine->direct_busy = true;
+    if (machine->probe && !machine->reported) {
+        part->probing++;
+        return true;
+    }
+    machine->probe = false;
+    wanted_calls(machine, now, calls);
+    machine->direct_busy = calls->len > 0;
+    return machine->direct_busy;
+}
+
 machine_t *part_direct_take(part_t *part, msec_t now, GArray *calls)
 {
     for (GList *at = part->wanted->head, *next; at; at = next) {
         machine_t *machine = at->data;
+        bool probe = machine->probe && !machine->reported;
         next = at->next;
-        if (machine->direct_busy || !part_is_reached(machine, now))
+        if (machine->direct_busy || (probe && part->probing >= SENDERS / 2) ||
+            (!probe && !part_is_reached(part, machine, now)))
             continue;
         g_queue_delete_link(part->wanted, at);
         machine->direct_wanted = false;
-        wanted_calls(machine, now, calls);
-        if (!calls->len)
-            continue;
-        machine->direct_busy = true;
-        return machine;
+        if (take_direct(part, machine, now, calls))
+            return machine;
     }
     return NULL;
 }
@@ -1224,9 +1260,11 @@
                       direct_result_t result)
 {
     machine_t *machine = g_hash_table_lookup(part->machines, id);
+    part->probing -= calls->len == 0;
     if (!machine)
         return;
     machine->direct_busy = false;
+    machine->probe = false;
     machine->doubtful = result == DIRECT_UNANSWERED || result == DIRECT_NOT_SENT;
     for (guint i = 0; result == DIRECT_UNANSWERED && i < calls->len; i++)
         if (g_array_index(calls, call_t, i).op == CALL_RUN)
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -134,7 +134,9 @@
     bool spot;
     bool known_room;
     room_t room;
-    bool reported;
+    bool reported; /* it was heard in this view, by a report or by the answer to a probe */
+    bool spoke;    /* by an ordinary report */
+    bool probe;    /* to be asked for its state: its next report may be seconds away */
     uint64_t session;
     uint64_t seq;
     uint64_t
@@ -186,6 +188,8 @@
     GArray *outcomes;    /* outcome_t, drained by the caller */
     guint turn;          /* round robin among equals */
     msec_t lapse;
+    msec_t fresh;  /* a machine not reached for so long gets no starts and no commands */
+    guint probing; /* probes under way */
 } part_t;
 
 part_t *part_new(const GArray *flavors, const GArray *teams, msec_t lapse);
@@ -218,7 +222,11 @@
 /* A report came that could not be answered: the machine is not silent. */
 void part_note_alive(part_t *part, const report_t *report, msec_t now);
 /* Whether what we say has arrived at the machine of late, so that it may get starts. */
-bool part_is_reached(const machine_t *machine, msec_t now);
+bool part_is_reached(const part_t *part, const machine_t *machine, msec_t now);
+/* How often workers report sets what counts as fresh. */
+void part_set_report(part_t *part, double report_s);
+/* It executed a direct command of this view, and what it said was taken. */
+void part_probed(part_t *part, const char *machine, msec_t now);
 /* The job was cancelled or is over: its attempts stop, those not yet recorded are dropped. */
 void part_end_job(part_t *part, const char *job);
 /* Asks one attempt to stop, saving if it can. */
@@ -245,7 +253,8 @@
 void part_batch_undo(part_t *part, part_batch_t *batch);
 void part_batch_free(part_batch_t *batch);
 
-/* Direct commands: the next machine that wants some, or NULL; its calls are appended. */
+/* Direct commands: the next machine that wants some, or NULL; its calls are appended (none: it is
+ * only asked for its state). */
 machine_t *part_direct_take(part_t *part, msec_t now, GArray *calls);
 typedef enum {
     DIRECT_EXECUTED,
--- a/tests/stories_part.c
+++ b/tests/stories_part.c
@@ -431,7 +431,7 @@
     assert_int_equal(stage->calls->len, 0);
     assert_string_equal(the_machine()->address, "10.1.0.1:9000");
     assert_int_equal(the_machine()->reached, stage->now - 5000);
-    assert_false(part_is_reached(the_machine(), stage->now));
+    assert_false(part_is_reached(stage->part, the_machine(), stage->now));
     commit();
     assert_int_equal(stage->part->outcomes->len, 0);
     fake_worker_free(past);
@@ -483,6 +483,77 @@
     assert_non_null(part_place(stage->part, &offer, stage->now));
 }
 
+static const machine_t *probe(direct_result_t result)
+{
+    const machine_t *machine = part_direct_take(stage->part, stage->now, stage->calls);
+    if (!machine)
+        return NULL;
+    assert_int_equal(stage->calls->len, 0);
+    part_direct_done(stage->part, "m-000001", stage->calls, 7, result);
+    report_t report = fake_worker_report(stage->worker);
+    if (result <= DIRECT_REFUSED)
+        assert_int_equal(deliver(&report, true), REPORT_TAKEN);
+    else
+        report_clear(&report);
+    if (result == DIRECT_EXECUTED)
+        part_probed(stage->part, "m-000001", stage->now);
+    return machine;
+}
+
+/* With reports 3 s apart, each change of view closed every machine for up to 4 s. A new owner asks;
+ * the answer to a command of its own view is no copy. */
+static void new_owner_asks_and_need_not_wait_for_a_report(void **state)
+{
+    (void)state;
+    offer_t offer = offer_of("j-000009", 0, 900, 4);
+    load_record();
+    assert_null(part_place(stage->part, &offer, stage->now));
+    assert_non_null(probe(DIRECT_EXECUTED));
+    assert_non_null(part_place(stage->part, &offer, stage->now));
+    /* It opens the machine for a moment only: leases are renewed by reports. */
+    offer.task = 1;
+    stage->now += stage->part->fresh;
+    assert_null(part_place(stage->part, &offer, stage->now));
+    /* A report from before this view is still perhaps a copy. */
+    report_t copy = fake_worker_report(stage->worker);
+    copy.token = 6;
+    assert_int_equal(deliver(&copy, false), REPORT_UNPROVEN);
+    assert_null(part_place(stage->part, &offer, stage->now));
+    exchange();
+    assert_non_null(part_place(stage->part, &offer, stage->now));
+}
+
+static void probe_that_is_refused_or_lost_opens_nothing(void **state)
+{
+    (void)state;
+    offer_t offer = offer_of("j-000009", 0, 900, 4);
+    load_record();
+    assert_non_null(probe(DIRECT_REFUSED)); /* another session, or a higher token */
+    assert_null(part_place(stage->part, &offer, stage->now));
+    assert_null(probe(DIRECT_EXECUTED)); /* it is asked once */
+    assert_int_equal(stage->part->probing, 0);
+    exchange();
+    assert_non_null(part_place(stage->part, &offer, stage->now));
+}
+
+/* At 3 s and a half more between reports, a machine looked unreached each time, for 4 s was the
+ * limit; after lease_s + 5 s of that it was released, with all its tasks. */
+static void workers_that_report_seldom_are_not_taken_for_silent(void **state)
+{
+    (void)state;
+    offer_t offer = offer_of("j-000001", 0, 100, 1);
+    part_set_report(stage->part, 3.0);
+    exchange();
+    for (uint32_t i = 0; i < 8; i++) {
+        stage->now += 3500; /* and 1 s in exchange() */
+        offer.task = i;
+        offer.attempt = 100 + i;
+        assert_non_null(part_place(stage->part, &offer, stage->now));
+        exchange();
+        assert_true(stage->now - the_machine()->reached <= 1000);
+    }
+}
+
 /* A command to a machine that hangs holds a sender for its whole patience. It gets no further one,
  * and no start, until it shows that it is reached; those behind it in the queue have their turn. */
 static void hanging_machine_holds_one_sender_once(void **state)
@@ -685,6 +756,12 @@
         cmocka_unit_test_setup_teardown(copy_at_a_fresh_owner_changes_nothing, set_up, tear_down),
         cmocka_unit_test_setup_teardown(copy_at_the_owner_keeps_nothing_alive, set_up, tear_down),
         cmocka_unit_test_setup_teardown(heard_but_not_reached_gets_no_starts, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(new_owner_asks_and_need_not_wait_for_a_report, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(probe_that_is_refused_or_lost_opens_nothing, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(workers_that_report_seldom_are_not_taken_for_silent, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(hanging_machine_holds_one_sender_once, set_up, tear_down),
         cmocka_unit_test_setup_teardown(released_machine_is_proof, set_up, tear_down),
         cmocka_unit_test_setup_teardown(urgent_work_takes_the_place_of_low_work, set_up, tear_down),
