A dark zone's machines are waited for, and it is dark no longer once it is heard

Now a zone is judged by all its rows, from 6 s of silence on (until then five machines were still rented into the cut); its machines are given up after 60 s instead of 20 s; once one is heard the zone is lit and the others have 20 s to follow. A machine that the cloud no longer lists goes at once as before. The list of silent machines is no longer cut at 100, which 200 kept elsewhere would have filled.

--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -288,6 +288,25 @@
     return kept;
 }
 
+/* Silence after which a worker may have lost its owner: a report and a half, and the time it takes.
+ */
+static msec_t lost_after(const node_t *node)
+{
+    return MAX(LOST_SILENT_MS,
+               (msec_t)(node->settings->report_s * REPORT_SPREAD * 1000) + 2 * REPORT_LATE_MS);
+}
+
+static void watch_zones(node_t *node, msec_t now)
+{
+    GPtrArray *fallen = rental_watch_zones(node->rental, node->leader, lost_after(node), now);
+    for (guint i = 0; i < fallen->len; i++)
+        log_info("event=dark zone=%s", (char *)g_ptr_array_index(fallen, i));
+    g_ptr_array_unref(fallen);
+}
+
+/* Machines to be given up for their silence, unless another controller keeps them alive. Those of a
+ * dark zone have longer: a cut ends, and then they are there, where new ones would have to be
+ * rented and booted; their tasks have missed the nearest targets either way. */
 static GPtrArray *find_silent(cloud_t *cloud)
 {
     node_t *node = cloud->node;
@@ -296,6 +315,8 @@
     msec_t lag = (msec_t)(node->settings->list_lag_s * 2000) + SETTLE_MS;
     msec_t now = clock_steady();
     pthread_mutex_lock(&node->lock);
+    if (leads(node))
+        watch_zones(node, now);
     bool listed = leads(node) && cloud->listed_at > node->loaded_at + lag;
     for (guint i = 0; leads(node) && i < node->leader->rows->len; i++) {
         const GArray *rows = g_ptr_array_index(node->leader->rows, i);
@@ -304,13 +325,15 @@
             bool unlisted = listed && row->known_ms > lag && !row->open &&
                             row->silent_ms > DIRECT_FRESH_MS &&
                             !g_hash_table_contains(cloud->listed, row->machine);
-            if ((row->silent_ms <= most && !unlisted) || is_returned(cloud, row->machine, now))
+            bool early = row->silent_ms <= most ||
+                         rental_waits(node->rental, row->zone, row->silent_ms, most, now);
+            if ((early && !unlisted) || is_returned(cloud, row->machine, now))
                 continue;
             log_debug("event=silent machine=%s silent_ms=%" G_GINT64_FORMAT
                       " known_ms=%" G_GINT64_FORMAT " listed=%d",
                       row->machine, row->silent_ms, row->known_ms,
                       g_hash_table_contains(cloud->listed, row->machine));
-            add_once(silent, row->machine);
+            g_ptr_array_add(silent, g_strdup(row->machine));
         }
     }
     pthread_mutex_unlock(&node->lock);
@@ -375,14 +398,6 @@
     node_wake(node);
 }
 
-/* Silence after which a worker may have lost its owner: a report and a half, and the time it takes.
- */
-static msec_t lost_after(const node_t *node)
-{
-    return MAX(LOST_SILENT_MS,
-               (msec_t)(node->settings->report_s * REPORT_SPREAD * 1000) + 2 * REPORT_LATE_MS);
-}
-
 /* With the lock held: machines of a part that have gone silent, if they are most of it. */
 static GPtrArray *lost_of(const node_t *node, guint part)
 {
@@ -436,33 +451,6 @@
         g_hash_table_unref(kept);
 }
 
-static bool is_zone_open(const node_t *node, const char *zone)
-{
-    for (guint i = 0; i < node->leader->rows->len; i++) {
-        const GArray *rows = g_ptr_array_index(node->leader->rows, i);
-        for (guint k = 0; rows && k < rows->len; k++) {
-            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            if (row->open && strcmp(row->zone, zone) == 0)
-                return true;
-        }
-    }
-    return false;
-}
-
-/* With the lock held: machines are given up for their silence. Where all of several in a zone are
- * silent, the zone is cut off: anything rented there would boot, cost and not be heard. */
-static void darken_zones(node_t *node, const GPtrArray *silent, msec_t now)
-{
-    for (guint i = 0; silent->len >= LOST_LEAST && i < silent->len; i++) {
-        const machine_row_t *row = find_row(node, g_ptr_array_index(silent, i), NULL);
-        if (!row || is_zone_open(node, row->zone))
-            continue;
-        if (!rental_is_dark(node->rental, row->zone, now))
-            log_info("event=dark zone=%s", row->zone);
-        rental_darken(node->rental, row->zone, now + DARK_ZONE_MS);
-    }
-}
-
 static void note_returned(cloud_t *cloud, const GPtrArray *names)
 {
     msec_t now = clock_steady();
@@ -487,8 +475,6 @@
     uint64_t generation = node->generation;
     if (leads(node)) {
         find_unwanted(cloud, names);
-        if (kept)
-            darken_zones(node, silent, clock_steady());
         for (guint i = 0; kept && i < silent->len; i++)
             if (!g_hash_table_contains(kept, g_ptr_array_index(silent, i)))
                 add_once(names, g_ptr_array_index(silent, i));
--- a/src/constants.h
+++ b/src/constants.h
@@ -79,7 +79,9 @@
     CLOUD_GAP_MS = 300,    /* between other calls: under 5 a second with the lists */
     FLAVORS_MS = 60000,    /* prices move slowly */
     CAPACITY_MEMORY_MS = 12000, /* a refused type, zone and kind is not asked again before that */
-    DARK_ZONE_MS = 60000,       /* nothing is rented for so long in a zone that went silent */
+    DARK_ZONE_MS = 60000, /* nothing is rented for so long in a zone that went silent, after its
+                             machines were given up */
+    DARK_HOLD_MS = 60000, /* so long those machines are waited for: three times what a boot takes */
     JOB_BACKOFF_MS = 5000,      /* after a failure, doubling, per job */
     JOB_BACKOFF_MAX_MS = 60000, /* a bad job costs at most one start a minute then */
     TASK_BACKOFF_MS = 500,      /* after a refused start: the room was not there */
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -9,6 +9,7 @@
     rental->boots = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     rental->refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     rental->dark = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    rental->lit = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return rental;
 }
 
@@ -17,6 +18,7 @@
     g_hash_table_unref(rental->boots);
     g_hash_table_unref(rental->refused);
     g_hash_table_unref(rental->dark);
+    g_hash_table_unref(rental->lit);
     g_free(rental);
 }
 
@@ -51,9 +53,53 @@
     g_hash_table_insert(rental->refused, wish_key(wish->type, wish->zone, wish->spot), value);
 }
 
-void rental_darken(rental_t *rental, const char *zone, msec_t until)
+/* What the rows say of a zone. */
+typedef struct {
+    guint open;
+    guint silent;
+} zone_sum_t;
+
+static GHashTable *sum_zones(const leader_t *leader, msec_t silent_ms)
 {
-    g_hash_table_insert(rental->dark, g_strdup(zone), g_memdup2(&until, sizeof until));
+    GHashTable *zones = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    for (guint i = 0; i < leader->rows->len; i++) {
+        const GArray *rows = g_ptr_array_index(leader->rows, i);
+        for (guint k = 0; rows && k < rows->len; k++) {
+            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+            zone_sum_t *sum = g_hash_table_lookup(zones, row->zone);
+            if (!sum) {
+                sum = g_new0(zone_sum_t, 1);
+                g_hash_table_insert(zones, (gpointer)row->zone, sum);
+            }
+            sum->open += row->open;
+            sum->silent += row->silent_ms > silent_ms;
+        }
+    }
+    return zones;
+}
+
+GPtrArray *rental_watch_zones(rental_t *rental, const leader_t *leader, msec_t silent_ms,
+                              msec_t now)
+{
+    GPtrArray *fallen = g_ptr_array_new_with_free_func(g_free);
+    GHashTable *zones = sum_zones(leader, silent_ms);
+    GHashTableIter iter;
+    gpointer zone, value;
+    g_hash_table_iter_init(&iter, zones);
+    while (g_hash_table_iter_next(&iter, &zone, &value)) {
+        const zone_sum_t *sum = value;
+        if (sum->open > 0) {
+            if (g_hash_table_remove(rental->dark, zone))
+                g_hash_table_insert(rental->lit, g_strdup(zone), g_memdup2(&now, sizeof now));
+        } else if (sum->silent >= LOST_LEAST) {
+            msec_t until = now + DARK_ZONE_MS;
+            if (!rental_is_dark(rental, zone, now))
+                g_ptr_array_add(fallen, g_strdup(zone));
+            g_hash_table_insert(rental->dark, g_strdup(zone), g_memdup2(&until, sizeof until));
+        }
+    }
+    g_hash_table_unref(zones);
+    return fallen;
 }
 
 bool rental_is_dark(const rental_t *rental, const char *zone, msec_t now)
@@ -62,6 +108,15 @@
     return until && now < *until;
 }
 
+bool rental_waits(const rental_t *rental, const char *zone, msec_t silent_ms, msec_t patience,
+                  msec_t now)
+{
+    const msec_t *lit = g_hash_table_lookup(rental->lit, zone);
+    return silent_ms <= DARK_HOLD_MS + patience &&
+           ((rental_is_dark(rental, zone, now) && silent_ms <= DARK_HOLD_MS) ||
+            (lit && now - *lit <= patience));
+}
+
 static const flavor_t *flavor_find(const GArray *flavors, const char *name)
 {
     for (guint i = 0; i < flavors->len; i++) {
--- a/src/core/rental.h
+++ b/src/core/rental.h
@@ -22,6 +22,7 @@
     msec_t surplus_since; /* more stands than is wanted; 0: it does not */
     GHashTable *refused;  /* "type zone kind" -> msec_t *: not asked again before it */
     GHashTable *dark;     /* zone -> msec_t *: nothing is rented there before it */
+    GHashTable *lit;      /* zone -> msec_t *: when it was heard again */
 } rental_t;
 
 typedef struct {
@@ -37,10 +38,17 @@
                     bool spot, msec_t since);
 /* It reported, or is gone. */
 void rental_boot_over(rental_t *rental, const char *machine);
-/* All of a zone went silent: it is probably cut off, and machines rented there now could not
- * report. */
-void rental_darken(rental_t *rental, const char *zone, msec_t until);
+/* Judges each zone by its rows. Where several machines stand and all have been silent for so long,
+ * it is probably cut off: it is dark until one is heard again, or for a while after its machines
+ * are gone. Nothing is rented there meanwhile, since it could not report. Returns the names of the
+ * zones that went dark just now. */
+GPtrArray *rental_watch_zones(rental_t *rental, const leader_t *leader, msec_t silent_ms,
+                              msec_t now);
 bool rental_is_dark(const rental_t *rental, const char *zone, msec_t now);
+/* Whether a silent machine of the zone is waited for: the zone is dark, or was less than `patience`
+ * ago, so that its machines are only just coming back. */
+bool rental_waits(const rental_t *rental, const char *zone, msec_t silent_ms, msec_t patience,
+                  msec_t now);
 void rental_refused(rental_t *rental, const rental_wish_t *wish, msec_t until);
 
 /* Room asked for, in cpus and memory, against what stands and boots. */
