Few threads hold all connections; what may wait is served from a queue

Ruled out: the node's lock, our own sockets, the limit of connections.

Now four threads hold the connections and answer reports and /ready themselves; users' requests wait in a queue of at most 256 for 48 threads, their connections at rest. No thread begins or ends with a connection, the threads no longer grow with the fleet, and a user's request never stands before a report. Beyond the queue: 503 with Retry-After at once.

--- a/src/app/front.c
+++ b/src/app/front.c
@@ -1,4 +1,11 @@
-/* Users and workers over HTTP, a thread a connection.
+/* Users and workers over HTTP.
+ *
+ * A few threads of the HTTP server hold all connections and answer what needs no other service:
+ * reports and /ready. What may have to wait for the state service is put into a queue, served by
+ * threads of its own; its connection rests meanwhile. So no user's request ever stands before a
+ * worker's report, and the number of threads does not grow with the fleet. (A thread a connection
+ * was the form before: at 600 machines one controller's accepting thread stopped for good now and
+ * then, in waiting for a thread that had ended.)
  *
  * Users' requests go straight against the state service; only a budget stands between. What a node
  * has told a user, no node may take back: live answers are read afresh each time, and only final
@@ -14,12 +21,6 @@
 #include "io/wire.h"
 #include "log.h"
 
-/* A request while its body arrives. */
-typedef struct {
-    GString *body;
-    bool too_long;
-} request_t;
-
 /* An answer to be sent; body may be NULL. */
 typedef struct {
     unsigned status;
@@ -28,6 +29,17 @@
     char *text;             /* instead of body; owned */
 } reply_t;
 
+/* A request: its body while it arrives, then, if it has to wait, its place in the queue. */
+typedef struct {
+    GString *body;
+    bool too_long;
+    struct MHD_Connection *connection;
+    char method[8];
+    char path[REQUEST_PATH];
+    bool answered; /* reply stands; it was not sent yet */
+    reply_t reply;
+} request_t;
+
 typedef enum { JOB_LIVE, JOB_DONE, JOB_CANCELLED, JOB_NEVER, JOB_UNKNOWN } job_state_t;
 
 static reply_t refuse(unsigned status, const char *why, unsigned retry_after_s)
@@ -601,6 +613,44 @@
     return result;
 }
 
+/* Answered by the threads that hold the connections: nothing in it waits. */
+static bool is_quick(const char *path)
+{
+    return strcmp(path, "/hello") == 0 || strcmp(path, "/ready") == 0 ||
+           strcmp(path, "/metrics") == 0;
+}
+
+static void *answer_run(void *data)
+{
+    node_t *node = data;
+    for (;;) {
+        request_t *request = g_async_queue_pop(node->requests);
+        request->reply = route(node, request->method, request->path, request);
+        request->answered = true;
+        MHD_resume_connection(request->connection);
+    }
+    return NULL;
+}
+
+/* Whether the request now waits in the queue; else it is answered at once. */
+static bool enqueue(node_t *node, struct MHD_Connection *connection, request_t *request,
+                    const char *method, const char *path)
+{
+    if (g_async_queue_length(node->requests) >= REQUESTS_WAITING) {
+        request->reply = refuse(503, "too many requests wait here", 1);
+        return false;
+    }
+    if (g_strlcpy(request->method, method, sizeof request->method) >= sizeof request->method ||
+        g_strlcpy(request->path, path, sizeof request->path) >= sizeof request->path) {
+        request->reply = refuse(404, "no such path", 0);
+        return false;
+    }
+    request->connection = connection;
+    MHD_suspend_connection(connection);
+    g_async_queue_push(node->requests, request);
+    return true;
+}
+
 static enum MHD_Result handle(void *data, struct MHD_Connection *connection, const char *path,
                               const char *method, const char *version, const char *upload,
                               size_t *upload_size, void **context)
@@ -620,14 +670,20 @@
         *upload_size = 0;
         return MHD_YES;
     }
-    reply_t reply = route(data, method, path, request);
-    count_reply(data, &reply);
+    node_t *node = data;
+    if (!request->answered) {
+        if (is_quick(path))
+            request->reply = route(node, method, path, request);
+        else if (enqueue(node, connection, request, method, path))
+            return MHD_YES;
+    }
+    request->answered = false;
+    count_reply(node, &request->reply);
     /* A worker that finds no connection loses its lease, a user asks again: above three quarters of
      * the limit, users' connections are not kept. */
-    const node_t *node = data;
     guint most = node->settings->connections;
     bool crowded = atomic_load(&node->connections) > most - most / CONNECTIONS_FOR_WORKERS;
-    return send_reply(connection, reply, crowded && strcmp(path, "/hello") != 0);
+    return send_reply(connection, request->reply, crowded && strcmp(path, "/hello") != 0);
 }
 
 static void completed(void *data, struct MHD_Connection *connection, void **context,
@@ -638,6 +694,10 @@
     (void)code;
     request_t *request = *context;
     if (request) {
+        if (request->answered) { /* its connection went meanwhile */
+            json_decref(request->reply.body);
+            free(request->reply.text);
+        }
         g_string_free(request->body, TRUE);
         g_free(request);
     }
@@ -662,10 +722,13 @@
     g_strlcpy(host, listen, (gsize)(colon - listen) + 1);
     inet_pton(AF_INET, host, &address.sin_addr);
     address.sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10));
+    for (guint i = 0; i < ANSWERERS; i++)
+        node_thread(answer_run, node);
     struct MHD_Daemon *daemon = MHD_start_daemon(
-        MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL, 0, NULL,
-        NULL, handle, node, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED, completed,
-        NULL, MHD_OPTION_NOTIFY_CONNECTION, count_connection, node, MHD_OPTION_CONNECTION_LIMIT,
+        MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+        handle, node, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_THREAD_POOL_SIZE,
+        (unsigned)HTTP_THREADS, MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
+        MHD_OPTION_NOTIFY_CONNECTION, count_connection, node, MHD_OPTION_CONNECTION_LIMIT,
         node->settings->connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
         MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
         /* A peer behind a cut or hanging never closes: its sockets would add up to the limit. */
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -69,6 +69,7 @@
     node->links = g_ptr_array_new();
     node->own = G_MAXUINT;
     node->guests = guests_new();
+    node->requests = g_async_queue_new();
     return node;
 }
 
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -9,7 +9,8 @@
  *   mesh    the exchange between the leader and the parts
  *   sender  direct commands to workers
  *   cloud   types everywhere; leader: renting, returning, proof that machines are gone
- *   front   users and workers (one thread a connection, made by the HTTP server) */
+ *   front   users and workers: the HTTP server's threads, and those that serve the queue of
+ *           requests that may have to wait */
 #ifndef PEPPERPULLEY_NODE_H
 #define PEPPERPULLEY_NODE_H
 
@@ -90,6 +91,7 @@
     msec_t heard[MEMBERS_MAX]; /* when each member last called by socket */
     GHashTable *ended;         /* id -> final state (static string); a bounded cache */
     guests_t *guests;
+    GAsyncQueue *requests;   /* request_t, borrowed: those that may have to wait */
     atomic_uint connections; /* of users and workers, open now */
 } node_t;
 
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -169,12 +169,10 @@
     }
 }
 
-/* A thread serves each connection, so the sockets are not all that limits them: with thousands of
- * sockets granted, threads ran out first, and then memory. */
+/* The sockets granted are not all that limits connections: memory may be less. */
 static guint read_connections(reader_t *reader, const json_t *limits)
 {
     double most = read_number(reader, limits, "fd_limit", 150) - CONNECTIONS_SPARE;
-    most = MIN(most, THREADS_MAX - THREADS_SPARE);
     if (json_object_get(limits, "ram_mb")) {
         double memory = read_number(reader, limits, "ram_mb", 16) * 1024;
         most = MIN(most, memory * CONNECTIONS_MEMORY / CONNECTION_COST_KB);
--- a/src/constants.h
+++ b/src/constants.h
@@ -32,13 +32,16 @@
     CONNECTIONS_SPARE = 100,       /* sockets kept for our own calls out of fd_limit */
     FRONT_CLIENTS = 10,       /* state connections of the front: one blocked each, 10 ms a call */
     MESH_FRAME_MAX = 1 << 20, /* bytes of a message between controllers; usual ones have 10 KB */
-    MESH_BATCH = 128,    /* items in one message: a second's starts and ends of 200 machines, when
-                            an exchange by mail takes one */
-    MAIL_ROOM = 512,     /* bytes kept free below value_kb in a page of mail */
-    MAIL_PAGES = 10,     /* of a message; a transaction takes about four of 16 KiB */
-    THREADS_MAX = 2000,  /* of a process, from the platform */
-    THREADS_SPARE = 200, /* of them our own: loops, senders, siblings' calls */
-    CONNECTION_COST_KB = 64, /* of memory a connection takes at most: stack, buffers, a request */
+    MESH_BATCH = 128, /* items in one message: a second's starts and ends of 200 machines, when
+                         an exchange by mail takes one */
+    MAIL_ROOM = 512,  /* bytes kept free below value_kb in a page of mail */
+    MAIL_PAGES = 10,  /* of a message; a transaction takes about four of 16 KiB */
+    CONNECTION_COST_KB = 32, /* of memory a connection takes at most: buffers, a request */
+    HTTP_THREADS = 4, /* hold all connections; reports take them a fraction of a millisecond */
+    ANSWERERS = 48,   /* users' requests under way at once: half a second each when things are
+                         slow, a hundred a second on one node */
+    REQUESTS_WAITING = 256, /* for an answerer; more are told to come back */
+    REQUEST_PATH = 128,     /* bytes of a path that needs an answerer: a job's id has under 40 */
     CONNECTIONS_FOR_WORKERS = 4, /* a fourth of the connections is kept for workers */
     SENDERS = 16,         /* threads that send direct commands: of 60 machines that hang at once, a
                              controller has up to 20, and each blocks one for a moment */
