Where spot machines run out, a share of ordinary ones for work that would wait too long

Waiting work of more than ordinary_patience (120 s) on what stands now brings ordinary machines, up to ordinary_share (a fourth) of it; they go back at half that queue.

Kept: a share of the larger of what stands and what is needed.

--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -159,15 +159,18 @@
     return wanted;
 }
 
-/* What the teams ask for within their guarantees. */
-static double promised_cpus(const leader_t *leader, msec_t now)
+/* What the teams ask for within their guarantees; *waiting: cpu seconds of all that waits. */
+static double promised_cpus(const leader_t *leader, msec_t now, double *waiting)
 {
     double *asked = g_new0(double, leader->teams->len + 1);
     double promised = 0;
+    *waiting = 0;
     GArray *demand = leader_demand(leader, now);
     for (guint i = 0; i < demand->len; i++) {
         const demand_t *entry = &g_array_index(demand, demand_t, i);
-        asked[entry->team] += entry->tasks * entry->job->spec.need.cpus;
+        double cpus = entry->tasks * entry->job->spec.need.cpus;
+        asked[entry->team] += cpus;
+        *waiting += cpus * MAX(entry->job->spec.estimate_s, 1);
     }
     for (guint i = 0; i < leader->teams->len; i++) {
         const team_state_t *state = &g_array_index(leader->teams, team_state_t, i);
@@ -181,8 +184,8 @@
 rental_balance_t rental_balance(const rental_t *rental, const leader_t *leader,
                                 const GArray *flavors, msec_t now, int64_t day_ms)
 {
-    rental_balance_t balance = {.wanted = wanted_room(leader, now, day_ms),
-                                .promised = promised_cpus(leader, now)};
+    rental_balance_t balance = {.wanted = wanted_room(leader, now, day_ms)};
+    balance.promised = promised_cpus(leader, now, &balance.waiting);
     for (guint i = 0; i < leader->rows->len; i++) {
         const GArray *rows = g_ptr_array_index(leader->rows, i);
         for (guint k = 0; rows && k < rows->len; k++) {
@@ -207,6 +210,19 @@
     return balance;
 }
 
+/* Cpus of ordinary machines, beyond those promised, that the waiting work justifies: as many as let
+ * it begin within the patience, but a share only of what it needs or of what stands; where no spot
+ * machine is to be had at all, work goes on in that share. */
+static double extra_cpus(const leader_t *leader, const rental_balance_t *balance, double patience_s)
+{
+    double there = balance->standing.cpus + balance->booting.cpus;
+    double extra = MAX(balance->ordinary - balance->promised, 0);
+    double spot = MAX(there - extra, 0);
+    double needed = balance->waiting / MAX(patience_s, 1);
+    double most = knob_value(leader->policy, KNOB_ORDINARY_SHARE) * MAX(spot, needed);
+    return CLAMP(needed - spot, 0, most);
+}
+
 static bool is_refused(const rental_t *rental, const char *type, const char *zone, bool spot,
                        msec_t now)
 {
@@ -239,17 +255,17 @@
     return count;
 }
 
-/* Some waiting job can use such a machine. An ordinary one is for work that may not use spot, or
- * within what is promised. */
+/* Some waiting job can use such a machine. An ordinary one is for work that may not use spot,
+ * within what is promised, or while the work that waits presses. */
 static bool is_useful(const policy_t *policy, const GArray *demand, const flavor_t *flavor,
-                      const char *zone, bool spot, bool promised)
+                      const char *zone, bool spot, bool promised, bool presses)
 {
     for (guint i = 0; i < demand->len; i++) {
         const job_spec_t *spec = &g_array_index(demand, demand_t, i).job->spec;
         if (job_spec_allows(spec, flavor->name, zone, spot) &&
             room_fits(spec->need, flavor->room) &&
             (spot || promised || !spec->spot ||
-             knob_for_job(policy, KNOB_RENT_ORDINARY, spec) != 0))
+             (presses && knob_for_job(policy, KNOB_RENT_ORDINARY, spec) != 0)))
             return true;
     }
     return false;
@@ -276,6 +292,9 @@
     room_add(&lack, balance.booting, -1);
     if (lack.cpus <= 0 && lack.memory <= 0)
         return false;
+    double extra =
+        extra_cpus(leader, &balance, knob_value(leader->policy, KNOB_ORDINARY_PATIENCE)) -
+        MAX(balance.ordinary - balance.promised, 0);
     GArray *demand = leader_demand(leader, now);
     double best = INFINITY;
     for (int small = 0; small < 2 && isinf(best); small++) {
@@ -287,7 +306,8 @@
                     bool promised = balance.ordinary + flavor->room.cpus <= balance.promised;
                     if (rental_is_dark(rental, *zone, now) ||
                         is_refused(rental, flavor->name, *zone, spot, now) ||
-                        !is_useful(leader->policy, demand, flavor, *zone, spot, promised))
+                        !is_useful(leader->policy, demand, flavor, *zone, spot, promised,
+                                   extra >= flavor->room.cpus))
                         continue;
                     double price = (spot ? flavor->spot_price : flavor->price) /
                                    MAX(flavor->room.cpus, EPSILON);
@@ -300,7 +320,8 @@
                     best = cost;
                     *wish = (rental_wish_t){.spot = spot, .count = count};
                     if (!spot && !promised)
-                        wish->count = 1;
+                        wish->count =
+                            (guint)CLAMP(extra / flavor->room.cpus, 1, (double)wish->count);
                     g_strlcpy(wish->type, flavor->name, sizeof wish->type);
                     g_strlcpy(wish->zone, *zone, sizeof wish->zone);
                 }
@@ -324,15 +345,22 @@
 {
     rental_balance_t balance = rental_balance(rental, leader, flavors, now, day_ms);
     double keep = knob_value(leader->policy, KNOB_RENT_KEEP);
+    double extra = MAX(balance.ordinary - balance.promised, 0);
+    bool eased =
+        extra > extra_cpus(leader, &balance,
+                           knob_value(leader->policy, KNOB_ORDINARY_PATIENCE) / ORDINARY_EASED);
     machine_row_t *worst = NULL;
     double worst_price = 0;
     for (guint i = 0; i < leader->rows->len; i++) {
         GArray *rows = g_ptr_array_index(leader->rows, i);
         for (guint k = 0; rows && k < rows->len; k++) {
             machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+            /* Those beyond what is promised go back once the work that waits is little. */
+            bool spare = eased && !row->spot && extra >= row->total.cpus;
             if (!row->open ||
-                balance.standing.cpus - row->total.cpus < balance.wanted.cpus * keep ||
-                balance.standing.memory - row->total.memory < balance.wanted.memory * keep)
+                (!spare &&
+                 (balance.standing.cpus - row->total.cpus < balance.wanted.cpus * keep ||
+                  balance.standing.memory - row->total.memory < balance.wanted.memory * keep)))
                 continue;
             /* Dear ones first; of equals the emptiest, which is free soonest. */
             double price = row_price(row, flavors) *
--- a/src/core/rental.h
+++ b/src/core/rental.h
@@ -15,7 +15,8 @@
 } boot_t;
 
 /* Ordinary machines cost a multiple of spot ones. They are rented for what is promised (the teams'
- * guarantees) and for work that may not use spot; all else waits for spot. */
+ * guarantees), for work that may not use spot, and to a limited share where spot machines can't be
+ * had and the work that waits would take those that stand too long. */
 
 typedef struct {
     GHashTable *boots;    /* id -> boot_t, owned */
@@ -58,6 +59,7 @@
     room_t booting;
     double ordinary; /* cpus that stand or boot on ordinary machines */
     double promised; /* cpus guaranteed and asked for */
+    double waiting;  /* cpu seconds of tasks that have no machine */
 } rental_balance_t;
 rental_balance_t rental_balance(const rental_t *rental, const leader_t *leader,
                                 const GArray *flavors, msec_t now, int64_t day_ms);
--- a/src/policy/policy.c
+++ b/src/policy/policy.c
@@ -35,7 +35,9 @@
                             "if job.urgency >= high then 15 s else 60 s"},
     [KNOB_IDLE_KEEP] = {"idle_keep", POLICY_SECONDS, SCOPE_MACHINE, 5, 3600, "20 s"},
     [KNOB_USE_SPOT] = {"use_spot", POLICY_BOOL, SCOPE_JOB, 0, 1, "true"},
-    [KNOB_RENT_ORDINARY] = {"rent_ordinary", POLICY_BOOL, SCOPE_JOB, 0, 1, "false"},
+    [KNOB_RENT_ORDINARY] = {"rent_ordinary", POLICY_BOOL, SCOPE_JOB, 0, 1, "true"},
+    [KNOB_ORDINARY_PATIENCE] = {"ordinary_patience", POLICY_SECONDS, SCOPE_NONE, 1, 3600, "120 s"},
+    [KNOB_ORDINARY_SHARE] = {"ordinary_share", POLICY_NUMBER, SCOPE_NONE, 0, 1, "0.25"},
     [KNOB_PREEMPT] = {"preempt", POLICY_BOOL, SCOPE_JOB, 0, 1, "job.urgency >= high"},
 };
 
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -34,6 +34,8 @@
     KNOB_IDLE_KEEP,
     KNOB_USE_SPOT,
     KNOB_RENT_ORDINARY,
+    KNOB_ORDINARY_PATIENCE,
+    KNOB_ORDINARY_SHARE,
     KNOB_PREEMPT,
     KNOB_COUNT
 } policy_knob_t;
--- a/tests/stories_leader.c
+++ b/tests/stories_leader.c
@@ -456,6 +456,47 @@
     assert_false(wish.spot);
 }
 
+/* Ten spot machines stand, no more are to be had, and the work that waits takes so many cpu
+ * seconds. */
+static guint ordinary_for(uint32_t tasks)
+{
+    static char *zones[] = {"north", NULL};
+    rental_wish_t wish, taken = {.type = "t", .zone = "north", .spot = true};
+    GArray *flavors = g_array_new(FALSE, FALSE, sizeof(flavor_t));
+    flavor_t flavor = {
+        .name = "t", .room = {16, 0, 64}, .price = 3, .spot_price = 1, .zones = zones};
+    g_array_append_val(flavors, flavor);
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(machine_row_t));
+    machine_row_t row = {.type = "t", .zone = "north", .open = true, .spot = true};
+    row.total = flavor.room;
+    for (guint i = 0; i < 10; i++)
+        g_array_append_val(rows, row);
+    leader_free(leader);
+    leader = leader_new(teams, targets, policy, 1);
+    leader_set_rows(leader, 0, rows);
+    job_spec_t spec = job("j-000001", "green", tasks);
+    spec.spot = true;
+    add(&spec);
+    rental_t *rental = rental_new();
+    rental_refused(rental, &taken, G_MAXINT64);
+    bool wished = rental_next(rental, leader, flavors, 1000, 2000, &wish);
+    assert_true(!wished || !wish.spot);
+    rental_free(rental);
+    g_array_unref(flavors);
+    return wished ? wish.count : 0;
+}
+
+/* Spot machines ran out, and a queue of five minutes never drained; ordinary ones for all of it
+ * cost more than they were worth. */
+static void work_that_waits_too_long_gets_a_share_of_ordinary_machines(void **state)
+{
+    (void)state;
+    add_team("green", 0, 0);
+    assert_int_equal(ordinary_for(900), 0);  /* 113 s on what stands */
+    assert_int_equal(ordinary_for(1100), 1); /* 138 s: 183 cpus would do it in the patience */
+    assert_int_equal(ordinary_for(3000), 7); /* a fourth of the 500 that would */
+}
+
 /* A zone went silent as a whole and its machines were given up: what was rented there at once
  * booted, cost, and could not be heard either. */
 static void nothing_is_rented_in_a_dark_zone(void **state)
@@ -526,6 +567,8 @@
         cmocka_unit_test_setup_teardown(nothing_is_rented_in_a_dark_zone, set_up, tear_down),
         cmocka_unit_test_setup_teardown(a_zone_is_dark_for_a_while_only, set_up, tear_down),
         cmocka_unit_test_setup_teardown(a_zone_that_is_heard_again_is_not_dark, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(work_that_waits_too_long_gets_a_share_of_ordinary_machines,
+                                        set_up, tear_down),
         cmocka_unit_test_setup_teardown(work_barred_from_spot_gets_ordinary_machines, set_up,
                                         tear_down),
     };
