Progress and records of a transaction share its bytes

Found by reading: progress of jobs of 100,000 tasks (2.8 KB a chunk, seven chunks) was not counted, so that with full pages of records a transaction could exceed 64 KiB; refused as invalid, everything was read again, and the same was tried again. The story fails without the guard.

--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -222,7 +222,7 @@
 typedef struct {
     GArray *progress;
     part_batch_t *machines;
-    guint ops;
+    txn_room_t room;
 } batch_t;
 
 static void committed(node_t *node, batch_t *batch, uint64_t revision)
@@ -277,7 +277,7 @@
     txn_t txn = records_commit(batch->progress, batch->machines, view_stamp);
     msec_t now = clock_steady();
     budget_charge(&node->core_rps, 1, now);
-    budget_charge(&node->core_write, batch->ops, now);
+    budget_charge(&node->core_write, batch->room.ops, now);
     state_result_t result =
         state_commit(&node->state, placer->client, &txn, STATE_TIMEOUT_MS, &revision, failed);
     txn_free(&txn);
@@ -303,7 +303,7 @@
     if (result == STATE_REFUSED)
         node_sleep(TICK_MS);
     if (result == STATE_INVALID)
-        log_error("event=invalid_transaction ops=%u", batch->ops);
+        log_error("event=invalid_transaction ops=%u", batch->room.ops);
     if (broken && strcmp(broken, "view_changed") == 0)
         view_refresh(node, placer->client);
     else if (broken)
@@ -317,24 +317,28 @@
     take_outcomes(node, now);
     double left = budget_left(&node->core_write, now);
     guint most = left < 1 ? 0 : MIN((guint)left, node->settings->txn_ops);
+    batch->room = (txn_room_t){.max_ops = most, .max_bytes = TXN_VALUES / 2};
     if (node->leading) {
         make_offers(node, now, (guint)knob_value(node->policy, KNOB_OFFERS_PER_ROUND));
         batch->progress = leader_progress_new();
-        leader_progress_take(node->leader, now, PROGRESS_LATE_MS, most, batch->progress,
-                             &batch->ops);
+        leader_progress_take(node->leader, now, PROGRESS_LATE_MS, batch->progress, &batch->room);
     }
     guint conditions = 4 * node->settings->txn_ops;
-    gsize value_max = (gsize)(node->settings->value_kb * 1024);
-    guint spoken_for = 1 + 2 * MAX(most, batch->ops); /* the view, and two for each key written */
-    batch->machines = part_batch_take(node->part, most - MIN(most, batch->ops),
-                                      conditions - MIN(conditions, spoken_for),
-                                      MIN(value_max, (gsize)TXN_VALUES / 2), now);
-    batch->ops += batch->machines->records->len;
+    /* The view, and two for each key written. */
+    guint spoken_for = 1 + 2 * MAX(most, batch->room.ops);
+    part_limits_t limits = {
+        .ops = most - MIN(most, batch->room.ops),
+        .jobs = conditions - MIN(conditions, spoken_for),
+        .value_max = MIN((gsize)(node->settings->value_kb * 1024), (gsize)TXN_VALUES / 3),
+        .bytes = TXN_VALUES - batch->room.bytes};
+    batch->machines = part_batch_take(node->part, &limits, now);
+    batch->room.ops += batch->machines->records->len;
+    batch->room.bytes += batch->machines->bytes;
+    batch->room.max_bytes = TXN_VALUES;
     if (node->leading)
-        leader_progress_take(node->leader, now, PROGRESS_GAP_MS, most, batch->progress,
-                             &batch->ops);
+        leader_progress_take(node->leader, now, PROGRESS_GAP_MS, batch->progress, &batch->room);
     take_outcomes(node, now);
-    return batch->ops > 0;
+    return batch->room.ops > 0;
 }
 
 void *placer_run(void *data)
--- a/src/constants.h
+++ b/src/constants.h
@@ -25,6 +25,7 @@
     RECORD_ATTEMPT = 32,    /* bytes that one attempt takes at most there */
     RECORD_MACHINE = 110,   /* bytes that a machine takes at most there, names and attempts aside */
     RECORD_JOB = 100,       /* bytes that one job's header takes at most there, names aside */
+    PROGRESS_BYTES = 64,    /* that a job's progress or end takes at most, its bits aside */
     TXN_VALUES = 48 * 1024, /* bytes of values in a transaction; the rest of 64 KiB: conditions */
     THREAD_STACK = 128 * 1024, /* bytes; the deepest path is a JSON parse inside an HTTP handler */
     CONNECTION_MEMORY = 16 * 1024, /* bytes of HTTP buffers per connection: 300 of them are 5 MB */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -781,15 +781,16 @@
         g_array_unref(progress->old_stamps);
 }
 
-static void progress_end(job_t *job, GArray *batch, guint *ops)
+static void progress_end(job_t *job, GArray *batch, txn_room_t *room)
 {
     progress_t progress = {.end = true, .done = job->n_done, .job_stamp = job->stamp};
     g_strlcpy(progress.job, job->spec.id, sizeof progress.job);
     progress.old_stamps = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     g_array_append_vals(progress.old_stamps, job->chunk_stamps->data, job->chunk_stamps->len);
-    *ops += 2;
+    room->ops += 2;
+    room->bytes += PROGRESS_BYTES;
     for (guint i = 0; i < job->chunk_stamps->len; i++)
-        *ops += g_array_index(job->chunk_stamps, uint64_t, i) != 0;
+        room->ops += g_array_index(job->chunk_stamps, uint64_t, i) != 0;
     job->ending = true;
     g_array_append_val(batch, progress);
 }
@@ -820,7 +821,7 @@
     job->unsettled = g_array_new(FALSE, FALSE, sizeof(settle_t));
 }
 
-static void take_ends(leader_t *leader, guint max_ops, GArray *batch, guint *ops)
+static void take_ends(leader_t *leader, GArray *batch, txn_room_t *room)
 {
     GHashTableIter iter;
     gpointer value;
@@ -828,9 +829,10 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         job_t *job = value;
         if (job->n_done < job->spec.tasks || job->settling ||
-            *ops + 2 + job->chunk_stamps->len > max_ops)
+            room->ops + 2 + job->chunk_stamps->len > room->max_ops ||
+            room->bytes + PROGRESS_BYTES > room->max_bytes)
             continue;
-        progress_end(job, batch, ops);
+        progress_end(job, batch, room);
         progress_taken(job);
     }
 }
@@ -842,7 +844,7 @@
 }
 
 /* Oldest first: with a short budget, those at the end of the table would never be. */
-static void take_chunks(leader_t *leader, msec_t before, guint max_ops, GArray *batch, guint *ops)
+static void take_chunks(leader_t *leader, msec_t before, GArray *batch, txn_room_t *room)
 {
     GPtrArray *due = g_ptr_array_new();
     GHashTableIter iter;
@@ -858,12 +860,17 @@
     for (guint i = 0; i < due->len; i++) {
         job_t *job = g_ptr_array_index(due, i);
         guint cost = (guint)__builtin_popcount(job->dirty_chunks);
-        if (*ops + cost > max_ops)
+        /* The largest jobs' chunks, with full pages of records, were more than a transaction may
+         * hold: it was refused as invalid, again and again. */
+        gsize bytes =
+            cost * (PROGRESS_BYTES + bits_bytes(MIN(job->spec.tasks, CHUNK_BITS)) * 4 / 3);
+        if (room->ops + cost > room->max_ops || room->bytes + bytes > room->max_bytes)
             break;
         for (guint chunk = 0; chunk < job->chunk_stamps->len; chunk++)
             if (job->dirty_chunks >> chunk & 1)
                 progress_chunk(job, chunk, batch);
-        *ops += cost;
+        room->ops += cost;
+        room->bytes += bytes;
         progress_taken(job);
     }
     g_ptr_array_unref(due);
@@ -871,11 +878,11 @@
 
 /* Progress on the way is kept by the workers and their records until it is durable: it can wait and
  * go in one write. An end can't, since users wait for it. */
-void leader_progress_take(leader_t *leader, msec_t now, msec_t min_age, guint max_ops,
-                          GArray *batch, guint *ops)
+void leader_progress_take(leader_t *leader, msec_t now, msec_t min_age, GArray *batch,
+                          txn_room_t *room)
 {
-    take_ends(leader, max_ops, batch, ops);
-    take_chunks(leader, now - min_age, max_ops, batch, ops);
+    take_ends(leader, batch, room);
+    take_chunks(leader, now - min_age, batch, room);
 }
 
 void leader_progress_commit(leader_t *leader, const GArray *batch, uint64_t revision,
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -147,10 +147,14 @@
     GArray *old_stamps; /* owned; chunk stamps to delete, when end */
 } progress_t;
 GArray *leader_progress_new(void);
-/* Appends the ends of jobs, then progress that has waited for min_age; ops grows to max_ops at
- * most. */
-void leader_progress_take(leader_t *leader, msec_t now, msec_t min_age, guint max_ops,
-                          GArray *batch, guint *ops);
+/* What a transaction has taken so far, and may take. */
+typedef struct {
+    guint ops, max_ops;
+    gsize bytes, max_bytes; /* of values */
+} txn_room_t;
+/* Appends the ends of jobs, then progress that has waited for min_age, within the room. */
+void leader_progress_take(leader_t *leader, msec_t now, msec_t min_age, GArray *batch,
+                          txn_room_t *room);
 /* settled: array of settle_t to append the attempts to that may now be forgotten. */
 void leader_progress_commit(leader_t *leader, const GArray *batch, uint64_t revision,
                             GArray *settled);
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -1113,16 +1113,15 @@
     return page->size ? MIN(value_max, page->size + fresh * each) : value_max;
 }
 
-part_batch_t *part_batch_take(part_t *part, guint max_ops, guint max_jobs, gsize value_max,
-                              msec_t now)
+part_batch_t *part_batch_take(part_t *part, const part_limits_t *limits, msec_t now)
 {
+    gsize value_max = limits->value_max;
     part_batch_t *batch = g_new0(part_batch_t, 1);
     batch->records = g_array_new(FALSE, FALSE, sizeof(page_record_t));
     g_array_set_clear_func(batch->records, page_record_clear);
     batch->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     GPtrArray *due = pages_due(part, now);
-    gsize size = 0;
-    for (guint i = 0; i < due->len && batch->records->len < max_ops; i++) {
+    for (guint i = 0; i < due->len && batch->records->len < limits->ops; i++) {
         page_t *page = g_ptr_array_index(due, i);
         if (page->batched)
             continue; /* with its half */
@@ -1135,16 +1134,16 @@
             continue;
         }
         gsize bound = page_bound(page, value_max) + (page->half ? value_max : 0);
-        if (page->half && batch->records->len + 2 > max_ops)
+        if (page->half && batch->records->len + 2 > limits->ops)
             continue;
-        if (size > 0 && size + bound > TXN_VALUES)
+        if (batch->bytes > 0 && batch->bytes + bound > limits->bytes)
             break;
-        batch_page(batch, page, max_jobs, value_max);
-        size += page->size;
+        batch_page(batch, page, limits->jobs, value_max);
+        batch->bytes += page->size;
         if (page->half) {
             drop_idle_gone(part, page->half);
-            batch_page(batch, page->half, max_jobs, value_max);
-            size += page->half->size;
+            batch_page(batch, page->half, limits->jobs, value_max);
+            batch->bytes += page->half->size;
         }
     }
     g_ptr_array_unref(due);
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -243,11 +243,17 @@
 typedef struct {
     GArray *records;
     GHashTable *jobs; /* id -> stamp (pointer-sized): conditions, so that no start follows an end */
+    gsize bytes;      /* estimated, of all records */
 } part_batch_t;
 
-/* At most max_ops keys of value_max bytes each, with at most max_jobs conditions on jobs. */
-part_batch_t *part_batch_take(part_t *part, guint max_ops, guint max_jobs, gsize value_max,
-                              msec_t now);
+/* What a batch may take. */
+typedef struct {
+    guint ops;       /* keys */
+    guint jobs;      /* conditions on jobs */
+    gsize value_max; /* bytes of a record */
+    gsize bytes;     /* of all records, if there is more than one */
+} part_limits_t;
+part_batch_t *part_batch_take(part_t *part, const part_limits_t *limits, msec_t now);
 void part_batch_commit(part_t *part, part_batch_t *batch, uint64_t revision, msec_t now);
 /* It was certainly not executed. */
 void part_batch_undo(part_t *part, part_batch_t *batch);
--- a/tests/stories_leader.c
+++ b/tests/stories_leader.c
@@ -313,12 +313,18 @@
     assert_false(leader_condemns(leader, "m-2"));
 }
 
+static gsize take_progress(msec_t min_age, guint ops, gsize bytes, GArray *progress)
+{
+    txn_room_t room = {.max_ops = ops, .max_bytes = bytes};
+    leader_progress_take(leader, 1000, min_age, progress, &room);
+    return room.bytes;
+}
+
 static void finished_bit_is_never_offered_again(void **state)
 {
     (void)state;
     job_spec_t spec = job("j-000001", "blue", 2);
     const uint8_t bits = 1;
-    guint ops = 0;
     set_room(0, "north", 20);
     add(&spec);
     leader_load_chunk(leader, "j-000001", 0, &bits, 1, 8);
@@ -329,7 +335,7 @@
     outcome_t done = {.ref = task_ref(offer->job, 1, offer->attempt), .cause = CAUSE_DONE};
     leader_outcome(leader, 0, &done, 1000);
     GArray *progress = leader_progress_new();
-    leader_progress_take(leader, 1000, 0, 20, progress, &ops);
+    take_progress(0, 20, TXN_VALUES, progress);
     assert_int_equal(progress->len, 1);
     assert_true(g_array_index(progress, progress_t, 0).end);
     GArray *settled = g_array_new(FALSE, FALSE, sizeof(settle_t));
@@ -368,21 +374,49 @@
             finish(made);
         begun[job - '0'] = true;
     }
-    guint ops = 0;
     GArray *progress = leader_progress_new();
-    leader_progress_take(leader, 1000, 0, 3, progress, &ops);
+    take_progress(0, 3, TXN_VALUES, progress);
     assert_int_equal(progress->len, 2); /* the end, and what the limit leaves */
     assert_true(g_array_index(progress, progress_t, 0).end);
     assert_string_equal(g_array_index(progress, progress_t, 0).job, "j-000002");
     leader_progress_undo(leader, progress);
     g_array_set_size(progress, 0);
-    ops = 0;
-    leader_progress_take(leader, 1000, 500, 20, progress, &ops);
+    take_progress(500, 20, TXN_VALUES, progress);
     assert_int_equal(progress->len, 1); /* what is young waits for more */
     g_array_unref(progress);
     g_array_unref(offers);
 }
 
+/* Progress of jobs of 100,000 tasks and full pages of records were together more than a transaction
+ * may hold: it was refused as invalid, and everything read again, for ever. */
+static void progress_of_large_jobs_keeps_within_the_bytes(void **state)
+{
+    (void)state;
+    set_room(0, "north", 400);
+    for (guint i = 0; i < 8; i++) {
+        char id[ID_SIZE];
+        g_snprintf(id, sizeof id, "j-%06u", i);
+        job_spec_t spec = job(id, "blue", PIECES_MAX);
+        spec.need.cpus = 0.01;
+        add(&spec);
+        for (guint chunk = 0; chunk * CHUNK_BITS < PIECES_MAX; chunk++) {
+            task_ref_t ref = task_ref(id, chunk * CHUNK_BITS, 1 + chunk);
+            record_entry_t entry = {.task = ref.task, .attempt = ref.attempt, .team = "blue"};
+            g_strlcpy(entry.job, id, sizeof entry.job);
+            leader_load_attempt(leader, &entry, "north", 0);
+            outcome_t done = {.ref = ref, .cause = CAUSE_DONE};
+            leader_outcome(leader, 0, &done, 900);
+        }
+    }
+    GArray *progress = leader_progress_new();
+    assert_in_range(take_progress(0, 1000, TXN_VALUES / 2, progress), 1, TXN_VALUES / 2);
+    assert_int_equal(progress->len, 7); /* one job's chunks; the next has its turn after */
+    leader_progress_undo(leader, progress);
+    g_array_set_size(progress, 0);
+    assert_int_equal(take_progress(0, 1000, 1000, progress), 0);
+    g_array_unref(progress);
+}
+
 static void gang_is_offered_whole_or_not_at_all(void **state)
 {
     (void)state;
@@ -561,6 +595,8 @@
         cmocka_unit_test_setup_teardown(finished_bit_is_never_offered_again, set_up, tear_down),
         cmocka_unit_test_setup_teardown(end_of_a_job_goes_before_progress_of_others, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(progress_of_large_jobs_keeps_within_the_bytes, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(gang_is_offered_whole_or_not_at_all, set_up, tear_down),
         cmocka_unit_test_setup_teardown(without_a_guarantee_spot_work_waits_for_spot, set_up,
                                         tear_down),
--- a/tests/stories_part.c
+++ b/tests/stories_part.c
@@ -73,7 +73,8 @@
 
 static void commit(void)
 {
-    part_batch_t *batch = part_batch_take(stage->part, 20, 80, 16384, stage->now);
+    part_batch_t *batch =
+        part_batch_take(stage->part, &(part_limits_t){20, 80, 16384, TXN_VALUES}, stage->now);
     part_batch_commit(stage->part, batch, ++stage->revision, stage->now);
     part_batch_free(batch);
 }
@@ -249,11 +250,12 @@
     run_to_the_end();
     part_tick(stage->part, stage->now);
     part_settle(stage->part, &ref);
-    part_batch_t *batch = part_batch_take(stage->part, 20, 80, 16384, stage->now);
+    part_batch_t *batch =
+        part_batch_take(stage->part, &(part_limits_t){20, 80, 16384, TXN_VALUES}, stage->now);
     assert_int_equal(batch->records->len, 0);
     part_batch_free(batch);
     place("j-000001", 1, 101);
-    batch = part_batch_take(stage->part, 20, 80, 16384, stage->now);
+    batch = part_batch_take(stage->part, &(part_limits_t){20, 80, 16384, TXN_VALUES}, stage->now);
     assert_int_equal(batch->records->len, 1);
     const page_record_t *record = &g_array_index(batch->records, page_record_t, 0);
     const machine_record_t *machine = &g_array_index(record->machines, machine_record_t, 0);
--- a/tests/stories_records.c
+++ b/tests/stories_records.c
@@ -74,7 +74,7 @@
 
 static state_result_t commit_part(uint64_t view_stamp)
 {
-    part_batch_t *batch = part_batch_take(part, 20, 80, 16384, 1000);
+    part_batch_t *batch = part_batch_take(part, &(part_limits_t){20, 80, 16384, TXN_VALUES}, 1000);
     state_result_t result = fake_store_apply(store, records_commit(NULL, batch, view_stamp));
     part_batch_free(batch);
     return result;
@@ -160,7 +160,8 @@
     end.old_stamps = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     GArray *progress = g_array_new(FALSE, FALSE, sizeof(progress_t));
     g_array_append_val(progress, end);
-    part_batch_t *nothing = part_batch_take(part, 20, 80, 16384, 1000);
+    part_batch_t *nothing =
+        part_batch_take(part, &(part_limits_t){20, 80, 16384, TXN_VALUES}, 1000);
     uint64_t view = fake_store_stamp(store, "view/number");
     assert_int_equal(fake_store_apply(store, records_commit(progress, nothing, view)), STATE_OK);
     assert_int_equal(fake_store_apply(store, records_abort("j-000001", stamp, 1)), STATE_FAILED);
@@ -246,7 +247,7 @@
 static guint commit_within_limits(bool refused)
 {
     uint64_t view = fake_store_stamp(store, "view/number") - refused;
-    part_batch_t *batch = part_batch_take(part, 24, 96, VALUE, 1000);
+    part_batch_t *batch = part_batch_take(part, &(part_limits_t){24, 96, VALUE, TXN_VALUES}, 1000);
     txn_t txn = records_commit(NULL, batch, view);
     size_t i;
     json_t *change;
