Mail is packed

Cause, found by reckoning: while connections between controllers are refused, all goes by mail; a row takes some 130 bytes, so those of 300 machines with a batch of items are more than the 64 KiB of a transaction, and the part gets no work. At usual size (200 to 240 machines a part) it just fits.

--- a/src/io/mail.c
+++ b/src/io/mail.c
@@ -2,19 +2,49 @@
 
 #include <string.h>
 
+#include <zlib.h>
+
+/* Rows repeat each other's names and rooms: packed, those of a zone of hundreds of machines fit
+ * into a transaction, which as they are they did not. */
+static char *pack(const GByteArray *frame)
+{
+    uLongf size = compressBound(frame->len);
+    guchar *packed = g_malloc(size);
+    compress2(packed, &size, frame->data, frame->len, Z_BEST_SPEED);
+    char *text = g_base64_encode(packed, size);
+    g_free(packed);
+    return text;
+}
+
+/* NULL: not what pack() made of so many bytes. */
+static GByteArray *unpack(const char *text, json_int_t size)
+{
+    gsize length = 0;
+    if (size < 0 || size > MESH_FRAME_MAX)
+        return NULL;
+    uLongf whole = (uLongf)size;
+    guchar *packed = g_base64_decode(text, &length);
+    GByteArray *frame = g_byte_array_sized_new((guint)size + 1);
+    g_byte_array_set_size(frame, (guint)size);
+    if (uncompress(frame->data, &whole, packed, length) != Z_OK || whole != (uLongf)size)
+        g_clear_pointer(&frame, g_byte_array_unref);
+    g_free(packed);
+    return frame;
+}
+
 guint mail_write(txn_t *txn, const char *box, const char *name, const GByteArray *frame,
                  gsize value_max)
 {
     char key[ID_SIZE + 32];
-    char *text = g_base64_encode(frame->data, frame->len);
+    char *text = pack(frame);
     gsize length = strlen(text), page_max = value_max - MAIL_ROOM;
     guint pages = (guint)((length + page_max - 1) / page_max);
     for (guint page = 0; page < pages; page++) {
         gsize from = page * page_max;
         g_snprintf(key, sizeof key, "mail/%s/%s.%u", box, name, page);
         txn_set(txn, key,
-                json_pack("{s:i,s:s%}", "Pages", (int)pages, "Message", text + from,
-                          MIN(page_max, length - from)),
+                json_pack("{s:i,s:i,s:s%}", "Pages", (int)pages, "Bytes", (int)frame->len,
+                          "Message", text + from, MIN(page_max, length - from)),
                 0);
     }
     g_free(text);
@@ -72,17 +102,16 @@
         const state_entry_t *entry = &g_array_index(entries, state_entry_t, i);
         letter_t letter = {.stamp = entry->stamp};
         guint64 page = 0;
-        gsize size = 0;
         if (!parse_key(entry->key, box, letter.name, sizeof letter.name, &page) || page != 0)
             continue;
         GString *text = gather(entries, i);
-        guchar *data = text ? g_base64_decode(text->str, &size) : NULL;
-        if (text)
-            g_string_free(text, TRUE);
-        if (!data)
+        if (!text)
             continue;
-        letter.frame = g_byte_array_new_take(data, size);
-        g_array_append_val(letters, letter);
+        letter.frame =
+            unpack(text->str, json_integer_value(json_object_get(entry->value, "Bytes")));
+        g_string_free(text, TRUE);
+        if (letter.frame)
+            g_array_append_val(letters, letter);
     }
     return letters;
 }
