Stories of records: one builder of reports, one reader of records

place() built the report that report_of() builds, and two stories walked the records with the same lines.

--- a/tests/stories_records.c
+++ b/tests/stories_records.c
@@ -51,21 +51,23 @@
     assert_int_equal(fake_store_apply(store, txn), STATE_OK);
 }
 
-static void place(const char *id, uint64_t job_stamp)
+static void report_of(const char *id, const char *type, uint64_t seq)
 {
-    report_t report = {.machine = "m-000001",
-                       .address = "10.1.0.1:9000",
-                       .type = "t16",
-                       .zone = "north",
-                       .session = 1,
-                       .seq = 1,
-                       .token = 1,
-                       .notice_s = -1};
+    report_t report = {.session = 1, .seq = seq, .token = 1, .notice_s = -1};
+    g_strlcpy(report.machine, id, sizeof report.machine);
+    g_strlcpy(report.address, "10.1.255.254:9000", sizeof report.address);
+    g_strlcpy(report.type, type, sizeof report.type);
+    g_strlcpy(report.zone, "north", sizeof report.zone);
     report.pieces = g_array_new(FALSE, FALSE, sizeof(piece_t));
     GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
-    part_report(part, &report, false, 1000, calls);
+    part_report(part, &report, false, 1000 * (msec_t)seq, calls);
     report_clear(&report);
     g_array_unref(calls);
+}
+
+static void place(const char *id, uint64_t job_stamp)
+{
+    report_of("m-000001", "t16", 1);
     offer_t offer = {
         .need = {4, 0, 4}, .attempt = 100, .job_stamp = job_stamp, .team = "red", .image = "i"};
     g_strlcpy(offer.job, id, sizeof offer.job);
@@ -216,20 +218,6 @@
     return ids;
 }
 
-static void report_of(const char *id, const char *type, uint64_t seq)
-{
-    report_t report = {.session = 1, .seq = seq, .token = 1, .notice_s = -1};
-    g_strlcpy(report.machine, id, sizeof report.machine);
-    g_strlcpy(report.address, "10.1.255.254:9000", sizeof report.address);
-    g_strlcpy(report.type, type, sizeof report.type);
-    g_strlcpy(report.zone, "north", sizeof report.zone);
-    report.pieces = g_array_new(FALSE, FALSE, sizeof(piece_t));
-    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
-    part_report(part, &report, false, 1000 * (msec_t)seq, calls);
-    report_clear(&report);
-    g_array_unref(calls);
-}
-
 /* Starts of `tasks` tasks of 2 cpus, three to a job. */
 static void fill(guint tasks, double cpus)
 {
@@ -275,6 +263,15 @@
     return records;
 }
 
+/* False: not a machines' record. */
+static bool read_record(const char *key, const state_entry_t *entry, page_record_t *record)
+{
+    if (!g_str_has_prefix(key, "machines/"))
+        return false;
+    assert_true(wire_parse_record(key + strlen("machines/"), entry->value, entry->stamp, record));
+    return true;
+}
+
 /* What the records hold: machine -> attempts; each machine under one key only. */
 static guint recorded(GHashTable *machines)
 {
@@ -284,12 +281,9 @@
     g_hash_table_remove_all(machines);
     g_hash_table_iter_init(&iter, store->keys);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
-        const state_entry_t *entry = value;
         page_record_t record;
-        if (!g_str_has_prefix(key, "machines/"))
+        if (!read_record(key, value, &record))
             continue;
-        assert_true(wire_parse_record(entry->key + strlen("machines/"), entry->value, entry->stamp,
-                                      &record));
         for (guint i = 0; i < record.machines->len; i++) {
             const machine_record_t *machine = &g_array_index(record.machines, machine_record_t, i);
             assert_true(g_hash_table_add(machines, g_strdup(machine->machine)));
@@ -339,12 +333,9 @@
     gpointer key, value;
     g_hash_table_iter_init(&iter, store->keys);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
-        const state_entry_t *entry = value;
         page_record_t record;
-        if (!g_str_has_prefix(key, "machines/"))
+        if (!read_record(key, value, &record))
             continue;
-        assert_true(wire_parse_record(entry->key + strlen("machines/"), entry->value, entry->stamp,
-                                      &record));
         part_load(part, &record, 1000);
         g_array_unref(record.machines);
     }
