What siblings told users of cancellations is fetched, stopped and known

Cause: a cancellation was recorded for the siblings only where the node's own commit was answered. Lost answer, repeated abort, status and repeated submission told "cancelled" without a word to others, so a leader that the state service refused alone could move its moment past it. While a part was not loaded, reports were answered 200 without stops for as long as an outage lasted.

Now: every road to "cancelled" passes node_remember, which notes it before it can be told; every controller asks every other, whatever the view; the moment moves to when all siblings were asked, and what they named is stopped. An answer without the part's commands stops what is over. A job that is over is not brought back by an older list. No start goes out while cancellations may be unknown.

--- a/src/app/front.c
+++ b/src/app/front.c
@@ -40,7 +40,7 @@
     reply_t reply;
 } request_t;
 
-typedef enum { JOB_LIVE, JOB_DONE, JOB_CANCELLED, JOB_NEVER, JOB_UNKNOWN } job_state_t;
+typedef enum { JOB_UNKNOWN, JOB_LIVE, JOB_DONE, JOB_CANCELLED, JOB_NEVER } job_state_t;
 
 static reply_t refuse(unsigned status, const char *why, unsigned retry_after_s)
 {
@@ -74,14 +74,14 @@
     pthread_mutex_unlock(&node->lock);
 }
 
-static void remember_ended(node_t *node, const char *id, bool done)
+/* Every road on which a user can be told a final state begins here: it is known to the other
+ * threads, and noted for the siblings, before it can be told. */
+static job_state_t remember_ended(node_t *node, const char *id, bool done)
 {
     pthread_mutex_lock(&node->lock);
-    if (g_hash_table_size(node->ended) >= ENDED_CACHE)
-        g_hash_table_remove_all(node->ended);
-    g_hash_table_insert(node->ended, g_strdup(id),
-                        GINT_TO_POINTER(done ? JOB_DONE : JOB_CANCELLED));
+    node_remember(node, id, done);
     pthread_mutex_unlock(&node->lock);
+    return done ? JOB_DONE : JOB_CANCELLED;
 }
 
 static state_result_t read_key(node_t *node, http_client_t *client, const char *prefix,
@@ -111,8 +111,7 @@
     const char *state = json_string_value(json_object_get(entry.value, "Trim"));
     bool done = g_strcmp0(state, "done") == 0;
     entry_clear(&entry);
-    remember_ended(node, id, done);
-    return done ? JOB_DONE : JOB_CANCELLED;
+    return remember_ended(node, id, done);
 }
 
 static job_state_t read_live(node_t *node, http_client_t *client, const char *id)
@@ -162,10 +161,10 @@
 static job_state_t known_state(node_t *node, const char *id, bool *likely_live)
 {
     pthread_mutex_lock(&node->lock);
-    gpointer ended = g_hash_table_lookup(node->ended, id);
+    ended_t ended = (ended_t)GPOINTER_TO_INT(g_hash_table_lookup(node->ended, id));
     *likely_live = g_hash_table_contains(node->jobs, id);
     pthread_mutex_unlock(&node->lock);
-    return ended ? (job_state_t)GPOINTER_TO_INT(ended) : JOB_UNKNOWN;
+    return ended == ENDED_UNKNOWN ? JOB_UNKNOWN : ended == ENDED_DONE ? JOB_DONE : JOB_CANCELLED;
 }
 
 /* Compares the stamps of all that is asked, in as few requests as go. A job's key is written once,
@@ -432,12 +431,8 @@
         result = commit_abort(node, client, id, entry.stamp, tasks);
         entry_clear(&entry);
         if (result == STATE_OK) {
-            remember_ended(node, id, false);
-            pthread_mutex_lock(&node->lock);
-            node->quiet.own_abort = clock_steady(); /* before the user is told */
-            pthread_mutex_unlock(&node->lock);
             log_info("event=abort job=%s", id);
-            return (reply_t){.status = 200, .body = wire_build_status(id, "cancelled", 0, 0)};
+            return status_reply(node, id, remember_ended(node, id, false), 200);
         }
         if (result != STATE_FAILED && result != STATE_UNKNOWN)
             return come_back();
@@ -485,19 +480,36 @@
         return (reply_t){.status = 421, .body = json_pack("{s:s}", "Bosun", owner)};
     log_debug("event=keep machine=%s", report->machine);
     GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
-    for (guint i = 0; i < report->pieces->len; i++) {
-        const piece_t *piece = &g_array_index(report->pieces, piece_t, i);
-        if (piece->state == PIECE_EXITED || g_hash_table_contains(node->jobs, piece->job))
-            continue;
-        call_t call = {.op = CALL_STOP, .task = piece->task, .attempt = piece->attempt};
-        g_strlcpy(call.job, piece->job, sizeof call.job);
-        g_array_append_val(calls, call);
-    }
+    guests_stop_gone(report, node->jobs, calls);
     reply_t reply = {.status = 200, .body = wire_build_calls(node->view.number, calls)};
     g_array_unref(calls);
     return reply;
 }
 
+/* An answer renews the lease of all that runs there, so it always stops what users were told is
+ * cancelled: also where the part is not loaded, for as long as the state service is away, and where
+ * nothing is taken of the report. */
+static reply_t answer_own(node_t *node, const report_t *report, msec_t now)
+{
+    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
+    report_verdict_t verdict = REPORT_UNPROVEN;
+    reply_t reply;
+    if (node->loaded) {
+        part_hold_starts(node->part, !node_may_start(node, now));
+        verdict = part_report(node->part, report, false, now, calls);
+    }
+    if (verdict == REPORT_STALE) {
+        reply = refuse(503, "an old report", 0);
+    } else {
+        if (verdict != REPORT_TAKEN)
+            guests_stop_gone(report, node->jobs, calls);
+        reply = (reply_t){.status = 200, .body = wire_build_calls(node->view.number, calls)};
+        node_wake(node);
+    }
+    g_array_unref(calls);
+    return reply;
+}
+
 static reply_t take_report(node_t *node, const report_t *report)
 {
     msec_t now = clock_steady();
@@ -517,16 +529,7 @@
     metrics_count(node->metrics, COUNT_GUESTS, owner != node->own);
     if (owner != node->own)
         return host_guest(node, report, node->view.members[owner].name, now);
-    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
-    reply_t reply;
-    if (node->loaded && part_report(node->part, report, false, now, calls) == REPORT_STALE) {
-        reply = refuse(503, "an old report", 0);
-    } else {
-        reply = (reply_t){.status = 200, .body = wire_build_calls(node->view.number, calls)};
-        node_wake(node);
-    }
-    g_array_unref(calls);
-    return reply;
+    return answer_own(node, report, now);
 }
 
 static reply_t hello(node_t *node, const request_t *request)
--- a/src/app/mesh.c
+++ b/src/app/mesh.c
@@ -15,20 +15,19 @@
 #include "io/mesh.h"
 #include "log.h"
 
-/* With the lock held: one message of this node. Rows are owned by the note. */
-static GByteArray *compose(const node_t *node, link_t *link, bool with_rows)
+/* With the lock held: what every message of this node begins with. */
+static mesh_note_t new_note(const node_t *node)
 {
-    msec_t now = clock_steady(), abort = node->quiet.own_abort, until = now;
     mesh_note_t note = {.incarnation = node->incarnation, .view = node->view.number};
-    /* A leader speaks for all it has heard; with one not heard, of an abort just now. */
-    if (node->leading && !quiet_sum(&node->quiet, node->own, node->view.count, now, &abort, &until))
-        abort = now;
-    note.stamp = now;
-    note.echo = node->heard_stamp;
-    note.abort_age = now - abort;
-    note.quiet_age = now - until;
-    note.contact_age = now - atomic_load(&node->state.contact);
+    note.contact_age = clock_steady() - atomic_load(&node->state.contact);
     g_strlcpy(note.sender, node->settings->name, sizeof note.sender);
+    return note;
+}
+
+/* With the lock held: one message of the exchange. */
+static GByteArray *compose(const node_t *node, link_t *link, bool with_rows)
+{
+    mesh_note_t note = new_note(node);
     if (link) {
         note.items = g_array_ref((GArray *)(void *)link_batch(link, MESH_BATCH));
         note.number = link->sent;
@@ -74,7 +73,6 @@
         return NULL;
     link_t *link = g_ptr_array_index(node->links, index);
     link_ack(link, note->ack);
-    quiet_hear(&node->quiet, index, note->abort_age, note->echo, now);
     if (note->items->len && link_accept(link, note->number)) {
         for (guint i = 0; i < note->items->len; i++) {
             const link_item_t *item = &g_array_index(note->items, link_item_t, i);
@@ -189,18 +187,14 @@
     return NULL;
 }
 
-/* With the lock held: what the leader answered to what was asked then (0: a letter, of no known
- * age). */
-static void hear_leader(node_t *node, const mesh_note_t *note, msec_t asked)
+/* With the lock held: what the leader answered. */
+static void hear_leader(node_t *node, const mesh_note_t *note)
 {
     hear_anyone(node, note);
     if (!node->loaded || note->view != node->view.number ||
         note->incarnation != node->view.incarnation)
         return;
     link_ack(node->uplink, note->ack);
-    node->heard_stamp = note->stamp;
-    if (asked)
-        quiet_told(&node->quiet, note->abort_age, note->quiet_age, asked, clock_steady());
     if (!note->items->len || !link_accept(node->uplink, note->number))
         return;
     for (guint i = 0; i < note->items->len; i++)
@@ -221,58 +215,113 @@
             !mesh_decode(letter->frame->data, letter->frame->len, &note))
             continue;
         pthread_mutex_lock(&node->lock);
-        hear_leader(node, &note, 0);
+        hear_leader(node, &note);
         pthread_mutex_unlock(&node->lock);
         mesh_note_clear(&note);
     }
     g_array_unref(letters);
 }
 
-/* With the lock held: whom the leader greets next; NULL: nobody. */
-static const sibling_t *next_greeting(const node_t *node, guint turn)
+/* A sibling whom a thread of ours greets. */
+typedef struct {
+    node_t *node;
+    guint index; /* among the settings' siblings */
+} greeting_t;
+
+static GByteArray *compose_greeting(const greeting_t *greeting)
 {
-    const GArray *siblings = node->settings->siblings;
-    if (!node->leading || siblings->len == 0)
-        return NULL;
-    return &g_array_index(siblings, sibling_t, turn % siblings->len);
+    node_t *node = greeting->node;
+    pthread_mutex_lock(&node->lock);
+    const teller_t *teller = &node->cancelled.siblings[greeting->index];
+    mesh_note_t note = new_note(node);
+    note.greeting = true;
+    note.known_incarnation = teller->incarnation;
+    note.known_through = teller->through;
+    pthread_mutex_unlock(&node->lock);
+    return mesh_encode(&note);
 }
 
-/* A controller that the state service refuses alone can't see that it was replaced: it would hold
- * its workers, whom the new leader then takes for dead. So the leader tells every sibling its view.
- */
-void *greet_run(void *data)
+static GByteArray *answer_greeting(node_t *node, const mesh_note_t *note)
 {
-    node_t *node = data;
-    for (guint turn = 0;; turn++) {
-        GByteArray *frame = NULL;
-        char endpoint[ADDRESS_SIZE] = "";
-        pthread_mutex_lock(&node->lock);
-        const sibling_t *sibling = next_greeting(node, turn);
-        if (sibling) {
-            g_strlcpy(endpoint, sibling->endpoint, sizeof endpoint);
-            frame = compose(node, NULL, false);
-        }
-        pthread_mutex_unlock(&node->lock);
-        int fd = frame ? mesh_connect(endpoint, MESH_TIMEOUT_MS) : -1;
-        mesh_note_t note;
-        GByteArray *answer = fd >= 0 && mesh_send(fd, frame) ? mesh_receive(fd) : NULL;
-        if (answer && mesh_decode(answer->data, answer->len, &note)) {
-            pthread_mutex_lock(&node->lock);
-            hear_anyone(node, &note);
-            pthread_mutex_unlock(&node->lock);
-            mesh_note_clear(&note);
-        }
-        if (answer)
-            g_byte_array_unref(answer);
-        if (fd >= 0)
+    pthread_mutex_lock(&node->lock);
+    hear_anyone(node, note);
+    mesh_note_t answer = new_note(node);
+    answer.greeting = true;
+    answer.notice = cancelled_notice(&node->cancelled, note->known_incarnation, note->known_through,
+                                     clock_steady());
+    pthread_mutex_unlock(&node->lock);
+    GByteArray *frame = mesh_encode(&answer);
+    mesh_note_clear(&answer);
+    return frame;
+}
+
+/* With the lock held: what a sibling answered to a greeting that left at `asked`. */
+static void hear_greeted(node_t *node, guint index, const mesh_note_t *note, msec_t asked)
+{
+    hear_anyone(node, note);
+    for (guint i = 0; i < note->notice.jobs->len; i++) {
+        const char *id = g_ptr_array_index(note->notice.jobs, i);
+        node_remember(node, id, false);
+        if (g_hash_table_contains(node->gone, id))
+            continue;
+        log_info("event=notice job=%s from=%s", id, note->sender);
+        node_job_gone(node, id);
+    }
+    cancelled_hear(&node->cancelled, index, &note->notice, asked, clock_steady());
+}
+
+static bool greet(const greeting_t *greeting, int fd)
+{
+    node_t *node = greeting->node;
+    msec_t asked = clock_steady();
+    GByteArray *frame = compose_greeting(greeting);
+    bool sent = mesh_send(fd, frame);
+    g_byte_array_unref(frame);
+    GByteArray *answer = sent ? mesh_receive(fd) : NULL;
+    mesh_note_t note;
+    bool valid = answer && mesh_decode(answer->data, answer->len, &note);
+    if (answer)
+        g_byte_array_unref(answer);
+    if (!valid)
+        return false;
+    pthread_mutex_lock(&node->lock);
+    hear_greeted(node, greeting->index, &note, asked);
+    pthread_mutex_unlock(&node->lock);
+    mesh_note_clear(&note);
+    return true;
+}
+
+/* Every controller asks every other, whatever the view, what cancellations it told its users of:
+ * without the state service nothing else says so. It also hears whether the other has the state
+ * service, and of a higher view: one that is refused alone can't see that it was replaced, and
+ * would hold its workers, whom the new leader then takes for dead. */
+static void *greet_run(void *data)
+{
+    const greeting_t *greeting = data;
+    const sibling_t *sibling =
+        &g_array_index(greeting->node->settings->siblings, sibling_t, greeting->index);
+    int fd = -1;
+    for (;;) {
+        if (fd < 0)
+            fd = mesh_connect(sibling->endpoint, MESH_TIMEOUT_MS);
+        if (fd >= 0 && !greet(greeting, fd)) {
             close(fd);
-        if (frame)
-            g_byte_array_unref(frame);
+            fd = -1;
+        }
         node_sleep(GREET_GAP_MS);
     }
     return NULL;
 }
 
+void mesh_greet(node_t *node)
+{
+    for (guint i = 0; i < node->settings->siblings->len; i++) {
+        greeting_t *greeting = g_new(greeting_t, 1);
+        *greeting = (greeting_t){node, i};
+        node_thread(greet_run, greeting);
+    }
+}
+
 typedef struct {
     node_t *node;
     int fd;
@@ -288,7 +337,8 @@
         g_byte_array_unref(frame);
         if (!valid)
             break;
-        GByteArray *answer = answer_part(visit->node, &note);
+        GByteArray *answer =
+            note.greeting ? answer_greeting(visit->node, &note) : answer_part(visit->node, &note);
         mesh_note_clear(&note);
         bool sent = answer && mesh_send(visit->fd, answer);
         if (answer)
@@ -336,7 +386,6 @@
 static bool exchange(node_t *node, int fd, const GByteArray *frame)
 {
     mesh_note_t note;
-    msec_t asked = clock_steady();
     if (!mesh_send(fd, frame))
         return false;
     GByteArray *answer = mesh_receive(fd);
@@ -346,7 +395,7 @@
     if (!valid)
         return false;
     pthread_mutex_lock(&node->lock);
-    hear_leader(node, &note, asked);
+    hear_leader(node, &note);
     pthread_mutex_unlock(&node->lock);
     mesh_note_clear(&note);
     return true;
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -42,7 +42,7 @@
     g_strlcpy(self.name, settings->name, sizeof self.name);
     g_strlcpy(self.zone, settings->zone, sizeof self.zone);
     election_init(&node->election, &self);
-    node->quiet.own_abort = now; /* an earlier incarnation may have accepted one just before */
+    cancelled_init(&node->cancelled, node->incarnation, now);
     state_init(&node->state, settings->state, now);
     budget_init(&node->core_rps, settings->state_rps * SHARE_CORE_RPS, now);
     budget_init(&node->core_write, settings->state_write_rps * SHARE_PART_WRITE, now);
@@ -69,6 +69,8 @@
     node->links = g_ptr_array_new();
     node->own = G_MAXUINT;
     node->guests = guests_new();
+    node->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    node->gone_order = g_queue_new();
     node->requests = g_async_queue_new();
     return node;
 }
@@ -94,7 +96,7 @@
     node_thread(mesh_run, node);
     node_thread(mesh_serve_run, node);
     node_thread(mail_run, node);
-    node_thread(greet_run, node);
+    mesh_greet(node);
     node_thread(follow_run, node);
     node_thread(placer_run, node);
     node_thread(cloud_run, node);
@@ -144,7 +146,7 @@
 
 void node_job_set(node_t *node, const job_spec_t *spec, uint64_t stamp)
 {
-    if (g_hash_table_contains(node->jobs, spec->id))
+    if (g_hash_table_contains(node->jobs, spec->id) || g_hash_table_contains(node->gone, spec->id))
         return;
     known_job_t *job = g_new0(known_job_t, 1);
     job->spec = *spec;
@@ -156,8 +158,31 @@
     node_wake(node);
 }
 
+static void keep_gone(node_t *node, const char *id)
+{
+    if (g_hash_table_contains(node->gone, id))
+        return;
+    if (g_queue_get_length(node->gone_order) >= GONE_KEPT)
+        g_hash_table_remove(node->gone, g_queue_pop_head(node->gone_order));
+    char *kept = g_strdup(id);
+    g_hash_table_add(node->gone, kept);
+    g_queue_push_tail(node->gone_order, kept);
+}
+
+void node_remember(node_t *node, const char *id, bool done)
+{
+    /* Noted for the siblings before another thread can find it, or this one can tell it. */
+    if (!done)
+        cancelled_tell(&node->cancelled, id, clock_steady());
+    if (g_hash_table_size(node->ended) >= ENDED_CACHE)
+        g_hash_table_remove_all(node->ended);
+    g_hash_table_insert(node->ended, g_strdup(id),
+                        GINT_TO_POINTER(done ? ENDED_DONE : ENDED_CANCELLED));
+}
+
 void node_job_gone(node_t *node, const char *id)
 {
+    keep_gone(node, id);
     if (node->part)
         part_end_job(node->part, id);
     if (node->leader)
@@ -200,8 +225,6 @@
         g_ptr_array_add(node->links, node->leading ? link_new() : NULL);
     }
     node->uplink = link_new();
-    quiet_reset(&node->quiet);
-    node->heard_stamp = 0;
     share_budgets(node, MAX(view->count, 1));
     metrics_count(node->metrics, COUNT_VIEWS, 1);
     log_info("event=view view=%" G_GUINT64_FORMAT " leader=%s members=%u own=%d", view->number,
@@ -359,6 +382,11 @@
                        .lone = node->settings->siblings->len == 0};
 }
 
+static msec_t known_until(const node_t *node)
+{
+    return cancelled_known(&node->cancelled, node->settings->siblings->len, node->jobs_proof);
+}
+
 bool node_may_renew(const node_t *node, msec_t now)
 {
     contact_t contact = node_contact(node);
@@ -366,10 +394,13 @@
         return false;
     /* A job may be cancelled at any moment through a node that reaches the state service. Its tasks
      * must be gone within cancel_s, and a worker keeps them for lease_s after our last answer: so
-     * answers end this long after the last moment at which every abort was known here. */
+     * answers end this long after the last moment up to which all that users were told is known. */
     double spare = node->settings->cancel_s - node->settings->lease_s;
-    bool whole = node->view.count == node->settings->siblings->len + 1;
-    msec_t proof = quiet_proof(&node->quiet, node->jobs_proof, node->leading, node->own,
-                               node->view.count, whole, now);
-    return node->jobs_synced && now - proof < (msec_t)(spare * 1000) - CONTACT_MARGIN_MS;
+    return node->jobs_synced &&
+           now - known_until(node) < (msec_t)(spare * 1000) - CONTACT_MARGIN_MS;
+}
+
+bool node_may_start(const node_t *node, msec_t now)
+{
+    return node->jobs_synced && now - known_until(node) < RUN_KNOWN_MS;
 }
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -19,6 +19,7 @@
 
 #include "app/metrics.h"
 #include "app/settings.h"
+#include "core/cancelled.h"
 #include "core/contact.h"
 #include "core/election.h"
 #include "core/guest.h"
@@ -26,7 +27,6 @@
 #include "core/link.h"
 #include "core/owner.h"
 #include "core/part.h"
-#include "core/quiet.h"
 #include "core/rental.h"
 #include "io/budget.h"
 #include "io/http.h"
@@ -45,6 +45,9 @@
     guint waiting;
 } inquiry_t;
 
+/* A final state. */
+typedef enum { ENDED_UNKNOWN, ENDED_DONE, ENDED_CANCELLED } ended_t;
+
 typedef struct {
     const settings_t *settings;
     const policy_t *policy;
@@ -79,17 +82,18 @@
     msec_t loaded_at;
     GHashTable *jobs; /* live jobs: id -> known_job_t, owned */
     bool jobs_synced;
-    msec_t jobs_proof; /* every abort accepted before it is known here */
-    quiet_t quiet;     /* what siblings say of later ones */
-    GArray *flavors;   /* flavor_t; empty: not known yet */
+    GHashTable *gone;      /* ids of jobs that are over, owned; bounded */
+    GQueue *gone_order;    /* the same, borrowed; oldest first */
+    msec_t jobs_proof;     /* every abort accepted before it is known here */
+    cancelled_t cancelled; /* what this node and its siblings told users */
+    GArray *flavors;       /* flavor_t; empty: not known yet */
     part_t *part;
     leader_t *leader;
     rental_t *rental;
     link_t *uplink;            /* our part's end, towards the leader */
     GPtrArray *links;          /* the leader's ends, a member each; NULL for its own */
-    msec_t heard_stamp;        /* of the leader's newest answer */
     msec_t heard[MEMBERS_MAX]; /* when each member last called by socket */
-    GHashTable *ended;         /* id -> final state (static string); a bounded cache */
+    GHashTable *ended;         /* id -> ended_t; a bounded cache */
     guests_t *guests;
     GAsyncQueue *requests;   /* request_t, borrowed: those that may have to wait */
     atomic_uint connections; /* of users and workers, open now */
@@ -103,7 +107,10 @@
 /* All with the lock held. */
 void node_wake(node_t *node);
 void node_job_set(node_t *node, const job_spec_t *spec, uint64_t stamp);
+/* The job is over for good: no older list of jobs brings it back. */
 void node_job_gone(node_t *node, const char *id);
+/* A user is about to be told that the job is done or cancelled. */
+void node_remember(node_t *node, const char *id, bool done);
 /* Takes over a newer view; everything of the older one is void. */
 void node_adopt(node_t *node, const view_t *view);
 /* Index of the machine's owner in the view; the view must have members. */
@@ -117,8 +124,10 @@
 /* The part's side: carries out what the leader said. */
 void node_obey(node_t *node, const link_item_t *item, msec_t now);
 contact_t node_contact(const node_t *node);
-/* Whether reports may still be answered: what aborts there are is known well enough. */
+/* Whether reports may still be answered: what cancellations there are is known well enough. */
 bool node_may_renew(const node_t *node, msec_t now);
+/* Whether starts may still be sent. */
+bool node_may_start(const node_t *node, msec_t now);
 void node_wait(node_t *node, pthread_cond_t *cond, msec_t ms);
 
 void node_sleep(msec_t ms);
@@ -135,7 +144,8 @@
 void *mesh_run(void *node);
 void *mesh_serve_run(void *node);
 void *mail_run(void *node);
-void *greet_run(void *node);
+/* Starts the threads that greet the siblings. */
+void mesh_greet(node_t *node);
 void *follow_run(void *node);
 void *placer_run(void *node);
 void *sender_run(void *node);
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -42,7 +42,8 @@
         job_spec_t spec;
         if (!wire_parse_job(entry->value, true, &spec, NULL))
             continue;
-        leader_add_job(node->leader, &spec, entry->stamp);
+        if (!g_hash_table_contains(node->gone, spec.id))
+            leader_add_job(node->leader, &spec, entry->stamp);
         job_spec_clear(&spec);
     }
 }
@@ -94,9 +95,13 @@
     bool valid = true;
     GHashTable *machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     GHashTable *live_jobs = g_hash_table_new(g_str_hash, g_str_equal);
-    for (guint i = 0; i < listing->jobs->len; i++)
-        g_hash_table_add(live_jobs,
-                         g_array_index(listing->jobs, state_entry_t, i).key + strlen("jobs/"));
+    for (guint i = 0; i < listing->jobs->len; i++) {
+        char *id = g_array_index(listing->jobs, state_entry_t, i).key + strlen("jobs/");
+        /* It may have been cancelled since it was listed, and its tasks must stop: that was told to
+         * the data of the view before, and nobody tells it again. */
+        if (!g_hash_table_contains(node->gone, id))
+            g_hash_table_add(live_jobs, id);
+    }
     for (guint i = 0; i < listing->machines->len; i++) {
         const state_entry_t *entry = &g_array_index(listing->machines, state_entry_t, i);
         page_record_t record;
--- a/src/app/sender.c
+++ b/src/app/sender.c
@@ -49,8 +49,10 @@
     for (;;) {
         g_array_set_size(calls, 0);
         pthread_mutex_lock(&node->lock);
-        machine_t *machine =
-            node->loaded ? part_direct_take(node->part, clock_steady(), calls) : NULL;
+        msec_t now = clock_steady();
+        if (node->loaded)
+            part_hold_starts(node->part, !node_may_start(node, now));
+        machine_t *machine = node->loaded ? part_direct_take(node->part, now, calls) : NULL;
         if (!machine) {
             node_wait(node, &node->direct, 10 * TICK_MS);
             pthread_mutex_unlock(&node->lock);
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -5,6 +5,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "core/owner.h"
+
 /* Where parsing stands: the first fault wins. */
 typedef struct {
     const char *path;
@@ -98,6 +100,8 @@
         read_address(reader, item, "endpoint", sibling.endpoint);
         g_array_append_val(settings->siblings, sibling);
     }
+    if (settings->siblings->len >= MEMBERS_MAX)
+        fault(reader, "siblings", "there are too many");
 }
 
 static void read_teams(reader_t *reader, const json_t *platform, settings_t *settings)
--- a/src/constants.h
+++ b/src/constants.h
@@ -44,10 +44,16 @@
     REQUESTS_WAITING = 256, /* for an answerer; more are told to come back */
     REQUEST_PATH = 128,     /* bytes of a path that needs an answerer: a job's id has under 40 */
     CONNECTIONS_FOR_WORKERS = 4, /* a fourth of the connections is kept for workers */
-    SENDERS = 16,         /* threads that send direct commands: of 60 machines that hang at once, a
-                             controller has up to 20, and each blocks one for a moment */
-    ENDED_CACHE = 4096,   /* final answers kept in memory, about 60 bytes each */
-    JOB_ERRORS_ALARM = 4, /* failures of one job on as many machines: the job is bad */
+    SENDERS = 16,          /* threads that send direct commands: of 60 machines that hang at once, a
+                              controller has up to 20, and each blocks one for a moment */
+    ENDED_CACHE = 4096,    /* final answers kept in memory, about 60 bytes each */
+    GONE_KEPT = 8192,      /* ids of jobs that are over: an older list of jobs must not bring them
+                              back; a list is seconds old at most, in which a hundred may end */
+    CANCELLED_KEPT = 2048, /* cancellations told, kept for siblings that have not fetched them: a
+                              minute or more of what the budgets let through */
+    NOTICE_JOBS = 256,     /* of them in one message: 6 KB; what is left is fetched in the next */
+    CLOCK_DRIFT = 1000,    /* one part in so many: steady clocks drift apart by up to 0.05% */
+    JOB_ERRORS_ALARM = 4,  /* failures of one job on as many machines: the job is bad */
     AGED_PART = 16, /* of a job's tasks: so many at a time go first once it has waited too long */
     HELD_PART = 8,  /* a part of the machines: so many at most are held for work too large to fit */
     HELD_A_JOB = 16,         /* machines held for one job */
@@ -97,7 +103,10 @@
     MESH_HOLD_MS = 200,      /* the leader holds an answer so long for something to say */
     MESH_IDLE_MS = 15000,    /* a connection without a call for so long is closed */
     MESH_ROWS_MS = 400,      /* between sums of a part that no new batch asks for */
-    GREET_GAP_MS = 500,      /* between the leader's greetings: each of two siblings every second */
+    GREET_GAP_MS = 500,      /* between greetings of a sibling: in an outage a cancellation told by
+                                it is known here, and stopped, within that */
+    RUN_KNOWN_MS = 6000,     /* no start is sent while cancellations are unknown for longer: answers
+                                to a follow come every 2 s, or after a slow one or two */
     MESH_GAP_MS = 50,        /* between exchanges; batches what comes in a burst */
     MAIL_AFTER_MS = 2500,    /* without an exchange by socket for so long, mail is used */
     MAIL_SOCKET_MS = 6000,   /* between tries by socket meanwhile */
@@ -128,7 +137,7 @@
     BOOT_PATIENCE_MS = 30000,  /* added to three times BootS before a boot is given up */
     RETURN_AFTER_MS = 40000,   /* a new leader learns the demand before it returns machines */
     STATUS_GATHER_MS = 200,    /* status reads of so long are asked together; users wait 2 s */
-    UNHEARD_MS = 5000,    /* without a sibling's word: they greet each other every second or two */
+    UNHEARD_MS = 5000,    /* without a sibling's word: they greet each other every half second */
     HOLD_ALONE_MS = 8000, /* so long workers are held without state service and siblings: their
                              new owner, there after 5 s, waits 15 s before it gives them up */
     SHUT_OUT_MS = 3000    /* /ready turns 503 after so long without the state service */
--- a/src/core/guest.c
+++ b/src/core/guest.c
@@ -65,6 +65,18 @@
     return GUEST_HOME;
 }
 
+void guests_stop_gone(const report_t *report, GHashTable *live_jobs, GArray *calls)
+{
+    for (guint i = 0; i < report->pieces->len; i++) {
+        const piece_t *piece = &g_array_index(report->pieces, piece_t, i);
+        if (piece->state == PIECE_EXITED || g_hash_table_contains(live_jobs, piece->job))
+            continue;
+        call_t call = {.op = CALL_STOP, .task = piece->task, .attempt = piece->attempt};
+        g_strlcpy(call.job, piece->job, sizeof call.job);
+        g_array_append_val(calls, call);
+    }
+}
+
 GPtrArray *guests_kept(guests_t *guests, msec_t now)
 {
     GPtrArray *kept = g_ptr_array_new_with_free_func(g_free);
--- a/src/core/guest.h
+++ b/src/core/guest.h
@@ -21,6 +21,9 @@
 /* The owners changed: everybody is sent home anew. */
 void guests_clear(guests_t *guests);
 guest_verdict_t guests_report(guests_t *guests, const report_t *report, msec_t now);
+/* Stops for all that the report lists of jobs that are not among the live ones (keys: ids). calls:
+ * array of call_t to append to. */
+void guests_stop_gone(const report_t *report, GHashTable *live_jobs, GArray *calls);
 /* Machines kept here that showed of late that our answers reach them: a worker's reports alone,
  * late copies among them, are no sign that it lives. Array of strings, owned by the array. Forgets
  * those long gone. */
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -559,7 +559,7 @@
 
 /* Commands that bring the machine to what is wanted: stops, then runs. A start that waits for the
  * room of others goes out when that is free, or in one message after the stops that free it. */
-static void wanted_calls(const machine_t *machine, msec_t now, GArray *calls)
+static void wanted_calls(const part_t *part, const machine_t *machine, msec_t now, GArray *calls)
 {
     for (guint i = 0; i < machine->attempts->len; i++) {
         const attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
@@ -571,7 +571,7 @@
             call_add(calls, CALL_STOP, entry->job, entry->task, entry->attempt, grace);
     }
     room_t room = room_after_stops(machine, now);
-    for (guint i = 0; i < machine->attempts->len; i++) {
+    for (guint i = 0; !part->holds_starts && i < machine->attempts->len; i++) {
         const attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
         const record_entry_t *entry = &attempt->entry;
         if (!is_sent_here(machine, attempt) || attempt->stop || attempt->listed)
@@ -756,7 +756,7 @@
         note_turn(machine, report, now);
         machine->reported = true;
         prove_absent(part, machine, report);
-        wanted_calls(machine, now, calls);
+        wanted_calls(part, machine, now, calls);
         answer_unknown(part, machine, report, calls);
     }
     if (machine->attempts->len)
@@ -785,6 +785,11 @@
     machine->reached = machine->last_report = now;
 }
 
+void part_hold_starts(part_t *part, bool hold)
+{
+    part->holds_starts = hold;
+}
+
 void part_end_job(part_t *part, const char *job)
 {
     GHashTableIter iter;
@@ -1233,7 +1238,7 @@
         return true;
     }
     machine->probe = false;
-    wanted_calls(machine, now, calls);
+    wanted_calls(part, machine, now, calls);
     machine->direct_busy = calls->len > 0;
     return machine->direct_busy;
 }
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -188,8 +188,9 @@
     GArray *outcomes;    /* outcome_t, drained by the caller */
     guint turn;          /* round robin among equals */
     msec_t lapse;
-    msec_t fresh;  /* a machine not reached for so long gets no starts and no commands */
-    guint probing; /* probes under way */
+    msec_t fresh;      /* a machine not reached for so long gets no starts and no commands */
+    guint probing;     /* probes under way */
+    bool holds_starts; /* no `run` goes out */
 } part_t;
 
 part_t *part_new(const GArray *flavors, const GArray *teams, msec_t lapse);
@@ -227,6 +228,8 @@
 void part_set_report(part_t *part, double report_s);
 /* It executed a direct command of this view, and what it said was taken. */
 void part_probed(part_t *part, const char *machine, msec_t now);
+/* While cancellations may be unknown here no start is sent; what is recorded waits. */
+void part_hold_starts(part_t *part, bool hold);
 /* The job was cancelled or is over: its attempts stop, those not yet recorded are dropped. */
 void part_end_job(part_t *part, const char *job);
 /* Asks one attempt to stop, saving if it can. */
--- a/src/io/mesh.c
+++ b/src/io/mesh.c
@@ -165,6 +165,7 @@
     g_clear_pointer(&note->items, g_array_unref);
     g_clear_pointer(&note->rows, g_array_unref);
     g_clear_pointer(&note->yielding, g_array_unref);
+    notice_clear(&note->notice);
 }
 
 GByteArray *mesh_encode(const mesh_note_t *note)
@@ -181,11 +182,14 @@
                             .view = note->view,
                             .number = note->number,
                             .ack = note->ack,
-                            .stamp = note->stamp,
-                            .echo = note->echo,
-                            .abort_age = note->abort_age,
-                            .quiet_age = note->quiet_age,
                             .contact_age = note->contact_age,
+                            .greeting = note->greeting,
+                            .known_incarnation = note->known_incarnation,
+                            .known_through = note->known_through,
+                            .notice = {.after = note->notice.after,
+                                       .through = note->notice.through,
+                                       .whole = note->notice.whole,
+                                       .base_age = note->notice.base_age},
                             .has_rows = note->rows != NULL};
     message.items.items_len = items;
     message.items.items_val = item_list;
@@ -193,6 +197,10 @@
     message.rows.rows_val = row_list;
     message.yielding.yielding_len = note->yielding ? note->yielding->len : 0;
     message.yielding.yielding_val = note->yielding ? (double *)(void *)note->yielding->data : NULL;
+    if (note->notice.jobs) {
+        message.notice.jobs.jobs_len = note->notice.jobs->len;
+        message.notice.jobs.jobs_val = (mesh_name *)note->notice.jobs->pdata;
+    }
     gulong size = xdr_sizeof((xdrproc_t)xdr_mesh_message, &message);
     GByteArray *frame = g_byte_array_sized_new((guint)size);
     g_byte_array_set_size(frame, (guint)size);
@@ -215,11 +223,18 @@
     note->view = message->view;
     note->number = message->number;
     note->ack = message->ack;
-    note->stamp = message->stamp;
-    note->echo = message->echo;
-    note->abort_age = message->abort_age;
-    note->quiet_age = message->quiet_age;
     note->contact_age = message->contact_age;
+    note->greeting = message->greeting;
+    note->known_incarnation = message->known_incarnation;
+    note->known_through = message->known_through;
+    note->notice = (notice_t){.incarnation = message->incarnation,
+                              .after = message->notice.after,
+                              .through = message->notice.through,
+                              .whole = message->notice.whole,
+                              .base_age = message->notice.base_age,
+                              .jobs = g_ptr_array_new_with_free_func(g_free)};
+    for (u_int i = 0; i < message->notice.jobs.jobs_len; i++)
+        g_ptr_array_add(note->notice.jobs, g_strdup(message->notice.jobs.jobs_val[i]));
     note->items = link_items_new();
     for (u_int i = 0; i < message->items.items_len; i++) {
         link_item_t item;
--- a/src/io/mesh.h
+++ b/src/io/mesh.h
@@ -2,6 +2,7 @@
 #ifndef PEPPERPULLEY_MESH_H
 #define PEPPERPULLEY_MESH_H
 
+#include "core/cancelled.h"
 #include "core/leader.h"
 #include "core/link.h"
 
@@ -12,11 +13,11 @@
     uint64_t view;
     uint64_t number; /* of the batch; 0: none sent so far */
     uint64_t ack;
-    msec_t stamp;
-    msec_t echo;
-    msec_t abort_age;
-    msec_t quiet_age;
     msec_t contact_age;
+    bool greeting;
+    uint64_t known_incarnation;
+    uint64_t known_through;
+    notice_t notice;  /* jobs NULL: none */
     GArray *items;    /* link_item_t */
     GArray *rows;     /* machine_row_t; NULL: unchanged */
     GArray *yielding; /* double, a team each; NULL without rows */
--- a/src/io/mesh.x
+++ b/src/io/mesh.x
@@ -83,17 +83,25 @@
     hyper known_ms;
 };
 
+struct mesh_notice {
+    unsigned hyper after;
+    unsigned hyper through;
+    bool whole;
+    hyper base_age; /* ms */
+    mesh_name jobs<MESH_ITEMS>;
+};
+
 struct mesh_message {
     mesh_name sender;
     unsigned hyper incarnation;
     unsigned hyper view;
     unsigned hyper number;
     unsigned hyper ack;
-    hyper stamp;       /* the sender's clock, ms; comes back as echo */
-    hyper echo;        /* the newest stamp received from the other end; 0: none */
-    hyper abort_age;   /* ms since anyone the sender speaks for accepted an abort */
     hyper contact_age; /* ms since the state service last answered the sender */
-    hyper quiet_age;   /* ms since the moment up to which that is known */
+    bool greeting;     /* a call, or the answer to one, from any controller to any other */
+    unsigned hyper known_incarnation; /* a call: of whose notices the caller has ... */
+    unsigned hyper known_through;     /* ... all up to this number */
+    mesh_notice notice;               /* an answer: what the sender told users */
     mesh_item items<MESH_ITEMS>;
     bool has_rows;
     mesh_row rows<MESH_ROWS>;
