--- a/src/app/front.c
+++ b/src/app/front.c
@@ -627,7 +627,11 @@
 {
     node_t *node = data;
     for (;;) {
-        request_t *request = g_async_queue_pop(node->requests);
+        pthread_mutex_lock(&node->requests_lock);
+        while (g_queue_is_empty(node->requests))
+            pthread_cond_wait(&node->requests_come, &node->requests_lock);
+        request_t *request = g_queue_pop_head(node->requests);
+        pthread_mutex_unlock(&node->requests_lock);
         request->reply = route(node, request->method, request->path, request);
         request->answered = true;
         MHD_resume_connection(request->connection);
@@ -639,19 +643,23 @@
 static bool enqueue(node_t *node, struct MHD_Connection *connection, request_t *request,
                     const char *method, const char *path)
 {
-    if (g_async_queue_length(node->requests) >= REQUESTS_WAITING) {
-        request->reply = refuse(503, "too many requests wait here", 1);
-        return false;
-    }
     if (g_strlcpy(request->method, method, sizeof request->method) >= sizeof request->method ||
         g_strlcpy(request->path, path, sizeof request->path) >= sizeof request->path) {
         request->reply = refuse(404, "no such path", 0);
         return false;
     }
     request->connection = connection;
-    MHD_suspend_connection(connection);
-    g_async_queue_push(node->requests, request);
-    return true;
+    pthread_mutex_lock(&node->requests_lock);
+    bool room = g_queue_get_length(node->requests) < REQUESTS_WAITING;
+    if (room) {
+        MHD_suspend_connection(connection); /* before one that answers can resume it */
+        g_queue_push_tail(node->requests, request);
+        pthread_cond_signal(&node->requests_come);
+    }
+    pthread_mutex_unlock(&node->requests_lock);
+    if (!room)
+        request->reply = refuse(503, "too many requests wait here", 1);
+    return room;
 }
 
 static enum MHD_Result handle(void *data, struct MHD_Connection *connection, const char *path,
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -71,7 +71,9 @@
     node->guests = guests_new();
     node->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     node->gone_order = g_queue_new();
-    node->requests = g_async_queue_new();
+    pthread_mutex_init(&node->requests_lock, NULL);
+    pthread_cond_init(&node->requests_come, NULL);
+    node->requests = g_queue_new();
     return node;
 }
 
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -95,7 +95,9 @@
     msec_t heard[MEMBERS_MAX]; /* when each member last called by socket */
     GHashTable *ended;         /* id -> ended_t; a bounded cache */
     guests_t *guests;
-    GAsyncQueue *requests;   /* request_t, borrowed: those that may have to wait */
+    pthread_mutex_t requests_lock; /* of the next two only; never with `lock` */
+    pthread_cond_t requests_come;
+    GQueue *requests;        /* request_t, borrowed: those that may have to wait */
     atomic_uint connections; /* of users and workers, open now */
 } node_t;
 
--- /dev/null
+++ b/tests/fakes/services.h
@@ -0,0 +1,38 @@
+/* Stand-ins for state service and cloud over real loopback sockets, for stories that run whole
+ * controllers. The state service listens on a port for each controller, so that one can be refused
+ * while the others are served. Owns its store and threads; a process has one for each story, and
+ * never ends it. */
+#ifndef PEPPERPULLEY_FAKE_SERVICES_H
+#define PEPPERPULLEY_FAKE_SERVICES_H
+
+#include <pthread.h>
+
+#include "store.h"
+
+enum { SERVICES_PORTS = 3 };
+
+typedef struct {
+    pthread_mutex_t lock; /* guards all below */
+    pthread_cond_t changed;
+    fake_store_t *store;
+    GArray *news; /* change_t, in order */
+    uint16_t state_ports[SERVICES_PORTS];
+    bool refused[SERVICES_PORTS]; /* every request there gets 503 */
+    char *swallow;                /* the next transaction that changes this key is carried out, and
+                                     its connection closed without an answer; owned */
+    bool types_known;             /* the cloud tells its machine types; else 503 */
+    uint16_t cloud_port;
+    uint64_t grants;
+} services_t;
+
+services_t *services_new(void);
+/* Carries out a transaction, as another controller would; frees it. */
+state_result_t services_apply(services_t *services, txn_t txn);
+uint64_t services_stamp(services_t *services, const char *key);
+void services_refuse(services_t *services, guint port, bool refused);
+void services_swallow(services_t *services, const char *key);
+void services_tell_types(services_t *services);
+/* A port that nobody listens on now. */
+uint16_t services_free_port(void);
+
+#endif
--- /dev/null
+++ b/tests/stories_node.c
@@ -0,0 +1,296 @@
+/* Stories of whole controllers, with stand-ins for state service and cloud over real sockets. A
+ * story waits until what it expects has come about, so its verdict hangs on no time. Controllers
+ * never end: the process leaves without them. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "app/node.h"
+#include "io/clock.h"
+#include "io/records.h"
+#include "services.h"
+#include "story.h"
+
+enum { POLL_MS = 20 };
+
+typedef struct {
+    services_t *services;
+    node_t *nodes[2];
+    uint16_t ports[2]; /* of users and workers */
+    http_client_t *client;
+} stage_t;
+
+static stage_t *stage;
+
+static settings_t *settings_of(guint index, const uint16_t *mesh, guint count)
+{
+    settings_t *settings = g_new0(settings_t, 1);
+    *settings = (settings_t){.zone = "north",
+                             .report_s = 1,
+                             .lease_s = 10,
+                             .cancel_s = 3600, /* no story waits for its end */
+                             .state_rps = 1000,
+                             .state_write_rps = 1000,
+                             .value_kb = 16,
+                             .txn_ops = 24,
+                             .cloud_rps = 100,
+                             .list_lag_s = 1,
+                             .connections = 100};
+    g_snprintf(settings->name, sizeof settings->name, "hand-%u", index);
+    g_snprintf(settings->client_listen, ADDRESS_SIZE, "127.0.0.1:%u", stage->ports[index]);
+    g_snprintf(settings->mesh_listen, ADDRESS_SIZE, "127.0.0.1:%u", mesh[index]);
+    g_snprintf(settings->cloud, ADDRESS_SIZE, "127.0.0.1:%u", stage->services->cloud_port);
+    g_snprintf(settings->state, ADDRESS_SIZE, "127.0.0.1:%u", stage->services->state_ports[index]);
+    settings->teams = g_array_new(FALSE, FALSE, sizeof(team_t));
+    team_t team = {.name = "red", .cpus = 8, .cpus_max = 64};
+    g_array_append_val(settings->teams, team);
+    settings->targets = g_hash_table_new(g_str_hash, g_str_equal);
+    settings->siblings = g_array_new(FALSE, FALSE, sizeof(sibling_t));
+    for (guint i = 0; i < count; i++) {
+        sibling_t sibling = {.zone = "north"};
+        g_snprintf(sibling.name, sizeof sibling.name, "hand-%u", i);
+        g_snprintf(sibling.endpoint, sizeof sibling.endpoint, "127.0.0.1:%u", mesh[i]);
+        if (i != index)
+            g_array_append_val(settings->siblings, sibling);
+    }
+    return settings;
+}
+
+static void begin(guint count)
+{
+    uint16_t mesh[2];
+    stage = g_new0(stage_t, 1);
+    stage->services = services_new();
+    stage->client = http_client_new(4);
+    for (guint i = 0; i < count; i++) {
+        stage->ports[i] = services_free_port();
+        mesh[i] = services_free_port();
+    }
+    for (guint i = 0; i < count; i++) {
+        stage->nodes[i] = node_new(settings_of(i, mesh, count), policy_default());
+        assert_true(node_start(stage->nodes[i]));
+    }
+}
+
+static int call(guint node, const char *method, const char *path, const json_t *body,
+                json_t **answer)
+{
+    char url[256];
+    g_snprintf(url, sizeof url, "http://127.0.0.1:%u%s", stage->ports[node], path);
+    return http_call(stage->client, method, url, body, 10000, answer);
+}
+
+static void wait_ready(guint node)
+{
+    while (call(node, "GET", "/ready", NULL, NULL) != 200)
+        node_sleep(POLL_MS);
+}
+
+static json_t *job_body(const char *id)
+{
+    json_t *body = json_loads(
+        "{\"Reel\":\"c\",\"Crew\":\"red\",\"Rig\":\"sweep\",\"Urgency\":\"normal\",\"Pieces\":2,"
+        "\"Cpus\":2.0,\"Accelerators\":0,\"MemGb\":4.0,\"Cargo\":\"i\",\"ImageGb\":1.0,"
+        "\"Hulls\":null,\"Dock\":null,\"SamePlace\":false,\"Apart\":false,\"Driftwood\":true,"
+        "\"HaulS\":10.0,\"KnotS\":0,\"StowS\":0,\"TideS\":null}",
+        0, NULL);
+    json_object_set_new(body, "Uid", json_string(id));
+    return body;
+}
+
+/* Repeats what is told to come back, as users do. trim: the state that the answer must bear. */
+static void expect(guint node, const char *method, const char *path, json_t *body, int status,
+                   const char *trim)
+{
+    json_t *answer = NULL;
+    int got;
+    while ((got = call(node, method, path, body, &answer)) == 503 || got == 429) {
+        json_decref(answer);
+        node_sleep(POLL_MS);
+    }
+    assert_int_equal(got, status);
+    if (trim)
+        assert_string_equal(json_string_value(json_object_get(answer, "Trim")), trim);
+    json_decref(answer);
+    json_decref(body);
+}
+
+static void submit(guint node, const char *id)
+{
+    expect(node, "POST", "/v2/runs", job_body(id), 201, "queued");
+}
+
+static void abort_of(const char *id, char *path, gsize size)
+{
+    g_snprintf(path, size, "/v2/runs/%s/abort", id);
+}
+
+/* Another controller, not heard here, cancels the job. */
+static void cancel_elsewhere(const char *id)
+{
+    char key[64];
+    g_snprintf(key, sizeof key, "jobs/%s", id);
+    uint64_t stamp = services_stamp(stage->services, key);
+    assert_int_equal(services_apply(stage->services, records_abort(id, stamp, 2)), STATE_OK);
+}
+
+static bool is_noted(guint node, const char *id)
+{
+    pthread_mutex_lock(&stage->nodes[node]->lock);
+    bool noted = g_hash_table_contains(stage->nodes[node]->cancelled.listed, id);
+    pthread_mutex_unlock(&stage->nodes[node]->lock);
+    return noted;
+}
+
+static uint64_t count_noted(guint node)
+{
+    pthread_mutex_lock(&stage->nodes[node]->lock);
+    uint64_t count = stage->nodes[node]->cancelled.newest;
+    pthread_mutex_unlock(&stage->nodes[node]->lock);
+    return count;
+}
+
+/* Whatever the road on which a user is told "cancelled", the siblings can hear of it from then on:
+ * it was noted only where the node's own commit had been answered. */
+static void every_road_to_cancelled_is_noted(void **state)
+{
+    (void)state;
+    char path[64];
+    begin(1);
+    services_tell_types(stage->services);
+    wait_ready(0);
+    const char *ids[] = {"j-000001", "j-000002", "j-000003", "j-000004", "j-000005"};
+    for (guint i = 0; i < G_N_ELEMENTS(ids); i++)
+        submit(0, ids[i]);
+    abort_of(ids[0], path, sizeof path); /* an abort, and its repeat from the cache */
+    expect(0, "POST", path, NULL, 200, "cancelled");
+    assert_true(is_noted(0, ids[0]));
+    expect(0, "POST", path, NULL, 200, "cancelled");
+    assert_int_equal(count_noted(0), 1);
+    services_swallow(stage->services, "ended/j-000002"); /* its commit's answer is lost */
+    abort_of(ids[1], path, sizeof path);
+    expect(0, "POST", path, NULL, 200, "cancelled");
+    assert_true(is_noted(0, ids[1]));
+    cancel_elsewhere(ids[2]);
+    expect(0, "GET", "/v2/runs/j-000003", NULL, 200, "cancelled");
+    assert_true(is_noted(0, ids[2]));
+    cancel_elsewhere(ids[3]);
+    expect(0, "POST", "/v2/runs", job_body(ids[3]), 200, "cancelled");
+    assert_true(is_noted(0, ids[3]));
+    cancel_elsewhere(ids[4]);
+    abort_of(ids[4], path, sizeof path);
+    expect(0, "POST", path, NULL, 200, "cancelled");
+    assert_true(is_noted(0, ids[4]));
+    assert_int_equal(count_noted(0), 5);
+}
+
+/* A worker's report with one task, running; the answer's commands, or NULL where it was not 200. */
+static json_t *report_task(guint node, json_int_t number, const char *task)
+{
+    json_t *answer = NULL;
+    json_t *body =
+        json_pack("{s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:I,s:[{s:s,s:I,s:s}]}", "Winch", "m-000001",
+                  "Address", "127.0.0.1:1", "Hull", "t16", "Dock", "north", "Driftwood", 1, "Watch",
+                  (json_int_t)1, "Tally", number, "Helm", (json_int_t)0, "Pieces", "Piece", task,
+                  "Heave", (json_int_t)1, "Trim", "running");
+    int status = call(node, "POST", "/hello", body, &answer);
+    json_t *calls = status == 200 ? json_incref(json_object_get(answer, "Calls")) : NULL;
+    json_decref(answer);
+    json_decref(body);
+    return calls;
+}
+
+/* The state service refuses one controller alone; a job is cancelled through the other. The first
+ * hears of it, and the answers by which it keeps its workers alive stop the job's tasks. */
+static void a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled(void **state)
+{
+    (void)state;
+    char path[64];
+    begin(2);
+    services_tell_types(stage->services);
+    wait_ready(0);
+    wait_ready(1);
+    submit(0, "j-000001");
+    submit(0, "j-000002");
+    bool known = false;
+    while (!known) { /* node 1 follows the jobs, and is of the view */
+        pthread_mutex_lock(&stage->nodes[1]->lock);
+        known = g_hash_table_size(stage->nodes[1]->jobs) == 2 && stage->nodes[1]->view.count == 2;
+        pthread_mutex_unlock(&stage->nodes[1]->lock);
+        node_sleep(POLL_MS);
+    }
+    services_refuse(stage->services, 1, true);
+    abort_of("j-000001", path, sizeof path);
+    expect(0, "POST", path, NULL, 200, "cancelled");
+    while (!is_noted(1, "j-000001"))
+        node_sleep(POLL_MS);
+    json_t *calls = NULL;
+    json_int_t number = 0;
+    while (!calls && !(calls = report_task(1, ++number, "j-000001/0")))
+        node_sleep(POLL_MS);
+    assert_int_equal(json_array_size(calls), 1);
+    assert_string_equal(json_string_value(json_object_get(json_array_get(calls, 0), "Call")),
+                        "stop");
+    json_decref(calls);
+    expect(1, "GET", "/v2/runs/j-000001", NULL, 200, "cancelled"); /* it can tell, too */
+}
+
+static json_t *job_with(const char *name, json_t *value)
+{
+    json_t *body = job_body("j-000009");
+    if (value)
+        json_object_set_new(body, name, value);
+    else
+        json_object_del(body, name);
+    return body;
+}
+
+/* What can never run is never accepted, nor what lacks a field; while the machine types are not
+ * known, nobody can tell. A repeat of what was accepted, an abort of what is done: the state as it
+ * is. */
+static void odd_requests_get_their_answers(void **state)
+{
+    (void)state;
+    begin(1);
+    json_t *body = job_body("j-000001");
+    int status;
+    while ((status = call(0, "POST", "/v2/runs", body, NULL)) <= HTTP_NO_ANSWER)
+        node_sleep(POLL_MS);
+    assert_int_equal(status, 503);
+    json_decref(body);
+    services_tell_types(stage->services);
+    wait_ready(0);
+    submit(0, "j-000001");
+    expect(0, "POST", "/v2/runs", job_body("j-000001"), 200, "queued");
+    expect(0, "POST", "/v2/runs", job_with("Cpus", json_real(17)), 422, NULL);
+    expect(0, "POST", "/v2/runs", job_with("Hulls", json_pack("[s]", "t99")), 422, NULL);
+    expect(0, "POST", "/v2/runs", job_with("Hulls", json_array()), 422, NULL);
+    expect(0, "POST", "/v2/runs", job_with("Dock", json_string("west")), 422, NULL);
+    expect(0, "POST", "/v2/runs", job_with("Crew", json_string("green")), 422, NULL);
+    expect(0, "POST", "/v2/runs", job_with("Pieces", json_string("2")), 400, NULL);
+    static const char *const fields[] = {"Uid",     "Reel",  "Crew",      "Rig",   "Urgency",
+                                         "Pieces",  "Cpus",  "MemGb",     "Cargo", "SamePlace",
+                                         "ImageGb", "Apart", "Driftwood", "HaulS"};
+    for (guint i = 0; i < G_N_ELEMENTS(fields); i++)
+        expect(0, "POST", "/v2/runs", job_with(fields[i], NULL), 400, NULL);
+    expect(0, "GET", "/v2/runs/j-000009", NULL, 404, NULL);
+    txn_t txn = txn_new();
+    txn_set(&txn, "ended/j-000008", json_pack("{s:s}", "Trim", "done"), 0);
+    services_apply(stage->services, txn);
+    expect(0, "POST", "/v2/runs/j-000008/abort", NULL, 200, "done");
+    assert_int_equal(count_noted(0), 0);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(every_road_to_cancelled_is_noted),
+        cmocka_unit_test(a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled),
+        cmocka_unit_test(odd_requests_get_their_answers),
+    };
+    signal(SIGPIPE, SIG_IGN);
+    http_start();
+    int failed = cmocka_run_group_tests_name("node", tests, NULL, NULL);
+    fflush(NULL);
+    _exit(failed);
+}
