A team's share is one of the room it holds, not of starts

Cause: deficit round robin by cpus asked gives two teams equal starts.

Now what is left over guarantees goes a task at a time to the team that holds least for its weight; a team without a guarantee weighs a tenth of all guarantees.

--- a/src/constants.h
+++ b/src/constants.h
@@ -176,6 +176,7 @@
     15.0                   /* work near its deadline shares a machine's room only within that */
 #define RENT_LARGEST 0.6   /* a machine may be this share of all that is wanted */
 #define RENT_ROUND 0.25    /* of a machine: so little lacking is not worth another */
+#define GUEST_SHARE 0.1    /* of all guarantees: the weight of a team that has none */
 #define ORDINARY_EASED 2.0 /* of their patience: at half the waiting work they go back */
 #define RENT_SPREAD 0.02   /* price added per machine of the same type, zone and kind */
 
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -595,15 +595,20 @@
     return queue;
 }
 
-/* Serves one team's turn: from `at` on, until its allowance is spent. Returns what was spent. */
-static double serve_turn(leader_t *leader, team_state_t *state, GArray *queue, guint *at,
-                         double allowance, GArray *offers, guint most)
+static double task_cost(const queued_t *queued)
+{
+    return MAX(queued->job->spec.need.cpus, EPSILON);
+}
+
+/* Serves one team's turn: from `at` on, until its allowance is spent. */
+static void serve_turn(leader_t *leader, team_state_t *state, GArray *queue, guint *at,
+                       double allowance, GArray *offers, guint most)
 {
     double spent = 0;
     while (*at < queue->len && offers->len < most) {
         const queued_t *queued = &g_array_index(queue, queued_t, *at);
         job_t *job = queued->job;
-        double cost = MAX(job->spec.need.cpus, EPSILON);
+        double cost = task_cost(queued);
         if (spent + cost > allowance + EPSILON)
             break;
         bool gang = job->spec.kind == KIND_GANG;
@@ -617,7 +622,28 @@
             spent += cost;
         }
     }
-    return spent;
+}
+
+/* Whose turn it is, of those with work left from `at` on: a share is one of the room held, not of
+ * starts: tasks of five minutes beside others of twenty seconds took nearly all of it by equal
+ * starts.
+ */
+static guint poorest_team(const leader_t *leader, const GPtrArray *queues, const guint *at)
+{
+    guint teams = leader->teams->len, poorest = teams;
+    double least = INFINITY, promised = 0;
+    for (guint i = 0; i < teams; i++)
+        promised += g_array_index(leader->teams, team_state_t, i).team.cpus;
+    for (guint i = 0; i < teams; i++) {
+        const team_state_t *state = &g_array_index(leader->teams, team_state_t, i);
+        double weight = MAX(MAX(state->team.cpus, promised * GUEST_SHARE), 1);
+        if (at[i] >= ((const GArray *)g_ptr_array_index(queues, i))->len ||
+            state->cpus / weight >= least)
+            continue;
+        least = state->cpus / weight;
+        poorest = i;
+    }
+    return poorest;
 }
 
 GArray *leader_schedule(leader_t *leader, msec_t now, int64_t day_ms, guint most)
@@ -637,22 +663,11 @@
         if (left > 0)
             serve_turn(leader, state, g_ptr_array_index(queues, i), &at[i], left, offers, most);
     }
-    /* The rest by deficit round robin: weight is the guarantee, cost the cpus asked. */
-    for (bool more = teams > 0; more && offers->len < most;) {
-        more = false;
-        for (guint k = 0; k < teams && offers->len < most; k++) {
-            guint i = leader->turn++ % teams;
-            GArray *queue = g_ptr_array_index(queues, i);
-            team_state_t *state = &g_array_index(leader->teams, team_state_t, i);
-            if (at[i] >= queue->len) {
-                state->deficit = 0;
-                continue;
-            }
-            state->deficit += MAX(state->team.cpus, 1);
-            state->deficit -=
-                serve_turn(leader, state, queue, &at[i], state->deficit, offers, most);
-            more = more || at[i] < queue->len;
-        }
+    /* The rest goes a task at a time to the team that holds least for its weight. */
+    for (guint i; offers->len < most && (i = poorest_team(leader, queues, at)) < teams;) {
+        GArray *queue = g_ptr_array_index(queues, i);
+        serve_turn(leader, &g_array_index(leader->teams, team_state_t, i), queue, &at[i],
+                   task_cost(&g_array_index(queue, queued_t, at[i])), offers, most);
     }
     g_free(at);
     g_ptr_array_unref(queues);
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -58,7 +58,6 @@
     team_t team;
     double cpus; /* out */
     double gpus;
-    double deficit;
     double yielding; /* cpus of its work that is being stopped for others */
 } team_state_t;
 
@@ -95,8 +94,7 @@
     GArray *once;           /* the target of a deadline that no aim names */
     GPtrArray *rows;        /* part -> GArray of machine_row_t, owned */
     GPtrArray *yields;      /* part -> GArray of double, a team each, owned */
-    guint turn;
-    guint preempting; /* offers of this round that may stop others */
+    guint preempting;       /* offers of this round that may stop others */
 } leader_t;
 
 leader_t *leader_new(const GArray *teams, GHashTable *targets, const policy_t *policy, guint parts);
--- a/tests/stories_leader.c
+++ b/tests/stories_leader.c
@@ -139,6 +139,34 @@
     g_array_unref(offers);
 }
 
+/* Guests' tasks of five minutes beside the others' of twenty seconds: by equal starts they came to
+ * hold five sixths of the room. What is freed goes to the team that holds less for its weight. */
+static void a_share_is_one_of_the_room_held(void **state)
+{
+    (void)state;
+    GArray *guests = g_array_copy(teams);
+    g_array_index(guests, team_t, 0) = (team_t){.name = "red"};
+    g_array_index(guests, team_t, 1) = (team_t){.name = "blue"};
+    leader_free(leader);
+    leader = leader_new(guests, targets, policy, 2);
+    leader_set_view(leader, 3);
+    record_entry_t held = {.job = "j-000009", .team = "red", .need = {40, 0, 1}, .attempt = 9};
+    leader_load_attempt(leader, &held, "north", 0);
+    job_spec_t red = job("j-000001", "red", 100), blue = job("j-000002", "blue", 100);
+    set_room(0, "north", 30);
+    add(&red);
+    add(&blue);
+    GArray *offers = schedule();
+    assert_int_equal(count(offers, "j-000002"), 15);
+    g_array_unref(offers);
+    set_room(0, "north", 30); /* blue holds 30 now: 10 more make it equal, then in turn */
+    offers = schedule();
+    assert_int_equal(count(offers, "j-000002"), 10);
+    assert_int_equal(count(offers, "j-000001"), 5);
+    g_array_unref(offers);
+    g_array_unref(guests);
+}
+
 static void priority_comes_before_age(void **state)
 {
     (void)state;
@@ -654,6 +682,7 @@
         cmocka_unit_test_setup_teardown(recorded_attempts_count_even_for_jobs_that_ended, set_up,
                                         tear_down),
         cmocka_unit_test_setup_teardown(shares_are_served_in_turn, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(a_share_is_one_of_the_room_held, set_up, tear_down),
         cmocka_unit_test_setup_teardown(priority_comes_before_age, set_up, tear_down),
         cmocka_unit_test_setup_teardown(room_is_held_for_a_large_task_that_goes_first, set_up,
                                         tear_down),
