Workers that lost their owner are kept, and one of them tries it as a scout

Now workers that bear this view's token are kept while one is sent; an owner from which one came back is not tried for 20 s, also over a view, unless it began anew. What is left: the first scouts, and workers whose lease was old when the view sent them away.

--- a/src/app/front.c
+++ b/src/app/front.c
@@ -471,13 +471,16 @@
 
 /* A worker that this node does not own: sent to the owner or, if it can't reach that, kept alive
  * here: no starts, but stops for what is cancelled. */
-static reply_t host_guest(node_t *node, const report_t *report, const char *owner, msec_t now)
+static reply_t host_guest(node_t *node, const report_t *report, const member_t *owner, msec_t now)
 {
-    guest_verdict_t verdict = guests_report(node->guests, report, now);
+    char key[ID_SIZE + 24];
+    g_snprintf(key, sizeof key, "%s#%" G_GUINT64_FORMAT, owner->name, owner->incarnation);
+    guest_verdict_t verdict =
+        guests_report(node->guests, report, key, report->token == node->view.number, now);
     if (verdict == GUEST_OLD)
         return refuse(503, "an old report", 0);
     if (verdict == GUEST_HOME)
-        return (reply_t){.status = 421, .body = json_pack("{s:s}", "Bosun", owner)};
+        return (reply_t){.status = 421, .body = json_pack("{s:s}", "Bosun", owner->name)};
     log_debug("event=keep machine=%s", report->machine);
     GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
     guests_stop_gone(report, node->jobs, calls);
@@ -528,7 +531,7 @@
     guint owner = node_owner(node, report->machine, report->zone);
     metrics_count(node->metrics, COUNT_GUESTS, owner != node->own);
     if (owner != node->own)
-        return host_guest(node, report, node->view.members[owner].name, now);
+        return host_guest(node, report, &node->view.members[owner], now);
     return answer_own(node, report, now);
 }
 
--- a/src/constants.h
+++ b/src/constants.h
@@ -132,7 +132,8 @@
     KEPT_WRITE_MS = 3000, /* between writes of the kept list: a third of a write a second */
     GUEST_FORGET_MS = 60000,   /* a worker that long gone from here is forgotten */
     KEPT_FRESH_MS = 8000,      /* a kept list older than that says nothing */
-    HOME_TRY_MS = 6000,        /* a worker sent to the leader and back within it can't reach it */
+    HOME_TRY_MS = 12000,       /* a worker sent to its owner and back within it can't reach it: two
+                                  controllers that don't answer cost it 5 s each */
     PREEMPT_PROTECT_MS = 2000, /* a start is not preempted in its first moments */
     BOOT_PATIENCE_MS = 30000,  /* added to three times BootS before a boot is given up */
     RETURN_AFTER_MS = 40000,   /* a new leader learns the demand before it returns machines */
--- a/src/core/guest.c
+++ b/src/core/guest.c
@@ -1,5 +1,7 @@
 #include "core/guest.h"
 
+#include <string.h>
+
 typedef struct {
     msec_t sent_home;
     msec_t kept_until; /* 0: not kept */
@@ -9,20 +11,30 @@
     uint64_t seq;
 } guest_t;
 
+/* A controller that workers of this view were sent to. */
+typedef struct {
+    char scout[ID_SIZE]; /* the machine that tries it */
+    msec_t tried;
+    msec_t missed; /* when one came back last */
+} owner_t;
+
 struct guests {
     GHashTable *machines; /* id -> guest_t, owned */
+    GHashTable *owners;   /* name -> owner_t, owned */
 };
 
 guests_t *guests_new(void)
 {
     guests_t *guests = g_new0(guests_t, 1);
     guests->machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    guests->owners = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return guests;
 }
 
 void guests_free(guests_t *guests)
 {
     g_hash_table_unref(guests->machines);
+    g_hash_table_unref(guests->owners);
     g_free(guests);
 }
 
@@ -42,7 +54,37 @@
     return guest;
 }
 
-guest_verdict_t guests_report(guests_t *guests, const report_t *report, msec_t now)
+static owner_t *find_owner(guests_t *guests, const char *name)
+{
+    owner_t *owner = g_hash_table_lookup(guests->owners, name);
+    if (!owner) {
+        owner = g_new0(owner_t, 1);
+        owner->tried = owner->missed = -GUEST_FORGET_MS;
+        g_hash_table_insert(guests->owners, g_strdup(name), owner);
+    }
+    return owner;
+}
+
+/* Until when the worker is to be kept although it did not come back from its owner itself; 0: it is
+ * to try. */
+static msec_t spared_until(owner_t *owner, const char *machine, bool current, msec_t now)
+{
+    if (now - owner->missed < KEEP_MS)
+        return owner->missed + KEEP_MS;
+    if (!current)
+        return 0;
+    if (now - owner->tried < HOME_TRY_MS && strcmp(owner->scout, machine) != 0)
+        return owner->tried + HOME_TRY_MS;
+    /* A scout that stayed away for so long is at home, and the others may follow. */
+    if (now - owner->tried >= 2 * HOME_TRY_MS) {
+        owner->tried = now;
+        g_strlcpy(owner->scout, machine, sizeof owner->scout);
+    }
+    return 0;
+}
+
+guest_verdict_t guests_report(guests_t *guests, const report_t *report, const char *name,
+                              bool current, msec_t now)
 {
     guest_t *guest = find(guests, report->machine);
     if (report->session < guest->session ||
@@ -56,11 +98,15 @@
     guest->seen = now;
     if (now < guest->kept_until)
         return GUEST_KEPT;
+    owner_t *owner = find_owner(guests, name);
     if (guest->kept_until == 0 && now - guest->sent_home < HOME_TRY_MS) {
         guest->kept_until = now + KEEP_MS;
+        owner->missed = now;
         return GUEST_KEPT;
     }
-    guest->kept_until = 0;
+    guest->kept_until = spared_until(owner, report->machine, current, now);
+    if (guest->kept_until)
+        return GUEST_KEPT;
     guest->sent_home = now;
     return GUEST_HOME;
 }
--- a/tests/stories_guest.c
+++ b/tests/stories_guest.c
@@ -21,7 +21,7 @@
 static guest_verdict_t hear(uint64_t session, uint64_t seq, msec_t now)
 {
     report_t report = {.machine = "m-000001", .session = session, .seq = seq};
-    return guests_report(guests, &report, now);
+    return guests_report(guests, &report, "hand-1", false, now);
 }
 
 static guint kept(msec_t now)
@@ -66,6 +66,51 @@
     assert_int_equal(hear(3, 1, 2000), GUEST_KEPT);
 }
 
+static guest_verdict_t hear_lost(const char *machine, uint64_t seq, msec_t now)
+{
+    report_t report = {.session = 1, .seq = seq};
+    g_strlcpy(report.machine, machine, sizeof report.machine);
+    return guests_report(guests, &report, "hand-1", true, now);
+}
+
+/* Workers that had their owner in this view lost it, all at once. Sent back to it, each waited 5 s
+ * for every controller that did not answer, past its lease: of a fleet that one controller alone
+ * could be reached by, 1,405 tasks were killed. */
+static void a_scout_goes_home_while_the_others_are_kept(void **state)
+{
+    (void)state;
+    assert_int_equal(hear_lost("m-000001", 1, 1000), GUEST_HOME);
+    assert_int_equal(hear_lost("m-000002", 1, 1100), GUEST_KEPT);
+    assert_int_equal(hear_lost("m-000003", 1, 1200), GUEST_KEPT);
+    assert_int_equal(hear_lost("m-000001", 2, 11500), GUEST_KEPT); /* back: it can't reach it */
+    assert_int_equal(hear_lost("m-000002", 9, 1000 + HOME_TRY_MS), GUEST_KEPT);
+    msec_t next = 11500 + KEEP_MS;
+    assert_int_equal(hear_lost("m-000002", 30, next - 100), GUEST_KEPT);
+    assert_int_equal(hear_lost("m-000003", 30, next), GUEST_HOME); /* the next scout */
+    assert_int_equal(hear_lost("m-000001", 30, next + 100), GUEST_KEPT);
+    assert_int_equal(hear_lost("m-000002", 40, next + HOME_TRY_MS + 100),
+                     GUEST_HOME); /* it stayed */
+    assert_int_equal(hear_lost("m-000001", 40, next + HOME_TRY_MS + 200), GUEST_HOME);
+}
+
+/* After a view its owner is another, which others of its workers could not reach a moment ago: it
+ * is not sent there. A controller that began anew is a stranger, and tried. */
+static void a_view_does_not_send_workers_to_one_that_was_missed(void **state)
+{
+    (void)state;
+    hear_lost("m-000001", 1, 1000);
+    hear_lost("m-000001", 2, 11000); /* hand-1 is missed */
+    guests_clear(guests);
+    report_t report = {.machine = "m-000004", .session = 1, .seq = 1};
+    assert_int_equal(guests_report(guests, &report, "hand-1", false, 12000), GUEST_KEPT);
+    report.seq = 2;
+    g_strlcpy(report.machine, "m-000005", sizeof report.machine);
+    assert_int_equal(guests_report(guests, &report, "hand-1 anew", false, 12000), GUEST_HOME);
+    assert_int_equal(guests_report(guests, &report, "hand-2", false, 12000), GUEST_OLD);
+    report.seq = 3; /* it came right back from the one that began anew */
+    assert_int_equal(guests_report(guests, &report, "hand-1 anew", false, 20000), GUEST_KEPT);
+}
+
 /* While a part is not loaded, an answer still renews the lease of all that runs there: an outage
  * that began with a commit under way left cancelled tasks running for as long as it lasted. */
 static void an_answer_without_the_part_stops_what_is_over(void **state)
@@ -101,6 +146,10 @@
         cmocka_unit_test_setup_teardown(worker_that_comes_right_back_is_kept, set_up, tear_down),
         cmocka_unit_test_setup_teardown(copies_keep_no_machine_alive, set_up, tear_down),
         cmocka_unit_test_setup_teardown(copy_of_an_earlier_session_is_old, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(a_scout_goes_home_while_the_others_are_kept, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(a_view_does_not_send_workers_to_one_that_was_missed, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(an_answer_without_the_part_stops_what_is_over, set_up,
                                         tear_down),
     };
