--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -358,7 +358,10 @@
     bool informed = now - atomic_load(&node->state.contact) < FOLLOW_BLOCK_MS + STATE_TIMEOUT_MS;
     if (!informed)
         node->rental->surplus_since = 0;
-    bool may_return = informed && now - node->loaded_at > RETURN_AFTER_MS;
+    /* Views of the same leader teach it nothing new: when they came every half minute, nothing was
+     * returned for minutes. */
+    bool may_return =
+        informed && now - node->led_since > RETURN_AFTER_MS && now - node->loaded_at > SETTLE_MS;
     for (guint drained = 0; may_return && drained < DRAINS_PER_ROUND; drained++) {
         machine_row_t *surplus =
             rental_surplus(node->rental, node->leader, node->flavors, now, clock_day());
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -212,6 +212,8 @@
     if (view->incarnation != node->view.incarnation || !election_same_members(view, &node->view))
         guests_clear(node->guests);
     node->view = *view;
+    if (!node->leading)
+        node->led_since = clock_steady();
     node->leading = view->incarnation == node->incarnation;
     node->loaded = false;
     node->generation++;
