A controller stops at once what it told users is cancelled

Cause (by reading): the tasks of a cancelled job were stopped when the change in jobs/ came back by the follow. In an outage that begins just after the commit it never comes: the node that told "cancelled" went on renewing the leases of those tasks, since all its siblings answered; only their echo of its own notice, or a sibling that is not heard, ended it. Now the end of a job is carried out where it is remembered. The story was seen to fail without it.

--- a/src/app/mesh.c
+++ b/src/app/mesh.c
@@ -261,11 +261,9 @@
     hear_anyone(node, note);
     for (guint i = 0; i < note->notice.jobs->len; i++) {
         const char *id = g_ptr_array_index(note->notice.jobs, i);
+        if (!g_hash_table_contains(node->gone, id))
+            log_info("event=notice job=%s from=%s", id, note->sender);
         node_remember(node, id, false);
-        if (g_hash_table_contains(node->gone, id))
-            continue;
-        log_info("event=notice job=%s from=%s", id, note->sender);
-        node_job_gone(node, id);
     }
     cancelled_hear(&node->cancelled, index, &note->notice, asked, clock_steady());
 }
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -171,17 +171,6 @@
     g_queue_push_tail(node->gone_order, kept);
 }
 
-void node_remember(node_t *node, const char *id, bool done)
-{
-    /* Noted for the siblings before another thread can find it, or this one can tell it. */
-    if (!done)
-        cancelled_tell(&node->cancelled, id, clock_steady());
-    if (g_hash_table_size(node->ended) >= ENDED_CACHE)
-        g_hash_table_remove_all(node->ended);
-    g_hash_table_insert(node->ended, g_strdup(id),
-                        GINT_TO_POINTER(done ? ENDED_DONE : ENDED_CANCELLED));
-}
-
 void node_job_gone(node_t *node, const char *id)
 {
     keep_gone(node, id);
@@ -194,6 +183,21 @@
     node_wake(node);
 }
 
+void node_remember(node_t *node, const char *id, bool done)
+{
+    /* Noted for the siblings before another thread can find it, or this one can tell it. */
+    if (!done)
+        cancelled_tell(&node->cancelled, id, clock_steady());
+    if (g_hash_table_size(node->ended) >= ENDED_CACHE)
+        g_hash_table_remove_all(node->ended);
+    g_hash_table_insert(node->ended, g_strdup(id),
+                        GINT_TO_POINTER(done ? ENDED_DONE : ENDED_CANCELLED));
+    /* The change in jobs/ may never come here: in an outage that began just after the commit this
+     * node alone went on running what it had cancelled. */
+    if (!g_hash_table_contains(node->gone, id))
+        node_job_gone(node, id);
+}
+
 static void drop_links(node_t *node)
 {
     for (guint i = 0; i < node->links->len; i++)
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -112,7 +112,7 @@
 void node_job_set(node_t *node, const job_spec_t *spec, uint64_t stamp);
 /* The job is over for good: no older list of jobs brings it back. */
 void node_job_gone(node_t *node, const char *id);
-/* A user is about to be told that the job is done or cancelled. */
+/* A user is about to be told that the job is done or cancelled, or a sibling told one. */
 void node_remember(node_t *node, const char *id, bool done);
 /* Takes over a newer view; everything of the older one is void. */
 void node_adopt(node_t *node, const view_t *view);
--- a/tests/fakes/services.c
+++ b/tests/fakes/services.c
@@ -81,7 +81,7 @@
 static json_t *news_since(const services_t *services, const char *prefix, uint64_t since)
 {
     json_t *news = json_array();
-    for (guint i = 0; i < services->news->len; i++) {
+    for (guint i = 0; i < services->news->len && !services->mute; i++) {
         const change_t *change = &g_array_index(services->news, change_t, i);
         if (change->stamp <= since || !g_str_has_prefix(change->key, prefix))
             continue;
@@ -324,6 +324,13 @@
     pthread_mutex_unlock(&services->lock);
 }
 
+void services_mute(services_t *services)
+{
+    pthread_mutex_lock(&services->lock);
+    services->mute = true;
+    pthread_mutex_unlock(&services->lock);
+}
+
 void services_tell_types(services_t *services)
 {
     pthread_mutex_lock(&services->lock);
--- a/tests/stories_node.c
+++ b/tests/stories_node.c
@@ -142,6 +142,16 @@
     return noted;
 }
 
+/* Whether the node stops the job's tasks, whatever it hears of the state service. */
+static bool is_stopped(guint node, const char *id)
+{
+    pthread_mutex_lock(&stage->nodes[node]->lock);
+    bool stopped = g_hash_table_contains(stage->nodes[node]->gone, id) &&
+                   !g_hash_table_contains(stage->nodes[node]->jobs, id);
+    pthread_mutex_unlock(&stage->nodes[node]->lock);
+    return stopped;
+}
+
 static uint64_t count_noted(guint node)
 {
     pthread_mutex_lock(&stage->nodes[node]->lock);
@@ -184,6 +194,29 @@
     assert_int_equal(count_noted(0), 5);
 }
 
+/* An outage begins with the commit of a cancellation: no change of jobs/ is heard. The controller
+ * that told it stops the tasks all the same, and a list from before does not bring the job back. */
+static void what_a_controller_told_it_stops_itself(void **state)
+{
+    (void)state;
+    char path[64];
+    begin(1);
+    services_tell_types(stage->services);
+    wait_ready(0);
+    submit(0, "j-000001");
+    submit(0, "j-000002");
+    services_mute(stage->services);
+    abort_of("j-000001", path, sizeof path);
+    expect(0, "POST", path, NULL, 200, "cancelled");
+    assert_true(is_stopped(0, "j-000001"));
+    assert_false(is_stopped(0, "j-000002"));
+    pthread_mutex_lock(&stage->nodes[0]->lock);
+    job_spec_t old = {.id = "j-000001", .tasks = 2};
+    node_job_set(stage->nodes[0], &old, 1);
+    pthread_mutex_unlock(&stage->nodes[0]->lock);
+    assert_true(is_stopped(0, "j-000001"));
+}
+
 /* A worker's report with one task, running; the answer's commands, or NULL where it was not 200. */
 static json_t *report_task(guint node, json_int_t number, const char *task)
 {
@@ -285,6 +318,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(every_road_to_cancelled_is_noted),
+        cmocka_unit_test(what_a_controller_told_it_stops_itself),
         cmocka_unit_test(a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled),
         cmocka_unit_test(odd_requests_get_their_answers),
     };
