--- a/src/constants.h
+++ b/src/constants.h
@@ -112,8 +112,11 @@
     MAIL_SOCKET_MS = 6000,   /* between tries by socket meanwhile */
     MAIL_GAP_MS = 400,       /* between looks at the mail: few of the state service's requests */
     MESH_RETRY_MS = 300,     /* after a failed one */
-    AGED_MS = 120000, /* a job none of whose tasks has begun by then goes first: the largest are
-                         to begin within four minutes */
+    HOLD_MOST_MS = 60000, /* a machine is held for large work so long; nothing may wait 90 s where
+                             it fits */
+    HOLD_REST_MS = 10000, /* and then, or once it was not held for so long, is open to all */
+    AGED_MS = 120000,     /* a job none of whose tasks has begun by then goes first: the largest are
+                             to begin within four minutes */
     AGED_MORE_MS = 240000,   /* and from then on it gets on steadily */
     PROGRESS_GAP_MS = 2000,  /* progress of a job waits so long for more, if the budget has room */
     PROGRESS_LATE_MS = 8000, /* older than that it goes before starts: a machine that ends takes the
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -49,6 +49,7 @@
     leader->targets = targets;
     leader->policy = policy;
     leader->suspects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    leader->holds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     const double once = 1;
     leader->once = g_array_new(FALSE, FALSE, sizeof(double));
     g_array_append_val(leader->once, once);
@@ -68,6 +69,7 @@
     g_ptr_array_unref(leader->yields);
     g_array_unref(leader->once);
     g_hash_table_unref(leader->suspects);
+    g_hash_table_unref(leader->holds);
     g_free(leader);
 }
 
@@ -441,10 +443,30 @@
     return largest;
 }
 
+/* What a machine has free while it is held is kept from work that fits: not for ever. */
+static bool is_held_enough(const leader_t *leader, const char *machine, msec_t now)
+{
+    const hold_t *hold = g_hash_table_lookup(leader->holds, machine);
+    return hold && now - hold->last < HOLD_REST_MS && hold->last - hold->since > HOLD_MOST_MS;
+}
+
+static void note_hold(leader_t *leader, const char *machine, msec_t now)
+{
+    hold_t *hold = g_hash_table_lookup(leader->holds, machine);
+    if (!hold) {
+        hold = g_new0(hold_t, 1);
+        hold->last = now - HOLD_REST_MS;
+        g_hash_table_insert(leader->holds, g_strdup(machine), hold);
+    }
+    if (now - hold->last >= HOLD_REST_MS)
+        hold->since = now;
+    hold->last = now;
+}
+
 /* Room is freed a small task at a time, and small tasks of lower urgency would take it each time:
  * a large one would wait for ever, though it goes first. So machines that lack least for it are
  * held until it fits; once it has, the next of its kind fits when it ends. */
-static bool hold_row(leader_t *leader, const job_t *job, urgency_t below)
+static bool hold_row(leader_t *leader, const job_t *job, urgency_t below, msec_t now)
 {
     const job_spec_t *spec = &job->spec;
     machine_row_t *chosen = NULL;
@@ -458,7 +480,7 @@
             held += row->held > URGENCY_LOW;
             double lack = spec->need.cpus - row->free.cpus;
             if (row->held > URGENCY_LOW || !row->open || lack >= least ||
-                !room_fits(spec->need, row->total) ||
+                is_held_enough(leader, row->machine, now) || !room_fits(spec->need, row->total) ||
                 !job_spec_allows(spec, row->type, row->zone, row->spot) ||
                 (spec->zone[0] && strcmp(spec->zone, row->zone) != 0))
                 continue;
@@ -467,19 +489,22 @@
         }
     }
     bool holds = chosen && held < MAX(1, count / HELD_PART);
-    if (holds)
+    if (holds) {
         chosen->held = (int)below;
+        note_hold(leader, chosen->machine, now);
+    }
     return holds;
 }
 
-static void hold_rows(leader_t *leader, const team_state_t *state, const queued_t *queued)
+static void hold_rows(leader_t *leader, const team_state_t *state, const queued_t *queued,
+                      msec_t now)
 {
     const job_t *job = queued->job;
     urgency_t below = queued->owed ? MAX(URGENCY_HIGH, job->spec.urgency) : job->spec.urgency;
     guint wanted = queued->owed ? queued->owed - job->n_live : MIN(job_pending(job), HELD_A_JOB);
     if (!team_admits(state, job->spec.need))
         return;
-    while (below > URGENCY_LOW && wanted > 0 && hold_row(leader, job, below))
+    while (below > URGENCY_LOW && wanted > 0 && hold_row(leader, job, below, now))
         wanted--;
 }
 
@@ -602,7 +627,7 @@
 
 /* Serves one team's turn: from `at` on, until its allowance is spent. */
 static void serve_turn(leader_t *leader, team_state_t *state, GArray *queue, guint *at,
-                       double allowance, GArray *offers, guint most)
+                       double allowance, GArray *offers, guint most, msec_t now)
 {
     double spent = 0;
     while (*at < queue->len && offers->len < most) {
@@ -616,7 +641,7 @@
             (*at)++;
         } else if (job_held(job, G_MAXINT64 - 1) ||
                    !(gang ? offer_gang : offer_one)(leader, state, job, offers)) {
-            hold_rows(leader, state, queued);
+            hold_rows(leader, state, queued, now);
             (*at)++; /* nothing more of this job for now */
         } else {
             spent += cost;
@@ -661,13 +686,14 @@
         team_state_t *state = &g_array_index(leader->teams, team_state_t, i);
         double left = state->team.cpus - state->cpus;
         if (left > 0)
-            serve_turn(leader, state, g_ptr_array_index(queues, i), &at[i], left, offers, most);
+            serve_turn(leader, state, g_ptr_array_index(queues, i), &at[i], left, offers, most,
+                       now);
     }
     /* The rest goes a task at a time to the team that holds least for its weight. */
     for (guint i; offers->len < most && (i = poorest_team(leader, queues, at)) < teams;) {
         GArray *queue = g_ptr_array_index(queues, i);
         serve_turn(leader, &g_array_index(leader->teams, team_state_t, i), queue, &at[i],
-                   task_cost(&g_array_index(queue, queued_t, at[i])), offers, most);
+                   task_cost(&g_array_index(queue, queued_t, at[i])), offers, most, now);
     }
     g_free(at);
     g_ptr_array_unref(queues);
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -82,6 +82,12 @@
     bool sound;        /* some failed job runs elsewhere, or more than one job failed */
 } suspect_t;
 
+/* A machine held for large work, round after round. */
+typedef struct {
+    msec_t since;
+    msec_t last;
+} hold_t;
+
 typedef struct {
     uint64_t view;
     uint64_t count;         /* attempts numbered in this view */
@@ -91,6 +97,7 @@
     GHashTable *targets;    /* class -> targets_t, from the aims; borrowed */
     const policy_t *policy; /* borrowed */
     GHashTable *suspects;   /* machine -> suspect_t, owned: where work failed lately */
+    GHashTable *holds;      /* machine -> hold_t, owned: held of late for work too large to fit */
     GArray *once;           /* the target of a deadline that no aim names */
     GPtrArray *rows;        /* part -> GArray of machine_row_t, owned */
     GPtrArray *yields;      /* part -> GArray of double, a team each, owned */
--- a/tests/stories_leader.c
+++ b/tests/stories_leader.c
@@ -320,6 +320,29 @@
     g_array_unref(offers);
 }
 
+/* The large task's room does not come free: what the held machine has is kept from the small ones
+ * for a while only. */
+static void a_machine_is_not_held_for_ever(void **state)
+{
+    (void)state;
+    job_spec_t large = job("j-000001", "blue", 1), small = job("j-000002", "blue", 9);
+    large.need.cpus = 4;
+    small.need.cpus = 1;
+    small.urgency = URGENCY_LOW;
+    add(&large);
+    add(&small);
+    guint began = 0;
+    for (msec_t now = 1000; now < 91000 && !began; now += 250) {
+        set_room(0, "north", 4);
+        g_array_index((GArray *)g_ptr_array_index(leader->rows, 0), machine_row_t, 0).free.cpus = 3;
+        GArray *offers = leader_schedule(leader, now, 2000, 100);
+        began = count(offers, "j-000002");
+        assert_true(now > HOLD_MOST_MS || began == 0);
+        g_array_unref(offers);
+    }
+    assert_int_equal(began, 3);
+}
+
 /* A job failing everywhere piles up reservations until its part looks full: a soft place of the
  * design. */
 static void job_that_fails_everywhere_is_held_back(void **state)
@@ -715,6 +738,7 @@
                                         set_up, tear_down),
         cmocka_unit_test_setup_teardown(ends_far_apart_add_up_over_several_leaders, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(a_machine_is_not_held_for_ever, set_up, tear_down),
     };
     return cmocka_run_group_tests_name("leader", tests, NULL, NULL);
 }
