--- a/tests/fakes/services.c
+++ b/tests/fakes/services.c
@@ -25,16 +25,28 @@
     json_t *body;
 } answer_t;
 
+/* Below the range from which the system takes the ports of outgoing connections: one of those would
+ * otherwise have taken it before it is listened on. */
+enum { PORT_FIRST = 20000, PORT_COUNT = 10000 };
+
 uint16_t services_free_port(void)
 {
-    struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t size = sizeof address;
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    if (fd < 0 || bind(fd, (struct sockaddr *)&address, size) != 0 ||
-        getsockname(fd, (struct sockaddr *)&address, &size) != 0)
-        abort();
-    close(fd);
-    return ntohs(address.sin_port);
+    static uint32_t next;
+    if (!next)
+        next = arc4random_uniform(PORT_COUNT);
+    for (guint tries = 0; tries < PORT_COUNT; tries++) {
+        uint16_t port = (uint16_t)(PORT_FIRST + next++ % PORT_COUNT);
+        struct sockaddr_in address = {.sin_family = AF_INET,
+                                      .sin_port = htons(port),
+                                      .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        bool free_now = fd >= 0 && bind(fd, (struct sockaddr *)&address, sizeof address) == 0;
+        if (fd >= 0)
+            close(fd);
+        if (free_now)
+            return port;
+    }
+    abort();
 }
 
 static answer_t plain(unsigned status, json_t *body)
