--- a/src/app/front.c
+++ b/src/app/front.c
@@ -475,8 +475,7 @@
 {
     char key[ID_SIZE + 24];
     g_snprintf(key, sizeof key, "%s#%" G_GUINT64_FORMAT, owner->name, owner->incarnation);
-    guest_verdict_t verdict =
-        guests_report(node->guests, report, key, report->token == node->view.number, now);
+    guest_verdict_t verdict = guests_report(node->guests, report, key, now);
     if (verdict == GUEST_OLD)
         return refuse(503, "an old report", 0);
     if (verdict == GUEST_HOME)
--- a/src/constants.h
+++ b/src/constants.h
@@ -135,6 +135,8 @@
     KEPT_WRITE_MS = 3000, /* between writes of the kept list: a third of a write a second */
     GUEST_FORGET_MS = 60000,   /* a worker that long gone from here is forgotten */
     KEPT_FRESH_MS = 8000,      /* a kept list older than that says nothing */
+    GUESTS_SETTLE_MS = 10000,  /* after a view, workers are on their way to their new owners */
+    HOME_HANG_MS = 4000,       /* a worker waits so long for an answer, from the protocol */
     HOME_TRY_MS = 12000,       /* a worker sent to its owner and back within it can't reach it: two
                                   controllers that don't answer cost it 5 s each */
     PREEMPT_PROTECT_MS = 2000, /* a start is not preempted in its first moments */
--- a/src/core/guest.c
+++ b/src/core/guest.c
@@ -21,6 +21,7 @@
 struct guests {
     GHashTable *machines; /* id -> guest_t, owned */
     GHashTable *owners;   /* name -> owner_t, owned */
+    msec_t cleared;
 };
 
 guests_t *guests_new(void)
@@ -38,8 +39,9 @@
     g_free(guests);
 }
 
-void guests_clear(guests_t *guests)
+void guests_clear(guests_t *guests, msec_t now)
 {
+    guests->cleared = now;
     g_hash_table_remove_all(guests->machines);
 }
 
@@ -67,11 +69,11 @@
 
 /* Until when the worker is to be kept although it did not come back from its owner itself; 0: it is
  * to try. */
-static msec_t spared_until(owner_t *owner, const char *machine, bool current, msec_t now)
+static msec_t spared_until(owner_t *owner, const char *machine, bool settled, msec_t now)
 {
     if (now - owner->missed < KEEP_MS)
         return owner->missed + KEEP_MS;
-    if (!current)
+    if (!settled)
         return 0;
     if (now - owner->tried < HOME_TRY_MS && strcmp(owner->scout, machine) != 0)
         return owner->tried + HOME_TRY_MS;
@@ -84,7 +86,7 @@
 }
 
 guest_verdict_t guests_report(guests_t *guests, const report_t *report, const char *name,
-                              bool current, msec_t now)
+                              msec_t now)
 {
     guest_t *guest = find(guests, report->machine);
     if (report->session < guest->session ||
@@ -101,10 +103,13 @@
     owner_t *owner = find_owner(guests, name);
     if (guest->kept_until == 0 && now - guest->sent_home < HOME_TRY_MS) {
         guest->kept_until = now + KEEP_MS;
-        owner->missed = now;
+        /* One that is back sooner was turned away, as by a controller that has just begun. */
+        if (now - guest->sent_home >= HOME_HANG_MS)
+            owner->missed = now;
         return GUEST_KEPT;
     }
-    guest->kept_until = spared_until(owner, report->machine, current, now);
+    bool settled = now - guests->cleared >= GUESTS_SETTLE_MS;
+    guest->kept_until = spared_until(owner, report->machine, settled, now);
     if (guest->kept_until)
         return GUEST_KEPT;
     guest->sent_home = now;
--- a/src/core/guest.h
+++ b/src/core/guest.h
@@ -2,10 +2,10 @@
  *
  * Owns: what each of them said last, and which of an owner's workers was sent to try it. A guest is
  * sent to its owner; one that comes right back can't reach it and is kept alive here, without
- * starts, until a new try. A worker that already bears this view's token had its owner and lost it:
- * of those one is sent as a scout, and the others are kept until it is back or has stayed away.
- * Each of them would try every controller for 5 s, and lose its lease on the way. The leader is
- * told of those kept, so that it does not take them for dead. */
+ * starts, until a new try. A worker that comes when the owners have stood for a while had one and
+ * lost it: of those one is sent as a scout, and the others are kept until it is back or has stayed
+ * away. Each of them would try every controller for 5 s, and lose its lease on the way. The leader
+ * is told of those kept, so that it does not take them for dead. */
 #ifndef PEPPERPULLEY_GUEST_H
 #define PEPPERPULLEY_GUEST_H
 
@@ -23,11 +23,10 @@
 void guests_free(guests_t *guests);
 /* The owners changed: everybody is sent home anew, but to owners that could not be reached of late.
  */
-void guests_clear(guests_t *guests);
-/* owner: the controller it belongs to, by name and incarnation; current: the report bears this
- * view's token. */
+void guests_clear(guests_t *guests, msec_t now);
+/* owner: the controller it belongs to, by name and incarnation. */
 guest_verdict_t guests_report(guests_t *guests, const report_t *report, const char *owner,
-                              bool current, msec_t now);
+                              msec_t now);
 /* Stops for all that the report lists of jobs that are not among the live ones (keys: ids). calls:
  * array of call_t to append to. */
 void guests_stop_gone(const report_t *report, GHashTable *live_jobs, GArray *calls);
--- a/tests/stories_guest.c
+++ b/tests/stories_guest.c
@@ -21,7 +21,7 @@
 static guest_verdict_t hear(uint64_t session, uint64_t seq, msec_t now)
 {
     report_t report = {.machine = "m-000001", .session = session, .seq = seq};
-    return guests_report(guests, &report, "hand-1", false, now);
+    return guests_report(guests, &report, "hand-1", now);
 }
 
 static guint kept(msec_t now)
@@ -70,7 +70,7 @@
 {
     report_t report = {.session = 1, .seq = seq};
     g_strlcpy(report.machine, machine, sizeof report.machine);
-    return guests_report(guests, &report, "hand-1", true, now);
+    return guests_report(guests, &report, "hand-1", GUESTS_SETTLE_MS + now);
 }
 
 /* Workers that had their owner in this view lost it, all at once. Sent back to it, each waited 5 s
@@ -93,6 +93,22 @@
     assert_int_equal(hear_lost("m-000001", 40, next + HOME_TRY_MS + 200), GUEST_HOME);
 }
 
+/* A controller that had just begun turned one worker away, which was back within a second: all the
+ * others were kept from it for 20 s, without starts. */
+static void one_that_is_turned_away_speaks_for_itself_only(void **state)
+{
+    (void)state;
+    assert_int_equal(hear_lost("m-000001", 1, 1000), GUEST_HOME);
+    assert_int_equal(hear_lost("m-000001", 2, 2000), GUEST_KEPT);
+    report_t report = {.machine = "m-000002", .session = 1, .seq = 1};
+    guests_clear(guests, GUESTS_SETTLE_MS + 2050);
+    assert_int_equal(guests_report(guests, &report, "hand-1", GUESTS_SETTLE_MS + 2100), GUEST_HOME);
+    /* Nor is anyone kept for a scout while workers are on their way to new owners, whatever token a
+     * command brought them. */
+    g_strlcpy(report.machine, "m-000003", sizeof report.machine);
+    assert_int_equal(guests_report(guests, &report, "hand-1", GUESTS_SETTLE_MS + 2200), GUEST_HOME);
+}
+
 /* After a view its owner is another, which others of its workers could not reach a moment ago: it
  * is not sent there. A controller that began anew is a stranger, and tried. */
 static void a_view_does_not_send_workers_to_one_that_was_missed(void **state)
@@ -100,15 +116,18 @@
     (void)state;
     hear_lost("m-000001", 1, 1000);
     hear_lost("m-000001", 2, 11000); /* hand-1 is missed */
-    guests_clear(guests);
+    guests_clear(guests, GUESTS_SETTLE_MS + 11500);
     report_t report = {.machine = "m-000004", .session = 1, .seq = 1};
-    assert_int_equal(guests_report(guests, &report, "hand-1", false, 12000), GUEST_KEPT);
+    assert_int_equal(guests_report(guests, &report, "hand-1", GUESTS_SETTLE_MS + 12000),
+                     GUEST_KEPT);
     report.seq = 2;
     g_strlcpy(report.machine, "m-000005", sizeof report.machine);
-    assert_int_equal(guests_report(guests, &report, "hand-1 anew", false, 12000), GUEST_HOME);
-    assert_int_equal(guests_report(guests, &report, "hand-2", false, 12000), GUEST_OLD);
+    assert_int_equal(guests_report(guests, &report, "hand-1 anew", GUESTS_SETTLE_MS + 12000),
+                     GUEST_HOME);
+    assert_int_equal(guests_report(guests, &report, "hand-2", GUESTS_SETTLE_MS + 12000), GUEST_OLD);
     report.seq = 3; /* it came right back from the one that began anew */
-    assert_int_equal(guests_report(guests, &report, "hand-1 anew", false, 20000), GUEST_KEPT);
+    assert_int_equal(guests_report(guests, &report, "hand-1 anew", GUESTS_SETTLE_MS + 20000),
+                     GUEST_KEPT);
 }
 
 /* While a part is not loaded, an answer still renews the lease of all that runs there: an outage
@@ -148,6 +167,8 @@
         cmocka_unit_test_setup_teardown(copy_of_an_earlier_session_is_old, set_up, tear_down),
         cmocka_unit_test_setup_teardown(a_scout_goes_home_while_the_others_are_kept, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(one_that_is_turned_away_speaks_for_itself_only, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(a_view_does_not_send_workers_to_one_that_was_missed, set_up,
                                         tear_down),
         cmocka_unit_test_setup_teardown(an_answer_without_the_part_stops_what_is_over, set_up,
