--- a/src/app/mesh.c
+++ b/src/app/mesh.c
@@ -222,6 +222,16 @@
     g_array_unref(letters);
 }
 
+/* Sends a message and takes its answer; false: none came, and the connection is of no more use. */
+static bool converse(int fd, const GByteArray *frame, mesh_note_t *note)
+{
+    GByteArray *answer = mesh_send(fd, frame) ? mesh_receive(fd) : NULL;
+    bool valid = answer && mesh_decode(answer->data, answer->len, note);
+    if (answer)
+        g_byte_array_unref(answer);
+    return valid;
+}
+
 /* A sibling whom a thread of ours greets. */
 typedef struct {
     node_t *node;
@@ -273,14 +283,10 @@
     node_t *node = greeting->node;
     msec_t asked = clock_steady();
     GByteArray *frame = compose_greeting(greeting);
-    bool sent = mesh_send(fd, frame);
-    g_byte_array_unref(frame);
-    GByteArray *answer = sent ? mesh_receive(fd) : NULL;
     mesh_note_t note;
-    bool valid = answer && mesh_decode(answer->data, answer->len, &note);
-    if (answer)
-        g_byte_array_unref(answer);
-    if (!valid)
+    bool answered = converse(fd, frame, &note);
+    g_byte_array_unref(frame);
+    if (!answered)
         return false;
     pthread_mutex_lock(&node->lock);
     hear_greeted(node, greeting->index, &note, asked);
@@ -384,13 +390,7 @@
 static bool exchange(node_t *node, int fd, const GByteArray *frame)
 {
     mesh_note_t note;
-    if (!mesh_send(fd, frame))
-        return false;
-    GByteArray *answer = mesh_receive(fd);
-    bool valid = answer && mesh_decode(answer->data, answer->len, &note);
-    if (answer)
-        g_byte_array_unref(answer);
-    if (!valid)
+    if (!converse(fd, frame, &note))
         return false;
     pthread_mutex_lock(&node->lock);
     hear_leader(node, &note);
