--- a/tests/stories_node.c
+++ b/tests/stories_node.c
@@ -8,6 +8,7 @@
 #include "app/node.h"
 #include "io/clock.h"
 #include "io/records.h"
+#include "machine.h"
 #include "services.h"
 #include "story.h"
 
@@ -268,6 +269,56 @@
     expect(1, "GET", "/v2/runs/j-000001", NULL, 200, "cancelled"); /* it can tell, too */
 }
 
+/* Reports until the machine runs so many tasks; between reports there is time for direct commands.
+ */
+static void report_until(fake_machine_t *machine, guint active)
+{
+    do {
+        json_t *answer = NULL;
+        json_t *body = fake_machine_report(machine);
+        if (call(0, "POST", "/hello", body, &answer) == 200)
+            fake_machine_answer(machine, answer);
+        json_decref(answer);
+        json_decref(body);
+        for (guint i = 0; i < 10 && fake_machine_active(machine) != active; i++)
+            node_sleep(POLL_MS);
+    } while (fake_machine_active(machine) != active);
+}
+
+/* From submission to the end, through every loop: one job completes, one is called off while it
+ * runs. */
+static void work_runs_ends_and_is_called_off(void **state)
+{
+    (void)state;
+    char path[64];
+    begin(1);
+    services_tell_types(stage->services);
+    wait_ready(0);
+    fake_machine_t *machine = fake_machine_new("m-000001");
+    report_until(machine, 0);
+    submit(0, "j-000001");
+    report_until(machine, 2);
+    fake_machine_complete(machine);
+    json_t *answer = NULL;
+    const char *trim = NULL;
+    while (g_strcmp0(trim, "done") != 0) {
+        json_decref(answer);
+        report_until(machine, 0);
+        call(0, "GET", "/v2/runs/j-000001", NULL, &answer);
+        trim = json_string_value(json_object_get(answer, "Trim"));
+    }
+    json_decref(answer);
+    submit(0, "j-000002");
+    report_until(machine, 2);
+    abort_of("j-000002", path, sizeof path);
+    expect(0, "POST", path, NULL, 200, "cancelled");
+    report_until(machine, 0);
+    expect(0, "GET", "/v2/runs/j-000001", NULL, 200, "done");
+    pthread_mutex_lock(&machine->lock);
+    assert_int_equal(machine->worker->runs, 4);
+    pthread_mutex_unlock(&machine->lock);
+}
+
 static json_t *job_with(const char *name, json_t *value)
 {
     json_t *body = job_body("j-000009");
@@ -320,6 +371,7 @@
         cmocka_unit_test(every_road_to_cancelled_is_noted),
         cmocka_unit_test(what_a_controller_told_it_stops_itself),
         cmocka_unit_test(a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled),
+        cmocka_unit_test(work_runs_ends_and_is_called_off),
         cmocka_unit_test(odd_requests_get_their_answers),
     };
     signal(SIGPIPE, SIG_IGN);
