--- a/tests/stories_node.c
+++ b/tests/stories_node.c
@@ -86,6 +86,15 @@
         node_sleep(POLL_MS);
 }
 
+/* As many controllers, each of them taking users. */
+static void begin_ready(guint count)
+{
+    begin(count);
+    services_tell_types(stage->services);
+    for (guint i = 0; i < count; i++)
+        wait_ready(i);
+}
+
 static json_t *job_body(const char *id)
 {
     json_t *body = json_loads(
@@ -120,9 +129,12 @@
     expect(node, "POST", "/v2/runs", job_body(id), 201, "queued");
 }
 
-static void abort_of(const char *id, char *path, gsize size)
+/* Calls the job off; trim: what the user must be told. */
+static void call_off(guint node, const char *id, const char *trim)
 {
-    g_snprintf(path, size, "/v2/runs/%s/abort", id);
+    char path[64];
+    g_snprintf(path, sizeof path, "/v2/runs/%s/abort", id);
+    expect(node, "POST", path, NULL, 200, trim);
 }
 
 /* Another controller, not heard here, cancels the job. */
@@ -165,21 +177,16 @@
 static void every_road_to_cancelled_is_noted(void **state)
 {
     (void)state;
-    char path[64];
-    begin(1);
-    services_tell_types(stage->services);
-    wait_ready(0);
+    begin_ready(1);
     const char *ids[] = {"j-000001", "j-000002", "j-000003", "j-000004", "j-000005"};
     for (guint i = 0; i < G_N_ELEMENTS(ids); i++)
         submit(0, ids[i]);
-    abort_of(ids[0], path, sizeof path); /* an abort, and its repeat from the cache */
-    expect(0, "POST", path, NULL, 200, "cancelled");
+    call_off(0, ids[0], "cancelled"); /* an abort, and its repeat from the cache */
     assert_true(is_noted(0, ids[0]));
-    expect(0, "POST", path, NULL, 200, "cancelled");
+    call_off(0, ids[0], "cancelled");
     assert_int_equal(count_noted(0), 1);
     services_swallow(stage->services, "ended/j-000002"); /* its commit's answer is lost */
-    abort_of(ids[1], path, sizeof path);
-    expect(0, "POST", path, NULL, 200, "cancelled");
+    call_off(0, ids[1], "cancelled");
     assert_true(is_noted(0, ids[1]));
     cancel_elsewhere(ids[2]);
     expect(0, "GET", "/v2/runs/j-000003", NULL, 200, "cancelled");
@@ -188,8 +195,7 @@
     expect(0, "POST", "/v2/runs", job_body(ids[3]), 200, "cancelled");
     assert_true(is_noted(0, ids[3]));
     cancel_elsewhere(ids[4]);
-    abort_of(ids[4], path, sizeof path);
-    expect(0, "POST", path, NULL, 200, "cancelled");
+    call_off(0, ids[4], "cancelled");
     assert_true(is_noted(0, ids[4]));
     assert_int_equal(count_noted(0), 5);
 }
@@ -199,15 +205,11 @@
 static void what_a_controller_told_it_stops_itself(void **state)
 {
     (void)state;
-    char path[64];
-    begin(1);
-    services_tell_types(stage->services);
-    wait_ready(0);
+    begin_ready(1);
     submit(0, "j-000001");
     submit(0, "j-000002");
     services_mute(stage->services);
-    abort_of("j-000001", path, sizeof path);
-    expect(0, "POST", path, NULL, 200, "cancelled");
+    call_off(0, "j-000001", "cancelled");
     assert_true(is_stopped(0, "j-000001"));
     assert_false(is_stopped(0, "j-000002"));
     pthread_mutex_lock(&stage->nodes[0]->lock);
@@ -238,11 +240,7 @@
 static void a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled(void **state)
 {
     (void)state;
-    char path[64];
-    begin(2);
-    services_tell_types(stage->services);
-    wait_ready(0);
-    wait_ready(1);
+    begin_ready(2);
     submit(0, "j-000001");
     submit(0, "j-000002");
     bool known = false;
@@ -253,8 +251,7 @@
         node_sleep(POLL_MS);
     }
     services_refuse(stage->services, 1, true);
-    abort_of("j-000001", path, sizeof path);
-    expect(0, "POST", path, NULL, 200, "cancelled");
+    call_off(0, "j-000001", "cancelled");
     while (!is_noted(1, "j-000001"))
         node_sleep(POLL_MS);
     json_t *calls = NULL;
@@ -289,10 +286,7 @@
 static void work_runs_ends_and_is_called_off(void **state)
 {
     (void)state;
-    char path[64];
-    begin(1);
-    services_tell_types(stage->services);
-    wait_ready(0);
+    begin_ready(1);
     fake_machine_t *machine = fake_machine_new("m-000001");
     report_until(machine, 0);
     submit(0, "j-000001");
@@ -309,8 +303,7 @@
     json_decref(answer);
     submit(0, "j-000002");
     report_until(machine, 2);
-    abort_of("j-000002", path, sizeof path);
-    expect(0, "POST", path, NULL, 200, "cancelled");
+    call_off(0, "j-000002", "cancelled");
     report_until(machine, 0);
     expect(0, "GET", "/v2/runs/j-000001", NULL, 200, "done");
     pthread_mutex_lock(&machine->lock);
@@ -360,7 +353,7 @@
     txn_t txn = txn_new();
     txn_set(&txn, "ended/j-000008", json_pack("{s:s}", "Trim", "done"), 0);
     services_apply(stage->services, txn);
-    expect(0, "POST", "/v2/runs/j-000008/abort", NULL, 200, "done");
+    call_off(0, "j-000008", "done");
     assert_int_equal(count_noted(0), 0);
 }
 
