--- a/src/app/api.c
+++ b/src/app/api.c
@@ -35,7 +35,7 @@
     bool too_long;
     struct MHD_Connection *connection;
     char method[8];
-    char path[REQUEST_PATH];
+    char path[REQUEST_PATH_BYTES];
     bool answered; /* reply stands; it was not sent yet */
     reply_t reply;
 } request_t;
@@ -474,7 +474,7 @@
 static reply_t redirect_worker(node_t *node, const report_t *report, const member_t *owner,
                                msec_t now)
 {
-    char key[ID_SIZE + 24];
+    char key[ID_BYTES + 24];
     g_snprintf(key, sizeof key, "%s#%" G_GUINT64_FORMAT, owner->name, owner->incarnation);
     redirection_verdict_t verdict = redirection_report(node->redirection, report, key, now);
     if (verdict == REDIRECTION_STALE)
@@ -554,7 +554,7 @@
 
 static reply_t route_run(node_t *node, const char *method, const char *rest)
 {
-    char id[ID_SIZE];
+    char id[ID_BYTES];
     const char *slash = strchr(rest, '/');
     gsize length = slash ? (gsize)(slash - rest) : strlen(rest);
     if (length == 0 || length >= sizeof id)
@@ -653,7 +653,7 @@
     }
     request->connection = connection;
     pthread_mutex_lock(&node->requests_lock);
-    bool has_space = g_queue_get_length(node->requests) < REQUESTS_WAITING;
+    bool has_space = g_queue_get_length(node->requests) < REQUESTS_WAITING_COUNT;
     if (has_space) {
         MHD_suspend_connection(connection); /* before one that answers can resume it */
         g_queue_push_tail(node->requests, request);
@@ -678,7 +678,7 @@
         return MHD_YES;
     }
     if (*upload_size) {
-        request->too_long = request->too_long || request->body->len + *upload_size > BODY_MAX;
+        request->too_long = request->too_long || request->body->len + *upload_size > BODY_MAX_BYTES;
         if (!request->too_long)
             g_string_append_len(request->body, upload, (gssize)*upload_size);
         *upload_size = 0;
@@ -696,7 +696,7 @@
     /* A worker that finds no connection loses its lease, a user asks again: above three quarters of
      * the limit, users' connections are not kept. */
     guint most = node->settings->connections;
-    bool crowded = atomic_load(&node->connections) > most - most / CONNECTIONS_FOR_WORKERS;
+    bool crowded = atomic_load(&node->connections) > most - most / WORKER_CONNECTIONS_DIVISOR;
     return send_reply(connection, request->reply, crowded && strcmp(path, "/hello") != 0);
 }
 
@@ -730,21 +730,22 @@
 bool api_start(node_t *node)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
-    char host[ADDRESS_SIZE];
+    char host[ADDRESS_BYTES];
     const char *listen = node->settings->client_listen;
     const char *colon = strrchr(listen, ':');
     g_strlcpy(host, listen, (gsize)(colon - listen) + 1);
     inet_pton(AF_INET, host, &address.sin_addr);
     address.sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10));
-    for (guint i = 0; i < ANSWERERS; i++)
+    for (guint i = 0; i < API_THREADS_COUNT; i++)
         node_thread(answer_run, node);
     struct MHD_Daemon *daemon = MHD_start_daemon(
         MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
         handle, node, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_THREAD_POOL_SIZE,
-        (unsigned)HTTP_THREADS, MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
+        (unsigned)HTTP_THREADS_COUNT, MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
         MHD_OPTION_NOTIFY_CONNECTION, count_connection, node, MHD_OPTION_CONNECTION_LIMIT,
-        node->settings->connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
-        MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+        node->settings->connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        (size_t)CONNECTION_BUFFER_BYTES, MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK_BYTES,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
         /* A peer behind a cut or hanging never closes: its sockets would add up to the limit. */
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)CONNECTION_IDLE_S, MHD_OPTION_END);
     if (!daemon)
--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -74,7 +74,7 @@
         const char *since =
             hosts->len ? g_array_index(hosts, host_t, hosts->len - 1).machine : NULL;
         g_snprintf(path, sizeof path, "/hosts?%s%s%sLimit=%d", since ? "Since=" : "",
-                   since ? since : "", since ? "&" : "", LIST_PAGE);
+                   since ? since : "", since ? "&" : "", LIST_PAGE_COUNT);
         guint before = hosts->len;
         bool read = cloud_call(cloud, "GET", path, NULL, &answer) == 200 &&
                     wire_parse_hosts(answer, hosts, &more);
@@ -263,7 +263,7 @@
 
 static void add_once(GPtrArray *names, const char *name)
 {
-    if (names->len < RELEASE_MAX &&
+    if (names->len < RELEASE_MAX_COUNT &&
         !g_ptr_array_find_with_equal_func(names, name, g_str_equal, NULL))
         g_ptr_array_add(names, g_strdup(name));
 }
@@ -295,8 +295,8 @@
  */
 static msec_t lost_after(const node_t *node)
 {
-    return MAX(LOST_SILENT_MS,
-               (msec_t)(node->settings->report_s * REPORT_SPREAD * 1000) + 2 * REPORT_LATE_MS);
+    return MAX(LOST_SILENT_MS, (msec_t)(node->settings->report_s * REPORT_SPREAD_FACTOR * 1000) +
+                                   2 * REPORT_LATE_MS);
 }
 
 static void watch_zones(node_t *node, msec_t now)
@@ -366,7 +366,7 @@
      * returned for minutes. */
     bool may_return = informed && now - node->leading_since > RETURN_AFTER_MS &&
                       now - node->loaded_at > LEADER_GRACE_MS;
-    for (guint drained = 0; may_return && drained < DRAINS_PER_ROUND; drained++) {
+    for (guint drained = 0; may_return && drained < DRAINS_PER_ROUND_COUNT; drained++) {
         machine_summary_t *surplus =
             rental_surplus(node->rental, node->leader, node->machine_types, now, clock_day());
         if (!surplus || !find_summary(node, surplus->machine, &partition))
@@ -418,7 +418,7 @@
         if (summary->silent_ms > lost_after(node))
             g_ptr_array_add(lost, g_strdup(summary->machine));
     }
-    if (lost->len < LOST_LEAST || 2 * lost->len <= summaries->len)
+    if (lost->len < LOST_MACHINES_MIN_COUNT || 2 * lost->len <= summaries->len)
         g_ptr_array_set_size(lost, 0);
     return lost;
 }
@@ -524,7 +524,7 @@
         json_decref(names);
         return;
     }
-    char path[ID_SIZE + 8];
+    char path[ID_BYTES + 8];
     txn_t txn = txn_new();
     g_snprintf(path, sizeof path, "kept/%s", node->settings->name);
     txn_set(&txn, path, json_pack("{s:I,s:o}", "At", (json_int_t)clock_day(), "Machines", names),
@@ -551,11 +551,11 @@
         pthread_mutex_lock(&node->lock);
         bool leading = leads(node);
         pthread_mutex_unlock(&node->lock);
-        if (leading && now - cloud.listed_at > CLOUD_LIST_MS) {
+        if (leading && now - cloud.listed_at > CLOUD_LIST_GAP_MS) {
             refresh_hosts(&cloud);
             exclude_members(&cloud, now);
         }
-        if (now - cloud.retained_at > RETAINED_WRITE_MS)
+        if (now - cloud.retained_at > RETAINED_WRITE_GAP_MS)
             publish_retained(&cloud, now);
         if (leading) {
             rent(&cloud);
--- a/src/app/member.c
+++ b/src/app/member.c
@@ -19,7 +19,7 @@
 {
     node_t *node = loop->node;
     const settings_t *settings = node->settings;
-    if (loop->lease && now - loop->extended < LEASE_EXTEND_MS)
+    if (loop->lease && now - loop->extended < LEASE_EXTEND_GAP_MS)
         return;
     rate_limiter_charge(&node->core_rps, 1, now);
     if (loop->lease) {
@@ -33,7 +33,7 @@
     uint64_t lease = 0;
     if (state_lease_create(&node->state, loop->client, LEASE_LIFE_MS, &lease) != STATE_OK)
         return;
-    char key[ID_SIZE + 16];
+    char key[ID_BYTES + 16];
     state_entry_t listed = {0};
     g_snprintf(key, sizeof key, "view/members/%s", settings->name);
     rate_limiter_charge(&node->core_rps, 1, now);
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -18,16 +18,17 @@
 static void share_rate_limits(node_t *node, guint members)
 {
     const settings_t *settings = node->settings;
-    double partition_share = MIN(SHARE_PARTITION_WRITE, SHARE_PARTITIONS_WRITE / members);
-    rate_limiter_set_rate(&node->core_rps,
-                          settings->state_rps * MIN(SHARE_CORE_RPS, SHARE_CORES_RPS / members));
+    double partition_share = MIN(PARTITION_WRITE_FRACTION, PARTITIONS_WRITE_FRACTION / members);
+    rate_limiter_set_rate(&node->core_rps, settings->state_rps * MIN(CORE_RPS_FRACTION,
+                                                                     CORES_RPS_FRACTION / members));
     rate_limiter_set_rate(&node->core_write,
                           settings->state_write_rps *
-                              (node->leading ? SHARE_LEADER_WRITE : partition_share));
+                              (node->leading ? LEADER_WRITE_FRACTION : partition_share));
     rate_limiter_set_rate(&node->api_rps,
-                          settings->state_rps * MIN(SHARE_API_RPS, SHARE_APIS_RPS / members));
-    rate_limiter_set_rate(&node->api_write, settings->state_write_rps *
-                                                MIN(SHARE_API_WRITE, SHARE_APIS_WRITE / members));
+                          settings->state_rps * MIN(API_RPS_FRACTION, APIS_RPS_FRACTION / members));
+    rate_limiter_set_rate(&node->api_write,
+                          settings->state_write_rps *
+                              MIN(API_WRITE_FRACTION, APIS_WRITE_FRACTION / members));
 }
 
 node_t *node_new(const settings_t *settings, const policy_t *policy)
@@ -45,14 +46,14 @@
     election_init(&node->election, &self);
     cancellation_log_init(&node->cancellations, node->incarnation, now);
     state_init(&node->state, settings->state, now);
-    rate_limiter_init(&node->core_rps, settings->state_rps * SHARE_CORE_RPS, now);
-    rate_limiter_init(&node->core_write, settings->state_write_rps * SHARE_PARTITION_WRITE, now);
-    rate_limiter_init(&node->api_rps, settings->state_rps * SHARE_API_RPS, now);
-    rate_limiter_init(&node->api_write, settings->state_write_rps * SHARE_API_WRITE, now);
+    rate_limiter_init(&node->core_rps, settings->state_rps * CORE_RPS_FRACTION, now);
+    rate_limiter_init(&node->core_write, settings->state_write_rps * PARTITION_WRITE_FRACTION, now);
+    rate_limiter_init(&node->api_rps, settings->state_rps * API_RPS_FRACTION, now);
+    rate_limiter_init(&node->api_write, settings->state_write_rps * API_WRITE_FRACTION, now);
     share_rate_limits(node, settings->siblings->len + 1);
-    for (guint i = 0; i < API_CLIENTS; i++)
+    for (guint i = 0; i < API_CLIENTS_COUNT; i++)
         node->api_clients[i] = http_client_new(1);
-    node->api_clients_free = API_CLIENTS;
+    node->api_clients_free = API_CLIENTS_COUNT;
     pthread_mutex_init(&node->lock, NULL);
     pthread_condattr_t steady;
     pthread_condattr_init(&steady);
@@ -83,7 +84,7 @@
     pthread_t thread;
     pthread_attr_t attr;
     pthread_attr_init(&attr);
-    pthread_attr_setstacksize(&attr, THREAD_STACK);
+    pthread_attr_setstacksize(&attr, THREAD_STACK_BYTES);
     if (pthread_create(&thread, &attr, run, data) != 0) {
         log_error("event=thread_failed errno=%d", errno);
         abort();
@@ -103,7 +104,7 @@
     node_thread(follow_run, node);
     node_thread(placer_run, node);
     node_thread(cloud_run, node);
-    for (guint i = 0; i < SENDERS; i++)
+    for (guint i = 0; i < SENDERS_COUNT; i++)
         node_thread(sender_run, node);
     return api_start(node);
 }
@@ -165,7 +166,7 @@
 {
     if (g_hash_table_contains(node->gone, id))
         return;
-    if (g_queue_get_length(node->gone_order) >= GONE_JOBS_MAX)
+    if (g_queue_get_length(node->gone_order) >= GONE_JOBS_COUNT)
         g_hash_table_remove(node->gone, g_queue_pop_head(node->gone_order));
     char *copy = g_strdup(id);
     g_hash_table_add(node->gone, copy);
@@ -189,7 +190,7 @@
     /* Noted for the siblings before another thread can find it, or this one can tell it. */
     if (!done)
         cancellation_log_append(&node->cancellations, id, clock_steady());
-    if (g_hash_table_size(node->ended) >= ENDED_CACHE)
+    if (g_hash_table_size(node->ended) >= ENDED_CACHE_COUNT)
         g_hash_table_remove_all(node->ended);
     g_hash_table_insert(node->ended, g_strdup(id),
                         GINT_TO_POINTER(done ? ENDED_DONE : ENDED_CANCELLED));
@@ -413,5 +414,5 @@
 
 bool node_may_start(const node_t *node, msec_t now)
 {
-    return node->jobs_synced && now - known_until(node) < RUN_KNOWN_MS;
+    return node->jobs_synced && now - known_until(node) < START_KNOWN_MS;
 }
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -55,7 +55,7 @@
     state_t state;
     rate_limiter_t core_rps, core_write; /* member, follow, placer, cloud */
     rate_limiter_t api_rps, api_write;
-    http_client_t *api_clients[API_CLIENTS];
+    http_client_t *api_clients[API_CLIENTS_COUNT];
 
     pthread_mutex_t lock;
     pthread_cond_t work;    /* for the placer */
@@ -90,10 +90,10 @@
     partition_t *partition;
     leader_t *leader;
     rental_t *rental;
-    channel_t *leader_channel;       /* our partition's end, towards the leader */
-    GPtrArray *channels;             /* the leader's ends, a member each; NULL for its own */
-    msec_t received_at[MEMBERS_MAX]; /* when each member last called by socket */
-    GHashTable *ended;               /* id -> ended_t; a bounded cache */
+    channel_t *leader_channel;             /* our partition's end, towards the leader */
+    GPtrArray *channels;                   /* the leader's ends, a member each; NULL for its own */
+    msec_t received_at[MEMBERS_MAX_COUNT]; /* when each member last called by socket */
+    GHashTable *ended;                     /* id -> ended_t; a bounded cache */
     redirection_t *redirection;
     pthread_mutex_t requests_lock; /* of the next two only; never with `lock` */
     pthread_cond_t requests_come;
--- a/src/app/peer_exchange.c
+++ b/src/app/peer_exchange.c
@@ -29,7 +29,7 @@
 {
     peer_message_t message = new_message(node);
     if (channel) {
-        message.items = g_array_ref((GArray *)(void *)channel_batch(channel, PEER_BATCH));
+        message.items = g_array_ref((GArray *)(void *)channel_batch(channel, PEER_BATCH_COUNT));
         message.number = channel->sent;
         message.ack = channel->received;
     }
@@ -127,7 +127,7 @@
 
 static GArray *read_relay(node_t *node, http_client_t *client, const char *inbox, const char *name)
 {
-    char prefix[ID_SIZE + 16];
+    char prefix[ID_BYTES + 16];
     GArray *entries = state_entries_new();
     g_snprintf(prefix, sizeof prefix, "mail/%s/%s", inbox, name);
     rate_limiter_charge(&node->core_rps, 1, clock_steady());
@@ -408,12 +408,12 @@
 {
     node_t *node = data;
     http_client_t *client = http_client_new(2);
-    char connected[ADDRESS_SIZE] = "";
+    char connected[ADDRESS_BYTES] = "";
     msec_t reached = clock_steady(), tried = 0, summaries_sent_at = 0;
     uint64_t reported_batch = 0, generation = 0;
     int fd = -1;
     for (;;) {
-        char endpoint[ADDRESS_SIZE] = "";
+        char endpoint[ADDRESS_BYTES] = "";
         GByteArray *frame = NULL;
         pthread_mutex_lock(&node->lock);
         if (!node->leading && node->loaded && node->own != G_MAXUINT && leader_endpoint(node)) {
@@ -422,7 +422,7 @@
              */
             bool with_summaries = node->leader_channel->received != reported_batch ||
                                   node->generation != generation ||
-                                  clock_steady() - summaries_sent_at > PEER_SUMMARIES_MS;
+                                  clock_steady() - summaries_sent_at > PEER_SUMMARIES_GAP_MS;
             if (with_summaries) {
                 reported_batch = node->leader_channel->received;
                 summaries_sent_at = clock_steady();
@@ -442,7 +442,7 @@
         /* While the relay is used, sockets are tried now and then only: behind a cut each try
          * hangs. */
         bool by_relay = clock_steady() - reached > RELAY_AFTER_MS;
-        if (fd < 0 && (!by_relay || clock_steady() - tried > RELAY_SOCKET_MS)) {
+        if (fd < 0 && (!by_relay || clock_steady() - tried > RELAY_SOCKET_GAP_MS)) {
             fd = peer_connect(endpoint, PEER_TIMEOUT_MS);
             g_strlcpy(connected, endpoint, sizeof connected);
             tried = clock_steady();
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -327,7 +327,7 @@
     take_results(node, now);
     double left = rate_limiter_left(&node->core_write, now);
     guint most = left < 1 ? 0 : MIN((guint)left, node->settings->txn_ops);
-    batch->usage = (txn_usage_t){.max_ops = most, .max_bytes = TXN_VALUES / 2};
+    batch->usage = (txn_usage_t){.max_ops = most, .max_bytes = TXN_VALUES_BYTES / 2};
     if (node->leading) {
         send_placement_requests(
             node, now, (guint)tunable_value(node->policy, TUNABLE_PLACEMENT_REQUESTS_PER_ROUND));
@@ -340,12 +340,12 @@
     partition_limits_t limits = {
         .ops = most - MIN(most, batch->usage.ops),
         .jobs = conditions - MIN(conditions, spoken_for),
-        .value_max = MIN((gsize)(node->settings->value_kb * 1024), (gsize)TXN_VALUES / 3),
-        .bytes = TXN_VALUES - batch->usage.bytes};
+        .value_max = MIN((gsize)(node->settings->value_kb * 1024), (gsize)TXN_VALUES_BYTES / 3),
+        .bytes = TXN_VALUES_BYTES - batch->usage.bytes};
     batch->machines = partition_batch_take(node->partition, &limits, now);
     batch->usage.ops += batch->machines->records->len;
     batch->usage.bytes += batch->machines->bytes;
-    batch->usage.max_bytes = TXN_VALUES;
+    batch->usage.max_bytes = TXN_VALUES_BYTES;
     if (node->leading)
         leader_progress_take(node->leader, now, PROGRESS_GAP_MS, batch->progress, &batch->usage);
     take_results(node, now);
--- a/src/app/sender.c
+++ b/src/app/sender.c
@@ -8,8 +8,8 @@
 
 /* One exchange, copied out under the lock. */
 typedef struct {
-    char machine[ID_SIZE];
-    char url[ADDRESS_SIZE + 16];
+    char machine[ID_BYTES];
+    char url[ADDRESS_BYTES + 16];
     uint64_t token;
     uint64_t session;
     uint64_t generation;
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -42,9 +42,9 @@
 static void read_address(reader_t *reader, const json_t *object, const char *name, char *to)
 {
     to[0] = '\0';
-    read_text(reader, object, name, to, ADDRESS_SIZE);
+    read_text(reader, object, name, to, ADDRESS_BYTES);
     const char *colon = strrchr(to, ':');
-    char host[ADDRESS_SIZE];
+    char host[ADDRESS_BYTES];
     struct in_addr in;
     guint64 port;
     if (reader->error)
@@ -100,7 +100,7 @@
         read_address(reader, item, "endpoint", sibling.endpoint);
         g_array_append_val(settings->siblings, sibling);
     }
-    if (settings->siblings->len >= MEMBERS_MAX)
+    if (settings->siblings->len >= MEMBERS_MAX_COUNT)
         fault(reader, "siblings", "there are too many");
 }
 
@@ -176,10 +176,10 @@
 /* The sockets granted are not all that limits connections: memory may be less. */
 static guint read_connections(reader_t *reader, const json_t *limits)
 {
-    double most = read_number(reader, limits, "fd_limit", 150) - CONNECTIONS_SPARE;
+    double most = read_number(reader, limits, "fd_limit", 150) - CONNECTIONS_SPARE_COUNT;
     if (json_object_get(limits, "ram_mb")) {
         double memory = read_number(reader, limits, "ram_mb", 16) * 1024;
-        most = MIN(most, memory * CONNECTIONS_MEMORY / CONNECTION_COST_KB);
+        most = MIN(most, memory * CONNECTIONS_MEMORY_FRACTION / CONNECTION_COST_KB);
     }
     return (guint)most;
 }
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -5,18 +5,18 @@
 #include "core/types.h"
 
 typedef struct {
-    char name[ID_SIZE];
-    char zone[LABEL_SIZE];
-    char endpoint[ADDRESS_SIZE];
+    char name[ID_BYTES];
+    char zone[LABEL_BYTES];
+    char endpoint[ADDRESS_BYTES];
 } sibling_t;
 
 typedef struct {
-    char name[ID_SIZE];
-    char zone[LABEL_SIZE];
-    char client_listen[ADDRESS_SIZE];
-    char peer_listen[ADDRESS_SIZE];
-    char cloud[ADDRESS_SIZE];
-    char state[ADDRESS_SIZE];
+    char name[ID_BYTES];
+    char zone[LABEL_BYTES];
+    char client_listen[ADDRESS_BYTES];
+    char peer_listen[ADDRESS_BYTES];
+    char cloud[ADDRESS_BYTES];
+    char state[ADDRESS_BYTES];
     GArray *siblings;    /* sibling_t */
     GArray *teams;       /* team_t */
     GHashTable *targets; /* class -> targets_t *: when its jobs should be finished */
--- a/src/app/view.c
+++ b/src/app/view.c
@@ -44,7 +44,7 @@
     size_t i;
     json_t *member;
     json_array_foreach(json_object_get(value, "Members"), i,
-                       member) if (view->count < MEMBERS_MAX &&
+                       member) if (view->count < MEMBERS_MAX_COUNT &&
                                    parse_member(member, &view->members[view->count])) view->count++;
     return true;
 }
--- a/src/constants.h
+++ b/src/constants.h
@@ -6,73 +6,80 @@
 
 /* Sizes of identifiers, bytes with the final zero; longer ones are refused at the codec. */
 enum {
-    ID_SIZE = 40,     /* job, machine and host names; the protocol's are under 20 */
-    LABEL_SIZE = 64,  /* team, class, zone, machine type, image */
-    ADDRESS_SIZE = 64 /* IPv4 address with port */
+    ID_BYTES = 40,     /* job, machine and host names; the protocol's are under 20 */
+    LABEL_BYTES = 64,  /* team, class, zone, machine type, image */
+    ADDRESS_BYTES = 64 /* IPv4 address with port */
 };
 
 enum {
-    TASKS_MAX = 100000,     /* tasks of a job, from the protocol */
-    CHUNK_BITS = 16384,     /* done bits in one key: 2 KiB, 2.7 KiB as base64, under value_kb */
-    BODY_MAX = 64 * 1024,   /* bytes of a request body, from the protocol */
-    RENT_MAX = 50,          /* machines in one rental, from the protocol */
-    RELEASE_MAX = 100,      /* names in one release, from the protocol */
-    LIST_PAGE = 500,        /* machines in a page of the cloud's list, from the protocol */
-    KEYS_PAGE = 500,        /* keys in a page of the state service: half its limit, small memory */
-    ATTEMPT_SHIFT = 24,     /* attempts in one view: 16 million; view and count stay below 2^53 */
-    SHARDS_PER_ZONE = 12,   /* what moves between owners together; larger ones have several pages */
-    RECORD_RESERVE = 512,   /* bytes kept free below value_kb in a page's record */
-    RECORD_ATTEMPT = 32,    /* bytes that one attempt takes at most there */
-    RECORD_MACHINE = 110,   /* bytes that a machine takes at most there, names and attempts aside */
-    RECORD_JOB = 100,       /* bytes that one job's header takes at most there, names aside */
+    TASKS_MAX_COUNT = 100000,   /* tasks of a job, from the protocol */
+    CHUNK_BITS = 16384,         /* done bits in one key: 2 KiB, 2.7 KiB as base64, under value_kb */
+    BODY_MAX_BYTES = 64 * 1024, /* bytes of a request body, from the protocol */
+    RENT_MAX_COUNT = 50,        /* machines in one rental, from the protocol */
+    RELEASE_MAX_COUNT = 100,    /* names in one release, from the protocol */
+    LIST_PAGE_COUNT = 500,      /* machines in a page of the cloud's list, from the protocol */
+    KEYS_PAGE_COUNT = 500,   /* keys in a page of the state service: half its limit, small memory */
+    ATTEMPT_SHIFT_BITS = 24, /* attempts in one view: 16 million; view and count stay below 2^53 */
+    SHARDS_PER_ZONE_COUNT =
+        12, /* what moves between owners together; larger ones have several pages */
+    RECORD_RESERVE_BYTES = 512, /* bytes kept free below value_kb in a page's record */
+    RECORD_ATTEMPT_BYTES = 32,  /* bytes that one attempt takes at most there */
+    RECORD_MACHINE_BYTES =
+        110,                /* bytes that a machine takes at most there, names and attempts aside */
+    RECORD_JOB_BYTES = 100, /* bytes that one job's header takes at most there, names aside */
     PROGRESS_BYTES = 64,    /* that a job's progress or end takes at most, its bits aside */
-    TXN_VALUES = 48 * 1024, /* bytes of values in a transaction; the rest of 64 KiB: conditions */
-    THREAD_STACK = 128 * 1024, /* bytes; the deepest path is a JSON parse inside an HTTP handler */
-    CONNECTION_MEMORY = 16 * 1024, /* bytes of HTTP buffers per connection: 300 of them are 5 MB */
+    TXN_VALUES_BYTES =
+        48 * 1024, /* bytes of values in a transaction; the rest of 64 KiB: conditions */
+    THREAD_STACK_BYTES =
+        128 * 1024, /* bytes; the deepest path is a JSON parse inside an HTTP handler */
+    CONNECTION_BUFFER_BYTES =
+        16 * 1024,                 /* bytes of HTTP buffers per connection: 300 of them are 5 MB */
     CONNECTION_IDLE_S = 30,        /* s; workers and users that are there speak every few seconds */
-    CONNECTIONS_SPARE = 100,       /* sockets kept for our own calls out of fd_limit */
-    API_CLIENTS = 10,         /* state connections of the API: one blocked each, 10 ms a call */
-    PEER_FRAME_MAX = 1 << 20, /* bytes of a message between controllers; usual ones have 10 KB */
-    PEER_BATCH = 128, /* items in one message: a second's starts and ends of 200 machines, when an
-                         exchange by relay takes one */
-    RELAY_RESERVE = 512,     /* bytes kept free below value_kb in a page of a relayed message */
-    RELAY_PAGES = 10,        /* of a message; a transaction takes about four of 16 KiB */
-    CONNECTION_COST_KB = 32, /* of memory a connection takes at most: buffers, a request */
-    HTTP_THREADS = 4, /* have all connections; reports take them a fraction of a millisecond */
-    ANSWERERS = 48,   /* users' requests under way at once: half a second each when things are
-                         slow, a hundred a second on one node */
-    REQUESTS_WAITING = 256, /* for an answerer; more get a 503 */
-    REQUEST_PATH = 128,     /* bytes of a path that needs an answerer: a job's id has under 40 */
-    CONNECTIONS_FOR_WORKERS = 4, /* a fourth of the connections is kept for workers */
-    SENDERS = 16,         /* threads that send direct commands: of 60 machines that hang at once, a
-                             controller has up to 20, and each blocks one for a moment */
-    ENDED_CACHE = 4096,   /* final answers kept in memory, about 60 bytes each */
-    GONE_JOBS_MAX = 8192, /* ids of jobs that are over: an older list of jobs must not bring them
+    CONNECTIONS_SPARE_COUNT = 100, /* sockets kept for our own calls out of fd_limit */
+    API_CLIENTS_COUNT = 10, /* state connections of the API: one blocked each, 10 ms a call */
+    PEER_FRAME_MAX_BYTES =
+        1 << 20,               /* bytes of a message between controllers; usual ones have 10 KB */
+    PEER_BATCH_COUNT = 128,    /* items in one message: a second's starts and ends of 200 machines,
+                            when an    exchange by relay takes one */
+    RELAY_RESERVE_BYTES = 512, /* bytes kept free below value_kb in a page of a relayed message */
+    RELAY_PAGES_COUNT = 10,    /* of a message; a transaction takes about four of 16 KiB */
+    CONNECTION_COST_KB = 32,   /* of memory a connection takes at most: buffers, a request */
+    HTTP_THREADS_COUNT =
+        4, /* have all connections; reports take them a fraction of a millisecond */
+    API_THREADS_COUNT = 48, /* users' requests under way at once: half a second each when things are
+                       slow, a hundred a second on one node */
+    REQUESTS_WAITING_COUNT = 256, /* for an answerer; more get a 503 */
+    REQUEST_PATH_BYTES = 128, /* bytes of a path that needs an answerer: a job's id has under 40 */
+    WORKER_CONNECTIONS_DIVISOR = 4, /* a fourth of the connections is kept for workers */
+    SENDERS_COUNT = 16, /* threads that send direct commands: of 60 machines that hang at once, a
+                     controller has up to 20, and each blocks one for a moment */
+    ENDED_CACHE_COUNT = 4096, /* final answers kept in memory, about 60 bytes each */
+    GONE_JOBS_COUNT = 8192, /* ids of jobs that are over: an older list of jobs must not bring them
                          back; a list is seconds old at most, in which a hundred may end */
-    CANCELLATION_LOG_MAX = 2048, /* cancellations told, kept for siblings that have not fetched
+    CANCELLATION_LOG_COUNT = 2048, /* cancellations told, kept for siblings that have not fetched
                               them: a minute or more of what the rate limits let through */
-    CANCELLATION_UPDATE_JOBS =
-        256,              /* of them in one message: 6 KB; what is left is fetched in the next */
-    CLOCK_DRIFT = 1000,   /* one part in so many: steady clocks drift apart by up to 0.05% */
-    JOB_ERRORS_ALARM = 4, /* failures of one job on as many machines: the job is bad */
+    CANCELLATION_UPDATE_COUNT =
+        256, /* of them in one message: 6 KB; what is left is fetched in the next */
+    CLOCK_DRIFT_DIVISOR = 1000, /* one part in so many: steady clocks drift apart by up to 0.05% */
+    JOB_ERRORS_ALARM_COUNT = 4, /* failures of one job on as many machines: the job is bad */
     STARVING_TASKS_DIVISOR =
         16, /* of a job's tasks, one in so many at a time goes first once it is starving */
     CLAIMED_MACHINES_DIVISOR =
         8, /* of the machines, one in so many at most is claimed for work too large to fit */
-    CLAIMED_MACHINES_PER_JOB = 16, /* machines claimed for one job */
-    DRAINS_PER_ROUND = 8,          /* a fleet of hundreds goes back in seconds, not in minutes */
-    MACHINE_ERRORS_ALARM = 3       /* failures of distinct sound jobs: the machine is bad */
+    CLAIMED_MACHINES_PER_JOB_COUNT = 16, /* machines claimed for one job */
+    DRAINS_PER_ROUND_COUNT = 8,    /* a fleet of hundreds goes back in seconds, not in minutes */
+    MACHINE_ERRORS_ALARM_COUNT = 3 /* failures of distinct sound jobs: the machine is bad */
 };
 
 /* Durations in milliseconds. */
 enum {
     LEASE_LIFE_MS = 4000, /* leader's lease in the state service: replaced well inside the shortest
                              lease of 10 s */
-    LEASE_EXTEND_MS = 1000,  /* three tries before the lease ends */
-    ELECT_POLL_MS = 500,     /* between tries to read the view while it cannot be read */
-    ELECT_YIELD_MS = 400,    /* more for one that others had better go before */
-    ELECT_SPREAD_MS = 150,   /* random wait before a candidacy, so that few collide */
-    STATE_TIMEOUT_MS = 2000, /* a slow answer takes a few hundred ms; past this it is unknown */
+    LEASE_EXTEND_GAP_MS = 1000, /* three tries before the lease ends */
+    ELECT_POLL_MS = 500,        /* between tries to read the view while it cannot be read */
+    ELECT_YIELD_MS = 400,       /* more for one that others had better go before */
+    ELECT_SPREAD_MS = 150,      /* random wait before a candidacy, so that few collide */
+    STATE_TIMEOUT_MS = 2000,    /* a slow answer takes a few hundred ms; past this it is unknown */
     FOLLOW_BLOCK_MS =
         2000, /* an answer also proves what aborts are known; half a request a second */
     API_TIMEOUT_MS = 1500,    /* users wait 2 s for a status and 5 s for a submission */
@@ -88,7 +95,7 @@
     CLOUD_TIMEOUT_MS = 10000, /* rentals may be slow; a lost answer costs a repeat only */
     TICK_MS = 250,            /* leader's longest sleep when nothing happens */
     COMMIT_GAP_MS = 60,       /* between commits: batches starts, spares the write limit */
-    CLOUD_LIST_MS = 2500,     /* between lists; the list lags by seconds anyway */
+    CLOUD_LIST_GAP_MS = 2500, /* between lists; the list lags by seconds anyway */
     CLOUD_ROUND_MS = 1500, /* over cloud.rps: three calls of a round take turns within the limit */
     CLOUD_GAP_MS = 300,    /* between other calls: under 5 a second with the lists */
     MACHINE_TYPES_MS = 60000,    /* prices move slowly */
@@ -107,19 +114,20 @@
     PEER_TIMEOUT_MS = 1500,  /* an exchange between controllers; the answer is held back for less */
     PEER_ANSWER_DELAY_MS = 200, /* the leader holds an answer so long for something to say */
     PEER_IDLE_MS = 15000,       /* a connection without a call for so long is closed */
-    PEER_SUMMARIES_MS = 400, /* between the summaries of a partition that no new batch asks for */
-    HEARTBEAT_GAP_MS = 500,  /* between heartbeats to a sibling: in an outage a cancellation told by
-                            it is known here, and stopped, within that */
-    RUN_KNOWN_MS = 6000,     /* no start is sent while cancellations are unknown for longer: answers
-                                to a follow come every 2 s, or after a slow one or two */
-    PEER_GAP_MS = 50,        /* between exchanges; batches what comes in a burst */
-    RELAY_AFTER_MS = 2500,   /* without an exchange by socket for so long, the relay is used */
-    RELAY_SOCKET_MS = 6000,  /* between tries by socket meanwhile */
-    RELAY_GAP_MS = 400,      /* between looks at the relay: few of the state service's requests */
-    PEER_RETRY_MS = 300,     /* after a failed one */
-    CLAIM_MAX_MS = 60000,    /* a machine is claimed for large work so long; nothing may wait 90 s
-                                where it fits */
-    CLAIM_REST_MS = 10000,   /* and then, or once it was not claimed for so long, is open to all */
+    PEER_SUMMARIES_GAP_MS =
+        400,                /* between the summaries of a partition that no new batch asks for */
+    HEARTBEAT_GAP_MS = 500, /* between heartbeats to a sibling: in an outage a cancellation told by
+                           it is known here, and stopped, within that */
+    START_KNOWN_MS = 6000,  /* no start is sent while cancellations are unknown for longer: answers
+                             to a follow come every 2 s, or after a slow one or two */
+    PEER_GAP_MS = 50,       /* between exchanges; batches what comes in a burst */
+    RELAY_AFTER_MS = 2500,  /* without an exchange by socket for so long, the relay is used */
+    RELAY_SOCKET_GAP_MS = 6000, /* between tries by socket meanwhile */
+    RELAY_GAP_MS = 400,    /* between looks at the relay: few of the state service's requests */
+    PEER_RETRY_MS = 300,   /* after a failed one */
+    CLAIM_MAX_MS = 60000,  /* a machine is claimed for large work so long; nothing may wait 90 s
+                              where it fits */
+    CLAIM_REST_MS = 10000, /* and then, or once it was not claimed for so long, is open to all */
     STARVING_MS = 120000, /* a job none of whose tasks has begun by then goes first: the largest are
                          to begin within four minutes */
     STARVING_LONG_MS = 240000, /* and from then on it gets on steadily */
@@ -132,14 +140,14 @@
     MEMBERSHIP_BATCH_MS = 300, /* changes of membership within it make one view */
     VIEW_FRESH_MS =
         5000, /* a leader whose view is not confirmed for so long leaves the cloud alone */
-    MEMBER_RECHECK_MS = 2500, /* a written key is followed within that, usually at once */
-    MEMBER_TICK_MS = 250,     /* between looks at the membership */
-    LOST_SILENT_MS = 5000,    /* silence after which a worker may have lost its owner */
-    LOST_LEAST = 3,           /* machines: fewer say little about their owner */
-    EXCLUDED_MS = 90000,      /* so long a controller without workers owns none before a new try */
+    MEMBER_RECHECK_MS = 2500,    /* a written key is followed within that, usually at once */
+    MEMBER_TICK_MS = 250,        /* between looks at the membership */
+    LOST_SILENT_MS = 5000,       /* silence after which a worker may have lost its owner */
+    LOST_MACHINES_MIN_COUNT = 3, /* machines: fewer say little about their owner */
+    EXCLUDED_MS = 90000, /* so long a controller without workers owns none before a new try */
     RETAIN_MS =
         20000, /* so long a worker that can't reach its owner is retained before a new try */
-    RETAINED_WRITE_MS =
+    RETAINED_WRITE_GAP_MS =
         3000, /* between writes of the list of retained workers: a third of a write a second */
     REDIRECTION_FORGET_MS = 60000, /* a worker that long gone from here is forgotten */
     RETAINED_FRESH_MS = 8000,      /* a list of retained workers older than that says nothing */
@@ -161,20 +169,21 @@
 
 /* Shares of the outside services' limits (1 = all of it). Peaks of the three nodes seldom meet,
  * and what is refused above the limit is repeated: together they may exceed 1. */
-#define CONNECTIONS_MEMORY 0.6     /* of memory for connections; the rest for records and our own */
-#define SHARE_LEADER_WRITE 0.45    /* its partition's commits and every job's progress */
-#define SHARE_PARTITION_WRITE 0.35 /* another partition's commits, at most */
-#define SHARE_PARTITIONS_WRITE 1.05 /* of all partitions together */
-#define SHARE_CORE_RPS 0.15         /* a node's own loops, at most */
-#define SHARE_CORES_RPS 0.50        /* of all nodes together */
-#define SHARE_API_RPS 0.18          /* one API, at most */
-#define SHARE_APIS_RPS 0.60         /* of all APIs together */
-#define SHARE_API_WRITE                                                                            \
-    0.25                      /* an API's submissions and aborts, at most: they come in bursts     \
-                               */
-#define SHARE_APIS_WRITE 0.75 /* of all APIs together */
+#define CONNECTIONS_MEMORY_FRACTION                                                                \
+    0.6                            /* of memory for connections; the rest for records and our own */
+#define LEADER_WRITE_FRACTION 0.45 /* its partition's commits and every job's progress */
+#define PARTITION_WRITE_FRACTION 0.35  /* another partition's commits, at most */
+#define PARTITIONS_WRITE_FRACTION 1.05 /* of all partitions together */
+#define CORE_RPS_FRACTION 0.15         /* a node's own loops, at most */
+#define CORES_RPS_FRACTION 0.50        /* of all nodes together */
+#define API_RPS_FRACTION 0.18          /* one API, at most */
+#define APIS_RPS_FRACTION 0.60         /* of all APIs together */
+#define API_WRITE_FRACTION                                                                         \
+    0.25                         /* an API's submissions and aborts, at most: they come in bursts  \
+                                  */
+#define APIS_WRITE_FRACTION 0.75 /* of all APIs together */
 
-#define REPORT_SPREAD                                                                              \
+#define REPORT_SPREAD_FACTOR                                                                       \
     1.5 /* of report_s: a quarter more, and some machines slower than they should */
 
 /* Preemption. */
@@ -186,15 +195,15 @@
     30.0 /* counts against stopping work where the image is still to be fetched */
 
 /* Renting. */
-#define RENT_PATIENCE_LEAST_S                                                                      \
-    15.0                 /* work near its deadline shares a machine's resources only within that */
-#define RENT_LARGEST 0.6 /* a machine may be this share of all that is wanted */
-#define RENT_ROUND 0.25  /* of a machine: so little lacking is not worth another */
-#define UNGUARANTEED_TEAM_SHARE 0.1 /* of all guarantees: the weight of a team that has none */
-#define ORDINARY_EASED 2.0          /* of their patience: at half the waiting work they go back */
-#define RENT_SPREAD 0.02            /* price added per machine of the same type, zone and kind */
+#define RENT_PATIENCE_MIN_S                                                                        \
+    15.0 /* work near its deadline shares a machine's resources only within that */
+#define RENT_LARGEST_FRACTION 0.6      /* a machine may be this share of all that is wanted */
+#define RENT_ROUND_FRACTION 0.25       /* of a machine: so little lacking is not worth another */
+#define UNGUARANTEED_TEAM_FRACTION 0.1 /* of all guarantees: the weight of a team that has none */
+#define ORDINARY_EASED_FACTOR 2.0 /* of their patience: at half the waiting work they go back */
+#define RENT_SPREAD_FRACTION 0.02 /* price added per machine of the same type, zone and kind */
 
-#define DRAIN_EMPTY                                                                                \
+#define DRAIN_EMPTY_FRACTION                                                                       \
     0.5 /* of a drained machine's cpus: with so much free, what can save is moved                  \
          */
 
--- a/src/core/cancellation_log.c
+++ b/src/core/cancellation_log.c
@@ -17,7 +17,7 @@
 {
     if (g_hash_table_contains(cancellations->listed, job))
         return;
-    if (g_queue_get_length(cancellations->entries) >= CANCELLATION_LOG_MAX) {
+    if (g_queue_get_length(cancellations->entries) >= CANCELLATION_LOG_COUNT) {
         char *oldest = g_queue_pop_head(cancellations->entries);
         g_hash_table_remove(cancellations->listed, oldest);
         g_free(oldest);
@@ -38,7 +38,7 @@
                                     .after_index = known ? MAX(last_index, dropped) : dropped,
                                     .base_age = now - cancellations->base,
                                     .jobs = g_ptr_array_new_with_free_func(g_free)};
-    update.last_index = MIN(cancellations->newest, update.after_index + CANCELLATION_UPDATE_JOBS);
+    update.last_index = MIN(cancellations->newest, update.after_index + CANCELLATION_UPDATE_COUNT);
     update.whole = update.last_index == cancellations->newest;
     for (const GList *at =
              g_queue_peek_nth_link(cancellations->entries, (guint)(update.after_index - dropped));
@@ -60,7 +60,7 @@
         /* What an earlier incarnation told, or what was dropped, was told before this moment, and
          * may be missing here. Clocks drift apart: the age is stretched towards now. */
         *replica = (cancellation_replica_t){.incarnation = update->incarnation};
-        replica->base = now - update->base_age + update->base_age / CLOCK_DRIFT + 1;
+        replica->base = now - update->base_age + update->base_age / CLOCK_DRIFT_DIVISOR + 1;
     }
     replica->last_index = MAX(replica->last_index, update->last_index);
     if (update->whole)
--- a/src/core/cancellation_log.h
+++ b/src/core/cancellation_log.h
@@ -43,7 +43,7 @@
     GHashTable *listed; /* those, borrowed */
     uint64_t newest;    /* number of the last; they are numbered from 1 without gaps */
     msec_t base;        /* nothing told since then was dropped */
-    cancellation_replica_t siblings[MEMBERS_MAX];
+    cancellation_replica_t siblings[MEMBERS_MAX_COUNT];
 } cancellation_log_t;
 
 void cancellation_log_init(cancellation_log_t *cancellations, uint64_t incarnation, msec_t now);
--- a/src/core/channel.h
+++ b/src/core/channel.h
@@ -24,7 +24,7 @@
     placement_request_t request; /* types owned */
     task_ref_t ref;
     attempt_result_t result;
-    char machine[ID_SIZE];
+    char machine[ID_BYTES];
 } channel_item_t;
 
 typedef struct {
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -67,7 +67,7 @@
     g_hash_table_iter_init(&iter, election->present);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const member_t *member = value;
-        if (strcmp(member->name, election->self.name) != 0 && view->count < MEMBERS_MAX)
+        if (strcmp(member->name, election->self.name) != 0 && view->count < MEMBERS_MAX_COUNT)
             view->members[view->count++] = *member;
     }
     for (guint i = 0; i < view->count; i++) {
--- a/src/core/election.h
+++ b/src/core/election.h
@@ -12,9 +12,9 @@
 typedef struct {
     uint64_t number;   /* 0: none known */
     uint64_t revision; /* of view/number */
-    char leader[ID_SIZE];
+    char leader[ID_BYTES];
     uint64_t incarnation; /* of the leader */
-    member_t members[MEMBERS_MAX];
+    member_t members[MEMBERS_MAX_COUNT];
     guint count;
 } view_t;
 
@@ -24,7 +24,7 @@
     GHashTable *excluded;    /* leader: name -> msec_t *, owned: owns no machines until then */
     msec_t present_since;    /* last change of present */
     uint64_t lease_revision; /* of view/lease; 0: nobody leads */
-    char lease_holder[ID_SIZE];
+    char lease_holder[ID_BYTES];
     uint64_t lease_incarnation;
 } election_t;
 
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -298,7 +298,7 @@
 {
     if (job->ending || now < job->retry_at)
         return true;
-    return job->errors >= JOB_ERRORS_ALARM && job->outstanding_count > 0;
+    return job->errors >= JOB_ERRORS_ALARM_COUNT && job->outstanding_count > 0;
 }
 
 static bool next_task(job_t *job, uint32_t *task)
@@ -511,7 +511,7 @@
     const job_t *job = queued->job;
     priority_t below = queued->owed ? MAX(PRIORITY_HIGH, job->spec.priority) : job->spec.priority;
     guint wanted = queued->owed ? queued->owed - job->outstanding_count
-                                : MIN(job_pending(job), CLAIMED_MACHINES_PER_JOB);
+                                : MIN(job_pending(job), CLAIMED_MACHINES_PER_JOB_COUNT);
     if (!team_admits(state, job->spec.need))
         return;
     while (below > PRIORITY_LOW && wanted > 0 && claim_machine(leader, job, below, now))
@@ -561,7 +561,7 @@
     request->checkpoint_s = job->spec.checkpoint_s;
     request->job_revision = job->revision;
     request->task = task;
-    request->attempt = (leader->view << ATTEMPT_SHIFT) + leader->count;
+    request->attempt = (leader->view << ATTEMPT_SHIFT_BITS) + leader->count;
     outstanding_add(leader, task_ref(job->spec.id, task, request->attempt), job->spec.team,
                     job->spec.need, request->zone, partition);
     g_array_append_val(requests, made);
@@ -672,7 +672,7 @@
         promised += g_array_index(leader->teams, team_state_t, i).team.cpus;
     for (guint i = 0; i < teams; i++) {
         const team_state_t *state = &g_array_index(leader->teams, team_state_t, i);
-        double weight = MAX(MAX(state->team.cpus, promised * UNGUARANTEED_TEAM_SHARE), 1);
+        double weight = MAX(MAX(state->team.cpus, promised * UNGUARANTEED_TEAM_FRACTION), 1);
         if (at[i] >= ((const GArray *)g_ptr_array_index(queues, i))->len ||
             state->cpus / weight >= least)
             continue;
@@ -738,8 +738,8 @@
         job->retry_at = MAX(job->retry_at, now + TASK_BACKOFF_MS);
     } else if (cause == CAUSE_ERROR || cause == CAUSE_UNKNOWN) {
         job->errors++;
-        if (job->errors >= JOB_ERRORS_ALARM) {
-            guint doublings = MIN(job->errors - JOB_ERRORS_ALARM, 5);
+        if (job->errors >= JOB_ERRORS_ALARM_COUNT) {
+            guint doublings = MIN(job->errors - JOB_ERRORS_ALARM_COUNT, 5);
             msec_t wait = MIN((msec_t)JOB_BACKOFF_MS << doublings, JOB_BACKOFF_MAX_MS);
             job->retry_at = MAX(job->retry_at, now + wait);
         }
@@ -774,7 +774,7 @@
 {
     const failure_record_t *failure_record = g_hash_table_lookup(leader->failure_records, machine);
     return failure_record && failure_record->is_machine_at_fault &&
-           failure_record->errors >= MACHINE_ERRORS_ALARM;
+           failure_record->errors >= MACHINE_ERRORS_ALARM_COUNT;
 }
 
 void leader_handle_result(leader_t *leader, guint partition, const attempt_result_t *result,
@@ -817,9 +817,9 @@
             continue;
         if (state->team.cpus_max > 0 && job->spec.need.cpus > 0) {
             double left = MAX(state->team.cpus_max - state->cpus, 0) / job->spec.need.cpus;
-            tasks = MIN(tasks, (uint32_t)MIN(left, (double)TASKS_MAX));
+            tasks = MIN(tasks, (uint32_t)MIN(left, (double)TASKS_MAX_COUNT));
         }
-        if (job->errors >= JOB_ERRORS_ALARM)
+        if (job->errors >= JOB_ERRORS_ALARM_COUNT)
             tasks = MIN(tasks, 1);
         demand_t entry = {.job = job, .team = team, .tasks = tasks};
         if (tasks)
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -15,9 +15,9 @@
 
 /* One machine as its partition describes it to the leader. */
 typedef struct {
-    char machine[ID_SIZE];
-    char type[LABEL_SIZE];
-    char zone[LABEL_SIZE];
+    char machine[ID_BYTES];
+    char type[LABEL_BYTES];
+    char zone[LABEL_BYTES];
     bool spot;
     bool open; /* takes starts */
     bool draining;
@@ -67,7 +67,7 @@
     task_ref_t ref;
     guint team;
     resources_t need;
-    char zone[LABEL_SIZE];
+    char zone[LABEL_BYTES];
     guint partition;
 } outstanding_t;
 
@@ -81,7 +81,7 @@
 /* A machine on which attempts failed since the last success there. */
 typedef struct {
     guint errors;
-    char job[ID_SIZE];        /* of the first */
+    char job[ID_BYTES];       /* of the first */
     bool is_machine_at_fault; /* some failed job runs elsewhere, or more than one job failed */
 } failure_record_t;
 
@@ -147,7 +147,7 @@
 
 /* Progress to make durable. */
 typedef struct {
-    char job[ID_SIZE];
+    char job[ID_BYTES];
     bool end; /* every task is done: jobs/<id> and the chunks go, ended/<id> comes */
     uint32_t done;
     uint64_t job_revision;
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -6,7 +6,7 @@
 
 void shard_of(const char *machine, const char *zone, char *name, gsize size)
 {
-    guint number = (guint)(XXH64(machine, strlen(machine), 0) % SHARDS_PER_ZONE);
+    guint number = (guint)(XXH64(machine, strlen(machine), 0) % SHARDS_PER_ZONE_COUNT);
     g_snprintf(name, size, "%s.%02u", zone, number);
 }
 
@@ -35,7 +35,7 @@
 
 guint owner_of(const member_t *members, guint count, const char *machine, const char *zone)
 {
-    char shard[SHARD_NAME];
+    char shard[SHARD_NAME_BYTES];
     bool local = false, any = false;
     guint owner = 0;
     uint64_t highest = 0;
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -8,12 +8,16 @@
 
 #include "core/types.h"
 
-enum { MEMBERS_MAX = 16, SHARD_NAME = LABEL_SIZE + 8, PAGE_NAME = SHARD_NAME + 12 };
+enum {
+    MEMBERS_MAX_COUNT = 16,
+    SHARD_NAME_BYTES = LABEL_BYTES + 8,
+    PAGE_NAME_BYTES = SHARD_NAME_BYTES + 12
+};
 
 /* One live controller of a view. */
 typedef struct {
-    char name[ID_SIZE];
-    char zone[LABEL_SIZE];
+    char name[ID_BYTES];
+    char zone[LABEL_BYTES];
     uint64_t incarnation;
     bool excluded; /* workers can't reach it: it owns no machines */
 } member_t;
--- a/src/core/partition.c
+++ b/src/core/partition.c
@@ -71,7 +71,7 @@
 void partition_set_report(partition_t *partition, double report_s)
 {
     partition->fresh =
-        MAX(DIRECT_FRESH_MS, (msec_t)(report_s * REPORT_SPREAD * 1000) + REPORT_LATE_MS);
+        MAX(DIRECT_FRESH_MS, (msec_t)(report_s * REPORT_SPREAD_FACTOR * 1000) + REPORT_LATE_MS);
 }
 
 static void look_up_capacity(const partition_t *partition, machine_t *machine)
@@ -163,7 +163,7 @@
     g_strlcpy(machine->zone, zone, sizeof machine->zone);
     machine->page = page;
     if (!page) {
-        char shard[SHARD_NAME];
+        char shard[SHARD_NAME_BYTES];
         shard_of(id, zone, shard, sizeof shard);
         machine->page = page_for_new(shard_find(partition, shard));
     }
@@ -871,7 +871,7 @@
 static void empty_drained(partition_t *partition, machine_t *machine, msec_t now)
 {
     if (!machine->draining || machine->gone ||
-        partition_free_resources(machine).cpus < machine->capacity.cpus * DRAIN_EMPTY)
+        partition_free_resources(machine).cpus < machine->capacity.cpus * DRAIN_EMPTY_FRACTION)
         return;
     for (guint i = 0; i < machine->attempts->len; i++) {
         attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
@@ -950,15 +950,15 @@
 {
     const record_entry_t *entry = &attempt->entry;
     bool known = g_hash_table_contains(writer->headers, entry->job);
-    return RECORD_ATTEMPT +
-           (known ? 0
-                  : RECORD_JOB + strlen(entry->job) + strlen(entry->team) + strlen(entry->image));
+    return RECORD_ATTEMPT_BYTES + (known ? 0
+                                         : RECORD_JOB_BYTES + strlen(entry->job) +
+                                               strlen(entry->team) + strlen(entry->image));
 }
 
 static gsize machine_size(const machine_t *machine)
 {
-    return RECORD_MACHINE + strlen(machine->id) + strlen(machine->address) + strlen(machine->type) +
-           strlen(machine->zone);
+    return RECORD_MACHINE_BYTES + strlen(machine->id) + strlen(machine->address) +
+           strlen(machine->type) + strlen(machine->zone);
 }
 
 /* A start that the limits leave no room for stays placed until a later commit. */
@@ -1026,7 +1026,7 @@
         .page = page->number, .revision = page->revision, .machines = machine_records_new()};
     writer_t writer = {.batch = batch,
                        .headers = g_hash_table_new(g_str_hash, g_str_equal),
-                       .size = RECORD_RESERVE,
+                       .size = RECORD_RESERVE_BYTES,
                        .value_max = value_max,
                        .max_jobs = max_jobs};
     g_strlcpy(record.shard, page->shard, sizeof record.shard);
@@ -1137,7 +1137,7 @@
         for (guint k = 0; k < machine->attempts->len; k++)
             fresh += !((const attempt_t *)g_ptr_array_index(machine->attempts, k))->in_record;
     }
-    gsize each = RECORD_ATTEMPT + RECORD_MACHINE + RECORD_JOB + 4 * LABEL_SIZE;
+    gsize each = RECORD_ATTEMPT_BYTES + RECORD_MACHINE_BYTES + RECORD_JOB_BYTES + 4 * LABEL_BYTES;
     return page->size ? MIN(value_max, page->size + fresh * each) : value_max;
 }
 
@@ -1274,7 +1274,7 @@
         machine_t *machine = at->data;
         bool probe = machine->probe && !machine->reported;
         next = at->next;
-        if (machine->direct_busy || (probe && partition->probing >= SENDERS / 2) ||
+        if (machine->direct_busy || (probe && partition->probing >= SENDERS_COUNT / 2) ||
             (!probe && !partition_is_reached(partition, machine, now)))
             continue;
         g_queue_delete_link(partition->wanted, at);
--- a/src/core/partition.h
+++ b/src/core/partition.h
@@ -20,11 +20,11 @@
 
 /* What the leader asks a partition to place. */
 typedef struct {
-    char job[ID_SIZE];
-    char team[LABEL_SIZE];
-    char image[LABEL_SIZE];
-    char zone[LABEL_SIZE]; /* empty: any */
-    char **types;          /* borrowed for the call; NULL: any */
+    char job[ID_BYTES];
+    char team[LABEL_BYTES];
+    char image[LABEL_BYTES];
+    char zone[LABEL_BYTES]; /* empty: any */
+    char **types;           /* borrowed for the call; NULL: any */
     resources_t need;
     bool spot;
     bool gang; /* its tasks stand or fall together */
@@ -42,9 +42,9 @@
 
 /* What stands in a machine's record for one attempt. */
 typedef struct {
-    char job[ID_SIZE];
-    char team[LABEL_SIZE];
-    char image[LABEL_SIZE];
+    char job[ID_BYTES];
+    char team[LABEL_BYTES];
+    char image[LABEL_BYTES];
     resources_t need;
     priority_t priority;
     double save_s;
@@ -55,10 +55,10 @@
 
 /* A machine in its shard's record. entries: array of record_entry_t, owned. */
 typedef struct {
-    char machine[ID_SIZE];
-    char address[ADDRESS_SIZE];
-    char type[LABEL_SIZE];
-    char zone[LABEL_SIZE];
+    char machine[ID_BYTES];
+    char address[ADDRESS_BYTES];
+    char type[LABEL_BYTES];
+    char zone[LABEL_BYTES];
     bool spot;
     uint64_t session;
     GArray *entries;
@@ -67,7 +67,7 @@
 /* machines/<page> in the state service: one key for several machines of a shard, since every change
  * of a key is paid for, whatever its size. machines: array of machine_record_t, owned. */
 typedef struct {
-    char shard[SHARD_NAME];
+    char shard[SHARD_NAME_BYTES];
     guint page;
     uint64_t revision;
     GArray *machines;
@@ -86,7 +86,7 @@
 /* The machines of one key. It is written when something is to start or to be placed again (urgent),
  * and when it has been long enough that acknowledged results stand in it (lazy). */
 typedef struct page {
-    char shard[SHARD_NAME];
+    char shard[SHARD_NAME_BYTES];
     guint number;        /* in its shard */
     uint64_t revision;   /* of its key; 0: none */
     GPtrArray *machines; /* borrowed */
@@ -102,7 +102,7 @@
 
 /* Pages of a shard: one, until its record nears the value limit. Owns them. */
 typedef struct {
-    char name[SHARD_NAME];
+    char name[SHARD_NAME_BYTES];
     GPtrArray *pages;
 } shard_t;
 
@@ -129,10 +129,10 @@
 } attempt_t;
 
 struct machine {
-    char id[ID_SIZE];
-    char address[ADDRESS_SIZE];
-    char type[LABEL_SIZE];
-    char zone[LABEL_SIZE];
+    char id[ID_BYTES];
+    char address[ADDRESS_BYTES];
+    char type[LABEL_BYTES];
+    char zone[LABEL_BYTES];
     bool spot;
     bool is_capacity_known;
     resources_t capacity;
@@ -173,7 +173,7 @@
 typedef struct {
     task_ref_t ref;
     cause_t cause;
-    char machine[ID_SIZE];
+    char machine[ID_BYTES];
 } attempt_result_t;
 
 typedef struct {
--- a/src/core/redirection.c
+++ b/src/core/redirection.c
@@ -13,7 +13,7 @@
 
 /* A controller that workers of this view were sent to. */
 typedef struct {
-    char probe[ID_SIZE]; /* the machine that tries it */
+    char probe[ID_BYTES]; /* the machine that tries it */
     msec_t tried;
     msec_t missed; /* when one came back last */
 } owner_t;
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -92,7 +92,7 @@
             if (g_hash_table_remove(rental->unreachable_zones, zone))
                 g_hash_table_insert(rental->recovered_zones, g_strdup(zone),
                                     g_memdup2(&now, sizeof now));
-        } else if (sum->silent >= LOST_LEAST) {
+        } else if (sum->silent >= LOST_MACHINES_MIN_COUNT) {
             msec_t until = now + UNREACHABLE_ZONE_MS;
             if (!rental_is_zone_unreachable(rental, zone, now))
                 g_ptr_array_add(fallen, g_strdup(zone));
@@ -138,7 +138,7 @@
         return most;
     double due = (double)(job->spec.submitted_ms - day_ms) / 1000.0 + job->spec.deadline_s -
                  job->spec.estimate_s;
-    return CLAMP(due, MIN(most, RENT_PATIENCE_LEAST_S), most);
+    return CLAMP(due, MIN(most, RENT_PATIENCE_MIN_S), most);
 }
 
 static resources_t wanted_resources(const leader_t *leader, msec_t now, int64_t day_ms)
@@ -280,9 +280,9 @@
 {
     double units = MAX(lack.cpus / MAX(machine_type->capacity.cpus, EPSILON),
                        lack.memory / MAX(machine_type->capacity.memory, EPSILON));
-    if (machine_type->capacity.cpus > wanted_cpus * RENT_LARGEST && units < 1)
+    if (machine_type->capacity.cpus > wanted_cpus * RENT_LARGEST_FRACTION && units < 1)
         return 0;
-    return (guint)CLAMP(ceil(units - RENT_ROUND), 1, (double)RENT_MAX);
+    return (guint)CLAMP(ceil(units - RENT_ROUND_FRACTION), 1, (double)RENT_MAX_COUNT);
 }
 
 bool rental_next(const rental_t *rental, const leader_t *leader, const GArray *machine_types,
@@ -318,7 +318,7 @@
                     /* Of equals the type and zone with the fewest, so that a wave or a cut takes
                      * less at once. */
                     double cost =
-                        price * (1 + RENT_SPREAD *
+                        price * (1 + RENT_SPREAD_FRACTION *
                                          count_of(leader, rental, machine_type->name, *zone, spot));
                     if (cost >= best)
                         continue;
@@ -354,7 +354,7 @@
     double extra = MAX(balance.ordinary - balance.promised, 0);
     bool eased = extra > extra_cpus(leader, &balance,
                                     tunable_value(leader->policy, TUNABLE_ORDINARY_PATIENCE) /
-                                        ORDINARY_EASED);
+                                        ORDINARY_EASED_FACTOR);
     machine_summary_t *worst = NULL;
     double worst_price = 0;
     for (guint i = 0; i < leader->summaries->len; i++) {
--- a/src/core/rental.h
+++ b/src/core/rental.h
@@ -7,9 +7,9 @@
 
 /* A machine that was rented or listed and has not reported yet. */
 typedef struct {
-    char machine[ID_SIZE];
-    char type[LABEL_SIZE];
-    char zone[LABEL_SIZE];
+    char machine[ID_BYTES];
+    char type[LABEL_BYTES];
+    char zone[LABEL_BYTES];
     bool spot;
     msec_t since; /* the rental */
 } boot_t;
@@ -27,8 +27,8 @@
 } rental_t;
 
 typedef struct {
-    char type[LABEL_SIZE];
-    char zone[LABEL_SIZE];
+    char type[LABEL_BYTES];
+    char zone[LABEL_BYTES];
     bool spot;
     guint count;
 } rental_wish_t;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -27,11 +27,11 @@
 /* A job as its user described it. Owned by whoever holds the struct; job_spec_clear frees inside.
  */
 typedef struct {
-    char id[ID_SIZE];
-    char class_name[LABEL_SIZE];
-    char team[LABEL_SIZE];
-    char zone[LABEL_SIZE]; /* empty: any */
-    char image[LABEL_SIZE];
+    char id[ID_BYTES];
+    char class_name[LABEL_BYTES];
+    char team[LABEL_BYTES];
+    char zone[LABEL_BYTES]; /* empty: any */
+    char image[LABEL_BYTES];
     char **types; /* NULL: any; else a null-terminated list */
     job_kind_t kind;
     priority_t priority;
@@ -63,7 +63,7 @@
 
 /* One task attempt as a worker lists it. */
 typedef struct {
-    char job[ID_SIZE];
+    char job[ID_BYTES];
     uint32_t task;
     uint64_t attempt;
     task_state_t state;
@@ -72,10 +72,10 @@
 
 /* A worker's report. attempts: array of reported_attempt_t, owned by the report. */
 typedef struct {
-    char machine[ID_SIZE];
-    char address[ADDRESS_SIZE];
-    char type[LABEL_SIZE];
-    char zone[LABEL_SIZE];
+    char machine[ID_BYTES];
+    char address[ADDRESS_BYTES];
+    char type[LABEL_BYTES];
+    char zone[LABEL_BYTES];
     bool spot;
     uint64_t session;
     uint64_t seq;
@@ -89,7 +89,7 @@
 /* One command to a worker. */
 typedef struct {
     worker_command_op_t op;
-    char job[ID_SIZE];
+    char job[ID_BYTES];
     uint32_t task;
     uint64_t attempt;
     double grace_s;
@@ -97,7 +97,7 @@
 
 /* A machine type as the cloud describes it. */
 typedef struct {
-    char name[LABEL_SIZE];
+    char name[LABEL_BYTES];
     resources_t capacity;
     double price;
     double spot_price;
@@ -114,7 +114,7 @@
 
 /* A team as the settings describe it. */
 typedef struct {
-    char name[LABEL_SIZE];
+    char name[LABEL_BYTES];
     double cpus;
     double cpus_max;
     double gpus;
@@ -124,7 +124,7 @@
 /* One attempt at one task. A task has one attempt at a time, so maps go by job and task alone; the
  * attempts of a gang's tasks share one number, by which workers know that they belong together. */
 typedef struct {
-    char job[ID_SIZE];
+    char job[ID_BYTES];
     uint32_t task;
     uint64_t attempt;
 } task_ref_t;
--- a/src/io/peer_protocol.c
+++ b/src/io/peer_protocol.c
@@ -272,7 +272,7 @@
 
 static bool parse_address(const char *text, struct sockaddr_in *address)
 {
-    char host[ADDRESS_SIZE];
+    char host[ADDRESS_BYTES];
     const char *colon = strrchr(text, ':');
     *address = (struct sockaddr_in){.sin_family = AF_INET};
     if (!colon)
@@ -374,7 +374,7 @@
     if (!read_all(fd, &length, sizeof length))
         return NULL;
     length = ntohl(length);
-    if (length > PEER_FRAME_MAX)
+    if (length > PEER_FRAME_MAX_BYTES)
         return NULL;
     GByteArray *frame = g_byte_array_sized_new(length);
     g_byte_array_set_size(frame, length);
--- a/src/io/peer_protocol.h
+++ b/src/io/peer_protocol.h
@@ -8,7 +8,7 @@
 
 /* One message, decoded. Owns its arrays. */
 typedef struct {
-    char sender[ID_SIZE];
+    char sender[ID_BYTES];
     uint64_t incarnation;
     uint64_t view;
     uint64_t number; /* of the batch; 0: none sent so far */
--- a/src/io/records.c
+++ b/src/io/records.c
@@ -29,7 +29,7 @@
 
 static void write_machines(txn_t *txn, const partition_batch_t *machines, GHashTable *written_jobs)
 {
-    char key[128], page[PAGE_NAME];
+    char key[128], page[PAGE_NAME_BYTES];
     for (guint i = 0; i < machines->records->len; i++) {
         const page_record_t *record = &g_array_index(machines->records, page_record_t, i);
         page_name(record->shard, record->page, page, sizeof page);
@@ -97,7 +97,7 @@
 
 txn_t records_member(const member_t *self, uint64_t revision, uint64_t lease)
 {
-    char key[ID_SIZE + 16];
+    char key[ID_BYTES + 16];
     txn_t txn = txn_new();
     g_snprintf(key, sizeof key, "view/members/%s", self->name);
     txn_if(&txn, key, revision);
--- a/src/io/relay.c
+++ b/src/io/relay.c
@@ -20,7 +20,7 @@
 static GByteArray *unpack(const char *text, json_int_t size)
 {
     gsize length = 0;
-    if (size < 0 || size > PEER_FRAME_MAX)
+    if (size < 0 || size > PEER_FRAME_MAX_BYTES)
         return NULL;
     uLongf whole = (uLongf)size;
     guchar *packed = g_base64_decode(text, &length);
@@ -35,9 +35,9 @@
 guint relay_write(txn_t *txn, const char *inbox, const char *name, const GByteArray *frame,
                   gsize value_max)
 {
-    char key[ID_SIZE + 32];
+    char key[ID_BYTES + 32];
     char *text = pack(frame);
-    gsize length = strlen(text), page_max = value_max - RELAY_RESERVE;
+    gsize length = strlen(text), page_max = value_max - RELAY_RESERVE_BYTES;
     guint pages = (guint)((length + page_max - 1) / page_max);
     for (guint page = 0; page < pages; page++) {
         gsize from = page * page_max;
@@ -65,7 +65,7 @@
     gsize skip = strlen(prefix);
     if (!g_str_has_prefix(key, prefix) || !dot || dot < key + skip ||
         (gsize)(dot - key) - skip >= size ||
-        !g_ascii_string_to_unsigned(dot + 1, 10, 0, RELAY_PAGES, page, NULL))
+        !g_ascii_string_to_unsigned(dot + 1, 10, 0, RELAY_PAGES_COUNT, page, NULL))
         return false;
     g_strlcpy(name, key + skip, (gsize)(dot - key) - skip + 1);
     return true;
@@ -77,7 +77,7 @@
 {
     const state_entry_t *entry = &g_array_index(entries, state_entry_t, first);
     json_int_t pages = json_integer_value(json_object_get(entry->value, "Pages"));
-    if (pages < 1 || pages > RELAY_PAGES || first + (guint)pages > entries->len)
+    if (pages < 1 || pages > RELAY_PAGES_COUNT || first + (guint)pages > entries->len)
         return NULL;
     GString *text = g_string_new(NULL);
     gsize stem = strlen(entry->key) - 1;
--- a/src/io/relay.h
+++ b/src/io/relay.h
@@ -13,7 +13,7 @@
 
 /* A message as it was found. */
 typedef struct {
-    char name[ID_SIZE]; /* whose inbox it lay in */
+    char name[ID_BYTES]; /* whose inbox it lay in */
     uint64_t revision;
     GByteArray *frame;
 } relay_message_t;
--- a/src/io/state.c
+++ b/src/io/state.c
@@ -89,7 +89,7 @@
         const char *since =
             first ? NULL : g_array_index(entries, state_entry_t, entries->len - 1).key;
         g_snprintf(path, sizeof path, "/keys?Under=%s%s%s&Limit=%d", prefix, since ? "&Since=" : "",
-                   since ? since : "", KEYS_PAGE);
+                   since ? since : "", KEYS_PAGE_COUNT);
         state_result_t result =
             send_request(state, client, "GET", path, NULL, STATE_TIMEOUT_MS, &answer);
         if (result != STATE_OK) {
@@ -187,7 +187,7 @@
     json_t *answer = NULL;
     g_snprintf(path, sizeof path, "/grants/%" G_GUINT64_FORMAT "/extend", lease);
     state_result_t result =
-        send_request(state, client, "POST", path, NULL, LEASE_EXTEND_MS, &answer);
+        send_request(state, client, "POST", path, NULL, LEASE_EXTEND_GAP_MS, &answer);
     json_decref(answer);
     return result;
 }
--- a/src/io/state.h
+++ b/src/io/state.h
@@ -18,7 +18,7 @@
 
 /* Shared by all threads; each brings its own client. */
 typedef struct {
-    char base[ADDRESS_SIZE + 8];
+    char base[ADDRESS_BYTES + 8];
     _Atomic(msec_t) answered_at; /* when the newest request that was answered had been sent */
 } state_t;
 
--- a/src/io/wire.c
+++ b/src/io/wire.c
@@ -132,7 +132,7 @@
         get_text(body, "Crew", spec->team, sizeof spec->team, why) &&
         get_choice(body, "Rig", kind_names, G_N_ELEMENTS(kind_names), &kind, why) &&
         get_choice(body, "Urgency", priority_names, G_N_ELEMENTS(priority_names), &priority, why) &&
-        get_count(body, "Pieces", 1, TASKS_MAX, &tasks, why) &&
+        get_count(body, "Pieces", 1, TASKS_MAX_COUNT, &tasks, why) &&
         get_amount(body, "Cpus", 0, &spec->need.cpus, why) &&
         get_amount(body, "Accelerators", 0, &spec->need.gpus, why) &&
         get_amount(body, "MemGb", 0, &spec->need.memory, why) &&
@@ -474,7 +474,7 @@
     json_array_foreach(machines, i, item)
     {
         machine_record_t machine = {.entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t))};
-        char own_shard[SHARD_NAME];
+        char own_shard[SHARD_NAME_BYTES];
         valid = parse_machine_record(item, json_object_get(value, "Jobs"), &machine) && valid;
         /* In another shard than its own, two owners would write it. */
         shard_of(machine.machine, machine.zone, own_shard, sizeof own_shard);
--- a/src/io/wire.h
+++ b/src/io/wire.h
@@ -31,9 +31,9 @@
 /* One machine of the cloud's list. */
 typedef enum { HOST_BOOTING, HOST_RUNNING, HOST_FAILED } host_state_t;
 typedef struct {
-    char machine[ID_SIZE];
-    char type[LABEL_SIZE];
-    char zone[LABEL_SIZE];
+    char machine[ID_BYTES];
+    char type[LABEL_BYTES];
+    char zone[LABEL_BYTES];
     bool spot;
     host_state_t state;
     double age_s;
--- a/tests/fakes/worker.h
+++ b/tests/fakes/worker.h
@@ -6,7 +6,7 @@
 #include "core/types.h"
 
 typedef struct {
-    char id[ID_SIZE];
+    char id[ID_BYTES];
     uint64_t session;
     uint64_t seq;
     uint64_t token;
--- a/tests/test_cancellation_log.c
+++ b/tests/test_cancellation_log.c
@@ -151,10 +151,10 @@
 static void test_a_long_list_comes_in_several_updates(void **state)
 {
     (void)state;
-    char id[ID_SIZE];
+    char id[ID_BYTES];
     ask(0, 900, 910);
     ask(1, 9000, 9010);
-    for (guint i = 0; i < 2 * CANCELLATION_UPDATE_JOBS + 1; i++) {
+    for (guint i = 0; i < 2 * CANCELLATION_UPDATE_COUNT + 1; i++) {
         g_snprintf(id, sizeof id, "j-%06u", i);
         cancellation_log_append(&fixture->siblings[0], id, 1500);
     }
@@ -164,26 +164,27 @@
     assert_int_equal(known(), FOLLOWED);
     ask(0, 4000, 4010);
     assert_int_equal(known(), 4000);
-    assert_int_equal(g_hash_table_size(fixture->stopped), 2 * CANCELLATION_UPDATE_JOBS + 1);
+    assert_int_equal(g_hash_table_size(fixture->stopped), 2 * CANCELLATION_UPDATE_COUNT + 1);
 }
 
 /* The list is bounded: one that fell behind it must not take what is left for the whole. */
 static void test_an_entry_dropped_before_it_was_fetched_is_a_gap(void **state)
 {
     (void)state;
-    char id[ID_SIZE];
+    char id[ID_BYTES];
     ask(0, 900, 910);
     ask(1, 90000, 90010);
-    for (guint i = 0; i < CANCELLATION_LOG_MAX + 1; i++) {
+    for (guint i = 0; i < CANCELLATION_LOG_COUNT + 1; i++) {
         g_snprintf(id, sizeof id, "j-%06u", i);
         cancellation_log_append(&fixture->siblings[0], id, 2000 + i);
     }
-    while (fixture->ours.siblings[0].last_index < CANCELLATION_LOG_MAX + 1)
+    while (fixture->ours.siblings[0].last_index < CANCELLATION_LOG_COUNT + 1)
         ask(0, 60000, 60010);
     assert_false(g_hash_table_contains(fixture->stopped, "j-000000"));
     assert_int_equal(known(), FOLLOWED);
     assert_int_equal(
-        cancellation_log_known_until(&fixture->ours, 2, 2000 + CANCELLATION_LOG_MAX + 100), 60000);
+        cancellation_log_known_until(&fixture->ours, 2, 2000 + CANCELLATION_LOG_COUNT + 100),
+        60000);
 }
 
 /* A status read, a repeated abort: the job is on the list once, at its first telling. */
--- a/tests/test_channel.c
+++ b/tests/test_channel.c
@@ -100,7 +100,7 @@
 {
     (void)state;
     for (int i = 0; i < 50; i++) {
-        char machine[ID_SIZE];
+        char machine[ID_BYTES];
         g_snprintf(machine, sizeof machine, "m-%06d", i);
         assert_int_equal(owner_of(members, 3, machine, "south"), 1);
         assert_int_not_equal(owner_of(members, 3, machine, "north"), 1);
@@ -112,7 +112,7 @@
     (void)state;
     guint moved = 0, owned = 0;
     for (int i = 0; i < 200; i++) {
-        char machine[ID_SIZE];
+        char machine[ID_BYTES];
         g_snprintf(machine, sizeof machine, "m-%06d", i);
         guint before = owner_of(members, 3, machine, "west");
         guint after = owner_of(members, 2, machine, "west");
@@ -131,7 +131,7 @@
     memcpy(some, members, sizeof some);
     some[1].excluded = true;
     for (int i = 0; i < 50; i++) {
-        char machine[ID_SIZE];
+        char machine[ID_BYTES];
         g_snprintf(machine, sizeof machine, "m-%06d", i);
         assert_int_not_equal(owner_of(some, 3, machine, "south"), 1);
     }
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -216,7 +216,7 @@
     large.priority = PRIORITY_LOW;
     add(&large);
     for (int i = 2; i < 60; i++) {
-        char id[ID_SIZE];
+        char id[ID_BYTES];
         g_snprintf(id, sizeof id, "j-%06d", i);
         job_spec_t small = job(id, "blue", 2);
         small.submitted_ms = large.submitted_ms + 5000 * i;
@@ -421,7 +421,7 @@
                              .cause = CAUSE_DONE};
     leader_handle_result(leader, 0, &done, 1000);
     GArray *progress = leader_progress_new();
-    take_progress(0, 20, TXN_VALUES, progress);
+    take_progress(0, 20, TXN_VALUES_BYTES, progress);
     assert_int_equal(progress->len, 1);
     assert_true(g_array_index(progress, progress_t, 0).end);
     GArray *acknowledged = g_array_new(FALSE, FALSE, sizeof(partition_attempt_t));
@@ -462,13 +462,13 @@
         begun[job - '0'] = true;
     }
     GArray *progress = leader_progress_new();
-    take_progress(0, 3, TXN_VALUES, progress);
+    take_progress(0, 3, TXN_VALUES_BYTES, progress);
     assert_int_equal(progress->len, 2); /* the end, and what the limit leaves */
     assert_true(g_array_index(progress, progress_t, 0).end);
     assert_string_equal(g_array_index(progress, progress_t, 0).job, "j-000002");
     leader_progress_undo(leader, progress);
     g_array_set_size(progress, 0);
-    take_progress(500, 20, TXN_VALUES, progress);
+    take_progress(500, 20, TXN_VALUES_BYTES, progress);
     assert_int_equal(progress->len, 1); /* what is young waits for more */
     g_array_unref(progress);
     g_array_unref(requests);
@@ -488,7 +488,7 @@
     uint32_t task = g_array_index(requests, leader_request_t, 1).request.task;
     g_array_unref(requests);
     GArray *progress = leader_progress_new();
-    take_progress(0, 20, TXN_VALUES, progress);
+    take_progress(0, 20, TXN_VALUES_BYTES, progress);
     assert_int_equal(progress->len, 1);
     const progress_t *first = &g_array_index(progress, progress_t, 0);
     assert_false(first->end);
@@ -510,7 +510,7 @@
     leader_handle_result(leader, 0, &done, 1000);
     leader_handle_result(leader, 0, &done, 1000); /* told twice */
     GArray *ends = leader_progress_new();
-    take_progress(0, 20, TXN_VALUES, ends);
+    take_progress(0, 20, TXN_VALUES_BYTES, ends);
     assert_int_equal(ends->len, 1);
     assert_true(g_array_index(ends, progress_t, 0).end);
     assert_int_equal(g_array_index(ends, progress_t, 0).done, 2);
@@ -525,12 +525,12 @@
     (void)state;
     set_resources(0, "north", 400);
     for (guint i = 0; i < 8; i++) {
-        char id[ID_SIZE];
+        char id[ID_BYTES];
         g_snprintf(id, sizeof id, "j-%06u", i);
-        job_spec_t spec = job(id, "blue", TASKS_MAX);
+        job_spec_t spec = job(id, "blue", TASKS_MAX_COUNT);
         spec.need.cpus = 0.01;
         add(&spec);
-        for (guint chunk = 0; chunk * CHUNK_BITS < TASKS_MAX; chunk++) {
+        for (guint chunk = 0; chunk * CHUNK_BITS < TASKS_MAX_COUNT; chunk++) {
             task_ref_t ref = task_ref(id, chunk * CHUNK_BITS, 1 + chunk);
             record_entry_t entry = {.task = ref.task, .attempt = ref.attempt, .team = "blue"};
             g_strlcpy(entry.job, id, sizeof entry.job);
@@ -540,7 +540,8 @@
         }
     }
     GArray *progress = leader_progress_new();
-    assert_in_range(take_progress(0, 1000, TXN_VALUES / 2, progress), 1, TXN_VALUES / 2);
+    assert_in_range(take_progress(0, 1000, TXN_VALUES_BYTES / 2, progress), 1,
+                    TXN_VALUES_BYTES / 2);
     assert_int_equal(progress->len, 7); /* one job's chunks; the next has its turn after */
     leader_progress_undo(leader, progress);
     g_array_set_size(progress, 0);
@@ -596,7 +597,7 @@
     rental_t *rental = rental_new();
     set_summaries(silent, 9000, false);
     GPtrArray *fallen = rental_watch_zones(rental, leader, 6000, 1000);
-    assert_int_equal(fallen->len, silent >= LOST_LEAST);
+    assert_int_equal(fallen->len, silent >= LOST_MACHINES_MIN_COUNT);
     g_ptr_array_unref(fallen);
     set_summaries(0, 0, false);
     rental_wish_t taken = {.type = "t", .zone = "north", .spot = true};
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -37,10 +37,10 @@
                              .list_lag_s = 1,
                              .connections = 100};
     g_snprintf(settings->name, sizeof settings->name, "hand-%u", index);
-    g_snprintf(settings->client_listen, ADDRESS_SIZE, "127.0.0.1:%u", fixture->ports[index]);
-    g_snprintf(settings->peer_listen, ADDRESS_SIZE, "127.0.0.1:%u", peer_work[index]);
-    g_snprintf(settings->cloud, ADDRESS_SIZE, "127.0.0.1:%u", fixture->services->cloud_port);
-    g_snprintf(settings->state, ADDRESS_SIZE, "127.0.0.1:%u",
+    g_snprintf(settings->client_listen, ADDRESS_BYTES, "127.0.0.1:%u", fixture->ports[index]);
+    g_snprintf(settings->peer_listen, ADDRESS_BYTES, "127.0.0.1:%u", peer_work[index]);
+    g_snprintf(settings->cloud, ADDRESS_BYTES, "127.0.0.1:%u", fixture->services->cloud_port);
+    g_snprintf(settings->state, ADDRESS_BYTES, "127.0.0.1:%u",
                fixture->services->state_ports[index]);
     settings->teams = g_array_new(FALSE, FALSE, sizeof(team_t));
     team_t team = {.name = "red", .cpus = 8, .cpus_max = 64};
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -79,8 +79,8 @@
 
 static state_result_t commit_partition(uint64_t view_revision)
 {
-    partition_batch_t *batch =
-        partition_batch_take(partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES}, 1000);
+    partition_batch_t *batch = partition_batch_take(
+        partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES_BYTES}, 1000);
     state_result_t result = fake_store_apply(store, records_commit(NULL, batch, view_revision));
     partition_batch_free(batch);
     return result;
@@ -103,8 +103,8 @@
 /* The key of the shard of the one machine. */
 static const char *record_key(void)
 {
-    static char key[SHARD_NAME + 16];
-    char shard[SHARD_NAME];
+    static char key[SHARD_NAME_BYTES + 16];
+    char shard[SHARD_NAME_BYTES];
     shard_of("m-000001", "north", shard, sizeof shard);
     g_snprintf(key, sizeof key, "machines/%s", shard);
     return key;
@@ -181,8 +181,8 @@
     end.old_revisions = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     GArray *progress = g_array_new(FALSE, FALSE, sizeof(progress_t));
     g_array_append_val(progress, end);
-    partition_batch_t *nothing =
-        partition_batch_take(partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES}, 1000);
+    partition_batch_t *nothing = partition_batch_take(
+        partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES_BYTES}, 1000);
     uint64_t view = fake_store_revision(store, "view/number");
     assert_int_equal(fake_store_apply(store, records_commit(progress, nothing, view)), STATE_OK);
     assert_int_equal(fake_store_apply(store, records_abort("j-000001", revision, 1)), STATE_FAILED);
@@ -224,7 +224,7 @@
 static GPtrArray *fleet_of_one_shard(void)
 {
     GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
-    char own_shard[SHARD_NAME], shard[SHARD_NAME];
+    char own_shard[SHARD_NAME_BYTES], shard[SHARD_NAME_BYTES];
     shard_of("m-000001", "north", own_shard, sizeof own_shard);
     for (guint i = 1; ids->len < FLEET; i++) {
         char *id = g_strdup_printf("m-%06u", i);
@@ -255,8 +255,8 @@
 static guint commit_within_limits(bool refused)
 {
     uint64_t view = fake_store_revision(store, "view/number") - refused;
-    partition_batch_t *batch =
-        partition_batch_take(partition, &(partition_limits_t){24, 96, VALUE, TXN_VALUES}, 1000);
+    partition_batch_t *batch = partition_batch_take(
+        partition, &(partition_limits_t){24, 96, VALUE, TXN_VALUES_BYTES}, 1000);
     txn_t txn = records_commit(NULL, batch, view);
     size_t i;
     json_t *change;
@@ -399,7 +399,7 @@
 static void test_names_of_pages_are_read_back(void **state)
 {
     (void)state;
-    char name[PAGE_NAME], shard[SHARD_NAME];
+    char name[PAGE_NAME_BYTES], shard[SHARD_NAME_BYTES];
     guint page = 9;
     page_name("east+1.b.07", 0, name, sizeof name);
     assert_string_equal(name, "east+1.b.07"); /* as builds without pages wrote it */
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -79,7 +79,7 @@
         g_strlcpy(summary.zone, i % 3 ? "north" : "south", sizeof summary.zone);
         g_array_append_val(message.summaries, summary);
     }
-    for (guint i = 0; i < PEER_BATCH; i++) {
+    for (guint i = 0; i < PEER_BATCH_COUNT; i++) {
         channel_item_t item = {.kind = CHANNEL_ATTEMPT_RESULT,
                                .result.ref = {.task = i, .attempt = 1ULL << 30}};
         g_snprintf(item.result.ref.job, sizeof item.result.ref.job, "j-%06u", i * 31);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -46,7 +46,7 @@
     assert_true(takes(without("TideS"))); /* may be null, so may be omitted */
     assert_true(takes(without("Hulls")));
     assert_true(takes(with("Cpus", json_integer(4))));
-    assert_true(takes(with("Pieces", json_integer(TASKS_MAX))));
+    assert_true(takes(with("Pieces", json_integer(TASKS_MAX_COUNT))));
 }
 
 static void test_faulty_job_is_refused(void **state)
@@ -56,7 +56,7 @@
     assert_false(takes(with("Uid", json_string("run-7"))));
     assert_false(takes(with("Uid", json_string("j-00041x"))));
     assert_false(takes(with("Pieces", json_integer(0))));
-    assert_false(takes(with("Pieces", json_integer(TASKS_MAX + 1))));
+    assert_false(takes(with("Pieces", json_integer(TASKS_MAX_COUNT + 1))));
     assert_false(takes(with("Pieces", json_real(3.5))));
     assert_false(takes(with("Cpus", json_string("8"))));
     assert_false(takes(with("Cpus", json_real(-1))));
