--- a/src/app/main.c
+++ b/src/app/main.c
@@ -114,7 +114,7 @@
     arguments_t arguments = {0};
     /* Many threads, little memory: one arena, and freed memory goes back soon. */
     mallopt(M_ARENA_MAX, 1);
-    mallopt(M_TRIM_THRESHOLD, 256 * 1024);
+    mallopt(M_TRIM_THRESHOLD, HEAP_TRIM_BYTES);
     if (!parse_arguments(&argc, &argv, &arguments))
         return EXIT_USAGE;
     if (arguments.version) {
--- a/src/app/member.c
+++ b/src/app/member.c
@@ -33,7 +33,7 @@
     uint64_t lease = 0;
     if (state_lease_create(&node->state, loop->client, LEASE_LIFE_MS, &lease) != STATE_OK)
         return;
-    char key[ID_BYTES + 16];
+    char key[STATE_KEY_BYTES];
     state_entry_t listed = {0};
     g_snprintf(key, sizeof key, "view/members/%s", settings->name);
     rate_limiter_charge(&node->core_rps, 1, now);
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -117,13 +117,13 @@
 void node_wait(node_t *node, pthread_cond_t *cond, msec_t ms)
 {
     msec_t until = clock_steady() + ms;
-    struct timespec at = {.tv_sec = until / 1000, .tv_nsec = until % 1000 * 1000000};
+    struct timespec at = {.tv_sec = until / MS_PER_S, .tv_nsec = until % MS_PER_S * NS_PER_MS};
     pthread_cond_timedwait(cond, &node->lock, &at);
 }
 
 void node_sleep(msec_t ms)
 {
-    struct timespec left = {.tv_sec = ms / 1000, .tv_nsec = ms % 1000 * 1000000};
+    struct timespec left = {.tv_sec = ms / MS_PER_S, .tv_nsec = ms % MS_PER_S * NS_PER_MS};
     nanosleep(&left, NULL);
 }
 
@@ -409,7 +409,8 @@
      * must be gone within cancel_s, and a worker keeps them for lease_s after our last answer: so
      * answers end this long after the last moment up to which all that users were told is known. */
     double spare = node->settings->cancel_s - node->settings->lease_s;
-    return node->jobs_synced && now - known_until(node) < (msec_t)(spare * 1000) - CANCEL_MARGIN_MS;
+    return node->jobs_synced &&
+           now - known_until(node) < (msec_t)(spare * MS_PER_S) - CANCEL_MARGIN_MS;
 }
 
 bool node_may_start(const node_t *node, msec_t now)
--- a/src/app/peer_exchange.c
+++ b/src/app/peer_exchange.c
@@ -115,7 +115,8 @@
                         const GByteArray *frame)
 {
     txn_t txn = txn_new();
-    guint pages = relay_write(&txn, inbox, name, frame, (gsize)(node->settings->value_kb * 1024));
+    guint pages =
+        relay_write(&txn, inbox, name, frame, (gsize)(node->settings->value_kb * BYTES_PER_KIB));
     rate_limiter_charge(&node->core_rps, 1, clock_steady());
     rate_limiter_charge(&node->core_write, pages, clock_steady());
     state_result_t result = state_commit(&node->state, client, &txn, STATE_TIMEOUT_MS, NULL, NULL);
@@ -127,7 +128,7 @@
 
 static GArray *read_relay(node_t *node, http_client_t *client, const char *inbox, const char *name)
 {
-    char prefix[ID_BYTES + 16];
+    char prefix[STATE_KEY_BYTES];
     GArray *entries = state_entries_new();
     g_snprintf(prefix, sizeof prefix, "mail/%s/%s", inbox, name);
     rate_limiter_charge(&node->core_rps, 1, clock_steady());
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -58,7 +58,7 @@
         uint8_t *bits = wire_parse_bits(entry->value, &bytes);
         if (g_strv_length(key_parts) == 3 && bits)
             leader_load_chunk(node->leader, key_parts[1],
-                              (guint)g_ascii_strtoull(key_parts[2], NULL, 10), bits, bytes,
+                              (guint)g_ascii_strtoull(key_parts[2], NULL, DECIMAL), bits, bytes,
                               entry->revision);
         g_free(bits);
         g_strfreev(key_parts);
@@ -138,7 +138,7 @@
         node->rental = rental_new();
     node->partition =
         partition_new(node->machine_types, node->settings->teams,
-                      (msec_t)(tunable_value(node->policy, TUNABLE_RESERVATION_LAPSE) * 1000));
+                      (msec_t)(tunable_value(node->policy, TUNABLE_RESERVATION_LAPSE) * MS_PER_S));
     partition_set_view(node->partition, node->view.number);
     partition_set_report(node->partition, node->settings->report_s);
     if (node->leading) {
@@ -337,11 +337,11 @@
     guint conditions = 4 * node->settings->txn_ops;
     /* The view, and two for each key written. */
     guint spoken_for = 1 + 2 * MAX(most, batch->usage.ops);
-    partition_limits_t limits = {
-        .ops = most - MIN(most, batch->usage.ops),
-        .jobs = conditions - MIN(conditions, spoken_for),
-        .value_max = MIN((gsize)(node->settings->value_kb * 1024), (gsize)TXN_VALUES_BYTES / 3),
-        .bytes = TXN_VALUES_BYTES - batch->usage.bytes};
+    partition_limits_t limits = {.ops = most - MIN(most, batch->usage.ops),
+                                 .jobs = conditions - MIN(conditions, spoken_for),
+                                 .value_max = MIN((gsize)(node->settings->value_kb * BYTES_PER_KIB),
+                                                  (gsize)TXN_VALUES_BYTES / 3),
+                                 .bytes = TXN_VALUES_BYTES - batch->usage.bytes};
     batch->machines = partition_batch_take(node->partition, &limits, now);
     batch->usage.ops += batch->machines->records->len;
     batch->usage.bytes += batch->machines->bytes;
--- a/src/app/sender.c
+++ b/src/app/sender.c
@@ -9,7 +9,7 @@
 /* One exchange, copied out under the lock. */
 typedef struct {
     char machine[ID_BYTES];
-    char url[ADDRESS_BYTES + 16];
+    char url[URL_BYTES];
     uint64_t token;
     uint64_t session;
     uint64_t generation;
@@ -20,10 +20,11 @@
 {
     report_t report = {0};
     bool reported = answer && wire_parse_report(answer, &report, NULL);
-    direct_result_t result = status == 200 && reported        ? DIRECT_EXECUTED
-                             : status == 409 || status == 400 ? DIRECT_REFUSED
-                             : status == HTTP_NOT_SENT        ? DIRECT_NOT_SENT
-                                                              : DIRECT_UNANSWERED;
+    direct_result_t result = status == HTTP_OK && reported ? DIRECT_EXECUTED
+                             : status == HTTP_CONFLICT || status == HTTP_BAD_REQUEST
+                                 ? DIRECT_REFUSED
+                             : status == HTTP_NOT_SENT ? DIRECT_NOT_SENT
+                                                       : DIRECT_UNANSWERED;
     log_debug("event=direct machine=%s commands=%u status=%d", exchange->machine, commands->len,
               status);
     pthread_mutex_lock(&node->lock);
@@ -57,7 +58,7 @@
         machine_t *machine =
             node->loaded ? partition_direct_take(node->partition, now, commands) : NULL;
         if (!machine) {
-            node_wait(node, &node->direct, 10 * TICK_MS);
+            node_wait(node, &node->direct, SENDER_IDLE_MS);
             pthread_mutex_unlock(&node->lock);
             continue;
         }
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -52,7 +52,7 @@
     if (colon)
         g_strlcpy(host, to, (gsize)(colon - to) + 1);
     if (!colon || inet_pton(AF_INET, host, &in) != 1 ||
-        !g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &port, NULL))
+        !g_ascii_string_to_unsigned(colon + 1, DECIMAL, 1, PORT_MAX, &port, NULL))
         fault(reader, name, "an IPv4 address with a port is expected");
 }
 
@@ -63,7 +63,7 @@
         return low;
     double number = json_number_value(value);
     if (!json_is_number(value) || !isfinite(number) || number < low || number > SETTING_MAX) {
-        char expected[64];
+        char expected[LABEL_BYTES];
         g_snprintf(expected, sizeof expected, "a number from %g to %g is expected", low,
                    SETTING_MAX);
         fault(reader, name, expected);
@@ -176,10 +176,12 @@
 /* The sockets granted are not all that limits connections: memory may be less. */
 static guint read_connections(reader_t *reader, const json_t *limits)
 {
-    double most = read_number(reader, limits, "fd_limit", 150) - CONNECTIONS_SPARE_COUNT;
+    double most =
+        read_number(reader, limits, "fd_limit", FD_LIMIT_MIN_COUNT) - CONNECTIONS_SPARE_COUNT;
     if (json_object_get(limits, "ram_mb")) {
-        double memory = read_number(reader, limits, "ram_mb", 16) * 1024;
-        most = MIN(most, memory * CONNECTIONS_MEMORY_FRACTION / CONNECTION_COST_KB);
+        double memory =
+            read_number(reader, limits, "ram_mb", RAM_MIN_MIB) * KIB_PER_MIB * BYTES_PER_KIB;
+        most = MIN(most, memory * CONNECTIONS_MEMORY_FRACTION / CONNECTION_COST_BYTES);
     }
     return (guint)most;
 }
@@ -197,18 +199,19 @@
         return;
     read_teams(reader, platform, settings);
     read_objectives(platform, settings);
-    settings->report_s = read_number(reader, workers, "report_s", 0.01);
+    settings->report_s = read_number(reader, workers, "report_s", REPORT_MIN_S);
     settings->lease_s = read_number(reader, workers, "lease_s", 1);
     settings->cancel_s = read_number(reader, workers, "cancel_s", 1);
     /* Between them lies all the time in which reports can be answered after the last word on
      * cancelled jobs: without it no worker would keep its lease. */
-    if (!reader->error && settings->cancel_s * 1000 <= settings->lease_s * 1000 + CANCEL_MARGIN_MS)
+    if (!reader->error &&
+        settings->cancel_s * MS_PER_S <= settings->lease_s * MS_PER_S + CANCEL_MARGIN_MS)
         fault(reader, "cancel_s", "it must exceed lease_s by more than 3 s");
     settings->state_rps = read_number(reader, state, "rps", 1);
     settings->state_write_rps = read_number(reader, state, "write_rps", 1);
     settings->value_kb = read_number(reader, state, "value_kb", 4);
-    settings->txn_ops = (guint)read_number(reader, state, "txn_ops", 10);
-    settings->cloud_rps = read_number(reader, cloud, "rps", 0.1);
+    settings->txn_ops = (guint)read_number(reader, state, "txn_ops", TXN_OPS_MIN_COUNT);
+    settings->cloud_rps = read_number(reader, cloud, "rps", CLOUD_RPS_MIN);
     settings->list_lag_s = read_number(reader, cloud, "list_lag_s", 0);
     settings->connections = read_connections(reader, limits);
 }
--- a/src/constants.h
+++ b/src/constants.h
@@ -1,212 +1,303 @@
-/* Every constant of the service: value, unit, reason. Owned by nobody, read by all. */
+/* Every constant of the service, once: its value, its unit and the reason for it.
+ *
+ * The unit ends the name: _MS (milliseconds), _S (seconds), _BYTES, _BITS, _COUNT, _FRACTION (of a
+ * whole that the comment names), _FACTOR (times something) and _DIVISOR (one in so many). What the
+ * operators may change is not here but in src/policy/policy.c. */
 #ifndef PEPPERPULLEY_CONSTANTS_H
 #define PEPPERPULLEY_CONSTANTS_H
 
 #define PEPPERPULLEY_VERSION "0.1.0"
 
-/* Sizes of identifiers, bytes with the final zero; longer ones are refused at the codec. */
+/* ---- Units ---- */
+
+enum {
+    MS_PER_S = 1000,
+    US_PER_MS = 1000,
+    NS_PER_MS = 1000000,
+    BYTES_PER_KIB = 1024,
+    KIB_PER_MIB = 1024,
+    BITS_PER_BYTE = 8,
+    DECIMAL = 10,     /* base of the numbers in keys and addresses */
+    HASH_FACTOR = 31, /* joins two hashes */
+    PORT_MAX = 65535  /* of TCP */
+};
+
+/* Amounts of cpus and GB that differ by less are equal. It is below any amount in use. */
+static const double EPSILON = 1e-6;
+
+/* ---- Sizes of names ---- */
+
+/* With the final zero. Longer names are refused by the codec. */
+enum {
+    ID_BYTES = 40,                      /* job, machine and host; the protocol's have under 20 */
+    LABEL_BYTES = 64,                   /* team, class, zone, machine type, image */
+    ADDRESS_BYTES = 64,                 /* IPv4 address with port */
+    STATE_KEY_BYTES = 128,              /* key of the state service; ours have under 80 */
+    URL_BYTES = 512,                    /* address, path and query of a call */
+    BASE_URL_BYTES = ADDRESS_BYTES + 8, /* scheme and address */
+    METHOD_BYTES = 8,                   /* HTTP method */
+    NUMBER_BYTES = 24,                  /* an integer of 64 bits in decimal */
+    REASON_BYTES = 160,                 /* why a message was refused */
+    LOG_LINE_BYTES = 1024               /* a longer line is cut */
+};
+
+/* ---- Limits that the protocol states ---- */
+
 enum {
-    ID_BYTES = 40,     /* job, machine and host names; the protocol's are under 20 */
-    LABEL_BYTES = 64,  /* team, class, zone, machine type, image */
-    ADDRESS_BYTES = 64 /* IPv4 address with port */
+    TASKS_MAX_COUNT = 100000,   /* tasks of a job */
+    BODY_MAX_BYTES = 64 * 1024, /* body of a request */
+    RENT_MAX_COUNT = 50,        /* machines in one rental */
+    RELEASE_MAX_COUNT = 100,    /* names in one release */
+    LIST_PAGE_COUNT = 500,      /* machines in a page of the cloud's list */
+    JOB_DIGITS_MIN_COUNT = 6,   /* of a job's id after "j-" */
+    JOB_DIGITS_MAX_COUNT = 18
 };
 
+/* Any amount in a message. */
+static const double AMOUNT_MAX = 1e12;
+
+/* ---- Limits of the platform's settings ---- */
+
 enum {
-    TASKS_MAX_COUNT = 100000,   /* tasks of a job, from the protocol */
-    CHUNK_BITS = 16384,         /* done bits in one key: 2 KiB, 2.7 KiB as base64, under value_kb */
-    BODY_MAX_BYTES = 64 * 1024, /* bytes of a request body, from the protocol */
-    RENT_MAX_COUNT = 50,        /* machines in one rental, from the protocol */
-    RELEASE_MAX_COUNT = 100,    /* names in one release, from the protocol */
-    LIST_PAGE_COUNT = 500,      /* machines in a page of the cloud's list, from the protocol */
-    KEYS_PAGE_COUNT = 500,   /* keys in a page of the state service: half its limit, small memory */
-    ATTEMPT_SHIFT_BITS = 24, /* attempts in one view: 16 million; view and count stay below 2^53 */
-    SHARDS_PER_ZONE_COUNT =
-        12, /* what moves between owners together; larger ones have several pages */
-    RECORD_RESERVE_BYTES = 512, /* bytes kept free below value_kb in a page's record */
-    RECORD_ATTEMPT_BYTES = 32,  /* bytes that one attempt takes at most there */
-    RECORD_MACHINE_BYTES =
-        110,                /* bytes that a machine takes at most there, names and attempts aside */
-    RECORD_JOB_BYTES = 100, /* bytes that one job's header takes at most there, names aside */
-    PROGRESS_BYTES = 64,    /* that a job's progress or end takes at most, its bits aside */
-    TXN_VALUES_BYTES =
-        48 * 1024, /* bytes of values in a transaction; the rest of 64 KiB: conditions */
-    THREAD_STACK_BYTES =
-        128 * 1024, /* bytes; the deepest path is a JSON parse inside an HTTP handler */
-    CONNECTION_BUFFER_BYTES =
-        16 * 1024,                 /* bytes of HTTP buffers per connection: 300 of them are 5 MB */
-    CONNECTION_IDLE_S = 30,        /* s; workers and users that are there speak every few seconds */
-    CONNECTIONS_SPARE_COUNT = 100, /* sockets kept for our own calls out of fd_limit */
-    API_CLIENTS_COUNT = 10, /* state connections of the API: one blocked each, 10 ms a call */
-    PEER_FRAME_MAX_BYTES =
-        1 << 20,               /* bytes of a message between controllers; usual ones have 10 KB */
-    PEER_BATCH_COUNT = 128,    /* items in one message: a second's starts and ends of 200 machines,
-                            when an    exchange by relay takes one */
-    RELAY_RESERVE_BYTES = 512, /* bytes kept free below value_kb in a page of a relayed message */
-    RELAY_PAGES_COUNT = 10,    /* of a message; a transaction takes about four of 16 KiB */
-    CONNECTION_COST_KB = 32,   /* of memory a connection takes at most: buffers, a request */
-    HTTP_THREADS_COUNT =
-        4, /* have all connections; reports take them a fraction of a millisecond */
-    API_THREADS_COUNT = 48, /* users' requests under way at once: half a second each when things are
-                       slow, a hundred a second on one node */
-    REQUESTS_WAITING_COUNT = 256, /* for an answerer; more get a 503 */
-    REQUEST_PATH_BYTES = 128, /* bytes of a path that needs an answerer: a job's id has under 40 */
-    WORKER_CONNECTIONS_DIVISOR = 4, /* a fourth of the connections is kept for workers */
-    SENDERS_COUNT = 16, /* threads that send direct commands: of 60 machines that hang at once, a
-                     controller has up to 20, and each blocks one for a moment */
-    ENDED_CACHE_COUNT = 4096, /* final answers kept in memory, about 60 bytes each */
-    GONE_JOBS_COUNT = 8192, /* ids of jobs that are over: an older list of jobs must not bring them
-                         back; a list is seconds old at most, in which a hundred may end */
-    CANCELLATION_LOG_COUNT = 2048, /* cancellations told, kept for siblings that have not fetched
-                              them: a minute or more of what the rate limits let through */
-    CANCELLATION_UPDATE_COUNT =
-        256, /* of them in one message: 6 KB; what is left is fetched in the next */
-    CLOCK_DRIFT_DIVISOR = 1000, /* one part in so many: steady clocks drift apart by up to 0.05% */
-    JOB_ERRORS_ALARM_COUNT = 4, /* failures of one job on as many machines: the job is bad */
-    STARVING_TASKS_DIVISOR =
-        16, /* of a job's tasks, one in so many at a time goes first once it is starving */
-    CLAIMED_MACHINES_DIVISOR =
-        8, /* of the machines, one in so many at most is claimed for work too large to fit */
-    CLAIMED_MACHINES_PER_JOB_COUNT = 16, /* machines claimed for one job */
-    DRAINS_PER_ROUND_COUNT = 8,    /* a fleet of hundreds goes back in seconds, not in minutes */
-    MACHINE_ERRORS_ALARM_COUNT = 3 /* failures of distinct sound jobs: the machine is bad */
+    FD_LIMIT_MIN_COUNT = 150, /* sockets: CONNECTIONS_SPARE_COUNT and some workers */
+    RAM_MIN_MIB = 16,
+    TXN_OPS_MIN_COUNT = 10
 };
 
-/* Durations in milliseconds. */
+static const double REPORT_MIN_S = 0.01;
+static const double CLOUD_RPS_MIN = 0.1;
+/* Any number there; a larger one is a slip. */
+static const double SETTING_MAX = 1e9;
+
+/* ---- Records in the state service ---- */
+
 enum {
-    LEASE_LIFE_MS = 4000, /* leader's lease in the state service: replaced well inside the shortest
-                             lease of 10 s */
+    KEYS_PAGE_COUNT = 500,   /* keys read at once: half of what the service allows, small memory */
+    CHUNK_BITS = 16384,      /* finished tasks in one key: 2 KiB, 2.7 KiB as base64 */
+    ATTEMPT_SHIFT_BITS = 24, /* attempts of one view: 16 million; an attempt number, which is view
+                                and count, stays below 2^53 */
+    SHARDS_PER_ZONE_COUNT = 12,   /* what moves between owners together; a large shard has several
+                                     pages */
+    RECORD_RESERVE_BYTES = 512,   /* kept free below value_kb in the record of a page */
+    RECORD_ATTEMPT_BYTES = 32,    /* one attempt takes at most this much of it */
+    RECORD_MACHINE_BYTES = 110,   /* a machine, names and attempts aside */
+    RECORD_JOB_BYTES = 100,       /* the header of a job, names aside */
+    PROGRESS_BYTES = 64,          /* a job's progress or end, its bits aside */
+    TXN_VALUES_BYTES = 48 * 1024, /* values in a transaction; the rest of 64 KiB is conditions */
+    STATE_TIMEOUT_MS = 2000, /* a slow answer takes a few hundred ms; past this it is unknown */
+    FOLLOW_BLOCK_MS = 2000,  /* a follow: its answer also proves which aborts are known; half a
+                                request a second */
+    COMMIT_GAP_MS = 60,      /* between commits: batches starts, spares the write limit */
+    TICK_MS = 250,           /* longest sleep of the placer when nothing happens */
+    PROGRESS_GAP_MS = 2000,  /* progress of a job waits for more, if the rate limit allows it */
+    PROGRESS_LATE_MS = 8000, /* older progress goes before starts: a machine that ends takes its
+                                results with it that are not durable */
+    RECORD_LAZY_MS = 3000    /* a record from which only acknowledged results are to go waits
+                                for a start that rewrites it anyway */
+};
+
+/* ---- Views, election and membership ---- */
+
+enum {
+    LEASE_LIFE_MS = 4000, /* the leader's lease in the state service: a leader is replaced well
+                             inside the shortest lease of a worker, 10 s */
     LEASE_EXTEND_GAP_MS = 1000, /* three tries before the lease ends */
     ELECT_POLL_MS = 500,        /* between tries to read the view while it cannot be read */
-    ELECT_YIELD_MS = 400,       /* more for one that others had better go before */
+    ELECT_YIELD_MS = 400,       /* more for a controller that others had better go before */
     ELECT_SPREAD_MS = 150,      /* random wait before a candidacy, so that few collide */
-    STATE_TIMEOUT_MS = 2000,    /* a slow answer takes a few hundred ms; past this it is unknown */
-    FOLLOW_BLOCK_MS =
-        2000, /* an answer also proves what aborts are known; half a request a second */
-    API_TIMEOUT_MS = 1500,    /* users wait 2 s for a status and 5 s for a submission */
-    DIRECT_TIMEOUT_MS = 2000, /* a worker answers in milliseconds; then the report is the path */
-    DIRECT_CONNECT_MS =
-        1000,               /* to connect takes milliseconds; a machine that hangs never answers */
-    DIRECT_FRESH_MS = 4000, /* a machine not reached for so long gets no starts and no commands;
-                               longer where workers report seldom */
-    REPORT_FOLLOWS_MS = 4800, /* a worker waits 4 s for an answer and a second more before it turns
-                                 elsewhere, from the protocol: a report sooner than that follows an
-                                 answer that arrived */
-    REPORT_LATE_MS = 1000,    /* a report is under way or waits for its turn so long at most */
-    CLOUD_TIMEOUT_MS = 10000, /* rentals may be slow; a lost answer costs a repeat only */
-    TICK_MS = 250,            /* leader's longest sleep when nothing happens */
-    COMMIT_GAP_MS = 60,       /* between commits: batches starts, spares the write limit */
-    CLOUD_LIST_GAP_MS = 2500, /* between lists; the list lags by seconds anyway */
-    CLOUD_ROUND_MS = 1500, /* over cloud.rps: three calls of a round take turns within the limit */
-    CLOUD_GAP_MS = 300,    /* between other calls: under 5 a second with the lists */
-    MACHINE_TYPES_MS = 60000,    /* prices move slowly */
-    CAPACITY_MEMORY_MS = 12000,  /* a refused type, zone and kind is not asked again before that */
-    UNREACHABLE_ZONE_MS = 60000, /* nothing is rented for so long in a zone that went silent, after
-                             its machines were given up */
-    UNREACHABLE_WAIT_MS =
-        60000, /* so long those machines are waited for: three times what a boot takes */
-    JOB_BACKOFF_MS = 5000,      /* after a failure, doubling, per job */
-    JOB_BACKOFF_MAX_MS = 60000, /* a bad job costs at most one start a minute then */
-    TASK_BACKOFF_MS = 500,      /* after a refused start: the resources were not there */
-    SILENT_MARGIN_MS = 5000,    /* beyond lease_s before a silent machine is released for proof */
-    CANCEL_MARGIN_MS = 3000,    /* kept below cancel_s - lease_s for a report under way */
+    MEMBER_TICK_MS = 250,       /* between looks at the membership */
+    MEMBER_RECHECK_MS = 2500, /* a written key is seen by the follow within this, usually at once */
+    MEMBERSHIP_BATCH_MS = 300, /* changes of the membership within this make one view */
+    VIEW_FRESH_MS = 5000,      /* a leader whose view is unconfirmed for longer leaves the cloud
+                                  alone */
     LEADER_GRACE_MS = 4000,  /* a new leader waits for reports before it judges silence or rents */
-    RENUMBER_GAP_MS = 15000, /* least time between token moves made only to allow a forget */
-    PEER_TIMEOUT_MS = 1500,  /* an exchange between controllers; the answer is held back for less */
-    PEER_ANSWER_DELAY_MS = 200, /* the leader holds an answer so long for something to say */
-    PEER_IDLE_MS = 15000,       /* a connection without a call for so long is closed */
-    PEER_SUMMARIES_GAP_MS =
-        400,                /* between the summaries of a partition that no new batch asks for */
-    HEARTBEAT_GAP_MS = 500, /* between heartbeats to a sibling: in an outage a cancellation told by
-                           it is known here, and stopped, within that */
-    START_KNOWN_MS = 6000,  /* no start is sent while cancellations are unknown for longer: answers
-                             to a follow come every 2 s, or after a slow one or two */
-    PEER_GAP_MS = 50,       /* between exchanges; batches what comes in a burst */
-    RELAY_AFTER_MS = 2500,  /* without an exchange by socket for so long, the relay is used */
-    RELAY_SOCKET_GAP_MS = 6000, /* between tries by socket meanwhile */
-    RELAY_GAP_MS = 400,    /* between looks at the relay: few of the state service's requests */
-    PEER_RETRY_MS = 300,   /* after a failed one */
-    CLAIM_MAX_MS = 60000,  /* a machine is claimed for large work so long; nothing may wait 90 s
-                              where it fits */
-    CLAIM_REST_MS = 10000, /* and then, or once it was not claimed for so long, is open to all */
-    STARVING_MS = 120000, /* a job none of whose tasks has begun by then goes first: the largest are
-                         to begin within four minutes */
-    STARVING_LONG_MS = 240000, /* and from then on it gets on steadily */
-    PROGRESS_GAP_MS =
-        2000, /* progress of a job waits so long for more, if the rate limit allows it */
-    PROGRESS_LATE_MS = 8000, /* older than that it goes before starts: a machine that ends takes the
-                                results with it that are not durable */
-    RECORD_LAZY_MS = 3000,   /* a record waits so long for a start that rewrites it anyway, if only
-                                acknowledged results leave it */
-    MEMBERSHIP_BATCH_MS = 300, /* changes of membership within it make one view */
-    VIEW_FRESH_MS =
-        5000, /* a leader whose view is not confirmed for so long leaves the cloud alone */
-    MEMBER_RECHECK_MS = 2500,    /* a written key is followed within that, usually at once */
-    MEMBER_TICK_MS = 250,        /* between looks at the membership */
-    LOST_SILENT_MS = 5000,       /* silence after which a worker may have lost its owner */
-    LOST_MACHINES_MIN_COUNT = 3, /* machines: fewer say little about their owner */
-    EXCLUDED_MS = 90000, /* so long a controller without workers owns none before a new try */
-    RETAIN_MS =
-        20000, /* so long a worker that can't reach its owner is retained before a new try */
-    RETAINED_WRITE_GAP_MS =
-        3000, /* between writes of the list of retained workers: a third of a write a second */
-    REDIRECTION_FORGET_MS = 60000, /* a worker that long gone from here is forgotten */
-    RETAINED_FRESH_MS = 8000,      /* a list of retained workers older than that says nothing */
+    RETURN_AFTER_MS = 40000, /* a new leader learns the demand before it returns machines */
+    RENUMBER_GAP_MS = 15000, /* between moves of the token made only to allow a forget */
+    EXCLUDED_MS = 90000      /* a controller without workers owns no machines for so long */
+};
+
+/* ---- Users' requests ---- */
+
+enum {
+    API_TIMEOUT_MS = 1500,  /* a call to the state service: users wait 2 s for a status and 5 s
+                               for a submission */
+    STATUS_GATHER_MS = 200, /* status reads of so long are asked together; users wait 2 s */
+    API_CLIENTS_COUNT = 10, /* connections to the state service; a call takes some 10 ms */
+    API_THREADS_COUNT = 48, /* requests handled at once: half a second each when things are
+                               slow, a hundred a second at one controller */
+    REQUESTS_WAITING_COUNT = 256, /* requests in the queue; further ones get a 503 */
+    REQUEST_PATH_BYTES = 128,     /* path of a request that is queued: a job's id has under 40 */
+    ENDED_CACHE_COUNT = 4096,     /* final states in memory, about 60 bytes each */
+    GONE_JOBS_COUNT = 8192,       /* ids of ended jobs, which an older list of jobs must not bring
+                                     back; a list is seconds old at most, and a hundred may end in
+                                     that time */
+    SHUT_OUT_MS = 3000            /* /ready is 503 after so long without the state service */
+};
+
+/* ---- Connections, threads and memory ---- */
+
+enum {
+    HTTP_THREADS_COUNT = 4,              /* serve all connections; a report takes them a fraction
+                                            of a millisecond */
+    THREAD_STACK_BYTES = 128 * 1024,     /* the deepest path: a JSON parse in an HTTP handler */
+    CONNECTION_BUFFER_BYTES = 16 * 1024, /* HTTP buffers of a connection */
+    CONNECTION_COST_BYTES = 32 * 1024,   /* a connection takes at most: buffers and a request */
+    ANSWER_KEPT_BYTES = 1 << 18,    /* buffer of a call's answer that is kept for the next call */
+    LISTEN_BACKLOG_COUNT = 16,      /* connections of siblings that wait to be accepted */
+    CONNECTION_IDLE_S = 30,         /* workers and users that are there speak every few s */
+    CONNECTIONS_SPARE_COUNT = 100,  /* sockets of fd_limit kept for calls of our own */
+    WORKER_CONNECTIONS_DIVISOR = 4, /* of the connections: one in so many is for workers */
+    HEAP_TRIM_BYTES = 256 * 1024    /* free memory at the end of the heap above which it goes
+                                       back to the system */
+};
+
+/* Of the memory granted, for connections; the rest is for records and the program. */
+static const double CONNECTIONS_MEMORY_FRACTION = 0.6;
+
+/* ---- Rate limits ----
+ *
+ * Fractions of the limits of the state service. The controllers' peaks seldom meet, and what is
+ * refused above the limit is repeated: together they may exceed 1. */
+
+static const double LEADER_WRITE_FRACTION = 0.45;     /* its partition, every job's progress */
+static const double PARTITION_WRITE_FRACTION = 0.35;  /* any other partition, at most */
+static const double PARTITIONS_WRITE_FRACTION = 1.05; /* all partitions together */
+static const double CORE_RPS_FRACTION = 0.15;         /* a controller's own loops, at most */
+static const double CORES_RPS_FRACTION = 0.50;        /* those of all controllers together */
+static const double API_RPS_FRACTION = 0.18;          /* users' requests at a controller, at most */
+static const double APIS_RPS_FRACTION = 0.60;         /* at all controllers together */
+static const double API_WRITE_FRACTION = 0.25;  /* submissions and aborts at a controller, at most:
+                                                   they come in bursts */
+static const double APIS_WRITE_FRACTION = 0.75; /* at all controllers together */
+
+/* ---- Workers' reports and direct commands ---- */
+
+enum {
+    REPORT_FOLLOWS_MS = 4800, /* a worker waits 4 s for an answer and a second more before it
+                                 turns elsewhere (protocol): a report that comes sooner follows
+                                 an answer that arrived */
+    REPORT_LATE_MS = 1000,    /* a report is on its way, or waits for its turn, so long at most */
+    DIRECT_TIMEOUT_MS = 2000, /* a worker answers in milliseconds; later the report is the path */
+    DIRECT_CONNECT_MS = 1000, /* a connection takes milliseconds; a machine that hangs takes none */
+    DIRECT_FRESH_MS = 4000,   /* a machine not reached for longer gets no starts and no commands;
+                                 more where workers report seldom */
+    SENDERS_COUNT = 16,       /* threads that send direct commands: of 60 machines that hang at
+                                 once a controller has up to 20, and each blocks one briefly */
+    SENDER_IDLE_MS = 2500,    /* longest sleep of a sender */
+    SILENT_MARGIN_MS = 5000   /* beyond lease_s before a silent machine is released, for proof */
+};
+
+/* Of report_s: a quarter more, and some machines are slower than they should be. */
+static const double REPORT_SPREAD_FACTOR = 1.5;
+
+/* ---- Redirection of workers ---- */
+
+enum {
+    REDIRECT_TIMEOUT_MS = 4000,   /* a worker waits so long for an answer (protocol) */
+    REDIRECT_PROBE_MS = 12000,    /* a worker sent to its owner and back within this can't reach it:
+                                     two controllers that don't answer cost it 5 s each */
+    RETAIN_MS = 20000,            /* such a worker is retained so long before it is sent again */
+    RETAINED_WRITE_GAP_MS = 3000, /* between writes of the list of retained workers */
+    RETAINED_FRESH_MS = 8000,     /* an older list says nothing */
+    REDIRECTION_FORGET_MS = 60000, /* a worker that is gone from here for longer is forgotten */
     REDIRECTION_GRACE_MS = 10000,  /* after a view, workers are on their way to their new owners */
-    REDIRECT_TIMEOUT_MS = 4000,    /* a worker waits so long for an answer, from the protocol */
-    REDIRECT_PROBE_MS = 12000, /* a worker sent to its owner and back within it can't reach it: two
-                            controllers that don't answer cost it 5 s each */
-    PREEMPT_PROTECT_MS = 2000, /* a start is not preempted in its first moments */
-    BOOT_PATIENCE_MS = 30000,  /* added to three times BootS before a boot is given up */
-    RETURN_AFTER_MS = 40000,   /* a new leader learns the demand before it returns machines */
-    STATUS_GATHER_MS = 200,    /* status reads of so long are asked together; users wait 2 s */
-    UNHEARD_MS = 5000,         /* without a sibling's word: heartbeats go out every half second */
-    SERVE_ALONE_MS = 8000, /* so long workers are answered without state service and siblings: their
-                             new owner, there after 5 s, waits 15 s before it gives them up */
-    SHUT_OUT_MS = 3000     /* /ready turns 503 after so long without the state service */
+    LOST_SILENT_MS = 5000,         /* after so long a silence a worker may have lost its owner */
+    LOST_MACHINES_MIN_COUNT = 3    /* fewer silent machines say little about their owner */
+};
+
+/* ---- Connectivity and known cancellations ---- */
+
+enum {
+    UNHEARD_MS = 5000, /* without a message of any sibling; heartbeats come each half second */
+    SERVE_ALONE_MS =
+        8000, /* without state service and siblings, workers are answered so long: their
+                 new owner, there after 5 s, waits 15 s before it gives them up */
+    CANCEL_MARGIN_MS = 3000,         /* kept below cancel_s - lease_s for a report on its way */
+    START_KNOWN_MS = 6000,           /* no start is sent while cancellations are unknown for longer:
+                                        answers to a follow come every 2 s, slow ones later */
+    CANCELLATION_LOG_COUNT = 2048,   /* entries kept for siblings that have not fetched them: a
+                                        minute or more of what the rate limits let through */
+    CANCELLATION_UPDATE_COUNT = 256, /* entries in one message, 6 KB; the rest goes in the next */
+    CLOCK_DRIFT_DIVISOR = 1000       /* steady clocks drift apart by up to 0.05% (protocol) */
+};
+
+/* ---- Peer exchange and relay ---- */
+
+enum {
+    PEER_TIMEOUT_MS = 1500,         /* an exchange; the answer is held back for less */
+    PEER_ANSWER_DELAY_MS = 200,     /* the leader waits so long for something to say */
+    PEER_IDLE_MS = 15000,           /* a connection without an exchange for longer is closed */
+    PEER_GAP_MS = 50,               /* between exchanges: batches what comes in a burst */
+    PEER_RETRY_MS = 300,            /* after one that failed */
+    PEER_SUMMARIES_GAP_MS = 400,    /* between machine summaries that no new batch asks for */
+    PEER_FRAME_MAX_BYTES = 1 << 20, /* a message; usual ones have 10 KB */
+    PEER_BATCH_COUNT = 128,         /* items in a message: a second's starts and ends of 200
+                                       machines, when an exchange by relay takes one */
+    HEARTBEAT_GAP_MS = 500,         /* between heartbeats to a sibling: in an outage a cancellation
+                                       told by it is known here, and stopped, within this */
+    RELAY_AFTER_MS = 2500,      /* without an exchange by socket for longer, the relay is used */
+    RELAY_SOCKET_GAP_MS = 6000, /* between tries by socket meanwhile */
+    RELAY_GAP_MS = 400,        /* between looks at the relay: few of the state service's requests */
+    RELAY_RESERVE_BYTES = 512, /* kept free below value_kb in a page of a relayed message */
+    RELAY_PAGES_COUNT = 10     /* of a message; a transaction takes about four of 16 KiB */
+};
+
+/* ---- Placement ---- */
+
+enum {
+    JOB_ERRORS_ALARM_COUNT = 4, /* failures of a job in a row: the job is at fault */
+    MACHINE_ERRORS_ALARM_COUNT =
+        3,                        /* failures of jobs that run elsewhere: the machine is at fault */
+    JOB_BACKOFF_MS = 5000,        /* after a failure of a job; doubles with each further one */
+    JOB_BACKOFF_MAX_MS = 60000,   /* a job at fault costs at most one start a minute */
+    TASK_BACKOFF_MS = 500,        /* after a refused start: the resources were not there */
+    STARVING_MS = 120000,         /* a job none of whose tasks has begun by then goes first: the
+                                     largest are to begin within four minutes */
+    STARVING_LONG_MS = 240000,    /* from then on a part of its tasks goes first */
+    STARVING_TASKS_DIVISOR = 16,  /* that part: one task in so many at a time */
+    CLAIM_MAX_MS = 60000,         /* a machine is claimed for large work so long at most; nothing
+                                     may wait 90 s where it fits */
+    CLAIM_REST_MS = 10000,        /* then, or once unclaimed for so long, it is open to all */
+    CLAIMED_MACHINES_DIVISOR = 8, /* one machine in so many is claimed at most */
+    CLAIMED_MACHINES_PER_JOB_COUNT = 16,
+    TEAMS_MASK_BITS = 64,     /* teams whose work a placement request may let stop, a bit each */
+    PREEMPT_PROTECT_MS = 2000 /* a start is not preempted in its first moments */
+};
+
+/* Of all guarantees: the weight of a team that has none. */
+static const double UNGUARANTEED_TEAM_FRACTION = 0.1;
+/* The cost of a stopped task: it waits and fetches its image again. */
+static const double PREEMPT_COST_S = 5.0;
+/* Added where the image is still to be fetched. */
+static const double PREEMPT_COLD_S = 30.0;
+
+/* ---- Renting and returning machines ---- */
+
+enum {
+    CLOUD_TIMEOUT_MS = 10000,    /* rentals may be slow; a lost answer costs a repeat only */
+    CLOUD_LIST_GAP_MS = 2500,    /* between lists; the list lags by seconds anyway */
+    CLOUD_ROUND_MS = 1500,       /* over cloud.rps: three calls of a round share the limit */
+    CLOUD_GAP_MS = 300,          /* between other calls: under 5 a second with the lists */
+    MACHINE_TYPES_MS = 60000,    /* between reads of the types; prices move slowly */
+    CAPACITY_MEMORY_MS = 12000,  /* a refused type, zone and kind is not asked for again sooner */
+    UNREACHABLE_ZONE_MS = 60000, /* nothing is rented for so long in a zone that went silent, after
+                                    its machines were given up */
+    UNREACHABLE_WAIT_MS = 60000, /* those machines are waited for: three times what a boot takes */
+    BOOT_PATIENCE_MS = 30000,    /* added to three times BootS before a boot is given up */
+    DRAINS_PER_ROUND_COUNT = 8   /* a fleet of hundreds goes back in seconds, not in minutes */
 };
 
-#define SETTING_MAX 1e9 /* of any number in the platform's file; more is a slip */
-
-/* Shares of the outside services' limits (1 = all of it). Peaks of the three nodes seldom meet,
- * and what is refused above the limit is repeated: together they may exceed 1. */
-#define CONNECTIONS_MEMORY_FRACTION                                                                \
-    0.6                            /* of memory for connections; the rest for records and our own */
-#define LEADER_WRITE_FRACTION 0.45 /* its partition's commits and every job's progress */
-#define PARTITION_WRITE_FRACTION 0.35  /* another partition's commits, at most */
-#define PARTITIONS_WRITE_FRACTION 1.05 /* of all partitions together */
-#define CORE_RPS_FRACTION 0.15         /* a node's own loops, at most */
-#define CORES_RPS_FRACTION 0.50        /* of all nodes together */
-#define API_RPS_FRACTION 0.18          /* one API, at most */
-#define APIS_RPS_FRACTION 0.60         /* of all APIs together */
-#define API_WRITE_FRACTION                                                                         \
-    0.25                         /* an API's submissions and aborts, at most: they come in bursts  \
-                                  */
-#define APIS_WRITE_FRACTION 0.75 /* of all APIs together */
-
-#define REPORT_SPREAD_FACTOR                                                                       \
-    1.5 /* of report_s: a quarter more, and some machines slower than they should */
-
-/* Preemption. */
-#define PREEMPT_COST_S                                                                             \
-    5.0 /* a stopped task waits and fetches again; larger ones find room later                     \
-         */
-
-#define PREEMPT_COLD_S                                                                             \
-    30.0 /* counts against stopping work where the image is still to be fetched */
-
-/* Renting. */
-#define RENT_PATIENCE_MIN_S                                                                        \
-    15.0 /* work near its deadline shares a machine's resources only within that */
-#define RENT_LARGEST_FRACTION 0.6      /* a machine may be this share of all that is wanted */
-#define RENT_ROUND_FRACTION 0.25       /* of a machine: so little lacking is not worth another */
-#define UNGUARANTEED_TEAM_FRACTION 0.1 /* of all guarantees: the weight of a team that has none */
-#define ORDINARY_EASED_FACTOR 2.0 /* of their patience: at half the waiting work they go back */
-#define RENT_SPREAD_FRACTION 0.02 /* price added per machine of the same type, zone and kind */
-
-#define DRAIN_EMPTY_FRACTION                                                                       \
-    0.5 /* of a drained machine's cpus: with so much free, what can save is moved                  \
-         */
-
-#define EPSILON 1e-6 /* in cpus and GB: below any amount in use */
+/* The least patience of work near its deadline: it takes turns on a machine only within that. */
+static const double RENT_PATIENCE_MIN_S = 15.0;
+/* Of all that is wanted: the largest machine to rent. */
+static const double RENT_LARGEST_FRACTION = 0.6;
+/* Of a machine: if no more than this is lacking, none is rented. */
+static const double RENT_ROUND_FRACTION = 0.25;
+/* Of the price, added for each machine of the same type, zone and kind. */
+static const double RENT_SPREAD_FRACTION = 0.02;
+/* Of their patience: ordinary machines go back once the queue is below it divided by this. */
+static const double ORDINARY_EASED_FACTOR = 2.0;
+/* Of a drained machine's cpus: with so much free, work that can save is moved elsewhere. */
+static const double DRAIN_EMPTY_FRACTION = 0.5;
 
 #endif
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -25,7 +25,7 @@
     gsize length = plus ? (gsize)(plus - name) : strlen(name);
     guint64 number = 0;
     if (!dot || length >= size ||
-        (plus && !g_ascii_string_to_unsigned(plus + 1, 10, 1, G_MAXINT, &number, NULL)))
+        (plus && !g_ascii_string_to_unsigned(plus + 1, DECIMAL, 1, G_MAXINT, &number, NULL)))
         return false;
     memcpy(shard, name, length);
     shard[length] = '\0';
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -136,7 +136,7 @@
     double most = tunable_for_job(leader->policy, TUNABLE_RENT_PATIENCE, &job->spec);
     if (job->spec.deadline_s <= 0)
         return most;
-    double due = (double)(job->spec.submitted_ms - day_ms) / 1000.0 + job->spec.deadline_s -
+    double due = (double)(job->spec.submitted_ms - day_ms) / MS_PER_S + job->spec.deadline_s -
                  job->spec.estimate_s;
     return CLAMP(due, MIN(most, RENT_PATIENCE_MIN_S), most);
 }
@@ -386,7 +386,7 @@
         return NULL;
     double wait = tunable_for_machine(leader->policy, TUNABLE_IDLE_KEEP, worst->type, worst->zone,
                                       worst->spot, worst->total);
-    return (double)(now - rental->surplus_since) >= wait * 1000 ? worst : NULL;
+    return (double)(now - rental->surplus_since) >= wait * MS_PER_S ? worst : NULL;
 }
 
 GPtrArray *rental_stuck(const rental_t *rental, const GArray *machine_types, msec_t now)
@@ -398,7 +398,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const boot_t *boot = value;
         const machine_type_t *machine_type = machine_type_find(machine_types, boot->type);
-        msec_t usual = machine_type ? (msec_t)(machine_type->boot_s * 1000) : 0;
+        msec_t usual = machine_type ? (msec_t)(machine_type->boot_s * MS_PER_S) : 0;
         if (now - boot->since > BOOT_PATIENCE_MS + 3 * usual)
             g_ptr_array_add(stuck, g_strdup(boot->machine));
     }
--- a/src/core/types.c
+++ b/src/core/types.c
@@ -18,7 +18,7 @@
 guint task_ref_hash(gconstpointer ref)
 {
     const task_ref_t *key = ref;
-    return g_str_hash(key->job) * 31 + key->task;
+    return g_str_hash(key->job) * HASH_FACTOR + key->task;
 }
 
 gboolean task_ref_equal(gconstpointer left, gconstpointer right)
--- a/src/io/clock.h
+++ b/src/io/clock.h
@@ -10,7 +10,7 @@
 {
     struct timespec now;
     clock_gettime(id, &now);
-    return (msec_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+    return (msec_t)now.tv_sec * MS_PER_S + now.tv_nsec / NS_PER_MS;
 }
 
 static inline msec_t clock_steady(void)
--- a/src/io/http.h
+++ b/src/io/http.h
@@ -9,8 +9,19 @@
 
 typedef struct http_client http_client_t;
 
-/* Statuses besides those of HTTP. */
+/* What a call came to: a status of HTTP, or that there is none. */
 enum {
+    HTTP_OK = 200,
+    HTTP_CREATED = 201,
+    HTTP_BAD_REQUEST = 400,
+    HTTP_NOT_FOUND = 404,
+    HTTP_METHOD_NOT_ALLOWED = 405,
+    HTTP_CONFLICT = 409,
+    HTTP_GONE = 410,
+    HTTP_MISDIRECTED = 421,
+    HTTP_UNPROCESSABLE = 422,
+    HTTP_TOO_MANY_REQUESTS = 429,
+    HTTP_UNAVAILABLE = 503,
     HTTP_NO_ANSWER = 0, /* it may have been executed, or may still be */
     HTTP_NOT_SENT = -1  /* no byte of it left */
 };
--- a/src/io/peer_protocol.c
+++ b/src/io/peer_protocol.c
@@ -278,13 +278,14 @@
     if (!colon)
         return false;
     g_strlcpy(host, text, MIN(sizeof host, (gsize)(colon - text) + 1));
-    address->sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10));
+    address->sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, DECIMAL));
     return inet_pton(AF_INET, host, &address->sin_addr) == 1;
 }
 
 void peer_set_timeout(int fd, guint timeout_ms)
 {
-    struct timeval wait = {.tv_sec = timeout_ms / 1000, .tv_usec = timeout_ms % 1000 * 1000};
+    struct timeval wait = {.tv_sec = timeout_ms / MS_PER_S,
+                           .tv_usec = timeout_ms % MS_PER_S * (suseconds_t)US_PER_MS};
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
     setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof wait);
 }
@@ -297,7 +298,8 @@
     if (fd < 0)
         return -1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    if (bind(fd, (struct sockaddr *)&address, sizeof address) != 0 || listen(fd, 16) != 0) {
+    if (bind(fd, (struct sockaddr *)&address, sizeof address) != 0 ||
+        listen(fd, LISTEN_BACKLOG_COUNT) != 0) {
         close(fd);
         return -1;
     }
--- a/src/io/rate_limiter.c
+++ b/src/io/rate_limiter.c
@@ -11,7 +11,7 @@
 static void refill(rate_limiter_t *limiter, msec_t now)
 {
     if (now > limiter->at) {
-        limiter->left += limiter->rate * (double)(now - limiter->at) / 1000.0;
+        limiter->left += limiter->rate * (double)(now - limiter->at) / MS_PER_S;
         limiter->at = now;
     }
     limiter->left = MIN(limiter->left, MAX(limiter->rate, 1));
--- a/src/io/records.c
+++ b/src/io/records.c
@@ -4,7 +4,7 @@
 
 static void write_progress(txn_t *txn, const progress_t *progress)
 {
-    char key[128], job[128];
+    char key[STATE_KEY_BYTES], job[STATE_KEY_BYTES];
     g_snprintf(job, sizeof job, "jobs/%s", progress->job);
     if (!progress->end) {
         g_snprintf(key, sizeof key, "done/%s/%u", progress->job, progress->chunk);
@@ -29,7 +29,7 @@
 
 static void write_machines(txn_t *txn, const partition_batch_t *machines, GHashTable *written_jobs)
 {
-    char key[128], page[PAGE_NAME_BYTES];
+    char key[STATE_KEY_BYTES], page[PAGE_NAME_BYTES];
     for (guint i = 0; i < machines->records->len; i++) {
         const page_record_t *record = &g_array_index(machines->records, page_record_t, i);
         page_name(record->shard, record->page, page, sizeof page);
@@ -69,7 +69,7 @@
 
 txn_t records_submit(const job_spec_t *spec)
 {
-    char live[128], ended[128];
+    char live[STATE_KEY_BYTES], ended[STATE_KEY_BYTES];
     g_snprintf(live, sizeof live, "jobs/%s", spec->id);
     g_snprintf(ended, sizeof ended, "ended/%s", spec->id);
     txn_t txn = txn_new();
@@ -81,7 +81,7 @@
 
 txn_t records_abort(const char *id, uint64_t revision, uint32_t tasks)
 {
-    char key[128];
+    char key[STATE_KEY_BYTES];
     txn_t txn = txn_new();
     g_snprintf(key, sizeof key, "jobs/%s", id);
     txn_if(&txn, key, revision);
@@ -97,7 +97,7 @@
 
 txn_t records_member(const member_t *self, uint64_t revision, uint64_t lease)
 {
-    char key[ID_BYTES + 16];
+    char key[STATE_KEY_BYTES];
     txn_t txn = txn_new();
     g_snprintf(key, sizeof key, "view/members/%s", self->name);
     txn_if(&txn, key, revision);
--- a/src/io/relay.c
+++ b/src/io/relay.c
@@ -35,7 +35,7 @@
 guint relay_write(txn_t *txn, const char *inbox, const char *name, const GByteArray *frame,
                   gsize value_max)
 {
-    char key[ID_BYTES + 32];
+    char key[STATE_KEY_BYTES];
     char *text = pack(frame);
     gsize length = strlen(text), page_max = value_max - RELAY_RESERVE_BYTES;
     guint pages = (guint)((length + page_max - 1) / page_max);
@@ -59,13 +59,13 @@
 /* The page's inbox and number; false: not a page of this inbox. */
 static bool parse_key(const char *key, const char *inbox, char *name, gsize size, guint64 *page)
 {
-    char prefix[32];
+    char prefix[STATE_KEY_BYTES];
     const char *dot = strrchr(key, '.');
     g_snprintf(prefix, sizeof prefix, "mail/%s/", inbox);
     gsize skip = strlen(prefix);
     if (!g_str_has_prefix(key, prefix) || !dot || dot < key + skip ||
         (gsize)(dot - key) - skip >= size ||
-        !g_ascii_string_to_unsigned(dot + 1, 10, 0, RELAY_PAGES_COUNT, page, NULL))
+        !g_ascii_string_to_unsigned(dot + 1, DECIMAL, 0, RELAY_PAGES_COUNT, page, NULL))
         return false;
     g_strlcpy(name, key + skip, (gsize)(dot - key) - skip + 1);
     return true;
--- a/src/io/state.c
+++ b/src/io/state.c
@@ -28,24 +28,24 @@
                                    const char *path, const json_t *body, long timeout_ms,
                                    json_t **answer)
 {
-    char url[512];
+    char url[URL_BYTES];
     g_snprintf(url, sizeof url, "%s%s", state->base, path);
     msec_t sent = clock_steady();
     int status = http_call(client, method, url, body, timeout_ms, answer);
     switch (status) {
-    case 200:
+    case HTTP_OK:
         break;
     case HTTP_NO_ANSWER:
         return STATE_UNKNOWN;
-    case 404:
-    case 409:
-    case 410:
+    case HTTP_NOT_FOUND:
+    case HTTP_CONFLICT:
+    case HTTP_GONE:
         break;
-    case 400:
+    case HTTP_BAD_REQUEST:
         return STATE_INVALID;
     case HTTP_NOT_SENT:
-    case 429:
-    case 503:
+    case HTTP_TOO_MANY_REQUESTS:
+    case HTTP_UNAVAILABLE:
         return STATE_REFUSED;
     default:
         return STATE_UNKNOWN;
@@ -53,9 +53,11 @@
     msec_t before = atomic_load(&state->answered_at);
     while (sent > before && !atomic_compare_exchange_weak(&state->answered_at, &before, sent))
         ;
-    if (status == 200)
+    if (status == HTTP_OK)
         return *answer ? STATE_OK : STATE_UNKNOWN;
-    return status == 404 ? STATE_ABSENT : status == 409 ? STATE_FAILED : STATE_EXPIRED;
+    return status == HTTP_NOT_FOUND  ? STATE_ABSENT
+           : status == HTTP_CONFLICT ? STATE_FAILED
+                                     : STATE_EXPIRED;
 }
 
 static uint64_t get_number(const json_t *object, const char *name)
@@ -66,7 +68,7 @@
 state_result_t state_get(state_t *state, http_client_t *client, const char *key, long timeout_ms,
                          state_entry_t *entry)
 {
-    char path[300];
+    char path[URL_BYTES];
     json_t *answer = NULL;
     g_snprintf(path, sizeof path, "/keys/%s", key);
     state_result_t result = send_request(state, client, "GET", path, NULL, timeout_ms, &answer);
@@ -82,7 +84,7 @@
 state_result_t state_list(state_t *state, http_client_t *client, const char *prefix,
                           GArray *entries, uint64_t *revision)
 {
-    char path[300];
+    char path[URL_BYTES];
     bool more = true, first = true;
     while (more) {
         json_t *answer = NULL;
@@ -183,7 +185,7 @@
 
 state_result_t state_lease_extend(state_t *state, http_client_t *client, uint64_t lease)
 {
-    char path[80];
+    char path[URL_BYTES];
     json_t *answer = NULL;
     g_snprintf(path, sizeof path, "/grants/%" G_GUINT64_FORMAT "/extend", lease);
     state_result_t result =
@@ -195,7 +197,7 @@
 state_result_t state_follow(state_t *state, http_client_t *client, const char *prefix,
                             guint block_ms, uint64_t *revision, GArray *changes)
 {
-    char path[300];
+    char path[URL_BYTES];
     json_t *answer = NULL;
     g_snprintf(path, sizeof path, "/follow?Under=%s&Since=%" G_GUINT64_FORMAT "&BlockMs=%u", prefix,
                *revision, block_ms);
--- a/src/io/state.h
+++ b/src/io/state.h
@@ -18,7 +18,7 @@
 
 /* Shared by all threads; each brings its own client. */
 typedef struct {
-    char base[ADDRESS_BYTES + 8];
+    char base[BASE_URL_BYTES];
     _Atomic(msec_t) answered_at; /* when the newest request that was answered had been sent */
 } state_t;
 
--- a/src/io/wire.h
+++ b/src/io/wire.h
@@ -12,7 +12,7 @@
 #include "core/types.h"
 
 typedef struct {
-    char text[160];
+    char text[REASON_BYTES];
 } reason_t;
 
 bool wire_id_valid(const char *id);
--- a/src/log.c
+++ b/src/log.c
@@ -4,6 +4,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "constants.h"
+
 static const char *const level_names[] = {"error", "info", "debug"};
 
 /* Set before any thread starts, read only afterwards. */
@@ -31,7 +33,7 @@
 {
     if (!log_enabled(level))
         return;
-    char line[1024];
+    char line[LOG_LINE_BYTES];
     va_list args;
     int used = snprintf(line, sizeof line, "level=%s ", level_names[level]);
     va_start(args, format);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -101,8 +101,8 @@
     assert_int_equal(connections(600, 0), 500);
     assert_int_equal(connections(2537, 0), 2437);
     assert_int_equal(connections(2537, 188), 2437);
-    assert_in_range(connections(1e9, 188), 1000, 188 * 1024 / CONNECTION_COST_KB);
-    assert_in_range(connections(2537, 56), 300, 56 * 1024 / CONNECTION_COST_KB);
+    assert_in_range(connections(1e9, 188), 1000, 188 * 1024 * 1024 / CONNECTION_COST_BYTES);
+    assert_in_range(connections(2537, 56), 300, 56 * 1024 * 1024 / CONNECTION_COST_BYTES);
 }
 
 static void test_missing_file_is_reported(void **state)
