--- a/src/app/member.c
+++ b/src/app/member.c
@@ -77,7 +77,8 @@
  * them: it should not carry the leader's load as well, which others can. */
 static bool should_yield(const settings_t *settings)
 {
-    guint own = count_in_zone(settings, settings->zone), most = own;
+    guint own = count_in_zone(settings, settings->zone);
+    guint most = own;
     for (guint i = 0; i < settings->siblings->len; i++) {
         const char *zone = g_array_index(settings->siblings, sibling_t, i).zone;
         most = MAX(most, count_in_zone(settings, zone));
@@ -96,7 +97,8 @@
                (!resumes && should_yield(node->settings) ? ELECT_YIELD_MS : 0));
     pthread_mutex_lock(&node->lock);
     view_t next = {.number = node->view.number + 1, .incarnation = node->incarnation};
-    uint64_t revision = node->view.revision, lease_revision = node->election.lease_revision;
+    uint64_t revision = node->view.revision;
+    uint64_t lease_revision = node->election.lease_revision;
     g_strlcpy(next.leader, node->settings->name, sizeof next.leader);
     election_members(&node->election, &next, clock_steady());
     /* Someone else may have taken it while we waited. */
--- a/src/app/peer_exchange.c
+++ b/src/app/peer_exchange.c
@@ -410,8 +410,11 @@
     node_t *node = data;
     http_client_t *client = http_client_new(2);
     char connected[ADDRESS_BYTES] = "";
-    msec_t reached = clock_steady(), tried = 0, summaries_sent_at = 0;
-    uint64_t reported_batch = 0, generation = 0;
+    msec_t reached = clock_steady();
+    msec_t tried = 0;
+    msec_t summaries_sent_at = 0;
+    uint64_t reported_batch = 0;
+    uint64_t generation = 0;
     int fd = -1;
     for (;;) {
         char endpoint[ADDRESS_BYTES] = "";
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -142,7 +142,8 @@
 
 static gint compare_doubles(gconstpointer left, gconstpointer right)
 {
-    const double *a = left, *b = right;
+    const double *a = left;
+    const double *b = right;
     return *a < *b ? -1 : *a > *b;
 }
 
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -21,7 +21,8 @@
 bool page_parse(const char *name, char *shard, gsize size, guint *page)
 {
     /* The shard's number follows the last dot, whatever the zone's name holds. */
-    const char *dot = strrchr(name, '.'), *plus = dot ? strchr(dot, '+') : NULL;
+    const char *dot = strrchr(name, '.');
+    const char *plus = dot ? strchr(dot, '+') : NULL;
     gsize length = plus ? (gsize)(plus - name) : strlen(name);
     guint64 number = 0;
     if (!dot || length >= size ||
--- a/src/core/redirection.c
+++ b/src/core/redirection.c
@@ -136,7 +136,8 @@
 {
     GPtrArray *retained = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter iter;
-    gpointer id, value;
+    gpointer id;
+    gpointer value;
     g_hash_table_iter_init(&iter, redirection->machines);
     while (g_hash_table_iter_next(&iter, &id, &value)) {
         const redirected_worker_t *worker = value;
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -84,7 +84,8 @@
     GPtrArray *fallen = g_ptr_array_new_with_free_func(g_free);
     GHashTable *zones = sum_zones(leader, silent_ms);
     GHashTableIter iter;
-    gpointer zone, value;
+    gpointer zone;
+    gpointer value;
     g_hash_table_iter_init(&iter, zones);
     while (g_hash_table_iter_next(&iter, &zone, &value)) {
         const zone_sum_t *sum = value;
--- a/src/core/types.c
+++ b/src/core/types.c
@@ -23,7 +23,8 @@
 
 gboolean task_ref_equal(gconstpointer left, gconstpointer right)
 {
-    const task_ref_t *a = left, *b = right;
+    const task_ref_t *a = left;
+    const task_ref_t *b = right;
     return a->task == b->task && strcmp(a->job, b->job) == 0;
 }
 
--- a/src/io/peer_protocol.c
+++ b/src/io/peer_protocol.c
@@ -170,8 +170,8 @@
 
 GByteArray *peer_encode(const peer_message_t *message)
 {
-    guint items = message->items ? message->items->len : 0,
-          summaries = message->summaries ? message->summaries->len : 0;
+    guint items = message->items ? message->items->len : 0;
+    guint summaries = message->summaries ? message->summaries->len : 0;
     peer_item *item_list = g_new0(peer_item, items + 1);
     peer_machine_summary *summary_list = g_new0(peer_machine_summary, summaries + 1);
     for (guint i = 0; i < items; i++)
@@ -309,7 +309,8 @@
 int peer_connect(const char *text, guint timeout_ms)
 {
     struct sockaddr_in address;
-    int on = 1, error = 0;
+    int on = 1;
+    int error = 0;
     socklen_t size = sizeof error;
     int fd = parse_address(text, &address) ? socket(AF_INET, SOCK_STREAM, 0) : -1;
     if (fd < 0)
--- a/src/io/records.c
+++ b/src/io/records.c
@@ -4,7 +4,8 @@
 
 static void write_progress(txn_t *txn, const progress_t *progress)
 {
-    char key[STATE_KEY_BYTES], job[STATE_KEY_BYTES];
+    char key[STATE_KEY_BYTES];
+    char job[STATE_KEY_BYTES];
     g_snprintf(job, sizeof job, "jobs/%s", progress->job);
     if (!progress->end) {
         g_snprintf(key, sizeof key, "done/%s/%u", progress->job, progress->chunk);
@@ -29,7 +30,8 @@
 
 static void write_machines(txn_t *txn, const partition_batch_t *machines, GHashTable *written_jobs)
 {
-    char key[STATE_KEY_BYTES], page[PAGE_NAME_BYTES];
+    char key[STATE_KEY_BYTES];
+    char page[PAGE_NAME_BYTES];
     for (guint i = 0; i < machines->records->len; i++) {
         const page_record_t *record = &g_array_index(machines->records, page_record_t, i);
         page_name(record->shard, record->page, page, sizeof page);
@@ -41,7 +43,8 @@
             txn_delete(txn, key);
     }
     GHashTableIter iter;
-    gpointer id, revision;
+    gpointer id;
+    gpointer revision;
     g_hash_table_iter_init(&iter, machines->jobs);
     while (g_hash_table_iter_next(&iter, &id, &revision)) {
         if (g_hash_table_contains(written_jobs, id))
@@ -69,7 +72,8 @@
 
 txn_t records_submit(const job_spec_t *spec)
 {
-    char live[STATE_KEY_BYTES], ended[STATE_KEY_BYTES];
+    char live[STATE_KEY_BYTES];
+    char ended[STATE_KEY_BYTES];
     g_snprintf(live, sizeof live, "jobs/%s", spec->id);
     g_snprintf(ended, sizeof ended, "ended/%s", spec->id);
     txn_t txn = txn_new();
--- a/src/io/relay.c
+++ b/src/io/relay.c
@@ -37,7 +37,8 @@
 {
     char key[STATE_KEY_BYTES];
     char *text = pack(frame);
-    gsize length = strlen(text), page_max = value_max - RELAY_RESERVE_BYTES;
+    gsize length = strlen(text);
+    gsize page_max = value_max - RELAY_RESERVE_BYTES;
     guint pages = (guint)((length + page_max - 1) / page_max);
     for (guint page = 0; page < pages; page++) {
         gsize from = page * page_max;
--- a/tests/fakes/services.c
+++ b/tests/fakes/services.c
@@ -76,7 +76,8 @@
 {
     GPtrArray *found = g_ptr_array_new();
     GHashTableIter iter;
-    gpointer key, entry;
+    gpointer key;
+    gpointer entry;
     g_hash_table_iter_init(&iter, services->store->keys);
     while (g_hash_table_iter_next(&iter, &key, &entry))
         if (g_str_has_prefix(key, prefix))
--- a/tests/test_channel.c
+++ b/tests/test_channel.c
@@ -14,7 +14,8 @@
 static void test_lost_answer_repeats_the_batch_and_it_counts_once(void **state)
 {
     (void)state;
-    channel_t *from = channel_new(), *to = channel_new();
+    channel_t *from = channel_new();
+    channel_t *to = channel_new();
     channel_push(from, drain("m-1"));
     assert_int_equal(channel_batch(from, 10)->len, 1);
     assert_true(channel_accept(to, from->sent));
@@ -31,7 +32,8 @@
 static void test_late_batch_and_late_acknowledgement_change_nothing(void **state)
 {
     (void)state;
-    channel_t *from = channel_new(), *to = channel_new();
+    channel_t *from = channel_new();
+    channel_t *to = channel_new();
     for (int i = 0; i < 3; i++) {
         channel_push(from, drain("m-1"));
         channel_batch(from, 10);
@@ -110,7 +112,8 @@
 static void test_lost_member_moves_only_its_own_machines(void **state)
 {
     (void)state;
-    guint moved = 0, owned = 0;
+    guint moved = 0;
+    guint owned = 0;
     for (int i = 0; i < 200; i++) {
         char machine[ID_BYTES];
         g_snprintf(machine, sizeof machine, "m-%06d", i);
--- a/tests/test_election.c
+++ b/tests/test_election.c
@@ -68,7 +68,8 @@
 static void test_member_back_at_once_makes_a_new_view(void **state)
 {
     (void)state;
-    view_t view = {0}, next = {0};
+    view_t view = {0};
+    view_t next = {0};
     present("hand-0", 10, 1000);
     present("hand-2", 30, 1000);
     election_members(&election, &view, 2000);
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -128,7 +128,8 @@
 static void test_shares_are_served_in_turn(void **state)
 {
     (void)state;
-    job_spec_t red = job("j-000001", "red", 100), blue = job("j-000002", "blue", 100);
+    job_spec_t red = job("j-000001", "red", 100);
+    job_spec_t blue = job("j-000002", "blue", 100);
     set_resources(0, "north", 64);
     add(&red);
     add(&blue);
@@ -153,7 +154,8 @@
     leader_set_view(leader, 3);
     record_entry_t loaded = {.job = "j-000009", .team = "red", .need = {40, 0, 1}, .attempt = 9};
     leader_load_attempt(leader, &loaded, "north", 0);
-    job_spec_t red = job("j-000001", "red", 100), blue = job("j-000002", "blue", 100);
+    job_spec_t red = job("j-000001", "red", 100);
+    job_spec_t blue = job("j-000002", "blue", 100);
     set_resources(0, "north", 30);
     add(&red);
     add(&blue);
@@ -171,7 +173,8 @@
 static void test_priority_comes_before_age(void **state)
 {
     (void)state;
-    job_spec_t older = job("j-000001", "blue", 1), urgent = job("j-000002", "blue", 1);
+    job_spec_t older = job("j-000001", "blue", 1);
+    job_spec_t urgent = job("j-000002", "blue", 1);
     urgent.priority = PRIORITY_HIGH;
     urgent.submitted_ms = 1500;
     set_resources(0, "north", 2);
@@ -187,7 +190,8 @@
 static void test_machines_are_claimed_for_a_large_task_that_goes_first(void **state)
 {
     (void)state;
-    job_spec_t large = job("j-000001", "blue", 1), small = job("j-000002", "blue", 9);
+    job_spec_t large = job("j-000001", "blue", 1);
+    job_spec_t small = job("j-000002", "blue", 9);
     large.need.cpus = 4;
     small.need.cpus = 1;
     small.priority = PRIORITY_LOW;
@@ -253,7 +257,8 @@
 static void test_hopeless_deadlines_come_last(void **state)
 {
     (void)state;
-    job_spec_t hopeless = job("j-000001", "blue", 1), hopeful = job("j-000002", "blue", 1);
+    job_spec_t hopeless = job("j-000001", "blue", 1);
+    job_spec_t hopeful = job("j-000002", "blue", 1);
     hopeless.deadline_s = 5; /* estimate 10 */
     hopeful.deadline_s = 500;
     set_resources(0, "north", 2);
@@ -296,7 +301,8 @@
 static void test_a_bound_job_moves_only_when_its_old_zone_is_proved_empty(void **state)
 {
     (void)state;
-    job_spec_t spec = job("j-000001", "blue", 2), apart = job("j-000002", "blue", 3);
+    job_spec_t spec = job("j-000001", "blue", 2);
+    job_spec_t apart = job("j-000002", "blue", 3);
     spec.same_zone = true;
     apart.spread = true;
     add(&spec);
@@ -327,7 +333,8 @@
 static void test_a_machine_claim_is_bounded(void **state)
 {
     (void)state;
-    job_spec_t large = job("j-000001", "blue", 1), small = job("j-000002", "blue", 9);
+    job_spec_t large = job("j-000001", "blue", 1);
+    job_spec_t small = job("j-000002", "blue", 9);
     large.need.cpus = 4;
     small.need.cpus = 1;
     small.priority = PRIORITY_LOW;
@@ -385,7 +392,8 @@
 static void test_machine_that_fails_sound_jobs_is_quarantined(void **state)
 {
     (void)state;
-    job_spec_t first = job("j-000001", "blue", 9), second = job("j-000002", "blue", 9);
+    job_spec_t first = job("j-000001", "blue", 9);
+    job_spec_t second = job("j-000002", "blue", 9);
     add(&first);
     add(&second);
     for (uint32_t i = 0; i < 5; i++)
@@ -445,7 +453,8 @@
 static void test_end_of_a_job_goes_before_progress_of_others(void **state)
 {
     (void)state;
-    job_spec_t half = job("j-000001", "blue", 2), whole = job("j-000002", "blue", 1);
+    job_spec_t half = job("j-000001", "blue", 2);
+    job_spec_t whole = job("j-000002", "blue", 1);
     job_spec_t other = job("j-000003", "blue", 2);
     set_resources(0, "north", 20);
     add(&half);
@@ -628,7 +637,8 @@
 static guint ordinary_for(uint32_t tasks)
 {
     static char *zones[] = {"north", NULL};
-    rental_wish_t wish, taken = {.type = "t", .zone = "north", .spot = true};
+    rental_wish_t wish;
+    rental_wish_t taken = {.type = "t", .zone = "north", .spot = true};
     GArray *machine_types = g_array_new(FALSE, FALSE, sizeof(machine_type_t));
     machine_type_t machine_type = {
         .name = "t", .capacity = {16, 0, 64}, .price = 3, .spot_price = 1, .zones = zones};
--- a/tests/test_partition.c
+++ b/tests/test_partition.c
@@ -548,7 +548,8 @@
 {
     (void)state;
     exchange();
-    report_t original = fake_worker_report(fixture->worker), copy = original;
+    report_t original = fake_worker_report(fixture->worker);
+    report_t copy = original;
     copy.attempts = g_array_copy(original.attempts);
     deliver(&original, false);
     msec_t last = fixture->now;
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -31,7 +31,8 @@
     (void)state;
     char *text = NULL;
     assert_true(g_file_get_contents(SOURCE_DIR "/deploy/example.policy", &text, NULL, NULL));
-    policy_t *example = policy_compile("example", text, faults), *standard = policy_default();
+    policy_t *example = policy_compile("example", text, faults);
+    policy_t *standard = policy_default();
     assert_non_null(example);
     policy_env_t env = {.number = {[ATTR_JOB_PRIORITY] = 2}};
     for (int tunable = 0; tunable < TUNABLE_COUNT; tunable++) {
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -224,7 +224,8 @@
 static GPtrArray *fleet_of_one_shard(void)
 {
     GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
-    char own_shard[SHARD_NAME_BYTES], shard[SHARD_NAME_BYTES];
+    char own_shard[SHARD_NAME_BYTES];
+    char shard[SHARD_NAME_BYTES];
     shard_of("m-000001", "north", own_shard, sizeof own_shard);
     for (guint i = 1; ids->len < FLEET; i++) {
         char *id = g_strdup_printf("m-%06u", i);
@@ -242,7 +243,7 @@
 {
     for (guint i = 0; i < tasks; i++) {
         placement_request_t request = {
-            .need = {cpus, 0, 1.23456789}, .task = 99999, .attempt = (7u << 24) + i};
+            .need = {cpus, 0, 1.23456789}, .task = 99999, .attempt = (7U << 24) + i};
         g_snprintf(request.job, sizeof request.job, "j-%06u", i / 3);
         g_strlcpy(request.team, "a-team-with-a-name", sizeof request.team);
         g_strlcpy(request.image, "an-image-with-a-name", sizeof request.image);
@@ -299,7 +300,8 @@
 {
     guint attempts = 0;
     GHashTableIter iter;
-    gpointer key, value;
+    gpointer key;
+    gpointer value;
     g_hash_table_remove_all(machines);
     g_hash_table_iter_init(&iter, store->keys);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
@@ -352,7 +354,8 @@
     partition = partition_new(machine_types, teams, 30000);
     partition_set_view(partition, 1);
     GHashTableIter iter;
-    gpointer key, value;
+    gpointer key;
+    gpointer value;
     g_hash_table_iter_init(&iter, store->keys);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         page_record_t record;
@@ -378,7 +381,8 @@
     g_array_append_val(machine_types, large);
     report_of("m-000001", "t1000", 1);
     fill(600, 1);
-    guint before = 0, after = 1;
+    guint before = 0;
+    guint after = 1;
     GHashTable *machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     while (before != after) {
         before = recorded(machines);
@@ -387,7 +391,7 @@
         after = recorded(machines);
     }
     assert_in_range(after, 100, 599);
-    placement_request_t request = {.need = {1, 0, 1}, .job = "j-000999", .attempt = 9u << 24};
+    placement_request_t request = {.need = {1, 0, 1}, .job = "j-000999", .attempt = 9U << 24};
     assert_null(partition_place(partition, &request, 1000));
     partition_end_job(partition, "j-000000");
     report_of("m-000001", "t1000", 2);
@@ -399,7 +403,8 @@
 static void test_names_of_pages_are_read_back(void **state)
 {
     (void)state;
-    char name[PAGE_NAME_BYTES], shard[SHARD_NAME_BYTES];
+    char name[PAGE_NAME_BYTES];
+    char shard[SHARD_NAME_BYTES];
     guint page = 9;
     page_name("east+1.b.07", 0, name, sizeof name);
     assert_string_equal(name, "east+1.b.07"); /* as builds without pages wrote it */
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -126,7 +126,8 @@
 static void test_pages_of_an_earlier_message_are_passed_over(void **state)
 {
     (void)state;
-    guint before = post("hand-1", 5000, 7), after = post("hand-1", 1800, 8);
+    guint before = post("hand-1", 5000, 7);
+    guint after = post("hand-1", 1800, 8);
     assert_true(after > 1 && after < before);
     GArray *relayed_messages = open_inbox();
     assert_int_equal(relayed_messages->len, 1);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -69,7 +69,8 @@
 static void test_job_comes_back_from_the_store(void **state)
 {
     (void)state;
-    job_spec_t spec, again;
+    job_spec_t spec;
+    job_spec_t again;
     json_t *body = with("Hulls", json_pack("[s,s]", "g8", "g4"));
     assert_true(wire_parse_job(body, false, &spec, NULL));
     spec.submitted_ms = 1234567;
