Lint findings: short functions, names of two letters, multiplications in the wider type

Rental, the peer client, the controller's set-up, encoding of peer messages and the operators' language are divided into functions; no change of behaviour. Tests: casts and names only.

--- a/src/app/node.c
+++ b/src/app/node.c
@@ -31,6 +31,31 @@
                               MIN(API_WRITE_FRACTION, APIS_WRITE_FRACTION / members));
 }
 
+static void init_limiters(node_t *node, msec_t now)
+{
+    const settings_t *settings = node->settings;
+    rate_limiter_init(&node->core_rps, settings->state_rps * CORE_RPS_FRACTION, now);
+    rate_limiter_init(&node->core_write, settings->state_write_rps * PARTITION_WRITE_FRACTION, now);
+    rate_limiter_init(&node->api_rps, settings->state_rps * API_RPS_FRACTION, now);
+    rate_limiter_init(&node->api_write, settings->state_write_rps * API_WRITE_FRACTION, now);
+    share_rate_limits(node, settings->siblings->len + 1);
+}
+
+/* Waits end by the steady clock. */
+static void init_conditions(node_t *node)
+{
+    pthread_condattr_t steady;
+    pthread_condattr_init(&steady);
+    pthread_condattr_setclock(&steady, CLOCK_MONOTONIC);
+    pthread_cond_init(&node->work, &steady);
+    pthread_cond_init(&node->direct, &steady);
+    pthread_cond_init(&node->clients, &steady);
+    pthread_cond_init(&node->members, &steady);
+    pthread_cond_init(&node->inquiries, &steady);
+    pthread_cond_init(&node->peer_work, &steady);
+    pthread_condattr_destroy(&steady);
+}
+
 node_t *node_new(const settings_t *settings, const policy_t *policy)
 {
     node_t *node = g_new0(node_t, 1);
@@ -46,25 +71,12 @@
     election_init(&node->election, &self);
     cancellation_log_init(&node->cancellations, node->incarnation, now);
     state_init(&node->state, settings->state, now);
-    rate_limiter_init(&node->core_rps, settings->state_rps * CORE_RPS_FRACTION, now);
-    rate_limiter_init(&node->core_write, settings->state_write_rps * PARTITION_WRITE_FRACTION, now);
-    rate_limiter_init(&node->api_rps, settings->state_rps * API_RPS_FRACTION, now);
-    rate_limiter_init(&node->api_write, settings->state_write_rps * API_WRITE_FRACTION, now);
-    share_rate_limits(node, settings->siblings->len + 1);
+    init_limiters(node, now);
     for (guint i = 0; i < API_CLIENTS_COUNT; i++)
         node->api_clients[i] = http_client_new(1);
     node->api_clients_free = API_CLIENTS_COUNT;
     pthread_mutex_init(&node->lock, NULL);
-    pthread_condattr_t steady;
-    pthread_condattr_init(&steady);
-    pthread_condattr_setclock(&steady, CLOCK_MONOTONIC);
-    pthread_cond_init(&node->work, &steady);
-    pthread_cond_init(&node->direct, &steady);
-    pthread_cond_init(&node->clients, &steady);
-    pthread_cond_init(&node->members, &steady);
-    pthread_cond_init(&node->inquiries, &steady);
-    pthread_cond_init(&node->peer_work, &steady);
-    pthread_condattr_destroy(&steady);
+    init_conditions(node);
     node->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, known_job_free);
     node->machine_types = g_array_new(FALSE, FALSE, sizeof(machine_type_t));
     node->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -141,18 +141,18 @@
 void node_follow(node_t *node, bool (*read)(node_t *, http_client_t *, uint64_t *revision),
                  state_result_t (*follow)(node_t *, http_client_t *, uint64_t *revision));
 
-/* The loops. */
-void *view_run(void *node);
-void *member_run(void *node);
-void *peer_client_run(void *node);
-void *peer_server_run(void *node);
-void *relay_run(void *node);
+/* The loops; data is the node. */
+void *view_run(void *data);
+void *member_run(void *data);
+void *peer_client_run(void *data);
+void *peer_server_run(void *data);
+void *relay_run(void *data);
 /* Starts the threads that send heartbeats to the siblings. */
 void heartbeat_start(node_t *node);
-void *follow_run(void *node);
-void *placer_run(void *node);
-void *sender_run(void *node);
-void *cloud_run(void *node);
+void *follow_run(void *data);
+void *placer_run(void *data);
+void *sender_run(void *data);
+void *cloud_run(void *data);
 bool api_start(node_t *node);
 
 #endif
--- a/src/app/peer_exchange.c
+++ b/src/app/peer_exchange.c
@@ -405,63 +405,93 @@
     return true;
 }
 
+/* The partition's side of the exchange. */
+typedef struct {
+    node_t *node;
+    http_client_t *client;
+    int fd;                        /* to the leader; -1: none */
+    char endpoint[ADDRESS_BYTES];  /* of the leader */
+    char connected[ADDRESS_BYTES]; /* where fd leads */
+    msec_t reached;                /* last exchange by socket */
+    msec_t tried;                  /* last try of a connection */
+    msec_t summaries_sent_at;
+    uint64_t reported_batch; /* the batch that the machine summaries sent last answered */
+    uint64_t generation;     /* of the data from which they came */
+} peer_client_t;
+
+/* Machine summaries are most of a message: they go with news of batches, else at a slower pace.
+ * With the lock held. */
+static bool wants_summaries(peer_client_t *peer)
+{
+    const node_t *node = peer->node;
+    if (node->leader_channel->received == peer->reported_batch &&
+        node->generation == peer->generation &&
+        clock_steady() - peer->summaries_sent_at <= PEER_SUMMARIES_GAP_MS)
+        return false;
+    peer->reported_batch = node->leader_channel->received;
+    peer->summaries_sent_at = clock_steady();
+    peer->generation = node->generation;
+    return true;
+}
+
+/* The next message to the leader, to be freed; NULL: this controller leads or has nothing loaded,
+ * and a while has passed. */
+static GByteArray *next_frame(peer_client_t *peer)
+{
+    node_t *node = peer->node;
+    GByteArray *frame = NULL;
+    pthread_mutex_lock(&node->lock);
+    if (!node->leading && node->loaded && node->own != G_MAXUINT && leader_endpoint(node)) {
+        g_strlcpy(peer->endpoint, leader_endpoint(node), sizeof peer->endpoint);
+        frame = compose(node, node->leader_channel, wants_summaries(peer));
+    } else {
+        node_wait(node, &node->peer_work, MEMBER_TICK_MS);
+    }
+    pthread_mutex_unlock(&node->lock);
+    return frame;
+}
+
+static void disconnect(peer_client_t *peer)
+{
+    if (peer->fd >= 0)
+        close(peer->fd);
+    peer->fd = -1;
+}
+
+/* One exchange, by socket or, if there was none by socket for a while, by relay. False: not by
+ * socket. */
+static bool exchange_once(peer_client_t *peer, const GByteArray *frame)
+{
+    if (strcmp(peer->endpoint, peer->connected) != 0)
+        disconnect(peer);
+    /* While the relay is used, sockets are tried now and then only: behind a cut each try hangs. */
+    bool by_relay = clock_steady() - peer->reached > RELAY_AFTER_MS;
+    if (peer->fd < 0 && (!by_relay || clock_steady() - peer->tried > RELAY_SOCKET_GAP_MS)) {
+        peer->fd = peer_connect(peer->endpoint, PEER_TIMEOUT_MS);
+        g_strlcpy(peer->connected, peer->endpoint, sizeof peer->connected);
+        peer->tried = clock_steady();
+    }
+    if (peer->fd >= 0 && exchange(peer->node, peer->fd, frame)) {
+        peer->reached = clock_steady();
+        return true;
+    }
+    if (by_relay)
+        exchange_by_relay(peer->node, peer->client, frame);
+    peer->summaries_sent_at = 0;
+    disconnect(peer);
+    return false;
+}
+
 void *peer_client_run(void *data)
 {
-    node_t *node = data;
-    http_client_t *client = http_client_new(2);
-    char connected[ADDRESS_BYTES] = "";
-    msec_t reached = clock_steady();
-    msec_t tried = 0;
-    msec_t summaries_sent_at = 0;
-    uint64_t reported_batch = 0;
-    uint64_t generation = 0;
-    int fd = -1;
+    peer_client_t peer = {
+        .node = data, .client = http_client_new(2), .fd = -1, .reached = clock_steady()};
     for (;;) {
-        char endpoint[ADDRESS_BYTES] = "";
-        GByteArray *frame = NULL;
-        pthread_mutex_lock(&node->lock);
-        if (!node->leading && node->loaded && node->own != G_MAXUINT && leader_endpoint(node)) {
-            g_strlcpy(endpoint, leader_endpoint(node), sizeof endpoint);
-            /* Machine summaries are most of a message: with news of batches, else at a slower pace.
-             */
-            bool with_summaries = node->leader_channel->received != reported_batch ||
-                                  node->generation != generation ||
-                                  clock_steady() - summaries_sent_at > PEER_SUMMARIES_GAP_MS;
-            if (with_summaries) {
-                reported_batch = node->leader_channel->received;
-                summaries_sent_at = clock_steady();
-                generation = node->generation;
-            }
-            frame = compose(node, node->leader_channel, with_summaries);
-        } else {
-            node_wait(node, &node->peer_work, MEMBER_TICK_MS);
-        }
-        pthread_mutex_unlock(&node->lock);
+        GByteArray *frame = next_frame(&peer);
         if (!frame)
             continue;
-        if (fd >= 0 && strcmp(endpoint, connected) != 0) {
-            close(fd);
-            fd = -1;
-        }
-        /* While the relay is used, sockets are tried now and then only: behind a cut each try
-         * hangs. */
-        bool by_relay = clock_steady() - reached > RELAY_AFTER_MS;
-        if (fd < 0 && (!by_relay || clock_steady() - tried > RELAY_SOCKET_GAP_MS)) {
-            fd = peer_connect(endpoint, PEER_TIMEOUT_MS);
-            g_strlcpy(connected, endpoint, sizeof connected);
-            tried = clock_steady();
-        }
-        bool done = fd >= 0 && exchange(node, fd, frame);
-        if (done)
-            reached = clock_steady();
-        else if (by_relay)
-            exchange_by_relay(node, client, frame);
+        bool done = exchange_once(&peer, frame);
         g_byte_array_unref(frame);
-        summaries_sent_at = done ? summaries_sent_at : 0;
-        if (!done && fd >= 0) {
-            close(fd);
-            fd = -1;
-        }
         node_sleep(done ? PEER_GAP_MS : PEER_RETRY_MS);
     }
     return NULL;
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -142,9 +142,9 @@
 
 static gint compare_doubles(gconstpointer left, gconstpointer right)
 {
-    const double *a = left;
-    const double *b = right;
-    return *a < *b ? -1 : *a > *b;
+    const double *first = left;
+    const double *second = right;
+    return *first < *second ? -1 : *first > *second;
 }
 
 static void insert_sorted(GArray *list, double value)
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -77,14 +77,14 @@
     qsort(view->members, view->count, sizeof(member_t), compare_members);
 }
 
-bool election_same_members(const view_t *a, const view_t *b)
+bool election_same_members(const view_t *left, const view_t *right)
 {
-    if (a->count != b->count)
+    if (left->count != right->count)
         return false;
-    for (guint i = 0; i < a->count; i++)
-        if (a->members[i].incarnation != b->members[i].incarnation ||
-            a->members[i].excluded != b->members[i].excluded ||
-            strcmp(a->members[i].name, b->members[i].name) != 0)
+    for (guint i = 0; i < left->count; i++)
+        if (left->members[i].incarnation != right->members[i].incarnation ||
+            left->members[i].excluded != right->members[i].excluded ||
+            strcmp(left->members[i].name, right->members[i].name) != 0)
             return false;
     return true;
 }
--- a/src/core/election.h
+++ b/src/core/election.h
@@ -44,7 +44,7 @@
 bool election_is_taken(const election_t *election);
 /* Fills in the members of the next view; we ourselves always are. */
 void election_members(const election_t *election, view_t *view, msec_t now);
-bool election_same_members(const view_t *a, const view_t *b);
+bool election_same_members(const view_t *left, const view_t *right);
 /* Whether the leader of the view may act for all outside the state service, where nothing checks
  * its number: `proof`: all views made before it are known; `superseded`: the highest number heard
  * of. */
--- a/src/core/partition.h
+++ b/src/core/partition.h
@@ -229,7 +229,7 @@
 /* How often workers report sets what counts as fresh. */
 void partition_set_report(partition_t *partition, double report_s);
 /* It executed a direct command of this view, and what it said was taken. */
-void partition_probed(partition_t *partition, const char *machine, msec_t now);
+void partition_probed(partition_t *partition, const char *id, msec_t now);
 /* While cancellations may be unknown here no start is sent; what is recorded waits. */
 void partition_pause_starts(partition_t *partition, bool pause);
 /* The job was cancelled or is over: its attempts stop, those not yet recorded are dropped. */
@@ -276,7 +276,7 @@
     DIRECT_NOT_SENT,
     DIRECT_UNANSWERED
 } direct_result_t;
-void partition_direct_done(partition_t *partition, const char *machine, const GArray *commands,
+void partition_direct_done(partition_t *partition, const char *id, const GArray *commands,
                            uint64_t token, direct_result_t result);
 /* Whether something waits for the token to move before it can be forgotten or proved. */
 bool partition_wants_token(const partition_t *partition);
--- a/src/core/redirection.c
+++ b/src/core/redirection.c
@@ -78,7 +78,7 @@
     if (now - owner->tried < REDIRECT_PROBE_MS && strcmp(owner->probe, machine) != 0)
         return owner->tried + REDIRECT_PROBE_MS;
     /* A probe that stayed away for so long is with its owner, and the others may follow. */
-    if (now - owner->tried >= 2 * REDIRECT_PROBE_MS) {
+    if (now - owner->tried >= 2 * (msec_t)REDIRECT_PROBE_MS) {
         owner->tried = now;
         g_strlcpy(owner->probe, machine, sizeof owner->probe);
     }
--- a/src/core/redirection.h
+++ b/src/core/redirection.h
@@ -25,9 +25,9 @@
  * late.
  */
 void redirection_clear(redirection_t *redirection, msec_t now);
-/* owner: the controller it belongs to, by name and incarnation. */
+/* name: the controller it belongs to, by name and incarnation. */
 redirection_verdict_t redirection_report(redirection_t *redirection, const report_t *report,
-                                         const char *owner, msec_t now);
+                                         const char *name, msec_t now);
 /* Stop commands for all that the report lists of jobs that are not among the live ones (keys: ids).
  * commands: array of worker_command_t to append to. */
 void redirection_stop_ended(const report_t *report, GHashTable *live_jobs, GArray *commands);
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -286,6 +286,58 @@
     return (guint)CLAMP(ceil(units - RENT_ROUND_FRACTION), 1, (double)RENT_MAX_COUNT);
 }
 
+/* What a rental is chosen by, and the best one so far. */
+typedef struct {
+    const rental_t *rental;
+    const leader_t *leader;
+    const rental_balance_t *balance;
+    const GArray *demand; /* demand_t */
+    double extra; /* cpus of ordinary machines for which work beyond what is promised waits */
+    msec_t now;
+    double cost; /* of the wish; infinite: there is none yet */
+    rental_wish_t *wish;
+} rental_choice_t;
+
+/* Takes the machines for the wish if they may be had, are of use and cost least so far. */
+static void consider(rental_choice_t *choice, const machine_type_t *machine_type, const char *zone,
+                     bool spot, guint count)
+{
+    double cpus = machine_type->capacity.cpus;
+    bool promised = choice->balance->ordinary + cpus <= choice->balance->promised;
+    if (rental_is_zone_unreachable(choice->rental, zone, choice->now) ||
+        is_refused(choice->rental, machine_type->name, zone, spot, choice->now) ||
+        !is_useful(choice->leader->policy, choice->demand, machine_type, zone, spot, promised,
+                   choice->extra >= cpus))
+        return;
+    double price = (spot ? machine_type->spot_price : machine_type->price) / MAX(cpus, EPSILON);
+    /* Of equals the type and zone with the fewest, so that a wave or a cut takes less at once. */
+    guint alike = count_of(choice->leader, choice->rental, machine_type->name, zone, spot);
+    double cost = price * (1 + RENT_SPREAD_FRACTION * alike);
+    if (cost >= choice->cost)
+        return;
+    if (!spot && !promised)
+        count = (guint)CLAMP(choice->extra / cpus, 1, (double)count);
+    choice->cost = cost;
+    *choice->wish = (rental_wish_t){.spot = spot, .count = count};
+    g_strlcpy(choice->wish->type, machine_type->name, sizeof choice->wish->type);
+    g_strlcpy(choice->wish->zone, zone, sizeof choice->wish->zone);
+}
+
+/* Considers each type in each zone, ordinary and spot; wanted_cpus bounds how large a type may be.
+ */
+static void consider_all(rental_choice_t *choice, const GArray *machine_types, resources_t lack,
+                         double wanted_cpus)
+{
+    for (guint i = 0; i < machine_types->len; i++) {
+        const machine_type_t *machine_type = &g_array_index(machine_types, machine_type_t, i);
+        guint count = units_of(machine_type, lack, wanted_cpus);
+        for (char **zone = machine_type->zones; count > 0 && *zone; zone++) {
+            consider(choice, machine_type, *zone, false, count);
+            consider(choice, machine_type, *zone, true, count);
+        }
+    }
+}
+
 bool rental_next(const rental_t *rental, const leader_t *leader, const GArray *machine_types,
                  msec_t now, int64_t day_ms, rental_wish_t *wish)
 {
@@ -296,46 +348,22 @@
     resources_add(&lack, balance.booting, -1);
     if (lack.cpus <= 0 && lack.memory <= 0)
         return false;
-    double extra =
-        extra_cpus(leader, &balance, tunable_value(leader->policy, TUNABLE_ORDINARY_PATIENCE)) -
-        MAX(balance.ordinary - balance.promised, 0);
+    double patience = tunable_value(leader->policy, TUNABLE_ORDINARY_PATIENCE);
     GArray *demand = leader_demand(leader, now);
-    double best = INFINITY;
-    for (int small = 0; small < 2 && isinf(best); small++) {
-        for (guint i = 0; i < machine_types->len; i++) {
-            const machine_type_t *machine_type = &g_array_index(machine_types, machine_type_t, i);
-            guint count = units_of(machine_type, lack, small ? INFINITY : balance.wanted.cpus);
-            for (char **zone = machine_type->zones; count && *zone; zone++) {
-                for (int spot = 0; spot < 2; spot++) {
-                    bool promised =
-                        balance.ordinary + machine_type->capacity.cpus <= balance.promised;
-                    if (rental_is_zone_unreachable(rental, *zone, now) ||
-                        is_refused(rental, machine_type->name, *zone, spot, now) ||
-                        !is_useful(leader->policy, demand, machine_type, *zone, spot, promised,
-                                   extra >= machine_type->capacity.cpus))
-                        continue;
-                    double price = (spot ? machine_type->spot_price : machine_type->price) /
-                                   MAX(machine_type->capacity.cpus, EPSILON);
-                    /* Of equals the type and zone with the fewest, so that a wave or a cut takes
-                     * less at once. */
-                    double cost =
-                        price * (1 + RENT_SPREAD_FRACTION *
-                                         count_of(leader, rental, machine_type->name, *zone, spot));
-                    if (cost >= best)
-                        continue;
-                    best = cost;
-                    *wish = (rental_wish_t){.spot = spot, .count = count};
-                    if (!spot && !promised)
-                        wish->count = (guint)CLAMP(extra / machine_type->capacity.cpus, 1,
-                                                   (double)wish->count);
-                    g_strlcpy(wish->type, machine_type->name, sizeof wish->type);
-                    g_strlcpy(wish->zone, *zone, sizeof wish->zone);
-                }
-            }
-        }
-    }
+    rental_choice_t choice = {.rental = rental,
+                              .leader = leader,
+                              .balance = &balance,
+                              .demand = demand,
+                              .extra = extra_cpus(leader, &balance, patience) -
+                                       MAX(balance.ordinary - balance.promised, 0),
+                              .now = now,
+                              .cost = INFINITY,
+                              .wish = wish};
+    consider_all(&choice, machine_types, lack, balance.wanted.cpus);
+    if (isinf(choice.cost))
+        consider_all(&choice, machine_types, lack, INFINITY);
     g_array_unref(demand);
-    return isfinite(best);
+    return isfinite(choice.cost);
 }
 
 static double machine_price(const machine_summary_t *summary, const GArray *machine_types)
--- a/src/core/types.c
+++ b/src/core/types.c
@@ -23,9 +23,9 @@
 
 gboolean task_ref_equal(gconstpointer left, gconstpointer right)
 {
-    const task_ref_t *a = left;
-    const task_ref_t *b = right;
-    return a->task == b->task && strcmp(a->job, b->job) == 0;
+    const task_ref_t *first = left;
+    const task_ref_t *second = right;
+    return first->task == second->task && strcmp(first->job, second->job) == 0;
 }
 
 task_ref_t task_ref(const char *job, uint32_t task, uint64_t attempt)
--- a/src/io/peer_protocol.c
+++ b/src/io/peer_protocol.c
@@ -168,6 +168,39 @@
     cancellation_update_clear(&message->update);
 }
 
+/* The message without its lists, which take memory of their own. */
+static peer_message message_to_xdr(const peer_message_t *message)
+{
+    return (peer_message){.sender = (char *)message->sender,
+                          .incarnation = message->incarnation,
+                          .view = message->view,
+                          .number = message->number,
+                          .ack = message->ack,
+                          .state_answer_age = message->state_answer_age,
+                          .heartbeat = message->heartbeat,
+                          .acknowledged_incarnation = message->acknowledged_incarnation,
+                          .acknowledged_index = message->acknowledged_index,
+                          .update = {.after_index = message->update.after_index,
+                                     .last_index = message->update.last_index,
+                                     .whole = message->update.whole,
+                                     .base_age = message->update.base_age},
+                          .has_summaries = message->summaries != NULL};
+}
+
+/* NULL: it can't be told in the protocol. */
+static GByteArray *serialize(peer_message *wire)
+{
+    gulong size = xdr_sizeof((xdrproc_t)xdr_peer_message, wire);
+    GByteArray *frame = g_byte_array_sized_new((guint)size);
+    g_byte_array_set_size(frame, (guint)size);
+    XDR xdr;
+    xdrmem_create(&xdr, (char *)frame->data, (u_int)size, XDR_ENCODE);
+    if (!xdr_peer_message(&xdr, wire))
+        g_clear_pointer(&frame, g_byte_array_unref);
+    xdr_destroy(&xdr);
+    return frame;
+}
+
 GByteArray *peer_encode(const peer_message_t *message)
 {
     guint items = message->items ? message->items->len : 0;
@@ -178,20 +211,7 @@
         item_to_xdr(&g_array_index(message->items, channel_item_t, i), &item_list[i]);
     for (guint i = 0; i < summaries; i++)
         summary_to_xdr(&g_array_index(message->summaries, machine_summary_t, i), &summary_list[i]);
-    peer_message wire = {.sender = (char *)message->sender,
-                         .incarnation = message->incarnation,
-                         .view = message->view,
-                         .number = message->number,
-                         .ack = message->ack,
-                         .state_answer_age = message->state_answer_age,
-                         .heartbeat = message->heartbeat,
-                         .acknowledged_incarnation = message->acknowledged_incarnation,
-                         .acknowledged_index = message->acknowledged_index,
-                         .update = {.after_index = message->update.after_index,
-                                    .last_index = message->update.last_index,
-                                    .whole = message->update.whole,
-                                    .base_age = message->update.base_age},
-                         .has_summaries = message->summaries != NULL};
+    peer_message wire = message_to_xdr(message);
     wire.items.items_len = items;
     wire.items.items_val = item_list;
     wire.summaries.summaries_len = summaries;
@@ -203,16 +223,7 @@
         wire.update.jobs.jobs_len = message->update.jobs->len;
         wire.update.jobs.jobs_val = (peer_name *)message->update.jobs->pdata;
     }
-    gulong size = xdr_sizeof((xdrproc_t)xdr_peer_message, &wire);
-    GByteArray *frame = g_byte_array_sized_new((guint)size);
-    g_byte_array_set_size(frame, (guint)size);
-    XDR xdr;
-    xdrmem_create(&xdr, (char *)frame->data, (u_int)size, XDR_ENCODE);
-    if (!xdr_peer_message(&xdr, &wire)) {
-        g_byte_array_unref(frame);
-        frame = NULL;
-    }
-    xdr_destroy(&xdr);
+    GByteArray *frame = serialize(&wire);
     g_free(item_list);
     g_free(summary_list);
     return frame;
@@ -290,11 +301,11 @@
     setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof wait);
 }
 
-int peer_listen(const char *text)
+int peer_listen(const char *endpoint)
 {
     struct sockaddr_in address;
     int on = 1;
-    int fd = parse_address(text, &address) ? socket(AF_INET, SOCK_STREAM, 0) : -1;
+    int fd = parse_address(endpoint, &address) ? socket(AF_INET, SOCK_STREAM, 0) : -1;
     if (fd < 0)
         return -1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -306,13 +317,13 @@
     return fd;
 }
 
-int peer_connect(const char *text, guint timeout_ms)
+int peer_connect(const char *endpoint, guint timeout_ms)
 {
     struct sockaddr_in address;
     int on = 1;
     int error = 0;
     socklen_t size = sizeof error;
-    int fd = parse_address(text, &address) ? socket(AF_INET, SOCK_STREAM, 0) : -1;
+    int fd = parse_address(endpoint, &address) ? socket(AF_INET, SOCK_STREAM, 0) : -1;
     if (fd < 0)
         return -1;
     int flags = fcntl(fd, F_GETFL);
--- a/src/io/peer_protocol.h
+++ b/src/io/peer_protocol.h
@@ -29,8 +29,8 @@
 bool peer_decode(const uint8_t *data, gsize size, peer_message_t *message);
 
 /* Sockets. Negative: failed. */
-int peer_listen(const char *address);
-int peer_connect(const char *address, guint timeout_ms);
+int peer_listen(const char *endpoint);
+int peer_connect(const char *endpoint, guint timeout_ms);
 bool peer_send(int fd, const GByteArray *frame);
 GByteArray *peer_receive(int fd);
 void peer_set_timeout(int fd, guint timeout_ms);
--- a/src/policy/ast.h
+++ b/src/policy/ast.h
@@ -57,7 +57,7 @@
     int column;
 } token_t;
 
-ast_t *ast_new(ast_op_t op, ast_t *a, ast_t *b, ast_t *c);
+ast_t *ast_new(ast_op_t op, ast_t *first, ast_t *second, ast_t *third);
 ast_t *ast_leaf(ast_op_t op, token_t token);
 void ast_free(ast_t *ast);
 void parse_fault(parse_t *parse, int line, int column, const char *format, ...) G_GNUC_PRINTF(4, 5);
--- a/src/policy/policy.c
+++ b/src/policy/policy.c
@@ -95,10 +95,14 @@
 }
 
 /* A compound stands where its first operand does. */
-ast_t *ast_new(ast_op_t op, ast_t *a, ast_t *b, ast_t *c)
+ast_t *ast_new(ast_op_t op, ast_t *first, ast_t *second, ast_t *third)
 {
     ast_t *ast = g_new0(ast_t, 1);
-    *ast = (ast_t){.op = op, .line = a->line, .column = a->column, .attr = -1, .kid = {a, b, c}};
+    *ast = (ast_t){.op = op,
+                   .line = first->line,
+                   .column = first->column,
+                   .attr = -1,
+                   .kid = {first, second, third}};
     return ast;
 }
 
@@ -182,34 +186,35 @@
     return POLICY_FAULTY;
 }
 
-static policy_type_t check_same(parse_t *parse, const ast_t *ast, policy_type_t a, policy_type_t b)
+static policy_type_t check_same(parse_t *parse, const ast_t *ast, policy_type_t left,
+                                policy_type_t right)
 {
-    if (a == POLICY_FAULTY || b == POLICY_FAULTY)
+    if (left == POLICY_FAULTY || right == POLICY_FAULTY)
         return POLICY_FAULTY;
-    return a == b ? a : complain(parse, ast->kid[1], type_names[a], b);
+    return left == right ? left : complain(parse, ast->kid[1], type_names[left], right);
 }
 
-static policy_type_t check_product(parse_t *parse, const ast_t *ast, policy_type_t a,
-                                   policy_type_t b)
+static policy_type_t check_product(parse_t *parse, const ast_t *ast, policy_type_t left,
+                                   policy_type_t right)
 {
     double divisor;
-    if (a == POLICY_FAULTY || b == POLICY_FAULTY)
+    if (left == POLICY_FAULTY || right == POLICY_FAULTY)
         return POLICY_FAULTY;
-    if (!is_amount(a))
-        return complain(parse, ast->kid[0], "an amount", a);
-    if (!is_amount(b))
-        return complain(parse, ast->kid[1], "an amount", b);
+    if (!is_amount(left))
+        return complain(parse, ast->kid[0], "an amount", left);
+    if (!is_amount(right))
+        return complain(parse, ast->kid[1], "an amount", right);
     if (ast->op == AST_DIVIDE && constant_value(ast->kid[1], &divisor) && divisor == 0) {
         parse_fault(parse, ast->kid[1]->line, ast->kid[1]->column, "division by zero");
         return POLICY_FAULTY;
     }
-    if (b == POLICY_NUMBER)
-        return a;
-    if (ast->op == AST_MULTIPLY && a == POLICY_NUMBER)
-        return b;
-    if (ast->op == AST_DIVIDE && a == b)
+    if (right == POLICY_NUMBER)
+        return left;
+    if (ast->op == AST_MULTIPLY && left == POLICY_NUMBER)
+        return right;
+    if (ast->op == AST_DIVIDE && left == right)
         return POLICY_NUMBER;
-    return complain(parse, ast->kid[1], "a plain number", b);
+    return complain(parse, ast->kid[1], "a plain number", right);
 }
 
 static policy_type_t check_wanted(parse_t *parse, const ast_t *ast, policy_type_t found,
@@ -218,128 +223,151 @@
     return found == wanted ? wanted : complain(parse, ast, type_names[wanted], found);
 }
 
-static policy_type_t check(parse_t *parse, ast_t *ast, int scope, int depth)
+/* Whether the operands can be told apart by the comparison. */
+static policy_type_t check_order(parse_t *parse, const ast_t *ast, policy_type_t left,
+                                 policy_type_t right)
+{
+    if (left == POLICY_TEXT || left == POLICY_BOOL)
+        complain(parse, ast->kid[0], "an amount or a priority", left);
+    else
+        check_same(parse, ast, left, right);
+    return POLICY_BOOL;
+}
+
+static policy_type_t check_condition(parse_t *parse, const ast_t *ast, const policy_type_t kid[3])
+{
+    check_wanted(parse, ast->kid[0], kid[0], POLICY_BOOL);
+    if (kid[1] == kid[2] || kid[1] == POLICY_FAULTY)
+        return kid[1];
+    return complain(parse, ast->kid[2], type_names[kid[1]], kid[2]);
+}
+
+/* kid: the types of the operands. */
+static policy_type_t check_operator(parse_t *parse, const ast_t *ast, const policy_type_t kid[3])
 {
-    policy_type_t kid[3] = {POLICY_FAULTY, POLICY_FAULTY, POLICY_FAULTY};
-    if (depth > DEPTH_MAX) {
-        parse_fault(parse, ast->line, ast->column, "nested deeper than %d", DEPTH_MAX);
-        return ast->type = POLICY_FAULTY;
-    }
-    for (int i = 0; i < 3; i++)
-        if (ast->kid[i])
-            kid[i] = check(parse, ast->kid[i], scope, depth + 1);
     switch (ast->op) {
-    case AST_NUMBER:
-        break;
-    case AST_TEXT:
-        ast->type = POLICY_TEXT;
-        break;
-    case AST_NAME:
-        ast->type = check_name(parse, ast, scope);
-        break;
     case AST_NOT:
-        ast->type = check_wanted(parse, ast->kid[0], kid[0], POLICY_BOOL);
-        break;
+        return check_wanted(parse, ast->kid[0], kid[0], POLICY_BOOL);
     case AST_NEGATE:
-        ast->type = is_amount(kid[0]) ? kid[0] : complain(parse, ast->kid[0], "an amount", kid[0]);
-        break;
+        return is_amount(kid[0]) ? kid[0] : complain(parse, ast->kid[0], "an amount", kid[0]);
     case AST_AND:
     case AST_OR:
         check_wanted(parse, ast->kid[0], kid[0], POLICY_BOOL);
-        ast->type = check_wanted(parse, ast->kid[1], kid[1], POLICY_BOOL);
-        break;
+        return check_wanted(parse, ast->kid[1], kid[1], POLICY_BOOL);
     case AST_ADD:
     case AST_SUBTRACT:
     case AST_MIN:
     case AST_MAX:
-        ast->type = is_amount(kid[0]) ? check_same(parse, ast, kid[0], kid[1])
-                                      : complain(parse, ast->kid[0], "an amount", kid[0]);
-        break;
+        return is_amount(kid[0]) ? check_same(parse, ast, kid[0], kid[1])
+                                 : complain(parse, ast->kid[0], "an amount", kid[0]);
     case AST_MULTIPLY:
     case AST_DIVIDE:
-        ast->type = check_product(parse, ast, kid[0], kid[1]);
-        break;
+        return check_product(parse, ast, kid[0], kid[1]);
     case AST_LESS:
     case AST_LESS_EQUAL:
     case AST_GREATER:
     case AST_GREATER_EQUAL:
-        if (kid[0] == POLICY_TEXT || kid[0] == POLICY_BOOL)
-            complain(parse, ast->kid[0], "an amount or an urgency", kid[0]);
-        else
-            check_same(parse, ast, kid[0], kid[1]);
-        ast->type = POLICY_BOOL;
-        break;
+        return check_order(parse, ast, kid[0], kid[1]);
     case AST_EQUAL:
     case AST_UNEQUAL:
         check_same(parse, ast, kid[0], kid[1]);
-        ast->type = POLICY_BOOL;
-        break;
+        return POLICY_BOOL;
     case AST_IF:
-        check_wanted(parse, ast->kid[0], kid[0], POLICY_BOOL);
-        ast->type = kid[1] == kid[2] || kid[1] == POLICY_FAULTY
-                        ? kid[1]
-                        : complain(parse, ast->kid[2], type_names[kid[1]], kid[2]);
-        break;
+        return check_condition(parse, ast, kid);
+    case AST_NUMBER:
+    case AST_TEXT:
+    case AST_NAME:
+        break; /* no operators */
     }
     return ast->type;
 }
 
+static policy_type_t check(parse_t *parse, ast_t *ast, int scope, int depth)
+{
+    policy_type_t kid[3] = {POLICY_FAULTY, POLICY_FAULTY, POLICY_FAULTY};
+    if (depth > DEPTH_MAX) {
+        parse_fault(parse, ast->line, ast->column, "nested deeper than %d", DEPTH_MAX);
+        return ast->type = POLICY_FAULTY;
+    }
+    for (int i = 0; i < 3; i++)
+        if (ast->kid[i])
+            kid[i] = check(parse, ast->kid[i], scope, depth + 1);
+    if (ast->op == AST_TEXT)
+        ast->type = POLICY_TEXT;
+    else if (ast->op == AST_NAME)
+        ast->type = check_name(parse, ast, scope);
+    else
+        ast->type = check_operator(parse, ast, kid);
+    return ast->type;
+}
+
 static const char *text_of(const ast_t *ast, const policy_env_t *env)
 {
     const char *text = ast->op == AST_TEXT ? ast->text : env->text[ast->attr];
     return text ? text : "";
 }
 
-static double evaluate(const ast_t *ast, const policy_env_t *env)
+/* right is 0 for an operator of one value. */
+// NOLINTNEXTLINE(readability-function-size): two lines for each operator
+static double apply(ast_op_t op, double left, double right)
 {
-    if (ast->op == AST_NUMBER)
-        return ast->number;
-    if (ast->op == AST_NAME)
-        return ast->attr < 0 ? ast->number : env->number[ast->attr];
-    if (ast->op == AST_IF)
-        return evaluate(ast->kid[evaluate(ast->kid[0], env) != 0 ? 1 : 2], env);
-    if (ast->kid[0]->type == POLICY_TEXT) {
-        bool same = strcmp(text_of(ast->kid[0], env), text_of(ast->kid[1], env)) == 0;
-        return same == (ast->op == AST_EQUAL);
-    }
-    double a = evaluate(ast->kid[0], env);
-    double b = ast->kid[1] ? evaluate(ast->kid[1], env) : 0;
-    switch (ast->op) {
+    switch (op) {
     case AST_NOT:
-        return a == 0;
+        return left == 0;
     case AST_NEGATE:
-        return -a;
+        return -left;
     case AST_AND:
-        return a != 0 && b != 0;
+        return left != 0 && right != 0;
     case AST_OR:
-        return a != 0 || b != 0;
+        return left != 0 || right != 0;
     case AST_ADD:
-        return a + b;
+        return left + right;
     case AST_SUBTRACT:
-        return a - b;
+        return left - right;
     case AST_MULTIPLY:
-        return a * b;
+        return left * right;
     case AST_DIVIDE:
-        return b != 0 ? a / b : 0;
+        return right != 0 ? left / right : 0;
     case AST_LESS:
-        return a < b;
+        return left < right;
     case AST_LESS_EQUAL:
-        return a <= b;
+        return left <= right;
     case AST_GREATER:
-        return a > b;
+        return left > right;
     case AST_GREATER_EQUAL:
-        return a >= b;
+        return left >= right;
     case AST_EQUAL:
-        return a == b;
+        return left == right;
     case AST_UNEQUAL:
-        return a != b;
+        return left != right;
     case AST_MIN:
-        return fmin(a, b);
+        return fmin(left, right);
     case AST_MAX:
-        return fmax(a, b);
-    default:
-        return 0;
+        return fmax(left, right);
+    case AST_NUMBER:
+    case AST_TEXT:
+    case AST_NAME:
+    case AST_IF:
+        break; /* no operators of two values */
+    }
+    return 0;
+}
+
+static double evaluate(const ast_t *ast, const policy_env_t *env)
+{
+    if (ast->op == AST_NUMBER)
+        return ast->number;
+    if (ast->op == AST_NAME)
+        return ast->attr < 0 ? ast->number : env->number[ast->attr];
+    if (ast->op == AST_IF)
+        return evaluate(ast->kid[evaluate(ast->kid[0], env) != 0 ? 1 : 2], env);
+    if (ast->kid[0]->type == POLICY_TEXT) {
+        bool same = strcmp(text_of(ast->kid[0], env), text_of(ast->kid[1], env)) == 0;
+        return same == (ast->op == AST_EQUAL);
     }
+    double left = evaluate(ast->kid[0], env);
+    double right = ast->kid[1] ? evaluate(ast->kid[1], env) : 0;
+    return apply(ast->op, left, right);
 }
 
 static bool is_constant(const ast_t *ast)
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -223,7 +223,7 @@
         char id[ID_BYTES];
         g_snprintf(id, sizeof id, "j-%06d", i);
         job_spec_t small = job(id, "blue", 2);
-        small.submitted_ms = large.submitted_ms + 5000 * i;
+        small.submitted_ms = large.submitted_ms + (int64_t)5000 * i;
         add(&small);
     }
     int64_t ages[] = {STARVING_MS - 1000, STARVING_MS, STARVING_MS + 10000, STARVING_LONG_MS};
--- a/tests/test_partition.c
+++ b/tests/test_partition.c
@@ -142,7 +142,7 @@
     place("j-000001", 0, 100);
     commit();
     exchange();
-    fixture->now += 3600 * 1000;
+    fixture->now += (msec_t)3600 * 1000;
     partition_tick(fixture->partition, fixture->now);
     commit();
     assert_int_equal(fixture->partition->results->len, 0);
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -36,9 +36,9 @@
     assert_non_null(example);
     policy_env_t env = {.number = {[ATTR_JOB_PRIORITY] = 2}};
     for (int tunable = 0; tunable < TUNABLE_COUNT; tunable++) {
-        double a = policy_value(example, (policy_tunable_t)tunable, &env);
-        double b = policy_value(standard, (policy_tunable_t)tunable, &env);
-        assert_true(a == b);
+        double shown = policy_value(example, (policy_tunable_t)tunable, &env);
+        double built_in = policy_value(standard, (policy_tunable_t)tunable, &env);
+        assert_true(shown == built_in);
     }
     policy_free(example);
     policy_free(standard);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -72,7 +72,7 @@
         machine_summary_t summary = {.total = {16, 0, 128},
                                      .free = {(double)(i % 8) * 2, 0, 11.3 + (double)i * 0.37},
                                      .attempts = 8 - i % 8,
-                                     .silent_ms = i * 7,
+                                     .silent_ms = (msec_t)i * 7,
                                      .known_ms = 100000 + i};
         g_snprintf(summary.machine, sizeof summary.machine, "m-%06u", i * 3);
         g_strlcpy(summary.type, "sixteen", sizeof summary.type);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -138,7 +138,7 @@
         bits[i] = (uint8_t)(i * 37);
     json_t *value = wire_build_bits(bits, sizeof bits, 7);
     char *text = json_dumps(value, JSON_COMPACT);
-    assert_true(strlen(text) < 4 * 1024); /* the least value_kb that settings may name */
+    assert_true(strlen(text) < (size_t)4 * 1024); /* the least value_kb that settings may name */
     uint8_t *back = wire_parse_bits(value, &bytes);
     assert_int_equal(bytes, sizeof bits);
     assert_memory_equal(back, bits, sizeof bits);
