The leader in six sources by what they own; functions moved unchanged

Its data, team queues and quota, placement rounds, machine claims, failure records, job progress. Functions that several of them use are declared in leader_internal.h, with the module's prefix.

--- /dev/null
+++ b/src/core/leader_queues.c
@@ -0,0 +1,180 @@
+/* Team queues and quota: whose work goes first, and how much of it a team may have. */
+#include "core/leader_internal.h"
+
+#include <math.h>
+#include <string.h>
+
+team_state_t *leader_team_find(const leader_t *leader, const char *name, guint *at)
+{
+    for (guint i = 0; i < leader->teams->len; i++) {
+        team_state_t *state = &g_array_index(leader->teams, team_state_t, i);
+        if (strcmp(state->team.name, name) == 0) {
+            if (at)
+                *at = i;
+            return state;
+        }
+    }
+    return NULL;
+}
+
+bool leader_team_admits(const team_state_t *state, resources_t need)
+{
+    const team_t *team = &state->team;
+    if (team->cpus_max > 0 && state->cpus + need.cpus > team->cpus_max + EPSILON)
+        return false;
+    return team->gpus_max <= 0 || state->gpus + need.gpus <= team->gpus_max + EPSILON;
+}
+
+uint32_t leader_job_pending(const job_t *job)
+{
+    uint32_t taken = job->done_count + job->outstanding_count;
+    return taken < job->spec.tasks ? job->spec.tasks - taken : 0;
+}
+
+static void next_target(const GArray *list, double unit_ms, double ready_ms, queued_t *queued)
+{
+    for (guint i = 0; list && i < list->len; i++) {
+        double due =
+            (double)queued->job->spec.submitted_ms + g_array_index(list, double, i) * unit_ms;
+        if (due >= ready_ms) {
+            queued->start = MIN(queued->start, due - queued->job->spec.estimate_s * 1000.0);
+            return;
+        }
+    }
+}
+
+/* Whatever the order, it must not starve anyone: under a lasting overload large jobs, low ones and
+ * those past their targets would wait for ever. One that has waited long gets its first task begun,
+ * and later a small part of its tasks at a time. */
+static uint32_t owed_tasks(const job_t *job, int64_t day_ms)
+{
+    int64_t age = day_ms - job->spec.submitted_ms;
+    if (age < STARVING_MS || (age < STARVING_LONG_MS && job->done_count > 0))
+        return 0;
+    return age < STARVING_LONG_MS ? 1 : 1 + job->spec.tasks / STARVING_TASKS_DIVISOR;
+}
+
+static queued_t queue_entry(const leader_t *leader, job_t *job, int64_t day_ms)
+{
+    const job_spec_t *spec = &job->spec;
+    queued_t queued = {.job = job, .start = INFINITY};
+    queued.work = leader_job_pending(job) * spec->need.cpus * MAX(spec->estimate_s, 1);
+    const targets_t *targets = g_hash_table_lookup(leader->targets, spec->class_name);
+    double ready = (double)day_ms + spec->estimate_s * 1000.0;
+    if (spec->deadline_s > 0 && targets && targets->times->len)
+        next_target(targets->times, spec->deadline_s * 1000.0, ready, &queued);
+    else if (spec->deadline_s > 0)
+        next_target(leader->single_target, spec->deadline_s * 1000.0, ready, &queued);
+    if (targets)
+        next_target(targets->within, 1000.0, ready, &queued);
+    return queued;
+}
+
+/* Urgent work, then what has waited too long; by priority; then what can still keep a target; then
+ * the least work left, which keeps most targets where not all can be kept; then by the latest start
+ * that keeps the next one; then by age. */
+static gint compare_queued(gconstpointer left, gconstpointer right)
+{
+    const queued_t *a = left, *b = right;
+    bool urgent_a = a->job->spec.priority >= PRIORITY_HIGH;
+    bool urgent_b = b->job->spec.priority >= PRIORITY_HIGH;
+    if (urgent_a != urgent_b)
+        return urgent_a ? -1 : 1;
+    if (!a->owed != !b->owed)
+        return a->owed ? -1 : 1;
+    if (a->job->spec.priority != b->job->spec.priority)
+        return a->job->spec.priority > b->job->spec.priority ? -1 : 1;
+    if (isinf(a->start) != isinf(b->start))
+        return isinf(b->start) ? -1 : 1;
+    if (a->work != b->work)
+        return a->work < b->work ? -1 : 1;
+    if (a->start != b->start)
+        return a->start < b->start ? -1 : 1;
+    if (a->job->spec.submitted_ms != b->job->spec.submitted_ms)
+        return a->job->spec.submitted_ms < b->job->spec.submitted_ms ? -1 : 1;
+    return strcmp(a->job->spec.id, b->job->spec.id);
+}
+
+/* A job that fails wherever it runs must not fill the partitions with its attempts (a soft place of
+ * the design): after repeated failures it gets one attempt at a time, ever more rarely. */
+bool leader_is_job_blocked(const job_t *job, msec_t now)
+{
+    if (job->ending || now < job->retry_at)
+        return true;
+    return job->errors >= JOB_ERRORS_ALARM && job->outstanding_count > 0;
+}
+
+GArray *leader_team_queue(leader_t *leader, guint team, msec_t now, int64_t day_ms)
+{
+    const char *name = g_array_index(leader->teams, team_state_t, team).team.name;
+    GArray *queue = g_array_new(FALSE, FALSE, sizeof(queued_t));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, leader->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        job_t *job = value;
+        if (!leader_job_pending(job) || leader_is_job_blocked(job, now) ||
+            strcmp(job->spec.team, name) != 0)
+            continue;
+        queued_t queued = queue_entry(leader, job, day_ms);
+        g_array_append_val(queue, queued);
+        queued.owed = owed_tasks(job, day_ms);
+        if (job->outstanding_count < queued.owed)
+            g_array_append_val(queue, queued);
+    }
+    g_array_sort(queue, compare_queued);
+    return queue;
+}
+
+double leader_task_cost(const queued_t *queued)
+{
+    return MAX(queued->job->spec.need.cpus, EPSILON);
+}
+
+/* Whose turn it is, of those with work left from `at` on: a share is one of the resources in use,
+ * not of starts: tasks of five minutes beside others of twenty seconds took nearly all of it by
+ * equal starts.
+ */
+guint leader_poorest_team(const leader_t *leader, const GPtrArray *queues, const guint *at)
+{
+    guint teams = leader->teams->len, poorest = teams;
+    double least = INFINITY, promised = 0;
+    for (guint i = 0; i < teams; i++)
+        promised += g_array_index(leader->teams, team_state_t, i).team.cpus;
+    for (guint i = 0; i < teams; i++) {
+        const team_state_t *state = &g_array_index(leader->teams, team_state_t, i);
+        double weight = MAX(MAX(state->team.cpus, promised * UNGUARANTEED_TEAM_SHARE), 1);
+        if (at[i] >= ((const GArray *)g_ptr_array_index(queues, i))->len ||
+            state->cpus / weight >= least)
+            continue;
+        least = state->cpus / weight;
+        poorest = i;
+    }
+    return poorest;
+}
+
+GArray *leader_demand(const leader_t *leader, msec_t now)
+{
+    GArray *demand = g_array_new(FALSE, FALSE, sizeof(demand_t));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, leader->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        job_t *job = value;
+        guint team = 0;
+        const team_state_t *state = leader_team_find(leader, job->spec.team, &team);
+        uint32_t tasks = leader_job_pending(job);
+        if (!tasks || !state || leader_is_job_blocked(job, now))
+            continue;
+        if (state->team.cpus_max > 0 && job->spec.need.cpus > 0) {
+            double left = MAX(state->team.cpus_max - state->cpus, 0) / job->spec.need.cpus;
+            tasks = MIN(tasks, (uint32_t)MIN(left, (double)TASKS_MAX));
+        }
+        if (job->errors >= JOB_ERRORS_ALARM)
+            tasks = MIN(tasks, 1);
+        demand_t entry = {.job = job, .team = team, .tasks = tasks};
+        if (tasks)
+            g_array_append_val(demand, entry);
+    }
+    return demand;
+}
