--- a/src/io/wire.c
+++ b/src/io/wire.c
@@ -217,7 +217,7 @@
     *report = (report_t){.reclaim_in_s = -1};
     if (!json_is_object(body))
         return fail(why, "a JSON object is expected");
-    const json_t *update = json_object_get(body, "WarningS");
+    const json_t *warning = json_object_get(body, "WarningS");
     const json_t *attempts = json_object_get(body, "Pieces");
     if (!get_text(body, "Winch", report->machine, sizeof report->machine, why) ||
         !get_text(body, "Address", report->address, sizeof report->address, why) ||
@@ -227,7 +227,7 @@
         !get_count(body, "Watch", 0, G_MAXINT64, &report->session, why) ||
         !get_count(body, "Tally", 0, G_MAXINT64, &report->seq, why) ||
         !get_count(body, "Helm", 0, G_MAXINT64, &report->token, why) ||
-        (update && !json_is_null(update) &&
+        (warning && !json_is_null(warning) &&
          !get_amount(body, "WarningS", 0, &report->reclaim_in_s, why)))
         return false;
     if (attempts && !json_is_null(attempts) && !json_is_array(attempts))
