--- /dev/null
+++ b/src/io/wire_cloud.c
@@ -0,0 +1,85 @@
+/* The cloud's protocol: machine types, the list of machines, rentals and returns. */
+#include "io/wire_internal.h"
+
+static void machine_type_clear(gpointer data)
+{
+    g_strfreev(((machine_type_t *)data)->zones);
+}
+
+static char **parse_names(const json_t *list)
+{
+    GPtrArray *names = g_ptr_array_new();
+    size_t i;
+    json_t *value;
+    json_array_foreach(list, i, value) if (json_is_string(value))
+        g_ptr_array_add(names, g_strdup(json_string_value(value)));
+    g_ptr_array_add(names, NULL);
+    return (char **)g_ptr_array_free(names, FALSE);
+}
+
+GArray *wire_parse_machine_types(const json_t *body)
+{
+    const json_t *list = json_object_get(body, "Hulls");
+    if (!json_is_array(list))
+        return NULL;
+    GArray *machine_types = g_array_new(FALSE, TRUE, sizeof(machine_type_t));
+    g_array_set_clear_func(machine_types, machine_type_clear);
+    size_t i;
+    json_t *value;
+    json_array_foreach(list, i, value)
+    {
+        machine_type_t machine_type = {0};
+        if (!wire_get_text(value, "Name", machine_type.name, sizeof machine_type.name, NULL) ||
+            !wire_get_amount(value, "Cpus", 0, &machine_type.capacity.cpus, NULL) ||
+            !wire_get_amount(value, "MemGb", 0, &machine_type.capacity.memory, NULL))
+            continue;
+        machine_type.capacity.gpus = json_number_value(json_object_get(value, "Accelerators"));
+        machine_type.price = json_number_value(json_object_get(value, "Price"));
+        machine_type.spot_price = json_number_value(json_object_get(value, "MarketPrice"));
+        machine_type.boot_s = json_number_value(json_object_get(value, "BootS"));
+        machine_type.zones = parse_names(json_object_get(value, "Docks"));
+        g_array_append_val(machine_types, machine_type);
+    }
+    return machine_types;
+}
+
+bool wire_parse_hosts(const json_t *body, GArray *hosts, bool *more)
+{
+    static const char *const states[] = {"booting", "running", "failed"};
+    const json_t *list = json_object_get(body, "Winches");
+    if (!json_is_array(list))
+        return false;
+    size_t i;
+    json_t *value;
+    json_array_foreach(list, i, value)
+    {
+        host_t host = {0};
+        int state = HOST_RUNNING;
+        if (!wire_get_text(value, "Uid", host.machine, sizeof host.machine, NULL))
+            return false;
+        wire_get_text(value, "Hull", host.type, sizeof host.type, NULL);
+        wire_get_text(value, "Dock", host.zone, sizeof host.zone, NULL);
+        wire_get_flag(value, "Driftwood", &host.spot, NULL);
+        wire_get_choice(value, "Trim", states, G_N_ELEMENTS(states), &state, NULL);
+        host.state = (host_state_t)state;
+        host.age_s = json_number_value(json_object_get(value, "HeldS"));
+        g_array_append_val(hosts, host);
+    }
+    *more = json_is_true(json_object_get(body, "More"));
+    return true;
+}
+
+json_t *wire_build_rental(const char *charter, const char *type, const char *zone, bool spot,
+                          guint count)
+{
+    return json_pack("{s:s,s:s,s:s,s:b,s:i}", "Charter", charter, "Hull", type, "Dock", zone,
+                     "Driftwood", spot, "Number", (int)count);
+}
+
+json_t *wire_build_release(const GPtrArray *machines)
+{
+    json_t *names = json_array();
+    for (guint i = 0; i < machines->len; i++)
+        json_array_append_new(names, json_string(g_ptr_array_index(machines, i)));
+    return json_pack("{s:o}", "Winches", names);
+}
--- /dev/null
+++ b/src/io/wire_internal.h
@@ -0,0 +1,27 @@
+/* Fields of JSON objects, checked: what the codecs share. Nobody else includes it.
+ *
+ * Each getter sets *to and returns true, or gives the reason (why may be NULL) and returns false;
+ * then *to is not to be used. */
+#ifndef PEPPERPULLEY_WIRE_INTERNAL_H
+#define PEPPERPULLEY_WIRE_INTERNAL_H
+
+#include "io/wire.h"
+
+/* Sets the reason, if why is not NULL. Always false. */
+bool wire_fail(reason_t *why, const char *format, ...) G_GNUC_PRINTF(2, 3);
+/* A string that is not empty and fits the size, final zero included. */
+bool wire_get_text(const json_t *body, const char *name, char *to, gsize size, reason_t *why);
+/* The same; null and absent are allowed, and leave *to as it is. */
+bool wire_get_optional_text(const json_t *body, const char *name, char *to, gsize size,
+                            reason_t *why);
+/* A finite number of at least `low`. */
+bool wire_get_amount(const json_t *body, const char *name, double low, double *to, reason_t *why);
+bool wire_get_flag(const json_t *body, const char *name, bool *to, reason_t *why);
+/* An integer from low to high; low is not negative. */
+bool wire_get_count(const json_t *body, const char *name, json_int_t low, json_int_t high,
+                    uint64_t *to, reason_t *why);
+/* The index of a word among the names. */
+bool wire_get_choice(const json_t *body, const char *name, const char *const *names, int count,
+                     int *to, reason_t *why);
+
+#endif
--- /dev/null
+++ b/src/io/wire_user.c
@@ -0,0 +1,106 @@
+/* The users' protocol: jobs and their status. */
+#include "io/wire_internal.h"
+
+#include <string.h>
+
+static const char *const priority_names[] = {"low", "normal", "high", "critical"};
+static const char *const kind_names[] = {"sweep", "ensemble", "daemon"};
+
+bool wire_id_valid(const char *id)
+{
+    if (strncmp(id, "j-", 2) != 0)
+        return false;
+    gsize digits = strspn(id + 2, "0123456789");
+    return digits >= 6 && digits <= 18 && id[2 + digits] == '\0';
+}
+
+static bool get_types(const json_t *body, job_spec_t *spec, reason_t *why)
+{
+    const json_t *list = json_object_get(body, "Hulls");
+    if (!list || json_is_null(list))
+        return true;
+    if (!json_is_array(list))
+        return wire_fail(why, "Hulls: a list or null is expected");
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    size_t i;
+    json_t *value;
+    json_array_foreach(list, i, value)
+    {
+        if (!json_is_string(value)) {
+            g_ptr_array_unref(names);
+            return wire_fail(why, "Hulls: strings are expected");
+        }
+        g_ptr_array_add(names, g_strdup(json_string_value(value)));
+    }
+    g_ptr_array_add(names, NULL);
+    spec->types = (char **)g_ptr_array_free(names, FALSE);
+    return true;
+}
+
+bool wire_parse_job(const json_t *body, bool stored, job_spec_t *spec, reason_t *why)
+{
+    uint64_t tasks = 0, submitted = 0;
+    int priority = 0, kind = 0;
+    *spec = (job_spec_t){0};
+    if (!json_is_object(body))
+        return wire_fail(why, "a JSON object is expected");
+    if (!wire_get_text(body, "Uid", spec->id, sizeof spec->id, why))
+        return false;
+    if (!wire_id_valid(spec->id))
+        return wire_fail(why, "Uid: j- and at least six digits are expected");
+    const json_t *deadline = json_object_get(body, "TideS");
+    bool valid = wire_get_text(body, "Reel", spec->class_name, sizeof spec->class_name, why) &&
+                 wire_get_text(body, "Crew", spec->team, sizeof spec->team, why) &&
+                 wire_get_choice(body, "Rig", kind_names, G_N_ELEMENTS(kind_names), &kind, why) &&
+                 wire_get_choice(body, "Urgency", priority_names, G_N_ELEMENTS(priority_names),
+                                 &priority, why) &&
+                 wire_get_count(body, "Pieces", 1, TASKS_MAX, &tasks, why) &&
+                 wire_get_amount(body, "Cpus", 0, &spec->need.cpus, why) &&
+                 wire_get_amount(body, "Accelerators", 0, &spec->need.gpus, why) &&
+                 wire_get_amount(body, "MemGb", 0, &spec->need.memory, why) &&
+                 wire_get_text(body, "Cargo", spec->image, sizeof spec->image, why) &&
+                 wire_get_amount(body, "ImageGb", 0, &spec->image_gb, why) &&
+                 wire_get_optional_text(body, "Dock", spec->zone, sizeof spec->zone, why) &&
+                 wire_get_flag(body, "SamePlace", &spec->same_zone, why) &&
+                 wire_get_flag(body, "Apart", &spec->spread, why) &&
+                 wire_get_flag(body, "Driftwood", &spec->spot, why) &&
+                 wire_get_amount(body, "HaulS", 0, &spec->estimate_s, why) &&
+                 wire_get_amount(body, "KnotS", 0, &spec->checkpoint_s, why) &&
+                 wire_get_amount(body, "StowS", 0, &spec->save_s, why) &&
+                 (!deadline || json_is_null(deadline) ||
+                  wire_get_amount(body, "TideS", 0, &spec->deadline_s, why)) &&
+                 (!stored || wire_get_count(body, "At", 0, G_MAXINT64, &submitted, why)) &&
+                 (spec->need.cpus > 0 || wire_fail(why, "Cpus: must be above 0")) &&
+                 get_types(body, spec, why);
+    spec->tasks = (uint32_t)tasks;
+    spec->kind = (job_kind_t)kind;
+    spec->priority = (priority_t)priority;
+    spec->submitted_ms = (int64_t)submitted;
+    if (!valid)
+        job_spec_clear(spec);
+    return valid;
+}
+
+json_t *wire_build_job(const job_spec_t *spec)
+{
+    json_t *types = spec->types ? json_array() : json_null();
+    for (char **type = spec->types; type && *type; type++)
+        json_array_append_new(types, json_string(*type));
+    return json_pack(
+        "{s:s,s:s,s:s,s:s,s:s,s:I,s:f,s:f,s:f,s:s,s:f,s:o,s:s?,s:b,s:b,s:b,s:f,s:f,s:f,"
+        "s:o,s:I}",
+        "Uid", spec->id, "Reel", spec->class_name, "Crew", spec->team, "Rig",
+        kind_names[spec->kind], "Urgency", priority_names[spec->priority], "Pieces",
+        (json_int_t)spec->tasks, "Cpus", spec->need.cpus, "Accelerators", spec->need.gpus, "MemGb",
+        spec->need.memory, "Cargo", spec->image, "ImageGb", spec->image_gb, "Hulls", types, "Dock",
+        spec->zone[0] ? spec->zone : NULL, "SamePlace", spec->same_zone, "Apart", spec->spread,
+        "Driftwood", spec->spot, "HaulS", spec->estimate_s, "KnotS", spec->checkpoint_s, "StowS",
+        spec->save_s, "TideS", spec->deadline_s > 0 ? json_real(spec->deadline_s) : json_null(),
+        "At", (json_int_t)spec->submitted_ms);
+}
+
+json_t *wire_build_status(const char *id, const char *state, uint32_t done, uint32_t running)
+{
+    return json_pack("{s:s,s:s,s:I,s:I}", "Uid", id, "Trim", state, "done", (json_int_t)done,
+                     "running", (json_int_t)running);
+}
