The API in seven sources by what they own; functions moved unchanged

HTTP server and request queue, routes, the state of jobs, status, submissions and aborts, workers' reports, health. What they share is declared in api_internal.h, with the module's prefix.

--- /dev/null
+++ b/src/app/api_internal.h
@@ -0,0 +1,90 @@
+/* What the sources of the API share among themselves. Nobody else includes it.
+ *
+ * Handlers run on threads of the HTTP server or of the request queue. Lock not held, unless said.
+ */
+#ifndef PEPPERPULLEY_API_INTERNAL_H
+#define PEPPERPULLEY_API_INTERNAL_H
+
+#include <microhttpd.h>
+
+#include "app/node.h"
+
+/* An answer to be sent; body may be NULL. */
+typedef struct {
+    unsigned status;
+    json_t *body;
+    unsigned retry_after_s; /* 0: none */
+    char *text;             /* instead of body; owned */
+} reply_t;
+
+/* A request: its body while it arrives, then, if it has to wait, its place in the queue. */
+typedef struct {
+    GString *body;
+    bool too_long;
+    struct MHD_Connection *connection;
+    char method[8];
+    char path[REQUEST_PATH];
+    bool answered; /* reply stands; it was not sent yet */
+    reply_t reply;
+} request_t;
+
+/* What is known of a job. JOB_UNKNOWN: the state service gave no answer; JOB_NEVER: it has no such
+ * job. */
+typedef enum { JOB_UNKNOWN, JOB_LIVE, JOB_DONE, JOB_CANCELLED, JOB_NEVER } job_state_t;
+
+/* The HTTP server and the request queue (api.c). */
+
+/* An answer with a reason in its body. retry_after_s: 0: none. */
+reply_t api_refuse(unsigned status, const char *why, unsigned retry_after_s);
+/* The answer where the state service is needed and can't be asked. */
+reply_t api_come_back(void);
+
+/* Routes (api_route.c). */
+
+/* The answer to a whole request. */
+reply_t api_route(node_t *node, const char *method, const char *path, const request_t *request);
+
+/* The state of jobs in the state service (api_state.c). */
+
+/* A client of the state service; NULL: none came free in time. Give it back. */
+http_client_t *api_client_take(node_t *node);
+void api_client_return(node_t *node, http_client_t *client);
+/* Every road on which a user can be told a final state begins here: it is known to the other
+ * threads, and noted for the siblings, before it can be told. */
+job_state_t api_remember_ended(node_t *node, const char *id, bool done);
+/* Reads <prefix>/<id>. entry: api_entry_clear it. */
+state_result_t api_read_key(node_t *node, http_client_t *client, const char *prefix, const char *id,
+                            state_entry_t *entry);
+void api_entry_clear(state_entry_t *entry);
+/* A job goes from jobs/ to ended/ and never back: one that is found in neither, asked in that
+ * order, had not been accepted when the first was asked. */
+job_state_t api_look_up(node_t *node, http_client_t *client, const char *id, bool likely_live);
+/* What this node knows without asking: a final state, or whether it is probably live. */
+job_state_t api_known_state(node_t *node, const char *id, bool *likely_live);
+
+/* Status (api_status.c). */
+
+/* The answer that tells a job's state. live_status: the HTTP status where it is live. */
+reply_t api_status_reply(node_t *node, const char *id, job_state_t state, unsigned live_status);
+reply_t api_get_status(node_t *node, const char *id);
+/* As the state service has the job, asked now. */
+reply_t api_look_up_reply(node_t *node, const char *id, unsigned live_status);
+
+/* Submissions and aborts (api_jobs.c). */
+
+reply_t api_submit(node_t *node, const request_t *request);
+reply_t api_abort(node_t *node, const char *id);
+
+/* Workers' reports (api_reports.c). */
+
+reply_t api_report(node_t *node, const request_t *request);
+
+/* Health (api_health.c). */
+
+/* With the lock held: others are served, or may be: whoever asks here should ask there, at once. */
+bool api_is_shut_out(const node_t *node);
+/* Requests that can't be answered without the state service don't wait for it in vain. */
+bool api_must_turn_away(node_t *node);
+reply_t api_ready(node_t *node);
+
+#endif
--- /dev/null
+++ b/src/app/api_reports.c
@@ -0,0 +1,89 @@
+/* Workers' reports. */
+#include "app/api_internal.h"
+
+#include "io/clock.h"
+#include "io/wire.h"
+#include "log.h"
+
+/* A worker that this node does not own: sent to the owner or, if it can't reach that, kept alive
+ * here: no starts, but stops for what is cancelled. */
+static reply_t redirect_worker(node_t *node, const report_t *report, const member_t *owner,
+                               msec_t now)
+{
+    char key[ID_SIZE + 24];
+    g_snprintf(key, sizeof key, "%s#%" G_GUINT64_FORMAT, owner->name, owner->incarnation);
+    redirection_verdict_t verdict = redirection_report(node->redirection, report, key, now);
+    if (verdict == REDIRECTION_STALE)
+        return api_refuse(503, "an old report", 0);
+    if (verdict == REDIRECTION_TO_OWNER)
+        return (reply_t){.status = 421, .body = json_pack("{s:s}", "Bosun", owner->name)};
+    log_debug("event=retained machine=%s", report->machine);
+    GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
+    redirection_stop_ended(report, node->jobs, commands);
+    reply_t reply = {.status = 200, .body = wire_build_commands(node->view.number, commands)};
+    g_array_unref(commands);
+    return reply;
+}
+
+/* An answer renews the lease of all that runs there, so it always stops what users were told is
+ * cancelled: also where the partition is not loaded, for as long as the state service is away, and
+ * where nothing is taken of the report. */
+static reply_t answer_own(node_t *node, const report_t *report, msec_t now)
+{
+    GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
+    report_verdict_t verdict = REPORT_UNPROVEN;
+    reply_t reply;
+    if (node->loaded) {
+        partition_pause_starts(node->partition, !node_may_start(node, now));
+        verdict = partition_report(node->partition, report, false, now, commands);
+    }
+    if (verdict == REPORT_STALE) {
+        reply = api_refuse(503, "an old report", 0);
+    } else {
+        if (verdict != REPORT_TAKEN)
+            redirection_stop_ended(report, node->jobs, commands);
+        reply = (reply_t){.status = 200, .body = wire_build_commands(node->view.number, commands)};
+        node_notify(node);
+    }
+    g_array_unref(commands);
+    return reply;
+}
+
+static reply_t take_report(node_t *node, const report_t *report)
+{
+    msec_t now = clock_steady();
+    metrics_count(node->metrics, COUNT_REPORTS, 1);
+    /* A higher token is out: this node's view is old, and a 200 from it would be dropped while it
+     * holds the worker here. Silence about aborts ends the answers as well. */
+    if (node->view.count == 0 || MAX(report->token, node->superseded) > node->view.number)
+        return api_refuse(503, "not entitled now", 0);
+    if (!node_may_renew(node, now)) {
+        /* It lives, though its lease may not be renewed: after an outage, machines that were only
+         * refused must not be taken for dead. */
+        if (node->loaded)
+            partition_note_alive(node->partition, report, now);
+        return api_refuse(503, "not entitled now", 0);
+    }
+    guint owner = node_owner(node, report->machine, report->zone);
+    metrics_count(node->metrics, COUNT_REPORTS_NOT_OWNED, owner != node->own);
+    if (owner != node->own)
+        return redirect_worker(node, report, &node->view.members[owner], now);
+    return answer_own(node, report, now);
+}
+
+reply_t api_report(node_t *node, const request_t *request)
+{
+    report_t report;
+    reason_t why = {"not JSON"};
+    json_t *body =
+        request->too_long ? NULL : json_loadb(request->body->str, request->body->len, 0, NULL);
+    bool valid = body && wire_parse_report(body, &report, &why);
+    json_decref(body);
+    if (!valid)
+        return api_refuse(400, why.text, 0);
+    pthread_mutex_lock(&node->lock);
+    reply_t reply = take_report(node, &report);
+    pthread_mutex_unlock(&node->lock);
+    report_clear(&report);
+    return reply;
+}
--- /dev/null
+++ b/src/app/api_route.c
@@ -0,0 +1,38 @@
+/* Which handler a path goes to. */
+#include "app/api_internal.h"
+
+#include <string.h>
+
+static reply_t route_run(node_t *node, const char *method, const char *rest)
+{
+    char id[ID_SIZE];
+    const char *slash = strchr(rest, '/');
+    gsize length = slash ? (gsize)(slash - rest) : strlen(rest);
+    if (length == 0 || length >= sizeof id)
+        return api_refuse(404, "no such job", 0);
+    memcpy(id, rest, length);
+    id[length] = '\0';
+    if (!slash)
+        return strcmp(method, "GET") == 0 ? api_get_status(node, id)
+                                          : api_refuse(405, "only GET is known here", 0);
+    if (strcmp(slash, "/abort") == 0)
+        return strcmp(method, "POST") == 0 ? api_abort(node, id)
+                                           : api_refuse(405, "only POST is known here", 0);
+    return api_refuse(404, "no such path", 0);
+}
+
+reply_t api_route(node_t *node, const char *method, const char *path, const request_t *request)
+{
+    static const char runs[] = "/v2/runs/";
+    if (strcmp(path, "/hello") == 0 && strcmp(method, "POST") == 0)
+        return api_report(node, request);
+    if (strcmp(path, "/ready") == 0 && strcmp(method, "GET") == 0)
+        return api_ready(node);
+    if (strcmp(path, "/v2/runs") == 0 && strcmp(method, "POST") == 0)
+        return api_submit(node, request);
+    if (strcmp(path, "/metrics") == 0 && strcmp(method, "GET") == 0)
+        return (reply_t){.status = 200, .text = metrics_text(node->metrics)};
+    if (g_str_has_prefix(path, runs))
+        return route_run(node, method, path + strlen(runs));
+    return api_refuse(404, "no such path", 0);
+}
