The cloud's loop in five sources by what they own; functions moved unchanged

The loop and machine types, the list, rentals, releases, retained workers and excluded members. What they share is declared in cloud_internal.h.

--- /dev/null
+++ b/src/app/cloud_internal.h
@@ -0,0 +1,78 @@
+/* What the sources of the cloud's loop share among themselves. Nobody else includes it.
+ *
+ * All of it runs on the loop's thread; lock not held, unless said. */
+#ifndef PEPPERPULLEY_CLOUD_INTERNAL_H
+#define PEPPERPULLEY_CLOUD_INTERNAL_H
+
+#include "app/node.h"
+
+/* A rental whose answer is still owed: repeated under its name until it is answered. */
+typedef struct {
+    bool open;
+    char charter[64];
+    rental_wish_t wish;
+    uint64_t generation;
+} charter_t;
+
+/* What the loop keeps. */
+typedef struct {
+    node_t *node;
+    http_client_t *client;
+    msec_t machine_types_at; /* 0: never */
+    msec_t listed_at;
+    msec_t retained_at;
+    guint charters;
+    charter_t charter;
+    GHashTable *listed;   /* ids of the newest list */
+    GPtrArray *failed;    /* ids that it calls failed */
+    GHashTable *returned; /* id -> msec_t *: released so lately that lists may still show it */
+} cloud_t;
+
+/* The loop (cloud.c). */
+
+/* One call of the cloud; returns as http_call. */
+int cloud_call(cloud_t *cloud, const char *method, const char *path, const json_t *body,
+               json_t **answer);
+/* With the lock held: the summary of a machine in the leader's data, and its partition (may be
+ * NULL); NULL: no partition knows it. */
+const machine_summary_t *cloud_find_summary(const node_t *node, const char *id, guint *partition);
+/* With the lock held: whether we may act for all. A leader that was replaced while it was refused
+ * has summaries that show all its machines silent; back in touch, it gave them up in the moment
+ * before it heard of the new view. */
+bool cloud_leads(const node_t *node);
+/* Whether its release was confirmed within the list's lag: asking again would only cost calls. */
+bool cloud_is_returned(const cloud_t *cloud, const char *id, msec_t now);
+/* With the lock held: sends an item that names a machine to its partition. */
+void cloud_send_machine_item(node_t *node, guint partition, channel_item_kind_t kind,
+                             const char *id);
+
+/* The list (cloud_listing.c). */
+
+/* Reads the list and takes it, if we lead. */
+void cloud_refresh_hosts(cloud_t *cloud);
+
+/* Rentals (cloud_rental.c). */
+
+/* Asks for the next machines that are wanted, if any. */
+void cloud_rent(cloud_t *cloud);
+
+/* Releases (cloud_release.c). */
+
+/* Releases what is to go, for whatever reason. */
+void cloud_give_back(cloud_t *cloud);
+
+/* Retained workers and excluded members (cloud_members.c). */
+
+/* Machines that some node keeps alive because they can't reach their owner: a set of ids, the
+ * caller's; NULL: it could not be read. */
+GHashTable *cloud_read_retained(cloud_t *cloud);
+/* Tells the leader, through the state service, which workers of others this node keeps alive. */
+void cloud_publish_retained(cloud_t *cloud, msec_t now);
+/* Silence after which a worker may have lost its owner: a report and a half, and the time it takes.
+ */
+msec_t cloud_lost_after(const node_t *node);
+/* A controller that its workers can't reach owns machines in vain: they are kept alive elsewhere
+ * and get no starts. It is excluded, and its machines go to the others. */
+void cloud_exclude_members(cloud_t *cloud, msec_t now);
+
+#endif
--- /dev/null
+++ b/src/app/cloud_listing.c
@@ -0,0 +1,68 @@
+/* The cloud's list of machines: what boots, what failed, what is gone. */
+#include "app/cloud_internal.h"
+
+#include "io/clock.h"
+#include "io/wire.h"
+
+static bool read_hosts(cloud_t *cloud, GArray *hosts)
+{
+    bool more = true;
+    while (more) {
+        char path[160];
+        json_t *answer = NULL;
+        const char *since =
+            hosts->len ? g_array_index(hosts, host_t, hosts->len - 1).machine : NULL;
+        g_snprintf(path, sizeof path, "/hosts?%s%s%sLimit=%d", since ? "Since=" : "",
+                   since ? since : "", since ? "&" : "", LIST_PAGE);
+        guint before = hosts->len;
+        bool read = cloud_call(cloud, "GET", path, NULL, &answer) == 200 &&
+                    wire_parse_hosts(answer, hosts, &more);
+        json_decref(answer);
+        if (!read)
+            return false;
+        more = more && hosts->len > before;
+    }
+    return true;
+}
+
+static void take_hosts(cloud_t *cloud, const GArray *hosts, msec_t now)
+{
+    node_t *node = cloud->node;
+    g_hash_table_remove_all(cloud->listed);
+    g_ptr_array_set_size(cloud->failed, 0);
+    for (guint i = 0; i < hosts->len; i++) {
+        const host_t *host = &g_array_index(hosts, host_t, i);
+        g_hash_table_add(cloud->listed, g_strdup(host->machine));
+        const machine_summary_t *machine = cloud_find_summary(node, host->machine, NULL);
+        if (host->state == HOST_FAILED)
+            g_ptr_array_add(cloud->failed, g_strdup(host->machine));
+        else if (!machine && !cloud_is_returned(cloud, host->machine, now)) /* else the list lags */
+            rental_booting(node->rental, host->machine, host->type, host->zone, host->spot,
+                           MAX(now - (msec_t)(host->age_s * 1000), node->loaded_at));
+    }
+    /* What was rented long enough ago to be listed and is not, was taken while it booted. */
+    GHashTableIter iter;
+    gpointer key, value;
+    msec_t lag = (msec_t)(node->settings->list_lag_s * 2000) + LEADER_GRACE_MS;
+    g_hash_table_iter_init(&iter, node->rental->boots);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const boot_t *boot = value;
+        if (cloud_find_summary(node, key, NULL) ||
+            (now - boot->since > lag && !g_hash_table_contains(cloud->listed, key)))
+            g_hash_table_iter_remove(&iter);
+    }
+}
+
+void cloud_refresh_hosts(cloud_t *cloud)
+{
+    node_t *node = cloud->node;
+    GArray *hosts = g_array_new(FALSE, FALSE, sizeof(host_t));
+    if (read_hosts(cloud, hosts)) {
+        pthread_mutex_lock(&node->lock);
+        if (cloud_leads(node))
+            take_hosts(cloud, hosts, clock_steady());
+        pthread_mutex_unlock(&node->lock);
+        cloud->listed_at = clock_steady();
+    }
+    g_array_unref(hosts);
+}
--- /dev/null
+++ b/src/app/cloud_members.c
@@ -0,0 +1,112 @@
+/* Controllers that their workers can't reach: what each node retains of the workers of others is
+ * published, and the leader excludes members by it. */
+#include "app/cloud_internal.h"
+
+#include "io/clock.h"
+#include "log.h"
+
+GHashTable *cloud_read_retained(cloud_t *cloud)
+{
+    GHashTable *retained = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    GArray *entries = state_entries_new();
+    rate_limiter_charge(&cloud->node->core_rps, 1, clock_steady());
+    state_result_t result = state_list(&cloud->node->state, cloud->client, "kept/", entries, NULL);
+    int64_t day = clock_day();
+    for (guint i = 0; result == STATE_OK && i < entries->len; i++) {
+        const json_t *value = g_array_index(entries, state_entry_t, i).value;
+        if (day - json_integer_value(json_object_get(value, "At")) > RETAINED_FRESH_MS)
+            continue;
+        size_t k;
+        json_t *name;
+        json_array_foreach(json_object_get(value, "Machines"), k, name) if (json_is_string(name))
+            g_hash_table_add(retained, g_strdup(json_string_value(name)));
+    }
+    g_array_unref(entries);
+    if (result != STATE_OK)
+        g_clear_pointer(&retained, g_hash_table_unref);
+    return retained;
+}
+
+msec_t cloud_lost_after(const node_t *node)
+{
+    return MAX(LOST_SILENT_MS,
+               (msec_t)(node->settings->report_s * REPORT_SPREAD * 1000) + 2 * REPORT_LATE_MS);
+}
+
+/* With the lock held: machines of a partition that have gone silent, if they are most of it. */
+static GPtrArray *lost_of(const node_t *node, guint partition)
+{
+    const GArray *summaries = g_ptr_array_index(node->leader->summaries, partition);
+    GPtrArray *lost = g_ptr_array_new_with_free_func(g_free);
+    for (guint k = 0; summaries && k < summaries->len; k++) {
+        const machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
+        if (summary->silent_ms > cloud_lost_after(node))
+            g_ptr_array_add(lost, g_strdup(summary->machine));
+    }
+    if (lost->len < LOST_LEAST || 2 * lost->len <= summaries->len)
+        g_ptr_array_set_size(lost, 0);
+    return lost;
+}
+
+void cloud_exclude_members(cloud_t *cloud, msec_t now)
+{
+    node_t *node = cloud->node;
+    GHashTable *retained = NULL;
+    guint partitions = 0;
+    pthread_mutex_lock(&node->lock);
+    uint64_t generation = node->generation;
+    /* In a view's first seconds, workers are still on their way to their owners. */
+    partitions = cloud_leads(node) && now - node->loaded_at > 2 * cloud_lost_after(node)
+                     ? node->view.count
+                     : 0;
+    pthread_mutex_unlock(&node->lock);
+    for (guint i = 0; i < partitions; i++) {
+        pthread_mutex_lock(&node->lock);
+        GPtrArray *lost = node->generation == generation ? lost_of(node, i) : g_ptr_array_new();
+        pthread_mutex_unlock(&node->lock);
+        if (lost->len && !retained)
+            retained = cloud_read_retained(cloud);
+        guint alive = 0;
+        for (guint k = 0; retained && k < lost->len; k++)
+            alive += g_hash_table_contains(retained, g_ptr_array_index(lost, k));
+        if (lost->len && 2 * alive > lost->len) {
+            msec_t until = now + EXCLUDED_MS;
+            pthread_mutex_lock(&node->lock);
+            if (node->generation == generation) {
+                log_info("event=excluded member=%s machines=%u", node->view.members[i].name, alive);
+                g_hash_table_insert(node->election.excluded, g_strdup(node->view.members[i].name),
+                                    g_memdup2(&until, sizeof until));
+                pthread_cond_broadcast(&node->members);
+            }
+            pthread_mutex_unlock(&node->lock);
+        }
+        g_ptr_array_unref(lost);
+    }
+    if (retained)
+        g_hash_table_unref(retained);
+}
+
+void cloud_publish_retained(cloud_t *cloud, msec_t now)
+{
+    node_t *node = cloud->node;
+    json_t *names = json_array();
+    pthread_mutex_lock(&node->lock);
+    GPtrArray *retained = redirection_retained(node->redirection, now);
+    pthread_mutex_unlock(&node->lock);
+    for (guint i = 0; i < retained->len; i++)
+        json_array_append_new(names, json_string(g_ptr_array_index(retained, i)));
+    g_ptr_array_unref(retained);
+    if (json_array_size(names) == 0) {
+        json_decref(names);
+        return;
+    }
+    char path[ID_SIZE + 8];
+    txn_t txn = txn_new();
+    g_snprintf(path, sizeof path, "kept/%s", node->settings->name);
+    txn_set(&txn, path, json_pack("{s:I,s:o}", "At", (json_int_t)clock_day(), "Machines", names),
+            0);
+    rate_limiter_charge(&node->core_rps, 1, now);
+    state_commit(&node->state, cloud->client, &txn, STATE_TIMEOUT_MS, NULL, NULL);
+    txn_free(&txn);
+    cloud->retained_at = now;
+}
