--- /dev/null
+++ b/src/app/heartbeat.c
@@ -0,0 +1,102 @@
+/* Heartbeats: every controller asks every other what cancellations it told its users of. */
+#include "app/peer_exchange.h"
+
+#include <unistd.h>
+
+#include "io/clock.h"
+#include "log.h"
+
+/* A sibling to which a thread of ours sends heartbeats. */
+typedef struct {
+    node_t *node;
+    guint index; /* among the settings' siblings */
+} heartbeat_t;
+
+static GByteArray *compose_heartbeat(const heartbeat_t *heartbeat)
+{
+    node_t *node = heartbeat->node;
+    pthread_mutex_lock(&node->lock);
+    const cancellation_replica_t *replica = &node->cancellations.siblings[heartbeat->index];
+    peer_message_t message = peer_exchange_message(node);
+    message.heartbeat = true;
+    message.acknowledged_incarnation = replica->incarnation;
+    message.acknowledged_index = replica->last_index;
+    pthread_mutex_unlock(&node->lock);
+    return peer_encode(&message);
+}
+
+GByteArray *heartbeat_answer(node_t *node, const peer_message_t *message)
+{
+    pthread_mutex_lock(&node->lock);
+    peer_exchange_receive_any(node, message);
+    peer_message_t answer = peer_exchange_message(node);
+    answer.heartbeat = true;
+    answer.update = cancellation_log_update(&node->cancellations, message->acknowledged_incarnation,
+                                            message->acknowledged_index, clock_steady());
+    pthread_mutex_unlock(&node->lock);
+    GByteArray *frame = peer_encode(&answer);
+    peer_message_clear(&answer);
+    return frame;
+}
+
+/* With the lock held: what a sibling answered to a heartbeat that left at `asked`. */
+static void receive_heartbeat_answer(node_t *node, guint index, const peer_message_t *message,
+                                     msec_t asked)
+{
+    peer_exchange_receive_any(node, message);
+    for (guint i = 0; i < message->update.jobs->len; i++) {
+        const char *id = g_ptr_array_index(message->update.jobs, i);
+        if (!g_hash_table_contains(node->gone, id))
+            log_info("event=cancellation_update job=%s from=%s", id, message->sender);
+        node_remember(node, id, false);
+    }
+    cancellation_log_apply(&node->cancellations, index, &message->update, asked, clock_steady());
+}
+
+static bool send_heartbeat(const heartbeat_t *heartbeat, int fd)
+{
+    node_t *node = heartbeat->node;
+    msec_t asked = clock_steady();
+    GByteArray *frame = compose_heartbeat(heartbeat);
+    peer_message_t message;
+    bool answered = peer_exchange_converse(fd, frame, &message);
+    g_byte_array_unref(frame);
+    if (!answered)
+        return false;
+    pthread_mutex_lock(&node->lock);
+    receive_heartbeat_answer(node, heartbeat->index, &message, asked);
+    pthread_mutex_unlock(&node->lock);
+    peer_message_clear(&message);
+    return true;
+}
+
+/* Every controller asks every other, whatever the view, what cancellations it told its users of:
+ * without the state service nothing else says so. It also hears whether the other has the state
+ * service, and of a higher view: one that is refused alone can't see that it was replaced, and
+ * would hold its workers, whom the new leader then takes for dead. */
+static void *heartbeat_run(void *data)
+{
+    const heartbeat_t *heartbeat = data;
+    const sibling_t *sibling =
+        &g_array_index(heartbeat->node->settings->siblings, sibling_t, heartbeat->index);
+    int fd = -1;
+    for (;;) {
+        if (fd < 0)
+            fd = peer_connect(sibling->endpoint, PEER_TIMEOUT_MS);
+        if (fd >= 0 && !send_heartbeat(heartbeat, fd)) {
+            close(fd);
+            fd = -1;
+        }
+        node_sleep(HEARTBEAT_GAP_MS);
+    }
+    return NULL;
+}
+
+void heartbeat_start(node_t *node)
+{
+    for (guint i = 0; i < node->settings->siblings->len; i++) {
+        heartbeat_t *heartbeat = g_new(heartbeat_t, 1);
+        *heartbeat = (heartbeat_t){node, i};
+        node_thread(heartbeat_run, heartbeat);
+    }
+}
--- /dev/null
+++ b/src/app/peer_server.c
@@ -0,0 +1,119 @@
+/* The side that is called: the leader by the partitions, and every controller by its siblings'
+ * heartbeats. */
+#include "app/peer_exchange.h"
+
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "io/clock.h"
+#include "log.h"
+
+typedef struct {
+    node_t *node;
+    int fd;
+} peer_connection_t;
+
+static bool is_member(const node_t *node, const peer_message_t *message, guint *index)
+{
+    for (guint i = 0; i < node->view.count; i++) {
+        if (strcmp(node->view.members[i].name, message->sender) == 0 &&
+            node->view.members[i].incarnation == message->incarnation) {
+            *index = i;
+            return true;
+        }
+    }
+    return false;
+}
+
+channel_t *peer_server_receive(node_t *node, peer_message_t *message)
+{
+    guint index = 0;
+    msec_t now = clock_steady();
+    peer_exchange_receive_any(node, message);
+    if (!node->leading || !node->loaded || message->view != node->view.number ||
+        !is_member(node, message, &index) || index == node->own)
+        return NULL;
+    channel_t *channel = g_ptr_array_index(node->channels, index);
+    channel_ack(channel, message->ack);
+    if (message->items->len && channel_accept(channel, message->number)) {
+        for (guint i = 0; i < message->items->len; i++) {
+            const channel_item_t *item = &g_array_index(message->items, channel_item_t, i);
+            if (item->kind == CHANNEL_ATTEMPT_RESULT)
+                node_handle_result(node, index, &item->result, now);
+        }
+    }
+    /* Machine summaries from before the last batch of placement requests would show its resources
+     * as free. */
+    if (message->summaries && message->ack == channel->sent) {
+        leader_set_summaries(node->leader, index, g_steal_pointer(&message->summaries));
+        leader_set_yielding(node->leader, index, g_steal_pointer(&message->yielding));
+    }
+    node_notify(node);
+    return channel;
+}
+
+static GByteArray *answer_partition(node_t *node, peer_message_t *message)
+{
+    pthread_mutex_lock(&node->lock);
+    uint64_t generation = node->generation;
+    channel_t *channel = peer_server_receive(node, message);
+    guint index = 0;
+    if (channel && is_member(node, message, &index))
+        node->received_at[index] = clock_steady();
+    msec_t until = clock_steady() + PEER_ANSWER_DELAY_MS;
+    while (channel && !channel_busy(channel) && clock_steady() < until) {
+        node_wait(node, &node->peer_work, PEER_ANSWER_DELAY_MS);
+        if (node->generation != generation)
+            channel = NULL; /* freed with its view while the lock was given up */
+    }
+    GByteArray *frame = peer_exchange_compose(node, channel, false);
+    pthread_mutex_unlock(&node->lock);
+    return frame;
+}
+
+static void *peer_connection_run(void *data)
+{
+    peer_connection_t *peer_connection = data;
+    GByteArray *frame;
+    while ((frame = peer_receive(peer_connection->fd))) {
+        peer_message_t message;
+        bool valid = peer_decode(frame->data, frame->len, &message);
+        g_byte_array_unref(frame);
+        if (!valid)
+            break;
+        GByteArray *answer = message.heartbeat ? heartbeat_answer(peer_connection->node, &message)
+                                               : answer_partition(peer_connection->node, &message);
+        peer_message_clear(&message);
+        bool sent = answer && peer_send(peer_connection->fd, answer);
+        if (answer)
+            g_byte_array_unref(answer);
+        if (!sent)
+            break;
+    }
+    close(peer_connection->fd);
+    g_free(peer_connection);
+    return NULL;
+}
+
+void *peer_server_run(void *data)
+{
+    node_t *node = data;
+    int listener = peer_listen(node->settings->peer_listen);
+    if (listener < 0) {
+        log_error("event=listen_failed address=%s", node->settings->peer_listen);
+        return NULL;
+    }
+    for (;;) {
+        int fd = accept(listener, NULL, NULL);
+        if (fd < 0) {
+            node_sleep(PEER_RETRY_MS);
+            continue;
+        }
+        peer_set_timeout(fd, PEER_IDLE_MS);
+        peer_connection_t *peer_connection = g_new(peer_connection_t, 1);
+        *peer_connection = (peer_connection_t){node, fd};
+        pthread_detach(node_thread(peer_connection_run, peer_connection));
+    }
+    return NULL;
+}
