A copy of a report from before the view redirects nobody

Copies that reach every controller just as a view begins were noted at those that do not own the machine, as its first report there. Its worker, when it came, looked like one that was back from an owner out of reach: kept for 20 s without starts, and after 4 s all others of that owner with it.

--- a/src/app/node.c
+++ b/src/app/node.c
@@ -214,7 +214,7 @@
     /* Workers kept here because they could not reach a former owner go to the new ones: the leader
      * takes a machine that nobody hears for dead. */
     if (view->incarnation != node->view.incarnation || !election_same_members(view, &node->view))
-        guests_clear(node->guests, clock_steady());
+        guests_clear(node->guests, view->number, clock_steady());
     node->view = *view;
     if (!node->leading)
         node->led_since = clock_steady();
--- a/src/core/guest.c
+++ b/src/core/guest.c
@@ -21,6 +21,7 @@
 struct guests {
     GHashTable *machines; /* id -> guest_t, owned */
     GHashTable *owners;   /* name -> owner_t, owned */
+    uint64_t token;       /* of the view that made these owners */
     msec_t cleared;
 };
 
@@ -39,8 +40,9 @@
     g_free(guests);
 }
 
-void guests_clear(guests_t *guests, msec_t now)
+void guests_clear(guests_t *guests, uint64_t token, msec_t now)
 {
+    guests->token = token;
     guests->cleared = now;
     g_hash_table_remove_all(guests->machines);
 }
@@ -88,6 +90,8 @@
 guest_verdict_t guests_report(guests_t *guests, const report_t *report, const char *name,
                               msec_t now)
 {
+    if (report->token < guests->token)
+        return GUEST_UNPROVEN;
     guest_t *guest = find(guests, report->machine);
     if (report->session < guest->session ||
         (report->session == guest->session && report->seq <= guest->seq))
--- a/src/core/guest.h
+++ b/src/core/guest.h
@@ -14,16 +14,18 @@
 typedef struct guests guests_t;
 
 typedef enum {
-    GUEST_HOME, /* to be sent to its owner */
-    GUEST_KEPT, /* to be answered */
-    GUEST_OLD   /* a copy of what came before: nothing follows from it */
+    GUEST_HOME,    /* to be sent to its owner */
+    GUEST_KEPT,    /* to be answered */
+    GUEST_OLD,     /* a copy of what came before: nothing follows from it */
+    GUEST_UNPROVEN /* written before these owners were known there, so perhaps a late copy: to be
+                      answered, which brings its worker the token, but nothing follows from it */
 } guest_verdict_t;
 
 guests_t *guests_new(void);
 void guests_free(guests_t *guests);
 /* The owners changed: everybody is sent home anew, but to owners that could not be reached of late.
- */
-void guests_clear(guests_t *guests, msec_t now);
+ * token: of the view that changed them; reports below it were written before. */
+void guests_clear(guests_t *guests, uint64_t token, msec_t now);
 /* owner: the controller it belongs to, by name and incarnation. */
 guest_verdict_t guests_report(guests_t *guests, const report_t *report, const char *owner,
                               msec_t now);
--- a/tests/stories_guest.c
+++ b/tests/stories_guest.c
@@ -101,7 +101,7 @@
     assert_int_equal(hear_lost("m-000001", 1, 1000), GUEST_HOME);
     assert_int_equal(hear_lost("m-000001", 2, 2000), GUEST_KEPT);
     report_t report = {.machine = "m-000002", .session = 1, .seq = 1};
-    guests_clear(guests, GUESTS_SETTLE_MS + 2050);
+    guests_clear(guests, 0, GUESTS_SETTLE_MS + 2050);
     assert_int_equal(guests_report(guests, &report, "hand-1", GUESTS_SETTLE_MS + 2100), GUEST_HOME);
     /* Nor is anyone kept for a scout while workers are on their way to new owners, whatever token a
      * command brought them. */
@@ -116,7 +116,7 @@
     (void)state;
     hear_lost("m-000001", 1, 1000);
     hear_lost("m-000001", 2, 11000); /* hand-1 is missed */
-    guests_clear(guests, GUESTS_SETTLE_MS + 11500);
+    guests_clear(guests, 0, GUESTS_SETTLE_MS + 11500);
     report_t report = {.machine = "m-000004", .session = 1, .seq = 1};
     assert_int_equal(guests_report(guests, &report, "hand-1", GUESTS_SETTLE_MS + 12000),
                      GUEST_KEPT);
@@ -130,6 +130,25 @@
                      GUEST_KEPT);
 }
 
+/* Copies of reports from before the view reach every controller just as it begins, when nobody has
+ * anything to compare them with. The worker, which comes for the first time after them, had looked
+ * like one that could not reach its owner: it was kept from it for 20 s without starts, and all
+ * that belong there along with it. */
+static void a_copy_from_before_the_view_redirects_nobody(void **state)
+{
+    (void)state;
+    report_t report = {.machine = "m-000001", .session = 1, .seq = 5, .token = 6};
+    guests_clear(guests, 7, 1000);
+    assert_int_equal(guests_report(guests, &report, "hand-1", 1100), GUEST_UNPROVEN);
+    assert_int_equal(guests_report(guests, &report, "hand-1", 1200), GUEST_UNPROVEN);
+    report.seq = 9;
+    report.token = 7; /* the worker: an answer, or its owner's command, brought it the token */
+    assert_int_equal(guests_report(guests, &report, "hand-1", 1100 + HOME_HANG_MS), GUEST_HOME);
+    report_t other = {.machine = "m-000002", .session = 1, .seq = 5, .token = 7};
+    assert_int_equal(guests_report(guests, &other, "hand-1", 1200 + HOME_HANG_MS), GUEST_HOME);
+    assert_int_equal(kept(1200 + HOME_HANG_MS), 0);
+}
+
 /* While a part is not loaded, an answer still renews the lease of all that runs there: an outage
  * that began with a commit under way left cancelled tasks running for as long as it lasted. */
 static void an_answer_without_the_part_stops_what_is_over(void **state)
@@ -171,6 +190,8 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(a_view_does_not_send_workers_to_one_that_was_missed, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(a_copy_from_before_the_view_redirects_nobody, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(an_answer_without_the_part_stops_what_is_over, set_up,
                                         tear_down),
     };
