A leader anew knows no boots of its earlier leadership

They were kept from one leadership to the next. Minutes later they looked stuck, and were returned in the moment before the other parts' rows were heard, with the work that ran on them.

--- a/src/app/node.c
+++ b/src/app/node.c
@@ -216,9 +216,12 @@
     if (view->incarnation != node->view.incarnation || !election_same_members(view, &node->view))
         guests_clear(node->guests, view->number, clock_steady());
     node->view = *view;
-    if (!node->leading)
-        node->led_since = clock_steady();
+    bool led = node->leading;
     node->leading = view->incarnation == node->incarnation;
+    if (!led)
+        node->led_since = clock_steady();
+    if (!led && node->leading && node->rental)
+        rental_begin(node->rental);
     node->loaded = false;
     node->generation++;
     node->own = G_MAXUINT;
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -36,6 +36,12 @@
     g_hash_table_insert(rental->boots, boot->machine, boot);
 }
 
+void rental_begin(rental_t *rental)
+{
+    g_hash_table_remove_all(rental->boots);
+    rental->surplus_since = 0;
+}
+
 void rental_boot_over(rental_t *rental, const char *machine)
 {
     g_hash_table_remove(rental->boots, machine);
--- a/src/core/rental.h
+++ b/src/core/rental.h
@@ -37,6 +37,9 @@
 void rental_free(rental_t *rental);
 void rental_booting(rental_t *rental, const char *machine, const char *type, const char *zone,
                     bool spot, msec_t since);
+/* A leadership begins: what an earlier one of this node had under way may be up by now and work for
+ * parts that have yet to say so. The list tells what still boots. */
+void rental_begin(rental_t *rental);
 /* It reported, or is gone. */
 void rental_boot_over(rental_t *rental, const char *machine);
 /* Judges each zone by its rows. Where several machines stand and all have been silent for so long,
--- a/tests/stories_node.c
+++ b/tests/stories_node.c
@@ -357,6 +357,36 @@
     assert_int_equal(count_noted(0), 0);
 }
 
+/* A controller leads, is replaced, and leads again minutes later. What it rented at first is up by
+ * then and works for other parts, whose rows it has yet to hear: taken for boots that came to
+ * nothing, such machines were returned, work and all. */
+static void a_leader_anew_knows_no_boots_of_before(void **state)
+{
+    (void)state;
+    uint16_t mesh[2] = {1, 2};
+    stage = g_new0(stage_t, 1);
+    stage->services = services_new();
+    node_t *node = node_new(settings_of(0, mesh, 2), policy_default());
+    node->rental = rental_new();
+    view_t own = {.number = 1, .stamp = 10, .incarnation = node->incarnation};
+    view_t other = {.number = 3, .stamp = 30, .incarnation = node->incarnation + 1};
+    pthread_mutex_lock(&node->lock);
+    node_adopt(node, &own);
+    rental_booting(node->rental, "m-000001", "t16", "north", true, 1000);
+    own.number = 2;
+    own.stamp = 20;
+    node_adopt(node, &own); /* the same leadership: it boots on */
+    assert_int_equal(g_hash_table_size(node->rental->boots), 1);
+    node_adopt(node, &other);
+    own.number = 4;
+    own.stamp = 40;
+    node_adopt(node, &own);
+    GPtrArray *stuck = rental_stuck(node->rental, node->flavors, 1000 + 10 * BOOT_PATIENCE_MS);
+    assert_int_equal(stuck->len, 0);
+    g_ptr_array_unref(stuck);
+    pthread_mutex_unlock(&node->lock);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -365,6 +395,7 @@
         cmocka_unit_test(a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled),
         cmocka_unit_test(work_runs_ends_and_is_called_off),
         cmocka_unit_test(odd_requests_get_their_answers),
+        cmocka_unit_test(a_leader_anew_knows_no_boots_of_before),
     };
     signal(SIGPIPE, SIG_IGN);
     http_start();
