A start taken before a stall does not leave after it

Direct commands are judged again right before they leave, and after the process stood still no start is sent until it is known what was cancelled up to its waking. A sender that had taken a start of a job cancelled meanwhile sent it on waking.

--- a/src/app/node.c
+++ b/src/app/node.c
@@ -68,6 +68,7 @@
     node->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     node->links = g_ptr_array_new();
     node->own = G_MAXUINT;
+    node->pulse = now;
     node->guests = guests_new();
     node->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     node->gone_order = g_queue_new();
@@ -99,6 +100,7 @@
     node_thread(mesh_serve_run, node);
     node_thread(mail_run, node);
     mesh_greet(node);
+    node_thread(pulse_run, node);
     node_thread(follow_run, node);
     node_thread(placer_run, node);
     node_thread(cloud_run, node);
@@ -411,7 +413,38 @@
            now - known_until(node) < (msec_t)(spare * 1000) - CONTACT_MARGIN_MS;
 }
 
-bool node_may_start(const node_t *node, msec_t now)
+void node_pulse(node_t *node, msec_t now)
 {
-    return node->jobs_synced && now - known_until(node) < RUN_KNOWN_MS;
+    if (now - node->pulse > STALL_MS)
+        node->woken = now;
+    node->pulse = MAX(node->pulse, now);
+}
+
+bool node_may_start(node_t *node, msec_t now)
+{
+    node_pulse(node, now);
+    msec_t known = known_until(node);
+    return node->jobs_synced && known >= node->woken && now - known < RUN_KNOWN_MS;
+}
+
+bool node_may_send(node_t *node, const char *machine, uint64_t generation, const GArray *calls,
+                   msec_t taken, msec_t now)
+{
+    if (now - taken <= STALL_MS)
+        return true;
+    if (node->generation == generation && node->loaded)
+        part_direct_done(node->part, machine, calls, 0, DIRECT_WITHHELD);
+    return false;
+}
+
+void *pulse_run(void *data)
+{
+    node_t *node = data;
+    for (;;) {
+        pthread_mutex_lock(&node->lock);
+        node_pulse(node, clock_steady());
+        pthread_mutex_unlock(&node->lock);
+        node_sleep(PULSE_MS);
+    }
+    return NULL;
 }
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -8,6 +8,7 @@
  *   placer  our part: places and commits; the leader also offers and settles
  *   mesh    the exchange between the leader and the parts
  *   sender  direct commands to workers
+ *   pulse   notices when the process stood still
  *   cloud   types everywhere; leader: renting, returning, proof that machines are gone
  *   front   users and workers: the HTTP server's threads, and those that serve the queue of
  *           requests that may have to wait */
@@ -86,6 +87,8 @@
     GHashTable *gone;      /* ids of jobs that are over, owned; bounded */
     GQueue *gone_order;    /* the same, borrowed; oldest first */
     msec_t jobs_proof;     /* every abort accepted before it is known here */
+    msec_t pulse;          /* when the time was noticed last */
+    msec_t woken;          /* when the process was last found to have stood still */
     cancelled_t cancelled; /* what this node and its siblings told users */
     GArray *flavors;       /* flavor_t; empty: not known yet */
     part_t *part;
@@ -129,8 +132,16 @@
 contact_t node_contact(const node_t *node);
 /* Whether reports may still be answered: what cancellations there are is known well enough. */
 bool node_may_renew(const node_t *node, msec_t now);
-/* Whether starts may still be sent. */
-bool node_may_start(const node_t *node, msec_t now);
+/* Whether starts may still be sent. After the process stood still, what it knows is as old as that:
+ * none is sent until it is known what was cancelled up to its waking. */
+bool node_may_start(node_t *node, msec_t now);
+/* Takes notice of the time. */
+void node_pulse(node_t *node, msec_t now);
+/* Commands that were taken at `taken` are about to leave. False: their sender has stood still
+ * since, and what they say may be out of date (a cancelled job's start among them); they are given
+ * back to be judged anew. */
+bool node_may_send(node_t *node, const char *machine, uint64_t generation, const GArray *calls,
+                   msec_t taken, msec_t now);
 void node_wait(node_t *node, pthread_cond_t *cond, msec_t ms);
 
 void node_sleep(msec_t ms);
@@ -152,6 +163,7 @@
 void *follow_run(void *node);
 void *placer_run(void *node);
 void *sender_run(void *node);
+void *pulse_run(void *node);
 void *cloud_run(void *node);
 bool front_start(node_t *node);
 
--- a/src/app/sender.c
+++ b/src/app/sender.c
@@ -1,4 +1,11 @@
-/* Sends direct commands: starts and stops reach their worker at once, reports are the fallback. */
+/* Sends direct commands: starts and stops reach their worker at once, reports are the fallback.
+ *
+ * A process may stand still between taking commands and sending them, while a job is cancelled
+ * elsewhere. So they are judged again right before they leave. What remains is a stall within the
+ * call itself, or the way there: such a start is under way when the job is cancelled, like any that
+ * a network holds up. Its record stands until proof, the stop that follows the cancellation repeats
+ * for as long as the worker lists it, and after a lease the session that it was sent for is over.
+ */
 #include <string.h>
 
 #include "app/node.h"
@@ -40,6 +47,17 @@
     report_clear(&report);
 }
 
+static bool may_leave(node_t *node, const exchange_t *exchange, const GArray *calls, msec_t taken)
+{
+    pthread_mutex_lock(&node->lock);
+    bool may =
+        node_may_send(node, exchange->machine, exchange->generation, calls, taken, clock_steady());
+    pthread_mutex_unlock(&node->lock);
+    if (!may)
+        log_info("event=withheld machine=%s calls=%u", exchange->machine, calls->len);
+    return may;
+}
+
 void *sender_run(void *data)
 {
     node_t *node = data;
@@ -66,6 +84,10 @@
         pthread_mutex_unlock(&node->lock);
         json_t *answer = NULL;
         json_t *body = wire_build_direct(exchange.token, exchange.session, calls);
+        if (!may_leave(node, &exchange, calls, now)) {
+            json_decref(body);
+            continue;
+        }
         msec_t sent = clock_steady();
         int status = http_call(client, "POST", exchange.url, body, DIRECT_TIMEOUT_MS, &answer);
         metrics_time(node->metrics, TIME_DIRECT, clock_steady() - sent);
--- a/src/constants.h
+++ b/src/constants.h
@@ -107,6 +107,8 @@
                                 it is known here, and stopped, within that */
     RUN_KNOWN_MS = 6000,     /* no start is sent while cancellations are unknown for longer: answers
                                 to a follow come every 2 s, or after a slow one or two */
+    STALL_MS = 1000,         /* a process that took no notice of the time for so long stood still */
+    PULSE_MS = 250,          /* between its notices */
     MESH_GAP_MS = 50,        /* between exchanges; batches what comes in a burst */
     MAIL_AFTER_MS = 2500,    /* without an exchange by socket for so long, mail is used */
     MAIL_SOCKET_MS = 6000,   /* between tries by socket meanwhile */
--- a/src/core/part.c
+++ b/src/core/part.c
@@ -1268,6 +1268,10 @@
     if (!machine)
         return;
     machine->direct_busy = false;
+    if (result == DIRECT_WITHHELD) {
+        want_direct(part, machine);
+        return;
+    }
     machine->probe = false;
     machine->doubtful = result == DIRECT_UNANSWERED || result == DIRECT_NOT_SENT;
     for (guint i = 0; result == DIRECT_UNANSWERED && i < calls->len; i++)
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -268,6 +268,7 @@
 typedef enum {
     DIRECT_EXECUTED,
     DIRECT_REFUSED,
+    DIRECT_WITHHELD, /* its sender stood still before it left: judged anew */
     DIRECT_NOT_SENT,
     DIRECT_UNANSWERED
 } direct_result_t;
--- a/tests/stories_node.c
+++ b/tests/stories_node.c
@@ -387,6 +387,75 @@
     pthread_mutex_unlock(&node->lock);
 }
 
+/* A controller with one machine, alone and without its threads: the story says what time it is. */
+static node_t *owner_of_one(fake_worker_t *worker, msec_t now)
+{
+    stage = g_new0(stage_t, 1);
+    stage->services = services_new();
+    node_t *node = node_new(settings_of(0, (uint16_t[]){1}, 1), policy_default());
+    flavor_t flavor = {.name = "t16", .room = {16, 0, 64}};
+    g_array_append_val(node->flavors, flavor);
+    node->part = part_new(node->flavors, node->settings->teams, 30000);
+    part_set_view(node->part, 1);
+    node->loaded = node->jobs_synced = true;
+    node->jobs_proof = node->pulse = now;
+    worker->token = 1;
+    report_t report = fake_worker_report(worker);
+    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
+    assert_int_equal(part_report(node->part, &report, false, now, calls), REPORT_TAKEN);
+    report_clear(&report);
+    g_array_unref(calls);
+    return node;
+}
+
+static void place_and_record(node_t *node, const char *job, uint64_t attempt, msec_t now)
+{
+    offer_t offer = {.need = {2, 0, 4}, .attempt = attempt, .job_stamp = 5, .team = "red"};
+    g_strlcpy(offer.job, job, sizeof offer.job);
+    assert_non_null(part_place(node->part, &offer, now));
+    part_batch_t *batch =
+        part_batch_take(node->part, &(part_limits_t){20, 80, 16384, TXN_VALUES}, now);
+    part_batch_commit(node->part, batch, attempt, now);
+    part_batch_free(batch);
+}
+
+/* What a sender would take now. */
+static machine_t *take(node_t *node, GArray *calls, msec_t now)
+{
+    g_array_set_size(calls, 0);
+    part_hold_starts(node->part, !node_may_start(node, now));
+    return part_direct_take(node->part, now, calls);
+}
+
+/* A sender has taken a start; the process stands still, and a job is called off elsewhere. On
+ * waking the start does not leave: it is judged anew, and no start goes out before it is known what
+ * was cancelled meanwhile. */
+static void a_start_taken_before_a_stall_does_not_leave_after_it(void **state)
+{
+    (void)state;
+    msec_t now = clock_steady(), woken = now + 3 * STALL_MS;
+    fake_worker_t *worker = fake_worker_new("m-000001");
+    node_t *node = owner_of_one(worker, now);
+    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
+    pthread_mutex_lock(&node->lock);
+    place_and_record(node, "j-000001", 100, now);
+    place_and_record(node, "j-000002", 101, now);
+    assert_non_null(take(node, calls, now));
+    assert_int_equal(calls->len, 2);
+    assert_true(node_may_send(node, "m-000001", node->generation, calls, now, now + 5));
+    assert_false(node_may_send(node, "m-000001", node->generation, calls, now, woken));
+    assert_null(take(node, calls, woken)); /* it does not know yet */
+    assert_null(take(node, calls, woken + 100));
+    node_job_gone(node, "j-000001");
+    node->jobs_proof = woken + 50; /* the follow that began after it woke was answered */
+    assert_non_null(take(node, calls, woken + 200));
+    assert_int_equal(calls->len, 1);
+    assert_string_equal(g_array_index(calls, call_t, 0).job, "j-000002");
+    pthread_mutex_unlock(&node->lock);
+    g_array_unref(calls);
+    fake_worker_free(worker);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -396,6 +465,7 @@
         cmocka_unit_test(work_runs_ends_and_is_called_off),
         cmocka_unit_test(odd_requests_get_their_answers),
         cmocka_unit_test(a_leader_anew_knows_no_boots_of_before),
+        cmocka_unit_test(a_start_taken_before_a_stall_does_not_leave_after_it),
     };
     signal(SIGPIPE, SIG_IGN);
     http_start();
