--- a/src/app/front.c
+++ b/src/app/api.c
@@ -7,9 +7,9 @@
  * was the form before: at 600 machines one controller's accepting thread stopped for good now and
  * then, in waiting for a thread that had ended.)
  *
- * Users' requests go straight against the state service; only a budget stands between. What a node
- * has told a user, no node may take back: live answers are read afresh each time, and only final
- * states are kept. */
+ * Users' requests go straight against the state service; only a rate limiter stands between. What a
+ * node has told a user, no node may take back: live answers are read afresh each time, and only
+ * final states are kept. */
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -57,11 +57,11 @@
 {
     http_client_t *client = NULL;
     pthread_mutex_lock(&node->lock);
-    msec_t until = clock_steady() + FRONT_TIMEOUT_MS;
-    while (node->front_free == 0 && clock_steady() < until)
-        node_wait(node, &node->clients, FRONT_TIMEOUT_MS);
-    if (node->front_free > 0)
-        client = node->front_clients[--node->front_free];
+    msec_t until = clock_steady() + API_TIMEOUT_MS;
+    while (node->api_clients_free == 0 && clock_steady() < until)
+        node_wait(node, &node->clients, API_TIMEOUT_MS);
+    if (node->api_clients_free > 0)
+        client = node->api_clients[--node->api_clients_free];
     pthread_mutex_unlock(&node->lock);
     return client;
 }
@@ -69,7 +69,7 @@
 static void client_return(node_t *node, http_client_t *client)
 {
     pthread_mutex_lock(&node->lock);
-    node->front_clients[node->front_free++] = client;
+    node->api_clients[node->api_clients_free++] = client;
     pthread_cond_signal(&node->clients);
     pthread_mutex_unlock(&node->lock);
 }
@@ -89,8 +89,8 @@
 {
     char key[128];
     g_snprintf(key, sizeof key, "%s/%s", prefix, id);
-    budget_charge(&node->front_rps, 1, clock_steady());
-    return state_get(&node->state, client, key, FRONT_TIMEOUT_MS, entry);
+    rate_limiter_charge(&node->api_rps, 1, clock_steady());
+    return state_get(&node->state, client, key, API_TIMEOUT_MS, entry);
 }
 
 static void entry_clear(state_entry_t *entry)
@@ -149,8 +149,8 @@
     const job_t *job =
         node->loaded && node->leading ? g_hash_table_lookup(node->leader->jobs, id) : NULL;
     if (job) {
-        done = job->n_done;
-        running = job->n_live;
+        done = job->done_count;
+        running = job->outstanding_count;
     }
     pthread_mutex_unlock(&node->lock);
     return (reply_t){.status = live_status,
@@ -167,9 +167,9 @@
     return ended == ENDED_UNKNOWN ? JOB_UNKNOWN : ended == ENDED_DONE ? JOB_DONE : JOB_CANCELLED;
 }
 
-/* Compares the stamps of all that is asked, in as few requests as go. A job's key is written once,
- * so one whose stamp still holds is live; one that fails may have ended and is left to be looked
- * up. */
+/* Compares the revisions of all that is asked, in as few requests as go. A job's key is written
+ * once, so one whose revision still holds is live; one that fails may have ended and is left to be
+ * looked up. */
 static void compare_live(node_t *node, http_client_t *client, inquiry_t *inquiry)
 {
     guint most = 4 * node->settings->txn_ops;
@@ -177,18 +177,18 @@
     while (more) {
         GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
         GHashTableIter iter;
-        gpointer id, stamp;
+        gpointer id, revision;
         txn_t txn = txn_new();
         g_hash_table_iter_init(&iter, inquiry->asked);
         while (json_array_size(txn.conditions) < most &&
-               g_hash_table_iter_next(&iter, &id, &stamp)) {
+               g_hash_table_iter_next(&iter, &id, &revision)) {
             char key[128];
             g_snprintf(key, sizeof key, "jobs/%s", (char *)id);
-            txn_if(&txn, key, GPOINTER_TO_SIZE(stamp));
+            txn_if(&txn, key, GPOINTER_TO_SIZE(revision));
         }
-        budget_charge(&node->front_rps, 1, clock_steady());
+        rate_limiter_charge(&node->api_rps, 1, clock_steady());
         state_result_t result =
-            state_commit(&node->state, client, &txn, FRONT_TIMEOUT_MS, NULL, failed);
+            state_commit(&node->state, client, &txn, API_TIMEOUT_MS, NULL, failed);
         for (size_t i = 0; result == STATE_OK && i < json_array_size(txn.conditions); i++) {
             const char *key =
                 json_string_value(json_object_get(json_array_get(txn.conditions, i), "K"));
@@ -239,14 +239,14 @@
         node->inquiry->live = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     }
     inquiry_t *inquiry = node->inquiry;
-    g_hash_table_insert(inquiry->asked, g_strdup(id), GSIZE_TO_POINTER(job->stamp));
+    g_hash_table_insert(inquiry->asked, g_strdup(id), GSIZE_TO_POINTER(job->revision));
     inquiry->waiting++;
     pthread_mutex_unlock(&node->lock);
     if (first)
         run_inquiry(node, inquiry);
     pthread_mutex_lock(&node->lock);
     while (!inquiry->done)
-        node_wait(node, &node->inquiries, FRONT_TIMEOUT_MS);
+        node_wait(node, &node->inquiries, API_TIMEOUT_MS);
     bool live = g_hash_table_contains(inquiry->live, id);
     bool last = --inquiry->waiting == 0;
     pthread_mutex_unlock(&node->lock);
@@ -261,9 +261,9 @@
 /* With the lock held: others are served, or may be: whoever asks here should ask there, at once. */
 static bool is_shut_out(const node_t *node)
 {
-    contact_t contact = node_contact(node);
-    contact_state_t state = contact_judge(&contact, clock_steady());
-    return state == CONTACT_REFUSED || state == CONTACT_NONE;
+    connectivity_t connectivity = node_connectivity(node);
+    connectivity_state_t state = connectivity_judge(&connectivity, clock_steady());
+    return state == CONNECTIVITY_REFUSED || state == CONNECTIVITY_NONE;
 }
 
 /* Requests that can't be answered without the state service don't wait for it in vain. */
@@ -287,7 +287,7 @@
         return come_back();
     if (live && is_live(node, id))
         return status_reply(node, id, JOB_LIVE, 200);
-    if (!budget_take(&node->front_rps, 1, clock_steady()))
+    if (!rate_limiter_take(&node->api_rps, 1, clock_steady()))
         return refuse(429, "too many requests", 2);
     http_client_t *client = client_take(node);
     if (!client)
@@ -325,7 +325,7 @@
 {
     const char *why = "unknown team";
     pthread_mutex_lock(&node->lock);
-    *undecided = node->flavors->len == 0;
+    *undecided = node->machine_types->len == 0;
     for (guint i = 0; i < node->settings->teams->len; i++) {
         const team_t *team = &g_array_index(node->settings->teams, team_t, i);
         if (strcmp(team->name, spec->team) != 0)
@@ -334,7 +334,7 @@
                        (team->gpus_max > 0 && spec->need.gpus > team->gpus_max + EPSILON);
         why = limited ? "a task needs more than the team's limit" : NULL;
     }
-    if (!why && !job_spec_fits_some(spec, node->flavors))
+    if (!why && !job_spec_fits_some(spec, node->machine_types))
         why = "a task fits no allowed machine type";
     pthread_mutex_unlock(&node->lock);
     return why;
@@ -345,7 +345,7 @@
     uint64_t revision = 0;
     txn_t txn = records_submit(spec);
     state_result_t result =
-        state_commit(&node->state, client, &txn, FRONT_TIMEOUT_MS, &revision, NULL);
+        state_commit(&node->state, client, &txn, API_TIMEOUT_MS, &revision, NULL);
     txn_free(&txn);
     if (result == STATE_OK)
         log_info("event=accept job=%s class=%s tasks=%u", spec->id, spec->class_name, spec->tasks);
@@ -387,12 +387,12 @@
         reply = reject(node, spec.id, 422, never);
     } else if (must_turn_away(node)) {
         reply = come_back();
-    } else if (!budget_take(&node->front_write, 1, clock_steady())) {
+    } else if (!rate_limiter_take(&node->api_write, 1, clock_steady())) {
         reply = refuse(429, "too many submissions", 2);
     } else {
         http_client_t *client = client_take(node);
         spec.submitted_ms = clock_day();
-        budget_charge(&node->front_rps, 1, clock_steady());
+        rate_limiter_charge(&node->api_rps, 1, clock_steady());
         reply = client ? commit_job(node, client, &spec) : come_back();
         if (client)
             client_return(node, client);
@@ -410,12 +410,12 @@
 }
 
 static state_result_t commit_abort(node_t *node, http_client_t *client, const char *id,
-                                   uint64_t stamp, uint32_t tasks)
+                                   uint64_t revision, uint32_t tasks)
 {
-    txn_t txn = records_abort(id, stamp, tasks);
-    budget_charge(&node->front_rps, 1, clock_steady());
-    budget_charge(&node->front_write, (double)json_array_size(txn.changes), clock_steady());
-    state_result_t result = state_commit(&node->state, client, &txn, FRONT_TIMEOUT_MS, NULL, NULL);
+    txn_t txn = records_abort(id, revision, tasks);
+    rate_limiter_charge(&node->api_rps, 1, clock_steady());
+    rate_limiter_charge(&node->api_write, (double)json_array_size(txn.changes), clock_steady());
+    state_result_t result = state_commit(&node->state, client, &txn, API_TIMEOUT_MS, NULL, NULL);
     txn_free(&txn);
     return result;
 }
@@ -428,7 +428,7 @@
         return come_back();
     if (result == STATE_OK) {
         uint32_t tasks = (uint32_t)json_integer_value(json_object_get(entry.value, "Pieces"));
-        result = commit_abort(node, client, id, entry.stamp, tasks);
+        result = commit_abort(node, client, id, entry.revision, tasks);
         entry_clear(&entry);
         if (result == STATE_OK) {
             log_info("event=abort job=%s", id);
@@ -463,7 +463,7 @@
     pthread_mutex_lock(&node->lock);
     /* Refused alone, this node should get no users; in an outage of all, all stay: each removal
      * by the load balancer lasts longer than the one before. */
-    bool able = node->flavors->len > 0 && node->jobs_synced && !is_shut_out(node);
+    bool able = node->machine_types->len > 0 && node->jobs_synced && !is_shut_out(node);
     pthread_mutex_unlock(&node->lock);
     return able ? (reply_t){.status = 200, .body = json_pack("{s:b}", "ready", 1)}
                 : refuse(503, "starting", 1);
@@ -471,44 +471,45 @@
 
 /* A worker that this node does not own: sent to the owner or, if it can't reach that, kept alive
  * here: no starts, but stops for what is cancelled. */
-static reply_t host_guest(node_t *node, const report_t *report, const member_t *owner, msec_t now)
+static reply_t redirect_worker(node_t *node, const report_t *report, const member_t *owner,
+                               msec_t now)
 {
     char key[ID_SIZE + 24];
     g_snprintf(key, sizeof key, "%s#%" G_GUINT64_FORMAT, owner->name, owner->incarnation);
-    guest_verdict_t verdict = guests_report(node->guests, report, key, now);
-    if (verdict == GUEST_OLD)
+    redirection_verdict_t verdict = redirection_report(node->redirection, report, key, now);
+    if (verdict == REDIRECTION_STALE)
         return refuse(503, "an old report", 0);
-    if (verdict == GUEST_HOME)
+    if (verdict == REDIRECTION_TO_OWNER)
         return (reply_t){.status = 421, .body = json_pack("{s:s}", "Bosun", owner->name)};
-    log_debug("event=keep machine=%s", report->machine);
-    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
-    guests_stop_gone(report, node->jobs, calls);
-    reply_t reply = {.status = 200, .body = wire_build_calls(node->view.number, calls)};
-    g_array_unref(calls);
+    log_debug("event=retained machine=%s", report->machine);
+    GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
+    redirection_stop_ended(report, node->jobs, commands);
+    reply_t reply = {.status = 200, .body = wire_build_commands(node->view.number, commands)};
+    g_array_unref(commands);
     return reply;
 }
 
 /* An answer renews the lease of all that runs there, so it always stops what users were told is
- * cancelled: also where the part is not loaded, for as long as the state service is away, and where
- * nothing is taken of the report. */
+ * cancelled: also where the partition is not loaded, for as long as the state service is away, and
+ * where nothing is taken of the report. */
 static reply_t answer_own(node_t *node, const report_t *report, msec_t now)
 {
-    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
+    GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     report_verdict_t verdict = REPORT_UNPROVEN;
     reply_t reply;
     if (node->loaded) {
-        part_hold_starts(node->part, !node_may_start(node, now));
-        verdict = part_report(node->part, report, false, now, calls);
+        partition_pause_starts(node->partition, !node_may_start(node, now));
+        verdict = partition_report(node->partition, report, false, now, commands);
     }
     if (verdict == REPORT_STALE) {
         reply = refuse(503, "an old report", 0);
     } else {
         if (verdict != REPORT_TAKEN)
-            guests_stop_gone(report, node->jobs, calls);
-        reply = (reply_t){.status = 200, .body = wire_build_calls(node->view.number, calls)};
-        node_wake(node);
+            redirection_stop_ended(report, node->jobs, commands);
+        reply = (reply_t){.status = 200, .body = wire_build_commands(node->view.number, commands)};
+        node_notify(node);
     }
-    g_array_unref(calls);
+    g_array_unref(commands);
     return reply;
 }
 
@@ -524,13 +525,13 @@
         /* It lives, though its lease may not be renewed: after an outage, machines that were only
          * refused must not be taken for dead. */
         if (node->loaded)
-            part_note_alive(node->part, report, now);
+            partition_note_alive(node->partition, report, now);
         return refuse(503, "not entitled now", 0);
     }
     guint owner = node_owner(node, report->machine, report->zone);
-    metrics_count(node->metrics, COUNT_GUESTS, owner != node->own);
+    metrics_count(node->metrics, COUNT_REPORTS_NOT_OWNED, owner != node->own);
     if (owner != node->own)
-        return host_guest(node, report, &node->view.members[owner], now);
+        return redirect_worker(node, report, &node->view.members[owner], now);
     return answer_own(node, report, now);
 }
 
@@ -652,16 +653,16 @@
     }
     request->connection = connection;
     pthread_mutex_lock(&node->requests_lock);
-    bool room = g_queue_get_length(node->requests) < REQUESTS_WAITING;
-    if (room) {
+    bool has_space = g_queue_get_length(node->requests) < REQUESTS_WAITING;
+    if (has_space) {
         MHD_suspend_connection(connection); /* before one that answers can resume it */
         g_queue_push_tail(node->requests, request);
         pthread_cond_signal(&node->requests_come);
     }
     pthread_mutex_unlock(&node->requests_lock);
-    if (!room)
+    if (!has_space)
         request->reply = refuse(503, "too many requests wait here", 1);
-    return room;
+    return has_space;
 }
 
 static enum MHD_Result handle(void *data, struct MHD_Connection *connection, const char *path,
@@ -726,7 +727,7 @@
     atomic_fetch_add(&node->connections, code == MHD_CONNECTION_NOTIFY_STARTED ? 1 : -1);
 }
 
-bool front_start(node_t *node)
+bool api_start(node_t *node)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
     char host[ADDRESS_SIZE];
--- a/tests/stories_node.c
+++ b/tests/test_node.c
@@ -1,5 +1,5 @@
-/* Stories of whole controllers, with stand-ins for state service and cloud over real sockets. A
- * story waits until what it expects has come about, so its verdict hangs on no time. Controllers
+/* Tests of whole controllers, with stand-ins for state service and cloud over real sockets. A test
+ * waits until what it expects has come about, so its verdict hangs on no time. Controllers
  * never end: the process leaves without them. */
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,7 +9,7 @@
 #include "io/clock.h"
 #include "io/records.h"
 #include "services.h"
-#include "story.h"
+#include "unit_test.h"
 
 enum { POLL_MS = 20 };
 
@@ -18,17 +18,17 @@
     node_t *nodes[2];
     uint16_t ports[2]; /* of users and workers */
     http_client_t *client;
-} stage_t;
+} fixture_t;
 
-static stage_t *stage;
+static fixture_t *fixture;
 
-static settings_t *settings_of(guint index, const uint16_t *mesh, guint count)
+static settings_t *settings_of(guint index, const uint16_t *peer_work, guint count)
 {
     settings_t *settings = g_new0(settings_t, 1);
     *settings = (settings_t){.zone = "north",
                              .report_s = 1,
                              .lease_s = 10,
-                             .cancel_s = 3600, /* no story waits for its end */
+                             .cancel_s = 3600, /* no test waits for its end */
                              .state_rps = 1000,
                              .state_write_rps = 1000,
                              .value_kb = 16,
@@ -37,10 +37,11 @@
                              .list_lag_s = 1,
                              .connections = 100};
     g_snprintf(settings->name, sizeof settings->name, "hand-%u", index);
-    g_snprintf(settings->client_listen, ADDRESS_SIZE, "127.0.0.1:%u", stage->ports[index]);
-    g_snprintf(settings->mesh_listen, ADDRESS_SIZE, "127.0.0.1:%u", mesh[index]);
-    g_snprintf(settings->cloud, ADDRESS_SIZE, "127.0.0.1:%u", stage->services->cloud_port);
-    g_snprintf(settings->state, ADDRESS_SIZE, "127.0.0.1:%u", stage->services->state_ports[index]);
+    g_snprintf(settings->client_listen, ADDRESS_SIZE, "127.0.0.1:%u", fixture->ports[index]);
+    g_snprintf(settings->peer_listen, ADDRESS_SIZE, "127.0.0.1:%u", peer_work[index]);
+    g_snprintf(settings->cloud, ADDRESS_SIZE, "127.0.0.1:%u", fixture->services->cloud_port);
+    g_snprintf(settings->state, ADDRESS_SIZE, "127.0.0.1:%u",
+               fixture->services->state_ports[index]);
     settings->teams = g_array_new(FALSE, FALSE, sizeof(team_t));
     team_t team = {.name = "red", .cpus = 8, .cpus_max = 64};
     g_array_append_val(settings->teams, team);
@@ -49,7 +50,7 @@
     for (guint i = 0; i < count; i++) {
         sibling_t sibling = {.zone = "north"};
         g_snprintf(sibling.name, sizeof sibling.name, "hand-%u", i);
-        g_snprintf(sibling.endpoint, sizeof sibling.endpoint, "127.0.0.1:%u", mesh[i]);
+        g_snprintf(sibling.endpoint, sizeof sibling.endpoint, "127.0.0.1:%u", peer_work[i]);
         if (i != index)
             g_array_append_val(settings->siblings, sibling);
     }
@@ -58,31 +59,31 @@
 
 static void begin(guint count)
 {
-    uint16_t mesh[2];
-    stage = g_new0(stage_t, 1);
-    stage->services = services_new();
-    stage->client = http_client_new(4);
+    uint16_t peer_work[2];
+    fixture = g_new0(fixture_t, 1);
+    fixture->services = services_new();
+    fixture->client = http_client_new(4);
     for (guint i = 0; i < count; i++) {
-        stage->ports[i] = services_free_port();
-        mesh[i] = services_free_port();
+        fixture->ports[i] = services_free_port();
+        peer_work[i] = services_free_port();
     }
     for (guint i = 0; i < count; i++) {
-        stage->nodes[i] = node_new(settings_of(i, mesh, count), policy_default());
-        assert_true(node_start(stage->nodes[i]));
+        fixture->nodes[i] = node_new(settings_of(i, peer_work, count), policy_default());
+        assert_true(node_start(fixture->nodes[i]));
     }
 }
 
-static int call(guint node, const char *method, const char *path, const json_t *body,
-                json_t **answer)
+static int send_request(guint node, const char *method, const char *path, const json_t *body,
+                        json_t **answer)
 {
     char url[256];
-    g_snprintf(url, sizeof url, "http://127.0.0.1:%u%s", stage->ports[node], path);
-    return http_call(stage->client, method, url, body, 10000, answer);
+    g_snprintf(url, sizeof url, "http://127.0.0.1:%u%s", fixture->ports[node], path);
+    return http_call(fixture->client, method, url, body, 10000, answer);
 }
 
 static void wait_ready(guint node)
 {
-    while (call(node, "GET", "/ready", NULL, NULL) != 200)
+    while (send_request(node, "GET", "/ready", NULL, NULL) != 200)
         node_sleep(POLL_MS);
 }
 
@@ -90,7 +91,7 @@
 static void begin_ready(guint count)
 {
     begin(count);
-    services_tell_types(stage->services);
+    services_publish_types(fixture->services);
     for (guint i = 0; i < count; i++)
         wait_ready(i);
 }
@@ -113,7 +114,7 @@
 {
     json_t *answer = NULL;
     int got;
-    while ((got = call(node, method, path, body, &answer)) == 503 || got == 429) {
+    while ((got = send_request(node, method, path, body, &answer)) == 503 || got == 429) {
         json_decref(answer);
         node_sleep(POLL_MS);
     }
@@ -130,7 +131,7 @@
 }
 
 /* Calls the job off; trim: what the user must be told. */
-static void call_off(guint node, const char *id, const char *trim)
+static void abort_job(guint node, const char *id, const char *trim)
 {
     char path[64];
     g_snprintf(path, sizeof path, "/v2/runs/%s/abort", id);
@@ -142,51 +143,51 @@
 {
     char key[64];
     g_snprintf(key, sizeof key, "jobs/%s", id);
-    uint64_t stamp = services_stamp(stage->services, key);
-    assert_int_equal(services_apply(stage->services, records_abort(id, stamp, 2)), STATE_OK);
+    uint64_t revision = services_revision(fixture->services, key);
+    assert_int_equal(services_apply(fixture->services, records_abort(id, revision, 2)), STATE_OK);
 }
 
 static bool is_noted(guint node, const char *id)
 {
-    pthread_mutex_lock(&stage->nodes[node]->lock);
-    bool noted = g_hash_table_contains(stage->nodes[node]->cancelled.listed, id);
-    pthread_mutex_unlock(&stage->nodes[node]->lock);
+    pthread_mutex_lock(&fixture->nodes[node]->lock);
+    bool noted = g_hash_table_contains(fixture->nodes[node]->cancellations.listed, id);
+    pthread_mutex_unlock(&fixture->nodes[node]->lock);
     return noted;
 }
 
 /* Whether the node stops the job's tasks, whatever it hears of the state service. */
 static bool is_stopped(guint node, const char *id)
 {
-    pthread_mutex_lock(&stage->nodes[node]->lock);
-    bool stopped = g_hash_table_contains(stage->nodes[node]->gone, id) &&
-                   !g_hash_table_contains(stage->nodes[node]->jobs, id);
-    pthread_mutex_unlock(&stage->nodes[node]->lock);
+    pthread_mutex_lock(&fixture->nodes[node]->lock);
+    bool stopped = g_hash_table_contains(fixture->nodes[node]->gone, id) &&
+                   !g_hash_table_contains(fixture->nodes[node]->jobs, id);
+    pthread_mutex_unlock(&fixture->nodes[node]->lock);
     return stopped;
 }
 
 static uint64_t count_noted(guint node)
 {
-    pthread_mutex_lock(&stage->nodes[node]->lock);
-    uint64_t count = stage->nodes[node]->cancelled.newest;
-    pthread_mutex_unlock(&stage->nodes[node]->lock);
+    pthread_mutex_lock(&fixture->nodes[node]->lock);
+    uint64_t count = fixture->nodes[node]->cancellations.newest;
+    pthread_mutex_unlock(&fixture->nodes[node]->lock);
     return count;
 }
 
 /* Whatever the road on which a user is told "cancelled", the siblings can hear of it from then on:
  * it was noted only where the node's own commit had been answered. */
-static void every_road_to_cancelled_is_noted(void **state)
+static void test_every_road_to_cancelled_is_logged(void **state)
 {
     (void)state;
     begin_ready(1);
     const char *ids[] = {"j-000001", "j-000002", "j-000003", "j-000004", "j-000005"};
     for (guint i = 0; i < G_N_ELEMENTS(ids); i++)
         submit(0, ids[i]);
-    call_off(0, ids[0], "cancelled"); /* an abort, and its repeat from the cache */
+    abort_job(0, ids[0], "cancelled"); /* an abort, and its repeat from the cache */
     assert_true(is_noted(0, ids[0]));
-    call_off(0, ids[0], "cancelled");
+    abort_job(0, ids[0], "cancelled");
     assert_int_equal(count_noted(0), 1);
-    services_swallow(stage->services, "ended/j-000002"); /* its commit's answer is lost */
-    call_off(0, ids[1], "cancelled");
+    services_swallow(fixture->services, "ended/j-000002"); /* its commit's answer is lost */
+    abort_job(0, ids[1], "cancelled");
     assert_true(is_noted(0, ids[1]));
     cancel_elsewhere(ids[2]);
     expect(0, "GET", "/v2/runs/j-000003", NULL, 200, "cancelled");
@@ -195,27 +196,27 @@
     expect(0, "POST", "/v2/runs", job_body(ids[3]), 200, "cancelled");
     assert_true(is_noted(0, ids[3]));
     cancel_elsewhere(ids[4]);
-    call_off(0, ids[4], "cancelled");
+    abort_job(0, ids[4], "cancelled");
     assert_true(is_noted(0, ids[4]));
     assert_int_equal(count_noted(0), 5);
 }
 
 /* An outage begins with the commit of a cancellation: no change of jobs/ is heard. The controller
  * that told it stops the tasks all the same, and a list from before does not bring the job back. */
-static void what_a_controller_told_it_stops_itself(void **state)
+static void test_a_controller_stops_what_it_confirmed_as_cancelled(void **state)
 {
     (void)state;
     begin_ready(1);
     submit(0, "j-000001");
     submit(0, "j-000002");
-    services_mute(stage->services);
-    call_off(0, "j-000001", "cancelled");
+    services_mute(fixture->services);
+    abort_job(0, "j-000001", "cancelled");
     assert_true(is_stopped(0, "j-000001"));
     assert_false(is_stopped(0, "j-000002"));
-    pthread_mutex_lock(&stage->nodes[0]->lock);
+    pthread_mutex_lock(&fixture->nodes[0]->lock);
     job_spec_t old = {.id = "j-000001", .tasks = 2};
-    node_job_set(stage->nodes[0], &old, 1);
-    pthread_mutex_unlock(&stage->nodes[0]->lock);
+    node_job_set(fixture->nodes[0], &old, 1);
+    pthread_mutex_unlock(&fixture->nodes[0]->lock);
     assert_true(is_stopped(0, "j-000001"));
 }
 
@@ -228,16 +229,16 @@
                   "Address", "127.0.0.1:1", "Hull", "t16", "Dock", "north", "Driftwood", 1, "Watch",
                   (json_int_t)1, "Tally", number, "Helm", (json_int_t)0, "Pieces", "Piece", task,
                   "Heave", (json_int_t)1, "Trim", "running");
-    int status = call(node, "POST", "/hello", body, &answer);
-    json_t *calls = status == 200 ? json_incref(json_object_get(answer, "Calls")) : NULL;
+    int status = send_request(node, "POST", "/hello", body, &answer);
+    json_t *commands = status == 200 ? json_incref(json_object_get(answer, "Calls")) : NULL;
     json_decref(answer);
     json_decref(body);
-    return calls;
+    return commands;
 }
 
 /* The state service refuses one controller alone; a job is cancelled through the other. The first
  * hears of it, and the answers by which it keeps its workers alive stop the job's tasks. */
-static void a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled(void **state)
+static void test_a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled(void **state)
 {
     (void)state;
     begin_ready(2);
@@ -245,23 +246,24 @@
     submit(0, "j-000002");
     bool known = false;
     while (!known) { /* node 1 follows the jobs, and is of the view */
-        pthread_mutex_lock(&stage->nodes[1]->lock);
-        known = g_hash_table_size(stage->nodes[1]->jobs) == 2 && stage->nodes[1]->view.count == 2;
-        pthread_mutex_unlock(&stage->nodes[1]->lock);
+        pthread_mutex_lock(&fixture->nodes[1]->lock);
+        known =
+            g_hash_table_size(fixture->nodes[1]->jobs) == 2 && fixture->nodes[1]->view.count == 2;
+        pthread_mutex_unlock(&fixture->nodes[1]->lock);
         node_sleep(POLL_MS);
     }
-    services_refuse(stage->services, 1, true);
-    call_off(0, "j-000001", "cancelled");
+    services_refuse(fixture->services, 1, true);
+    abort_job(0, "j-000001", "cancelled");
     while (!is_noted(1, "j-000001"))
         node_sleep(POLL_MS);
-    json_t *calls = NULL;
+    json_t *commands = NULL;
     json_int_t number = 0;
-    while (!calls && !(calls = report_task(1, ++number, "j-000001/0")))
+    while (!commands && !(commands = report_task(1, ++number, "j-000001/0")))
         node_sleep(POLL_MS);
-    assert_int_equal(json_array_size(calls), 1);
-    assert_string_equal(json_string_value(json_object_get(json_array_get(calls, 0), "Call")),
+    assert_int_equal(json_array_size(commands), 1);
+    assert_string_equal(json_string_value(json_object_get(json_array_get(commands, 0), "Call")),
                         "stop");
-    json_decref(calls);
+    json_decref(commands);
     expect(1, "GET", "/v2/runs/j-000001", NULL, 200, "cancelled"); /* it can tell, too */
 }
 
@@ -272,7 +274,7 @@
     do {
         json_t *answer = NULL;
         json_t *body = fake_machine_report(machine);
-        if (call(0, "POST", "/hello", body, &answer) == 200)
+        if (send_request(0, "POST", "/hello", body, &answer) == 200)
             fake_machine_answer(machine, answer);
         json_decref(answer);
         json_decref(body);
@@ -283,7 +285,7 @@
 
 /* From submission to the end, through every loop: one job completes, one is called off while it
  * runs. */
-static void work_runs_ends_and_is_called_off(void **state)
+static void test_work_runs_ends_and_is_aborted(void **state)
 {
     (void)state;
     begin_ready(1);
@@ -297,13 +299,13 @@
     while (g_strcmp0(trim, "done") != 0) {
         json_decref(answer);
         report_until(machine, 0);
-        call(0, "GET", "/v2/runs/j-000001", NULL, &answer);
+        send_request(0, "GET", "/v2/runs/j-000001", NULL, &answer);
         trim = json_string_value(json_object_get(answer, "Trim"));
     }
     json_decref(answer);
     submit(0, "j-000002");
     report_until(machine, 2);
-    call_off(0, "j-000002", "cancelled");
+    abort_job(0, "j-000002", "cancelled");
     report_until(machine, 0);
     expect(0, "GET", "/v2/runs/j-000001", NULL, 200, "done");
     pthread_mutex_lock(&machine->lock);
@@ -324,17 +326,17 @@
 /* What can never run is never accepted, nor what lacks a field; while the machine types are not
  * known, nobody can tell. A repeat of what was accepted, an abort of what is done: the state as it
  * is. */
-static void odd_requests_get_their_answers(void **state)
+static void test_odd_requests_get_their_answers(void **state)
 {
     (void)state;
     begin(1);
     json_t *body = job_body("j-000001");
     int status;
-    while ((status = call(0, "POST", "/v2/runs", body, NULL)) <= HTTP_NO_ANSWER)
+    while ((status = send_request(0, "POST", "/v2/runs", body, NULL)) <= HTTP_NO_ANSWER)
         node_sleep(POLL_MS);
     assert_int_equal(status, 503);
     json_decref(body);
-    services_tell_types(stage->services);
+    services_publish_types(fixture->services);
     wait_ready(0);
     submit(0, "j-000001");
     expect(0, "POST", "/v2/runs", job_body("j-000001"), 200, "queued");
@@ -352,120 +354,123 @@
     expect(0, "GET", "/v2/runs/j-000009", NULL, 404, NULL);
     txn_t txn = txn_new();
     txn_set(&txn, "ended/j-000008", json_pack("{s:s}", "Trim", "done"), 0);
-    services_apply(stage->services, txn);
-    call_off(0, "j-000008", "done");
+    services_apply(fixture->services, txn);
+    abort_job(0, "j-000008", "done");
     assert_int_equal(count_noted(0), 0);
 }
 
 /* A controller leads, is replaced, and leads again minutes later. What it rented at first is up by
- * then and works for other parts, whose rows it has yet to hear: taken for boots that came to
+ * then and works for other partitions, whose rows it has yet to hear: taken for boots that came to
  * nothing, such machines were returned, work and all. */
-static void a_leader_anew_knows_no_boots_of_before(void **state)
+static void test_a_leader_anew_knows_no_boots_of_before(void **state)
 {
     (void)state;
-    uint16_t mesh[2] = {1, 2};
-    stage = g_new0(stage_t, 1);
-    stage->services = services_new();
-    node_t *node = node_new(settings_of(0, mesh, 2), policy_default());
+    uint16_t peers[2] = {1, 2};
+    fixture = g_new0(fixture_t, 1);
+    fixture->services = services_new();
+    node_t *node = node_new(settings_of(0, peers, 2), policy_default());
     node->rental = rental_new();
-    view_t own = {.number = 1, .stamp = 10, .incarnation = node->incarnation};
-    view_t other = {.number = 3, .stamp = 30, .incarnation = node->incarnation + 1};
+    view_t own = {.number = 1, .revision = 10, .incarnation = node->incarnation};
+    view_t other = {.number = 3, .revision = 30, .incarnation = node->incarnation + 1};
     pthread_mutex_lock(&node->lock);
     node_adopt(node, &own);
     rental_booting(node->rental, "m-000001", "t16", "north", true, 1000);
     own.number = 2;
-    own.stamp = 20;
+    own.revision = 20;
     node_adopt(node, &own); /* the same leadership: it boots on */
     assert_int_equal(g_hash_table_size(node->rental->boots), 1);
     node_adopt(node, &other);
     own.number = 4;
-    own.stamp = 40;
+    own.revision = 40;
     node_adopt(node, &own);
-    GPtrArray *stuck = rental_stuck(node->rental, node->flavors, 1000 + 10 * BOOT_PATIENCE_MS);
+    GPtrArray *stuck =
+        rental_stuck(node->rental, node->machine_types, 1000 + 10 * BOOT_PATIENCE_MS);
     assert_int_equal(stuck->len, 0);
     g_ptr_array_unref(stuck);
     pthread_mutex_unlock(&node->lock);
 }
 
-/* A controller with one machine, alone and without its threads: the story says what time it is. */
+/* A controller with one machine, alone and without its threads: the test says what time it is. */
 static node_t *owner_of_one(fake_worker_t *worker, msec_t now)
 {
-    stage = g_new0(stage_t, 1);
-    stage->services = services_new();
+    fixture = g_new0(fixture_t, 1);
+    fixture->services = services_new();
     node_t *node = node_new(settings_of(0, (uint16_t[]){1}, 1), policy_default());
-    flavor_t flavor = {.name = "t16", .room = {16, 0, 64}};
-    g_array_append_val(node->flavors, flavor);
-    node->part = part_new(node->flavors, node->settings->teams, 30000);
-    part_set_view(node->part, 1);
+    machine_type_t machine_type = {.name = "t16", .capacity = {16, 0, 64}};
+    g_array_append_val(node->machine_types, machine_type);
+    node->partition = partition_new(node->machine_types, node->settings->teams, 30000);
+    partition_set_view(node->partition, 1);
     node->loaded = node->jobs_synced = true;
     node->jobs_proof = node->pulse = now;
     worker->token = 1;
     report_t report = fake_worker_report(worker);
-    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
-    assert_int_equal(part_report(node->part, &report, false, now, calls), REPORT_TAKEN);
+    GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
+    assert_int_equal(partition_report(node->partition, &report, false, now, commands),
+                     REPORT_TAKEN);
     report_clear(&report);
-    g_array_unref(calls);
+    g_array_unref(commands);
     return node;
 }
 
 static void place_and_record(node_t *node, const char *job, uint64_t attempt, msec_t now)
 {
-    offer_t offer = {.need = {2, 0, 4}, .attempt = attempt, .job_stamp = 5, .team = "red"};
-    g_strlcpy(offer.job, job, sizeof offer.job);
-    assert_non_null(part_place(node->part, &offer, now));
-    part_batch_t *batch =
-        part_batch_take(node->part, &(part_limits_t){20, 80, 16384, TXN_VALUES}, now);
-    part_batch_commit(node->part, batch, attempt, now);
-    part_batch_free(batch);
+    placement_request_t request = {
+        .need = {2, 0, 4}, .attempt = attempt, .job_revision = 5, .team = "red"};
+    g_strlcpy(request.job, job, sizeof request.job);
+    assert_non_null(partition_place(node->partition, &request, now));
+    partition_batch_t *batch = partition_batch_take(
+        node->partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES}, now);
+    partition_batch_commit(node->partition, batch, attempt, now);
+    partition_batch_free(batch);
 }
 
 /* What a sender would take now. */
-static machine_t *take(node_t *node, GArray *calls, msec_t now)
+static machine_t *take(node_t *node, GArray *commands, msec_t now)
 {
-    g_array_set_size(calls, 0);
-    part_hold_starts(node->part, !node_may_start(node, now));
-    return part_direct_take(node->part, now, calls);
+    g_array_set_size(commands, 0);
+    partition_pause_starts(node->partition, !node_may_start(node, now));
+    return partition_direct_take(node->partition, now, commands);
 }
 
 /* A sender has taken a start; the process stands still, and a job is called off elsewhere. On
  * waking the start does not leave: it is judged anew, and no start goes out before it is known what
  * was cancelled meanwhile. */
-static void a_start_taken_before_a_stall_does_not_leave_after_it(void **state)
+static void test_a_start_taken_before_a_stall_does_not_leave_after_it(void **state)
 {
     (void)state;
     msec_t now = clock_steady(), woken = now + 3 * STALL_MS;
     fake_worker_t *worker = fake_worker_new("m-000001");
     node_t *node = owner_of_one(worker, now);
-    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
+    GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     pthread_mutex_lock(&node->lock);
     place_and_record(node, "j-000001", 100, now);
     place_and_record(node, "j-000002", 101, now);
-    assert_non_null(take(node, calls, now));
-    assert_int_equal(calls->len, 2);
-    assert_true(node_may_send(node, "m-000001", node->generation, calls, now, now + 5));
-    assert_false(node_may_send(node, "m-000001", node->generation, calls, now, woken));
-    assert_null(take(node, calls, woken)); /* it does not know yet */
-    assert_null(take(node, calls, woken + 100));
+    assert_non_null(take(node, commands, now));
+    assert_int_equal(commands->len, 2);
+    assert_true(node_may_send(node, "m-000001", node->generation, commands, now, now + 5));
+    assert_false(node_may_send(node, "m-000001", node->generation, commands, now, woken));
+    assert_null(take(node, commands, woken)); /* it does not know yet */
+    assert_null(take(node, commands, woken + 100));
     node_job_gone(node, "j-000001");
     node->jobs_proof = woken + 50; /* the follow that began after it woke was answered */
-    assert_non_null(take(node, calls, woken + 200));
-    assert_int_equal(calls->len, 1);
-    assert_string_equal(g_array_index(calls, call_t, 0).job, "j-000002");
+    assert_non_null(take(node, commands, woken + 200));
+    assert_int_equal(commands->len, 1);
+    assert_string_equal(g_array_index(commands, worker_command_t, 0).job, "j-000002");
     pthread_mutex_unlock(&node->lock);
-    g_array_unref(calls);
+    g_array_unref(commands);
     fake_worker_free(worker);
 }
 
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(every_road_to_cancelled_is_noted),
-        cmocka_unit_test(what_a_controller_told_it_stops_itself),
-        cmocka_unit_test(a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled),
-        cmocka_unit_test(work_runs_ends_and_is_called_off),
-        cmocka_unit_test(odd_requests_get_their_answers),
-        cmocka_unit_test(a_leader_anew_knows_no_boots_of_before),
-        cmocka_unit_test(a_start_taken_before_a_stall_does_not_leave_after_it),
+        cmocka_unit_test(test_every_road_to_cancelled_is_logged),
+        cmocka_unit_test(test_a_controller_stops_what_it_confirmed_as_cancelled),
+        cmocka_unit_test(test_a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled),
+        cmocka_unit_test(test_work_runs_ends_and_is_aborted),
+        cmocka_unit_test(test_odd_requests_get_their_answers),
+        cmocka_unit_test(test_a_leader_anew_knows_no_boots_of_before),
+        cmocka_unit_test(test_a_start_taken_before_a_stall_does_not_leave_after_it),
     };
     signal(SIGPIPE, SIG_IGN);
     http_start();
