--- a/src/core/partition.h
+++ b/src/core/partition.h
@@ -273,6 +273,7 @@
 typedef enum {
     DIRECT_EXECUTED,
     DIRECT_REFUSED,
+    DIRECT_WITHHELD, /* its sender stood still before it left: judged anew */
     DIRECT_NOT_SENT,
     DIRECT_UNANSWERED
 } direct_result_t;
--- a/src/core/partition_commands.c
+++ b/src/core/partition_commands.c
@@ -116,6 +116,10 @@
     if (!machine)
         return;
     machine->direct_busy = false;
+    if (result == DIRECT_WITHHELD) {
+        partition_want_direct(partition, machine);
+        return;
+    }
     machine->probe = false;
     machine->doubtful = result == DIRECT_UNANSWERED || result == DIRECT_NOT_SENT;
     for (guint i = 0; result == DIRECT_UNANSWERED && i < commands->len; i++)
--- a/src/core/redirection.c
+++ b/src/core/redirection.c
@@ -21,6 +21,7 @@
 struct redirection {
     GHashTable *machines; /* id -> redirected_worker_t, owned */
     GHashTable *owners;   /* name -> owner_t, owned */
+    uint64_t token;       /* of the view that made these owners */
     msec_t cleared;
 };
 
@@ -39,8 +40,9 @@
     g_free(redirection);
 }
 
-void redirection_clear(redirection_t *redirection, msec_t now)
+void redirection_clear(redirection_t *redirection, uint64_t token, msec_t now)
 {
+    redirection->token = token;
     redirection->cleared = now;
     g_hash_table_remove_all(redirection->machines);
 }
@@ -88,6 +90,8 @@
 redirection_verdict_t redirection_report(redirection_t *redirection, const report_t *report,
                                          const char *name, msec_t now)
 {
+    if (report->token < redirection->token)
+        return REDIRECTION_UNPROVEN;
     redirected_worker_t *worker = find(redirection, report->machine);
     if (report->session < worker->session ||
         (report->session == worker->session && report->seq <= worker->seq))
--- a/tests/test_redirection.c
+++ b/tests/test_redirection.c
@@ -107,7 +107,7 @@
     assert_int_equal(receive_with_loss("m-000001", 1, 1000), REDIRECTION_TO_OWNER);
     assert_int_equal(receive_with_loss("m-000001", 2, 2000), REDIRECTION_RETAINED);
     report_t report = {.machine = "m-000002", .session = 1, .seq = 1};
-    redirection_clear(redirection, REDIRECTION_GRACE_MS + 2050);
+    redirection_clear(redirection, 0, REDIRECTION_GRACE_MS + 2050);
     assert_int_equal(
         redirection_report(redirection, &report, "hand-1", REDIRECTION_GRACE_MS + 2100),
         REDIRECTION_TO_OWNER);
@@ -126,7 +126,7 @@
     (void)state;
     receive_with_loss("m-000001", 1, 1000);
     receive_with_loss("m-000001", 2, 11000); /* hand-1 is missed */
-    redirection_clear(redirection, REDIRECTION_GRACE_MS + 11500);
+    redirection_clear(redirection, 0, REDIRECTION_GRACE_MS + 11500);
     report_t report = {.machine = "m-000004", .session = 1, .seq = 1};
     assert_int_equal(
         redirection_report(redirection, &report, "hand-1", REDIRECTION_GRACE_MS + 12000),
@@ -145,6 +145,29 @@
         REDIRECTION_RETAINED);
 }
 
+/* Copies of reports from before the view reach every controller just as it begins, when nobody has
+ * anything to compare them with. The worker, which comes for the first time after them, had looked
+ * like one that could not reach its owner: it was kept from it for 20 s without starts, and all
+ * that belong there along with it. */
+static void test_a_copy_from_before_the_view_redirects_nobody(void **state)
+{
+    (void)state;
+    report_t report = {.machine = "m-000001", .session = 1, .seq = 5, .token = 6};
+    redirection_clear(redirection, 7, 1000);
+    assert_int_equal(redirection_report(redirection, &report, "hand-1", 1100),
+                     REDIRECTION_UNPROVEN);
+    assert_int_equal(redirection_report(redirection, &report, "hand-1", 1200),
+                     REDIRECTION_UNPROVEN);
+    report.seq = 9;
+    report.token = 7; /* the worker: an answer, or its owner's command, brought it the token */
+    assert_int_equal(redirection_report(redirection, &report, "hand-1", 1100 + REDIRECT_TIMEOUT_MS),
+                     REDIRECTION_TO_OWNER);
+    report_t other = {.machine = "m-000002", .session = 1, .seq = 5, .token = 7};
+    assert_int_equal(redirection_report(redirection, &other, "hand-1", 1200 + REDIRECT_TIMEOUT_MS),
+                     REDIRECTION_TO_OWNER);
+    assert_int_equal(retained(1200 + REDIRECT_TIMEOUT_MS), 0);
+}
+
 /* While a partition is not loaded, an answer still renews the lease of all that runs there: an
  * outage that began with a commit under way left cancelled tasks running for as long as it lasted.
  */
@@ -189,6 +212,8 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(test_a_view_does_not_send_workers_to_one_that_was_missed,
                                         set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_a_copy_from_before_the_view_redirects_nobody, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(test_an_answer_without_the_partition_stops_what_is_over,
                                         set_up, tear_down),
     };
