--- a/src/core/redirection.h
+++ b/src/core/redirection.h
@@ -16,15 +16,16 @@
 typedef enum {
     REDIRECTION_TO_OWNER, /* to be sent to its owner */
     REDIRECTION_RETAINED, /* to be answered */
-    REDIRECTION_STALE     /* a copy of what came before: nothing follows from it */
+    REDIRECTION_STALE,    /* a copy of what came before: nothing follows from it */
+    REDIRECTION_UNPROVEN /* written before these owners were known there, so perhaps a late copy: to
+                      be answered, which brings its worker the token, but nothing follows from it */
 } redirection_verdict_t;
 
 redirection_t *redirection_new(void);
 void redirection_free(redirection_t *redirection);
 /* The owners changed: everybody is redirected anew, but to owners that could not be reached of
- * late.
- */
-void redirection_clear(redirection_t *redirection, msec_t now);
+ * late. token: of the view that changed them; reports below it were written before. */
+void redirection_clear(redirection_t *redirection, uint64_t token, msec_t now);
 /* owner: the controller it belongs to, by name and incarnation. */
 redirection_verdict_t redirection_report(redirection_t *redirection, const report_t *report,
                                          const char *owner, msec_t now);
