--- a/src/app/node.h
+++ b/src/app/node.h
@@ -2,14 +2,19 @@
  *
  * `lock` guards everything below it in the struct; it is never held across input or output. The
  * loops (one thread each) look at what is wanted and what is, and work out the difference:
- *   view    what view/ in the state service says
- *   member  our lease in the state service; leadership; the leader's view of who is live
- *   follow  the live jobs, on every node
- *   placer  our partition: places and commits; the leader also sends placement requests and
- * acknowledges results peer    the exchange between the leader and the partitions sender  direct
- * commands to workers pulse   notices when the process stood still cloud   types everywhere;
- * leader: renting, returning, proof that machines are gone api   users and workers: the HTTP
- * server's threads, and those that serve the queue of requests that may have to wait */
+ *
+ * - view: what view/ in the state service says;
+ * - member: our lease in the state service; leadership; the leader's view of who is live;
+ * - follow: the live jobs, on every node;
+ * - placer: our partition: places and commits; the leader also sends placement requests and
+ *   acknowledges results;
+ * - peer client, peer server, relay: the exchange between the leader and the partitions;
+ * - heartbeats: what the siblings told users, one thread for each sibling;
+ * - sender: direct commands to workers;
+ * - pulse: notices when the process stood still;
+ * - cloud: types everywhere; leader: renting, returning, proof that machines are gone;
+ * - api: users and workers: the HTTP server's threads, and those that serve the queue of requests
+ *   that may have to wait. */
 #ifndef PEPPERPULLEY_NODE_H
 #define PEPPERPULLEY_NODE_H
 
--- a/src/app/sender.c
+++ b/src/app/sender.c
@@ -57,7 +57,7 @@
                              clock_steady());
     pthread_mutex_unlock(&node->lock);
     if (!may)
-        log_info("event=withheld machine=%s calls=%u", exchange->machine, commands->len);
+        log_info("event=withheld machine=%s commands=%u", exchange->machine, commands->len);
     return may;
 }
 
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -360,8 +360,8 @@
 }
 
 /* A controller leads, is replaced, and leads again minutes later. What it rented at first is up by
- * then and works for other partitions, whose rows it has yet to hear: taken for boots that came to
- * nothing, such machines were returned, work and all. */
+ * then and works for other partitions, whose machine summaries it has yet to receive: taken for
+ * boots that came to nothing, such machines were returned, work and all. */
 static void test_a_leader_anew_knows_no_boots_of_before(void **state)
 {
     (void)state;
