--- a/src/app/api.c
+++ b/src/app/api.c
@@ -10,589 +10,33 @@
  * Users' requests go straight against the state service; only a rate limiter stands between. What a
  * node has told a user, no node may take back: live answers are read afresh each time, and only
  * final states are kept. */
+#include "app/api_internal.h"
+
 #include <arpa/inet.h>
-#include <microhttpd.h>
 #include <netinet/in.h>
+#include <stdlib.h>
 #include <string.h>
 
-#include "app/node.h"
-#include "io/clock.h"
-#include "io/records.h"
-#include "io/wire.h"
 #include "log.h"
 
-/* An answer to be sent; body may be NULL. */
-typedef struct {
-    unsigned status;
-    json_t *body;
-    unsigned retry_after_s; /* 0: none */
-    char *text;             /* instead of body; owned */
-} reply_t;
-
-/* A request: its body while it arrives, then, if it has to wait, its place in the queue. */
-typedef struct {
-    GString *body;
-    bool too_long;
-    struct MHD_Connection *connection;
-    char method[8];
-    char path[REQUEST_PATH_BYTES];
-    bool answered; /* reply stands; it was not sent yet */
-    reply_t reply;
-} request_t;
-
-typedef enum { JOB_UNKNOWN, JOB_LIVE, JOB_DONE, JOB_CANCELLED, JOB_NEVER } job_state_t;
-
-static reply_t refuse(unsigned status, const char *why, unsigned retry_after_s)
+reply_t api_refuse(unsigned status, const char *why, unsigned retry_after_s)
 {
     return (reply_t){
         .status = status, .body = json_pack("{s:s}", "error", why), .retry_after_s = retry_after_s};
 }
 
-static reply_t come_back(void)
-{
-    return refuse(503, "the state service can't be asked now", 1);
-}
-
-static http_client_t *client_take(node_t *node)
-{
-    http_client_t *client = NULL;
-    pthread_mutex_lock(&node->lock);
-    msec_t until = clock_steady() + API_TIMEOUT_MS;
-    while (node->api_clients_free == 0 && clock_steady() < until)
-        node_wait(node, &node->clients, API_TIMEOUT_MS);
-    if (node->api_clients_free > 0)
-        client = node->api_clients[--node->api_clients_free];
-    pthread_mutex_unlock(&node->lock);
-    return client;
-}
-
-static void client_return(node_t *node, http_client_t *client)
-{
-    pthread_mutex_lock(&node->lock);
-    node->api_clients[node->api_clients_free++] = client;
-    pthread_cond_signal(&node->clients);
-    pthread_mutex_unlock(&node->lock);
-}
-
-/* Every road on which a user can be told a final state begins here: it is known to the other
- * threads, and noted for the siblings, before it can be told. */
-static job_state_t remember_ended(node_t *node, const char *id, bool done)
-{
-    pthread_mutex_lock(&node->lock);
-    node_remember(node, id, done);
-    pthread_mutex_unlock(&node->lock);
-    return done ? JOB_DONE : JOB_CANCELLED;
-}
-
-static state_result_t read_key(node_t *node, http_client_t *client, const char *prefix,
-                               const char *id, state_entry_t *entry)
-{
-    char key[128];
-    g_snprintf(key, sizeof key, "%s/%s", prefix, id);
-    rate_limiter_charge(&node->api_rps, 1, clock_steady());
-    return state_get(&node->state, client, key, API_TIMEOUT_MS, entry);
-}
-
-static void entry_clear(state_entry_t *entry)
-{
-    g_free(entry->key);
-    json_decref(entry->value);
-    *entry = (state_entry_t){0};
-}
-
-static job_state_t read_ended(node_t *node, http_client_t *client, const char *id)
-{
-    state_entry_t entry = {0};
-    state_result_t result = read_key(node, client, "ended", id, &entry);
-    if (result == STATE_ABSENT)
-        return JOB_NEVER;
-    if (result != STATE_OK)
-        return JOB_UNKNOWN;
-    const char *state = json_string_value(json_object_get(entry.value, "Trim"));
-    bool done = g_strcmp0(state, "done") == 0;
-    entry_clear(&entry);
-    return remember_ended(node, id, done);
-}
-
-static job_state_t read_live(node_t *node, http_client_t *client, const char *id)
-{
-    state_entry_t entry = {0};
-    state_result_t result = read_key(node, client, "jobs", id, &entry);
-    entry_clear(&entry);
-    return result == STATE_OK ? JOB_LIVE : result == STATE_ABSENT ? JOB_NEVER : JOB_UNKNOWN;
-}
-
-/* A job goes from jobs/ to ended/ and never back: one that is found in neither, asked in that
- * order, had not been accepted when the first was asked. */
-static job_state_t look_up(node_t *node, http_client_t *client, const char *id, bool likely_live)
-{
-    job_state_t state = likely_live ? JOB_NEVER : read_ended(node, client, id);
-    if (state == JOB_NEVER)
-        state = read_live(node, client, id);
-    if (state == JOB_NEVER)
-        state = read_ended(node, client, id);
-    return state;
-}
-
-static reply_t status_reply(node_t *node, const char *id, job_state_t state, unsigned live_status)
-{
-    uint32_t done = 0, running = 0;
-    if (state == JOB_DONE || state == JOB_CANCELLED)
-        return (reply_t){.status = 200,
-                         .body =
-                             wire_build_status(id, state == JOB_DONE ? "done" : "cancelled", 0, 0)};
-    if (state == JOB_NEVER)
-        return refuse(404, "no such job", 0);
-    if (state == JOB_UNKNOWN)
-        return come_back();
-    pthread_mutex_lock(&node->lock);
-    const job_t *job =
-        node->loaded && node->leading ? g_hash_table_lookup(node->leader->jobs, id) : NULL;
-    if (job) {
-        done = job->done_count;
-        running = job->outstanding_count;
-    }
-    pthread_mutex_unlock(&node->lock);
-    return (reply_t){.status = live_status,
-                     .body = wire_build_status(id, running ? "running" : "queued", done, running)};
-}
-
-/* What this node knows without asking: a final state, or whether it is probably live. */
-static job_state_t known_state(node_t *node, const char *id, bool *likely_live)
-{
-    pthread_mutex_lock(&node->lock);
-    ended_t ended = (ended_t)GPOINTER_TO_INT(g_hash_table_lookup(node->ended, id));
-    *likely_live = g_hash_table_contains(node->jobs, id);
-    pthread_mutex_unlock(&node->lock);
-    return ended == ENDED_UNKNOWN ? JOB_UNKNOWN : ended == ENDED_DONE ? JOB_DONE : JOB_CANCELLED;
-}
-
-/* Compares the revisions of all that is asked, in as few requests as go. A job's key is written
- * once, so one whose revision still holds is live; one that fails may have ended and is left to be
- * looked up. */
-static void compare_live(node_t *node, http_client_t *client, inquiry_t *inquiry)
-{
-    guint most = 4 * node->settings->txn_ops;
-    bool more = g_hash_table_size(inquiry->asked) > 0;
-    while (more) {
-        GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
-        GHashTableIter iter;
-        gpointer id, revision;
-        txn_t txn = txn_new();
-        g_hash_table_iter_init(&iter, inquiry->asked);
-        while (json_array_size(txn.conditions) < most &&
-               g_hash_table_iter_next(&iter, &id, &revision)) {
-            char key[128];
-            g_snprintf(key, sizeof key, "jobs/%s", (char *)id);
-            txn_if(&txn, key, GPOINTER_TO_SIZE(revision));
-        }
-        rate_limiter_charge(&node->api_rps, 1, clock_steady());
-        state_result_t result =
-            state_commit(&node->state, client, &txn, API_TIMEOUT_MS, NULL, failed);
-        for (size_t i = 0; result == STATE_OK && i < json_array_size(txn.conditions); i++) {
-            const char *key =
-                json_string_value(json_object_get(json_array_get(txn.conditions, i), "K"));
-            g_hash_table_add(inquiry->live, g_strdup(key + strlen("jobs/")));
-            g_hash_table_remove(inquiry->asked, key + strlen("jobs/"));
-        }
-        for (guint i = 0; i < failed->len; i++)
-            g_hash_table_remove(inquiry->asked,
-                                (char *)g_ptr_array_index(failed, i) + strlen("jobs/"));
-        more = (result == STATE_OK || (result == STATE_FAILED && failed->len > 0)) &&
-               g_hash_table_size(inquiry->asked) > 0;
-        txn_free(&txn);
-        g_ptr_array_unref(failed);
-    }
-}
-
-static void run_inquiry(node_t *node, inquiry_t *inquiry)
-{
-    node_sleep(STATUS_GATHER_MS);
-    pthread_mutex_lock(&node->lock);
-    node->inquiry = NULL; /* later questions must be asked later */
-    pthread_mutex_unlock(&node->lock);
-    http_client_t *client = client_take(node);
-    if (client) {
-        compare_live(node, client, inquiry);
-        client_return(node, client);
-    }
-    pthread_mutex_lock(&node->lock);
-    inquiry->done = true;
-    pthread_cond_broadcast(&node->inquiries);
-    pthread_mutex_unlock(&node->lock);
-}
-
-/* Whether the job is live, asked of the state service after the call began, with others at once;
- * false: not known to be. */
-static bool is_live(node_t *node, const char *id)
-{
-    pthread_mutex_lock(&node->lock);
-    const known_job_t *job = g_hash_table_lookup(node->jobs, id);
-    if (!job) {
-        pthread_mutex_unlock(&node->lock);
-        return false;
-    }
-    bool first = node->inquiry == NULL;
-    if (first) {
-        node->inquiry = g_new0(inquiry_t, 1);
-        node->inquiry->asked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-        node->inquiry->live = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    }
-    inquiry_t *inquiry = node->inquiry;
-    g_hash_table_insert(inquiry->asked, g_strdup(id), GSIZE_TO_POINTER(job->revision));
-    inquiry->waiting++;
-    pthread_mutex_unlock(&node->lock);
-    if (first)
-        run_inquiry(node, inquiry);
-    pthread_mutex_lock(&node->lock);
-    while (!inquiry->done)
-        node_wait(node, &node->inquiries, API_TIMEOUT_MS);
-    bool live = g_hash_table_contains(inquiry->live, id);
-    bool last = --inquiry->waiting == 0;
-    pthread_mutex_unlock(&node->lock);
-    if (last) {
-        g_hash_table_unref(inquiry->asked);
-        g_hash_table_unref(inquiry->live);
-        g_free(inquiry);
-    }
-    return live;
-}
-
-/* With the lock held: others are served, or may be: whoever asks here should ask there, at once. */
-static bool is_shut_out(const node_t *node)
-{
-    connectivity_t connectivity = node_connectivity(node);
-    connectivity_state_t state = connectivity_judge(&connectivity, clock_steady());
-    return state == CONNECTIVITY_REFUSED || state == CONNECTIVITY_NONE;
-}
-
-/* Requests that can't be answered without the state service don't wait for it in vain. */
-static bool must_turn_away(node_t *node)
-{
-    pthread_mutex_lock(&node->lock);
-    bool shut_out = is_shut_out(node);
-    pthread_mutex_unlock(&node->lock);
-    return shut_out;
-}
-
-static reply_t get_status(node_t *node, const char *id)
-{
-    bool live;
-    if (!wire_id_valid(id))
-        return refuse(404, "no such job", 0);
-    job_state_t state = known_state(node, id, &live);
-    if (state != JOB_UNKNOWN)
-        return status_reply(node, id, state, 200);
-    if (must_turn_away(node))
-        return come_back();
-    if (live && is_live(node, id))
-        return status_reply(node, id, JOB_LIVE, 200);
-    if (!rate_limiter_take(&node->api_rps, 1, clock_steady()))
-        return refuse(429, "too many requests", 2);
-    http_client_t *client = client_take(node);
-    if (!client)
-        return come_back();
-    msec_t begun = clock_steady();
-    state = look_up(node, client, id, live);
-    metrics_time(node->metrics, TIME_STATUS, clock_steady() - begun);
-    client_return(node, client);
-    return status_reply(node, id, state, 200);
-}
-
-static reply_t look_up_reply(node_t *node, const char *id, unsigned live_status)
-{
-    http_client_t *client = must_turn_away(node) ? NULL : client_take(node);
-    if (!client)
-        return come_back();
-    job_state_t state = look_up(node, client, id, true);
-    client_return(node, client);
-    return status_reply(node, id, state, live_status);
-}
-
-/* A submission that is wrong: but if its id is that of an accepted job, it is a retry. */
-static reply_t reject(node_t *node, const char *id, unsigned status, const char *why)
-{
-    if (!id || !wire_id_valid(id))
-        return refuse(status, why, 0);
-    reply_t known = look_up_reply(node, id, 200);
-    if (known.status != 404)
-        return known;
-    json_decref(known.body);
-    return refuse(status, why, 0);
-}
-
-static const char *never_runs(node_t *node, const job_spec_t *spec, bool *undecided)
-{
-    const char *why = "unknown team";
-    pthread_mutex_lock(&node->lock);
-    *undecided = node->machine_types->len == 0;
-    for (guint i = 0; i < node->settings->teams->len; i++) {
-        const team_t *team = &g_array_index(node->settings->teams, team_t, i);
-        if (strcmp(team->name, spec->team) != 0)
-            continue;
-        bool limited = (team->cpus_max > 0 && spec->need.cpus > team->cpus_max + EPSILON) ||
-                       (team->gpus_max > 0 && spec->need.gpus > team->gpus_max + EPSILON);
-        why = limited ? "a task needs more than the team's limit" : NULL;
-    }
-    if (!why && !job_spec_fits_some(spec, node->machine_types))
-        why = "a task fits no allowed machine type";
-    pthread_mutex_unlock(&node->lock);
-    return why;
-}
-
-static reply_t commit_job(node_t *node, http_client_t *client, const job_spec_t *spec)
-{
-    uint64_t revision = 0;
-    txn_t txn = records_submit(spec);
-    state_result_t result =
-        state_commit(&node->state, client, &txn, API_TIMEOUT_MS, &revision, NULL);
-    txn_free(&txn);
-    if (result == STATE_OK)
-        log_info("event=accept job=%s class=%s tasks=%u", spec->id, spec->class_name, spec->tasks);
-    if (result == STATE_OK)
-        return (reply_t){.status = 201, .body = wire_build_status(spec->id, "queued", 0, 0)};
-    if (result == STATE_REFUSED)
-        return come_back();
-    job_state_t state = look_up(node, client, spec->id, true);
-    if (state == JOB_NEVER)
-        return come_back(); /* no answer, and not applied so far */
-    return status_reply(node, spec->id, state, 200);
-}
-
-static reply_t submit(node_t *node, const request_t *request)
-{
-    if (request->too_long)
-        return refuse(400, "the body is over 64 KiB", 0);
-    json_error_t problem;
-    json_t *body = json_loadb(request->body->str, request->body->len, 0, &problem);
-    if (!json_is_object(body)) {
-        json_decref(body);
-        return refuse(400, "a JSON object is expected", 0);
-    }
-    job_spec_t spec;
-    reason_t why;
-    reply_t reply;
-    bool undecided = false;
-    const char *never = NULL;
-    if (!wire_parse_job(body, false, &spec, &why)) {
-        reply = reject(node, json_string_value(json_object_get(body, "Uid")), 400, why.text);
-        json_decref(body);
-        return reply;
-    }
-    json_decref(body);
-    never = never_runs(node, &spec, &undecided);
-    if (undecided) {
-        reply = refuse(503, "the machine types are not known yet", 1);
-    } else if (never) {
-        reply = reject(node, spec.id, 422, never);
-    } else if (must_turn_away(node)) {
-        reply = come_back();
-    } else if (!rate_limiter_take(&node->api_write, 1, clock_steady())) {
-        reply = refuse(429, "too many submissions", 2);
-    } else {
-        http_client_t *client = client_take(node);
-        spec.submitted_ms = clock_day();
-        rate_limiter_charge(&node->api_rps, 1, clock_steady());
-        reply = client ? commit_job(node, client, &spec) : come_back();
-        if (client)
-            client_return(node, client);
-    }
-    job_spec_clear(&spec);
-    return reply;
-}
-
-static reply_t timed_submit(node_t *node, const request_t *request)
-{
-    msec_t begun = clock_steady();
-    reply_t reply = submit(node, request);
-    metrics_time(node->metrics, TIME_SUBMIT, clock_steady() - begun);
-    return reply;
-}
-
-static state_result_t commit_abort(node_t *node, http_client_t *client, const char *id,
-                                   uint64_t revision, uint32_t tasks)
-{
-    txn_t txn = records_abort(id, revision, tasks);
-    rate_limiter_charge(&node->api_rps, 1, clock_steady());
-    rate_limiter_charge(&node->api_write, (double)json_array_size(txn.changes), clock_steady());
-    state_result_t result = state_commit(&node->state, client, &txn, API_TIMEOUT_MS, NULL, NULL);
-    txn_free(&txn);
-    return result;
-}
-
-static reply_t abort_with(node_t *node, http_client_t *client, const char *id)
-{
-    state_entry_t entry = {0};
-    state_result_t result = read_key(node, client, "jobs", id, &entry);
-    if (result != STATE_OK && result != STATE_ABSENT)
-        return come_back();
-    if (result == STATE_OK) {
-        uint32_t tasks = (uint32_t)json_integer_value(json_object_get(entry.value, "Pieces"));
-        result = commit_abort(node, client, id, entry.revision, tasks);
-        entry_clear(&entry);
-        if (result == STATE_OK) {
-            log_info("event=abort job=%s", id);
-            return status_reply(node, id, remember_ended(node, id, false), 200);
-        }
-        if (result != STATE_FAILED && result != STATE_UNKNOWN)
-            return come_back();
-    }
-    /* It ended meanwhile, or the answer was lost: only a final state may be told. */
-    job_state_t state = look_up(node, client, id, true);
-    return state == JOB_LIVE ? come_back() : status_reply(node, id, state, 200);
-}
-
-static reply_t abort_job(node_t *node, const char *id)
-{
-    bool live;
-    if (!wire_id_valid(id))
-        return refuse(404, "no such job", 0);
-    job_state_t state = known_state(node, id, &live);
-    if (state != JOB_UNKNOWN)
-        return status_reply(node, id, state, 200);
-    http_client_t *client = must_turn_away(node) ? NULL : client_take(node);
-    if (!client)
-        return come_back();
-    reply_t reply = abort_with(node, client, id);
-    client_return(node, client);
-    return reply;
-}
-
-static reply_t ready(node_t *node)
-{
-    pthread_mutex_lock(&node->lock);
-    /* Refused alone, this node should get no users; in an outage of all, all stay: each removal
-     * by the load balancer lasts longer than the one before. */
-    bool able = node->machine_types->len > 0 && node->jobs_synced && !is_shut_out(node);
-    pthread_mutex_unlock(&node->lock);
-    return able ? (reply_t){.status = 200, .body = json_pack("{s:b}", "ready", 1)}
-                : refuse(503, "starting", 1);
-}
-
-/* A worker that this node does not own: sent to the owner or, if it can't reach that, kept alive
- * here: no starts, but stops for what is cancelled. */
-static reply_t redirect_worker(node_t *node, const report_t *report, const member_t *owner,
-                               msec_t now)
-{
-    char key[ID_BYTES + 24];
-    g_snprintf(key, sizeof key, "%s#%" G_GUINT64_FORMAT, owner->name, owner->incarnation);
-    redirection_verdict_t verdict = redirection_report(node->redirection, report, key, now);
-    if (verdict == REDIRECTION_STALE)
-        return refuse(503, "an old report", 0);
-    if (verdict == REDIRECTION_TO_OWNER)
-        return (reply_t){.status = 421, .body = json_pack("{s:s}", "Bosun", owner->name)};
-    log_debug("event=retained machine=%s", report->machine);
-    GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
-    redirection_stop_ended(report, node->jobs, commands);
-    reply_t reply = {.status = 200, .body = wire_build_commands(node->view.number, commands)};
-    g_array_unref(commands);
-    return reply;
-}
-
-/* An answer renews the lease of all that runs there, so it always stops what users were told is
- * cancelled: also where the partition is not loaded, for as long as the state service is away, and
- * where nothing is taken of the report. */
-static reply_t answer_own(node_t *node, const report_t *report, msec_t now)
-{
-    GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
-    report_verdict_t verdict = REPORT_UNPROVEN;
-    reply_t reply;
-    if (node->loaded) {
-        partition_pause_starts(node->partition, !node_may_start(node, now));
-        verdict = partition_report(node->partition, report, false, now, commands);
-    }
-    if (verdict == REPORT_STALE) {
-        reply = refuse(503, "an old report", 0);
-    } else {
-        if (verdict != REPORT_TAKEN)
-            redirection_stop_ended(report, node->jobs, commands);
-        reply = (reply_t){.status = 200, .body = wire_build_commands(node->view.number, commands)};
-        node_notify(node);
-    }
-    g_array_unref(commands);
-    return reply;
-}
-
-static reply_t take_report(node_t *node, const report_t *report)
-{
-    msec_t now = clock_steady();
-    metrics_count(node->metrics, COUNT_REPORTS, 1);
-    /* A higher token is out: this node's view is old, and a 200 from it would be dropped while it
-     * holds the worker here. Silence about aborts ends the answers as well. */
-    if (node->view.count == 0 || MAX(report->token, node->superseded) > node->view.number)
-        return refuse(503, "not entitled now", 0);
-    if (!node_may_renew(node, now)) {
-        /* It lives, though its lease may not be renewed: after an outage, machines that were only
-         * refused must not be taken for dead. */
-        if (node->loaded)
-            partition_note_alive(node->partition, report, now);
-        return refuse(503, "not entitled now", 0);
-    }
-    guint owner = node_owner(node, report->machine, report->zone);
-    metrics_count(node->metrics, COUNT_REPORTS_NOT_OWNED, owner != node->own);
-    if (owner != node->own)
-        return redirect_worker(node, report, &node->view.members[owner], now);
-    return answer_own(node, report, now);
-}
-
-static reply_t hello(node_t *node, const request_t *request)
-{
-    report_t report;
-    reason_t why = {"not JSON"};
-    json_t *body =
-        request->too_long ? NULL : json_loadb(request->body->str, request->body->len, 0, NULL);
-    bool valid = body && wire_parse_report(body, &report, &why);
-    json_decref(body);
-    if (!valid)
-        return refuse(400, why.text, 0);
-    pthread_mutex_lock(&node->lock);
-    reply_t reply = take_report(node, &report);
-    pthread_mutex_unlock(&node->lock);
-    report_clear(&report);
-    return reply;
-}
-
-static reply_t route_run(node_t *node, const char *method, const char *rest)
-{
-    char id[ID_BYTES];
-    const char *slash = strchr(rest, '/');
-    gsize length = slash ? (gsize)(slash - rest) : strlen(rest);
-    if (length == 0 || length >= sizeof id)
-        return refuse(404, "no such job", 0);
-    memcpy(id, rest, length);
-    id[length] = '\0';
-    if (!slash)
-        return strcmp(method, "GET") == 0 ? get_status(node, id)
-                                          : refuse(405, "only GET is known here", 0);
-    if (strcmp(slash, "/abort") == 0)
-        return strcmp(method, "POST") == 0 ? abort_job(node, id)
-                                           : refuse(405, "only POST is known here", 0);
-    return refuse(404, "no such path", 0);
-}
-
-static reply_t route(node_t *node, const char *method, const char *path, const request_t *request)
+reply_t api_come_back(void)
 {
-    static const char runs[] = "/v2/runs/";
-    if (strcmp(path, "/hello") == 0 && strcmp(method, "POST") == 0)
-        return hello(node, request);
-    if (strcmp(path, "/ready") == 0 && strcmp(method, "GET") == 0)
-        return ready(node);
-    if (strcmp(path, "/v2/runs") == 0 && strcmp(method, "POST") == 0)
-        return timed_submit(node, request);
-    if (strcmp(path, "/metrics") == 0 && strcmp(method, "GET") == 0)
-        return (reply_t){.status = 200, .text = metrics_text(node->metrics)};
-    if (g_str_has_prefix(path, runs))
-        return route_run(node, method, path + strlen(runs));
-    return refuse(404, "no such path", 0);
+    return api_refuse(HTTP_UNAVAILABLE, "the state service can't be asked now", 1);
 }
 
 static void count_reply(node_t *node, const reply_t *reply)
 {
-    if (reply->status == 201)
+    if (reply->status == HTTP_CREATED)
         metrics_count(node->metrics, COUNT_SUBMITTED, 1);
-    else if (reply->status == 429 || reply->status == 503)
+    else if (reply->status == HTTP_TOO_MANY_REQUESTS || reply->status == HTTP_UNAVAILABLE)
         metrics_count(node->metrics, COUNT_COME_BACK, 1);
-    else if (reply->status >= 400 && reply->status != 421)
+    else if (reply->status >= HTTP_BAD_REQUEST && reply->status != HTTP_MISDIRECTED)
         metrics_count(node->metrics, COUNT_REFUSED, 1);
 }
 
@@ -610,7 +54,7 @@
     if (close)
         MHD_add_response_header(response, "Connection", "close");
     if (reply.retry_after_s) {
-        char seconds[16];
+        char seconds[NUMBER_BYTES];
         g_snprintf(seconds, sizeof seconds, "%u", reply.retry_after_s);
         MHD_add_response_header(response, "Retry-After", seconds);
     }
@@ -635,7 +79,7 @@
             pthread_cond_wait(&node->requests_come, &node->requests_lock);
         request_t *request = g_queue_pop_head(node->requests);
         pthread_mutex_unlock(&node->requests_lock);
-        request->reply = route(node, request->method, request->path, request);
+        request->reply = api_route(node, request->method, request->path, request);
         request->answered = true;
         MHD_resume_connection(request->connection);
     }
@@ -648,7 +92,7 @@
 {
     if (g_strlcpy(request->method, method, sizeof request->method) >= sizeof request->method ||
         g_strlcpy(request->path, path, sizeof request->path) >= sizeof request->path) {
-        request->reply = refuse(404, "no such path", 0);
+        request->reply = api_refuse(HTTP_NOT_FOUND, "no such path", 0);
         return false;
     }
     request->connection = connection;
@@ -661,7 +105,7 @@
     }
     pthread_mutex_unlock(&node->requests_lock);
     if (!has_space)
-        request->reply = refuse(503, "too many requests wait here", 1);
+        request->reply = api_refuse(HTTP_UNAVAILABLE, "too many requests wait here", 1);
     return has_space;
 }
 
@@ -687,7 +131,7 @@
     node_t *node = data;
     if (!request->answered) {
         if (is_quick(path))
-            request->reply = route(node, method, path, request);
+            request->reply = api_route(node, method, path, request);
         else if (enqueue(node, connection, request, method, path))
             return MHD_YES;
     }
@@ -735,7 +179,7 @@
     const char *colon = strrchr(listen, ':');
     g_strlcpy(host, listen, (gsize)(colon - listen) + 1);
     inet_pton(AF_INET, host, &address.sin_addr);
-    address.sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10));
+    address.sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, DECIMAL));
     for (guint i = 0; i < API_THREADS_COUNT; i++)
         node_thread(answer_run, node);
     struct MHD_Daemon *daemon = MHD_start_daemon(
@@ -745,7 +189,7 @@
         MHD_OPTION_NOTIFY_CONNECTION, count_connection, node, MHD_OPTION_CONNECTION_LIMIT,
         node->settings->connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
         (size_t)CONNECTION_BUFFER_BYTES, MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK_BYTES,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
         /* A peer behind a cut or hanging never closes: its sockets would add up to the limit. */
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)CONNECTION_IDLE_S, MHD_OPTION_END);
     if (!daemon)
--- a/src/constants.h
+++ b/src/constants.h
@@ -212,9 +212,11 @@
     SERVE_ALONE_MS =
         8000, /* without state service and siblings, workers are answered so long: their
                  new owner, there after 5 s, waits 15 s before it gives them up */
-    CANCEL_MARGIN_MS = 3000,         /* kept below cancel_s - lease_s for a report on its way */
-    START_KNOWN_MS = 6000,           /* no start is sent while cancellations are unknown for longer:
-                                        answers to a follow come every 2 s, slow ones later */
+    CANCEL_MARGIN_MS = 3000, /* kept below cancel_s - lease_s for a report on its way */
+    START_KNOWN_MS = 6000,   /* no start is sent while cancellations are unknown for longer:
+                                answers to a follow come every 2 s, slow ones later */
+    STALL_MS = 1000,         /* a process that took no notice of the time for so long stood still */
+    PULSE_MS = 250,          /* between its notices */
     CANCELLATION_LOG_COUNT = 2048,   /* entries kept for siblings that have not fetched them: a
                                         minute or more of what the rate limits let through */
     CANCELLATION_UPDATE_COUNT = 256, /* entries in one message, 6 KB; the rest goes in the next */
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -24,7 +24,7 @@
 /* Writes the body to a file of its own and loads it; consumes body. */
 static settings_t *load(json_t *body, char **error)
 {
-    char path[] = "/tmp/pepperpulley-story-XXXXXX";
+    char path[] = "/tmp/pepperpulley-test-XXXXXX";
     int fd = mkstemp(path);
     assert_true(fd >= 0);
     assert_int_equal(json_dumpfd(body, fd, 0), 0);
