--- a/src/app/api_status.c
+++ b/src/app/api_status.c
@@ -8,7 +8,8 @@
 
 reply_t api_status_reply(node_t *node, const char *id, job_state_t state, unsigned live_status)
 {
-    uint32_t done = 0, running = 0;
+    uint32_t done = 0;
+    uint32_t running = 0;
     if (state == JOB_DONE || state == JOB_CANCELLED)
         return (reply_t){.status = HTTP_OK,
                          .body =
@@ -39,7 +40,8 @@
     while (more) {
         GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
         GHashTableIter iter;
-        gpointer id, revision;
+        gpointer id;
+        gpointer revision;
         txn_t txn = txn_new();
         g_hash_table_iter_init(&iter, inquiry->asked);
         while (json_array_size(txn.conditions) < most &&
--- a/src/app/cloud_listing.c
+++ b/src/app/cloud_listing.c
@@ -42,7 +42,8 @@
     }
     /* What was rented long enough ago to be listed and is not, was taken while it booted. */
     GHashTableIter iter;
-    gpointer key, value;
+    gpointer key;
+    gpointer value;
     msec_t lag = (msec_t)(node->settings->list_lag_s * 2 * MS_PER_S) + LEADER_GRACE_MS;
     g_hash_table_iter_init(&iter, node->rental->boots);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
--- a/src/core/leader_claims.c
+++ b/src/core/leader_claims.c
@@ -33,7 +33,8 @@
     const job_spec_t *spec = &job->spec;
     machine_summary_t *chosen = NULL;
     double least = INFINITY;
-    guint count = 0, claimed = 0;
+    guint count = 0;
+    guint claimed = 0;
     for (guint i = 0; i < leader->summaries->len; i++) {
         GArray *summaries = g_ptr_array_index(leader->summaries, i);
         for (guint k = 0; summaries && k < summaries->len; k++) {
--- a/src/core/leader_progress.c
+++ b/src/core/leader_progress.c
@@ -109,7 +109,8 @@
 
 static gint compare_dirty(gconstpointer left, gconstpointer right)
 {
-    const job_t *a = *(job_t *const *)left, *b = *(job_t *const *)right;
+    const job_t *a = *(job_t *const *)left;
+    const job_t *b = *(job_t *const *)right;
     return a->dirty_since < b->dirty_since ? -1 : a->dirty_since > b->dirty_since;
 }
 
--- a/src/core/leader_queues.c
+++ b/src/core/leader_queues.c
@@ -75,7 +75,8 @@
  * that keeps the next one; then by age. */
 static gint compare_queued(gconstpointer left, gconstpointer right)
 {
-    const queued_t *a = left, *b = right;
+    const queued_t *a = left;
+    const queued_t *b = right;
     bool urgent_a = a->job->spec.priority >= PRIORITY_HIGH;
     bool urgent_b = b->job->spec.priority >= PRIORITY_HIGH;
     if (urgent_a != urgent_b)
@@ -137,8 +138,10 @@
  */
 guint leader_poorest_team(const leader_t *leader, const GPtrArray *queues, const guint *at)
 {
-    guint teams = leader->teams->len, poorest = teams;
-    double least = INFINITY, promised = 0;
+    guint teams = leader->teams->len;
+    guint poorest = teams;
+    double least = INFINITY;
+    double promised = 0;
     for (guint i = 0; i < teams; i++)
         promised += g_array_index(leader->teams, team_state_t, i).team.cpus;
     for (guint i = 0; i < teams; i++) {
--- a/src/core/leader_schedule.c
+++ b/src/core/leader_schedule.c
@@ -31,7 +31,8 @@
 static bool zone_open(const job_t *job, const char *zone)
 {
     GHashTableIter iter;
-    gpointer key, value;
+    gpointer key;
+    gpointer value;
     if (job->spec.same_zone) {
         g_hash_table_iter_init(&iter, job->zone_outstanding);
         while (g_hash_table_iter_next(&iter, &key, &value))
@@ -54,7 +55,8 @@
     double most = -1;
     for (guint i = 0; i < leader->summaries->len; i++) {
         GArray *summaries = g_ptr_array_index(leader->summaries, i);
-        double cpus = 0, lowest = INFINITY;
+        double cpus = 0;
+        double lowest = INFINITY;
         machine_summary_t *best = NULL;
         for (guint k = 0; summaries && k < summaries->len; k++) {
             machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
--- a/src/core/partition_preemption.c
+++ b/src/core/partition_preemption.c
@@ -37,7 +37,8 @@
 
 static gint compare_victims(gconstpointer left, gconstpointer right)
 {
-    const victim_t *a = left, *b = right;
+    const victim_t *a = left;
+    const victim_t *b = right;
     if (a->attempt->entry.priority != b->attempt->entry.priority)
         return a->attempt->entry.priority < b->attempt->entry.priority ? -1 : 1;
     return a->lost < b->lost ? -1 : a->lost > b->lost;
--- a/src/core/partition_records.c
+++ b/src/core/partition_records.c
@@ -170,7 +170,10 @@
 static void divide(partition_t *partition, page_t *page)
 {
     shard_t *shard = g_hash_table_lookup(partition->shards, page->shard);
-    guint total = 0, busy = 0, number = 0, moved = 0;
+    guint total = 0;
+    guint busy = 0;
+    guint number = 0;
+    guint moved = 0;
     page->full = false;
     for (guint i = 0; i < page->machines->len; i++) {
         const machine_t *machine = g_ptr_array_index(page->machines, i);
@@ -201,7 +204,8 @@
 
 static gint compare_pages(gconstpointer left, gconstpointer right)
 {
-    const page_t *a = *(page_t *const *)left, *b = *(page_t *const *)right;
+    const page_t *a = *(page_t *const *)left;
+    const page_t *b = *(page_t *const *)right;
     uint64_t turn_a = a->urgent ? a->urgent : UINT64_MAX;
     uint64_t turn_b = b->urgent ? b->urgent : UINT64_MAX;
     return turn_a < turn_b ? -1 : turn_a > turn_b;
--- a/src/core/partition_reports.c
+++ b/src/core/partition_reports.c
@@ -39,7 +39,8 @@
 static void take_attempts(partition_t *partition, machine_t *machine, const report_t *report,
                           msec_t now)
 {
-    resources_t booked = {0}, grown = {0};
+    resources_t booked = {0};
+    resources_t grown = {0};
     machine->starting = machine->running = 0;
     for (guint i = 0; i < machine->attempts->len; i++) {
         attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
--- a/src/io/wire_state.c
+++ b/src/io/wire_state.c
@@ -36,7 +36,8 @@
 
 json_t *wire_build_record(const page_record_t *record)
 {
-    json_t *jobs = json_array(), *machines = json_array();
+    json_t *jobs = json_array();
+    json_t *machines = json_array();
     GHashTable *known = g_hash_table_new(g_str_hash, g_str_equal);
     bool whole = true;
     for (guint i = 0; i < record->machines->len; i++) {
--- a/src/io/wire_user.c
+++ b/src/io/wire_user.c
@@ -40,8 +40,10 @@
 
 bool wire_parse_job(const json_t *body, bool stored, job_spec_t *spec, reason_t *why)
 {
-    uint64_t tasks = 0, submitted = 0;
-    int priority = 0, kind = 0;
+    uint64_t tasks = 0;
+    uint64_t submitted = 0;
+    int priority = 0;
+    int kind = 0;
     *spec = (job_spec_t){0};
     if (!json_is_object(body))
         return wire_fail(why, "a JSON object is expected");
--- a/src/io/wire_worker.c
+++ b/src/io/wire_worker.c
@@ -22,7 +22,8 @@
     static const char *const states[] = {"pulling", "running", "saving", "exited", "gathering"};
     static const char *const causes[] = {"",       "done",    "halted", "error", "full",
                                          "in_use", "no_such", "peers",  "alone"};
-    int state = 0, cause = CAUSE_NONE;
+    int state = 0;
+    int cause = CAUSE_NONE;
     *reported_attempt = (reported_attempt_t){0};
     if (!parse_task_name(json_string_value(json_object_get(value, "Piece")), reported_attempt))
         return wire_fail(why, "Pieces: Piece is not the name of a task");
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -438,7 +438,8 @@
 static void test_a_start_taken_before_a_stall_does_not_leave_after_it(void **state)
 {
     (void)state;
-    msec_t now = clock_steady(), woken = now + 3 * STALL_MS;
+    msec_t now = clock_steady();
+    msec_t woken = now + 3 * STALL_MS;
     fake_worker_t *worker = fake_worker_new("m-000001");
     node_t *node = owner_of_one(worker, now);
     GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
