Lint findings in the divided modules: short functions, whole names

Placement, batches of records, demand and returns are divided into functions; no change of behaviour. In one test a variable has another name.

--- a/src/app/cloud_members.c
+++ b/src/app/cloud_members.c
@@ -31,7 +31,7 @@
 {
     return MAX(LOST_SILENT_MS,
                (msec_t)(node->settings->report_s * REPORT_SPREAD_FACTOR * MS_PER_S) +
-                   2 * REPORT_LATE_MS);
+                   2 * (msec_t)REPORT_LATE_MS);
 }
 
 /* With the lock held: machines of a partition that have gone silent, if they are most of it. */
--- a/src/app/cloud_release.c
+++ b/src/app/cloud_release.c
@@ -56,13 +56,10 @@
     return silent;
 }
 
-/* With the lock held: what is to go, for whatever reason but silence. A machine is drained first:
- * its partition's summaries must show it closed and empty, so that no start is under way to it. */
-static void find_unwanted(cloud_t *cloud, GPtrArray *names)
+/* With the lock held: machines that failed and boots that took too long. */
+static void find_broken(cloud_t *cloud, GPtrArray *names, msec_t now)
 {
-    node_t *node = cloud->node;
-    msec_t now = clock_steady();
-    guint partition = 0;
+    const node_t *node = cloud->node;
     for (guint i = 0; i < cloud->failed->len; i++)
         if (!cloud_is_returned(cloud, g_ptr_array_index(cloud->failed, i), now))
             add_once(names, g_ptr_array_index(cloud->failed, i));
@@ -70,6 +67,13 @@
     for (guint i = 0; i < stuck->len; i++)
         add_once(names, g_ptr_array_index(stuck, i));
     g_ptr_array_unref(stuck);
+}
+
+/* With the lock held: drains machines that nothing has wanted for a while. */
+static void drain_surplus(cloud_t *cloud, msec_t now)
+{
+    node_t *node = cloud->node;
+    guint partition = 0;
     /* In an outage nothing can be started, and what runs out looks like too many machines. */
     bool informed =
         now - atomic_load(&node->state.answered_at) < FOLLOW_BLOCK_MS + STATE_TIMEOUT_MS;
@@ -85,10 +89,20 @@
         if (!surplus || !cloud_find_summary(node, surplus->machine, &partition))
             break;
         log_info("event=surplus machine=%s", surplus->machine);
-        surplus->open =
-            false; /* no more placement requests; draining only when its partition says so */
+        /* No more placement requests; draining only when its partition says so. */
+        surplus->open = false;
         cloud_send_machine_item(node, partition, CHANNEL_DRAIN, surplus->machine);
     }
+}
+
+/* With the lock held: what is to go, for whatever reason but silence. A machine is drained first:
+ * its partition's summaries must show it closed and empty, so that no start is under way to it. */
+static void find_unwanted(cloud_t *cloud, GPtrArray *names)
+{
+    node_t *node = cloud->node;
+    msec_t now = clock_steady();
+    find_broken(cloud, names, now);
+    drain_surplus(cloud, now);
     for (guint i = 0; i < node->leader->summaries->len; i++) {
         const GArray *summaries = g_ptr_array_index(node->leader->summaries, i);
         for (guint k = 0; summaries && k < summaries->len; k++) {
--- a/src/core/leader_progress.c
+++ b/src/core/leader_progress.c
@@ -109,9 +109,9 @@
 
 static gint compare_dirty(gconstpointer left, gconstpointer right)
 {
-    const job_t *a = *(job_t *const *)left;
-    const job_t *b = *(job_t *const *)right;
-    return a->dirty_since < b->dirty_since ? -1 : a->dirty_since > b->dirty_since;
+    const job_t *first = *(job_t *const *)left;
+    const job_t *second = *(job_t *const *)right;
+    return first->dirty_since < second->dirty_since ? -1 : first->dirty_since > second->dirty_since;
 }
 
 /* Oldest first: with a low rate limit, those at the end of the table would never be. */
--- a/src/core/leader_queues.c
+++ b/src/core/leader_queues.c
@@ -75,25 +75,25 @@
  * that keeps the next one; then by age. */
 static gint compare_queued(gconstpointer left, gconstpointer right)
 {
-    const queued_t *a = left;
-    const queued_t *b = right;
-    bool urgent_a = a->job->spec.priority >= PRIORITY_HIGH;
-    bool urgent_b = b->job->spec.priority >= PRIORITY_HIGH;
-    if (urgent_a != urgent_b)
-        return urgent_a ? -1 : 1;
-    if (!a->owed != !b->owed)
-        return a->owed ? -1 : 1;
-    if (a->job->spec.priority != b->job->spec.priority)
-        return a->job->spec.priority > b->job->spec.priority ? -1 : 1;
-    if (isinf(a->start) != isinf(b->start))
-        return isinf(b->start) ? -1 : 1;
-    if (a->work != b->work)
-        return a->work < b->work ? -1 : 1;
-    if (a->start != b->start)
-        return a->start < b->start ? -1 : 1;
-    if (a->job->spec.submitted_ms != b->job->spec.submitted_ms)
-        return a->job->spec.submitted_ms < b->job->spec.submitted_ms ? -1 : 1;
-    return strcmp(a->job->spec.id, b->job->spec.id);
+    const queued_t *first = left;
+    const queued_t *second = right;
+    bool first_urgent = first->job->spec.priority >= PRIORITY_HIGH;
+    bool second_urgent = second->job->spec.priority >= PRIORITY_HIGH;
+    if (first_urgent != second_urgent)
+        return first_urgent ? -1 : 1;
+    if (!first->owed != !second->owed)
+        return first->owed ? -1 : 1;
+    if (first->job->spec.priority != second->job->spec.priority)
+        return first->job->spec.priority > second->job->spec.priority ? -1 : 1;
+    if (isinf(first->start) != isinf(second->start))
+        return isinf(second->start) ? -1 : 1;
+    if (first->work != second->work)
+        return first->work < second->work ? -1 : 1;
+    if (first->start != second->start)
+        return first->start < second->start ? -1 : 1;
+    if (first->job->spec.submitted_ms != second->job->spec.submitted_ms)
+        return first->job->spec.submitted_ms < second->job->spec.submitted_ms ? -1 : 1;
+    return strcmp(first->job->spec.id, second->job->spec.id);
 }
 
 /* A job that fails wherever it runs must not fill the partitions with its attempts (a soft place of
@@ -156,6 +156,20 @@
     return poorest;
 }
 
+/* Tasks of the job for which machines are wanted: within the team's limit, one of a job that keeps
+ * failing. */
+static uint32_t demanded_tasks(const job_t *job, const team_state_t *state)
+{
+    uint32_t tasks = leader_job_pending(job);
+    if (state->team.cpus_max > 0 && job->spec.need.cpus > 0) {
+        double left = MAX(state->team.cpus_max - state->cpus, 0) / job->spec.need.cpus;
+        tasks = MIN(tasks, (uint32_t)MIN(left, (double)TASKS_MAX_COUNT));
+    }
+    if (job->errors >= JOB_ERRORS_ALARM_COUNT)
+        tasks = MIN(tasks, 1);
+    return tasks;
+}
+
 GArray *leader_demand(const leader_t *leader, msec_t now)
 {
     GArray *demand = g_array_new(FALSE, FALSE, sizeof(demand_t));
@@ -166,17 +180,10 @@
         job_t *job = value;
         guint team = 0;
         const team_state_t *state = leader_team_find(leader, job->spec.team, &team);
-        uint32_t tasks = leader_job_pending(job);
-        if (!tasks || !state || leader_is_job_blocked(job, now))
+        if (!state || leader_is_job_blocked(job, now))
             continue;
-        if (state->team.cpus_max > 0 && job->spec.need.cpus > 0) {
-            double left = MAX(state->team.cpus_max - state->cpus, 0) / job->spec.need.cpus;
-            tasks = MIN(tasks, (uint32_t)MIN(left, (double)TASKS_MAX_COUNT));
-        }
-        if (job->errors >= JOB_ERRORS_ALARM_COUNT)
-            tasks = MIN(tasks, 1);
-        demand_t entry = {.job = job, .team = team, .tasks = tasks};
-        if (tasks)
+        demand_t entry = {.job = job, .team = team, .tasks = demanded_tasks(job, state)};
+        if (entry.tasks)
             g_array_append_val(demand, entry);
     }
     return demand;
--- a/src/core/leader_schedule.c
+++ b/src/core/leader_schedule.c
@@ -46,33 +46,47 @@
     return true;
 }
 
+/* The projected pressure of the machine with one more task of the job. */
+static double pressure_with(const machine_summary_t *summary, const job_t *job)
+{
+    double cpus = summary->free.cpus - job->spec.need.cpus;
+    double memory = summary->free.memory - job->spec.need.memory;
+    return MAX(1 - cpus / MAX(summary->total.cpus, EPSILON),
+               1 - memory / MAX(summary->total.memory, EPSILON));
+}
+
+/* The machine of a partition that takes the task and would have the least pressure with it; NULL:
+ * none. cpus: what is free on all that take it. */
+static machine_summary_t *best_of_partition(const job_t *job, GArray *summaries, double *cpus)
+{
+    bool zoned = job->spec.same_zone || job->spec.spread;
+    double lowest = INFINITY;
+    machine_summary_t *best = NULL;
+    *cpus = 0;
+    for (guint i = 0; summaries && i < summaries->len; i++) {
+        machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, i);
+        if (!summary_admits(summary, &job->spec, "") || (zoned && !zone_open(job, summary->zone)))
+            continue;
+        *cpus += summary->free.cpus;
+        double pressure = pressure_with(summary, job);
+        if (pressure < lowest) {
+            lowest = pressure;
+            best = summary;
+        }
+    }
+    return best;
+}
+
 /* The partition with most free resources on machines that take the task, and the summary of the
  * machine that it would book. */
 static machine_summary_t *choose_summary(const leader_t *leader, const job_t *job, guint *partition)
 {
-    bool zoned = job->spec.same_zone || job->spec.spread;
     machine_summary_t *chosen = NULL;
     double most = -1;
     for (guint i = 0; i < leader->summaries->len; i++) {
-        GArray *summaries = g_ptr_array_index(leader->summaries, i);
         double cpus = 0;
-        double lowest = INFINITY;
-        machine_summary_t *best = NULL;
-        for (guint k = 0; summaries && k < summaries->len; k++) {
-            machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
-            if (!summary_admits(summary, &job->spec, "") ||
-                (zoned && !zone_open(job, summary->zone)))
-                continue;
-            cpus += summary->free.cpus;
-            double pressure = MAX(1 - (summary->free.cpus - job->spec.need.cpus) /
-                                          MAX(summary->total.cpus, EPSILON),
-                                  1 - (summary->free.memory - job->spec.need.memory) /
-                                          MAX(summary->total.memory, EPSILON));
-            if (pressure < lowest) {
-                lowest = pressure;
-                best = summary;
-            }
-        }
+        machine_summary_t *best =
+            best_of_partition(job, g_ptr_array_index(leader->summaries, i), &cpus);
         if (best && cpus > most) {
             most = cpus;
             chosen = best;
--- a/src/core/partition_placement.c
+++ b/src/core/partition_placement.c
@@ -37,24 +37,26 @@
 /* The design's order: reported first, lower score, fewer starting, fewer running. 0: equal. Whether
  * the image is there already breaks ties of the score; for urgent work, which is to start within a
  * second where a fetch takes five, it comes before the score. */
-static int compare_rank(const machine_t *a, const machine_t *b, const placement_request_t *request)
+static int compare_rank(const machine_t *first, const machine_t *second,
+                        const placement_request_t *request)
 {
-    bool warm_a = partition_is_warm(a, request), warm_b = partition_is_warm(b, request);
-    if (a->reported != b->reported)
-        return a->reported ? -1 : 1;
-    if (request->priority >= PRIORITY_HIGH && warm_a != warm_b)
-        return warm_a ? -1 : 1;
-    double difference = pressure(a, request->need) - pressure(b, request->need);
+    bool first_warm = partition_is_warm(first, request);
+    bool second_warm = partition_is_warm(second, request);
+    if (first->reported != second->reported)
+        return first->reported ? -1 : 1;
+    if (request->priority >= PRIORITY_HIGH && first_warm != second_warm)
+        return first_warm ? -1 : 1;
+    double difference = pressure(first, request->need) - pressure(second, request->need);
     if (difference < -EPSILON || difference > EPSILON)
         return difference < 0 ? -1 : 1;
-    if (warm_a != warm_b)
-        return warm_a ? -1 : 1;
-    guint starting_a = a->starting + a->reservations->len;
-    guint starting_b = b->starting + b->reservations->len;
-    if (starting_a != starting_b)
-        return starting_a < starting_b ? -1 : 1;
-    if (a->running != b->running)
-        return a->running < b->running ? -1 : 1;
+    if (first_warm != second_warm)
+        return first_warm ? -1 : 1;
+    guint first_starting = first->starting + first->reservations->len;
+    guint second_starting = second->starting + second->reservations->len;
+    if (first_starting != second_starting)
+        return first_starting < second_starting ? -1 : 1;
+    if (first->running != second->running)
+        return first->running < second->running ? -1 : 1;
     return 0;
 }
 
--- a/src/core/partition_preemption.c
+++ b/src/core/partition_preemption.c
@@ -37,11 +37,11 @@
 
 static gint compare_victims(gconstpointer left, gconstpointer right)
 {
-    const victim_t *a = left;
-    const victim_t *b = right;
-    if (a->attempt->entry.priority != b->attempt->entry.priority)
-        return a->attempt->entry.priority < b->attempt->entry.priority ? -1 : 1;
-    return a->lost < b->lost ? -1 : a->lost > b->lost;
+    const victim_t *first = left;
+    const victim_t *second = right;
+    if (first->attempt->entry.priority != second->attempt->entry.priority)
+        return first->attempt->entry.priority < second->attempt->entry.priority ? -1 : 1;
+    return first->lost < second->lost ? -1 : first->lost > second->lost;
 }
 
 /* Victims that make room for the placement request on the machine, cheapest first; NULL if there is
--- a/src/core/partition_records.c
+++ b/src/core/partition_records.c
@@ -204,11 +204,11 @@
 
 static gint compare_pages(gconstpointer left, gconstpointer right)
 {
-    const page_t *a = *(page_t *const *)left;
-    const page_t *b = *(page_t *const *)right;
-    uint64_t turn_a = a->urgent ? a->urgent : UINT64_MAX;
-    uint64_t turn_b = b->urgent ? b->urgent : UINT64_MAX;
-    return turn_a < turn_b ? -1 : turn_a > turn_b;
+    const page_t *first = *(page_t *const *)left;
+    const page_t *second = *(page_t *const *)right;
+    uint64_t first_turn = first->urgent ? first->urgent : UINT64_MAX;
+    uint64_t second_turn = second->urgent ? second->urgent : UINT64_MAX;
+    return first_turn < second_turn ? -1 : first_turn > second_turn;
 }
 
 /* Pages to write now, first come first: else, with a low rate limit, the last would never be. */
@@ -258,6 +258,22 @@
     return page->size ? MIN(value_max, page->size + fresh * each) : value_max;
 }
 
+/* Whether there is something of the page to write. One in which a start found no room is divided.
+ */
+static bool prepare_page(partition_t *partition, page_t *page)
+{
+    if (page->batched)
+        return false; /* with its half */
+    drop_idle_gone(partition, page);
+    if (page->full && !page->half)
+        divide(partition, page);
+    if (page->half || has_change(page))
+        return true;
+    page->urgent = 0;
+    page->lazy = false;
+    return false;
+}
+
 partition_batch_t *partition_batch_take(partition_t *partition, const partition_limits_t *limits,
                                         msec_t now)
 {
@@ -269,16 +285,8 @@
     GPtrArray *due = pages_due(partition, now);
     for (guint i = 0; i < due->len && batch->records->len < limits->ops; i++) {
         page_t *page = g_ptr_array_index(due, i);
-        if (page->batched)
-            continue; /* with its half */
-        drop_idle_gone(partition, page);
-        if (page->full && !page->half)
-            divide(partition, page);
-        if (!page->half && !has_change(page)) {
-            page->urgent = 0;
-            page->lazy = false;
+        if (!prepare_page(partition, page))
             continue;
-        }
         gsize bound = page_bound(page, value_max) + (page->half ? value_max : 0);
         if (page->half && batch->records->len + 2 > limits->ops)
             continue;
@@ -350,17 +358,20 @@
     }
 }
 
+static void machine_undone(machine_t *machine)
+{
+    for (guint i = 0; i < machine->attempts->len; i++)
+        ((attempt_t *)g_ptr_array_index(machine->attempts, i))->batch = BATCH_NONE;
+}
+
 void partition_batch_undo(partition_t *partition, partition_batch_t *batch)
 {
     for (guint i = 0; i < batch->records->len; i++) {
         page_t *page = page_of_record(partition, &g_array_index(batch->records, page_record_t, i));
         partition_page_touch(partition, page);
         page->batched = false;
-        for (guint k = 0; k < page->machines->len; k++) {
-            machine_t *machine = g_ptr_array_index(page->machines, k);
-            for (guint n = 0; n < machine->attempts->len; n++)
-                ((attempt_t *)g_ptr_array_index(machine->attempts, n))->batch = BATCH_NONE;
-        }
+        for (guint k = 0; k < page->machines->len; k++)
+            machine_undone(g_ptr_array_index(page->machines, k));
     }
 }
 
--- a/src/io/wire_state.c
+++ b/src/io/wire_state.c
@@ -55,21 +55,35 @@
     return NULL;
 }
 
+/* The header of a job in a record: its fields, in order. */
+enum {
+    RECORD_JOB_ID,
+    RECORD_JOB_TEAM,
+    RECORD_JOB_IMAGE,
+    RECORD_JOB_CPUS,
+    RECORD_JOB_GPUS,
+    RECORD_JOB_MEMORY,
+    RECORD_JOB_PRIORITY,
+    RECORD_JOB_SAVE,
+    RECORD_JOB_CHECKPOINT,
+    RECORD_JOB_FIELDS
+};
+
 static bool parse_record_job(const json_t *job, record_entry_t *entry)
 {
-    const char *id = json_string_value(json_array_get(job, 0));
-    const char *team = json_string_value(json_array_get(job, 1));
-    const char *image = json_string_value(json_array_get(job, 2));
-    json_int_t priority = json_integer_value(json_array_get(job, 6));
-    if (json_array_size(job) != 9 || !id || !team || !image || priority < PRIORITY_LOW ||
-        priority > PRIORITY_CRITICAL)
+    const char *id = json_string_value(json_array_get(job, RECORD_JOB_ID));
+    const char *team = json_string_value(json_array_get(job, RECORD_JOB_TEAM));
+    const char *image = json_string_value(json_array_get(job, RECORD_JOB_IMAGE));
+    json_int_t priority = json_integer_value(json_array_get(job, RECORD_JOB_PRIORITY));
+    if (json_array_size(job) != RECORD_JOB_FIELDS || !id || !team || !image ||
+        priority < PRIORITY_LOW || priority > PRIORITY_CRITICAL)
         return false;
     *entry = (record_entry_t){.priority = (priority_t)priority};
-    entry->need.cpus = json_number_value(json_array_get(job, 3));
-    entry->need.gpus = json_number_value(json_array_get(job, 4));
-    entry->need.memory = json_number_value(json_array_get(job, 5));
-    entry->save_s = json_number_value(json_array_get(job, 7));
-    entry->checkpoint_s = json_number_value(json_array_get(job, 8));
+    entry->need.cpus = json_number_value(json_array_get(job, RECORD_JOB_CPUS));
+    entry->need.gpus = json_number_value(json_array_get(job, RECORD_JOB_GPUS));
+    entry->need.memory = json_number_value(json_array_get(job, RECORD_JOB_MEMORY));
+    entry->save_s = json_number_value(json_array_get(job, RECORD_JOB_SAVE));
+    entry->checkpoint_s = json_number_value(json_array_get(job, RECORD_JOB_CHECKPOINT));
     return g_strlcpy(entry->job, id, sizeof entry->job) < sizeof entry->job &&
            g_strlcpy(entry->team, team, sizeof entry->team) < sizeof entry->team &&
            g_strlcpy(entry->image, image, sizeof entry->image) < sizeof entry->image;
--- a/src/io/wire_user.c
+++ b/src/io/wire_user.c
@@ -38,6 +38,7 @@
     return true;
 }
 
+// NOLINTNEXTLINE(readability-function-size): a line for each field
 bool wire_parse_job(const json_t *body, bool stored, job_spec_t *spec, reason_t *why)
 {
     uint64_t tasks = 0;
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -439,7 +439,7 @@
 {
     (void)state;
     msec_t now = clock_steady();
-    msec_t woken = now + 3 * STALL_MS;
+    msec_t after_stall = now + 3 * (msec_t)STALL_MS;
     fake_worker_t *worker = fake_worker_new("m-000001");
     node_t *node = owner_of_one(worker, now);
     GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
@@ -449,12 +449,12 @@
     assert_non_null(take(node, commands, now));
     assert_int_equal(commands->len, 2);
     assert_true(node_may_send(node, "m-000001", node->generation, commands, now, now + 5));
-    assert_false(node_may_send(node, "m-000001", node->generation, commands, now, woken));
-    assert_null(take(node, commands, woken)); /* it does not know yet */
-    assert_null(take(node, commands, woken + 100));
+    assert_false(node_may_send(node, "m-000001", node->generation, commands, now, after_stall));
+    assert_null(take(node, commands, after_stall)); /* it does not know yet */
+    assert_null(take(node, commands, after_stall + 100));
     node_job_gone(node, "j-000001");
-    node->jobs_proof = woken + 50; /* the follow that began after it woke was answered */
-    assert_non_null(take(node, commands, woken + 200));
+    node->jobs_proof = after_stall + 50; /* the follow that began after it woke was answered */
+    assert_non_null(take(node, commands, after_stall + 200));
     assert_int_equal(commands->len, 1);
     assert_string_equal(g_array_index(commands, worker_command_t, 0).job, "j-000002");
     pthread_mutex_unlock(&node->lock);
