--- a/src/policy/ast.h
+++ b/src/policy/ast.h
@@ -64,5 +64,9 @@
 void parse_assign(parse_t *parse, token_t name, ast_t *value);
 /* A number; unit may be NULL. */
 ast_t *parse_number(parse_t *parse, token_t number, const token_t *unit);
+/* The value of a checked tree. */
+double ast_evaluate(const ast_t *ast, const policy_env_t *env);
+/* The value of a tree that depends on no attribute; false: it does, or is faulty. */
+bool ast_constant_value(const ast_t *ast, double *value);
 
 #endif
--- a/src/policy/policy.c
+++ b/src/policy/policy.c
@@ -1,9 +1,10 @@
-#include <math.h>
+/* The operators' settings: their names and defaults, the checker, and what is compiled. */
+#include "policy/ast.h"
+
 #include <stdarg.h>
 #include <string.h>
 
 #include "parser.h"
-#include "policy/ast.h"
 
 int policy_yylex_init_extra(parse_t *extra, void **scanner);
 int policy_yylex_destroy(void *scanner);
@@ -157,8 +158,6 @@
     return POLICY_FAULTY;
 }
 
-static bool constant_value(const ast_t *ast, double *value);
-
 static policy_type_t check_name(parse_t *parse, ast_t *ast, int scope)
 {
     for (guint i = 0; i < G_N_ELEMENTS(words); i++) {
@@ -199,7 +198,7 @@
         return complain(parse, ast->kid[0], "an amount", a);
     if (!is_amount(b))
         return complain(parse, ast->kid[1], "an amount", b);
-    if (ast->op == AST_DIVIDE && constant_value(ast->kid[1], &divisor) && divisor == 0) {
+    if (ast->op == AST_DIVIDE && ast_constant_value(ast->kid[1], &divisor) && divisor == 0) {
         parse_fault(parse, ast->kid[1]->line, ast->kid[1]->column, "division by zero");
         return POLICY_FAULTY;
     }
@@ -284,83 +283,6 @@
     return ast->type;
 }
 
-static const char *text_of(const ast_t *ast, const policy_env_t *env)
-{
-    const char *text = ast->op == AST_TEXT ? ast->text : env->text[ast->attr];
-    return text ? text : "";
-}
-
-static double evaluate(const ast_t *ast, const policy_env_t *env)
-{
-    if (ast->op == AST_NUMBER)
-        return ast->number;
-    if (ast->op == AST_NAME)
-        return ast->attr < 0 ? ast->number : env->number[ast->attr];
-    if (ast->op == AST_IF)
-        return evaluate(ast->kid[evaluate(ast->kid[0], env) != 0 ? 1 : 2], env);
-    if (ast->kid[0]->type == POLICY_TEXT) {
-        bool same = strcmp(text_of(ast->kid[0], env), text_of(ast->kid[1], env)) == 0;
-        return same == (ast->op == AST_EQUAL);
-    }
-    double a = evaluate(ast->kid[0], env);
-    double b = ast->kid[1] ? evaluate(ast->kid[1], env) : 0;
-    switch (ast->op) {
-    case AST_NOT:
-        return a == 0;
-    case AST_NEGATE:
-        return -a;
-    case AST_AND:
-        return a != 0 && b != 0;
-    case AST_OR:
-        return a != 0 || b != 0;
-    case AST_ADD:
-        return a + b;
-    case AST_SUBTRACT:
-        return a - b;
-    case AST_MULTIPLY:
-        return a * b;
-    case AST_DIVIDE:
-        return b != 0 ? a / b : 0;
-    case AST_LESS:
-        return a < b;
-    case AST_LESS_EQUAL:
-        return a <= b;
-    case AST_GREATER:
-        return a > b;
-    case AST_GREATER_EQUAL:
-        return a >= b;
-    case AST_EQUAL:
-        return a == b;
-    case AST_UNEQUAL:
-        return a != b;
-    case AST_MIN:
-        return fmin(a, b);
-    case AST_MAX:
-        return fmax(a, b);
-    default:
-        return 0;
-    }
-}
-
-static bool is_constant(const ast_t *ast)
-{
-    if (ast->op == AST_NAME && ast->attr >= 0)
-        return false;
-    for (int i = 0; i < 3; i++)
-        if (ast->kid[i] && !is_constant(ast->kid[i]))
-            return false;
-    return ast->type != POLICY_FAULTY;
-}
-
-static bool constant_value(const ast_t *ast, double *value)
-{
-    static const policy_env_t nothing = {0};
-    if (!is_constant(ast))
-        return false;
-    *value = evaluate(ast, &nothing);
-    return true;
-}
-
 static int find_tunable(const char *name)
 {
     for (int i = 0; i < TUNABLE_COUNT; i++)
@@ -375,7 +297,7 @@
     policy_type_t type = check(parse, value, tunables[tunable].scope, 0);
     if (type != tunables[tunable].type) {
         complain(parse, value, type_names[tunables[tunable].type], type);
-    } else if (constant_value(value, &constant) &&
+    } else if (ast_constant_value(value, &constant) &&
                (constant < tunables[tunable].low || constant > tunables[tunable].high)) {
         parse_fault(parse, value->line, value->column, "%s: from %g to %g is expected, this is %g",
                     tunables[tunable].name, tunables[tunable].low, tunables[tunable].high,
@@ -457,6 +379,6 @@
 double policy_value(const policy_t *policy, policy_tunable_t tunable, const policy_env_t *env)
 {
     static const policy_env_t nothing = {0};
-    double value = evaluate(policy->value[tunable], env ? env : &nothing);
+    double value = ast_evaluate(policy->value[tunable], env ? env : &nothing);
     return CLAMP(value, tunables[tunable].low, tunables[tunable].high);
 }
