--- /dev/null
+++ b/src/app/node_permission.c
@@ -0,0 +1,66 @@
+/* What a node may do with what it knows: answer reports, and send starts. */
+#include "app/node.h"
+
+#include "io/clock.h"
+
+connectivity_t node_connectivity(const node_t *node)
+{
+    return (connectivity_t){.state = atomic_load(&node->state.answered_at),
+                            .received_at = node->sibling_message_at,
+                            .siblings = node->siblings_answered_at,
+                            .lone = node->settings->siblings->len == 0};
+}
+
+static msec_t known_until(const node_t *node)
+{
+    return cancellation_log_known_until(&node->cancellations, node->settings->siblings->len,
+                                        node->jobs_proof);
+}
+
+bool node_may_renew(const node_t *node, msec_t now)
+{
+    connectivity_t connectivity = node_connectivity(node);
+    if (!connectivity_may_serve_workers(&connectivity, now))
+        return false;
+    /* A job may be cancelled at any moment through a node that reaches the state service. Its tasks
+     * must be gone within cancel_s, and a worker keeps them for lease_s after our last answer: so
+     * answers end this long after the last moment up to which all that users were told is known. */
+    double spare = node->settings->cancel_s - node->settings->lease_s;
+    return node->jobs_synced && now - known_until(node) < (msec_t)(spare * 1000) - CANCEL_MARGIN_MS;
+}
+
+void node_pulse(node_t *node, msec_t now)
+{
+    if (now - node->pulse > STALL_MS)
+        node->woken = now;
+    node->pulse = MAX(node->pulse, now);
+}
+
+bool node_may_start(node_t *node, msec_t now)
+{
+    node_pulse(node, now);
+    msec_t known = known_until(node);
+    return node->jobs_synced && known >= node->woken && now - known < RUN_KNOWN_MS;
+}
+
+bool node_may_send(node_t *node, const char *machine, uint64_t generation, const GArray *commands,
+                   msec_t taken, msec_t now)
+{
+    if (now - taken <= STALL_MS)
+        return true;
+    if (node->generation == generation && node->loaded)
+        partition_direct_done(node->partition, machine, commands, 0, DIRECT_WITHHELD);
+    return false;
+}
+
+void *pulse_run(void *data)
+{
+    node_t *node = data;
+    for (;;) {
+        pthread_mutex_lock(&node->lock);
+        node_pulse(node, clock_steady());
+        pthread_mutex_unlock(&node->lock);
+        node_sleep(PULSE_MS);
+    }
+    return NULL;
+}
