--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -438,18 +438,18 @@
 static void test_a_start_taken_before_a_stall_does_not_leave_after_it(void **state)
 {
     (void)state;
-    msec_t now = clock_steady();
-    msec_t after_stall = now + 3 * (msec_t)STALL_MS;
+    msec_t begun = clock_steady();
+    msec_t after_stall = begun + 3 * (msec_t)STALL_MS;
     fake_worker_t *worker = fake_worker_new("m-000001");
-    node_t *node = owner_of_one(worker, now);
+    node_t *node = owner_of_one(worker, begun);
     GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     pthread_mutex_lock(&node->lock);
-    place_and_record(node, "j-000001", 100, now);
-    place_and_record(node, "j-000002", 101, now);
-    assert_non_null(take(node, commands, now));
+    place_and_record(node, "j-000001", 100, begun);
+    place_and_record(node, "j-000002", 101, begun);
+    assert_non_null(take(node, commands, begun));
     assert_int_equal(commands->len, 2);
-    assert_true(node_may_send(node, "m-000001", node->generation, commands, now, now + 5));
-    assert_false(node_may_send(node, "m-000001", node->generation, commands, now, after_stall));
+    assert_true(node_may_send(node, "m-000001", node->generation, commands, begun, begun + 5));
+    assert_false(node_may_send(node, "m-000001", node->generation, commands, begun, after_stall));
     assert_null(take(node, commands, after_stall)); /* it does not know yet */
     assert_null(take(node, commands, after_stall + 100));
     node_job_gone(node, "j-000001");
