--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -53,15 +53,15 @@
 {
     for (guint i = 0; i < entries->len; i++) {
         const state_entry_t *entry = &g_array_index(entries, state_entry_t, i);
-        char **key_parts = g_strsplit(entry->key, "/", 3);
+        char **key_fields = g_strsplit(entry->key, "/", 3);
         gsize bytes = 0;
         uint8_t *bits = wire_parse_bits(entry->value, &bytes);
-        if (g_strv_length(key_parts) == 3 && bits)
-            leader_load_chunk(node->leader, key_parts[1],
-                              (guint)g_ascii_strtoull(key_parts[2], NULL, DECIMAL), bits, bytes,
+        if (g_strv_length(key_fields) == 3 && bits)
+            leader_load_chunk(node->leader, key_fields[1],
+                              (guint)g_ascii_strtoull(key_fields[2], NULL, DECIMAL), bits, bytes,
                               entry->revision);
         g_free(bits);
-        g_strfreev(key_parts);
+        g_strfreev(key_fields);
     }
 }
 
--- a/src/constants.h
+++ b/src/constants.h
@@ -142,7 +142,7 @@
     THREAD_STACK_BYTES = 128 * 1024,     /* the deepest path: a JSON parse in an HTTP handler */
     CONNECTION_BUFFER_BYTES = 16 * 1024, /* HTTP buffers of a connection */
     CONNECTION_COST_BYTES = 32 * 1024,   /* a connection takes at most: buffers and a request */
-    ANSWER_KEPT_BYTES = 1 << 18,    /* buffer of a call's answer that is kept for the next call */
+    ANSWER_BUFFER_BYTES = 1 << 18,  /* buffer of a call's answer that is kept for the next call */
     LISTEN_BACKLOG_COUNT = 16,      /* connections of siblings that wait to be accepted */
     CONNECTION_IDLE_S = 30,         /* workers and users that are there speak every few s */
     CONNECTIONS_SPARE_COUNT = 100,  /* sockets of fd_limit kept for calls of our own */
--- a/src/io/http.c
+++ b/src/io/http.c
@@ -79,7 +79,7 @@
     if (answer)
         *answer = json_loadb(client->answer->str, client->answer->len, 0, NULL);
     /* A follow can answer with a lot at once; that is not kept. */
-    if (client->answer->allocated_len > ANSWER_KEPT_BYTES) {
+    if (client->answer->allocated_len > ANSWER_BUFFER_BYTES) {
         g_string_free(client->answer, TRUE);
         client->answer = g_string_new(NULL);
         curl_easy_setopt(curl, CURLOPT_WRITEDATA, client->answer);
--- a/src/io/relay.c
+++ b/src/io/relay.c
@@ -84,13 +84,13 @@
     gsize stem = strlen(entry->key) - 1;
     for (guint page = 0; page < (guint)pages; page++) {
         const state_entry_t *next = &g_array_index(entries, state_entry_t, first + page);
-        const char *text_part = json_string_value(json_object_get(next->value, "Message"));
+        const char *page_text = json_string_value(json_object_get(next->value, "Message"));
         if (next->revision != entry->revision || strncmp(next->key, entry->key, stem) != 0 ||
-            next->key[stem] != (char)('0' + page) || !text_part) {
+            next->key[stem] != (char)('0' + page) || !page_text) {
             g_string_free(text, TRUE);
             return NULL;
         }
-        g_string_append(text, text_part);
+        g_string_append(text, page_text);
     }
     return text;
 }
--- a/src/policy/policy.c
+++ b/src/policy/policy.c
@@ -227,7 +227,7 @@
                                  policy_type_t right)
 {
     if (left == POLICY_TEXT || left == POLICY_BOOL)
-        complain(parse, ast->kid[0], "an amount or a priority", left);
+        complain(parse, ast->kid[0], "an amount or an urgency", left);
     else
         check_same(parse, ast, left, right);
     return POLICY_BOOL;
