--- a/src/app/api_reports.c
+++ b/src/app/api_reports.c
@@ -5,6 +5,22 @@
 #include "io/wire.h"
 #include "log.h"
 
+/* Whether the owner is in reach of workers of the zone, as far as this node can tell. Cuts go
+ * between zones or round a node: what this node or the owner reaches within the worker's zone, the
+ * worker reaches too. */
+static bool owner_is_reachable(const node_t *node, const member_t *owner, const char *zone,
+                               msec_t now)
+{
+    if (strcmp(zone, node->settings->zone) != 0 && strcmp(zone, owner->zone) != 0)
+        return false;
+    for (guint i = 0; i < node->settings->siblings->len; i++) {
+        const sibling_t *sibling = &g_array_index(node->settings->siblings, sibling_t, i);
+        if (strcmp(sibling->name, owner->name) == 0)
+            return redirection_owner_is_healthy(&node->sibling_health[i], now);
+    }
+    return false;
+}
+
 /* A worker that this node does not own: sent to the owner or, if it can't reach that, kept alive
  * here: no starts, but stops for what is cancelled. */
 static reply_t redirect_worker(node_t *node, const report_t *report, const member_t *owner,
@@ -12,7 +28,9 @@
 {
     char key[ID_SIZE + 24];
     g_snprintf(key, sizeof key, "%s#%" G_GUINT64_FORMAT, owner->name, owner->incarnation);
-    redirection_verdict_t verdict = redirection_report(node->redirection, report, key, now);
+    bool is_reachable = owner_is_reachable(node, owner, report->zone, now);
+    redirection_verdict_t verdict =
+        redirection_report(node->redirection, report, key, is_reachable, now);
     if (verdict == REDIRECTION_STALE)
         return api_refuse(503, "an old report", 0);
     if (verdict == REDIRECTION_TO_OWNER)
@@ -37,6 +55,8 @@
         partition_pause_starts(node->partition, !node_may_start(node, now));
         verdict = partition_report(node->partition, report, false, now, commands);
     }
+    if (verdict == REPORT_TAKEN)
+        node->worker_report_at = now;
     if (verdict == REPORT_STALE) {
         reply = api_refuse(503, "an old report", 0);
     } else {
--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -100,8 +100,7 @@
             cloud_refresh_hosts(&cloud);
             cloud_exclude_members(&cloud, now);
         }
-        if (now - cloud.retained_at > RETAINED_WRITE_MS)
-            cloud_publish_retained(&cloud, now);
+        cloud_publish_retained(&cloud, now);
         if (leading) {
             cloud_rent(&cloud);
             cloud_give_back(&cloud);
--- a/src/app/cloud_internal.h
+++ b/src/app/cloud_internal.h
@@ -20,7 +20,8 @@
     http_client_t *client;
     msec_t machine_types_at; /* 0: never */
     msec_t listed_at;
-    msec_t retained_at;
+    msec_t retained_at;   /* when the list of retained workers was last written */
+    guint retained_count; /* how many it held */
     guint charters;
     charter_t charter;
     GHashTable *listed;   /* ids of the newest list */
@@ -67,7 +68,7 @@
  * caller's; NULL: it could not be read. */
 GHashTable *cloud_read_retained(cloud_t *cloud);
 /* Publishes to the leader, through the state service, which workers of others this node keeps
- * alive. */
+ * alive; at most once in a while, sooner when one has joined them. */
 void cloud_publish_retained(cloud_t *cloud, msec_t now);
 /* Silence after which a worker may have lost its owner: a report and a half, and the time it takes.
  */
--- a/src/app/cloud_members.c
+++ b/src/app/cloud_members.c
@@ -22,8 +22,14 @@
             g_hash_table_add(retained, g_strdup(json_string_value(name)));
     }
     g_array_unref(entries);
-    if (result != STATE_OK)
-        g_clear_pointer(&retained, g_hash_table_unref);
+    if (result != STATE_OK) {
+        g_hash_table_unref(retained);
+        return NULL;
+    }
+    /* Our own list there is seconds old. */
+    pthread_mutex_lock(&cloud->node->lock);
+    redirection_add_retained(cloud->node->redirection, clock_steady(), retained);
+    pthread_mutex_unlock(&cloud->node->lock);
     return retained;
 }
 
@@ -96,10 +102,13 @@
     for (guint i = 0; i < retained->len; i++)
         json_array_append_new(names, json_string(g_ptr_array_index(retained, i)));
     g_ptr_array_unref(retained);
-    if (json_array_size(names) == 0) {
+    bool has_grown = json_array_size(names) > cloud->retained_count;
+    msec_t gap = has_grown ? RETAINED_GROWN_MS : RETAINED_WRITE_MS;
+    if (json_array_size(names) == 0 || now - cloud->retained_at <= gap) {
         json_decref(names);
         return;
     }
+    cloud->retained_count = (guint)json_array_size(names);
     char path[ID_SIZE + 8];
     txn_t txn = txn_new();
     g_snprintf(path, sizeof path, "kept/%s", node->settings->name);
--- a/src/app/heartbeat.c
+++ b/src/app/heartbeat.c
@@ -44,6 +44,8 @@
                                      msec_t asked)
 {
     peer_exchange_receive_any(node, message);
+    node->sibling_health[index] = (owner_health_t){
+        .answered_at = asked, .worker_report_at = asked - message->worker_report_age};
     for (guint i = 0; i < message->update.jobs->len; i++) {
         const char *id = g_ptr_array_index(message->update.jobs, i);
         if (!g_hash_table_contains(node->gone, id))
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -102,7 +102,9 @@
     msec_t received_at[MEMBERS_MAX]; /* when each member last called by socket */
     GHashTable *ended;               /* id -> ended_t; a bounded cache */
     redirection_t *redirection;
-    pthread_mutex_t requests_lock; /* of the next two only; never with `lock` */
+    owner_health_t sibling_health[MEMBERS_MAX]; /* as the settings list the siblings */
+    msec_t worker_report_at;                    /* when a worker of ours last reported to us */
+    pthread_mutex_t requests_lock;              /* of the next two only; never with `lock` */
     pthread_cond_t requests_come;
     GQueue *requests;        /* request_t, borrowed: those that may have to wait */
     atomic_uint connections; /* of users and workers, open now */
--- a/src/app/peer_exchange.c
+++ b/src/app/peer_exchange.c
@@ -13,6 +13,7 @@
 {
     peer_message_t message = {.incarnation = node->incarnation, .view = node->view.number};
     message.state_answer_age = clock_steady() - atomic_load(&node->state.answered_at);
+    message.worker_report_age = clock_steady() - node->worker_report_at;
     g_strlcpy(message.sender, node->settings->name, sizeof message.sender);
     return message;
 }
--- a/src/constants.h
+++ b/src/constants.h
@@ -141,8 +141,15 @@
     EXCLUDED_MS = 90000,      /* so long a controller without workers owns none before a new try */
     RETAIN_MS =
         20000, /* so long a worker that can't reach its owner is retained before a new try */
+    RETAIN_TURNED_AWAY_MS =
+        3000,              /* one that its owner turned away is retained so long: a
+                              controller that has just begun is ready within a second or two */
+    OWNER_FRESH_MS = 3000, /* a controller is in reach of workers if one reported to it so lately:
+                              less than the 5 s after which workers turn elsewhere */
     RETAINED_WRITE_MS =
         3000, /* between writes of the list of retained workers: a third of a write a second */
+    RETAINED_GROWN_MS = 1000, /* the same when a worker joined them: the leader may be about to give
+                                 its machine up */
     REDIRECTION_FORGET_MS = 60000, /* a worker that long gone from here is forgotten */
     RETAINED_FRESH_MS = 8000,      /* a list of retained workers older than that says nothing */
     REDIRECTION_GRACE_MS = 10000,  /* after a view, workers are on their way to their new owners */
--- a/src/core/redirection.c
+++ b/src/core/redirection.c
@@ -71,8 +71,11 @@
 
 /* Until when the worker is to be retained although it did not come back from its owner itself; 0:
  * it is to try. */
-static msec_t spared_until(owner_t *owner, const char *machine, bool is_grace_over, msec_t now)
+static msec_t spared_until(owner_t *owner, const char *machine, bool is_grace_over,
+                           bool is_owner_reachable, msec_t now)
 {
+    if (is_owner_reachable)
+        return 0;
     if (now - owner->missed < RETAIN_MS)
         return owner->missed + RETAIN_MS;
     if (!is_grace_over)
@@ -87,8 +90,14 @@
     return 0;
 }
 
+bool redirection_owner_is_healthy(const owner_health_t *health, msec_t now)
+{
+    return health->answered_at > 0 && now - health->answered_at < OWNER_FRESH_MS &&
+           now - health->worker_report_at < OWNER_FRESH_MS;
+}
+
 redirection_verdict_t redirection_report(redirection_t *redirection, const report_t *report,
-                                         const char *name, msec_t now)
+                                         const char *name, bool is_owner_reachable, msec_t now)
 {
     if (report->token < redirection->token)
         return REDIRECTION_UNPROVEN;
@@ -106,14 +115,16 @@
         return REDIRECTION_RETAINED;
     owner_t *owner = find_owner(redirection, name);
     if (worker->retained_until == 0 && now - worker->redirected_at < REDIRECT_PROBE_MS) {
-        worker->retained_until = now + RETAIN_MS;
         /* One that is back sooner was turned away, as by a controller that has just begun. */
-        if (now - worker->redirected_at >= REDIRECT_TIMEOUT_MS)
+        bool was_turned_away = now - worker->redirected_at < REDIRECT_TIMEOUT_MS;
+        worker->retained_until = now + (was_turned_away ? RETAIN_TURNED_AWAY_MS : RETAIN_MS);
+        if (!was_turned_away)
             owner->missed = now;
         return REDIRECTION_RETAINED;
     }
     bool is_grace_over = now - redirection->cleared >= REDIRECTION_GRACE_MS;
-    worker->retained_until = spared_until(owner, report->machine, is_grace_over, now);
+    worker->retained_until =
+        spared_until(owner, report->machine, is_grace_over, is_owner_reachable, now);
     if (worker->retained_until)
         return REDIRECTION_RETAINED;
     worker->redirected_at = now;
@@ -151,3 +162,11 @@
     }
     return retained;
 }
+
+void redirection_add_retained(redirection_t *redirection, msec_t now, GHashTable *ids)
+{
+    GPtrArray *retained = redirection_retained(redirection, now);
+    for (guint i = 0; i < retained->len; i++)
+        g_hash_table_add(ids, g_strdup(g_ptr_array_index(retained, i)));
+    g_ptr_array_unref(retained);
+}
--- a/src/core/redirection.h
+++ b/src/core/redirection.h
@@ -21,14 +21,23 @@
                       be answered, which brings its worker the token, but nothing follows from it */
 } redirection_verdict_t;
 
+/* What another controller said of itself in answer to heartbeats. */
+typedef struct {
+    msec_t answered_at;      /* when the heartbeat was sent that it last answered */
+    msec_t worker_report_at; /* when a worker that it owns last reported to it */
+} owner_health_t;
+
 redirection_t *redirection_new(void);
 void redirection_free(redirection_t *redirection);
 /* The owners changed: everybody is redirected anew, but to owners that could not be reached of
  * late. token: of the view that changed them; reports below it were written before. */
 void redirection_clear(redirection_t *redirection, uint64_t token, msec_t now);
-/* owner: the controller it belongs to, by name and incarnation. */
+/* Whether the controller answers this one and is heard by its workers. */
+bool redirection_owner_is_healthy(const owner_health_t *health, msec_t now);
+/* owner: the controller it belongs to, by name and incarnation. is_owner_reachable: other workers
+ * reach it, so this one need not wait for a probe. */
 redirection_verdict_t redirection_report(redirection_t *redirection, const report_t *report,
-                                         const char *owner, msec_t now);
+                                         const char *owner, bool is_owner_reachable, msec_t now);
 /* Stop commands for all that the report lists of jobs that are not among the live ones (keys: ids).
  * commands: array of worker_command_t to append to. */
 void redirection_stop_ended(const report_t *report, GHashTable *live_jobs, GArray *commands);
@@ -36,5 +45,7 @@
  * late copies among them, are no sign that it lives. Array of strings, owned by the array. Forgets
  * those long gone. */
 GPtrArray *redirection_retained(redirection_t *redirection, msec_t now);
+/* Adds the same ids to a set that owns its keys. */
+void redirection_add_retained(redirection_t *redirection, msec_t now, GHashTable *ids);
 
 #endif
--- a/src/io/peer_protocol.c
+++ b/src/io/peer_protocol.c
@@ -184,6 +184,7 @@
                          .number = message->number,
                          .ack = message->ack,
                          .state_answer_age = message->state_answer_age,
+                         .worker_report_age = message->worker_report_age,
                          .heartbeat = message->heartbeat,
                          .acknowledged_incarnation = message->acknowledged_incarnation,
                          .acknowledged_index = message->acknowledged_index,
@@ -226,6 +227,7 @@
     message->number = wire->number;
     message->ack = wire->ack;
     message->state_answer_age = wire->state_answer_age;
+    message->worker_report_age = wire->worker_report_age;
     message->heartbeat = wire->heartbeat;
     message->acknowledged_incarnation = wire->acknowledged_incarnation;
     message->acknowledged_index = wire->acknowledged_index;
--- a/src/io/peer_protocol.h
+++ b/src/io/peer_protocol.h
@@ -14,6 +14,7 @@
     uint64_t number; /* of the batch; 0: none sent so far */
     uint64_t ack;
     msec_t state_answer_age;
+    msec_t worker_report_age; /* since a worker that the sender owns last reported to it */
     bool heartbeat;
     uint64_t acknowledged_incarnation;
     uint64_t acknowledged_index;
--- a/tests/test_redirection.c
+++ b/tests/test_redirection.c
@@ -21,7 +21,7 @@
 static redirection_verdict_t receive(uint64_t session, uint64_t seq, msec_t now)
 {
     report_t report = {.machine = "m-000001", .session = session, .seq = seq};
-    return redirection_report(redirection, &report, "hand-1", now);
+    return redirection_report(redirection, &report, "hand-1", false, now);
 }
 
 static guint retained(msec_t now)
@@ -72,7 +72,7 @@
 {
     report_t report = {.session = 1, .seq = seq};
     g_strlcpy(report.machine, machine, sizeof report.machine);
-    return redirection_report(redirection, &report, "hand-1", REDIRECTION_GRACE_MS + now);
+    return redirection_report(redirection, &report, "hand-1", false, REDIRECTION_GRACE_MS + now);
 }
 
 /* Workers that had their owner in this view lost it, all at once. Sent back to it, each waited 5 s
@@ -109,13 +109,13 @@
     report_t report = {.machine = "m-000002", .session = 1, .seq = 1};
     redirection_clear(redirection, 0, REDIRECTION_GRACE_MS + 2050);
     assert_int_equal(
-        redirection_report(redirection, &report, "hand-1", REDIRECTION_GRACE_MS + 2100),
+        redirection_report(redirection, &report, "hand-1", false, REDIRECTION_GRACE_MS + 2100),
         REDIRECTION_TO_OWNER);
     /* Nor is any worker retained for a probe while workers are on their way to new owners, whatever
      * token a command brought them. */
     g_strlcpy(report.machine, "m-000003", sizeof report.machine);
     assert_int_equal(
-        redirection_report(redirection, &report, "hand-1", REDIRECTION_GRACE_MS + 2200),
+        redirection_report(redirection, &report, "hand-1", false, REDIRECTION_GRACE_MS + 2200),
         REDIRECTION_TO_OWNER);
 }
 
@@ -129,20 +129,20 @@
     redirection_clear(redirection, 0, REDIRECTION_GRACE_MS + 11500);
     report_t report = {.machine = "m-000004", .session = 1, .seq = 1};
     assert_int_equal(
-        redirection_report(redirection, &report, "hand-1", REDIRECTION_GRACE_MS + 12000),
+        redirection_report(redirection, &report, "hand-1", false, REDIRECTION_GRACE_MS + 12000),
         REDIRECTION_RETAINED);
     report.seq = 2;
     g_strlcpy(report.machine, "m-000005", sizeof report.machine);
+    assert_int_equal(redirection_report(redirection, &report, "hand-1 anew", false,
+                                        REDIRECTION_GRACE_MS + 12000),
+                     REDIRECTION_TO_OWNER);
     assert_int_equal(
-        redirection_report(redirection, &report, "hand-1 anew", REDIRECTION_GRACE_MS + 12000),
-        REDIRECTION_TO_OWNER);
-    assert_int_equal(
-        redirection_report(redirection, &report, "hand-2", REDIRECTION_GRACE_MS + 12000),
+        redirection_report(redirection, &report, "hand-2", false, REDIRECTION_GRACE_MS + 12000),
         REDIRECTION_STALE);
     report.seq = 3; /* it came right back from the one that began anew */
-    assert_int_equal(
-        redirection_report(redirection, &report, "hand-1 anew", REDIRECTION_GRACE_MS + 20000),
-        REDIRECTION_RETAINED);
+    assert_int_equal(redirection_report(redirection, &report, "hand-1 anew", false,
+                                        REDIRECTION_GRACE_MS + 20000),
+                     REDIRECTION_RETAINED);
 }
 
 /* Copies of reports from before the view reach every controller just as it begins, when nobody has
@@ -154,17 +154,19 @@
     (void)state;
     report_t report = {.machine = "m-000001", .session = 1, .seq = 5, .token = 6};
     redirection_clear(redirection, 7, 1000);
-    assert_int_equal(redirection_report(redirection, &report, "hand-1", 1100),
+    assert_int_equal(redirection_report(redirection, &report, "hand-1", false, 1100),
                      REDIRECTION_UNPROVEN);
-    assert_int_equal(redirection_report(redirection, &report, "hand-1", 1200),
+    assert_int_equal(redirection_report(redirection, &report, "hand-1", false, 1200),
                      REDIRECTION_UNPROVEN);
     report.seq = 9;
     report.token = 7; /* the worker: an answer, or its owner's command, brought it the token */
-    assert_int_equal(redirection_report(redirection, &report, "hand-1", 1100 + REDIRECT_TIMEOUT_MS),
-                     REDIRECTION_TO_OWNER);
+    assert_int_equal(
+        redirection_report(redirection, &report, "hand-1", false, 1100 + REDIRECT_TIMEOUT_MS),
+        REDIRECTION_TO_OWNER);
     report_t other = {.machine = "m-000002", .session = 1, .seq = 5, .token = 7};
-    assert_int_equal(redirection_report(redirection, &other, "hand-1", 1200 + REDIRECT_TIMEOUT_MS),
-                     REDIRECTION_TO_OWNER);
+    assert_int_equal(
+        redirection_report(redirection, &other, "hand-1", false, 1200 + REDIRECT_TIMEOUT_MS),
+        REDIRECTION_TO_OWNER);
     assert_int_equal(retained(1200 + REDIRECT_TIMEOUT_MS), 0);
 }
 
@@ -199,6 +201,55 @@
     report_clear(&report);
 }
 
+/* A machine that hung comes back to the wrong controller with others of its owner: retained for the
+ * sake of a probe, they stood idle for 12 s, and one was released meanwhile. */
+static void test_workers_of_a_reachable_owner_go_there_at_once(void **state)
+{
+    (void)state;
+    msec_t now = REDIRECTION_GRACE_MS + 1000;
+    report_t first = {.machine = "m-000001", .session = 1, .seq = 1};
+    report_t second = {.machine = "m-000002", .session = 1, .seq = 1};
+    assert_int_equal(redirection_report(redirection, &first, "hand-1", true, now),
+                     REDIRECTION_TO_OWNER);
+    assert_int_equal(redirection_report(redirection, &second, "hand-1", true, now + 100),
+                     REDIRECTION_TO_OWNER);
+    owner_health_t health = {.answered_at = now - 500, .worker_report_at = now - 800};
+    assert_true(redirection_owner_is_healthy(&health, now));
+    /* One that answers us but is heard by no worker, or the reverse, may be cut from workers. */
+    health.worker_report_at = now - OWNER_FRESH_MS;
+    assert_false(redirection_owner_is_healthy(&health, now));
+    health = (owner_health_t){.answered_at = now - OWNER_FRESH_MS, .worker_report_at = now};
+    assert_false(redirection_owner_is_healthy(&health, now));
+    health = (owner_health_t){0};
+    assert_false(redirection_owner_is_healthy(&health, 100)); /* it never answered */
+}
+
+/* A controller that had just begun kept each worker that it turned away without starts for 20 s. */
+static void test_one_that_was_turned_away_tries_again_soon(void **state)
+{
+    (void)state;
+    assert_int_equal(receive(1, 1, 1000), REDIRECTION_TO_OWNER);
+    assert_int_equal(receive(1, 2, 2000), REDIRECTION_RETAINED);
+    assert_int_equal(receive(1, 3, 2000 + RETAIN_TURNED_AWAY_MS - 1), REDIRECTION_RETAINED);
+    assert_int_equal(receive(1, 4, 2000 + RETAIN_TURNED_AWAY_MS), REDIRECTION_TO_OWNER);
+}
+
+/* The leader released a machine that it was itself keeping alive: it asked for its own list where
+ * that stands seconds late. */
+static void test_retained_workers_are_known_to_their_node_at_once(void **state)
+{
+    (void)state;
+    GHashTable *ids = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    receive(1, 1, 1000);
+    receive(1, 2, 2000);
+    redirection_add_retained(redirection, 2000, ids);
+    assert_int_equal(g_hash_table_size(ids), 0); /* perhaps copies: no answer has arrived there */
+    receive(1, 3, 2500);
+    redirection_add_retained(redirection, 2500, ids);
+    assert_true(g_hash_table_contains(ids, "m-000001"));
+    g_hash_table_unref(ids);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -214,6 +265,12 @@
                                         set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_a_copy_from_before_the_view_redirects_nobody, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(test_workers_of_a_reachable_owner_go_there_at_once, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_one_that_was_turned_away_tries_again_soon, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_retained_workers_are_known_to_their_node_at_once,
+                                        set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_an_answer_without_the_partition_stops_what_is_over,
                                         set_up, tear_down),
     };
