--- a/src/io/records.c
+++ b/src/io/records.c
@@ -88,7 +88,8 @@
     txn_delete(&txn, key);
     g_snprintf(key, sizeof key, "ended/%s", id);
     txn_set(&txn, key, wire_build_ended(false, 0), 0);
-    for (uint32_t chunk = 0; chunk * CHUNK_BITS < tasks; chunk++) {
+    /* A job of one task has no progress on the way, and each change is paid for. */
+    for (uint32_t chunk = 0; tasks > 1 && chunk * CHUNK_BITS < tasks; chunk++) {
         g_snprintf(key, sizeof key, "done/%s/%u", id, chunk);
         txn_delete(&txn, key);
     }
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -703,6 +703,46 @@
     rental_free(rental);
 }
 
+/* Both teams are at their limits with work on machines that can't be asked. One job was cancelled
+ * before the new leader read the records, another is cancelled after: each attempt counts until it
+ * is proved over, and makes room for one task then. */
+static void test_limits_hold_over_a_change_of_leader_with_cancellations(void **state)
+{
+    (void)state;
+    g_array_index(teams, team_t, 1).cpus_max = 24;
+    leader_free(leader);
+    leader = leader_new(teams, targets, policy, 2);
+    leader_set_view(leader, 4);
+    job_spec_t cancelled_later = job("j-000001", "red", 12);
+    add(&cancelled_later);
+    for (uint32_t i = 0; i < 12; i++) {
+        record_entry_t red = {
+            .job = "j-000001", .team = "red", .need = {2, 0, 1}, .task = i, .attempt = 9};
+        record_entry_t blue = {
+            .job = "j-000002", .team = "blue", .need = {2, 0, 1}, .task = i, .attempt = 9};
+        leader_load_attempt(leader, &red, "south", 1);
+        leader_load_attempt(leader, &blue, "south", 1);
+    }
+    leader_end_job(leader, "j-000001");
+    job_spec_t more[] = {job("j-000003", "red", 50), job("j-000004", "blue", 50)};
+    set_resources(0, "north", 1000);
+    add(&more[0]);
+    add(&more[1]);
+    GArray *requests = schedule();
+    assert_int_equal(requests->len, 0);
+    g_array_unref(requests);
+    attempt_result_t over[] = {{.ref = task_ref("j-000001", 3, 9), .cause = CAUSE_NONE},
+                               {.ref = task_ref("j-000002", 5, 9), .cause = CAUSE_STOPPED}};
+    for (guint i = 0; i < 2; i++) {
+        leader_handle_result(leader, 1, &over[i], 1000);
+        leader_handle_result(leader, 1, &over[i], 1000); /* told twice, it counts once */
+        requests = schedule();
+        assert_int_equal(requests->len, 1);
+        assert_int_equal(count(requests, more[i].id), 1);
+        g_array_unref(requests);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -754,6 +794,8 @@
         cmocka_unit_test_setup_teardown(test_ends_far_apart_add_up_over_several_leaders, set_up,
                                         tear_down),
         cmocka_unit_test_setup_teardown(test_a_machine_claim_is_bounded, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_limits_hold_over_a_change_of_leader_with_cancellations,
+                                        set_up, tear_down),
     };
     return cmocka_run_group_tests_name("leader", tests, NULL, NULL);
 }
--- a/tests/test_partition.c
+++ b/tests/test_partition.c
@@ -862,6 +862,58 @@
     assert_int_equal(count_commands(COMMAND_RUN), 1);
 }
 
+/* A direct `run` went unanswered, and its job is cancelled. Reports without the task prove nothing
+ * while the copy may still arrive; when it does, it is stopped with the next report, and forgotten
+ * only under a token that voids every copy. */
+static void test_a_run_that_is_out_stays_out_until_proof(void **state)
+{
+    (void)state;
+    exchange();
+    place("j-000001", 0, 100);
+    commit();
+    GArray *late = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
+    assert_non_null(partition_direct_take(fixture->partition, fixture->now, late));
+    partition_direct_done(fixture->partition, "m-000001", late, 7, DIRECT_UNANSWERED);
+    partition_end_job(fixture->partition, "j-000001");
+    for (guint i = 0; i < 16; i++) {
+        exchange();
+        commit();
+        assert_int_equal(fixture->partition->results->len, 0);
+    }
+    assert_true(fake_worker_direct(fixture->worker, 7, 1, late));
+    assert_int_equal(fake_worker_active(fixture->worker), 1);
+    exchange();
+    assert_int_equal(fake_worker_active(fixture->worker), 0);
+    exchange();
+    commit();
+    assert_true(has_result(0, CAUSE_STOPPED));
+    exchange();
+    assert_int_equal(count_commands(COMMAND_FORGET), 0);
+    partition_set_view(fixture->partition, 8);
+    exchange();
+    exchange();
+    assert_int_equal(fixture->worker->attempts->len, 0);
+    assert_false(fake_worker_direct(fixture->worker, 7, 1, late));
+    assert_int_equal(fixture->worker->runs, 1);
+    g_array_unref(late);
+}
+
+/* A late start of an attempt that no record holds, beside the one that took its place. */
+static void test_an_attempt_without_a_record_is_stopped_at_once(void **state)
+{
+    (void)state;
+    exchange();
+    place("j-000001", 0, 101);
+    commit();
+    exchange();
+    reported_attempt_t superseded = {.job = "j-000001", .attempt = 100, .state = TASK_RUNNING};
+    g_array_append_val(fixture->worker->attempts, superseded);
+    exchange();
+    assert_int_equal(count_commands(COMMAND_STOP), 1);
+    assert_int_equal(g_array_index(fixture->commands, worker_command_t, 0).attempt, 100);
+    assert_int_equal(fake_worker_active(fixture->worker), 1);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -928,6 +980,10 @@
             test_a_deaf_machine_keeps_its_task_through_a_change_of_leader, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_a_mute_machine_is_resolved_by_the_answer_to_a_command,
                                         set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_a_run_that_is_out_stays_out_until_proof, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_an_attempt_without_a_record_is_stopped_at_once, set_up,
+                                        tear_down),
     };
     return cmocka_run_group_tests_name("partition", tests, NULL, NULL);
 }
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -414,6 +414,67 @@
     assert_false(page_parse("east", shard, sizeof shard, &page));
 }
 
+static guint count_changes(txn_t txn)
+{
+    guint count = (guint)json_array_size(txn.changes);
+    txn_free(&txn);
+    return count;
+}
+
+/* Four a second, a quarter of them cancelled: each change counts in the state service's budget. */
+static void test_jobs_of_one_task_cost_few_changes(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", 1);
+    assert_int_equal(count_changes(records_submit(&spec)), 1);
+    assert_int_equal(count_changes(records_abort("j-000001", 5, 1)), 2);
+    assert_int_equal(count_changes(records_abort("j-000001", 5, 2)), 3); /* it may have progress */
+    report_of("m-000001", "t16", 1);
+    fill(8, 2); /* their starts go in one */
+    partition_batch_t *batch =
+        partition_batch_take(partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES}, 1000);
+    assert_int_equal(count_changes(records_commit(NULL, batch, 1)), 1);
+    partition_batch_free(batch);
+}
+
+/* A machine is up within two seconds, not listed yet, and gets work at once. The answer to the
+ * record's commit is lost, and the leader ends: the next one knows machine and task from the record
+ * alone, asks the machine at once, and takes nothing but proof for the end of the task. */
+static void test_a_start_on_a_machine_just_up_outlives_its_leader(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", 1);
+    fake_store_apply(store, records_submit(&spec));
+    uint64_t view = fake_store_revision(store, "view/number");
+    place("j-000001", fake_store_revision(store, "jobs/j-000001"));
+    partition_batch_t *batch =
+        partition_batch_take(partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES}, 1000);
+    txn_t late = records_commit(NULL, batch, view);
+    assert_int_equal(fake_store_apply(store, records_commit(NULL, batch, view)), STATE_OK);
+    partition_batch_free(batch);
+    move_view();
+    partition_free(partition);
+    partition = partition_new(machine_types, teams, 30000);
+    partition_set_view(partition, 2);
+    page_record_t record;
+    assert_true(read_record(record_key(), fake_store_get(store, record_key()), &record));
+    partition_load(partition, &record, 1000);
+    g_array_unref(record.machines);
+    assert_int_equal(fake_store_apply(store, late), STATE_FAILED); /* carried out once more */
+    assert_int_equal(g_hash_table_size(partition->attempts), 1);
+    GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
+    const machine_t *machine = partition_direct_take(partition, 1000, commands);
+    assert_string_equal(machine->address, "10.1.255.254:9000");
+    assert_int_equal(commands->len, 0); /* asked, nothing sent */
+    report_of("m-000001", "t16", 2);    /* from before the view */
+    assert_int_equal(partition->results->len, 0);
+    assert_int_equal(g_hash_table_size(partition->attempts), 1);
+    partition_machine_gone(partition, "m-000001");
+    assert_int_equal(commit_partition(fake_store_revision(store, "view/number")), STATE_OK);
+    assert_null(fake_store_get(store, record_key()));
+    g_array_unref(commands);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -433,6 +494,9 @@
                                         tear_down),
         cmocka_unit_test(test_names_of_pages_are_read_back),
         cmocka_unit_test(test_a_value_that_can_not_be_built_is_never_sent),
+        cmocka_unit_test_setup_teardown(test_jobs_of_one_task_cost_few_changes, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_a_start_on_a_machine_just_up_outlives_its_leader,
+                                        set_up, tear_down),
     };
     return cmocka_run_group_tests_name("records", tests, NULL, NULL);
 }
