--- a/tests/fakes/services.c
+++ b/tests/fakes/services.c
@@ -167,6 +167,8 @@
             swallowed = is_swallowed(services, change.key) || swallowed;
         }
         json_decref(changes);
+        if (services->lose_each && ++services->carried_out % services->lose_each == 0)
+            swallowed = true;
         pthread_cond_broadcast(&services->changed);
         json_t *body = json_pack("{s:I}", "Logline", (json_int_t)services->store->revision);
         return plain(swallowed ? 0 : 200, body);
@@ -351,6 +353,13 @@
     pthread_mutex_unlock(&services->lock);
 }
 
+void services_lose_answers(services_t *services, guint each)
+{
+    pthread_mutex_lock(&services->lock);
+    services->lose_each = each;
+    pthread_mutex_unlock(&services->lock);
+}
+
 void services_mute(services_t *services)
 {
     pthread_mutex_lock(&services->lock);
--- a/tests/fakes/services.h
+++ b/tests/fakes/services.h
@@ -21,8 +21,11 @@
     bool refused[SERVICES_PORTS]; /* every request there gets 503 */
     char *swallow;                /* the next transaction that changes this key is carried out, and
                                      its connection closed without an answer; owned */
-    bool mute;                    /* who follows hears of no change any more */
-    bool types_known;             /* the cloud tells its machine types; else 503 */
+    guint lose_each;              /* of so many transactions that are carried out, one's connection
+                                     is closed without an answer; 0: none */
+    guint carried_out;
+    bool mute;        /* who follows hears of no change any more */
+    bool types_known; /* the cloud tells its machine types; else 503 */
     uint16_t cloud_port;
     uint64_t leases;
 } services_t;
@@ -33,6 +36,7 @@
 uint64_t services_revision(services_t *services, const char *key);
 void services_refuse(services_t *services, guint port, bool refused);
 void services_swallow(services_t *services, const char *key);
+void services_lose_answers(services_t *services, guint each);
 void services_mute(services_t *services);
 void services_publish_types(services_t *services);
 /* A port that nobody listens on now. */
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -57,12 +57,16 @@
     return settings;
 }
 
-static void begin(guint count)
+static void prepare(void)
 {
-    uint16_t peer_work[2];
     fixture = g_new0(fixture_t, 1);
     fixture->services = services_new();
     fixture->client = http_client_new(4);
+}
+
+static void start_nodes(guint count)
+{
+    uint16_t peer_work[2];
     for (guint i = 0; i < count; i++) {
         fixture->ports[i] = services_free_port();
         peer_work[i] = services_free_port();
@@ -87,6 +91,12 @@
         node_sleep(POLL_MS);
 }
 
+static void begin(guint count)
+{
+    prepare();
+    start_nodes(count);
+}
+
 /* As many controllers, each of them taking users. */
 static void begin_ready(guint count)
 {
@@ -461,6 +471,262 @@
     fake_worker_free(worker);
 }
 
+/* Whether both controllers know the job as live. */
+static bool is_followed(const char *id)
+{
+    bool followed = true;
+    for (guint i = 0; i < 2; i++) {
+        pthread_mutex_lock(&fixture->nodes[i]->lock);
+        followed = followed && g_hash_table_contains(fixture->nodes[i]->jobs, id);
+        pthread_mutex_unlock(&fixture->nodes[i]->lock);
+    }
+    return followed;
+}
+
+/* Asks one controller about a live job again and again, so that its gathered questions never rest.
+ */
+static void *ask_on(void *data)
+{
+    atomic_bool *ends = data;
+    http_client_t *client = http_client_new(1);
+    char url[256];
+    g_snprintf(url, sizeof url, "http://127.0.0.1:%u/v2/runs/j-000009", fixture->ports[1]);
+    while (!atomic_load(ends))
+        http_call(client, "GET", url, NULL, 10000, NULL);
+    return NULL;
+}
+
+/* Every question about the job that the controller can be asked, with the same answer. */
+static void expect_everywhere(const char *id, const char *trim)
+{
+    char path[64];
+    g_snprintf(path, sizeof path, "/v2/runs/%s", id);
+    for (guint node = 0; node < 2; node++) {
+        expect(node, "GET", path, NULL, 200, trim);
+        expect(node, "POST", "/v2/runs", job_body(id), 200, trim);
+        if (strcmp(trim, "queued") != 0)
+            abort_job(node, id, trim);
+    }
+}
+
+static txn_t end_of(const char *id)
+{
+    char key[64];
+    txn_t txn = txn_new();
+    g_snprintf(key, sizeof key, "jobs/%s", id);
+    txn_delete(&txn, key);
+    g_snprintf(key, sizeof key, "ended/%s", id);
+    txn_set(&txn, key, json_pack("{s:s}", "Trim", "done"), 0);
+    return txn;
+}
+
+/* Users ask both controllers at once after a job was accepted, ended or confirmed as cancelled, and
+ * repeat the submission. What the controllers hold in memory is out of date: they hear of no
+ * change. Neither answers anything older than the other told. */
+static void test_no_controller_answers_older_than_another(void **state)
+{
+    (void)state;
+    begin_ready(2);
+    const char *known[] = {"j-000001", "j-000002", "j-000003", "j-000009"};
+    for (guint i = 0; i < G_N_ELEMENTS(known); i++) {
+        submit(i % 2, known[i]);
+        expect_everywhere(known[i], "queued");
+        while (!is_followed(known[i]))
+            node_sleep(POLL_MS);
+    }
+    services_mute(fixture->services);
+    atomic_bool ends = false;
+    pthread_t asker;
+    assert_int_equal(pthread_create(&asker, NULL, ask_on, &ends), 0);
+    abort_job(0, "j-000001", "cancelled");
+    expect_everywhere("j-000001", "cancelled");
+    services_swallow(fixture->services, "ended/j-000002"); /* the answer to its commit is lost */
+    abort_job(1, "j-000002", "cancelled");
+    expect_everywhere("j-000002", "cancelled");
+    services_apply(fixture->services, end_of("j-000003"));
+    expect_everywhere("j-000003", "done");
+    submit(0, "j-000004");
+    expect_everywhere("j-000004", "queued");
+    abort_job(1, "j-000004", "cancelled");
+    expect_everywhere("j-000004", "cancelled");
+    services_swallow(fixture->services, "jobs/j-000005");
+    expect(1, "POST", "/v2/runs", job_body("j-000005"), 200, "queued");
+    expect_everywhere("j-000005", "queued");
+    services_apply(fixture->services, end_of("j-000005"));
+    expect_everywhere("j-000005", "done");
+    atomic_store(&ends, true);
+    pthread_join(asker, NULL);
+}
+
+/* More jobs end than the lists hold. What fell out of them is read again, and answered as before.
+ */
+static void test_lists_that_overflow_cost_reads_only(void **state)
+{
+    (void)state;
+    begin_ready(1);
+    submit(0, "j-000001");
+    submit(0, "j-000002");
+    abort_job(0, "j-000001", "cancelled");
+    services_apply(fixture->services, end_of("j-000002"));
+    expect(0, "GET", "/v2/runs/j-000002", NULL, 200, "done");
+    node_t *node = fixture->nodes[0];
+    pthread_mutex_lock(&node->lock);
+    for (guint i = 0; i < GONE_JOBS_MAX + ENDED_CACHE; i++) {
+        char id[ID_SIZE];
+        g_snprintf(id, sizeof id, "j-1%05u", i);
+        node_remember(node, id, i % 4 != 0);
+    }
+    assert_false(g_hash_table_contains(node->ended, "j-000001"));
+    assert_false(g_hash_table_contains(node->gone, "j-000001"));
+    assert_in_range(g_hash_table_size(node->ended), 1, ENDED_CACHE);
+    assert_in_range(g_hash_table_size(node->gone), 1, GONE_JOBS_MAX);
+    assert_in_range(g_queue_get_length(node->cancellations.entries), 1, CANCELLATION_LOG_MAX);
+    pthread_mutex_unlock(&node->lock);
+    expect(0, "POST", "/v2/runs", job_body("j-000001"), 200, "cancelled");
+    expect(0, "GET", "/v2/runs/j-000001", NULL, 200, "cancelled");
+    expect(0, "POST", "/v2/runs", job_body("j-000002"), 200, "done");
+    abort_job(0, "j-000002", "done");
+    assert_true(is_noted(0, "j-000001")); /* it was told once more */
+}
+
+/* One report of the worker to the controller that it stays with; on any answer but 200 it turns to
+ * the other. */
+static void report_somewhere(fake_machine_t *machine, guint *at)
+{
+    json_t *answer = NULL;
+    json_t *body = fake_machine_report(machine);
+    if (send_request(*at, "POST", "/hello", body, &answer) == 200)
+        fake_machine_answer(machine, answer);
+    else
+        *at = 1 - *at;
+    json_decref(answer);
+    json_decref(body);
+}
+
+static void report_until_active(fake_machine_t *machine, guint *at, guint active)
+{
+    do {
+        report_somewhere(machine, at);
+        for (guint i = 0; i < 10 && fake_machine_active(machine) != active; i++)
+            node_sleep(POLL_MS);
+    } while (fake_machine_active(machine) != active);
+}
+
+static guint runs_of(fake_machine_t *machine)
+{
+    pthread_mutex_lock(&machine->lock);
+    guint runs = machine->worker->runs;
+    pthread_mutex_unlock(&machine->lock);
+    return runs;
+}
+
+/* Every third transaction is carried out and its answer lost, from the first view on: submissions,
+ * records of starts, ends, cancellations, members and views. Both controllers answer, each task
+ * starts once, and what was told stays. */
+static void test_lost_answers_change_nothing(void **state)
+{
+    (void)state;
+    guint at = 0;
+    prepare();
+    services_lose_answers(fixture->services, 3);
+    services_publish_types(fixture->services);
+    start_nodes(2);
+    wait_ready(0);
+    wait_ready(1);
+    fake_machine_t *machine = fake_machine_new("m-000001");
+    report_until_active(machine, &at, 0);
+    for (guint i = 1; i <= 4; i++) {
+        char id[ID_SIZE], path[64];
+        json_t *answer = NULL;
+        const char *trim = NULL;
+        g_snprintf(id, sizeof id, "j-%06u", i);
+        g_snprintf(path, sizeof path, "/v2/runs/%s", id);
+        json_t *body = job_body(id);
+        int status;
+        while ((status = send_request(i % 2, "POST", "/v2/runs", body, NULL)) == 503)
+            node_sleep(POLL_MS);
+        assert_true(status == 201 || status == 200);
+        json_decref(body);
+        expect(1 - i % 2, "GET", path, NULL, 200, NULL);
+        report_until_active(machine, &at, 2);
+        if (i % 2) {
+            abort_job(1, id, "cancelled");
+            expect_everywhere(id, "cancelled");
+            report_until_active(machine, &at, 0);
+            continue;
+        }
+        fake_machine_complete(machine);
+        while (g_strcmp0(trim, "done") != 0) {
+            json_decref(answer);
+            answer = NULL;
+            report_until_active(machine, &at, 0);
+            send_request(0, "GET", path, NULL, &answer);
+            trim = json_string_value(json_object_get(answer, "Trim"));
+        }
+        json_decref(answer);
+        expect_everywhere(id, "done");
+    }
+    assert_int_equal(runs_of(machine), 8);
+}
+
+/* With the lock of that node held: the index of the member that owns the machine. */
+static guint owner_of_machine(const node_t *node)
+{
+    const char *name = node->view.members[node_owner(node, "m-000001", "north")].name;
+    return (guint)(name[strlen(name) - 1] - '0');
+}
+
+static guint current_owner(guint at)
+{
+    pthread_mutex_lock(&fixture->nodes[at]->lock);
+    guint owner = owner_of_machine(fixture->nodes[at]);
+    pthread_mutex_unlock(&fixture->nodes[at]->lock);
+    return owner;
+}
+
+/* The leader takes the machine from its owner, and the job that runs there is cancelled while it
+ * changes hands, through the one that is to own it: its new owner stops the tasks, and starts none
+ * of them again. */
+static void test_a_cancellation_reaches_work_that_changes_hands(void **state)
+{
+    (void)state;
+    guint at = 0;
+    begin_ready(2);
+    for (guint i = 0; i < 2; i++) {
+        bool both = false;
+        while (!both) {
+            pthread_mutex_lock(&fixture->nodes[i]->lock);
+            both = fixture->nodes[i]->view.count == 2;
+            pthread_mutex_unlock(&fixture->nodes[i]->lock);
+            node_sleep(POLL_MS);
+        }
+    }
+    fake_machine_t *machine = fake_machine_new("m-000001");
+    submit(0, "j-000001");
+    submit(1, "j-000002");
+    report_until_active(machine, &at, 4);
+    guint owner = current_owner(0);
+    msec_t until = clock_steady() + EXCLUDED_MS;
+    for (guint i = 0; i < 2; i++) { /* the leader is one of them */
+        pthread_mutex_lock(&fixture->nodes[i]->lock);
+        char name[ID_SIZE];
+        g_snprintf(name, sizeof name, "hand-%u", owner);
+        g_hash_table_insert(fixture->nodes[i]->election.excluded, g_strdup(name),
+                            g_memdup2(&until, sizeof until));
+        pthread_cond_broadcast(&fixture->nodes[i]->members);
+        pthread_mutex_unlock(&fixture->nodes[i]->lock);
+    }
+    abort_job(1 - owner, "j-000001", "cancelled");
+    report_until_active(machine, &at, 2);
+    while (current_owner(0) == owner)
+        node_sleep(POLL_MS);
+    abort_job(owner, "j-000002", "cancelled");
+    report_until_active(machine, &at, 0);
+    assert_int_equal(runs_of(machine), 4);
+    expect_everywhere("j-000001", "cancelled");
+    expect_everywhere("j-000002", "cancelled");
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -471,6 +737,10 @@
         cmocka_unit_test(test_odd_requests_get_their_answers),
         cmocka_unit_test(test_a_leader_anew_knows_no_boots_of_before),
         cmocka_unit_test(test_a_start_taken_before_a_stall_does_not_leave_after_it),
+        cmocka_unit_test(test_no_controller_answers_older_than_another),
+        cmocka_unit_test(test_lists_that_overflow_cost_reads_only),
+        cmocka_unit_test(test_lost_answers_change_nothing),
+        cmocka_unit_test(test_a_cancellation_reaches_work_that_changes_hands),
     };
     signal(SIGPIPE, SIG_IGN);
     http_start();
