A controller that has just begun vouches for no answer of the state service

Its start counted as one. Begun in an outage, it told the others of an answer that they had not had: each took itself for refused alone, was not ready, and turned its users away until the end.

--- a/src/app/node.c
+++ b/src/app/node.c
@@ -44,7 +44,7 @@
     g_strlcpy(self.zone, settings->zone, sizeof self.zone);
     election_init(&node->election, &self);
     cancellation_log_init(&node->cancellations, node->incarnation, now);
-    state_init(&node->state, settings->state, now);
+    state_init(&node->state, settings->state);
     rate_limiter_init(&node->core_rps, settings->state_rps * SHARE_CORE_RPS, now);
     rate_limiter_init(&node->core_write, settings->state_write_rps * SHARE_PARTITION_WRITE, now);
     rate_limiter_init(&node->api_rps, settings->state_rps * SHARE_API_RPS, now);
--- a/src/io/state.c
+++ b/src/io/state.c
@@ -4,10 +4,10 @@
 
 #include "io/clock.h"
 
-void state_init(state_t *state, const char *address, msec_t now)
+void state_init(state_t *state, const char *address)
 {
     g_snprintf(state->base, sizeof state->base, "http://%s", address);
-    atomic_init(&state->answered_at, now);
+    atomic_init(&state->answered_at, STATE_NEVER_ANSWERED);
 }
 
 static void entry_clear(gpointer data)
--- a/src/io/state.h
+++ b/src/io/state.h
@@ -16,10 +16,14 @@
     STATE_INVALID
 } state_result_t;
 
+/* Before every moment of any clock; its age can be told to others. */
+#define STATE_NEVER_ANSWERED (INT64_MIN / 4)
+
 /* Shared by all threads; each brings its own client. */
 typedef struct {
     char base[ADDRESS_SIZE + 8];
-    _Atomic(msec_t) answered_at; /* when the newest request that was answered had been sent */
+    _Atomic(msec_t) answered_at; /* when the newest request that was answered had been sent; a start
+                                    is no answer */
 } state_t;
 
 typedef struct {
@@ -28,7 +32,7 @@
     uint64_t revision;
 } state_entry_t;
 
-void state_init(state_t *state, const char *address, msec_t now);
+void state_init(state_t *state, const char *address);
 /* entries: array of state_entry_t with a clear function. */
 GArray *state_entries_new(void);
 
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -727,6 +727,23 @@
     expect_everywhere("j-000002", "cancelled");
 }
 
+/* A controller that begins in an outage has had no answer of the state service. The others took its
+ * start for one, each believed to be refused alone, and all turned their users away. */
+static void test_a_controller_that_has_just_begun_vouches_for_no_answer(void **state)
+{
+    (void)state;
+    uint16_t peers[2] = {1, 2};
+    prepare();
+    msec_t now = clock_steady();
+    const node_t *fresh = node_new(settings_of(0, peers, 2), policy_default());
+    msec_t age = clock_steady() - atomic_load(&fresh->state.answered_at);
+    connectivity_t other = {
+        .state = now - 2 * SHUT_OUT_MS, .received_at = now, .siblings = now - age};
+    assert_int_equal(connectivity_judge(&other, now), CONNECTIVITY_OUTAGE);
+    connectivity_t own = node_connectivity(fresh);
+    assert_int_not_equal(connectivity_judge(&own, now), CONNECTIVITY_GOOD);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -741,6 +758,7 @@
         cmocka_unit_test(test_lists_that_overflow_cost_reads_only),
         cmocka_unit_test(test_lost_answers_change_nothing),
         cmocka_unit_test(test_a_cancellation_reaches_work_that_changes_hands),
+        cmocka_unit_test(test_a_controller_that_has_just_begun_vouches_for_no_answer),
     };
     signal(SIGPIPE, SIG_IGN);
     http_start();
