--- a/src/app/node.c
+++ b/src/app/node.c
@@ -70,7 +70,7 @@
     g_strlcpy(self.zone, settings->zone, sizeof self.zone);
     election_init(&node->election, &self);
     cancellation_log_init(&node->cancellations, node->incarnation, now);
-    state_init(&node->state, settings->state, now);
+    state_init(&node->state, settings->state);
     init_limiters(node, now);
     for (guint i = 0; i < API_CLIENTS_COUNT; i++)
         node->api_clients[i] = http_client_new(1);
--- a/src/constants.h
+++ b/src/constants.h
@@ -197,8 +197,14 @@
     REDIRECT_PROBE_MS = 12000,    /* a worker sent to its owner and back within this can't reach it:
                                      two controllers that don't answer cost it 5 s each */
     RETAIN_MS = 20000,            /* such a worker is retained so long before it is sent again */
-    RETAINED_WRITE_GAP_MS = 3000, /* between writes of the list of retained workers */
-    RETAINED_FRESH_MS = 8000,     /* an older list says nothing */
+    RETAIN_TURNED_AWAY_MS = 3000, /* one that its owner turned away is retained so long: a
+                                     controller that has just begun is ready within 1 or 2 s */
+    OWNER_FRESH_MS = 3000, /* workers reach a controller if one reported to it so lately: less than
+                              the 5 s after which workers turn elsewhere */
+    RETAINED_WRITE_GAP_MS = 3000,  /* between writes of the list of retained workers */
+    RETAINED_GROWN_GAP_MS = 1000,  /* the same when a worker joined them: the leader may be about to
+                                      give its machine up */
+    RETAINED_FRESH_MS = 8000,      /* an older list says nothing */
     REDIRECTION_FORGET_MS = 60000, /* a worker that is gone from here for longer is forgotten */
     REDIRECTION_GRACE_MS = 10000,  /* after a view, workers are on their way to their new owners */
     LOST_SILENT_MS = 5000,         /* after so long a silence a worker may have lost its owner */
