--- a/src/app/node.c
+++ b/src/app/node.c
@@ -167,11 +167,9 @@
     if (view->incarnation != node->view.incarnation || !election_same_members(view, &node->view))
         redirection_clear(node->redirection, view->number, clock_steady());
     node->view = *view;
-    bool led = node->leading;
+    bool was_leading = node->leading;
     node->leading = view->incarnation == node->incarnation;
-    if (!led)
-        node->leading_since = clock_steady();
-    if (!led && node->leading && node->rental)
+    if (!was_leading && node->leading && node->rental)
         rental_begin(node->rental);
     node->loaded = false;
     node->generation++;
--- a/src/app/node_partition.c
+++ b/src/app/node_partition.c
@@ -109,7 +109,6 @@
 
 void node_handle_item(node_t *node, const channel_item_t *item, msec_t now)
 {
-    machine_t *machine;
     switch (item->kind) {
     case CHANNEL_PLACEMENT_REQUEST:
         handle_placement_request(node, &item->request, now);
@@ -123,14 +122,10 @@
         node_notify(node);
         break;
     case CHANNEL_DRAIN:
-        machine = g_hash_table_lookup(node->partition->machines, item->machine);
-        if (machine)
-            machine->draining = true;
+        partition_set_draining(node->partition, item->machine, true);
         break;
     case CHANNEL_CANCEL_DRAIN:
-        machine = g_hash_table_lookup(node->partition->machines, item->machine);
-        if (machine)
-            machine->draining = machine->gone;
+        partition_set_draining(node->partition, item->machine, false);
         break;
     case CHANNEL_MACHINE_GONE:
         partition_machine_gone(node->partition, item->machine);
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -132,13 +132,17 @@
 
 static void load_all(node_t *node, const listing_t *listing, msec_t now)
 {
-    g_clear_pointer(&node->partition, partition_free);
+    partition_t *earlier = node->partition;
     g_clear_pointer(&node->leader, leader_free);
     if (!node->rental)
         node->rental = rental_new();
     node->partition =
         partition_new(node->machine_types, node->settings->teams,
                       (msec_t)(tunable_value(node->policy, TUNABLE_RESERVATION_LAPSE) * 1000));
+    if (earlier) {
+        partition_inherit_drains(node->partition, earlier);
+        partition_free(earlier);
+    }
     partition_set_view(node->partition, node->view.number);
     partition_set_report(node->partition, node->settings->report_s);
     if (node->leading) {
--- a/src/constants.h
+++ b/src/constants.h
@@ -158,7 +158,6 @@
                             controllers that don't answer cost it 5 s each */
     PREEMPT_PROTECT_MS = 2000, /* a start is not preempted in its first moments */
     BOOT_PATIENCE_MS = 30000,  /* added to three times BootS before a boot is given up */
-    RETURN_AFTER_MS = 40000,   /* a new leader learns the demand before it returns machines */
     STATUS_GATHER_MS = 200,    /* status reads of so long are asked together; users wait 2 s */
     UNHEARD_MS = 5000,         /* without a sibling's word: heartbeats go out every half second */
     SERVE_ALONE_MS = 8000, /* so long workers are answered without state service and siblings: their
--- a/src/core/partition.c
+++ b/src/core/partition.c
@@ -30,6 +30,7 @@
     partition->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
     partition->shards = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, shard_free);
     partition->departed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    partition->draining = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     partition->wanted = g_queue_new();
     partition->attempts = g_hash_table_new(task_ref_hash, task_ref_equal);
     partition->machine_types = machine_types;
@@ -46,6 +47,7 @@
     g_hash_table_unref(partition->machines);
     g_hash_table_unref(partition->shards);
     g_hash_table_unref(partition->departed);
+    g_hash_table_unref(partition->draining);
     g_queue_free(partition->wanted);
     g_array_unref(partition->results);
     g_free(partition);
@@ -75,6 +77,28 @@
     }
 }
 
+void partition_inherit_drains(partition_t *partition, const partition_t *earlier)
+{
+    GHashTableIter iter;
+    gpointer id;
+    g_hash_table_iter_init(&iter, earlier->draining);
+    while (g_hash_table_iter_next(&iter, &id, NULL))
+        if (g_hash_table_contains(earlier->machines, id))
+            g_hash_table_add(partition->draining, g_strdup(id));
+}
+
+void partition_set_draining(partition_t *partition, const char *id, bool is_draining)
+{
+    machine_t *machine = g_hash_table_lookup(partition->machines, id);
+    if (!machine || machine->gone)
+        return;
+    machine->draining = is_draining;
+    if (is_draining)
+        g_hash_table_add(partition->draining, g_strdup(id));
+    else
+        g_hash_table_remove(partition->draining, id);
+}
+
 void partition_apply_machine_types(partition_t *partition)
 {
     GHashTableIter iter;
@@ -159,6 +183,7 @@
     machine->reservations = g_array_new(FALSE, FALSE, sizeof(reservation_t));
     machine->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     machine->first_seen = machine->last_report = machine->reached = machine->idle_since = now;
+    machine->draining = g_hash_table_contains(partition->draining, id);
     g_hash_table_insert(partition->machines, machine->id, machine);
     return machine;
 }
@@ -224,6 +249,7 @@
     if (!machine)
         return;
     machine->draining = true;
+    g_hash_table_remove(partition->draining, id);
     for (guint i = 0; i < machine->attempts->len; i++)
         partition_attempt_over(partition, g_ptr_array_index(machine->attempts, i), CAUSE_NONE);
     machine->reported = false;
--- a/src/core/partition.h
+++ b/src/core/partition.h
@@ -181,6 +181,7 @@
     GHashTable *machines; /* id -> machine_t, owned */
     GHashTable *shards;   /* name -> shard_t, owned */
     GHashTable *departed; /* ids of machines that are gone, owned: their names never come back */
+    GHashTable *draining; /* ids of machines that are to be emptied, owned */
     GHashTable *attempts; /* task_ref_t -> attempt_t, borrowed from the machines */
     GQueue *wanted; /* machines that want direct commands, borrowed; first come first served */
     uint64_t turns; /* of urgent pages */
@@ -200,6 +201,11 @@
 /* A new token of the same leadership: nothing is read again. */
 void partition_set_view(partition_t *partition, uint64_t view);
 void partition_load(partition_t *partition, const page_record_t *record, msec_t now);
+/* Machines that `earlier` was emptying are emptied on: a view changes nothing about why. Before the
+ * records are loaded. */
+void partition_inherit_drains(partition_t *partition, const partition_t *earlier);
+/* The machine is to take no starts and be emptied, or is to be kept after all. */
+void partition_set_draining(partition_t *partition, const char *id, bool is_draining);
 /* The types became known or changed: capacities are looked up again. */
 void partition_apply_machine_types(partition_t *partition);
 
--- a/tests/test_partition.c
+++ b/tests/test_partition.c
@@ -398,6 +398,33 @@
     assert_int_equal(g_hash_table_size(fixture->partition->attempts), 1);
 }
 
+/* At a view every half minute, machines that were being emptied took work again each time, and few
+ * were ever returned. */
+static void test_a_drain_survives_a_view(void **state)
+{
+    (void)state;
+    load_record();
+    exchange();
+    partition_set_draining(fixture->partition, "m-000001", true);
+    partition_t *earlier = fixture->partition;
+    fixture->partition = partition_new(fixture->machine_types, fixture->teams, 30000);
+    partition_inherit_drains(fixture->partition, earlier);
+    partition_free(earlier);
+    partition_set_view(fixture->partition, 8);
+    load_record();
+    fixture->worker->token = 8;
+    exchange();
+    placement_request_t request = request_of("j-000002", 0, 200, 1);
+    assert_null(partition_place(fixture->partition, &request, fixture->now));
+    /* It ends with the leader's word, for later views too. */
+    partition_set_draining(fixture->partition, "m-000001", false);
+    earlier = fixture->partition;
+    fixture->partition = partition_new(fixture->machine_types, fixture->teams, 30000);
+    partition_inherit_drains(fixture->partition, earlier);
+    partition_free(earlier);
+    assert_int_equal(g_hash_table_size(fixture->partition->draining), 0);
+}
+
 /* Cancelled under an earlier view: absence proves nothing before the worker has seen this token. */
 static void test_absence_needs_the_present_token(void **state)
 {
@@ -942,6 +969,7 @@
         cmocka_unit_test_setup_teardown(test_older_owner_is_powerless, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_new_view_takes_over_from_the_record, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(test_a_drain_survives_a_view, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_absence_needs_the_present_token, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_copy_at_a_fresh_owner_changes_nothing, set_up,
                                         tear_down),
