Submissions of any shape get their answer; requests are given up in time

A body nested 2,000 deep ended the process (stack of a thread). A repeat of an accepted job got 400 where its body held a number beyond the parser's types, a NUL, or was no JSON or cut off, though its id can be read; an unknown field with such a number made a sound job malformed. A job that names 65 machine types was accepted and could not be put into a message to a part. Names with control characters went into the log. Gangs above their team's limit were accepted.

A status about a live job was asked again, up to three times, after the state service had refused or not answered: 6 s where users wait 2. Requests behind busy threads waited without a bound. Now each has its time for a turn and for an answer, and a thread answers what is given up while all others are busy. Lookups for refused submissions count against the node's share of requests.

--- a/src/app/front.c
+++ b/src/app/front.c
@@ -17,6 +17,7 @@
 
 #include "app/node.h"
 #include "io/clock.h"
+#include "io/json_input.h"
 #include "io/records.h"
 #include "io/wire.h"
 #include "log.h"
@@ -29,11 +30,17 @@
     char *text;             /* instead of body; owned */
 } reply_t;
 
-/* A request: its body while it arrives, then, if it has to wait, its place in the queue. */
+/* A request: its body while it arrives, then, if it has to wait, what serves it. What gets no turn
+ * or no answer in time is given up, and its user told so at that moment: nobody is kept waiting for
+ * an answer that stands already. */
 typedef struct {
-    GString *body;
+    node_t *node;
+    GString *body; /* of a body that is too long, how it begins */
     bool too_long;
     struct MHD_Connection *connection;
+    http_client_t *client; /* its turn with the state service; NULL: not yet */
+    msec_t turn_by;        /* given up without a turn by then */
+    msec_t until;          /* given up without an answer of the state service by then */
     char method[8];
     char path[REQUEST_PATH];
     bool answered; /* reply stands; it was not sent yet */
@@ -53,27 +60,50 @@
     return refuse(503, "the state service can't be asked now", 1);
 }
 
-static http_client_t *client_take(node_t *node)
+/* Whether the request has a connection to the state service: it waits for one within its limit. */
+static bool take_turn(request_t *request)
 {
-    http_client_t *client = NULL;
+    node_t *node = request->node;
+    msec_t now = clock_steady();
     pthread_mutex_lock(&node->lock);
-    msec_t until = clock_steady() + FRONT_TIMEOUT_MS;
-    while (node->front_free == 0 && clock_steady() < until)
-        node_wait(node, &node->clients, FRONT_TIMEOUT_MS);
-    if (node->front_free > 0)
-        client = node->front_clients[--node->front_free];
+    while (!request->client && node->front_free == 0 && now < request->turn_by) {
+        node_wait(node, &node->clients, request->turn_by - now);
+        now = clock_steady();
+    }
+    if (!request->client && node->front_free > 0)
+        request->client = node->front_clients[--node->front_free];
     pthread_mutex_unlock(&node->lock);
-    return client;
+    return request->client != NULL;
 }
 
-static void client_return(node_t *node, http_client_t *client)
+static void end_turn(request_t *request)
 {
+    node_t *node = request->node;
+    if (!request->client)
+        return;
     pthread_mutex_lock(&node->lock);
-    node->front_clients[node->front_free++] = client;
+    node->front_clients[node->front_free++] = request->client;
+    request->client = NULL;
     pthread_cond_signal(&node->clients);
     pthread_mutex_unlock(&node->lock);
 }
 
+/* How long the next call to the state service may take; 0: it is not worth asking. */
+static long call_ms(const request_t *request)
+{
+    return (long)CLAMP(request->until - clock_steady(), 0, FRONT_TIMEOUT_MS);
+}
+
+static state_result_t commit(request_t *request, const txn_t *txn, GPtrArray *failed)
+{
+    node_t *node = request->node;
+    long timeout_ms = call_ms(request);
+    if (timeout_ms == 0)
+        return STATE_REFUSED;
+    budget_charge(&node->front_rps, 1, clock_steady());
+    return state_commit(&node->state, request->client, txn, timeout_ms, NULL, failed);
+}
+
 /* Every road on which a user can be told a final state begins here: it is known to the other
  * threads, and noted for the siblings, before it can be told. */
 static job_state_t remember_ended(node_t *node, const char *id, bool done)
@@ -84,13 +114,16 @@
     return done ? JOB_DONE : JOB_CANCELLED;
 }
 
-static state_result_t read_key(node_t *node, http_client_t *client, const char *prefix,
-                               const char *id, state_entry_t *entry)
+static state_result_t read_key(request_t *request, const char *prefix, const char *id,
+                               state_entry_t *entry)
 {
     char key[128];
+    long timeout_ms = call_ms(request);
+    if (timeout_ms == 0)
+        return STATE_REFUSED;
     g_snprintf(key, sizeof key, "%s/%s", prefix, id);
-    budget_charge(&node->front_rps, 1, clock_steady());
-    return state_get(&node->state, client, key, FRONT_TIMEOUT_MS, entry);
+    budget_charge(&request->node->front_rps, 1, clock_steady());
+    return state_get(&request->node->state, request->client, key, timeout_ms, entry);
 }
 
 static void entry_clear(state_entry_t *entry)
@@ -100,10 +133,10 @@
     *entry = (state_entry_t){0};
 }
 
-static job_state_t read_ended(node_t *node, http_client_t *client, const char *id)
+static job_state_t read_ended(request_t *request, const char *id)
 {
     state_entry_t entry = {0};
-    state_result_t result = read_key(node, client, "ended", id, &entry);
+    state_result_t result = read_key(request, "ended", id, &entry);
     if (result == STATE_ABSENT)
         return JOB_NEVER;
     if (result != STATE_OK)
@@ -111,26 +144,26 @@
     const char *state = json_string_value(json_object_get(entry.value, "Trim"));
     bool done = g_strcmp0(state, "done") == 0;
     entry_clear(&entry);
-    return remember_ended(node, id, done);
+    return remember_ended(request->node, id, done);
 }
 
-static job_state_t read_live(node_t *node, http_client_t *client, const char *id)
+static job_state_t read_live(request_t *request, const char *id)
 {
     state_entry_t entry = {0};
-    state_result_t result = read_key(node, client, "jobs", id, &entry);
+    state_result_t result = read_key(request, "jobs", id, &entry);
     entry_clear(&entry);
     return result == STATE_OK ? JOB_LIVE : result == STATE_ABSENT ? JOB_NEVER : JOB_UNKNOWN;
 }
 
 /* A job goes from jobs/ to ended/ and never back: one that is found in neither, asked in that
  * order, had not been accepted when the first was asked. */
-static job_state_t look_up(node_t *node, http_client_t *client, const char *id, bool likely_live)
+static job_state_t look_up(request_t *request, const char *id, bool likely_live)
 {
-    job_state_t state = likely_live ? JOB_NEVER : read_ended(node, client, id);
+    job_state_t state = likely_live ? JOB_NEVER : read_ended(request, id);
     if (state == JOB_NEVER)
-        state = read_live(node, client, id);
+        state = read_live(request, id);
     if (state == JOB_NEVER)
-        state = read_ended(node, client, id);
+        state = read_ended(request, id);
     return state;
 }
 
@@ -170,9 +203,9 @@
 /* Compares the stamps of all that is asked, in as few requests as go. A job's key is written once,
  * so one whose stamp still holds is live; one that fails may have ended and is left to be looked
  * up. */
-static void compare_live(node_t *node, http_client_t *client, inquiry_t *inquiry)
+static void compare_live(request_t *request, inquiry_t *inquiry)
 {
-    guint most = 4 * node->settings->txn_ops;
+    guint most = 4 * request->node->settings->txn_ops;
     bool more = g_hash_table_size(inquiry->asked) > 0;
     while (more) {
         GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
@@ -186,9 +219,7 @@
             g_snprintf(key, sizeof key, "jobs/%s", (char *)id);
             txn_if(&txn, key, GPOINTER_TO_SIZE(stamp));
         }
-        budget_charge(&node->front_rps, 1, clock_steady());
-        state_result_t result =
-            state_commit(&node->state, client, &txn, FRONT_TIMEOUT_MS, NULL, failed);
+        state_result_t result = commit(request, &txn, failed);
         for (size_t i = 0; result == STATE_OK && i < json_array_size(txn.conditions); i++) {
             const char *key =
                 json_string_value(json_object_get(json_array_get(txn.conditions, i), "K"));
@@ -205,57 +236,79 @@
     }
 }
 
-static void run_inquiry(node_t *node, inquiry_t *inquiry)
+static void run_inquiry(request_t *request, inquiry_t *inquiry)
 {
+    node_t *node = request->node;
     node_sleep(STATUS_GATHER_MS);
     pthread_mutex_lock(&node->lock);
     node->inquiry = NULL; /* later questions must be asked later */
     pthread_mutex_unlock(&node->lock);
-    http_client_t *client = client_take(node);
-    if (client) {
-        compare_live(node, client, inquiry);
-        client_return(node, client);
-    }
+    if (take_turn(request))
+        compare_live(request, inquiry);
     pthread_mutex_lock(&node->lock);
     inquiry->done = true;
     pthread_cond_broadcast(&node->inquiries);
     pthread_mutex_unlock(&node->lock);
 }
 
-/* Whether the job is live, asked of the state service after the call began, with others at once;
- * false: not known to be. */
-static bool is_live(node_t *node, const char *id)
+/* With the lock held: an inquiry that still takes questions, with this one. */
+static inquiry_t *join_inquiry(node_t *node, const known_job_t *job)
 {
-    pthread_mutex_lock(&node->lock);
-    const known_job_t *job = g_hash_table_lookup(node->jobs, id);
-    if (!job) {
-        pthread_mutex_unlock(&node->lock);
-        return false;
-    }
-    bool first = node->inquiry == NULL;
-    if (first) {
+    if (!node->inquiry) {
         node->inquiry = g_new0(inquiry_t, 1);
         node->inquiry->asked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
         node->inquiry->live = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     }
     inquiry_t *inquiry = node->inquiry;
-    g_hash_table_insert(inquiry->asked, g_strdup(id), GSIZE_TO_POINTER(job->stamp));
+    g_hash_table_insert(inquiry->asked, g_strdup(job->spec.id), GSIZE_TO_POINTER(job->stamp));
     inquiry->waiting++;
+    return inquiry;
+}
+
+static void leave_inquiry(inquiry_t *inquiry)
+{
+    if (--inquiry->waiting > 0)
+        return;
+    g_hash_table_unref(inquiry->asked);
+    g_hash_table_unref(inquiry->live);
+    g_free(inquiry);
+}
+
+typedef enum {
+    ASKED_LIVE,
+    ASKED_CHANGED,   /* it may be over */
+    ASKED_UNANSWERED /* refused, or no answer in time: whoever asks again had better ask later */
+} asked_t;
+
+/* Whether the job is live, asked of the state service after the call began, with others at once. */
+static asked_t ask_live(request_t *request, const char *id)
+{
+    node_t *node = request->node;
+    pthread_mutex_lock(&node->lock);
+    const known_job_t *job = g_hash_table_lookup(node->jobs, id);
+    if (!job) {
+        pthread_mutex_unlock(&node->lock);
+        return ASKED_CHANGED;
+    }
+    bool first = node->inquiry == NULL;
+    inquiry_t *inquiry = join_inquiry(node, job);
     pthread_mutex_unlock(&node->lock);
     if (first)
-        run_inquiry(node, inquiry);
+        run_inquiry(request, inquiry);
     pthread_mutex_lock(&node->lock);
-    while (!inquiry->done)
-        node_wait(node, &node->inquiries, FRONT_TIMEOUT_MS);
-    bool live = g_hash_table_contains(inquiry->live, id);
-    bool last = --inquiry->waiting == 0;
-    pthread_mutex_unlock(&node->lock);
-    if (last) {
-        g_hash_table_unref(inquiry->asked);
-        g_hash_table_unref(inquiry->live);
-        g_free(inquiry);
+    msec_t now = clock_steady();
+    while (!inquiry->done && now < request->until) {
+        node_wait(node, &node->inquiries, request->until - now);
+        now = clock_steady();
     }
-    return live;
+    asked_t result = ASKED_CHANGED;
+    if (!inquiry->done || g_hash_table_contains(inquiry->asked, id))
+        result = ASKED_UNANSWERED;
+    else if (g_hash_table_contains(inquiry->live, id))
+        result = ASKED_LIVE;
+    leave_inquiry(inquiry);
+    pthread_mutex_unlock(&node->lock);
+    return result;
 }
 
 /* With the lock held: others are served, or may be: whoever asks here should ask there, at once. */
@@ -275,8 +328,9 @@
     return shut_out;
 }
 
-static reply_t get_status(node_t *node, const char *id)
+static reply_t get_status(request_t *request, const char *id)
 {
+    node_t *node = request->node;
     bool live;
     if (!wire_id_valid(id))
         return refuse(404, "no such job", 0);
@@ -285,40 +339,49 @@
         return status_reply(node, id, state, 200);
     if (must_turn_away(node))
         return come_back();
-    if (live && is_live(node, id))
+    asked_t asked = live ? ask_live(request, id) : ASKED_CHANGED;
+    if (asked == ASKED_LIVE)
         return status_reply(node, id, JOB_LIVE, 200);
+    if (asked == ASKED_UNANSWERED)
+        return come_back();
     if (!budget_take(&node->front_rps, 1, clock_steady()))
         return refuse(429, "too many requests", 2);
-    http_client_t *client = client_take(node);
-    if (!client)
+    if (!take_turn(request))
         return come_back();
     msec_t begun = clock_steady();
-    state = look_up(node, client, id, live);
+    state = look_up(request, id, live);
     metrics_time(node->metrics, TIME_STATUS, clock_steady() - begun);
-    client_return(node, client);
     return status_reply(node, id, state, 200);
 }
 
-static reply_t look_up_reply(node_t *node, const char *id, unsigned live_status)
+/* A submission that can't be taken as it is: but if its id is that of an accepted job, it is a
+ * repeat, whatever else it says. Reads for it are limited: anybody can send any number of these. */
+static reply_t reject(request_t *request, const char *id, reply_t reply)
 {
-    http_client_t *client = must_turn_away(node) ? NULL : client_take(node);
-    if (!client)
-        return come_back();
-    job_state_t state = look_up(node, client, id, true);
-    client_return(node, client);
-    return status_reply(node, id, state, live_status);
+    node_t *node = request->node;
+    if (!wire_id_valid(id))
+        return reply;
+    reply_t known;
+    if (must_turn_away(node))
+        known = come_back();
+    else if (!budget_take(&node->front_rps, 1, clock_steady()))
+        known = refuse(429, "too many requests", 2);
+    else if (!take_turn(request))
+        known = come_back();
+    else
+        known = status_reply(node, id, look_up(request, id, true), 200);
+    bool unknown = known.status == 404;
+    json_decref(unknown ? known.body : reply.body);
+    return unknown ? reply : known;
 }
 
-/* A submission that is wrong: but if its id is that of an accepted job, it is a retry. */
-static reply_t reject(node_t *node, const char *id, unsigned status, const char *why)
+/* An array runs as its team's limit permits, a task at a time if need be; any other job as a whole.
+ */
+static bool is_above_limit(const job_spec_t *spec, const team_t *team)
 {
-    if (!id || !wire_id_valid(id))
-        return refuse(status, why, 0);
-    reply_t known = look_up_reply(node, id, 200);
-    if (known.status != 404)
-        return known;
-    json_decref(known.body);
-    return refuse(status, why, 0);
+    double tasks = spec->kind == KIND_ARRAY ? 1 : spec->tasks;
+    return (team->cpus_max > 0 && tasks * spec->need.cpus > team->cpus_max + EPSILON) ||
+           (team->gpus_max > 0 && tasks * spec->need.gpus > team->gpus_max + EPSILON);
 }
 
 static const char *never_runs(node_t *node, const job_spec_t *spec, bool *undecided)
@@ -328,11 +391,8 @@
     *undecided = node->flavors->len == 0;
     for (guint i = 0; i < node->settings->teams->len; i++) {
         const team_t *team = &g_array_index(node->settings->teams, team_t, i);
-        if (strcmp(team->name, spec->team) != 0)
-            continue;
-        bool limited = (team->cpus_max > 0 && spec->need.cpus > team->cpus_max + EPSILON) ||
-                       (team->gpus_max > 0 && spec->need.gpus > team->gpus_max + EPSILON);
-        why = limited ? "a task needs more than the team's limit" : NULL;
+        if (strcmp(team->name, spec->team) == 0)
+            why = is_above_limit(spec, team) ? "it needs more than the team's limit" : NULL;
     }
     if (!why && !job_spec_fits_some(spec, node->flavors))
         why = "a task fits no allowed machine type";
@@ -340,12 +400,10 @@
     return why;
 }
 
-static reply_t commit_job(node_t *node, http_client_t *client, const job_spec_t *spec)
+static reply_t commit_job(request_t *request, const job_spec_t *spec)
 {
-    uint64_t revision = 0;
     txn_t txn = records_submit(spec);
-    state_result_t result =
-        state_commit(&node->state, client, &txn, FRONT_TIMEOUT_MS, &revision, NULL);
+    state_result_t result = commit(request, &txn, NULL);
     txn_free(&txn);
     if (result == STATE_OK)
         log_info("event=accept job=%s class=%s tasks=%u", spec->id, spec->class_name, spec->tasks);
@@ -353,82 +411,93 @@
         return (reply_t){.status = 201, .body = wire_build_status(spec->id, "queued", 0, 0)};
     if (result == STATE_REFUSED)
         return come_back();
-    job_state_t state = look_up(node, client, spec->id, true);
+    if (result == STATE_INVALID)
+        return reject(request, spec->id, refuse(400, "too large to be recorded", 0));
+    job_state_t state = look_up(request, spec->id, true);
     if (state == JOB_NEVER)
         return come_back(); /* no answer, and not applied so far */
-    return status_reply(node, spec->id, state, 200);
+    return status_reply(request->node, spec->id, state, 200);
 }
 
-static reply_t submit(node_t *node, const request_t *request)
+static reply_t submit_job(request_t *request, job_spec_t *spec)
 {
-    if (request->too_long)
-        return refuse(400, "the body is over 64 KiB", 0);
-    json_error_t problem;
-    json_t *body = json_loadb(request->body->str, request->body->len, 0, &problem);
-    if (!json_is_object(body)) {
-        json_decref(body);
-        return refuse(400, "a JSON object is expected", 0);
-    }
-    job_spec_t spec;
-    reason_t why;
-    reply_t reply;
+    node_t *node = request->node;
     bool undecided = false;
-    const char *never = NULL;
-    if (!wire_parse_job(body, false, &spec, &why)) {
-        reply = reject(node, json_string_value(json_object_get(body, "Uid")), 400, why.text);
-        json_decref(body);
-        return reply;
-    }
+    const char *never = never_runs(node, spec, &undecided);
+    if (undecided)
+        return reject(request, spec->id, refuse(503, "the machine types are not known yet", 1));
+    if (never)
+        return reject(request, spec->id, refuse(422, never, 0));
+    if (must_turn_away(node))
+        return come_back();
+    if (!budget_take(&node->front_write, 1, clock_steady()))
+        return refuse(429, "too many submissions", 2);
+    if (!take_turn(request))
+        return come_back();
+    spec->submitted_ms = clock_day();
+    return commit_job(request, spec);
+}
+
+/* The job that the submission is about, as far as that can be read. */
+static void read_id(const request_t *request, const json_t *body, char *id, gsize size)
+{
+    const json_t *value = json_object_get(body, "Uid");
+    const char *text = json_string_value(value);
+    id[0] = '\0';
+    if (text && strlen(text) == json_string_length(value))
+        g_strlcpy(id, text, size);
+    else if (!body)
+        json_input_find(request->body->str, request->body->len, "Uid", id, size);
+}
+
+static reply_t submit(request_t *request)
+{
+    const GString *text = request->body;
+    json_t *body = request->too_long ? NULL : json_input_load(text->str, text->len);
+    char id[ID_SIZE];
+    job_spec_t spec;
+    reason_t why = {"a JSON object is expected"};
+    bool valid = wire_parse_job(body, false, &spec, &why);
+    read_id(request, body, id, sizeof id);
     json_decref(body);
-    never = never_runs(node, &spec, &undecided);
-    if (undecided) {
-        reply = refuse(503, "the machine types are not known yet", 1);
-    } else if (never) {
-        reply = reject(node, spec.id, 422, never);
-    } else if (must_turn_away(node)) {
-        reply = come_back();
-    } else if (!budget_take(&node->front_write, 1, clock_steady())) {
-        reply = refuse(429, "too many submissions", 2);
-    } else {
-        http_client_t *client = client_take(node);
-        spec.submitted_ms = clock_day();
-        budget_charge(&node->front_rps, 1, clock_steady());
-        reply = client ? commit_job(node, client, &spec) : come_back();
-        if (client)
-            client_return(node, client);
+    if (valid) {
+        reply_t reply = submit_job(request, &spec);
+        job_spec_clear(&spec);
+        return reply;
     }
-    job_spec_clear(&spec);
-    return reply;
+    return reject(request, id,
+                  refuse(400, request->too_long ? "the body is over 64 KiB" : why.text, 0));
 }
 
-static reply_t timed_submit(node_t *node, const request_t *request)
+static reply_t timed_submit(request_t *request)
 {
     msec_t begun = clock_steady();
-    reply_t reply = submit(node, request);
-    metrics_time(node->metrics, TIME_SUBMIT, clock_steady() - begun);
+    reply_t reply = submit(request);
+    metrics_time(request->node->metrics, TIME_SUBMIT, clock_steady() - begun);
     return reply;
 }
 
-static state_result_t commit_abort(node_t *node, http_client_t *client, const char *id,
-                                   uint64_t stamp, uint32_t tasks)
+static state_result_t commit_abort(request_t *request, const char *id, uint64_t stamp,
+                                   uint32_t tasks)
 {
     txn_t txn = records_abort(id, stamp, tasks);
-    budget_charge(&node->front_rps, 1, clock_steady());
-    budget_charge(&node->front_write, (double)json_array_size(txn.changes), clock_steady());
-    state_result_t result = state_commit(&node->state, client, &txn, FRONT_TIMEOUT_MS, NULL, NULL);
+    budget_charge(&request->node->front_write, (double)json_array_size(txn.changes),
+                  clock_steady());
+    state_result_t result = commit(request, &txn, NULL);
     txn_free(&txn);
     return result;
 }
 
-static reply_t abort_with(node_t *node, http_client_t *client, const char *id)
+static reply_t abort_with(request_t *request, const char *id)
 {
+    node_t *node = request->node;
     state_entry_t entry = {0};
-    state_result_t result = read_key(node, client, "jobs", id, &entry);
+    state_result_t result = read_key(request, "jobs", id, &entry);
     if (result != STATE_OK && result != STATE_ABSENT)
         return come_back();
     if (result == STATE_OK) {
         uint32_t tasks = (uint32_t)json_integer_value(json_object_get(entry.value, "Pieces"));
-        result = commit_abort(node, client, id, entry.stamp, tasks);
+        result = commit_abort(request, id, entry.stamp, tasks);
         entry_clear(&entry);
         if (result == STATE_OK) {
             log_info("event=abort job=%s", id);
@@ -438,24 +507,20 @@
             return come_back();
     }
     /* It ended meanwhile, or the answer was lost: only a final state may be told. */
-    job_state_t state = look_up(node, client, id, true);
+    job_state_t state = look_up(request, id, true);
     return state == JOB_LIVE ? come_back() : status_reply(node, id, state, 200);
 }
 
-static reply_t abort_job(node_t *node, const char *id)
+static reply_t abort_job(request_t *request, const char *id)
 {
+    node_t *node = request->node;
     bool live;
     if (!wire_id_valid(id))
         return refuse(404, "no such job", 0);
     job_state_t state = known_state(node, id, &live);
     if (state != JOB_UNKNOWN)
         return status_reply(node, id, state, 200);
-    http_client_t *client = must_turn_away(node) ? NULL : client_take(node);
-    if (!client)
-        return come_back();
-    reply_t reply = abort_with(node, client, id);
-    client_return(node, client);
-    return reply;
+    return !must_turn_away(node) && take_turn(request) ? abort_with(request, id) : come_back();
 }
 
 static reply_t ready(node_t *node)
@@ -539,7 +604,7 @@
     report_t report;
     reason_t why = {"not JSON"};
     json_t *body =
-        request->too_long ? NULL : json_loadb(request->body->str, request->body->len, 0, NULL);
+        request->too_long ? NULL : json_input_load(request->body->str, request->body->len);
     bool valid = body && wire_parse_report(body, &report, &why);
     json_decref(body);
     if (!valid)
@@ -551,7 +616,7 @@
     return reply;
 }
 
-static reply_t route_run(node_t *node, const char *method, const char *rest)
+static reply_t route_run(request_t *request, const char *method, const char *rest)
 {
     char id[ID_SIZE];
     const char *slash = strchr(rest, '/');
@@ -561,27 +626,28 @@
     memcpy(id, rest, length);
     id[length] = '\0';
     if (!slash)
-        return strcmp(method, "GET") == 0 ? get_status(node, id)
+        return strcmp(method, "GET") == 0 ? get_status(request, id)
                                           : refuse(405, "only GET is known here", 0);
     if (strcmp(slash, "/abort") == 0)
-        return strcmp(method, "POST") == 0 ? abort_job(node, id)
+        return strcmp(method, "POST") == 0 ? abort_job(request, id)
                                            : refuse(405, "only POST is known here", 0);
     return refuse(404, "no such path", 0);
 }
 
-static reply_t route(node_t *node, const char *method, const char *path, const request_t *request)
+static reply_t route(request_t *request, const char *method, const char *path)
 {
+    node_t *node = request->node;
     static const char runs[] = "/v2/runs/";
     if (strcmp(path, "/hello") == 0 && strcmp(method, "POST") == 0)
         return hello(node, request);
     if (strcmp(path, "/ready") == 0 && strcmp(method, "GET") == 0)
         return ready(node);
     if (strcmp(path, "/v2/runs") == 0 && strcmp(method, "POST") == 0)
-        return timed_submit(node, request);
+        return timed_submit(request);
     if (strcmp(path, "/metrics") == 0 && strcmp(method, "GET") == 0)
         return (reply_t){.status = 200, .text = metrics_text(node->metrics)};
     if (g_str_has_prefix(path, runs))
-        return route_run(node, method, path + strlen(runs));
+        return route_run(request, method, path + strlen(runs));
     return refuse(404, "no such path", 0);
 }
 
@@ -625,42 +691,80 @@
            strcmp(path, "/metrics") == 0;
 }
 
+/* Lets the connection go on, with the request's answer. */
+static void finish(request_t *request, reply_t reply)
+{
+    request->reply = reply;
+    request->answered = true;
+    MHD_resume_connection(request->connection);
+}
+
+static reply_t give_up(void)
+{
+    return refuse(503, "too many requests wait here", 1);
+}
+
 static void *answer_run(void *data)
 {
     node_t *node = data;
     for (;;) {
+        request_t *request;
         pthread_mutex_lock(&node->requests_lock);
-        while (g_queue_is_empty(node->requests))
+        node->answerers_free++;
+        while (!(request = request_queue_pop(&node->requests)))
             pthread_cond_wait(&node->requests_come, &node->requests_lock);
-        request_t *request = g_queue_pop_head(node->requests);
+        node->answerers_free--;
         pthread_mutex_unlock(&node->requests_lock);
-        request->reply = route(node, request->method, request->path, request);
-        request->answered = true;
-        MHD_resume_connection(request->connection);
+        bool late = clock_steady() >= request->turn_by;
+        reply_t reply = late ? give_up() : route(request, request->method, request->path);
+        end_turn(request);
+        finish(request, reply);
+    }
+    return NULL;
+}
+
+/* Answers the requests that are given up while all others who answer are busy. */
+static void *give_up_run(void *data)
+{
+    node_t *node = data;
+    pthread_mutex_lock(&node->requests_lock);
+    for (;;) {
+        request_t *request = request_queue_pop_expired(&node->requests, clock_steady());
+        msec_t next = request_queue_next(&node->requests);
+        struct timespec at = {.tv_sec = next / 1000, .tv_nsec = next % 1000 * 1000000};
+        if (request)
+            finish(request, give_up());
+        else if (next == G_MAXINT64)
+            pthread_cond_wait(&node->requests_stay, &node->requests_lock);
+        else
+            pthread_cond_timedwait(&node->requests_stay, &node->requests_lock, &at);
     }
     return NULL;
 }
 
 /* Whether the request now waits in the queue; else it is answered at once. */
-static bool enqueue(node_t *node, struct MHD_Connection *connection, request_t *request,
-                    const char *method, const char *path)
+static bool enqueue(request_t *request, const char *method, const char *path)
 {
+    node_t *node = request->node;
     if (g_strlcpy(request->method, method, sizeof request->method) >= sizeof request->method ||
         g_strlcpy(request->path, path, sizeof request->path) >= sizeof request->path) {
         request->reply = refuse(404, "no such path", 0);
         return false;
     }
-    request->connection = connection;
+    msec_t now = clock_steady();
+    request->turn_by = now + FRONT_TURN_MS;
+    request->until = now + (strcmp(method, "GET") == 0 ? FRONT_STATUS_MS : FRONT_SUBMIT_MS);
     pthread_mutex_lock(&node->requests_lock);
-    bool room = g_queue_get_length(node->requests) < REQUESTS_WAITING;
+    bool room = request_queue_push(&node->requests, request, request->turn_by);
     if (room) {
-        MHD_suspend_connection(connection); /* before one that answers can resume it */
-        g_queue_push_tail(node->requests, request);
+        MHD_suspend_connection(request->connection); /* before one that answers can resume it */
         pthread_cond_signal(&node->requests_come);
+        if (g_queue_get_length(&node->requests.waiting) > node->answerers_free)
+            pthread_cond_signal(&node->requests_stay);
     }
     pthread_mutex_unlock(&node->requests_lock);
     if (!room)
-        request->reply = refuse(503, "too many requests wait here", 1);
+        request->reply = give_up();
     return room;
 }
 
@@ -672,6 +776,8 @@
     request_t *request = *context;
     if (!request) {
         request = g_new0(request_t, 1);
+        request->node = data;
+        request->connection = connection;
         request->body = g_string_new(NULL);
         *context = request;
         return MHD_YES;
@@ -686,8 +792,8 @@
     node_t *node = data;
     if (!request->answered) {
         if (is_quick(path))
-            request->reply = route(node, method, path, request);
-        else if (enqueue(node, connection, request, method, path))
+            request->reply = route(request, method, path);
+        else if (enqueue(request, method, path))
             return MHD_YES;
     }
     request->answered = false;
@@ -737,6 +843,7 @@
     address.sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10));
     for (guint i = 0; i < ANSWERERS; i++)
         node_thread(answer_run, node);
+    node_thread(give_up_run, node);
     struct MHD_Daemon *daemon = MHD_start_daemon(
         MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
         handle, node, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_THREAD_POOL_SIZE,
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -62,6 +62,7 @@
     pthread_cond_init(&node->members, &steady);
     pthread_cond_init(&node->inquiries, &steady);
     pthread_cond_init(&node->mesh, &steady);
+    pthread_cond_init(&node->requests_stay, &steady);
     pthread_condattr_destroy(&steady);
     node->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, known_job_free);
     node->flavors = g_array_new(FALSE, FALSE, sizeof(flavor_t));
@@ -73,7 +74,7 @@
     node->gone_order = g_queue_new();
     pthread_mutex_init(&node->requests_lock, NULL);
     pthread_cond_init(&node->requests_come, NULL);
-    node->requests = g_queue_new();
+    request_queue_init(&node->requests, REQUESTS_WAITING);
     return node;
 }
 
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -28,6 +28,7 @@
 #include "core/owner.h"
 #include "core/part.h"
 #include "core/rental.h"
+#include "core/request_queue.h"
 #include "io/budget.h"
 #include "io/http.h"
 #include "io/state.h"
@@ -41,7 +42,7 @@
 typedef struct {
     GHashTable *asked; /* id -> stamp of jobs/<id> (pointer-sized) */
     GHashTable *live;  /* ids found unchanged, so live; set when done */
-    bool done;
+    bool done;         /* what is still in `asked` got no answer */
     guint waiting;
 } inquiry_t;
 
@@ -96,9 +97,11 @@
     msec_t heard[MEMBERS_MAX]; /* when each member last called by socket */
     GHashTable *ended;         /* id -> ended_t; a bounded cache */
     guests_t *guests;
-    pthread_mutex_t requests_lock; /* of the next two only; never with `lock` */
+    pthread_mutex_t requests_lock; /* of the next four only; never with `lock` */
     pthread_cond_t requests_come;
-    GQueue *requests;        /* request_t, borrowed: those that may have to wait */
+    pthread_cond_t requests_stay; /* more of them than threads that are free */
+    request_queue_t requests;     /* request_t: those that may have to wait */
+    guint answerers_free;
     atomic_uint connections; /* of users and workers, open now */
 } node_t;
 
--- a/src/constants.h
+++ b/src/constants.h
@@ -15,6 +15,8 @@
     PIECES_MAX = 100000,    /* tasks of a job, from the protocol */
     CHUNK_BITS = 16384,     /* done bits in one key: 2 KiB, 2.7 KiB as base64, under value_kb */
     BODY_MAX = 64 * 1024,   /* bytes of a request body, from the protocol */
+    JSON_DEPTH_MAX = 32,    /* of a request body: the parser calls itself, on THREAD_STACK */
+    TYPES_MAX = 64,         /* machine types that a job may name: a placement message has as many */
     RENT_MAX = 50,          /* machines in one rental, from the protocol */
     RELEASE_MAX = 100,      /* names in one release, from the protocol */
     LIST_PAGE = 500,        /* machines in a page of the cloud's list, from the protocol */
@@ -71,7 +73,11 @@
     STATE_TIMEOUT_MS = 2000, /* a slow answer takes a few hundred ms; past this it is unknown */
     FOLLOW_BLOCK_MS =
         2000, /* an answer also proves what aborts are known; half a request a second */
-    FRONT_TIMEOUT_MS = 1500,  /* users wait 2 s for a status and 5 s for a submission */
+    FRONT_TIMEOUT_MS = 1500,  /* of a call to the state service for a user */
+    FRONT_TURN_MS = 1000,     /* a request waits so long for a thread and a connection to the state
+                                 service: half of what users wait for a status */
+    FRONT_STATUS_MS = 1600,   /* from its arrival a status is worked on so long; users wait 2 s */
+    FRONT_SUBMIT_MS = 4500,   /* the same of a submission or an abort; users wait 5 s */
     DIRECT_TIMEOUT_MS = 2000, /* a worker answers in milliseconds; then the report is the path */
     DIRECT_CONNECT_MS =
         1000,               /* to connect takes milliseconds; a machine that hangs never answers */
--- a/src/io/wire.c
+++ b/src/io/wire.c
@@ -24,9 +24,16 @@
     return digits >= 6 && digits <= 18 && id[2 + digits] == '\0';
 }
 
+/* NULL: no string, or one with a NUL character, of which C would see a part only. */
+static const char *whole_text(const json_t *value)
+{
+    const char *text = json_string_value(value);
+    return text && strlen(text) == json_string_length(value) ? text : NULL;
+}
+
 static bool get_text(const json_t *body, const char *name, char *to, gsize size, reason_t *why)
 {
-    const char *text = json_string_value(json_object_get(body, name));
+    const char *text = whole_text(json_object_get(body, name));
     if (!text || !*text)
         return fail(why, "%s: a non-empty string is expected", name);
     if (g_strlcpy(to, text, size) >= size)
@@ -82,7 +89,7 @@
 static bool get_choice(const json_t *body, const char *name, const char *const *names, int count,
                        int *to, reason_t *why)
 {
-    const char *text = json_string_value(json_object_get(body, name));
+    const char *text = whole_text(json_object_get(body, name));
     for (int i = 0; text && i < count; i++) {
         if (strcmp(text, names[i]) == 0) {
             *to = i;
@@ -104,17 +111,42 @@
     json_t *value;
     json_array_foreach(list, i, value)
     {
-        if (!json_is_string(value)) {
+        if (!whole_text(value)) {
             g_ptr_array_unref(names);
             return fail(why, "Hulls: strings are expected");
         }
-        g_ptr_array_add(names, g_strdup(json_string_value(value)));
+        g_ptr_array_add(names, g_strdup(whole_text(value)));
     }
     g_ptr_array_add(names, NULL);
     spec->types = (char **)g_ptr_array_free(names, FALSE);
     return true;
 }
 
+/* Names go into logs, records and messages, each with its limits. */
+static bool is_name(const char *text)
+{
+    gsize length = strlen(text);
+    for (gsize i = 0; i < length; i++)
+        if (g_ascii_iscntrl(text[i]))
+            return false;
+    return length < LABEL_SIZE;
+}
+
+/* Only what is new is refused for it: what is stored was accepted. */
+static bool check_names(const job_spec_t *spec, reason_t *why)
+{
+    guint count = 0;
+    for (char **type = spec->types; type && *type; type++, count++)
+        if (!is_name(*type))
+            return fail(why, "Hulls: not a name");
+    if (count > TYPES_MAX)
+        return fail(why, "Hulls: more than %d names", TYPES_MAX);
+    if (!is_name(spec->class_name) || !is_name(spec->team) || !is_name(spec->image) ||
+        !is_name(spec->zone))
+        return fail(why, "a name has control characters");
+    return true;
+}
+
 bool wire_parse_job(const json_t *body, bool stored, job_spec_t *spec, reason_t *why)
 {
     uint64_t tasks = 0, submitted = 0;
@@ -148,7 +180,8 @@
         (!deadline || json_is_null(deadline) ||
          get_amount(body, "TideS", 0, &spec->deadline_s, why)) &&
         (!stored || get_count(body, "At", 0, G_MAXINT64, &submitted, why)) &&
-        (spec->need.cpus > 0 || fail(why, "Cpus: must be above 0")) && get_types(body, spec, why);
+        (spec->need.cpus > 0 || fail(why, "Cpus: must be above 0")) && get_types(body, spec, why) &&
+        (stored || check_names(spec, why));
     spec->tasks = (uint32_t)tasks;
     spec->kind = (job_kind_t)kind;
     spec->urgency = (urgency_t)urgency;
--- a/tests/fakes/services.c
+++ b/tests/fakes/services.c
@@ -181,11 +181,34 @@
     return value ? value : "";
 }
 
+/* Whether the request is about one job, or some: not a list of all, nor the leader's other
+ * business.
+ */
+static bool is_for_users(const char *path, const json_t *body)
+{
+    if (strcmp(path, "/txn") == 0) {
+        const json_t *first = json_array_get(json_object_get(body, "If"), 0);
+        const char *key = json_string_value(json_object_get(first, "K"));
+        return key && (g_str_has_prefix(key, "jobs/") || g_str_has_prefix(key, "ended/"));
+    }
+    return g_str_has_prefix(path, "/keys/jobs/") || g_str_has_prefix(path, "/keys/ended/");
+}
+
+/* With the lock held, which is given up while the service is stalled. */
+static void count_for_users(services_t *services)
+{
+    services->asked++;
+    while (services->stalled)
+        pthread_cond_wait(&services->changed, &services->lock);
+}
+
 /* With the lock held. Grants last for ever: no story waits for one to end. */
 static answer_t serve_state(const door_t *door, struct MHD_Connection *connection, const char *path,
                             json_t *body)
 {
     services_t *services = door->services;
+    if (is_for_users(path, body))
+        count_for_users(services);
     if (services->refused[door->port])
         return plain(503, json_object());
     if (strcmp(path, "/txn") == 0) {
@@ -350,6 +373,22 @@
     pthread_mutex_unlock(&services->lock);
 }
 
+void services_stall(services_t *services, bool stalled)
+{
+    pthread_mutex_lock(&services->lock);
+    services->stalled = stalled;
+    pthread_cond_broadcast(&services->changed);
+    pthread_mutex_unlock(&services->lock);
+}
+
+guint services_asked(services_t *services)
+{
+    pthread_mutex_lock(&services->lock);
+    guint asked = services->asked;
+    pthread_mutex_unlock(&services->lock);
+    return asked;
+}
+
 void services_mute(services_t *services)
 {
     pthread_mutex_lock(&services->lock);
--- a/tests/fakes/services.h
+++ b/tests/fakes/services.h
@@ -21,6 +21,8 @@
     bool refused[SERVICES_PORTS]; /* every request there gets 503 */
     char *swallow;                /* the next transaction that changes this key is carried out, and
                                      its connection closed without an answer; owned */
+    bool stalled;                 /* what is asked for users gets no answer until that ends */
+    guint asked;                  /* requests for users, so far */
     bool mute;                    /* who follows hears of no change any more */
     bool types_known;             /* the cloud tells its machine types; else 503 */
     uint16_t cloud_port;
@@ -33,6 +35,8 @@
 uint64_t services_stamp(services_t *services, const char *key);
 void services_refuse(services_t *services, guint port, bool refused);
 void services_swallow(services_t *services, const char *key);
+void services_stall(services_t *services, bool stalled);
+guint services_asked(services_t *services);
 void services_mute(services_t *services);
 void services_tell_types(services_t *services);
 /* A port that nobody listens on now. */
--- a/tests/stories_node.c
+++ b/tests/stories_node.c
@@ -1,6 +1,7 @@
 /* Stories of whole controllers, with stand-ins for state service and cloud over real sockets. A
  * story waits until what it expects has come about, so its verdict hangs on no time. Controllers
  * never end: the process leaves without them. */
+#include <curl/curl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <unistd.h>
@@ -8,6 +9,7 @@
 #include "app/node.h"
 #include "io/clock.h"
 #include "io/records.h"
+#include "io/wire.h"
 #include "services.h"
 #include "story.h"
 
@@ -321,6 +323,17 @@
     return body;
 }
 
+static txn_t accepted_elsewhere(const char *id)
+{
+    job_spec_t spec;
+    json_t *body = job_body(id);
+    assert_true(wire_parse_job(body, false, &spec, NULL));
+    txn_t txn = records_submit(&spec);
+    job_spec_clear(&spec);
+    json_decref(body);
+    return txn;
+}
+
 /* What can never run is never accepted, nor what lacks a field; while the machine types are not
  * known, nobody can tell. A repeat of what was accepted, an abort of what is done: the state as it
  * is. */
@@ -334,6 +347,8 @@
         node_sleep(POLL_MS);
     assert_int_equal(status, 503);
     json_decref(body);
+    services_apply(stage->services, accepted_elsewhere("j-000007"));
+    expect(0, "POST", "/v2/runs", job_body("j-000007"), 200, "queued");
     services_tell_types(stage->services);
     wait_ready(0);
     submit(0, "j-000001");
@@ -344,6 +359,9 @@
     expect(0, "POST", "/v2/runs", job_with("Dock", json_string("west")), 422, NULL);
     expect(0, "POST", "/v2/runs", job_with("Crew", json_string("green")), 422, NULL);
     expect(0, "POST", "/v2/runs", job_with("Pieces", json_string("2")), 400, NULL);
+    body = job_with("Rig", json_string("ensemble")); /* runs as a whole, or never */
+    json_object_set_new(body, "Pieces", json_integer(33));
+    expect(0, "POST", "/v2/runs", body, 422, NULL);
     static const char *const fields[] = {"Uid",     "Reel",  "Crew",      "Rig",   "Urgency",
                                          "Pieces",  "Cpus",  "MemGb",     "Cargo", "SamePlace",
                                          "ImageGb", "Apart", "Driftwood", "HaulS"};
@@ -357,6 +375,307 @@
     assert_int_equal(count_noted(0), 0);
 }
 
+/* An answer as a user sees it. */
+typedef struct {
+    int status; /* 0: none came */
+    curl_off_t retry_after_s;
+} seen_t;
+
+static size_t drop(char *data, size_t size, size_t count, void *to)
+{
+    (void)data;
+    (void)to;
+    return size * count;
+}
+
+static seen_t ask(const char *method, const char *path, const char *body, gsize length)
+{
+    seen_t seen = {0};
+    char url[256];
+    long status = 0;
+    CURL *curl = curl_easy_init();
+    g_snprintf(url, sizeof url, "http://127.0.0.1:%u%s", stage->ports[0], path);
+    curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(curl, CURLOPT_PROXY, "");
+    curl_easy_setopt(curl, CURLOPT_URL, url);
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, drop);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, 20000L);
+    if (strcmp(method, "POST") == 0) {
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body ? body : "");
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, (long)length);
+    }
+    if (curl_easy_perform(curl) == CURLE_OK) {
+        curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+        curl_easy_getinfo(curl, CURLINFO_RETRY_AFTER, &seen.retry_after_s);
+    }
+    curl_easy_cleanup(curl);
+    seen.status = (int)status;
+    return seen;
+}
+
+static int submit_text(const GString *text)
+{
+    return ask("POST", "/v2/runs", text->str, text->len).status;
+}
+
+/* A submission in which one field stands as it is written here, last. */
+static GString *text_with(const char *id, const char *name, const char *raw, gsize length)
+{
+    json_t *body = job_body(id);
+    json_object_del(body, name);
+    char *text = json_dumps(body, JSON_COMPACT);
+    GString *whole = g_string_new(text);
+    g_string_truncate(whole, whole->len - 1);
+    g_string_append_printf(whole, ",\"%s\":", name);
+    g_string_append_len(whole, raw, (gssize)length);
+    g_string_append_c(whole, '}');
+    free(text);
+    json_decref(body);
+    return whole;
+}
+
+static GString *repeated(const char *left, guint count, const char *right)
+{
+    GString *text = g_string_new(NULL);
+    for (guint i = 0; i < count; i++)
+        g_string_append(text, left);
+    for (guint i = 0; i < count; i++)
+        g_string_append(text, right);
+    return text;
+}
+
+static guint count_wrong(const GString *text, const char *name, int status)
+{
+    int got;
+    while ((got = submit_text(text)) == 429) /* as often as the limits let it pass */
+        node_sleep(POLL_MS);
+    if (got != status)
+        print_error("%s: %d, not %d: %.150s\n", name, got, status, text->str + text->len / 2);
+    return got != status;
+}
+
+/* What the user's program got wrong, and the answer. The same of a job that was accepted is a
+ * repeat: it must be known, whatever else is said of it. */
+static guint count_wrong_answers(guint number, const char *name, const GString *raw, int status)
+{
+    char fresh[16];
+    g_snprintf(fresh, sizeof fresh, "j-%06u", 100 + number);
+    GString *text = text_with(fresh, name, raw->str, raw->len);
+    guint wrong = count_wrong(text, name, status);
+    g_string_free(text, TRUE);
+    if (strcmp(name, "Uid") == 0)
+        return wrong;
+    text = text_with("j-000001", name, raw->str, raw->len);
+    wrong += count_wrong(text, name, 200);
+    g_string_free(text, TRUE);
+    return wrong;
+}
+
+static void whatever_a_submission_says_it_gets_its_answer(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *name;
+        const char *raw;
+        int status;
+    } fields[] = {
+        {"Uid", "\"j-9\"", 400},
+        {"Uid", "\"j-000009\\u0000\"", 400},
+        {"Uid", "9", 400},
+        {"Pieces", "0", 400},
+        {"Pieces", "100001", 400},
+        {"Pieces", "-1", 400},
+        {"Pieces", "2.0", 400},
+        {"Pieces", "1e2", 400},
+        {"Pieces", "18446744073709551616", 400},
+        {"Pieces", "null", 400},
+        {"Cpus", "NaN", 400},
+        {"Cpus", "1e999", 400},
+        {"Cpus", "-1e999", 400},
+        {"Cpus", "-1", 400},
+        {"Cpus", "0", 400},
+        {"Cpus", "17", 422},
+        {"Cpus", "65", 422},
+        {"MemGb", "\"4\"", 400},
+        {"MemGb", "65", 422},
+        {"Accelerators", "1", 422},
+        {"HaulS", "-Infinity", 400},
+        {"KnotS", "[]", 400},
+        {"TideS", "-1", 400},
+        {"TideS", "true", 400},
+        {"Reel", "\"\"", 400},
+        {"Reel", "\"a\\u0000b\"", 400},
+        {"Reel", "\"a\\nb\"", 400},
+        {"Reel", "\"\\ud800\"", 400},
+        {"Reel", "\"\xff\"", 400},
+        {"Crew", "\"green\"", 422},
+        {"Crew", "{}", 400},
+        {"Rig", "\"sweep\\u0000\"", 400},
+        {"Urgency", "\"urgent\"", 400},
+        {"SamePlace", "1", 400},
+        {"Driftwood", "null", 400},
+        {"Hulls", "[]", 422},
+        {"Hulls", "[\"t99\"]", 422},
+        {"Hulls", "[\"t16\",1]", 400},
+        {"Hulls", "\"t16\"", 400},
+        {"Dock", "\"west\"", 422},
+        {"Dock", "7", 400},
+        {"Unheard", "18446744073709551616", 201},
+        {"Unheard", "[-1e999,1e-999,123456789012345678901234567890]", 201},
+        {"Unheard", "\"\\u0000\"", 201},
+        {"Unheard", "[[[[[[[[{}]]]]]]]]", 201},
+        {"Unheard", "1e", 400},
+    };
+    begin_ready(1);
+    submit(0, "j-000001");
+    guint number = 0, wrong = 0;
+    for (guint i = 0; i < G_N_ELEMENTS(fields); i++) {
+        GString *raw = g_string_new(fields[i].raw);
+        wrong += count_wrong_answers(number++, fields[i].name, raw, fields[i].status);
+        g_string_free(raw, TRUE);
+    }
+    const struct {
+        const char *name;
+        GString *raw;
+        int status;
+    } large[] = {
+        {"Unheard", repeated("[", 2000, "]"), 400},
+        {"Unheard", repeated("{\"a\":", 9000, ""), 400},
+        {"Reel",
+         g_string_new("\"0123456789012345678901234567890123456789012345678901234567890123\""), 400},
+        {"Hulls", g_string_new("[\"t16\""), 400},
+        {"Unheard", repeated(" ", BODY_MAX, ""), 400},
+    };
+    for (guint i = 0; i < 70; i++)
+        g_string_append_printf(large[3].raw, ",\"t%u\"", 100 + i);
+    g_string_append_c(large[3].raw, ']');
+    g_string_append(large[4].raw, "1");
+    for (guint i = 0; i < G_N_ELEMENTS(large); i++) {
+        wrong += count_wrong_answers(number++, large[i].name, large[i].raw, large[i].status);
+        g_string_free(large[i].raw, TRUE);
+    }
+    assert_int_equal(wrong, 0);
+    static const char *const bodies[] = {"", "null", "[]", "7", "\"j-000001\"", "{}", "{", "job"};
+    for (guint i = 0; i < G_N_ELEMENTS(bodies); i++)
+        assert_int_equal(ask("POST", "/v2/runs", bodies[i], strlen(bodies[i])).status, 400);
+    GString *deep = repeated("[", BODY_MAX - 1, "");
+    assert_int_equal(submit_text(deep), 400);
+    assert_int_equal(ask("POST", "/hello", deep->str, deep->len).status, 400);
+    g_string_free(deep, TRUE);
+    wait_ready(0);
+}
+
+static void wait_until_live(guint node, const char *id)
+{
+    for (bool known = false; !known; node_sleep(POLL_MS)) {
+        pthread_mutex_lock(&stage->nodes[node]->lock);
+        known = g_hash_table_contains(stage->nodes[node]->jobs, id);
+        pthread_mutex_unlock(&stage->nodes[node]->lock);
+    }
+}
+
+/* Users' requests about a live job and unknown ones, and the most that each may ask of the state
+ * service when that gives no answer, or refuses. */
+static const struct {
+    const char *method;
+    const char *path;
+    const char *id; /* of a submission; "": one that lacks all else */
+    guint most;
+} questions[] = {
+    {"GET", "/v2/runs/j-000001", NULL, 1},        {"GET", "/v2/runs/j-000099", NULL, 1},
+    {"POST", "/v2/runs/j-000001/abort", NULL, 1}, {"POST", "/v2/runs", "", 1},
+    {"POST", "/v2/runs", "j-000002", 2}, /* without an answer it is looked up */
+};
+
+static seen_t ask_question(guint index)
+{
+    const char *id = questions[index].id;
+    if (!id)
+        return ask(questions[index].method, questions[index].path, NULL, 0);
+    json_t *body = *id ? job_body(id) : json_pack("{s:s}", "Uid", "j-000003");
+    char *text = json_dumps(body, JSON_COMPACT);
+    seen_t seen = ask("POST", questions[index].path, text, strlen(text));
+    free(text);
+    json_decref(body);
+    return seen;
+}
+
+/* Every question is told to come back, and what can't be answered is not asked again meanwhile. */
+static void expect_all_put_off(void)
+{
+    for (guint i = 0; i < G_N_ELEMENTS(questions); i++) {
+        guint before = services_asked(stage->services);
+        seen_t seen = ask_question(i);
+        assert_int_equal(seen.status, 503);
+        assert_true(seen.retry_after_s > 0);
+        assert_in_range(services_asked(stage->services) - before, 0, questions[i].most);
+    }
+}
+
+static void *ask_about_unknown(void *data)
+{
+    seen_t *seen = data;
+    *seen = ask("GET", "/v2/runs/j-000099", NULL, 0);
+    return NULL;
+}
+
+/* More questions than threads and connections that could answer them; none is answered by the state
+ * service. */
+static void expect_crowd_put_off(void)
+{
+    enum { CROWD = ANSWERERS + 20 };
+    seen_t seen[CROWD];
+    pthread_t threads[CROWD];
+    for (guint i = 0; i < CROWD; i++)
+        assert_int_equal(pthread_create(&threads[i], NULL, ask_about_unknown, &seen[i]), 0);
+    for (guint i = 0; i < CROWD; i++) {
+        pthread_join(threads[i], NULL);
+        assert_int_equal(seen[i].status, 503);
+        assert_true(seen[i].retry_after_s > 0);
+    }
+}
+
+/* What is given up is answered, though the state service never answers, or refuses. */
+static void no_answer_waits_for_the_state_service(void **state)
+{
+    (void)state;
+    begin_ready(1);
+    submit(0, "j-000001");
+    wait_until_live(0, "j-000001");
+    services_stall(stage->services, true);
+    expect_all_put_off();
+    expect_crowd_put_off();
+    services_stall(stage->services, false);
+    expect(0, "GET", "/v2/runs/j-000001", NULL, 200, "queued");
+    services_refuse(stage->services, 0, true);
+    expect_all_put_off();
+}
+
+/* Above the node's share of the state service's limits nothing waits for its turn: it is told to
+ * come back, and nothing is asked. Questions about live jobs are asked together, whatever else is
+ * asked. */
+static void no_answer_waits_for_a_share_of_the_limits(void **state)
+{
+    (void)state;
+    enum { OVERDRAWN = 1000000 };
+    begin_ready(1);
+    submit(0, "j-000001");
+    wait_until_live(0, "j-000001");
+    node_t *node = stage->nodes[0];
+    budget_charge(&node->front_rps, OVERDRAWN, clock_steady());
+    budget_charge(&node->front_write, OVERDRAWN, clock_steady());
+    guint before = services_asked(stage->services);
+    const guint limited[] = {1, 3, 4}; /* a question about an unknown job, submissions */
+    for (guint i = 0; i < G_N_ELEMENTS(limited); i++) {
+        seen_t seen = ask_question(limited[i]);
+        assert_int_equal(seen.status, 429);
+        assert_true(seen.retry_after_s > 0);
+    }
+    assert_int_equal(services_asked(stage->services), before);
+    expect(0, "GET", "/v2/runs/j-000001", NULL, 200, "queued");
+    call_off(0, "j-000001", "cancelled");
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -365,6 +684,9 @@
         cmocka_unit_test(a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled),
         cmocka_unit_test(work_runs_ends_and_is_called_off),
         cmocka_unit_test(odd_requests_get_their_answers),
+        cmocka_unit_test(whatever_a_submission_says_it_gets_its_answer),
+        cmocka_unit_test(no_answer_waits_for_the_state_service),
+        cmocka_unit_test(no_answer_waits_for_a_share_of_the_limits),
     };
     signal(SIGPIPE, SIG_IGN);
     http_start();
