--- a/src/app/front.c
+++ b/src/app/api.c
@@ -7,9 +7,9 @@
  * was the form before: at 600 machines one controller's accepting thread stopped for good now and
  * then, in waiting for a thread that had ended.)
  *
- * Users' requests go straight against the state service; only a budget stands between. What a node
- * has told a user, no node may take back: live answers are read afresh each time, and only final
- * states are kept. */
+ * Users' requests go straight against the state service; only a rate limiter stands between. What a
+ * node has told a user, no node may take back: live answers are read afresh each time, and only
+ * final states are kept. */
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -30,17 +30,17 @@
     char *text;             /* instead of body; owned */
 } reply_t;
 
-/* A request: its body while it arrives, then, if it has to wait, what serves it. What gets no turn
- * or no answer in time is given up, and its user told so at that moment: nobody is kept waiting for
- * an answer that stands already. */
+/* A request: its body while it arrives, then, if it has to wait, what serves it. One that gets no
+ * connection or no answer by its deadline is given up, and its user told so at that moment: nobody
+ * is kept waiting for an answer that is known already. */
 typedef struct {
     node_t *node;
     GString *body; /* of a body that is too long, how it begins */
     bool too_long;
     struct MHD_Connection *connection;
-    http_client_t *client; /* its turn with the state service; NULL: not yet */
-    msec_t turn_by;        /* given up without a turn by then */
-    msec_t until;          /* given up without an answer of the state service by then */
+    http_client_t *client; /* its connection to the state service; NULL: not yet */
+    msec_t wait_deadline;  /* given up without such a connection by then */
+    msec_t deadline;       /* given up without an answer of the state service by then */
     char method[8];
     char path[REQUEST_PATH];
     bool answered; /* reply stands; it was not sent yet */
@@ -61,28 +61,28 @@
 }
 
 /* Whether the request has a connection to the state service: it waits for one within its limit. */
-static bool take_turn(request_t *request)
+static bool acquire_client(request_t *request)
 {
     node_t *node = request->node;
     msec_t now = clock_steady();
     pthread_mutex_lock(&node->lock);
-    while (!request->client && node->front_free == 0 && now < request->turn_by) {
-        node_wait(node, &node->clients, request->turn_by - now);
+    while (!request->client && node->api_clients_free == 0 && now < request->wait_deadline) {
+        node_wait(node, &node->clients, request->wait_deadline - now);
         now = clock_steady();
     }
-    if (!request->client && node->front_free > 0)
-        request->client = node->front_clients[--node->front_free];
+    if (!request->client && node->api_clients_free > 0)
+        request->client = node->api_clients[--node->api_clients_free];
     pthread_mutex_unlock(&node->lock);
     return request->client != NULL;
 }
 
-static void end_turn(request_t *request)
+static void release_client(request_t *request)
 {
     node_t *node = request->node;
     if (!request->client)
         return;
     pthread_mutex_lock(&node->lock);
-    node->front_clients[node->front_free++] = request->client;
+    node->api_clients[node->api_clients_free++] = request->client;
     request->client = NULL;
     pthread_cond_signal(&node->clients);
     pthread_mutex_unlock(&node->lock);
@@ -91,7 +91,7 @@
 /* How long the next call to the state service may take; 0: it is not worth asking. */
 static long call_ms(const request_t *request)
 {
-    return (long)CLAMP(request->until - clock_steady(), 0, FRONT_TIMEOUT_MS);
+    return (long)CLAMP(request->deadline - clock_steady(), 0, API_TIMEOUT_MS);
 }
 
 static state_result_t commit(request_t *request, const txn_t *txn, GPtrArray *failed)
@@ -100,7 +100,7 @@
     long timeout_ms = call_ms(request);
     if (timeout_ms == 0)
         return STATE_REFUSED;
-    budget_charge(&node->front_rps, 1, clock_steady());
+    rate_limiter_charge(&node->api_rps, 1, clock_steady());
     return state_commit(&node->state, request->client, txn, timeout_ms, NULL, failed);
 }
 
@@ -122,7 +122,7 @@
     if (timeout_ms == 0)
         return STATE_REFUSED;
     g_snprintf(key, sizeof key, "%s/%s", prefix, id);
-    budget_charge(&request->node->front_rps, 1, clock_steady());
+    rate_limiter_charge(&request->node->api_rps, 1, clock_steady());
     return state_get(&request->node->state, request->client, key, timeout_ms, entry);
 }
 
@@ -182,8 +182,8 @@
     const job_t *job =
         node->loaded && node->leading ? g_hash_table_lookup(node->leader->jobs, id) : NULL;
     if (job) {
-        done = job->n_done;
-        running = job->n_live;
+        done = job->done_count;
+        running = job->outstanding_count;
     }
     pthread_mutex_unlock(&node->lock);
     return (reply_t){.status = live_status,
@@ -200,9 +200,9 @@
     return ended == ENDED_UNKNOWN ? JOB_UNKNOWN : ended == ENDED_DONE ? JOB_DONE : JOB_CANCELLED;
 }
 
-/* Compares the stamps of all that is asked, in as few requests as go. A job's key is written once,
- * so one whose stamp still holds is live; one that fails may have ended and is left to be looked
- * up. */
+/* Compares the revisions of all that is asked, in as few requests as go. A job's key is written
+ * once, so one whose revision still holds is live; one that fails may have ended and is left to be
+ * looked up. */
 static void compare_live(request_t *request, inquiry_t *inquiry)
 {
     guint most = 4 * request->node->settings->txn_ops;
@@ -210,14 +210,14 @@
     while (more) {
         GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
         GHashTableIter iter;
-        gpointer id, stamp;
+        gpointer id, revision;
         txn_t txn = txn_new();
         g_hash_table_iter_init(&iter, inquiry->asked);
         while (json_array_size(txn.conditions) < most &&
-               g_hash_table_iter_next(&iter, &id, &stamp)) {
+               g_hash_table_iter_next(&iter, &id, &revision)) {
             char key[128];
             g_snprintf(key, sizeof key, "jobs/%s", (char *)id);
-            txn_if(&txn, key, GPOINTER_TO_SIZE(stamp));
+            txn_if(&txn, key, GPOINTER_TO_SIZE(revision));
         }
         state_result_t result = commit(request, &txn, failed);
         for (size_t i = 0; result == STATE_OK && i < json_array_size(txn.conditions); i++) {
@@ -243,7 +243,7 @@
     pthread_mutex_lock(&node->lock);
     node->inquiry = NULL; /* later questions must be asked later */
     pthread_mutex_unlock(&node->lock);
-    if (take_turn(request))
+    if (acquire_client(request))
         compare_live(request, inquiry);
     pthread_mutex_lock(&node->lock);
     inquiry->done = true;
@@ -260,7 +260,7 @@
         node->inquiry->live = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     }
     inquiry_t *inquiry = node->inquiry;
-    g_hash_table_insert(inquiry->asked, g_strdup(job->spec.id), GSIZE_TO_POINTER(job->stamp));
+    g_hash_table_insert(inquiry->asked, g_strdup(job->spec.id), GSIZE_TO_POINTER(job->revision));
     inquiry->waiting++;
     return inquiry;
 }
@@ -275,20 +275,21 @@
 }
 
 typedef enum {
-    ASKED_LIVE,
-    ASKED_CHANGED,   /* it may be over */
-    ASKED_UNANSWERED /* refused, or no answer in time: whoever asks again had better ask later */
-} asked_t;
+    LIVE_CHECK_LIVE,
+    LIVE_CHECK_CHANGED,   /* it may be over */
+    LIVE_CHECK_UNANSWERED /* refused, or no answer in time: whoever asks again had better ask later
+                           */
+} live_check_t;
 
 /* Whether the job is live, asked of the state service after the call began, with others at once. */
-static asked_t ask_live(request_t *request, const char *id)
+static live_check_t check_live(request_t *request, const char *id)
 {
     node_t *node = request->node;
     pthread_mutex_lock(&node->lock);
     const known_job_t *job = g_hash_table_lookup(node->jobs, id);
     if (!job) {
         pthread_mutex_unlock(&node->lock);
-        return ASKED_CHANGED;
+        return LIVE_CHECK_CHANGED;
     }
     bool first = node->inquiry == NULL;
     inquiry_t *inquiry = join_inquiry(node, job);
@@ -297,15 +298,15 @@
         run_inquiry(request, inquiry);
     pthread_mutex_lock(&node->lock);
     msec_t now = clock_steady();
-    while (!inquiry->done && now < request->until) {
-        node_wait(node, &node->inquiries, request->until - now);
+    while (!inquiry->done && now < request->deadline) {
+        node_wait(node, &node->inquiries, request->deadline - now);
         now = clock_steady();
     }
-    asked_t result = ASKED_CHANGED;
+    live_check_t result = LIVE_CHECK_CHANGED;
     if (!inquiry->done || g_hash_table_contains(inquiry->asked, id))
-        result = ASKED_UNANSWERED;
+        result = LIVE_CHECK_UNANSWERED;
     else if (g_hash_table_contains(inquiry->live, id))
-        result = ASKED_LIVE;
+        result = LIVE_CHECK_LIVE;
     leave_inquiry(inquiry);
     pthread_mutex_unlock(&node->lock);
     return result;
@@ -314,9 +315,9 @@
 /* With the lock held: others are served, or may be: whoever asks here should ask there, at once. */
 static bool is_shut_out(const node_t *node)
 {
-    contact_t contact = node_contact(node);
-    contact_state_t state = contact_judge(&contact, clock_steady());
-    return state == CONTACT_REFUSED || state == CONTACT_NONE;
+    connectivity_t connectivity = node_connectivity(node);
+    connectivity_state_t state = connectivity_judge(&connectivity, clock_steady());
+    return state == CONNECTIVITY_REFUSED || state == CONNECTIVITY_NONE;
 }
 
 /* Requests that can't be answered without the state service don't wait for it in vain. */
@@ -339,14 +340,14 @@
         return status_reply(node, id, state, 200);
     if (must_turn_away(node))
         return come_back();
-    asked_t asked = live ? ask_live(request, id) : ASKED_CHANGED;
-    if (asked == ASKED_LIVE)
+    live_check_t check = live ? check_live(request, id) : LIVE_CHECK_CHANGED;
+    if (check == LIVE_CHECK_LIVE)
         return status_reply(node, id, JOB_LIVE, 200);
-    if (asked == ASKED_UNANSWERED)
+    if (check == LIVE_CHECK_UNANSWERED)
         return come_back();
-    if (!budget_take(&node->front_rps, 1, clock_steady()))
+    if (!rate_limiter_take(&node->api_rps, 1, clock_steady()))
         return refuse(429, "too many requests", 2);
-    if (!take_turn(request))
+    if (!acquire_client(request))
         return come_back();
     msec_t begun = clock_steady();
     state = look_up(request, id, live);
@@ -364,9 +365,9 @@
     reply_t known;
     if (must_turn_away(node))
         known = come_back();
-    else if (!budget_take(&node->front_rps, 1, clock_steady()))
+    else if (!rate_limiter_take(&node->api_rps, 1, clock_steady()))
         known = refuse(429, "too many requests", 2);
-    else if (!take_turn(request))
+    else if (!acquire_client(request))
         known = come_back();
     else
         known = status_reply(node, id, look_up(request, id, true), 200);
@@ -388,13 +389,13 @@
 {
     const char *why = "unknown team";
     pthread_mutex_lock(&node->lock);
-    *undecided = node->flavors->len == 0;
+    *undecided = node->machine_types->len == 0;
     for (guint i = 0; i < node->settings->teams->len; i++) {
         const team_t *team = &g_array_index(node->settings->teams, team_t, i);
         if (strcmp(team->name, spec->team) == 0)
             why = is_above_limit(spec, team) ? "it needs more than the team's limit" : NULL;
     }
-    if (!why && !job_spec_fits_some(spec, node->flavors))
+    if (!why && !job_spec_fits_some(spec, node->machine_types))
         why = "a task fits no allowed machine type";
     pthread_mutex_unlock(&node->lock);
     return why;
@@ -430,9 +431,9 @@
         return reject(request, spec->id, refuse(422, never, 0));
     if (must_turn_away(node))
         return come_back();
-    if (!budget_take(&node->front_write, 1, clock_steady()))
+    if (!rate_limiter_take(&node->api_write, 1, clock_steady()))
         return refuse(429, "too many submissions", 2);
-    if (!take_turn(request))
+    if (!acquire_client(request))
         return come_back();
     spec->submitted_ms = clock_day();
     return commit_job(request, spec);
@@ -477,12 +478,12 @@
     return reply;
 }
 
-static state_result_t commit_abort(request_t *request, const char *id, uint64_t stamp,
+static state_result_t commit_abort(request_t *request, const char *id, uint64_t revision,
                                    uint32_t tasks)
 {
-    txn_t txn = records_abort(id, stamp, tasks);
-    budget_charge(&request->node->front_write, (double)json_array_size(txn.changes),
-                  clock_steady());
+    txn_t txn = records_abort(id, revision, tasks);
+    rate_limiter_charge(&request->node->api_write, (double)json_array_size(txn.changes),
+                        clock_steady());
     state_result_t result = commit(request, &txn, NULL);
     txn_free(&txn);
     return result;
@@ -497,7 +498,7 @@
         return come_back();
     if (result == STATE_OK) {
         uint32_t tasks = (uint32_t)json_integer_value(json_object_get(entry.value, "Pieces"));
-        result = commit_abort(request, id, entry.stamp, tasks);
+        result = commit_abort(request, id, entry.revision, tasks);
         entry_clear(&entry);
         if (result == STATE_OK) {
             log_info("event=abort job=%s", id);
@@ -520,7 +521,7 @@
     job_state_t state = known_state(node, id, &live);
     if (state != JOB_UNKNOWN)
         return status_reply(node, id, state, 200);
-    return !must_turn_away(node) && take_turn(request) ? abort_with(request, id) : come_back();
+    return !must_turn_away(node) && acquire_client(request) ? abort_with(request, id) : come_back();
 }
 
 static reply_t ready(node_t *node)
@@ -528,7 +529,7 @@
     pthread_mutex_lock(&node->lock);
     /* Refused alone, this node should get no users; in an outage of all, all stay: each removal
      * by the load balancer lasts longer than the one before. */
-    bool able = node->flavors->len > 0 && node->jobs_synced && !is_shut_out(node);
+    bool able = node->machine_types->len > 0 && node->jobs_synced && !is_shut_out(node);
     pthread_mutex_unlock(&node->lock);
     return able ? (reply_t){.status = 200, .body = json_pack("{s:b}", "ready", 1)}
                 : refuse(503, "starting", 1);
@@ -536,44 +537,45 @@
 
 /* A worker that this node does not own: sent to the owner or, if it can't reach that, kept alive
  * here: no starts, but stops for what is cancelled. */
-static reply_t host_guest(node_t *node, const report_t *report, const member_t *owner, msec_t now)
+static reply_t redirect_worker(node_t *node, const report_t *report, const member_t *owner,
+                               msec_t now)
 {
     char key[ID_SIZE + 24];
     g_snprintf(key, sizeof key, "%s#%" G_GUINT64_FORMAT, owner->name, owner->incarnation);
-    guest_verdict_t verdict = guests_report(node->guests, report, key, now);
-    if (verdict == GUEST_OLD)
+    redirection_verdict_t verdict = redirection_report(node->redirection, report, key, now);
+    if (verdict == REDIRECTION_STALE)
         return refuse(503, "an old report", 0);
-    if (verdict == GUEST_HOME)
+    if (verdict == REDIRECTION_TO_OWNER)
         return (reply_t){.status = 421, .body = json_pack("{s:s}", "Bosun", owner->name)};
-    log_debug("event=keep machine=%s", report->machine);
-    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
-    guests_stop_gone(report, node->jobs, calls);
-    reply_t reply = {.status = 200, .body = wire_build_calls(node->view.number, calls)};
-    g_array_unref(calls);
+    log_debug("event=retained machine=%s", report->machine);
+    GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
+    redirection_stop_ended(report, node->jobs, commands);
+    reply_t reply = {.status = 200, .body = wire_build_commands(node->view.number, commands)};
+    g_array_unref(commands);
     return reply;
 }
 
 /* An answer renews the lease of all that runs there, so it always stops what users were told is
- * cancelled: also where the part is not loaded, for as long as the state service is away, and where
- * nothing is taken of the report. */
+ * cancelled: also where the partition is not loaded, for as long as the state service is away, and
+ * where nothing is taken of the report. */
 static reply_t answer_own(node_t *node, const report_t *report, msec_t now)
 {
-    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
+    GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     report_verdict_t verdict = REPORT_UNPROVEN;
     reply_t reply;
     if (node->loaded) {
-        part_hold_starts(node->part, !node_may_start(node, now));
-        verdict = part_report(node->part, report, false, now, calls);
+        partition_pause_starts(node->partition, !node_may_start(node, now));
+        verdict = partition_report(node->partition, report, false, now, commands);
     }
     if (verdict == REPORT_STALE) {
         reply = refuse(503, "an old report", 0);
     } else {
         if (verdict != REPORT_TAKEN)
-            guests_stop_gone(report, node->jobs, calls);
-        reply = (reply_t){.status = 200, .body = wire_build_calls(node->view.number, calls)};
-        node_wake(node);
+            redirection_stop_ended(report, node->jobs, commands);
+        reply = (reply_t){.status = 200, .body = wire_build_commands(node->view.number, commands)};
+        node_notify(node);
     }
-    g_array_unref(calls);
+    g_array_unref(commands);
     return reply;
 }
 
@@ -589,13 +591,13 @@
         /* It lives, though its lease may not be renewed: after an outage, machines that were only
          * refused must not be taken for dead. */
         if (node->loaded)
-            part_note_alive(node->part, report, now);
+            partition_note_alive(node->partition, report, now);
         return refuse(503, "not entitled now", 0);
     }
     guint owner = node_owner(node, report->machine, report->zone);
-    metrics_count(node->metrics, COUNT_GUESTS, owner != node->own);
+    metrics_count(node->metrics, COUNT_REPORTS_NOT_OWNED, owner != node->own);
     if (owner != node->own)
-        return host_guest(node, report, &node->view.members[owner], now);
+        return redirect_worker(node, report, &node->view.members[owner], now);
     return answer_own(node, report, now);
 }
 
@@ -699,7 +701,7 @@
     MHD_resume_connection(request->connection);
 }
 
-static reply_t give_up(void)
+static reply_t refuse_expired(void)
 {
     return refuse(503, "too many requests wait here", 1);
 }
@@ -715,16 +717,16 @@
             pthread_cond_wait(&node->requests_come, &node->requests_lock);
         node->answerers_free--;
         pthread_mutex_unlock(&node->requests_lock);
-        bool late = clock_steady() >= request->turn_by;
-        reply_t reply = late ? give_up() : route(request, request->method, request->path);
-        end_turn(request);
+        bool late = clock_steady() >= request->wait_deadline;
+        reply_t reply = late ? refuse_expired() : route(request, request->method, request->path);
+        release_client(request);
         finish(request, reply);
     }
     return NULL;
 }
 
 /* Answers the requests that are given up while all others who answer are busy. */
-static void *give_up_run(void *data)
+static void *expire_run(void *data)
 {
     node_t *node = data;
     pthread_mutex_lock(&node->requests_lock);
@@ -733,11 +735,11 @@
         msec_t next = request_queue_next(&node->requests);
         struct timespec at = {.tv_sec = next / 1000, .tv_nsec = next % 1000 * 1000000};
         if (request)
-            finish(request, give_up());
+            finish(request, refuse_expired());
         else if (next == G_MAXINT64)
-            pthread_cond_wait(&node->requests_stay, &node->requests_lock);
+            pthread_cond_wait(&node->requests_blocked, &node->requests_lock);
         else
-            pthread_cond_timedwait(&node->requests_stay, &node->requests_lock, &at);
+            pthread_cond_timedwait(&node->requests_blocked, &node->requests_lock, &at);
     }
     return NULL;
 }
@@ -752,20 +754,20 @@
         return false;
     }
     msec_t now = clock_steady();
-    request->turn_by = now + FRONT_TURN_MS;
-    request->until = now + (strcmp(method, "GET") == 0 ? FRONT_STATUS_MS : FRONT_SUBMIT_MS);
+    request->wait_deadline = now + API_WAIT_MS;
+    request->deadline = now + (strcmp(method, "GET") == 0 ? API_STATUS_MS : API_SUBMIT_MS);
     pthread_mutex_lock(&node->requests_lock);
-    bool room = request_queue_push(&node->requests, request, request->turn_by);
-    if (room) {
+    bool has_space = request_queue_push(&node->requests, request, request->wait_deadline);
+    if (has_space) {
         MHD_suspend_connection(request->connection); /* before one that answers can resume it */
         pthread_cond_signal(&node->requests_come);
         if (g_queue_get_length(&node->requests.waiting) > node->answerers_free)
-            pthread_cond_signal(&node->requests_stay);
+            pthread_cond_signal(&node->requests_blocked);
     }
     pthread_mutex_unlock(&node->requests_lock);
-    if (!room)
-        request->reply = give_up();
-    return room;
+    if (!has_space)
+        request->reply = refuse_expired();
+    return has_space;
 }
 
 static enum MHD_Result handle(void *data, struct MHD_Connection *connection, const char *path,
@@ -832,7 +834,7 @@
     atomic_fetch_add(&node->connections, code == MHD_CONNECTION_NOTIFY_STARTED ? 1 : -1);
 }
 
-bool front_start(node_t *node)
+bool api_start(node_t *node)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
     char host[ADDRESS_SIZE];
@@ -843,7 +845,7 @@
     address.sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10));
     for (guint i = 0; i < ANSWERERS; i++)
         node_thread(answer_run, node);
-    node_thread(give_up_run, node);
+    node_thread(expire_run, node);
     struct MHD_Daemon *daemon = MHD_start_daemon(
         MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
         handle, node, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_THREAD_POOL_SIZE,
--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -18,9 +18,9 @@
 typedef struct {
     node_t *node;
     http_client_t *client;
-    msec_t flavors_at; /* 0: never */
+    msec_t machine_types_at; /* 0: never */
     msec_t listed_at;
-    msec_t kept_at;
+    msec_t retained_at;
     guint charters;
     charter_t charter;
     GHashTable *listed;   /* ids of the newest list */
@@ -36,31 +36,31 @@
     return http_call(cloud->client, method, url, body, CLOUD_TIMEOUT_MS, answer);
 }
 
-static void take_flavors(node_t *node, GArray *flavors)
+static void take_machine_types(node_t *node, GArray *machine_types)
 {
-    for (guint i = 0; i < node->flavors->len; i++)
-        g_strfreev(g_array_index(node->flavors, flavor_t, i).zones);
-    g_array_set_size(node->flavors, 0);
-    g_array_append_vals(node->flavors, flavors->data, flavors->len);
+    for (guint i = 0; i < node->machine_types->len; i++)
+        g_strfreev(g_array_index(node->machine_types, machine_type_t, i).zones);
+    g_array_set_size(node->machine_types, 0);
+    g_array_append_vals(node->machine_types, machine_types->data, machine_types->len);
     /* The zones' lists moved along with the values. */
-    g_array_set_clear_func(flavors, NULL);
-    if (node->part)
-        part_apply_flavors(node->part);
+    g_array_set_clear_func(machine_types, NULL);
+    if (node->partition)
+        partition_apply_machine_types(node->partition);
 }
 
-static void refresh_flavors(cloud_t *cloud)
+static void refresh_machine_types(cloud_t *cloud)
 {
     json_t *answer = NULL;
     if (cloud_call(cloud, "GET", "/flavors", NULL, &answer) == 200) {
-        GArray *flavors = wire_parse_flavors(answer);
-        if (flavors && flavors->len) {
+        GArray *machine_types = wire_parse_machine_types(answer);
+        if (machine_types && machine_types->len) {
             pthread_mutex_lock(&cloud->node->lock);
-            take_flavors(cloud->node, flavors);
+            take_machine_types(cloud->node, machine_types);
             pthread_mutex_unlock(&cloud->node->lock);
-            cloud->flavors_at = clock_steady();
+            cloud->machine_types_at = clock_steady();
         }
-        if (flavors)
-            g_array_unref(flavors);
+        if (machine_types)
+            g_array_unref(machine_types);
     }
     json_decref(answer);
 }
@@ -86,26 +86,26 @@
     return true;
 }
 
-/* The row of a machine in the leader's data, and its part; NULL: no part knows it. */
-static const machine_row_t *find_row(const node_t *node, const char *id, guint *part)
+/* The summary of a machine in the leader's data, and its partition; NULL: no partition knows it. */
+static const machine_summary_t *find_summary(const node_t *node, const char *id, guint *partition)
 {
-    for (guint i = 0; i < node->leader->rows->len; i++) {
-        const GArray *rows = g_ptr_array_index(node->leader->rows, i);
-        for (guint k = 0; rows && k < rows->len; k++) {
-            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            if (strcmp(row->machine, id) != 0)
+    for (guint i = 0; i < node->leader->summaries->len; i++) {
+        const GArray *summaries = g_ptr_array_index(node->leader->summaries, i);
+        for (guint k = 0; summaries && k < summaries->len; k++) {
+            const machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
+            if (strcmp(summary->machine, id) != 0)
                 continue;
-            if (part)
-                *part = i;
-            return row;
+            if (partition)
+                *partition = i;
+            return summary;
         }
     }
     return NULL;
 }
 
-/* Whether we may act for all. A leader that was replaced while it was refused has rows that show
- * all its machines silent; back in touch, it gave them up in the moment before it heard of the new
- * view. */
+/* Whether we may act for all. A leader that was replaced while it was refused has summaries that
+ * show all its machines silent; back in touch, it gave them up in the moment before it heard of the
+ * new view. */
 static bool leads(const node_t *node)
 {
     return node->loaded && node->leading &&
@@ -116,7 +116,7 @@
 static bool is_returned(const cloud_t *cloud, const char *id, msec_t now)
 {
     const msec_t *at = g_hash_table_lookup(cloud->returned, id);
-    return at && now - *at < (msec_t)(cloud->node->settings->list_lag_s * 2000) + SETTLE_MS;
+    return at && now - *at < (msec_t)(cloud->node->settings->list_lag_s * 2000) + LEADER_GRACE_MS;
 }
 
 static void take_hosts(cloud_t *cloud, const GArray *hosts, msec_t now)
@@ -127,7 +127,7 @@
     for (guint i = 0; i < hosts->len; i++) {
         const host_t *host = &g_array_index(hosts, host_t, i);
         g_hash_table_add(cloud->listed, g_strdup(host->machine));
-        const machine_row_t *machine = find_row(node, host->machine, NULL);
+        const machine_summary_t *machine = find_summary(node, host->machine, NULL);
         if (host->state == HOST_FAILED)
             g_ptr_array_add(cloud->failed, g_strdup(host->machine));
         else if (!machine && !is_returned(cloud, host->machine, now)) /* else the list lags */
@@ -137,11 +137,11 @@
     /* What was rented long enough ago to be listed and is not, was taken while it booted. */
     GHashTableIter iter;
     gpointer key, value;
-    msec_t lag = (msec_t)(node->settings->list_lag_s * 2000) + SETTLE_MS;
+    msec_t lag = (msec_t)(node->settings->list_lag_s * 2000) + LEADER_GRACE_MS;
     g_hash_table_iter_init(&iter, node->rental->boots);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         const boot_t *boot = value;
-        if (find_row(node, key, NULL) ||
+        if (find_summary(node, key, NULL) ||
             (now - boot->since > lag && !g_hash_table_contains(cloud->listed, key)))
             g_hash_table_iter_remove(&iter);
     }
@@ -161,24 +161,26 @@
     g_array_unref(hosts);
 }
 
-static void tell_machine(node_t *node, guint part, link_kind_t kind, const char *id)
+static void send_machine_item(node_t *node, guint partition, channel_item_kind_t kind,
+                              const char *id)
 {
-    link_item_t item = {.kind = kind};
+    channel_item_t item = {.kind = kind};
     g_strlcpy(item.machine, id, sizeof item.machine);
-    node_tell(node, part, item);
+    node_send(node, partition, item);
 }
 
 /* With the lock held: a machine that is being drained is nearer than any to be rented. */
-static bool keep_drained(node_t *node)
+static bool cancel_drain(node_t *node)
 {
-    for (guint i = 0; i < node->leader->rows->len; i++) {
-        const GArray *rows = g_ptr_array_index(node->leader->rows, i);
-        for (guint k = 0; rows && k < rows->len; k++) {
-            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            if (!row->draining || row->attempts == 0 || leader_condemns(node->leader, row->machine))
+    for (guint i = 0; i < node->leader->summaries->len; i++) {
+        const GArray *summaries = g_ptr_array_index(node->leader->summaries, i);
+        for (guint k = 0; summaries && k < summaries->len; k++) {
+            const machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
+            if (!summary->draining || summary->attempts == 0 ||
+                leader_is_quarantined(node->leader, summary->machine))
                 continue;
-            log_info("event=keep_drained machine=%s", row->machine);
-            tell_machine(node, i, LINK_KEEP, row->machine);
+            log_info("event=drain_cancelled machine=%s", summary->machine);
+            send_machine_item(node, i, CHANNEL_CANCEL_DRAIN, summary->machine);
             return true;
         }
     }
@@ -194,11 +196,12 @@
     if (charter->open && charter->generation != node->generation)
         charter->open = false; /* if it was carried out, its machines will appear in the list */
     /* Before the first view nobody rented: what the list shows is all there is. */
-    bool settled = now - node->loaded_at > SETTLE_MS ||
-                   (node->view.number == 1 && cloud->listed_at > node->loaded_at);
-    if (!charter->open && leads(node) && settled &&
-        rental_next(node->rental, node->leader, node->flavors, now, clock_day(), &charter->wish) &&
-        !keep_drained(node)) {
+    bool is_grace_over = now - node->loaded_at > LEADER_GRACE_MS ||
+                         (node->view.number == 1 && cloud->listed_at > node->loaded_at);
+    if (!charter->open && leads(node) && is_grace_over &&
+        rental_next(node->rental, node->leader, node->machine_types, now, clock_day(),
+                    &charter->wish) &&
+        !cancel_drain(node)) {
         /* The number is this leadership's alone, so the name can never have been used. */
         g_snprintf(charter->charter, sizeof charter->charter, "c-%" G_GUINT64_FORMAT "-%u",
                    node->view.number, ++cloud->charters);
@@ -266,26 +269,26 @@
 }
 
 /* Machines that some node keeps alive because they can't reach their owner. */
-static GHashTable *read_kept(cloud_t *cloud)
+static GHashTable *read_retained(cloud_t *cloud)
 {
-    GHashTable *kept = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    GHashTable *retained = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     GArray *entries = state_entries_new();
-    budget_charge(&cloud->node->core_rps, 1, clock_steady());
+    rate_limiter_charge(&cloud->node->core_rps, 1, clock_steady());
     state_result_t result = state_list(&cloud->node->state, cloud->client, "kept/", entries, NULL);
     int64_t day = clock_day();
     for (guint i = 0; result == STATE_OK && i < entries->len; i++) {
         const json_t *value = g_array_index(entries, state_entry_t, i).value;
-        if (day - json_integer_value(json_object_get(value, "At")) > KEPT_FRESH_MS)
+        if (day - json_integer_value(json_object_get(value, "At")) > RETAINED_FRESH_MS)
             continue;
         size_t k;
         json_t *name;
         json_array_foreach(json_object_get(value, "Machines"), k, name) if (json_is_string(name))
-            g_hash_table_add(kept, g_strdup(json_string_value(name)));
+            g_hash_table_add(retained, g_strdup(json_string_value(name)));
     }
     g_array_unref(entries);
     if (result != STATE_OK)
-        g_clear_pointer(&kept, g_hash_table_unref);
-    return kept;
+        g_clear_pointer(&retained, g_hash_table_unref);
+    return retained;
 }
 
 /* Silence after which a worker may have lost its owner: a report and a half, and the time it takes.
@@ -300,40 +303,40 @@
 {
     GPtrArray *fallen = rental_watch_zones(node->rental, node->leader, lost_after(node), now);
     for (guint i = 0; i < fallen->len; i++)
-        log_info("event=dark zone=%s", (char *)g_ptr_array_index(fallen, i));
+        log_info("event=zone_unreachable zone=%s", (char *)g_ptr_array_index(fallen, i));
     g_ptr_array_unref(fallen);
 }
 
-/* Machines to be given up for their silence, unless another controller keeps them alive. Those of a
- * dark zone have longer: a cut ends, and then they are there, where new ones would have to be
- * rented and booted; their tasks have missed the nearest targets either way. */
+/* Machines to be given up for their silence, unless another controller keeps them alive. Those of
+ * an unreachable zone have longer: a cut ends, and then they are there, where new ones would have
+ * to be rented and booted; their tasks have missed the nearest targets either way. */
 static GPtrArray *find_silent(cloud_t *cloud)
 {
     node_t *node = cloud->node;
     GPtrArray *silent = g_ptr_array_new_with_free_func(g_free);
     msec_t most = (msec_t)(node->settings->lease_s * 1000) + SILENT_MARGIN_MS;
-    msec_t lag = (msec_t)(node->settings->list_lag_s * 2000) + SETTLE_MS;
+    msec_t lag = (msec_t)(node->settings->list_lag_s * 2000) + LEADER_GRACE_MS;
     msec_t now = clock_steady();
     pthread_mutex_lock(&node->lock);
     if (leads(node))
         watch_zones(node, now);
     bool listed = leads(node) && cloud->listed_at > node->loaded_at + lag;
-    for (guint i = 0; leads(node) && i < node->leader->rows->len; i++) {
-        const GArray *rows = g_ptr_array_index(node->leader->rows, i);
-        for (guint k = 0; rows && k < rows->len; k++) {
-            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            bool unlisted = listed && row->known_ms > lag && !row->open &&
-                            row->silent_ms > DIRECT_FRESH_MS &&
-                            !g_hash_table_contains(cloud->listed, row->machine);
-            bool early = row->silent_ms <= most ||
-                         rental_waits(node->rental, row->zone, row->silent_ms, most, now);
-            if ((early && !unlisted) || is_returned(cloud, row->machine, now))
+    for (guint i = 0; leads(node) && i < node->leader->summaries->len; i++) {
+        const GArray *summaries = g_ptr_array_index(node->leader->summaries, i);
+        for (guint k = 0; summaries && k < summaries->len; k++) {
+            const machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
+            bool unlisted = listed && summary->known_ms > lag && !summary->open &&
+                            summary->silent_ms > DIRECT_FRESH_MS &&
+                            !g_hash_table_contains(cloud->listed, summary->machine);
+            bool early = summary->silent_ms <= most ||
+                         rental_waits(node->rental, summary->zone, summary->silent_ms, most, now);
+            if ((early && !unlisted) || is_returned(cloud, summary->machine, now))
                 continue;
             log_debug("event=silent machine=%s silent_ms=%" G_GINT64_FORMAT
                       " known_ms=%" G_GINT64_FORMAT " listed=%d",
-                      row->machine, row->silent_ms, row->known_ms,
-                      g_hash_table_contains(cloud->listed, row->machine));
-            g_ptr_array_add(silent, g_strdup(row->machine));
+                      summary->machine, summary->silent_ms, summary->known_ms,
+                      g_hash_table_contains(cloud->listed, summary->machine));
+            g_ptr_array_add(silent, g_strdup(summary->machine));
         }
     }
     pthread_mutex_unlock(&node->lock);
@@ -341,108 +344,112 @@
 }
 
 /* With the lock held: what is to go, for whatever reason but silence. A machine is drained first:
- * its part's rows must show it closed and empty, so that no start is under way to it. */
+ * its partition's summaries must show it closed and empty, so that no start is under way to it. */
 static void find_unwanted(cloud_t *cloud, GPtrArray *names)
 {
     node_t *node = cloud->node;
     msec_t now = clock_steady();
-    guint part = 0;
+    guint partition = 0;
     for (guint i = 0; i < cloud->failed->len; i++)
         if (!is_returned(cloud, g_ptr_array_index(cloud->failed, i), now))
             add_once(names, g_ptr_array_index(cloud->failed, i));
-    GPtrArray *stuck = rental_stuck(node->rental, node->flavors, now);
+    GPtrArray *stuck = rental_stuck(node->rental, node->machine_types, now);
     for (guint i = 0; i < stuck->len; i++)
         add_once(names, g_ptr_array_index(stuck, i));
     g_ptr_array_unref(stuck);
     /* In an outage nothing can be started, and what runs out looks like too many machines. */
-    bool informed = now - atomic_load(&node->state.contact) < FOLLOW_BLOCK_MS + STATE_TIMEOUT_MS;
+    bool informed =
+        now - atomic_load(&node->state.answered_at) < FOLLOW_BLOCK_MS + STATE_TIMEOUT_MS;
     if (!informed)
         node->rental->surplus_since = 0;
     /* Views of the same leader teach it nothing new: when they came every half minute, nothing was
      * returned for minutes. */
-    bool may_return =
-        informed && now - node->led_since > RETURN_AFTER_MS && now - node->loaded_at > SETTLE_MS;
+    bool may_return = informed && now - node->leading_since > RETURN_AFTER_MS &&
+                      now - node->loaded_at > LEADER_GRACE_MS;
     for (guint drained = 0; may_return && drained < DRAINS_PER_ROUND; drained++) {
-        machine_row_t *surplus =
-            rental_surplus(node->rental, node->leader, node->flavors, now, clock_day());
-        if (!surplus || !find_row(node, surplus->machine, &part))
+        machine_summary_t *surplus =
+            rental_surplus(node->rental, node->leader, node->machine_types, now, clock_day());
+        if (!surplus || !find_summary(node, surplus->machine, &partition))
             break;
         log_info("event=surplus machine=%s", surplus->machine);
-        surplus->open = false; /* no more offers; draining only when its part says so */
-        tell_machine(node, part, LINK_DRAIN, surplus->machine);
+        surplus->open =
+            false; /* no more placement requests; draining only when its partition says so */
+        send_machine_item(node, partition, CHANNEL_DRAIN, surplus->machine);
     }
-    for (guint i = 0; i < node->leader->rows->len; i++) {
-        const GArray *rows = g_ptr_array_index(node->leader->rows, i);
-        for (guint k = 0; rows && k < rows->len; k++) {
-            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            if (row->draining && row->attempts == 0 && !is_returned(cloud, row->machine, now))
-                add_once(names, row->machine);
-            if (!row->draining && leader_condemns(node->leader, row->machine)) {
-                log_info("event=condemned machine=%s", row->machine);
-                tell_machine(node, i, LINK_DRAIN, row->machine);
+    for (guint i = 0; i < node->leader->summaries->len; i++) {
+        const GArray *summaries = g_ptr_array_index(node->leader->summaries, i);
+        for (guint k = 0; summaries && k < summaries->len; k++) {
+            const machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
+            if (summary->draining && summary->attempts == 0 &&
+                !is_returned(cloud, summary->machine, now))
+                add_once(names, summary->machine);
+            if (!summary->draining && leader_is_quarantined(node->leader, summary->machine)) {
+                log_info("event=quarantined machine=%s", summary->machine);
+                send_machine_item(node, i, CHANNEL_DRAIN, summary->machine);
             }
         }
     }
 }
 
-/* The release is proof for whatever the machine's record holds, also when no part has rows of it.
+/* The release is proof for whatever the machine's record holds, also when no partition has a
+ * summary of it.
  */
 static void released(node_t *node, const GPtrArray *names)
 {
     metrics_count(node->metrics, COUNT_RELEASED, names->len);
     for (guint i = 0; i < names->len; i++) {
         const char *id = g_ptr_array_index(names, i);
-        guint part = 0;
+        guint partition = 0;
         log_info("event=released machine=%s", id);
         rental_boot_over(node->rental, id);
-        if (find_row(node, id, &part))
-            tell_machine(node, part, LINK_GONE, id);
+        if (find_summary(node, id, &partition))
+            send_machine_item(node, partition, CHANNEL_MACHINE_GONE, id);
     }
-    node_wake(node);
+    node_notify(node);
 }
 
-/* With the lock held: machines of a part that have gone silent, if they are most of it. */
-static GPtrArray *lost_of(const node_t *node, guint part)
+/* With the lock held: machines of a partition that have gone silent, if they are most of it. */
+static GPtrArray *lost_of(const node_t *node, guint partition)
 {
-    const GArray *rows = g_ptr_array_index(node->leader->rows, part);
+    const GArray *summaries = g_ptr_array_index(node->leader->summaries, partition);
     GPtrArray *lost = g_ptr_array_new_with_free_func(g_free);
-    for (guint k = 0; rows && k < rows->len; k++) {
-        const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-        if (row->silent_ms > lost_after(node))
-            g_ptr_array_add(lost, g_strdup(row->machine));
+    for (guint k = 0; summaries && k < summaries->len; k++) {
+        const machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
+        if (summary->silent_ms > lost_after(node))
+            g_ptr_array_add(lost, g_strdup(summary->machine));
     }
-    if (lost->len < LOST_LEAST || 2 * lost->len <= rows->len)
+    if (lost->len < LOST_LEAST || 2 * lost->len <= summaries->len)
         g_ptr_array_set_size(lost, 0);
     return lost;
 }
 
 /* A controller that its workers can't reach owns machines in vain: they are kept alive elsewhere
- * and get no starts. It is set aside, and its machines go to the others. */
-static void set_aside(cloud_t *cloud, msec_t now)
+ * and get no starts. It is excluded, and its machines go to the others. */
+static void exclude_members(cloud_t *cloud, msec_t now)
 {
     node_t *node = cloud->node;
-    GHashTable *kept = NULL;
-    guint parts = 0;
+    GHashTable *retained = NULL;
+    guint partitions = 0;
     pthread_mutex_lock(&node->lock);
     uint64_t generation = node->generation;
     /* In a view's first seconds, workers are still on their way to their owners. */
-    parts = leads(node) && now - node->loaded_at > 2 * lost_after(node) ? node->view.count : 0;
+    partitions = leads(node) && now - node->loaded_at > 2 * lost_after(node) ? node->view.count : 0;
     pthread_mutex_unlock(&node->lock);
-    for (guint i = 0; i < parts; i++) {
+    for (guint i = 0; i < partitions; i++) {
         pthread_mutex_lock(&node->lock);
         GPtrArray *lost = node->generation == generation ? lost_of(node, i) : g_ptr_array_new();
         pthread_mutex_unlock(&node->lock);
-        if (lost->len && !kept)
-            kept = read_kept(cloud);
+        if (lost->len && !retained)
+            retained = read_retained(cloud);
         guint alive = 0;
-        for (guint k = 0; kept && k < lost->len; k++)
-            alive += g_hash_table_contains(kept, g_ptr_array_index(lost, k));
+        for (guint k = 0; retained && k < lost->len; k++)
+            alive += g_hash_table_contains(retained, g_ptr_array_index(lost, k));
         if (lost->len && 2 * alive > lost->len) {
-            msec_t until = now + ASIDE_MS;
+            msec_t until = now + EXCLUDED_MS;
             pthread_mutex_lock(&node->lock);
             if (node->generation == generation) {
-                log_info("event=aside member=%s machines=%u", node->view.members[i].name, alive);
-                g_hash_table_insert(node->election.aside, g_strdup(node->view.members[i].name),
+                log_info("event=excluded member=%s machines=%u", node->view.members[i].name, alive);
+                g_hash_table_insert(node->election.excluded, g_strdup(node->view.members[i].name),
                                     g_memdup2(&until, sizeof until));
                 pthread_cond_broadcast(&node->members);
             }
@@ -450,8 +457,8 @@
         }
         g_ptr_array_unref(lost);
     }
-    if (kept)
-        g_hash_table_unref(kept);
+    if (retained)
+        g_hash_table_unref(retained);
 }
 
 static void note_returned(cloud_t *cloud, const GPtrArray *names)
@@ -473,18 +480,18 @@
     node_t *node = cloud->node;
     GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
     GPtrArray *silent = find_silent(cloud);
-    GHashTable *kept = silent->len ? read_kept(cloud) : NULL;
+    GHashTable *retained = silent->len ? read_retained(cloud) : NULL;
     pthread_mutex_lock(&node->lock);
     uint64_t generation = node->generation;
     if (leads(node)) {
         find_unwanted(cloud, names);
-        for (guint i = 0; kept && i < silent->len; i++)
-            if (!g_hash_table_contains(kept, g_ptr_array_index(silent, i)))
+        for (guint i = 0; retained && i < silent->len; i++)
+            if (!g_hash_table_contains(retained, g_ptr_array_index(silent, i)))
                 add_once(names, g_ptr_array_index(silent, i));
     }
     pthread_mutex_unlock(&node->lock);
-    if (kept)
-        g_hash_table_unref(kept);
+    if (retained)
+        g_hash_table_unref(retained);
     g_ptr_array_unref(silent);
     if (names->len) {
         json_t *body = wire_build_release(names);
@@ -501,17 +508,18 @@
     g_ptr_array_unref(names);
 }
 
-/* Tells the leader, through the state service, which workers of others this node keeps alive. */
-static void publish_kept(cloud_t *cloud, msec_t now)
+/* Publishes to the leader, through the state service, which workers of others this node keeps
+ * alive. */
+static void publish_retained(cloud_t *cloud, msec_t now)
 {
     node_t *node = cloud->node;
     json_t *names = json_array();
     pthread_mutex_lock(&node->lock);
-    GPtrArray *kept = guests_kept(node->guests, now);
+    GPtrArray *retained = redirection_retained(node->redirection, now);
     pthread_mutex_unlock(&node->lock);
-    for (guint i = 0; i < kept->len; i++)
-        json_array_append_new(names, json_string(g_ptr_array_index(kept, i)));
-    g_ptr_array_unref(kept);
+    for (guint i = 0; i < retained->len; i++)
+        json_array_append_new(names, json_string(g_ptr_array_index(retained, i)));
+    g_ptr_array_unref(retained);
     if (json_array_size(names) == 0) {
         json_decref(names);
         return;
@@ -521,10 +529,10 @@
     g_snprintf(path, sizeof path, "kept/%s", node->settings->name);
     txn_set(&txn, path, json_pack("{s:I,s:o}", "At", (json_int_t)clock_day(), "Machines", names),
             0);
-    budget_charge(&node->core_rps, 1, now);
+    rate_limiter_charge(&node->core_rps, 1, now);
     state_commit(&node->state, cloud->client, &txn, STATE_TIMEOUT_MS, NULL, NULL);
     txn_free(&txn);
-    cloud->kept_at = now;
+    cloud->retained_at = now;
 }
 
 void *cloud_run(void *data)
@@ -535,20 +543,20 @@
                      .failed = g_ptr_array_new_with_free_func(g_free),
                      .returned = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free)};
     node_t *node = cloud.node;
-    msec_t gap = MAX(CLOUD_GAP_MS, (msec_t)(CLOUD_CALLS_MS / node->settings->cloud_rps));
+    msec_t gap = MAX(CLOUD_GAP_MS, (msec_t)(CLOUD_ROUND_MS / node->settings->cloud_rps));
     for (;;) {
         msec_t now = clock_steady();
-        if (cloud.flavors_at == 0 || now - cloud.flavors_at > FLAVORS_MS)
-            refresh_flavors(&cloud);
+        if (cloud.machine_types_at == 0 || now - cloud.machine_types_at > MACHINE_TYPES_MS)
+            refresh_machine_types(&cloud);
         pthread_mutex_lock(&node->lock);
         bool leading = leads(node);
         pthread_mutex_unlock(&node->lock);
         if (leading && now - cloud.listed_at > CLOUD_LIST_MS) {
             refresh_hosts(&cloud);
-            set_aside(&cloud, now);
+            exclude_members(&cloud, now);
         }
-        if (now - cloud.kept_at > KEPT_WRITE_MS)
-            publish_kept(&cloud, now);
+        if (now - cloud.retained_at > RETAINED_WRITE_MS)
+            publish_retained(&cloud, now);
         if (leading) {
             rent(&cloud);
             give_back(&cloud);
--- a/src/app/follow.c
+++ b/src/app/follow.c
@@ -14,7 +14,7 @@
         log_error("event=bad_job key=%s why=\"%s\"", entry->key, why.text);
         return;
     }
-    node_job_set(node, &spec, entry->stamp);
+    node_job_set(node, &spec, entry->revision);
     job_spec_clear(&spec);
 }
 
@@ -48,7 +48,7 @@
 {
     GArray *entries = state_entries_new();
     msec_t sent = clock_steady();
-    budget_charge(&node->core_rps, 1, sent);
+    rate_limiter_charge(&node->core_rps, 1, sent);
     bool listed = state_list(&node->state, client, "jobs/", entries, revision) == STATE_OK;
     if (listed) {
         pthread_mutex_lock(&node->lock);
@@ -65,7 +65,7 @@
 {
     GArray *changes = state_entries_new();
     msec_t sent = clock_steady();
-    budget_charge(&node->core_rps, 1, sent);
+    rate_limiter_charge(&node->core_rps, 1, sent);
     state_result_t result =
         state_follow(&node->state, client, "jobs/", FOLLOW_BLOCK_MS, revision, changes);
     if (result == STATE_OK) {
--- a/src/app/member.c
+++ b/src/app/member.c
@@ -1,4 +1,4 @@
-/* Our grant, leadership, and the leader's view of who is live. */
+/* Our lease in the state service, leadership, and the leader's view of who is live. */
 #include <string.h>
 
 #include "app/node.h"
@@ -10,33 +10,33 @@
 typedef struct {
     node_t *node;
     http_client_t *client;
-    uint64_t grant;
+    uint64_t lease;
     msec_t extended;
     msec_t written; /* our key */
 } member_loop_t;
 
-static void keep_grant(member_loop_t *loop, msec_t now)
+static void keep_lease(member_loop_t *loop, msec_t now)
 {
     node_t *node = loop->node;
     const settings_t *settings = node->settings;
-    if (loop->grant && now - loop->extended < GRANT_EXTEND_MS)
+    if (loop->lease && now - loop->extended < LEASE_EXTEND_MS)
         return;
-    budget_charge(&node->core_rps, 1, now);
-    if (loop->grant) {
-        state_result_t result = state_extend(&node->state, loop->client, loop->grant);
+    rate_limiter_charge(&node->core_rps, 1, now);
+    if (loop->lease) {
+        state_result_t result = state_lease_extend(&node->state, loop->client, loop->lease);
         if (result == STATE_OK)
             loop->extended = now;
         else if (result == STATE_ABSENT)
-            loop->grant = 0;
+            loop->lease = 0;
         return;
     }
-    uint64_t grant = 0;
-    if (state_grant(&node->state, loop->client, GRANT_LIFE_MS, &grant) != STATE_OK)
+    uint64_t lease = 0;
+    if (state_lease_create(&node->state, loop->client, LEASE_LIFE_MS, &lease) != STATE_OK)
         return;
     char key[ID_SIZE + 16];
     state_entry_t listed = {0};
     g_snprintf(key, sizeof key, "view/members/%s", settings->name);
-    budget_charge(&node->core_rps, 1, now);
+    rate_limiter_charge(&node->core_rps, 1, now);
     state_result_t read = state_get(&node->state, loop->client, key, STATE_TIMEOUT_MS, &listed);
     g_free(listed.key);
     json_decref(listed.value);
@@ -45,10 +45,10 @@
     member_t self = {.incarnation = node->incarnation};
     g_strlcpy(self.name, settings->name, sizeof self.name);
     g_strlcpy(self.zone, settings->zone, sizeof self.zone);
-    txn_t txn = records_member(&self, listed.stamp, grant);
-    budget_charge(&node->core_write, 1, now);
+    txn_t txn = records_member(&self, listed.revision, lease);
+    rate_limiter_charge(&node->core_write, 1, now);
     if (state_commit(&node->state, loop->client, &txn, STATE_TIMEOUT_MS, NULL, NULL) == STATE_OK) {
-        loop->grant = grant;
+        loop->lease = lease;
         loop->extended = loop->written = now;
     }
     txn_free(&txn);
@@ -56,11 +56,12 @@
 
 /* With the lock held: our key is not what we wrote. A request that our earlier incarnation sent may
  * be carried out after ours, when we were back within a moment: it puts that incarnation in our
- * place, and takes the key along when its grant ends. Then it is written anew. */
+ * place, and takes the key along when its lease in the state service ends. Then it is written anew.
+ */
 static bool is_displaced(const member_loop_t *loop, msec_t now)
 {
     const node_t *node = loop->node;
-    return node->view_synced && loop->grant && now - loop->written > MEMBER_RECHECK_MS &&
+    return node->view_synced && loop->lease && now - loop->written > MEMBER_RECHECK_MS &&
            election_is_displaced(&node->election);
 }
 
@@ -88,13 +89,14 @@
 {
     node_t *node = loop->node;
     pthread_mutex_lock(&node->lock);
-    bool resumes = node->election.lease_stamp != 0; /* in our name: nobody else can have it now */
+    bool resumes =
+        node->election.lease_revision != 0; /* in our name: nobody else can have it now */
     pthread_mutex_unlock(&node->lock);
     node_sleep(arc4random_uniform(ELECT_SPREAD_MS) +
                (!resumes && should_yield(node->settings) ? ELECT_YIELD_MS : 0));
     pthread_mutex_lock(&node->lock);
     view_t next = {.number = node->view.number + 1, .incarnation = node->incarnation};
-    uint64_t stamp = node->view.stamp, lease = node->election.lease_stamp;
+    uint64_t revision = node->view.revision, lease_revision = node->election.lease_revision;
     g_strlcpy(next.leader, node->settings->name, sizeof next.leader);
     election_members(&node->election, &next, clock_steady());
     /* Someone else may have taken it while we waited. */
@@ -102,7 +104,7 @@
     pthread_mutex_unlock(&node->lock);
     if (taken)
         return;
-    if (view_change(node, loop->client, &next, stamp, loop->grant, lease) == STATE_OK)
+    if (view_change(node, loop->client, &next, revision, loop->lease, lease_revision) == STATE_OK)
         log_info("event=lead view=%" G_GUINT64_FORMAT, next.number);
     else
         node_sleep(ELECT_SPREAD_MS);
@@ -115,9 +117,9 @@
     view_t next = node->view;
     election_members(&node->election, &next, clock_steady());
     pthread_mutex_unlock(&node->lock);
-    uint64_t stamp = next.stamp;
+    uint64_t revision = next.revision;
     next.number++;
-    view_change(node, loop->client, &next, stamp, 0, 0);
+    view_change(node, loop->client, &next, revision, 0, 0);
 }
 
 void *member_run(void *data)
@@ -126,17 +128,17 @@
     node_t *node = loop.node;
     for (;;) {
         msec_t now = clock_steady();
-        keep_grant(&loop, now);
+        keep_lease(&loop, now);
         pthread_mutex_lock(&node->lock);
         if (is_displaced(&loop, now)) {
             log_info("event=displaced host=%s", node->settings->name);
-            loop.grant = 0;
+            loop.lease = 0;
         }
-        bool vacant = node->view_synced && loop.grant && election_is_vacant(&node->election);
+        bool vacant = node->view_synced && loop.lease && election_is_vacant(&node->election);
         view_t next = node->view;
         election_members(&node->election, &next, now);
         bool changed = node->leading && !election_same_members(&next, &node->view) &&
-                       now - node->election.present_since > MEMBER_SETTLE_MS;
+                       now - node->election.present_since > MEMBERSHIP_BATCH_MS;
         if (!vacant && !changed)
             node_wait(node, &node->members, MEMBER_TICK_MS);
         pthread_mutex_unlock(&node->lock);
--- a/src/app/metrics.h
+++ b/src/app/metrics.h
@@ -11,15 +11,15 @@
     COUNT_REFUSED,   /* answered 4xx for good */
     COUNT_COME_BACK, /* answered 429 or 503 */
     COUNT_REPORTS,
-    COUNT_GUESTS, /* reports of workers that another node owns */
+    COUNT_REPORTS_NOT_OWNED, /* reports of workers that another node owns */
     COUNT_COMMITS,
     COUNT_COMMITS_FAILED, /* a condition did not hold, or the service refused */
     COUNT_RELOADS,
     COUNT_VIEWS,
     COUNT_DIRECT,
     COUNT_DIRECT_UNANSWERED,
-    COUNT_OFFERS,
-    COUNT_OFFERS_REFUSED,
+    COUNT_PLACEMENTS,
+    COUNT_PLACEMENTS_REFUSED,
     COUNT_RENTED,
     COUNT_RELEASED,
     COUNT_LAST
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -15,18 +15,19 @@
 }
 
 /* The state service's limits are for all of us together: shares follow the number of members. */
-static void share_budgets(node_t *node, guint members)
+static void share_rate_limits(node_t *node, guint members)
 {
     const settings_t *settings = node->settings;
-    double part = MIN(SHARE_PART_WRITE, SHARE_PARTS_WRITE / members);
-    budget_set_rate(&node->core_rps,
-                    settings->state_rps * MIN(SHARE_CORE_RPS, SHARE_CORES_RPS / members));
-    budget_set_rate(&node->core_write,
-                    settings->state_write_rps * (node->leading ? SHARE_LEADER_WRITE : part));
-    budget_set_rate(&node->front_rps,
-                    settings->state_rps * MIN(SHARE_FRONT_RPS, SHARE_FRONTS_RPS / members));
-    budget_set_rate(&node->front_write, settings->state_write_rps *
-                                            MIN(SHARE_FRONT_WRITE, SHARE_FRONTS_WRITE / members));
+    double partition_share = MIN(SHARE_PARTITION_WRITE, SHARE_PARTITIONS_WRITE / members);
+    rate_limiter_set_rate(&node->core_rps,
+                          settings->state_rps * MIN(SHARE_CORE_RPS, SHARE_CORES_RPS / members));
+    rate_limiter_set_rate(&node->core_write,
+                          settings->state_write_rps *
+                              (node->leading ? SHARE_LEADER_WRITE : partition_share));
+    rate_limiter_set_rate(&node->api_rps,
+                          settings->state_rps * MIN(SHARE_API_RPS, SHARE_APIS_RPS / members));
+    rate_limiter_set_rate(&node->api_write, settings->state_write_rps *
+                                                MIN(SHARE_API_WRITE, SHARE_APIS_WRITE / members));
 }
 
 node_t *node_new(const settings_t *settings, const policy_t *policy)
@@ -42,16 +43,16 @@
     g_strlcpy(self.name, settings->name, sizeof self.name);
     g_strlcpy(self.zone, settings->zone, sizeof self.zone);
     election_init(&node->election, &self);
-    cancelled_init(&node->cancelled, node->incarnation, now);
+    cancellation_log_init(&node->cancellations, node->incarnation, now);
     state_init(&node->state, settings->state, now);
-    budget_init(&node->core_rps, settings->state_rps * SHARE_CORE_RPS, now);
-    budget_init(&node->core_write, settings->state_write_rps * SHARE_PART_WRITE, now);
-    budget_init(&node->front_rps, settings->state_rps * SHARE_FRONT_RPS, now);
-    budget_init(&node->front_write, settings->state_write_rps * SHARE_FRONT_WRITE, now);
-    share_budgets(node, settings->siblings->len + 1);
-    for (guint i = 0; i < FRONT_CLIENTS; i++)
-        node->front_clients[i] = http_client_new(1);
-    node->front_free = FRONT_CLIENTS;
+    rate_limiter_init(&node->core_rps, settings->state_rps * SHARE_CORE_RPS, now);
+    rate_limiter_init(&node->core_write, settings->state_write_rps * SHARE_PARTITION_WRITE, now);
+    rate_limiter_init(&node->api_rps, settings->state_rps * SHARE_API_RPS, now);
+    rate_limiter_init(&node->api_write, settings->state_write_rps * SHARE_API_WRITE, now);
+    share_rate_limits(node, settings->siblings->len + 1);
+    for (guint i = 0; i < API_CLIENTS; i++)
+        node->api_clients[i] = http_client_new(1);
+    node->api_clients_free = API_CLIENTS;
     pthread_mutex_init(&node->lock, NULL);
     pthread_condattr_t steady;
     pthread_condattr_init(&steady);
@@ -61,15 +62,15 @@
     pthread_cond_init(&node->clients, &steady);
     pthread_cond_init(&node->members, &steady);
     pthread_cond_init(&node->inquiries, &steady);
-    pthread_cond_init(&node->mesh, &steady);
-    pthread_cond_init(&node->requests_stay, &steady);
+    pthread_cond_init(&node->peer_work, &steady);
+    pthread_cond_init(&node->requests_blocked, &steady);
     pthread_condattr_destroy(&steady);
     node->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, known_job_free);
-    node->flavors = g_array_new(FALSE, FALSE, sizeof(flavor_t));
+    node->machine_types = g_array_new(FALSE, FALSE, sizeof(machine_type_t));
     node->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    node->links = g_ptr_array_new();
+    node->channels = g_ptr_array_new();
     node->own = G_MAXUINT;
-    node->guests = guests_new();
+    node->redirection = redirection_new();
     node->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     node->gone_order = g_queue_new();
     pthread_mutex_init(&node->requests_lock, NULL);
@@ -96,19 +97,19 @@
 {
     node_thread(view_run, node);
     node_thread(member_run, node);
-    node_thread(mesh_run, node);
-    node_thread(mesh_serve_run, node);
-    node_thread(mail_run, node);
-    mesh_greet(node);
+    node_thread(peer_client_run, node);
+    node_thread(peer_server_run, node);
+    node_thread(relay_run, node);
+    heartbeat_start(node);
     node_thread(follow_run, node);
     node_thread(placer_run, node);
     node_thread(cloud_run, node);
     for (guint i = 0; i < SENDERS; i++)
         node_thread(sender_run, node);
-    return front_start(node);
+    return api_start(node);
 }
 
-void node_wake(node_t *node)
+void node_notify(node_t *node)
 {
     pthread_cond_signal(&node->work);
 }
@@ -147,48 +148,48 @@
     }
 }
 
-void node_job_set(node_t *node, const job_spec_t *spec, uint64_t stamp)
+void node_job_set(node_t *node, const job_spec_t *spec, uint64_t revision)
 {
     if (g_hash_table_contains(node->jobs, spec->id) || g_hash_table_contains(node->gone, spec->id))
         return;
     known_job_t *job = g_new0(known_job_t, 1);
     job->spec = *spec;
     job->spec.types = g_strdupv(spec->types);
-    job->stamp = stamp;
+    job->revision = revision;
     g_hash_table_insert(node->jobs, job->spec.id, job);
     if (node->loaded && node->leading)
-        leader_add_job(node->leader, spec, stamp);
-    node_wake(node);
+        leader_add_job(node->leader, spec, revision);
+    node_notify(node);
 }
 
-static void keep_gone(node_t *node, const char *id)
+static void remember_gone(node_t *node, const char *id)
 {
     if (g_hash_table_contains(node->gone, id))
         return;
-    if (g_queue_get_length(node->gone_order) >= GONE_KEPT)
+    if (g_queue_get_length(node->gone_order) >= GONE_JOBS_MAX)
         g_hash_table_remove(node->gone, g_queue_pop_head(node->gone_order));
-    char *kept = g_strdup(id);
-    g_hash_table_add(node->gone, kept);
-    g_queue_push_tail(node->gone_order, kept);
+    char *copy = g_strdup(id);
+    g_hash_table_add(node->gone, copy);
+    g_queue_push_tail(node->gone_order, copy);
 }
 
 void node_job_gone(node_t *node, const char *id)
 {
-    keep_gone(node, id);
-    if (node->part)
-        part_end_job(node->part, id);
+    remember_gone(node, id);
+    if (node->partition)
+        partition_end_job(node->partition, id);
     if (node->leader)
         leader_end_job(node->leader, id);
     g_hash_table_remove(node->jobs, id);
     pthread_cond_broadcast(&node->direct);
-    node_wake(node);
+    node_notify(node);
 }
 
 void node_remember(node_t *node, const char *id, bool done)
 {
     /* Noted for the siblings before another thread can find it, or this one can tell it. */
     if (!done)
-        cancelled_tell(&node->cancelled, id, clock_steady());
+        cancellation_log_append(&node->cancellations, id, clock_steady());
     if (g_hash_table_size(node->ended) >= ENDED_CACHE)
         g_hash_table_remove_all(node->ended);
     g_hash_table_insert(node->ended, g_strdup(id),
@@ -199,48 +200,48 @@
         node_job_gone(node, id);
 }
 
-static void drop_links(node_t *node)
+static void drop_channels(node_t *node)
 {
-    for (guint i = 0; i < node->links->len; i++)
-        if (g_ptr_array_index(node->links, i))
-            link_free(g_ptr_array_index(node->links, i));
-    g_ptr_array_set_size(node->links, 0);
-    g_clear_pointer(&node->uplink, link_free);
+    for (guint i = 0; i < node->channels->len; i++)
+        if (g_ptr_array_index(node->channels, i))
+            channel_free(g_ptr_array_index(node->channels, i));
+    g_ptr_array_set_size(node->channels, 0);
+    g_clear_pointer(&node->leader_channel, channel_free);
 }
 
 void node_adopt(node_t *node, const view_t *view)
 {
-    if (view->stamp <= node->view.stamp)
+    if (view->revision <= node->view.revision)
         return;
-    /* Workers kept here because they could not reach a former owner go to the new ones: the leader
-     * takes a machine that nobody hears for dead. */
+    /* Workers retained here because they could not reach a former owner go to the new ones: the
+     * leader takes a machine that nobody hears for dead. */
     if (view->incarnation != node->view.incarnation || !election_same_members(view, &node->view))
-        guests_clear(node->guests, clock_steady());
+        redirection_clear(node->redirection, clock_steady());
     node->view = *view;
     if (!node->leading)
-        node->led_since = clock_steady();
+        node->leading_since = clock_steady();
     node->leading = view->incarnation == node->incarnation;
     node->loaded = false;
     node->generation++;
     node->own = G_MAXUINT;
     node->leader_index = 0;
-    drop_links(node);
+    drop_channels(node);
     for (guint i = 0; i < view->count; i++) {
         if (view->members[i].incarnation == node->incarnation)
             node->own = i;
         if (view->members[i].incarnation == view->incarnation)
             node->leader_index = i;
-        node->heard[i] = clock_steady();
-        g_ptr_array_add(node->links, node->leading ? link_new() : NULL);
+        node->received_at[i] = clock_steady();
+        g_ptr_array_add(node->channels, node->leading ? channel_new() : NULL);
     }
-    node->uplink = link_new();
-    share_budgets(node, MAX(view->count, 1));
+    node->leader_channel = channel_new();
+    share_rate_limits(node, MAX(view->count, 1));
     metrics_count(node->metrics, COUNT_VIEWS, 1);
     log_info("event=view view=%" G_GUINT64_FORMAT " leader=%s members=%u own=%d", view->number,
              view->leader, view->count, node->own == G_MAXUINT ? -1 : (int)node->own);
-    node_wake(node);
+    node_notify(node);
     pthread_cond_broadcast(&node->members);
-    pthread_cond_broadcast(&node->mesh);
+    pthread_cond_broadcast(&node->peer_work);
 }
 
 guint node_owner(const node_t *node, const char *machine, const char *zone)
@@ -248,165 +249,167 @@
     return owner_of(node->view.members, node->view.count, machine, zone);
 }
 
-GArray *node_rows(const node_t *node, msec_t now)
+GArray *node_summaries(const node_t *node, msec_t now)
 {
-    GArray *rows = g_array_new(FALSE, FALSE, sizeof(machine_row_t));
+    GArray *summaries = g_array_new(FALSE, FALSE, sizeof(machine_summary_t));
     GHashTableIter iter;
     gpointer value;
-    g_hash_table_iter_init(&iter, node->part->machines);
+    g_hash_table_iter_init(&iter, node->partition->machines);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const machine_t *machine = value;
         if (machine->gone)
             continue;
-        machine_row_t row = {.spot = machine->spot,
-                             .open = part_is_reached(node->part, machine, now) &&
-                                     machine->known_room && !machine->draining &&
-                                     !machine->notice_at,
-                             .draining = machine->draining,
-                             .total = machine->room,
-                             .free = part_free_room(machine),
-                             .attempts = machine->attempts->len,
-                             .silent_ms = now - machine->reached,
-                             .idle_ms = now - machine->idle_since,
-                             .known_ms = now - machine->first_seen};
-        g_strlcpy(row.machine, machine->id, sizeof row.machine);
-        g_strlcpy(row.type, machine->type, sizeof row.type);
-        g_strlcpy(row.zone, machine->zone, sizeof row.zone);
-        g_array_append_val(rows, row);
+        machine_summary_t summary = {.spot = machine->spot,
+                                     .open = partition_is_reached(node->partition, machine, now) &&
+                                             machine->is_capacity_known && !machine->draining &&
+                                             !machine->reclaim_at,
+                                     .draining = machine->draining,
+                                     .total = machine->capacity,
+                                     .free = partition_free_resources(machine),
+                                     .attempts = machine->attempts->len,
+                                     .silent_ms = now - machine->reached,
+                                     .idle_ms = now - machine->idle_since,
+                                     .known_ms = now - machine->first_seen};
+        g_strlcpy(summary.machine, machine->id, sizeof summary.machine);
+        g_strlcpy(summary.type, machine->type, sizeof summary.type);
+        g_strlcpy(summary.zone, machine->zone, sizeof summary.zone);
+        g_array_append_val(summaries, summary);
     }
-    return rows;
+    return summaries;
 }
 
 GArray *node_yielding(const node_t *node)
 {
     GArray *list = g_array_new(FALSE, FALSE, sizeof(double));
     for (guint i = 0; i < node->settings->teams->len; i++) {
-        double cpus =
-            part_yielding(node->part, g_array_index(node->settings->teams, team_t, i).name);
+        double cpus = partition_yielding(node->partition,
+                                         g_array_index(node->settings->teams, team_t, i).name);
         g_array_append_val(list, cpus);
     }
     return list;
 }
 
-void node_tell(node_t *node, guint part, link_item_t item)
+void node_send(node_t *node, guint partition, channel_item_t item)
 {
-    if (part == node->own) {
-        node_obey(node, &item, clock_steady());
-        g_strfreev(item.offer.types);
-    } else if (part < node->links->len && g_ptr_array_index(node->links, part)) {
-        link_push(g_ptr_array_index(node->links, part), item);
-        pthread_cond_broadcast(&node->mesh);
+    if (partition == node->own) {
+        node_handle_item(node, &item, clock_steady());
+        g_strfreev(item.request.types);
+    } else if (partition < node->channels->len && g_ptr_array_index(node->channels, partition)) {
+        channel_push(g_ptr_array_index(node->channels, partition), item);
+        pthread_cond_broadcast(&node->peer_work);
     }
 }
 
-/* A gang's task found no room: what its part holds for the others is freed. */
+/* A gang's task found no room: what its partition holds for the others is freed. */
 static void withdraw_gang(node_t *node, const char *job)
 {
-    GArray *out = leader_out(node->leader, job);
-    for (guint i = 0; i < out->len; i++) {
-        const settle_t *entry = &g_array_index(out, settle_t, i);
-        node_tell(node, entry->part, (link_item_t){.kind = LINK_WITHDRAW, .ref = entry->ref});
+    GArray *outstanding = leader_outstanding(node->leader, job);
+    for (guint i = 0; i < outstanding->len; i++) {
+        const partition_attempt_t *entry = &g_array_index(outstanding, partition_attempt_t, i);
+        node_send(node, entry->partition,
+                  (channel_item_t){.kind = CHANNEL_WITHDRAW, .ref = entry->ref});
     }
-    g_array_unref(out);
+    g_array_unref(outstanding);
 }
 
-void node_outcome(node_t *node, guint part, const outcome_t *outcome, msec_t now)
+void node_handle_result(node_t *node, guint partition, const attempt_result_t *result, msec_t now)
 {
     log_debug("event=over task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s cause=%d",
-              outcome->ref.job, outcome->ref.task, outcome->ref.attempt, outcome->machine,
-              (int)outcome->cause);
-    if (outcome->cause == CAUSE_ERROR || outcome->cause == CAUSE_UNKNOWN)
-        log_info("event=failed task=%s/%u machine=%s cause=%d", outcome->ref.job, outcome->ref.task,
-                 outcome->machine, (int)outcome->cause);
-    const job_t *job = g_hash_table_lookup(node->leader->jobs, outcome->ref.job);
-    bool refused = job && job->spec.kind == KIND_GANG && outcome->cause == CAUSE_FULL;
-    leader_outcome(node->leader, part, outcome, now);
+              result->ref.job, result->ref.task, result->ref.attempt, result->machine,
+              (int)result->cause);
+    if (result->cause == CAUSE_ERROR || result->cause == CAUSE_UNKNOWN)
+        log_info("event=failed task=%s/%u machine=%s cause=%d", result->ref.job, result->ref.task,
+                 result->machine, (int)result->cause);
+    const job_t *job = g_hash_table_lookup(node->leader->jobs, result->ref.job);
+    bool refused = job && job->spec.kind == KIND_GANG && result->cause == CAUSE_FULL;
+    leader_handle_result(node->leader, partition, result, now);
     if (refused)
-        withdraw_gang(node, outcome->ref.job);
+        withdraw_gang(node, result->ref.job);
 }
 
-/* The leader itself hears at once; another's outcomes wait for the exchange. */
-static void refuse_offer(node_t *node, const offer_t *offer, msec_t now)
+/* The leader itself hears at once; another's results wait for the exchange. */
+static void refuse_placement(node_t *node, const placement_request_t *request, msec_t now)
 {
-    outcome_t refused = {.ref = task_ref(offer->job, offer->task, offer->attempt),
-                         .cause = CAUSE_FULL};
+    attempt_result_t refused = {.ref = task_ref(request->job, request->task, request->attempt),
+                                .cause = CAUSE_FULL};
     if (node->leading)
-        node_outcome(node, node->own, &refused, now);
+        node_handle_result(node, node->own, &refused, now);
     else
-        link_push(node->uplink, (link_item_t){.kind = LINK_OUTCOME, .outcome = refused});
+        channel_push(node->leader_channel,
+                     (channel_item_t){.kind = CHANNEL_ATTEMPT_RESULT, .result = refused});
 }
 
-static void take_offer(node_t *node, const offer_t *offer, msec_t now)
+static void handle_placement_request(node_t *node, const placement_request_t *request, msec_t now)
 {
-    const machine_t *machine = part_place(node->part, offer, now);
-    metrics_count(node->metrics, machine ? COUNT_OFFERS : COUNT_OFFERS_REFUSED, 1);
+    const machine_t *machine = partition_place(node->partition, request, now);
+    metrics_count(node->metrics, machine ? COUNT_PLACEMENTS : COUNT_PLACEMENTS_REFUSED, 1);
     if (!machine) {
-        refuse_offer(node, offer, now);
+        refuse_placement(node, request, now);
         return;
     }
-    log_debug("event=place task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", offer->job,
-              offer->task, offer->attempt, machine->id);
-    node_wake(node);
+    log_debug("event=place task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s", request->job,
+              request->task, request->attempt, machine->id);
+    node_notify(node);
 }
 
-void node_obey(node_t *node, const link_item_t *item, msec_t now)
+void node_handle_item(node_t *node, const channel_item_t *item, msec_t now)
 {
     machine_t *machine;
     switch (item->kind) {
-    case LINK_OFFER:
-        take_offer(node, &item->offer, now);
+    case CHANNEL_PLACEMENT_REQUEST:
+        handle_placement_request(node, &item->request, now);
         break;
-    case LINK_SETTLE:
-        part_settle(node->part, &item->ref);
-        node_wake(node);
+    case CHANNEL_ACKNOWLEDGE:
+        partition_acknowledge(node->partition, &item->ref);
+        node_notify(node);
         break;
-    case LINK_WITHDRAW:
-        part_withdraw(node->part, &item->ref, now);
-        node_wake(node);
+    case CHANNEL_WITHDRAW:
+        partition_withdraw(node->partition, &item->ref, now);
+        node_notify(node);
         break;
-    case LINK_DRAIN:
-        machine = g_hash_table_lookup(node->part->machines, item->machine);
+    case CHANNEL_DRAIN:
+        machine = g_hash_table_lookup(node->partition->machines, item->machine);
         if (machine)
             machine->draining = true;
         break;
-    case LINK_KEEP:
-        machine = g_hash_table_lookup(node->part->machines, item->machine);
+    case CHANNEL_CANCEL_DRAIN:
+        machine = g_hash_table_lookup(node->partition->machines, item->machine);
         if (machine)
             machine->draining = machine->gone;
         break;
-    case LINK_GONE:
-        part_machine_gone(node->part, item->machine);
-        node_wake(node);
+    case CHANNEL_MACHINE_GONE:
+        partition_machine_gone(node->partition, item->machine);
+        node_notify(node);
         break;
-    case LINK_OUTCOME:
+    case CHANNEL_ATTEMPT_RESULT:
         break; /* never said by a leader */
     }
 }
 
-contact_t node_contact(const node_t *node)
+connectivity_t node_connectivity(const node_t *node)
 {
-    return (contact_t){.state = atomic_load(&node->state.contact),
-                       .heard = node->others_heard,
-                       .siblings = node->others_contact,
-                       .lone = node->settings->siblings->len == 0};
+    return (connectivity_t){.state = atomic_load(&node->state.answered_at),
+                            .received_at = node->sibling_message_at,
+                            .siblings = node->siblings_answered_at,
+                            .lone = node->settings->siblings->len == 0};
 }
 
 static msec_t known_until(const node_t *node)
 {
-    return cancelled_known(&node->cancelled, node->settings->siblings->len, node->jobs_proof);
+    return cancellation_log_known_until(&node->cancellations, node->settings->siblings->len,
+                                        node->jobs_proof);
 }
 
 bool node_may_renew(const node_t *node, msec_t now)
 {
-    contact_t contact = node_contact(node);
-    if (!contact_may_hold(&contact, now))
+    connectivity_t connectivity = node_connectivity(node);
+    if (!connectivity_may_serve_workers(&connectivity, now))
         return false;
     /* A job may be cancelled at any moment through a node that reaches the state service. Its tasks
      * must be gone within cancel_s, and a worker keeps them for lease_s after our last answer: so
      * answers end this long after the last moment up to which all that users were told is known. */
     double spare = node->settings->cancel_s - node->settings->lease_s;
-    return node->jobs_synced &&
-           now - known_until(node) < (msec_t)(spare * 1000) - CONTACT_MARGIN_MS;
+    return node->jobs_synced && now - known_until(node) < (msec_t)(spare * 1000) - CANCEL_MARGIN_MS;
 }
 
 bool node_may_start(const node_t *node, msec_t now)
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -1,4 +1,5 @@
-/* The loop of our part, and of the leader: takes what is over, offers, commits, settles.
+/* The loop of our partition, and of the leader: handles results, sends placement requests, commits,
+ * acknowledges.
  *
  * Every transaction requires view/number unchanged and each key it writes as it was. One whose
  * outcome is unknown is followed by a new view number, under which it can no longer be applied, and
@@ -27,7 +28,7 @@
 static bool read_listing(placer_t *placer, listing_t *listing, bool leading)
 {
     state_t *state = &placer->node->state;
-    budget_charge(&placer->node->core_rps, leading ? 3 : 2, clock_steady());
+    rate_limiter_charge(&placer->node->core_rps, leading ? 3 : 2, clock_steady());
     /* Jobs last: a job listed then has its finished bits at hand, and one that is not, is over. */
     return state_list(state, placer->client, "machines/", listing->machines, NULL) == STATE_OK &&
            (!leading ||
@@ -43,7 +44,7 @@
         if (!wire_parse_job(entry->value, true, &spec, NULL))
             continue;
         if (!g_hash_table_contains(node->gone, spec.id))
-            leader_add_job(node->leader, &spec, entry->stamp);
+            leader_add_job(node->leader, &spec, entry->revision);
         job_spec_clear(&spec);
     }
 }
@@ -52,14 +53,15 @@
 {
     for (guint i = 0; i < entries->len; i++) {
         const state_entry_t *entry = &g_array_index(entries, state_entry_t, i);
-        char **parts = g_strsplit(entry->key, "/", 3);
+        char **key_parts = g_strsplit(entry->key, "/", 3);
         gsize bytes = 0;
         uint8_t *bits = wire_parse_bits(entry->value, &bytes);
-        if (g_strv_length(parts) == 3 && bits)
-            leader_load_chunk(node->leader, parts[1], (guint)g_ascii_strtoull(parts[2], NULL, 10),
-                              bits, bytes, entry->stamp);
+        if (g_strv_length(key_parts) == 3 && bits)
+            leader_load_chunk(node->leader, key_parts[1],
+                              (guint)g_ascii_strtoull(key_parts[2], NULL, 10), bits, bytes,
+                              entry->revision);
         g_free(bits);
-        g_strfreev(parts);
+        g_strfreev(key_parts);
     }
 }
 
@@ -71,7 +73,7 @@
         if (node->leading)
             leader_load_attempt(node->leader, attempt, record->zone, owner);
         if (owner == node->own && !g_hash_table_contains(live_jobs, attempt->job))
-            part_end_job(node->part, attempt->job);
+            partition_end_job(node->partition, attempt->job);
     }
 }
 
@@ -83,7 +85,7 @@
     const machine_record_t *first = &g_array_index(record->machines, machine_record_t, 0);
     guint owner = node_owner(node, first->machine, first->zone);
     if (owner == node->own)
-        part_load(node->part, record, now);
+        partition_load(node->partition, record, now);
     for (guint i = 0; i < record->machines->len; i++)
         load_machine(node, &g_array_index(record->machines, machine_record_t, i), owner, live_jobs);
 }
@@ -105,7 +107,7 @@
     for (guint i = 0; i < listing->machines->len; i++) {
         const state_entry_t *entry = &g_array_index(listing->machines, state_entry_t, i);
         page_record_t record;
-        if (!wire_parse_record(entry->key + strlen("machines/"), entry->value, entry->stamp,
+        if (!wire_parse_record(entry->key + strlen("machines/"), entry->value, entry->revision,
                                &record)) {
             log_error("event=bad_record key=%s", entry->key);
             valid = false;
@@ -130,14 +132,15 @@
 
 static void load_all(node_t *node, const listing_t *listing, msec_t now)
 {
-    g_clear_pointer(&node->part, part_free);
+    g_clear_pointer(&node->partition, partition_free);
     g_clear_pointer(&node->leader, leader_free);
     if (!node->rental)
         node->rental = rental_new();
-    node->part = part_new(node->flavors, node->settings->teams,
-                          (msec_t)(knob_value(node->policy, KNOB_RESERVATION_LAPSE) * 1000));
-    part_set_view(node->part, node->view.number);
-    part_set_report(node->part, node->settings->report_s);
+    node->partition =
+        partition_new(node->machine_types, node->settings->teams,
+                      (msec_t)(tunable_value(node->policy, TUNABLE_RESERVATION_LAPSE) * 1000));
+    partition_set_view(node->partition, node->view.number);
+    partition_set_report(node->partition, node->settings->report_s);
     if (node->leading) {
         node->leader = leader_new(node->settings->teams, node->settings->targets, node->policy,
                                   node->view.count);
@@ -148,7 +151,7 @@
     node->loaded = load_machines(node, listing, now);
     node->generation++;
     node->loaded_at = now;
-    pthread_cond_broadcast(&node->mesh);
+    pthread_cond_broadcast(&node->peer_work);
     pthread_cond_broadcast(&node->direct);
 }
 
@@ -166,8 +169,8 @@
         load_all(node, &listing, clock_steady());
         log_info("event=loaded view=%" G_GUINT64_FORMAT
                  " leading=%d jobs=%u machines=%u attempts=%u",
-                 number, leading, listing.jobs->len, g_hash_table_size(node->part->machines),
-                 g_hash_table_size(node->part->attempts));
+                 number, leading, listing.jobs->len, g_hash_table_size(node->partition->machines),
+                 g_hash_table_size(node->partition->attempts));
     }
     pthread_mutex_unlock(&node->lock);
     g_array_unref(listing.machines);
@@ -192,53 +195,55 @@
     placer->renumbered = clock_steady();
 }
 
-static void take_outcomes(node_t *node, msec_t now)
+static void take_results(node_t *node, msec_t now)
 {
-    GArray *outcomes = node->part->outcomes;
-    for (guint i = 0; i < outcomes->len; i++) {
-        const outcome_t *outcome = &g_array_index(outcomes, outcome_t, i);
+    GArray *results = node->partition->results;
+    for (guint i = 0; i < results->len; i++) {
+        const attempt_result_t *result = &g_array_index(results, attempt_result_t, i);
         if (node->leading)
-            node_outcome(node, node->own, outcome, now);
+            node_handle_result(node, node->own, result, now);
         else
-            link_push(node->uplink, (link_item_t){.kind = LINK_OUTCOME, .outcome = *outcome});
+            channel_push(node->leader_channel,
+                         (channel_item_t){.kind = CHANNEL_ATTEMPT_RESULT, .result = *result});
     }
-    g_array_set_size(outcomes, 0);
+    g_array_set_size(results, 0);
 }
 
-static void make_offers(node_t *node, msec_t now, guint most)
+static void send_placement_requests(node_t *node, msec_t now, guint most)
 {
-    leader_set_rows(node->leader, node->own, node_rows(node, now));
+    leader_set_summaries(node->leader, node->own, node_summaries(node, now));
     leader_set_yielding(node->leader, node->own, node_yielding(node));
-    GArray *offers = leader_schedule(node->leader, now, clock_day(), most);
-    for (guint i = 0; i < offers->len; i++) {
-        const leader_offer_t *made = &g_array_index(offers, leader_offer_t, i);
-        const offer_t *offer = &made->offer;
-        task_ref_t ref = task_ref(offer->job, offer->task, offer->attempt);
-        link_item_t item = {.kind = LINK_OFFER, .offer = *offer};
-        item.offer.types = g_strdupv(offer->types);
-        if (leader_is_out(node->leader, &ref)) /* else of a gang that was withdrawn */
-            node_tell(node, made->part, item);
+    GArray *requests = leader_schedule(node->leader, now, clock_day(), most);
+    for (guint i = 0; i < requests->len; i++) {
+        const leader_request_t *made = &g_array_index(requests, leader_request_t, i);
+        const placement_request_t *request = &made->request;
+        task_ref_t ref = task_ref(request->job, request->task, request->attempt);
+        channel_item_t item = {.kind = CHANNEL_PLACEMENT_REQUEST, .request = *request};
+        item.request.types = g_strdupv(request->types);
+        if (leader_is_outstanding(node->leader, &ref)) /* else of a gang that was withdrawn */
+            node_send(node, made->partition, item);
         else
-            g_strfreev(item.offer.types);
+            g_strfreev(item.request.types);
     }
-    g_array_unref(offers);
+    g_array_unref(requests);
 }
 
 typedef struct {
     GArray *progress;
-    part_batch_t *machines;
-    txn_room_t room;
+    partition_batch_t *machines;
+    txn_usage_t usage;
 } batch_t;
 
 static void committed(node_t *node, batch_t *batch, uint64_t revision)
 {
-    GArray *settled = g_array_new(FALSE, FALSE, sizeof(settle_t));
-    part_batch_commit(node->part, batch->machines, revision, clock_steady());
+    GArray *acknowledged = g_array_new(FALSE, FALSE, sizeof(partition_attempt_t));
+    partition_batch_commit(node->partition, batch->machines, revision, clock_steady());
     if (batch->progress)
-        leader_progress_commit(node->leader, batch->progress, revision, settled);
-    for (guint i = 0; i < settled->len; i++) {
-        const settle_t *entry = &g_array_index(settled, settle_t, i);
-        node_tell(node, entry->part, (link_item_t){.kind = LINK_SETTLE, .ref = entry->ref});
+        leader_progress_commit(node->leader, batch->progress, revision, acknowledged);
+    for (guint i = 0; i < acknowledged->len; i++) {
+        const partition_attempt_t *entry = &g_array_index(acknowledged, partition_attempt_t, i);
+        node_send(node, entry->partition,
+                  (channel_item_t){.kind = CHANNEL_ACKNOWLEDGE, .ref = entry->ref});
     }
     for (guint i = 0; batch->progress && i < batch->progress->len; i++) {
         const progress_t *progress = &g_array_index(batch->progress, progress_t, i);
@@ -247,13 +252,13 @@
         log_info("event=done job=%s tasks=%u", progress->job, progress->done);
         node_job_gone(node, progress->job);
     }
-    g_array_unref(settled);
+    g_array_unref(acknowledged);
     pthread_cond_broadcast(&node->direct);
 }
 
 static void undo(node_t *node, batch_t *batch)
 {
-    part_batch_undo(node->part, batch->machines);
+    partition_batch_undo(node->partition, batch->machines);
     if (batch->progress)
         leader_progress_undo(node->leader, batch->progress);
 }
@@ -273,16 +278,16 @@
     return failed->len ? NULL : "condition_failed";
 }
 
-static void commit(placer_t *placer, batch_t *batch, uint64_t view_stamp)
+static void commit(placer_t *placer, batch_t *batch, uint64_t view_revision)
 {
     node_t *node = placer->node;
     GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
     uint64_t revision = 0;
     const char *broken = NULL;
-    txn_t txn = records_commit(batch->progress, batch->machines, view_stamp);
+    txn_t txn = records_commit(batch->progress, batch->machines, view_revision);
     msec_t now = clock_steady();
-    budget_charge(&node->core_rps, 1, now);
-    budget_charge(&node->core_write, batch->room.ops, now);
+    rate_limiter_charge(&node->core_rps, 1, now);
+    rate_limiter_charge(&node->core_write, batch->usage.ops, now);
     state_result_t result =
         state_commit(&node->state, placer->client, &txn, STATE_TIMEOUT_MS, &revision, failed);
     txn_free(&txn);
@@ -308,7 +313,7 @@
     if (result == STATE_REFUSED)
         node_sleep(TICK_MS);
     if (result == STATE_INVALID)
-        log_error("event=invalid_transaction ops=%u", batch->room.ops);
+        log_error("event=invalid_transaction ops=%u", batch->usage.ops);
     if (broken && strcmp(broken, "view_changed") == 0)
         view_refresh(node, placer->client);
     else if (broken)
@@ -318,32 +323,33 @@
 /* One round with the lock held; returns whether there is something to commit. */
 static bool tick(node_t *node, batch_t *batch, msec_t now)
 {
-    part_tick(node->part, now);
-    take_outcomes(node, now);
-    double left = budget_left(&node->core_write, now);
+    partition_tick(node->partition, now);
+    take_results(node, now);
+    double left = rate_limiter_left(&node->core_write, now);
     guint most = left < 1 ? 0 : MIN((guint)left, node->settings->txn_ops);
-    batch->room = (txn_room_t){.max_ops = most, .max_bytes = TXN_VALUES / 2};
+    batch->usage = (txn_usage_t){.max_ops = most, .max_bytes = TXN_VALUES / 2};
     if (node->leading) {
-        make_offers(node, now, (guint)knob_value(node->policy, KNOB_OFFERS_PER_ROUND));
+        send_placement_requests(
+            node, now, (guint)tunable_value(node->policy, TUNABLE_PLACEMENT_REQUESTS_PER_ROUND));
         batch->progress = leader_progress_new();
-        leader_progress_take(node->leader, now, PROGRESS_LATE_MS, batch->progress, &batch->room);
+        leader_progress_take(node->leader, now, PROGRESS_LATE_MS, batch->progress, &batch->usage);
     }
     guint conditions = 4 * node->settings->txn_ops;
     /* The view, and two for each key written. */
-    guint spoken_for = 1 + 2 * MAX(most, batch->room.ops);
-    part_limits_t limits = {
-        .ops = most - MIN(most, batch->room.ops),
+    guint spoken_for = 1 + 2 * MAX(most, batch->usage.ops);
+    partition_limits_t limits = {
+        .ops = most - MIN(most, batch->usage.ops),
         .jobs = conditions - MIN(conditions, spoken_for),
         .value_max = MIN((gsize)(node->settings->value_kb * 1024), (gsize)TXN_VALUES / 3),
-        .bytes = TXN_VALUES - batch->room.bytes};
-    batch->machines = part_batch_take(node->part, &limits, now);
-    batch->room.ops += batch->machines->records->len;
-    batch->room.bytes += batch->machines->bytes;
-    batch->room.max_bytes = TXN_VALUES;
+        .bytes = TXN_VALUES - batch->usage.bytes};
+    batch->machines = partition_batch_take(node->partition, &limits, now);
+    batch->usage.ops += batch->machines->records->len;
+    batch->usage.bytes += batch->machines->bytes;
+    batch->usage.max_bytes = TXN_VALUES;
     if (node->leading)
-        leader_progress_take(node->leader, now, PROGRESS_GAP_MS, batch->progress, &batch->room);
-    take_outcomes(node, now);
-    return batch->room.ops > 0;
+        leader_progress_take(node->leader, now, PROGRESS_GAP_MS, batch->progress, &batch->usage);
+    take_results(node, now);
+    return batch->usage.ops > 0;
 }
 
 void *placer_run(void *data)
@@ -364,14 +370,14 @@
         batch_t batch = {0};
         bool changes = tick(node, &batch, now);
         bool wants_token =
-            part_wants_token(node->part) && now - placer.renumbered > RENUMBER_GAP_MS;
-        uint64_t stamp = node->view.stamp;
+            partition_wants_token(node->partition) && now - placer.renumbered > RENUMBER_GAP_MS;
+        uint64_t revision = node->view.revision;
         pthread_mutex_unlock(&node->lock);
         if (changes)
-            commit(&placer, &batch, stamp);
+            commit(&placer, &batch, revision);
         if (batch.progress)
             g_array_unref(batch.progress);
-        part_batch_free(batch.machines);
+        partition_batch_free(batch.machines);
         if (wants_token && view_renumber(node, placer.client))
             placer.renumbered = clock_steady();
         node_sleep(COMMIT_GAP_MS);
--- a/src/app/sender.c
+++ b/src/app/sender.c
@@ -15,7 +15,7 @@
     uint64_t generation;
 } exchange_t;
 
-static void finish(node_t *node, const exchange_t *exchange, const GArray *calls, int status,
+static void finish(node_t *node, const exchange_t *exchange, const GArray *commands, int status,
                    const json_t *answer)
 {
     report_t report = {0};
@@ -24,17 +24,19 @@
                              : status == 409 || status == 400 ? DIRECT_REFUSED
                              : status == HTTP_NOT_SENT        ? DIRECT_NOT_SENT
                                                               : DIRECT_UNANSWERED;
-    log_debug("event=direct machine=%s calls=%u status=%d", exchange->machine, calls->len, status);
+    log_debug("event=direct machine=%s commands=%u status=%d", exchange->machine, commands->len,
+              status);
     pthread_mutex_lock(&node->lock);
     /* A view loaded meanwhile has its own data and a higher token, under which this one is void. */
     if (node->generation == exchange->generation && node->loaded) {
-        part_direct_done(node->part, exchange->machine, calls, exchange->token, result);
+        partition_direct_done(node->partition, exchange->machine, commands, exchange->token,
+                              result);
         msec_t now = clock_steady();
         if (reported && strcmp(report.machine, exchange->machine) == 0 &&
-            part_report(node->part, &report, true, now, NULL) == REPORT_TAKEN &&
+            partition_report(node->partition, &report, true, now, NULL) == REPORT_TAKEN &&
             result == DIRECT_EXECUTED)
-            part_probed(node->part, exchange->machine, now);
-        node_wake(node);
+            partition_probed(node->partition, exchange->machine, now);
+        node_notify(node);
     }
     pthread_mutex_unlock(&node->lock);
     report_clear(&report);
@@ -45,14 +47,15 @@
     node_t *node = data;
     http_client_t *client = http_client_new(2);
     http_client_hurry(client, DIRECT_CONNECT_MS);
-    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
+    GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     for (;;) {
-        g_array_set_size(calls, 0);
+        g_array_set_size(commands, 0);
         pthread_mutex_lock(&node->lock);
         msec_t now = clock_steady();
         if (node->loaded)
-            part_hold_starts(node->part, !node_may_start(node, now));
-        machine_t *machine = node->loaded ? part_direct_take(node->part, now, calls) : NULL;
+            partition_pause_starts(node->partition, !node_may_start(node, now));
+        machine_t *machine =
+            node->loaded ? partition_direct_take(node->partition, now, commands) : NULL;
         if (!machine) {
             node_wait(node, &node->direct, 10 * TICK_MS);
             pthread_mutex_unlock(&node->lock);
@@ -65,14 +68,14 @@
         g_snprintf(exchange.url, sizeof exchange.url, "http://%s/do", machine->address);
         pthread_mutex_unlock(&node->lock);
         json_t *answer = NULL;
-        json_t *body = wire_build_direct(exchange.token, exchange.session, calls);
+        json_t *body = wire_build_direct(exchange.token, exchange.session, commands);
         msec_t sent = clock_steady();
         int status = http_call(client, "POST", exchange.url, body, DIRECT_TIMEOUT_MS, &answer);
         metrics_time(node->metrics, TIME_DIRECT, clock_steady() - sent);
         metrics_count(node->metrics,
                       status <= HTTP_NO_ANSWER ? COUNT_DIRECT_UNANSWERED : COUNT_DIRECT, 1);
         json_decref(body);
-        finish(node, &exchange, calls, status, answer);
+        finish(node, &exchange, commands, status, answer);
         json_decref(answer);
     }
     return NULL;
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -202,7 +202,7 @@
     settings->cancel_s = read_number(reader, workers, "cancel_s", 1);
     /* Between them lies all the time in which reports can be answered after the last word on
      * cancelled jobs: without it no worker would keep its lease. */
-    if (!reader->error && settings->cancel_s * 1000 <= settings->lease_s * 1000 + CONTACT_MARGIN_MS)
+    if (!reader->error && settings->cancel_s * 1000 <= settings->lease_s * 1000 + CANCEL_MARGIN_MS)
         fault(reader, "cancel_s", "it must exceed lease_s by more than 3 s");
     settings->state_rps = read_number(reader, state, "rps", 1);
     settings->state_write_rps = read_number(reader, state, "write_rps", 1);
@@ -244,7 +244,7 @@
         read_text(&reader, root, "host_name", settings->name, sizeof settings->name);
         read_text(&reader, root, "location", settings->zone, sizeof settings->zone);
         read_address(&reader, root, "client_listen", settings->client_listen);
-        read_address(&reader, root, "mesh_addr", settings->mesh_listen);
+        read_address(&reader, root, "mesh_addr", settings->peer_listen);
         read_siblings(&reader, root, settings);
         const json_t *endpoints = read_object(&reader, root, "endpoints");
         if (!reader.error) {
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -14,7 +14,7 @@
     char name[ID_SIZE];
     char zone[LABEL_SIZE];
     char client_listen[ADDRESS_SIZE];
-    char mesh_listen[ADDRESS_SIZE];
+    char peer_listen[ADDRESS_SIZE];
     char cloud[ADDRESS_SIZE];
     char state[ADDRESS_SIZE];
     GArray *siblings;    /* sibling_t */
--- a/src/app/view.c
+++ b/src/app/view.c
@@ -1,5 +1,5 @@
 /* view/ in the state service. view/number holds the number, which is the token, with leader and
- * members; view/lease hangs on the leader's grant, view/members/<name> on each node's own. */
+ * members; view/lease hangs on the leader's lease, view/members/<name> on each node's own. */
 #include "app/view.h"
 
 #include <string.h>
@@ -18,7 +18,7 @@
     g_strlcpy(member->name, name, sizeof member->name);
     g_strlcpy(member->zone, zone, sizeof member->zone);
     member->incarnation = (uint64_t)json_integer_value(json_object_get(value, "Incarnation"));
-    member->aside = json_is_true(json_object_get(value, "Aside"));
+    member->excluded = json_is_true(json_object_get(value, "Aside"));
     return true;
 }
 
@@ -32,12 +32,12 @@
                      members);
 }
 
-bool view_parse(const json_t *value, uint64_t stamp, view_t *view)
+bool view_parse(const json_t *value, uint64_t revision, view_t *view)
 {
     const char *leader = json_string_value(json_object_get(value, "Leader"));
     if (!leader)
         return false;
-    *view = (view_t){.stamp = stamp};
+    *view = (view_t){.revision = revision};
     view->number = (uint64_t)json_integer_value(json_object_get(value, "Number"));
     view->incarnation = (uint64_t)json_integer_value(json_object_get(value, "Incarnation"));
     g_strlcpy(view->leader, leader, sizeof view->leader);
@@ -53,9 +53,9 @@
 {
     state_entry_t entry = {0};
     view_t view;
-    budget_charge(&node->core_rps, 1, clock_steady());
+    rate_limiter_charge(&node->core_rps, 1, clock_steady());
     if (state_get(&node->state, client, "view/number", STATE_TIMEOUT_MS, &entry) == STATE_OK &&
-        view_parse(entry.value, entry.stamp, &view)) {
+        view_parse(entry.value, entry.revision, &view)) {
         pthread_mutex_lock(&node->lock);
         node_adopt(node, &view);
         pthread_mutex_unlock(&node->lock);
@@ -64,28 +64,28 @@
     json_decref(entry.value);
 }
 
-state_result_t view_change(node_t *node, http_client_t *client, view_t *next, uint64_t stamp,
-                           uint64_t grant, uint64_t lease_stamp)
+state_result_t view_change(node_t *node, http_client_t *client, view_t *next, uint64_t revision,
+                           uint64_t lease, uint64_t lease_revision)
 {
     txn_t txn = txn_new();
-    txn_if(&txn, "view/number", stamp);
+    txn_if(&txn, "view/number", revision);
     txn_set(&txn, "view/number", view_build(next), 0);
-    if (grant) {
+    if (lease) {
         member_t holder = {.incarnation = next->incarnation};
         g_strlcpy(holder.name, next->leader, sizeof holder.name);
-        txn_if(&txn, "view/lease", lease_stamp);
-        txn_set(&txn, "view/lease", wire_build_member(&holder), grant);
+        txn_if(&txn, "view/lease", lease_revision);
+        txn_set(&txn, "view/lease", wire_build_member(&holder), lease);
     }
-    budget_charge(&node->core_rps, 1, clock_steady());
-    budget_charge(&node->core_write, grant ? 2 : 1, clock_steady());
+    rate_limiter_charge(&node->core_rps, 1, clock_steady());
+    rate_limiter_charge(&node->core_write, lease ? 2 : 1, clock_steady());
     state_result_t result =
-        state_commit(&node->state, client, &txn, STATE_TIMEOUT_MS, &next->stamp, NULL);
+        state_commit(&node->state, client, &txn, STATE_TIMEOUT_MS, &next->revision, NULL);
     txn_free(&txn);
     if (result == STATE_OK) {
         pthread_mutex_lock(&node->lock);
-        if (grant) {
+        if (lease) {
             /* Known before the follow tells: else the lease would look free, and be taken again. */
-            election_take_lease(&node->election, next->leader, next->incarnation, next->stamp);
+            election_take_lease(&node->election, next->leader, next->incarnation, next->revision);
         }
         node_adopt(node, next);
         pthread_mutex_unlock(&node->lock);
@@ -101,7 +101,7 @@
     view_t next = node->view;
     pthread_mutex_unlock(&node->lock);
     uint64_t number = next.number++;
-    view_change(node, client, &next, next.stamp, 0, 0);
+    view_change(node, client, &next, next.revision, 0, 0);
     pthread_mutex_lock(&node->lock);
     bool moved = node->view.number > number;
     pthread_mutex_unlock(&node->lock);
@@ -114,13 +114,13 @@
     member_t member = {0};
     view_t view;
     if (strcmp(entry->key, "view/number") == 0) {
-        if (entry->value && view_parse(entry->value, entry->stamp, &view))
+        if (entry->value && view_parse(entry->value, entry->revision, &view))
             node_adopt(node, &view);
     } else if (strcmp(entry->key, "view/lease") == 0) {
         election_take_lease(
             &node->election, json_string_value(json_object_get(entry->value, "Name")),
             (uint64_t)json_integer_value(json_object_get(entry->value, "Incarnation")),
-            entry->stamp);
+            entry->revision);
     } else if (g_str_has_prefix(entry->key, members)) {
         const char *name = entry->key + strlen(members);
         bool listed = entry->value && parse_member(entry->value, &member);
@@ -132,7 +132,7 @@
 {
     GArray *entries = state_entries_new();
     msec_t sent = clock_steady();
-    budget_charge(&node->core_rps, 1, sent);
+    rate_limiter_charge(&node->core_rps, 1, sent);
     bool read = state_list(&node->state, client, "view/", entries, revision) == STATE_OK;
     if (read) {
         pthread_mutex_lock(&node->lock);
@@ -152,7 +152,7 @@
 {
     GArray *changes = state_entries_new();
     msec_t sent = clock_steady();
-    budget_charge(&node->core_rps, 1, sent);
+    rate_limiter_charge(&node->core_rps, 1, sent);
     state_result_t result =
         state_follow(&node->state, client, "view/", FOLLOW_BLOCK_MS, revision, changes);
     pthread_mutex_lock(&node->lock);
--- /dev/null
+++ b/src/core/connectivity.h
@@ -0,0 +1,29 @@
+/* What a node that the state service does not answer can know about why.
+ *
+ * Refused alone, it was or will be replaced; in an outage of all, everybody waits. One that hears
+ * neither the state service nor any sibling can't tell, and must not hold its workers for long: the
+ * others may have replaced it. All times are of this node's steady clock. */
+#ifndef PEPPERPULLEY_CONNECTIVITY_H
+#define PEPPERPULLEY_CONNECTIVITY_H
+
+#include "core/types.h"
+
+typedef struct {
+    msec_t state;       /* when the state service last answered us */
+    msec_t received_at; /* when a sibling's last message came, by socket or relay */
+    msec_t siblings;    /* when the state service last answered one of them, as it said */
+    bool lone;          /* there are no siblings */
+} connectivity_t;
+
+typedef enum {
+    CONNECTIVITY_GOOD,
+    CONNECTIVITY_OUTAGE,  /* siblings that are heard have no answers either */
+    CONNECTIVITY_REFUSED, /* a sibling has answers */
+    CONNECTIVITY_NONE     /* nobody is heard */
+} connectivity_state_t;
+
+connectivity_state_t connectivity_judge(const connectivity_t *connectivity, msec_t now);
+/* Whether workers may still be held, as far as being cut off goes. */
+bool connectivity_may_serve_workers(const connectivity_t *connectivity, msec_t now);
+
+#endif
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -7,13 +7,13 @@
 {
     *election = (election_t){.self = *self};
     election->present = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-    election->aside = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    election->excluded = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void election_clear(election_t *election)
 {
     g_hash_table_remove_all(election->present);
-    election->lease_stamp = 0;
+    election->lease_revision = 0;
 }
 
 void election_take_member(election_t *election, const char *name, const member_t *member,
@@ -21,18 +21,18 @@
 {
     g_hash_table_remove(election->present, name);
     if (member) {
-        member_t *kept = g_memdup2(member, sizeof *member);
-        g_hash_table_insert(election->present, kept->name, kept);
+        member_t *copy = g_memdup2(member, sizeof *member);
+        g_hash_table_insert(election->present, copy->name, copy);
     }
     election->present_since = now;
 }
 
 void election_take_lease(election_t *election, const char *holder, uint64_t incarnation,
-                         uint64_t stamp)
+                         uint64_t revision)
 {
-    if (stamp < election->lease_stamp)
+    if (revision < election->lease_revision)
         return;
-    election->lease_stamp = holder ? stamp : 0;
+    election->lease_revision = holder ? revision : 0;
     election->lease_incarnation = incarnation;
     g_strlcpy(election->lease_holder, holder ? holder : "", sizeof election->lease_holder);
 }
@@ -44,13 +44,13 @@
 
 bool election_is_vacant(const election_t *election)
 {
-    return election->lease_stamp == 0 ||
+    return election->lease_revision == 0 ||
            (holds_name(election) && election->lease_incarnation != election->self.incarnation);
 }
 
 bool election_is_taken(const election_t *election)
 {
-    return election->lease_stamp && !holds_name(election);
+    return election->lease_revision && !holds_name(election);
 }
 
 static gint compare_members(gconstpointer left, gconstpointer right)
@@ -71,8 +71,8 @@
             view->members[view->count++] = *member;
     }
     for (guint i = 0; i < view->count; i++) {
-        const msec_t *until = g_hash_table_lookup(election->aside, view->members[i].name);
-        view->members[i].aside = until && now < *until;
+        const msec_t *until = g_hash_table_lookup(election->excluded, view->members[i].name);
+        view->members[i].excluded = until && now < *until;
     }
     qsort(view->members, view->count, sizeof(member_t), compare_members);
 }
@@ -83,7 +83,7 @@
         return false;
     for (guint i = 0; i < a->count; i++)
         if (a->members[i].incarnation != b->members[i].incarnation ||
-            a->members[i].aside != b->members[i].aside ||
+            a->members[i].excluded != b->members[i].excluded ||
             strcmp(a->members[i].name, b->members[i].name) != 0)
             return false;
     return true;
--- a/src/core/election.h
+++ b/src/core/election.h
@@ -10,8 +10,8 @@
 
 /* The view as a node last read it. */
 typedef struct {
-    uint64_t number; /* 0: none known */
-    uint64_t stamp;  /* of view/number */
+    uint64_t number;   /* 0: none known */
+    uint64_t revision; /* of view/number */
     char leader[ID_SIZE];
     uint64_t incarnation; /* of the leader */
     member_t members[MEMBERS_MAX];
@@ -20,10 +20,10 @@
 
 typedef struct {
     member_t self;
-    GHashTable *present;  /* name -> member_t, owned: who has a live grant */
-    GHashTable *aside;    /* leader: name -> msec_t *, owned: owns no machines until then */
-    msec_t present_since; /* last change of present */
-    uint64_t lease_stamp; /* of view/lease; 0: nobody leads */
+    GHashTable *present;     /* name -> member_t, owned: who has a live lease */
+    GHashTable *excluded;    /* leader: name -> msec_t *, owned: owns no machines until then */
+    msec_t present_since;    /* last change of present */
+    uint64_t lease_revision; /* of view/lease; 0: nobody leads */
     char lease_holder[ID_SIZE];
     uint64_t lease_incarnation;
 } election_t;
@@ -37,7 +37,7 @@
 /* The lease as it now is, held by `holder` (NULL: by nobody). News older than what is known does
  * nothing. */
 void election_take_lease(election_t *election, const char *holder, uint64_t incarnation,
-                         uint64_t stamp);
+                         uint64_t revision);
 /* Whether we may try to lead: nobody does, or one whose process is gone, since we have its name. */
 bool election_is_vacant(const election_t *election);
 /* Whether someone else holds the lease. */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -21,26 +21,27 @@
     job_t *job = data;
     job_spec_clear(&job->spec);
     g_free(job->done);
-    g_free(job->live);
-    g_array_unref(job->chunk_stamps);
-    g_array_unref(job->unsettled);
-    if (job->settling)
-        g_array_unref(job->settling);
-    g_hash_table_unref(job->zone_live);
+    g_free(job->outstanding);
+    g_array_unref(job->chunk_revisions);
+    g_array_unref(job->unacknowledged);
+    if (job->acknowledging)
+        g_array_unref(job->acknowledging);
+    g_hash_table_unref(job->zone_outstanding);
     g_free(job);
 }
 
-static void rows_free(gpointer data)
+static void array_free(gpointer data)
 {
     if (data)
         g_array_unref(data);
 }
 
-leader_t *leader_new(const GArray *teams, GHashTable *targets, const policy_t *policy, guint parts)
+leader_t *leader_new(const GArray *teams, GHashTable *targets, const policy_t *policy,
+                     guint partitions)
 {
     leader_t *leader = g_new0(leader_t, 1);
     leader->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
-    leader->live = g_hash_table_new_full(task_ref_hash, task_ref_equal, NULL, g_free);
+    leader->outstanding = g_hash_table_new_full(task_ref_hash, task_ref_equal, NULL, g_free);
     leader->teams = g_array_new(FALSE, TRUE, sizeof(team_state_t));
     for (guint i = 0; i < teams->len; i++) {
         team_state_t state = {.team = g_array_index(teams, team_t, i)};
@@ -48,28 +49,28 @@
     }
     leader->targets = targets;
     leader->policy = policy;
-    leader->suspects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    leader->holds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    leader->failure_records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    leader->machine_claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     const double once = 1;
-    leader->once = g_array_new(FALSE, FALSE, sizeof(double));
-    g_array_append_val(leader->once, once);
-    leader->rows = g_ptr_array_new_with_free_func(rows_free);
-    g_ptr_array_set_size(leader->rows, (gint)parts);
-    leader->yields = g_ptr_array_new_with_free_func(rows_free);
-    g_ptr_array_set_size(leader->yields, (gint)parts);
+    leader->single_target = g_array_new(FALSE, FALSE, sizeof(double));
+    g_array_append_val(leader->single_target, once);
+    leader->summaries = g_ptr_array_new_with_free_func(array_free);
+    g_ptr_array_set_size(leader->summaries, (gint)partitions);
+    leader->yielding = g_ptr_array_new_with_free_func(array_free);
+    g_ptr_array_set_size(leader->yielding, (gint)partitions);
     return leader;
 }
 
 void leader_free(leader_t *leader)
 {
     g_hash_table_unref(leader->jobs);
-    g_hash_table_unref(leader->live);
+    g_hash_table_unref(leader->outstanding);
     g_array_unref(leader->teams);
-    g_ptr_array_unref(leader->rows);
-    g_ptr_array_unref(leader->yields);
-    g_array_unref(leader->once);
-    g_hash_table_unref(leader->suspects);
-    g_hash_table_unref(leader->holds);
+    g_ptr_array_unref(leader->summaries);
+    g_ptr_array_unref(leader->yielding);
+    g_array_unref(leader->single_target);
+    g_hash_table_unref(leader->failure_records);
+    g_hash_table_unref(leader->machine_claims);
     g_free(leader);
 }
 
@@ -102,37 +103,37 @@
     return (tasks + CHUNK_BITS - 1) / CHUNK_BITS;
 }
 
-void leader_add_job(leader_t *leader, const job_spec_t *spec, uint64_t stamp)
+void leader_add_job(leader_t *leader, const job_spec_t *spec, uint64_t revision)
 {
     if (g_hash_table_contains(leader->jobs, spec->id))
         return;
     job_t *job = g_new0(job_t, 1);
     job->spec = *spec;
     job->spec.types = g_strdupv(spec->types);
-    job->spec.spot = spec->spot && knob_for_job(leader->policy, KNOB_USE_SPOT, spec) != 0;
-    job->stamp = stamp;
+    job->spec.spot = spec->spot && tunable_for_job(leader->policy, TUNABLE_USE_SPOT, spec) != 0;
+    job->revision = revision;
     job->done = g_malloc0(bits_bytes(spec->tasks));
-    job->live = g_malloc0(bits_bytes(spec->tasks));
-    job->chunk_stamps = g_array_new(FALSE, TRUE, sizeof(uint64_t));
-    g_array_set_size(job->chunk_stamps, chunk_count(spec->tasks));
-    job->unsettled = g_array_new(FALSE, FALSE, sizeof(settle_t));
-    job->zone_live = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    job->outstanding = g_malloc0(bits_bytes(spec->tasks));
+    job->chunk_revisions = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+    g_array_set_size(job->chunk_revisions, chunk_count(spec->tasks));
+    job->unacknowledged = g_array_new(FALSE, FALSE, sizeof(partition_attempt_t));
+    job->zone_outstanding = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_hash_table_insert(leader->jobs, job->spec.id, job);
 }
 
 void leader_load_chunk(leader_t *leader, const char *id, guint chunk, const uint8_t *bits,
-                       gsize bytes, uint64_t stamp)
+                       gsize bytes, uint64_t revision)
 {
     job_t *job = g_hash_table_lookup(leader->jobs, id);
-    if (!job || chunk >= job->chunk_stamps->len)
+    if (!job || chunk >= job->chunk_revisions->len)
         return;
-    g_array_index(job->chunk_stamps, uint64_t, chunk) = stamp;
+    g_array_index(job->chunk_revisions, uint64_t, chunk) = revision;
     uint32_t first = chunk * CHUNK_BITS;
     for (uint32_t i = 0; i < CHUNK_BITS && first + i < job->spec.tasks && i / 8 < bytes; i++) {
         if (!bit_get(bits, i) || bit_get(job->done, first + i))
             continue;
         bit_set(job->done, first + i, true);
-        job->n_done++;
+        job->done_count++;
     }
 }
 
@@ -140,64 +141,65 @@
 {
     if (!zone[0])
         return;
-    int count = GPOINTER_TO_INT(g_hash_table_lookup(job->zone_live, zone)) + change;
-    g_hash_table_insert(job->zone_live, g_strdup(zone), GINT_TO_POINTER(count));
+    int count = GPOINTER_TO_INT(g_hash_table_lookup(job->zone_outstanding, zone)) + change;
+    g_hash_table_insert(job->zone_outstanding, g_strdup(zone), GINT_TO_POINTER(count));
 }
 
-static void live_add(leader_t *leader, task_ref_t ref, const char *team, room_t need,
-                     const char *zone, guint part)
+static void outstanding_add(leader_t *leader, task_ref_t ref, const char *team, resources_t need,
+                            const char *zone, guint partition)
 {
-    live_t *live = g_new0(live_t, 1);
-    live->ref = ref;
-    g_strlcpy(live->zone, zone, sizeof live->zone);
-    live->need = need;
-    live->part = part;
-    team_state_t *state = team_find(leader, team, &live->team);
+    outstanding_t *outstanding = g_new0(outstanding_t, 1);
+    outstanding->ref = ref;
+    g_strlcpy(outstanding->zone, zone, sizeof outstanding->zone);
+    outstanding->need = need;
+    outstanding->partition = partition;
+    team_state_t *state = team_find(leader, team, &outstanding->team);
     if (state) {
         state->cpus += need.cpus;
         state->gpus += need.gpus;
     } else {
-        live->team = G_MAXUINT; /* the team left the settings; its work still ends normally */
+        outstanding->team =
+            G_MAXUINT; /* the team left the settings; its work still ends normally */
     }
-    g_hash_table_insert(leader->live, &live->ref, live);
+    g_hash_table_insert(leader->outstanding, &outstanding->ref, outstanding);
     job_t *job = g_hash_table_lookup(leader->jobs, ref.job);
-    if (job && ref.task < job->spec.tasks && !bit_get(job->live, ref.task)) {
-        bit_set(job->live, ref.task, true);
-        job->n_live++;
+    if (job && ref.task < job->spec.tasks && !bit_get(job->outstanding, ref.task)) {
+        bit_set(job->outstanding, ref.task, true);
+        job->outstanding_count++;
     }
     if (job)
         zone_count(job, zone, 1);
 }
 
-/* Takes an attempt off what is out. Returns its job if that is live. */
-static job_t *live_drop(leader_t *leader, const task_ref_t *ref)
+/* Takes an attempt off the outstanding ones. Returns its job if that is live. */
+static job_t *outstanding_drop(leader_t *leader, const task_ref_t *ref)
 {
-    live_t *live = g_hash_table_lookup(leader->live, ref);
-    if (!live || live->ref.attempt != ref->attempt)
+    outstanding_t *outstanding = g_hash_table_lookup(leader->outstanding, ref);
+    if (!outstanding || outstanding->ref.attempt != ref->attempt)
         return NULL;
-    if (live->team < leader->teams->len) {
-        team_state_t *state = &g_array_index(leader->teams, team_state_t, live->team);
-        state->cpus -= live->need.cpus;
-        state->gpus -= live->need.gpus;
+    if (outstanding->team < leader->teams->len) {
+        team_state_t *state = &g_array_index(leader->teams, team_state_t, outstanding->team);
+        state->cpus -= outstanding->need.cpus;
+        state->gpus -= outstanding->need.gpus;
     }
-    job_t *job = g_hash_table_lookup(leader->jobs, live->ref.job);
+    job_t *job = g_hash_table_lookup(leader->jobs, outstanding->ref.job);
     if (job)
-        zone_count(job, live->zone, -1);
-    g_hash_table_remove(leader->live, ref);
+        zone_count(job, outstanding->zone, -1);
+    g_hash_table_remove(leader->outstanding, ref);
     if (!job || ref->task >= job->spec.tasks)
         return NULL;
-    if (bit_get(job->live, ref->task)) {
-        bit_set(job->live, ref->task, false);
-        job->n_live--;
+    if (bit_get(job->outstanding, ref->task)) {
+        bit_set(job->outstanding, ref->task, false);
+        job->outstanding_count--;
     }
     return job;
 }
 
 void leader_load_attempt(leader_t *leader, const record_entry_t *entry, const char *zone,
-                         guint part)
+                         guint partition)
 {
-    live_add(leader, task_ref(entry->job, entry->task, entry->attempt), entry->team, entry->need,
-             zone, part);
+    outstanding_add(leader, task_ref(entry->job, entry->task, entry->attempt), entry->team,
+                    entry->need, zone, partition);
 }
 
 void leader_end_job(leader_t *leader, const char *id)
@@ -205,24 +207,24 @@
     g_hash_table_remove(leader->jobs, id);
 }
 
-void leader_set_rows(leader_t *leader, guint part, GArray *rows)
+void leader_set_summaries(leader_t *leader, guint partition, GArray *summaries)
 {
-    rows_free(g_ptr_array_index(leader->rows, part));
-    g_ptr_array_index(leader->rows, part) = rows;
+    array_free(g_ptr_array_index(leader->summaries, partition));
+    g_ptr_array_index(leader->summaries, partition) = summaries;
 }
 
 static uint32_t job_pending(const job_t *job)
 {
-    uint32_t out = job->n_done + job->n_live;
-    return out < job->spec.tasks ? job->spec.tasks - out : 0;
+    uint32_t taken = job->done_count + job->outstanding_count;
+    return taken < job->spec.tasks ? job->spec.tasks - taken : 0;
 }
 
 /* A job in its team's queue. */
 typedef struct {
     job_t *job;
-    uint32_t owed; /* tasks out that it must get for its long wait, whatever goes first; 0: a job's
-                      ordinary place */
-    double work;   /* cpu seconds not yet out */
+    uint32_t owed; /* outstanding tasks that it must get for its long wait, whatever goes first; 0:
+                      a job's ordinary place */
+    double work;   /* cpu seconds not yet outstanding */
     double start;  /* latest start for the next target, time of day in ms; infinite: none left */
 } queued_t;
 
@@ -244,9 +246,9 @@
 static uint32_t owed_tasks(const job_t *job, int64_t day_ms)
 {
     int64_t age = day_ms - job->spec.submitted_ms;
-    if (age < AGED_MS || (age < AGED_MORE_MS && job->n_done > 0))
+    if (age < STARVING_MS || (age < STARVING_LONG_MS && job->done_count > 0))
         return 0;
-    return age < AGED_MORE_MS ? 1 : 1 + job->spec.tasks / AGED_PART;
+    return age < STARVING_LONG_MS ? 1 : 1 + job->spec.tasks / STARVING_TASKS_DIVISOR;
 }
 
 static queued_t queue_entry(const leader_t *leader, job_t *job, int64_t day_ms)
@@ -259,7 +261,7 @@
     if (spec->deadline_s > 0 && targets && targets->times->len)
         next_target(targets->times, spec->deadline_s * 1000.0, ready, &queued);
     else if (spec->deadline_s > 0)
-        next_target(leader->once, spec->deadline_s * 1000.0, ready, &queued);
+        next_target(leader->single_target, spec->deadline_s * 1000.0, ready, &queued);
     if (targets)
         next_target(targets->within, 1000.0, ready, &queued);
     return queued;
@@ -271,14 +273,14 @@
 static gint compare_queued(gconstpointer left, gconstpointer right)
 {
     const queued_t *a = left, *b = right;
-    bool urgent_a = a->job->spec.urgency >= URGENCY_HIGH;
-    bool urgent_b = b->job->spec.urgency >= URGENCY_HIGH;
+    bool urgent_a = a->job->spec.priority >= PRIORITY_HIGH;
+    bool urgent_b = b->job->spec.priority >= PRIORITY_HIGH;
     if (urgent_a != urgent_b)
         return urgent_a ? -1 : 1;
     if (!a->owed != !b->owed)
         return a->owed ? -1 : 1;
-    if (a->job->spec.urgency != b->job->spec.urgency)
-        return a->job->spec.urgency > b->job->spec.urgency ? -1 : 1;
+    if (a->job->spec.priority != b->job->spec.priority)
+        return a->job->spec.priority > b->job->spec.priority ? -1 : 1;
     if (isinf(a->start) != isinf(b->start))
         return isinf(b->start) ? -1 : 1;
     if (a->work != b->work)
@@ -290,19 +292,19 @@
     return strcmp(a->job->spec.id, b->job->spec.id);
 }
 
-/* A job that fails wherever it runs must not fill the parts with its attempts (a soft place of the
- * design): after repeated failures it gets one attempt at a time, ever more rarely. */
-static bool job_held(const job_t *job, msec_t now)
+/* A job that fails wherever it runs must not fill the partitions with its attempts (a soft place of
+ * the design): after repeated failures it gets one attempt at a time, ever more rarely. */
+static bool is_job_blocked(const job_t *job, msec_t now)
 {
     if (job->ending || now < job->retry_at)
         return true;
-    return job->errors >= JOB_ERRORS_ALARM && job->n_live > 0;
+    return job->errors >= JOB_ERRORS_ALARM && job->outstanding_count > 0;
 }
 
 static bool next_task(job_t *job, uint32_t *task)
 {
     for (uint32_t at = job->cursor; at < job->spec.tasks; at++) {
-        if (bit_get(job->done, at) || bit_get(job->live, at)) {
+        if (bit_get(job->done, at) || bit_get(job->outstanding, at)) {
             if (at == job->cursor)
                 job->cursor++;
             continue;
@@ -313,7 +315,7 @@
     return false;
 }
 
-static bool team_admits(const team_state_t *state, room_t need)
+static bool team_admits(const team_state_t *state, resources_t need)
 {
     const team_t *team = &state->team;
     if (team->cpus_max > 0 && state->cpus + need.cpus > team->cpus_max + EPSILON)
@@ -321,12 +323,13 @@
     return team->gpus_max <= 0 || state->gpus + need.gpus <= team->gpus_max + EPSILON;
 }
 
-static bool row_admits(const machine_row_t *row, const job_spec_t *spec, const char *zone)
+static bool summary_admits(const machine_summary_t *summary, const job_spec_t *spec,
+                           const char *zone)
 {
-    return row->open && (int)spec->urgency >= row->held &&
-           (!zone[0] || strcmp(zone, row->zone) == 0) &&
-           job_spec_allows(spec, row->type, row->zone, row->spot) &&
-           room_fits(spec->need, row->free);
+    return summary->open && (int)spec->priority >= summary->claim_priority &&
+           (!zone[0] || strcmp(zone, summary->zone) == 0) &&
+           job_spec_allows(spec, summary->type, summary->zone, summary->spot) &&
+           resources_fit(spec->need, summary->free);
 }
 
 /* Whether the job's other tasks let one more stand in the zone. */
@@ -335,58 +338,61 @@
     GHashTableIter iter;
     gpointer key, value;
     if (job->spec.same_zone) {
-        g_hash_table_iter_init(&iter, job->zone_live);
+        g_hash_table_iter_init(&iter, job->zone_outstanding);
         while (g_hash_table_iter_next(&iter, &key, &value))
             if (GPOINTER_TO_INT(value) > 0 && strcmp(key, zone) != 0)
                 return false;
     }
     if (job->spec.spread) {
-        int count = GPOINTER_TO_INT(g_hash_table_lookup(job->zone_live, zone));
+        int count = GPOINTER_TO_INT(g_hash_table_lookup(job->zone_outstanding, zone));
         return count + 1 <= (int)((job->spec.tasks + 1) / 2);
     }
     return true;
 }
 
-/* The part with most free room on machines that take the task, and the row it would book. */
-static machine_row_t *choose_row(const leader_t *leader, const job_t *job, guint *part)
+/* The partition with most free resources on machines that take the task, and the summary of the
+ * machine that it would book. */
+static machine_summary_t *choose_summary(const leader_t *leader, const job_t *job, guint *partition)
 {
     bool zoned = job->spec.same_zone || job->spec.spread;
-    machine_row_t *chosen = NULL;
+    machine_summary_t *chosen = NULL;
     double most = -1;
-    for (guint i = 0; i < leader->rows->len; i++) {
-        GArray *rows = g_ptr_array_index(leader->rows, i);
-        double room = 0, lowest = INFINITY;
-        machine_row_t *best = NULL;
-        for (guint k = 0; rows && k < rows->len; k++) {
-            machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            if (!row_admits(row, &job->spec, "") || (zoned && !zone_open(job, row->zone)))
+    for (guint i = 0; i < leader->summaries->len; i++) {
+        GArray *summaries = g_ptr_array_index(leader->summaries, i);
+        double cpus = 0, lowest = INFINITY;
+        machine_summary_t *best = NULL;
+        for (guint k = 0; summaries && k < summaries->len; k++) {
+            machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
+            if (!summary_admits(summary, &job->spec, "") ||
+                (zoned && !zone_open(job, summary->zone)))
                 continue;
-            room += row->free.cpus;
-            double pressure = MAX(
-                1 - (row->free.cpus - job->spec.need.cpus) / MAX(row->total.cpus, EPSILON),
-                1 - (row->free.memory - job->spec.need.memory) / MAX(row->total.memory, EPSILON));
+            cpus += summary->free.cpus;
+            double pressure = MAX(1 - (summary->free.cpus - job->spec.need.cpus) /
+                                          MAX(summary->total.cpus, EPSILON),
+                                  1 - (summary->free.memory - job->spec.need.memory) /
+                                          MAX(summary->total.memory, EPSILON));
             if (pressure < lowest) {
                 lowest = pressure;
-                best = row;
+                best = summary;
             }
         }
-        if (best && room > most) {
-            most = room;
+        if (best && cpus > most) {
+            most = cpus;
             chosen = best;
-            *part = i;
+            *partition = i;
         }
     }
     return chosen;
 }
 
-void leader_set_yielding(leader_t *leader, guint part, GArray *cpus)
+void leader_set_yielding(leader_t *leader, guint partition, GArray *cpus)
 {
-    rows_free(g_ptr_array_index(leader->yields, part));
-    g_ptr_array_index(leader->yields, part) = cpus;
+    array_free(g_ptr_array_index(leader->yielding, partition));
+    g_ptr_array_index(leader->yielding, partition) = cpus;
     for (guint team = 0; team < leader->teams->len; team++) {
         double sum = 0;
-        for (guint i = 0; i < leader->yields->len; i++) {
-            const GArray *list = g_ptr_array_index(leader->yields, i);
+        for (guint i = 0; i < leader->yielding->len; i++) {
+            const GArray *list = g_ptr_array_index(leader->yielding, i);
             sum += list && team < list->len ? g_array_index(list, double, team) : 0;
         }
         g_array_index(leader->teams, team_state_t, team).yielding = sum;
@@ -405,195 +411,200 @@
     return mask;
 }
 
-/* Where no room is free: the part may stop what the protocol lets it stop, if that is little. */
+/* Where no resources are free: the partition may stop what the protocol lets it stop, if that is
+ * little. */
 static bool may_preempt(leader_t *leader, const team_state_t *state, const job_t *job,
-                        offer_t *offer)
+                        placement_request_t *request)
 {
-    if (leader->preempting >= knob_value(leader->policy, KNOB_PREEMPTIONS_PER_ROUND) ||
+    if (leader->preempting >= tunable_value(leader->policy, TUNABLE_PREEMPTIONS_PER_ROUND) ||
         job->spec.same_zone || job->spec.spread || job->spec.kind == KIND_GANG)
         return false;
-    offer->victims = borrowers(leader, state);
-    offer->claim = state->cpus + job->spec.need.cpus <= state->team.cpus + EPSILON;
+    request->victims = borrowers(leader, state);
+    request->claims_guarantee = state->cpus + job->spec.need.cpus <= state->team.cpus + EPSILON;
     /* Measured: stopping low work for every normal task threw away more than it brought forward. */
-    bool wanted = knob_for_job(leader->policy, KNOB_PREEMPT, &job->spec) != 0;
-    offer->preempt = wanted || (offer->claim && offer->victims);
-    leader->preempting += offer->preempt;
-    return offer->preempt;
+    bool wanted = tunable_for_job(leader->policy, TUNABLE_PREEMPT, &job->spec) != 0;
+    request->preempt = wanted || (request->claims_guarantee && request->victims);
+    leader->preempting += request->preempt;
+    return request->preempt;
 }
 
-/* The part with most room that the job may use, whoever has it now; G_MAXUINT: none has any, and an
- * offer would only come back. */
-static guint largest_part(const leader_t *leader, const job_spec_t *spec)
+/* The partition with most resources that the job may use, whoever has them now; G_MAXUINT: none has
+ * any, and a request would only come back. */
+static guint largest_partition(const leader_t *leader, const job_spec_t *spec)
 {
     guint largest = G_MAXUINT;
     double most = 0;
-    for (guint i = 0; i < leader->rows->len; i++) {
-        const GArray *rows = g_ptr_array_index(leader->rows, i);
-        double room = 0;
-        for (guint k = 0; rows && k < rows->len; k++) {
-            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            if (row->open && job_spec_allows(spec, row->type, row->zone, row->spot))
-                room += row->total.cpus;
+    for (guint i = 0; i < leader->summaries->len; i++) {
+        const GArray *summaries = g_ptr_array_index(leader->summaries, i);
+        double cpus = 0;
+        for (guint k = 0; summaries && k < summaries->len; k++) {
+            const machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
+            if (summary->open && job_spec_allows(spec, summary->type, summary->zone, summary->spot))
+                cpus += summary->total.cpus;
         }
-        if (room > most) {
-            most = room;
+        if (cpus > most) {
+            most = cpus;
             largest = i;
         }
     }
     return largest;
 }
 
-/* What a machine has free while it is held is kept from work that fits: not for ever. */
-static bool is_held_enough(const leader_t *leader, const char *machine, msec_t now)
+/* What a machine has free while it is claimed is kept from work that fits: not for ever. */
+static bool is_claim_exhausted(const leader_t *leader, const char *machine, msec_t now)
 {
-    const hold_t *hold = g_hash_table_lookup(leader->holds, machine);
-    return hold && now - hold->last < HOLD_REST_MS && hold->last - hold->since > HOLD_MOST_MS;
+    const machine_claim_t *machine_claim = g_hash_table_lookup(leader->machine_claims, machine);
+    return machine_claim && now - machine_claim->last < CLAIM_REST_MS &&
+           machine_claim->last - machine_claim->since > CLAIM_MAX_MS;
 }
 
-static void note_hold(leader_t *leader, const char *machine, msec_t now)
+static void record_claim(leader_t *leader, const char *machine, msec_t now)
 {
-    hold_t *hold = g_hash_table_lookup(leader->holds, machine);
-    if (!hold) {
-        hold = g_new0(hold_t, 1);
-        hold->last = now - HOLD_REST_MS;
-        g_hash_table_insert(leader->holds, g_strdup(machine), hold);
+    machine_claim_t *machine_claim = g_hash_table_lookup(leader->machine_claims, machine);
+    if (!machine_claim) {
+        machine_claim = g_new0(machine_claim_t, 1);
+        machine_claim->last = now - CLAIM_REST_MS;
+        g_hash_table_insert(leader->machine_claims, g_strdup(machine), machine_claim);
     }
-    if (now - hold->last >= HOLD_REST_MS)
-        hold->since = now;
-    hold->last = now;
+    if (now - machine_claim->last >= CLAIM_REST_MS)
+        machine_claim->since = now;
+    machine_claim->last = now;
 }
 
-/* Room is freed a small task at a time, and small tasks of lower urgency would take it each time:
- * a large one would wait for ever, though it goes first. So machines that lack least for it are
- * held until it fits; once it has, the next of its kind fits when it ends. */
-static bool hold_row(leader_t *leader, const job_t *job, urgency_t below, msec_t now)
+/* Resources are freed a small task at a time, and small tasks of lower priority would take them
+ * each time: a large one would wait for ever, though it goes first. So machines that lack least for
+ * it are claimed until it fits; once it has, the next of its kind fits when it ends. */
+static bool claim_machine(leader_t *leader, const job_t *job, priority_t below, msec_t now)
 {
     const job_spec_t *spec = &job->spec;
-    machine_row_t *chosen = NULL;
+    machine_summary_t *chosen = NULL;
     double least = INFINITY;
-    guint count = 0, held = 0;
-    for (guint i = 0; i < leader->rows->len; i++) {
-        GArray *rows = g_ptr_array_index(leader->rows, i);
-        for (guint k = 0; rows && k < rows->len; k++) {
-            machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+    guint count = 0, claimed = 0;
+    for (guint i = 0; i < leader->summaries->len; i++) {
+        GArray *summaries = g_ptr_array_index(leader->summaries, i);
+        for (guint k = 0; summaries && k < summaries->len; k++) {
+            machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
             count++;
-            held += row->held > URGENCY_LOW;
-            double lack = spec->need.cpus - row->free.cpus;
-            if (row->held > URGENCY_LOW || !row->open || lack >= least ||
-                is_held_enough(leader, row->machine, now) || !room_fits(spec->need, row->total) ||
-                !job_spec_allows(spec, row->type, row->zone, row->spot) ||
-                (spec->zone[0] && strcmp(spec->zone, row->zone) != 0))
+            claimed += summary->claim_priority > PRIORITY_LOW;
+            double lack = spec->need.cpus - summary->free.cpus;
+            if (summary->claim_priority > PRIORITY_LOW || !summary->open || lack >= least ||
+                is_claim_exhausted(leader, summary->machine, now) ||
+                !resources_fit(spec->need, summary->total) ||
+                !job_spec_allows(spec, summary->type, summary->zone, summary->spot) ||
+                (spec->zone[0] && strcmp(spec->zone, summary->zone) != 0))
                 continue;
-            chosen = row;
+            chosen = summary;
             least = lack;
         }
     }
-    bool holds = chosen && held < MAX(1, count / HELD_PART);
-    if (holds) {
-        chosen->held = (int)below;
-        note_hold(leader, chosen->machine, now);
+    bool claimed_one = chosen && claimed < MAX(1, count / CLAIMED_MACHINES_DIVISOR);
+    if (claimed_one) {
+        chosen->claim_priority = (int)below;
+        record_claim(leader, chosen->machine, now);
     }
-    return holds;
+    return claimed_one;
 }
 
-static void hold_rows(leader_t *leader, const team_state_t *state, const queued_t *queued,
-                      msec_t now)
+static void claim_machines(leader_t *leader, const team_state_t *state, const queued_t *queued,
+                           msec_t now)
 {
     const job_t *job = queued->job;
-    urgency_t below = queued->owed ? MAX(URGENCY_HIGH, job->spec.urgency) : job->spec.urgency;
-    guint wanted = queued->owed ? queued->owed - job->n_live : MIN(job_pending(job), HELD_A_JOB);
+    priority_t below = queued->owed ? MAX(PRIORITY_HIGH, job->spec.priority) : job->spec.priority;
+    guint wanted = queued->owed ? queued->owed - job->outstanding_count
+                                : MIN(job_pending(job), CLAIMED_MACHINES_PER_JOB);
     if (!team_admits(state, job->spec.need))
         return;
-    while (below > URGENCY_LOW && wanted > 0 && hold_row(leader, job, below, now))
+    while (below > PRIORITY_LOW && wanted > 0 && claim_machine(leader, job, below, now))
         wanted--;
 }
 
-static void release_rows(leader_t *leader)
+static void release_claims(leader_t *leader)
 {
-    for (guint i = 0; i < leader->rows->len; i++) {
-        GArray *rows = g_ptr_array_index(leader->rows, i);
-        for (guint k = 0; rows && k < rows->len; k++)
-            g_array_index(rows, machine_row_t, k).held = URGENCY_LOW;
+    for (guint i = 0; i < leader->summaries->len; i++) {
+        GArray *summaries = g_ptr_array_index(leader->summaries, i);
+        for (guint k = 0; summaries && k < summaries->len; k++)
+            g_array_index(summaries, machine_summary_t, k).claim_priority = PRIORITY_LOW;
     }
 }
 
 /* One task, under the attempt number that the count stands at. */
-static bool offer_task(leader_t *leader, team_state_t *state, job_t *job, GArray *offers)
+static bool request_task(leader_t *leader, team_state_t *state, job_t *job, GArray *requests)
 {
     uint32_t task;
-    guint part = 0;
+    guint partition = 0;
     if (!team_admits(state, job->spec.need) || !next_task(job, &task))
         return false;
-    machine_row_t *row = choose_row(leader, job, &part);
-    leader_offer_t made = {0};
-    offer_t *offer = &made.offer;
-    if (row)
-        room_add(&row->free, job->spec.need, -1);
-    else if (!may_preempt(leader, state, job, offer) ||
-             (part = largest_part(leader, &job->spec)) == G_MAXUINT)
+    machine_summary_t *summary = choose_summary(leader, job, &partition);
+    leader_request_t made = {0};
+    placement_request_t *request = &made.request;
+    if (summary)
+        resources_add(&summary->free, job->spec.need, -1);
+    else if (!may_preempt(leader, state, job, request) ||
+             (partition = largest_partition(leader, &job->spec)) == G_MAXUINT)
         return false;
-    made.part = part;
-    g_strlcpy(offer->job, job->spec.id, sizeof offer->job);
-    g_strlcpy(offer->team, job->spec.team, sizeof offer->team);
-    g_strlcpy(offer->image, job->spec.image, sizeof offer->image);
-    /* Where the job's tasks bind each other, the zone is settled here and now, so that two parts
-     * can't decide differently; else the machine is the part's choice. */
+    made.partition = partition;
+    g_strlcpy(request->job, job->spec.id, sizeof request->job);
+    g_strlcpy(request->team, job->spec.team, sizeof request->team);
+    g_strlcpy(request->image, job->spec.image, sizeof request->image);
+    /* Where the job's tasks bind each other, the zone is decided here and now, so that two
+     * partitions can't decide differently; else the machine is the partition's choice. */
     if (job->spec.same_zone || job->spec.spread)
-        g_strlcpy(offer->zone, row->zone, sizeof offer->zone);
+        g_strlcpy(request->zone, summary->zone, sizeof request->zone);
     else
-        g_strlcpy(offer->zone, job->spec.zone, sizeof offer->zone);
-    offer->types = job->spec.types;
-    offer->need = job->spec.need;
-    offer->spot = job->spec.spot; /* as the operators' settings left it */
-    offer->gang = job->spec.kind == KIND_GANG;
-    offer->urgency = job->spec.urgency;
-    offer->save_s = job->spec.save_s;
-    offer->checkpoint_s = job->spec.checkpoint_s;
-    offer->job_stamp = job->stamp;
-    offer->task = task;
-    offer->attempt = (leader->view << ATTEMPT_SHIFT) + leader->count;
-    live_add(leader, task_ref(job->spec.id, task, offer->attempt), job->spec.team, job->spec.need,
-             offer->zone, part);
-    g_array_append_val(offers, made);
+        g_strlcpy(request->zone, job->spec.zone, sizeof request->zone);
+    request->types = job->spec.types;
+    request->need = job->spec.need;
+    request->spot = job->spec.spot; /* as the operators' settings left it */
+    request->gang = job->spec.kind == KIND_GANG;
+    request->priority = job->spec.priority;
+    request->save_s = job->spec.save_s;
+    request->checkpoint_s = job->spec.checkpoint_s;
+    request->job_revision = job->revision;
+    request->task = task;
+    request->attempt = (leader->view << ATTEMPT_SHIFT) + leader->count;
+    outstanding_add(leader, task_ref(job->spec.id, task, request->attempt), job->spec.team,
+                    job->spec.need, request->zone, partition);
+    g_array_append_val(requests, made);
     return true;
 }
 
-static bool offer_one(leader_t *leader, team_state_t *state, job_t *job, GArray *offers)
+static bool request_one(leader_t *leader, team_state_t *state, job_t *job, GArray *requests)
 {
     leader->count++;
-    return offer_task(leader, state, job, offers);
+    return request_task(leader, state, job, requests);
 }
 
-/* A gang starts whole or not at all: what was offered of it is taken back when one task finds no
- * room. The rows are few, so their state is kept by a copy. */
-static bool offer_gang(leader_t *leader, team_state_t *state, job_t *job, GArray *offers)
+/* A gang starts whole or not at all: what was requested of it is taken back when one task finds no
+ * room. The summaries are few, so their state is kept by a copy. */
+static bool request_gang(leader_t *leader, team_state_t *state, job_t *job, GArray *requests)
 {
-    guint first = offers->len;
+    guint first = requests->len;
     uint32_t wanted = job_pending(job);
     if (wanted == 0)
         return false; /* else this job would be served for ever */
     GPtrArray *saved = g_ptr_array_new();
-    for (guint i = 0; i < leader->rows->len; i++) {
-        GArray *rows = g_ptr_array_index(leader->rows, i);
-        g_ptr_array_add(saved, rows ? g_array_copy(rows) : NULL);
+    for (guint i = 0; i < leader->summaries->len; i++) {
+        GArray *summaries = g_ptr_array_index(leader->summaries, i);
+        g_ptr_array_add(saved, summaries ? g_array_copy(summaries) : NULL);
     }
     leader->count++;
     for (uint32_t i = 0; i < wanted; i++)
-        if (!offer_task(leader, state, job, offers))
+        if (!request_task(leader, state, job, requests))
             break;
-    bool whole = offers->len - first == wanted;
-    while (!whole && offers->len > first) {
-        const offer_t *offer = &g_array_index(offers, leader_offer_t, offers->len - 1).offer;
-        task_ref_t ref = task_ref(offer->job, offer->task, offer->attempt);
-        live_drop(leader, &ref);
+    bool whole = requests->len - first == wanted;
+    while (!whole && requests->len > first) {
+        const placement_request_t *request =
+            &g_array_index(requests, leader_request_t, requests->len - 1).request;
+        task_ref_t ref = task_ref(request->job, request->task, request->attempt);
+        outstanding_drop(leader, &ref);
         job->cursor = 0;
-        g_array_set_size(offers, offers->len - 1);
+        g_array_set_size(requests, requests->len - 1);
     }
     for (guint i = 0; i < saved->len; i++) {
         if (whole)
-            rows_free(g_ptr_array_index(saved, i));
+            array_free(g_ptr_array_index(saved, i));
         else
-            leader_set_rows(leader, i, g_ptr_array_index(saved, i));
+            leader_set_summaries(leader, i, g_ptr_array_index(saved, i));
     }
     g_ptr_array_unref(saved);
     return whole;
@@ -608,12 +619,12 @@
     g_hash_table_iter_init(&iter, leader->jobs);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         job_t *job = value;
-        if (!job_pending(job) || job_held(job, now) || strcmp(job->spec.team, name) != 0)
+        if (!job_pending(job) || is_job_blocked(job, now) || strcmp(job->spec.team, name) != 0)
             continue;
         queued_t queued = queue_entry(leader, job, day_ms);
         g_array_append_val(queue, queued);
         queued.owed = owed_tasks(job, day_ms);
-        if (job->n_live < queued.owed)
+        if (job->outstanding_count < queued.owed)
             g_array_append_val(queue, queued);
     }
     g_array_sort(queue, compare_queued);
@@ -627,21 +638,21 @@
 
 /* Serves one team's turn: from `at` on, until its allowance is spent. */
 static void serve_turn(leader_t *leader, team_state_t *state, GArray *queue, guint *at,
-                       double allowance, GArray *offers, guint most, msec_t now)
+                       double allowance, GArray *requests, guint most, msec_t now)
 {
     double spent = 0;
-    while (*at < queue->len && offers->len < most) {
+    while (*at < queue->len && requests->len < most) {
         const queued_t *queued = &g_array_index(queue, queued_t, *at);
         job_t *job = queued->job;
         double cost = task_cost(queued);
         if (spent + cost > allowance + EPSILON)
             break;
         bool gang = job->spec.kind == KIND_GANG;
-        if (queued->owed && job->n_live >= queued->owed) {
+        if (queued->owed && job->outstanding_count >= queued->owed) {
             (*at)++;
-        } else if (job_held(job, G_MAXINT64 - 1) ||
-                   !(gang ? offer_gang : offer_one)(leader, state, job, offers)) {
-            hold_rows(leader, state, queued, now);
+        } else if (is_job_blocked(job, G_MAXINT64 - 1) ||
+                   !(gang ? request_gang : request_one)(leader, state, job, requests)) {
+            claim_machines(leader, state, queued, now);
             (*at)++; /* nothing more of this job for now */
         } else {
             spent += cost;
@@ -649,9 +660,9 @@
     }
 }
 
-/* Whose turn it is, of those with work left from `at` on: a share is one of the room held, not of
- * starts: tasks of five minutes beside others of twenty seconds took nearly all of it by equal
- * starts.
+/* Whose turn it is, of those with work left from `at` on: a share is one of the resources in use,
+ * not of starts: tasks of five minutes beside others of twenty seconds took nearly all of it by
+ * equal starts.
  */
 static guint poorest_team(const leader_t *leader, const GPtrArray *queues, const guint *at)
 {
@@ -661,7 +672,7 @@
         promised += g_array_index(leader->teams, team_state_t, i).team.cpus;
     for (guint i = 0; i < teams; i++) {
         const team_state_t *state = &g_array_index(leader->teams, team_state_t, i);
-        double weight = MAX(MAX(state->team.cpus, promised * GUEST_SHARE), 1);
+        double weight = MAX(MAX(state->team.cpus, promised * UNGUARANTEED_TEAM_SHARE), 1);
         if (at[i] >= ((const GArray *)g_ptr_array_index(queues, i))->len ||
             state->cpus / weight >= least)
             continue;
@@ -673,10 +684,10 @@
 
 GArray *leader_schedule(leader_t *leader, msec_t now, int64_t day_ms, guint most)
 {
-    GArray *offers = g_array_new(FALSE, FALSE, sizeof(leader_offer_t));
+    GArray *requests = g_array_new(FALSE, FALSE, sizeof(leader_request_t));
     guint teams = leader->teams->len;
     leader->preempting = 0;
-    release_rows(leader);
+    release_claims(leader);
     GPtrArray *queues = g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
     guint *at = g_new0(guint, MAX(teams, 1));
     for (guint i = 0; i < teams; i++)
@@ -686,39 +697,39 @@
         team_state_t *state = &g_array_index(leader->teams, team_state_t, i);
         double left = state->team.cpus - state->cpus;
         if (left > 0)
-            serve_turn(leader, state, g_ptr_array_index(queues, i), &at[i], left, offers, most,
+            serve_turn(leader, state, g_ptr_array_index(queues, i), &at[i], left, requests, most,
                        now);
     }
     /* The rest goes a task at a time to the team that holds least for its weight. */
-    for (guint i; offers->len < most && (i = poorest_team(leader, queues, at)) < teams;) {
+    for (guint i; requests->len < most && (i = poorest_team(leader, queues, at)) < teams;) {
         GArray *queue = g_ptr_array_index(queues, i);
         serve_turn(leader, &g_array_index(leader->teams, team_state_t, i), queue, &at[i],
-                   task_cost(&g_array_index(queue, queued_t, at[i])), offers, most, now);
+                   task_cost(&g_array_index(queue, queued_t, at[i])), requests, most, now);
     }
     g_free(at);
     g_ptr_array_unref(queues);
-    return offers;
+    return requests;
 }
 
-bool leader_is_out(const leader_t *leader, const task_ref_t *ref)
+bool leader_is_outstanding(const leader_t *leader, const task_ref_t *ref)
 {
-    const live_t *live = g_hash_table_lookup(leader->live, ref);
-    return live && live->ref.attempt == ref->attempt;
+    const outstanding_t *outstanding = g_hash_table_lookup(leader->outstanding, ref);
+    return outstanding && outstanding->ref.attempt == ref->attempt;
 }
 
-GArray *leader_out(const leader_t *leader, const char *job)
+GArray *leader_outstanding(const leader_t *leader, const char *job)
 {
-    GArray *out = g_array_new(FALSE, FALSE, sizeof(settle_t));
+    GArray *attempts = g_array_new(FALSE, FALSE, sizeof(partition_attempt_t));
     GHashTableIter iter;
     gpointer value;
-    g_hash_table_iter_init(&iter, leader->live);
+    g_hash_table_iter_init(&iter, leader->outstanding);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const live_t *live = value;
-        settle_t entry = {.ref = live->ref, .part = live->part};
-        if (strcmp(live->ref.job, job) == 0)
-            g_array_append_val(out, entry);
+        const outstanding_t *outstanding = value;
+        partition_attempt_t entry = {.ref = outstanding->ref, .partition = outstanding->partition};
+        if (strcmp(outstanding->ref.job, job) == 0)
+            g_array_append_val(attempts, entry);
     }
-    return out;
+    return attempts;
 }
 
 static void job_failed(job_t *job, cause_t cause, msec_t now)
@@ -737,55 +748,58 @@
 
 /* An error is mostly the machine's. One that fails at once is always the emptiest, so least-loaded
  * placement would feed it everything; but a job submitted with a mistake fails on every machine,
- * and must not condemn them all. So it takes several failures without a success between, of more
+ * and must not quarantine them all. So it takes several failures without a success between, of more
  * than one job or of a job that has finished tasks. */
-static void suspect_machine(leader_t *leader, const outcome_t *outcome, const job_t *job)
+static void record_failure(leader_t *leader, const attempt_result_t *result, const job_t *job)
 {
-    if (outcome->cause == CAUSE_DONE) {
-        g_hash_table_remove(leader->suspects, outcome->machine);
+    if (result->cause == CAUSE_DONE) {
+        g_hash_table_remove(leader->failure_records, result->machine);
         return;
     }
-    if (outcome->cause != CAUSE_ERROR || !outcome->machine[0])
+    if (result->cause != CAUSE_ERROR || !result->machine[0])
         return;
-    suspect_t *suspect = g_hash_table_lookup(leader->suspects, outcome->machine);
-    if (!suspect) {
-        suspect = g_new0(suspect_t, 1);
-        g_strlcpy(suspect->job, outcome->ref.job, sizeof suspect->job);
-        g_hash_table_insert(leader->suspects, g_strdup(outcome->machine), suspect);
+    failure_record_t *failure_record =
+        g_hash_table_lookup(leader->failure_records, result->machine);
+    if (!failure_record) {
+        failure_record = g_new0(failure_record_t, 1);
+        g_strlcpy(failure_record->job, result->ref.job, sizeof failure_record->job);
+        g_hash_table_insert(leader->failure_records, g_strdup(result->machine), failure_record);
     }
-    suspect->errors++;
-    if ((job && job->n_done > 0) || strcmp(suspect->job, outcome->ref.job) != 0)
-        suspect->sound = true;
+    failure_record->errors++;
+    if ((job && job->done_count > 0) || strcmp(failure_record->job, result->ref.job) != 0)
+        failure_record->is_machine_at_fault = true;
 }
 
-bool leader_condemns(const leader_t *leader, const char *machine)
+bool leader_is_quarantined(const leader_t *leader, const char *machine)
 {
-    const suspect_t *suspect = g_hash_table_lookup(leader->suspects, machine);
-    return suspect && suspect->sound && suspect->errors >= MACHINE_ERRORS_ALARM;
+    const failure_record_t *failure_record = g_hash_table_lookup(leader->failure_records, machine);
+    return failure_record && failure_record->is_machine_at_fault &&
+           failure_record->errors >= MACHINE_ERRORS_ALARM;
 }
 
-void leader_outcome(leader_t *leader, guint part, const outcome_t *outcome, msec_t now)
+void leader_handle_result(leader_t *leader, guint partition, const attempt_result_t *result,
+                          msec_t now)
 {
-    uint32_t task = outcome->ref.task;
-    job_t *job = live_drop(leader, &outcome->ref);
-    suspect_machine(leader, outcome, job);
+    uint32_t task = result->ref.task;
+    job_t *job = outstanding_drop(leader, &result->ref);
+    record_failure(leader, result, job);
     if (!job)
         return;
-    if (outcome->cause == CAUSE_DONE) {
+    if (result->cause == CAUSE_DONE) {
         job->errors = 0;
         if (!bit_get(job->done, task)) {
             bit_set(job->done, task, true);
-            job->n_done++;
+            job->done_count++;
         }
         if (!job->dirty_chunks)
             job->dirty_since = now;
         job->dirty_chunks |= 1u << (task / CHUNK_BITS);
-        settle_t settle = {.ref = outcome->ref, .part = part};
-        g_array_append_val(job->unsettled, settle);
+        partition_attempt_t completion = {.ref = result->ref, .partition = partition};
+        g_array_append_val(job->unacknowledged, completion);
         return;
     }
     job->cursor = MIN(job->cursor, task);
-    job_failed(job, outcome->cause, now);
+    job_failed(job, result->cause, now);
 }
 
 GArray *leader_demand(const leader_t *leader, msec_t now)
@@ -799,11 +813,11 @@
         guint team = 0;
         const team_state_t *state = team_find(leader, job->spec.team, &team);
         uint32_t tasks = job_pending(job);
-        if (!tasks || !state || job_held(job, now))
+        if (!tasks || !state || is_job_blocked(job, now))
             continue;
         if (state->team.cpus_max > 0 && job->spec.need.cpus > 0) {
             double left = MAX(state->team.cpus_max - state->cpus, 0) / job->spec.need.cpus;
-            tasks = MIN(tasks, (uint32_t)MIN(left, (double)PIECES_MAX));
+            tasks = MIN(tasks, (uint32_t)MIN(left, (double)TASKS_MAX));
         }
         if (job->errors >= JOB_ERRORS_ALARM)
             tasks = MIN(tasks, 1);
@@ -818,20 +832,21 @@
 {
     progress_t *progress = data;
     g_free(progress->bits);
-    if (progress->old_stamps)
-        g_array_unref(progress->old_stamps);
+    if (progress->old_revisions)
+        g_array_unref(progress->old_revisions);
 }
 
-static void progress_end(job_t *job, GArray *batch, txn_room_t *room)
+static void progress_end(job_t *job, GArray *batch, txn_usage_t *usage)
 {
-    progress_t progress = {.end = true, .done = job->n_done, .job_stamp = job->stamp};
+    progress_t progress = {.end = true, .done = job->done_count, .job_revision = job->revision};
     g_strlcpy(progress.job, job->spec.id, sizeof progress.job);
-    progress.old_stamps = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-    g_array_append_vals(progress.old_stamps, job->chunk_stamps->data, job->chunk_stamps->len);
-    room->ops += 2;
-    room->bytes += PROGRESS_BYTES;
-    for (guint i = 0; i < job->chunk_stamps->len; i++)
-        room->ops += g_array_index(job->chunk_stamps, uint64_t, i) != 0;
+    progress.old_revisions = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    g_array_append_vals(progress.old_revisions, job->chunk_revisions->data,
+                        job->chunk_revisions->len);
+    usage->ops += 2;
+    usage->bytes += PROGRESS_BYTES;
+    for (guint i = 0; i < job->chunk_revisions->len; i++)
+        usage->ops += g_array_index(job->chunk_revisions, uint64_t, i) != 0;
     job->ending = true;
     g_array_append_val(batch, progress);
 }
@@ -840,10 +855,10 @@
 {
     uint32_t first = chunk * CHUNK_BITS;
     uint32_t bits = MIN((uint32_t)CHUNK_BITS, job->spec.tasks - first);
-    progress_t progress = {.done = job->n_done, .chunk = chunk, .bytes = bits_bytes(bits)};
+    progress_t progress = {.done = job->done_count, .chunk = chunk, .bytes = bits_bytes(bits)};
     g_strlcpy(progress.job, job->spec.id, sizeof progress.job);
-    progress.job_stamp = job->stamp;
-    progress.stamp = g_array_index(job->chunk_stamps, uint64_t, chunk);
+    progress.job_revision = job->revision;
+    progress.revision = g_array_index(job->chunk_revisions, uint64_t, chunk);
     progress.bits = g_memdup2(job->done + first / 8, progress.bytes);
     g_array_append_val(batch, progress);
 }
@@ -858,22 +873,22 @@
 static void progress_taken(job_t *job)
 {
     job->dirty_chunks = 0;
-    job->settling = job->unsettled;
-    job->unsettled = g_array_new(FALSE, FALSE, sizeof(settle_t));
+    job->acknowledging = job->unacknowledged;
+    job->unacknowledged = g_array_new(FALSE, FALSE, sizeof(partition_attempt_t));
 }
 
-static void take_ends(leader_t *leader, GArray *batch, txn_room_t *room)
+static void take_ends(leader_t *leader, GArray *batch, txn_usage_t *usage)
 {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, leader->jobs);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         job_t *job = value;
-        if (job->n_done < job->spec.tasks || job->settling ||
-            room->ops + 2 + job->chunk_stamps->len > room->max_ops ||
-            room->bytes + PROGRESS_BYTES > room->max_bytes)
+        if (job->done_count < job->spec.tasks || job->acknowledging ||
+            usage->ops + 2 + job->chunk_revisions->len > usage->max_ops ||
+            usage->bytes + PROGRESS_BYTES > usage->max_bytes)
             continue;
-        progress_end(job, batch, room);
+        progress_end(job, batch, usage);
         progress_taken(job);
     }
 }
@@ -884,8 +899,8 @@
     return a->dirty_since < b->dirty_since ? -1 : a->dirty_since > b->dirty_since;
 }
 
-/* Oldest first: with a short budget, those at the end of the table would never be. */
-static void take_chunks(leader_t *leader, msec_t before, GArray *batch, txn_room_t *room)
+/* Oldest first: with a low rate limit, those at the end of the table would never be. */
+static void take_chunks(leader_t *leader, msec_t before, GArray *batch, txn_usage_t *usage)
 {
     GPtrArray *due = g_ptr_array_new();
     GHashTableIter iter;
@@ -893,8 +908,8 @@
     g_hash_table_iter_init(&iter, leader->jobs);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         job_t *job = value;
-        if (job->dirty_chunks && !job->settling && job->dirty_since <= before &&
-            job->n_done < job->spec.tasks)
+        if (job->dirty_chunks && !job->acknowledging && job->dirty_since <= before &&
+            job->done_count < job->spec.tasks)
             g_ptr_array_add(due, job);
     }
     g_ptr_array_sort(due, compare_dirty);
@@ -905,13 +920,13 @@
          * hold: it was refused as invalid, again and again. */
         gsize bytes =
             cost * (PROGRESS_BYTES + bits_bytes(MIN(job->spec.tasks, CHUNK_BITS)) * 4 / 3);
-        if (room->ops + cost > room->max_ops || room->bytes + bytes > room->max_bytes)
+        if (usage->ops + cost > usage->max_ops || usage->bytes + bytes > usage->max_bytes)
             break;
-        for (guint chunk = 0; chunk < job->chunk_stamps->len; chunk++)
+        for (guint chunk = 0; chunk < job->chunk_revisions->len; chunk++)
             if (job->dirty_chunks >> chunk & 1)
                 progress_chunk(job, chunk, batch);
-        room->ops += cost;
-        room->bytes += bytes;
+        usage->ops += cost;
+        usage->bytes += bytes;
         progress_taken(job);
     }
     g_ptr_array_unref(due);
@@ -920,29 +935,29 @@
 /* Progress on the way is kept by the workers and their records until it is durable: it can wait and
  * go in one write. An end can't, since users wait for it. */
 void leader_progress_take(leader_t *leader, msec_t now, msec_t min_age, GArray *batch,
-                          txn_room_t *room)
+                          txn_usage_t *usage)
 {
-    take_ends(leader, batch, room);
-    take_chunks(leader, now - min_age, batch, room);
+    take_ends(leader, batch, usage);
+    take_chunks(leader, now - min_age, batch, usage);
 }
 
 void leader_progress_commit(leader_t *leader, const GArray *batch, uint64_t revision,
-                            GArray *settled)
+                            GArray *acknowledged)
 {
     for (guint i = 0; i < batch->len; i++) {
         const progress_t *progress = &g_array_index(batch, progress_t, i);
         job_t *job = g_hash_table_lookup(leader->jobs, progress->job);
         if (!job)
             continue;
-        if (job->settling) {
-            g_array_append_vals(settled, job->settling->data, job->settling->len);
-            g_array_unref(job->settling);
-            job->settling = NULL;
+        if (job->acknowledging) {
+            g_array_append_vals(acknowledged, job->acknowledging->data, job->acknowledging->len);
+            g_array_unref(job->acknowledging);
+            job->acknowledging = NULL;
         }
         if (progress->end)
             g_hash_table_remove(leader->jobs, progress->job);
         else
-            g_array_index(job->chunk_stamps, uint64_t, progress->chunk) = revision;
+            g_array_index(job->chunk_revisions, uint64_t, progress->chunk) = revision;
     }
 }
 
@@ -955,10 +970,11 @@
             continue;
         job->ending = false;
         job->dirty_chunks |= progress->end ? 1u : 1u << progress->chunk;
-        if (job->settling) {
-            g_array_append_vals(job->unsettled, job->settling->data, job->settling->len);
-            g_array_unref(job->settling);
-            job->settling = NULL;
+        if (job->acknowledging) {
+            g_array_append_vals(job->unacknowledged, job->acknowledging->data,
+                                job->acknowledging->len);
+            g_array_unref(job->acknowledging);
+            job->acknowledging = NULL;
         }
     }
 }
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -1,18 +1,19 @@
 /* The leader's order of work: one queue for each team, served in turn by shares.
  *
- * Owns: the live jobs with their progress, what each team has out, and the offers made. It knows
- * the machines only by the rows that their parts hand in. The caller holds the node's lock.
+ * Owns: the live jobs with their progress, what each team has outstanding, and the placement
+ * requests made. It knows the machines only by the machine summaries that their partitions hand in.
+ * The caller holds the node's lock.
  *
- * What counts against a team's limit and a job's zones is every attempt offered or recorded and not
- * proved over, machines that hang or can't be reached included. */
+ * What counts against a team's limit and a job's zones is every attempt requested or recorded and
+ * not proved over, machines that hang or can't be reached included. */
 #ifndef PEPPERPULLEY_LEADER_H
 #define PEPPERPULLEY_LEADER_H
 
-#include "core/knobs.h"
-#include "core/part.h"
+#include "core/partition.h"
+#include "core/tunables.h"
 #include "core/types.h"
 
-/* One machine as its part sums it up for the leader. */
+/* One machine as its partition describes it to the leader. */
 typedef struct {
     char machine[ID_SIZE];
     char type[LABEL_SIZE];
@@ -20,38 +21,39 @@
     bool spot;
     bool open; /* takes starts */
     bool draining;
-    int held; /* the leader's: work below this urgency waits until something larger has fitted */
-    room_t total;
-    room_t free;
+    int claim_priority; /* set by the leader: work below this priority waits until something larger
+                           has fitted */
+    resources_t total;
+    resources_t free;
     guint attempts;
     msec_t silent_ms; /* since it was last reached */
     msec_t idle_ms;   /* since it last had work */
-    msec_t known_ms;  /* since the part first knew it */
-} machine_row_t;
+    msec_t known_ms;  /* since the partition first knew it */
+} machine_summary_t;
 
-/* An attempt that its part may forget once its finish is durable. */
+/* An attempt and the partition that has it. */
 typedef struct {
     task_ref_t ref;
-    guint part;
-} settle_t;
+    guint partition;
+} partition_attempt_t;
 
 typedef struct {
     job_spec_t spec;
-    uint64_t stamp; /* of jobs/<id> */
-    uint8_t *done;  /* a bit a task */
-    uint8_t *live;
-    uint32_t n_done;
-    uint32_t n_live;
-    uint32_t cursor;      /* no pending task below it */
-    GArray *chunk_stamps; /* uint64_t; 0: no key */
+    uint64_t revision; /* of jobs/<id> */
+    uint8_t *done;     /* a bit a task */
+    uint8_t *outstanding;
+    uint32_t done_count;
+    uint32_t outstanding_count;
+    uint32_t cursor;         /* no pending task below it */
+    GArray *chunk_revisions; /* uint64_t; 0: no key */
     uint32_t dirty_chunks;
-    GArray *unsettled;  /* settle_t: attempts whose finish is not durable yet */
-    GArray *settling;   /* those in the commit under way */
-    msec_t dirty_since; /* the oldest progress that is not durable */
-    bool ending;        /* its end is in the commit under way */
-    guint errors;       /* since the last success */
+    GArray *unacknowledged; /* partition_attempt_t: attempts whose finish is not durable yet */
+    GArray *acknowledging;  /* those in the commit under way */
+    msec_t dirty_since;     /* the oldest progress that is not durable */
+    bool ending;            /* its end is in the commit under way */
+    guint errors;           /* since the last success */
     msec_t retry_at;
-    GHashTable *zone_live; /* zone -> count */
+    GHashTable *zone_outstanding; /* zone -> count */
 } job_t;
 
 typedef struct {
@@ -64,74 +66,78 @@
 typedef struct {
     task_ref_t ref;
     guint team;
-    room_t need;
+    resources_t need;
     char zone[LABEL_SIZE];
-    guint part;
-} live_t;
+    guint partition;
+} outstanding_t;
 
-/* An offer for a part. types is owned by the job: deliver before the lock is given up. */
+/* A placement request for a partition. types is owned by the job: deliver before the lock is given
+ * up. */
 typedef struct {
-    guint part;
-    offer_t offer;
-} leader_offer_t;
+    guint partition;
+    placement_request_t request;
+} leader_request_t;
 
 /* A machine on which attempts failed since the last success there. */
 typedef struct {
     guint errors;
-    char job[ID_SIZE]; /* of the first */
-    bool sound;        /* some failed job runs elsewhere, or more than one job failed */
-} suspect_t;
+    char job[ID_SIZE];        /* of the first */
+    bool is_machine_at_fault; /* some failed job runs elsewhere, or more than one job failed */
+} failure_record_t;
 
-/* A machine held for large work, round after round. */
+/* A machine claimed for large work, round after round. */
 typedef struct {
     msec_t since;
     msec_t last;
-} hold_t;
+} machine_claim_t;
 
 typedef struct {
     uint64_t view;
-    uint64_t count;         /* attempts numbered in this view */
-    GHashTable *jobs;       /* id -> job_t, owned */
-    GHashTable *live;       /* task_ref_t -> live_t, owned */
-    GArray *teams;          /* team_state_t */
-    GHashTable *targets;    /* class -> targets_t, from the aims; borrowed */
-    const policy_t *policy; /* borrowed */
-    GHashTable *suspects;   /* machine -> suspect_t, owned: where work failed lately */
-    GHashTable *holds;      /* machine -> hold_t, owned: held of late for work too large to fit */
-    GArray *once;           /* the target of a deadline that no aim names */
-    GPtrArray *rows;        /* part -> GArray of machine_row_t, owned */
-    GPtrArray *yields;      /* part -> GArray of double, a team each, owned */
-    guint preempting;       /* offers of this round that may stop others */
+    uint64_t count;              /* attempts numbered in this view */
+    GHashTable *jobs;            /* id -> job_t, owned */
+    GHashTable *outstanding;     /* task_ref_t -> outstanding_t, owned */
+    GArray *teams;               /* team_state_t */
+    GHashTable *targets;         /* class -> targets_t, from the aims; borrowed */
+    const policy_t *policy;      /* borrowed */
+    GHashTable *failure_records; /* machine -> failure_record_t, owned: where work failed lately */
+    GHashTable *machine_claims;  /* machine -> machine_claim_t, owned: claimed of late for work too
+                                    large to fit */
+    GArray *single_target;       /* the target of a deadline that no aim names */
+    GPtrArray *summaries;        /* partition -> GArray of machine_summary_t, owned */
+    GPtrArray *yielding;         /* partition -> GArray of double, a team each, owned */
+    guint preempting;            /* requests of this round that may stop others */
 } leader_t;
 
-leader_t *leader_new(const GArray *teams, GHashTable *targets, const policy_t *policy, guint parts);
+leader_t *leader_new(const GArray *teams, GHashTable *targets, const policy_t *policy,
+                     guint partitions);
 void leader_free(leader_t *leader);
 void leader_set_view(leader_t *leader, uint64_t view);
 
-void leader_add_job(leader_t *leader, const job_spec_t *spec, uint64_t stamp);
+void leader_add_job(leader_t *leader, const job_spec_t *spec, uint64_t revision);
 void leader_load_chunk(leader_t *leader, const char *id, guint chunk, const uint8_t *bits,
-                       gsize bytes, uint64_t stamp);
+                       gsize bytes, uint64_t revision);
 void leader_load_attempt(leader_t *leader, const record_entry_t *entry, const char *zone,
-                         guint part);
+                         guint partition);
 void leader_end_job(leader_t *leader, const char *id);
 
-/* Hands over a part's rows; takes ownership. */
-void leader_set_rows(leader_t *leader, guint part, GArray *rows);
-/* Cpus of each team's work that the part is stopping for others; takes ownership. */
-void leader_set_yielding(leader_t *leader, guint part, GArray *cpus);
-/* Offers for what can be placed now; now in steady milliseconds, day_ms the time of day.
- * Returns an array of leader_offer_t, at most `most`. */
+/* Hands over a partition's machine summaries; takes ownership. */
+void leader_set_summaries(leader_t *leader, guint partition, GArray *summaries);
+/* Cpus of each team's work that the partition is stopping for others; takes ownership. */
+void leader_set_yielding(leader_t *leader, guint partition, GArray *cpus);
+/* Placement requests for what can be placed now; now in steady milliseconds, day_ms the time of
+ * day. Returns an array of leader_request_t, at most `most`. */
 GArray *leader_schedule(leader_t *leader, msec_t now, int64_t day_ms, guint most);
-/* Whether the attempt is offered or recorded and not over. */
-bool leader_is_out(const leader_t *leader, const task_ref_t *ref);
-/* An attempt is over, or an offer was refused (CAUSE_FULL). */
-void leader_outcome(leader_t *leader, guint part, const outcome_t *outcome, msec_t now);
-/* Whether the machine is taken for faulty: it is to be drained, and not kept. */
-bool leader_condemns(const leader_t *leader, const char *machine);
-/* Attempts of the job that are out. Array of settle_t. */
-GArray *leader_out(const leader_t *leader, const char *job);
-
-/* Room asked for by tasks that have no machine yet, with the jobs' limits applied. */
+/* Whether the attempt is requested or recorded and not over. */
+bool leader_is_outstanding(const leader_t *leader, const task_ref_t *ref);
+/* An attempt is over, or a placement request was refused (CAUSE_FULL). */
+void leader_handle_result(leader_t *leader, guint partition, const attempt_result_t *result,
+                          msec_t now);
+/* Whether the machine is taken for faulty: it is to be drained. */
+bool leader_is_quarantined(const leader_t *leader, const char *machine);
+/* The job's outstanding attempts. Array of partition_attempt_t. */
+GArray *leader_outstanding(const leader_t *leader, const char *job);
+
+/* Resources asked for by tasks that have no machine yet, with the jobs' limits applied. */
 typedef struct {
     job_t *job;
     guint team;
@@ -144,25 +150,26 @@
     char job[ID_SIZE];
     bool end; /* every task is done: jobs/<id> and the chunks go, ended/<id> comes */
     uint32_t done;
-    uint64_t job_stamp;
+    uint64_t job_revision;
     guint chunk;
-    uint64_t stamp;
+    uint64_t revision;
     uint8_t *bits; /* owned; NULL when end */
     gsize bytes;
-    GArray *old_stamps; /* owned; chunk stamps to delete, when end */
+    GArray *old_revisions; /* owned; chunk revisions to delete, when end */
 } progress_t;
 GArray *leader_progress_new(void);
 /* What a transaction has taken so far, and may take. */
 typedef struct {
     guint ops, max_ops;
     gsize bytes, max_bytes; /* of values */
-} txn_room_t;
+} txn_usage_t;
 /* Appends the ends of jobs, then progress that has waited for min_age, within the room. */
 void leader_progress_take(leader_t *leader, msec_t now, msec_t min_age, GArray *batch,
-                          txn_room_t *room);
-/* settled: array of settle_t to append the attempts to that may now be forgotten. */
+                          txn_usage_t *usage);
+/* acknowledged: array of partition_attempt_t to append the attempts to that may now be forgotten.
+ */
 void leader_progress_commit(leader_t *leader, const GArray *batch, uint64_t revision,
-                            GArray *settled);
+                            GArray *acknowledged);
 void leader_progress_undo(leader_t *leader, const GArray *batch);
 
 #endif
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -15,7 +15,7 @@
     char name[ID_SIZE];
     char zone[LABEL_SIZE];
     uint64_t incarnation;
-    bool aside; /* workers can't reach it: it owns no machines */
+    bool excluded; /* workers can't reach it: it owns no machines */
 } member_t;
 
 /* The shard of a machine; every controller finds the same. */
@@ -26,7 +26,7 @@
 bool page_parse(const char *name, char *shard, gsize size, guint *page);
 /* Index of the machine's owner; count must be above 0. Members in the machine's zone go first, so
  * that a cut between zones leaves workers with their owner; a zone without members is hashed over
- * all. Those set aside own nothing, unless all are. */
+ * all. Those excluded own nothing, unless all are. */
 guint owner_of(const member_t *members, guint count, const char *machine, const char *zone);
 
 #endif
--- a/src/core/part.h
+++ b/src/core/partition.h
@@ -1,4 +1,4 @@
-/* A part: the machines that one controller owns in one view.
+/* A partition: the machines that one controller owns in one view.
  *
  * Owns: machines, their attempts and reservations, in memory. Wanted: every recorded attempt
  * listed by its worker, every stopped or ended one gone. The caller holds the lock of the node;
@@ -11,41 +11,42 @@
  *  - an ordinary report, sent under a token above any under which `run` went out, lacks it;
  *  - the cloud confirmed that the machine is gone.
  * Silence, a lapsed reservation, a list of machines or a refused connection is no proof. */
-#ifndef PEPPERPULLEY_PART_H
-#define PEPPERPULLEY_PART_H
+#ifndef PEPPERPULLEY_PARTITION_H
+#define PEPPERPULLEY_PARTITION_H
 
 #include "core/owner.h"
 #include "core/reservation.h"
 #include "core/types.h"
 
-/* What the leader asks a part to place. */
+/* What the leader asks a partition to place. */
 typedef struct {
     char job[ID_SIZE];
     char team[LABEL_SIZE];
     char image[LABEL_SIZE];
     char zone[LABEL_SIZE]; /* empty: any */
     char **types;          /* borrowed for the call; NULL: any */
-    room_t need;
+    resources_t need;
     bool spot;
     bool gang; /* its tasks stand or fall together */
-    urgency_t urgency;
+    priority_t priority;
     double save_s;
     double checkpoint_s;
-    uint64_t job_stamp; /* of jobs/<id>, which the start's commit requires unchanged */
-    bool preempt;       /* where no room is free, work of lower urgency may be stopped */
-    bool claim;         /* the team claims its guarantee: any urgency of the teams below may go */
-    uint64_t victims;   /* whose work may be stopped, a bit for each team of the settings */
+    uint64_t job_revision; /* of jobs/<id>, which the start's commit requires unchanged */
+    bool preempt;          /* where no resources are free, work of lower priority may be stopped */
+    bool claims_guarantee; /* the team claims its guarantee: any priority of the teams below may go
+                            */
+    uint64_t victims;      /* whose work may be stopped, a bit for each team of the settings */
     uint32_t task;
     uint64_t attempt;
-} offer_t;
+} placement_request_t;
 
 /* What stands in a machine's record for one attempt. */
 typedef struct {
     char job[ID_SIZE];
     char team[LABEL_SIZE];
     char image[LABEL_SIZE];
-    room_t need;
-    urgency_t urgency;
+    resources_t need;
+    priority_t priority;
     double save_s;
     double checkpoint_s;
     uint32_t task;
@@ -68,7 +69,7 @@
 typedef struct {
     char shard[SHARD_NAME];
     guint page;
-    uint64_t stamp;
+    uint64_t revision;
     GArray *machines;
 } page_record_t;
 GArray *machine_records_new(void);
@@ -76,17 +77,18 @@
 typedef enum {
     ATTEMPT_PLACED,   /* reserved, not in the record yet */
     ATTEMPT_RECORDED, /* `run` may go out */
-    ATTEMPT_OVER,     /* proved over; leaves the record with the next commit (done: when settled) */
+    ATTEMPT_OVER, /* proved over; leaves the record with the next commit (done: when acknowledged)
+                   */
 } attempt_phase_t;
 
 typedef struct machine machine_t;
 
 /* The machines of one key. It is written when something is to start or to be placed again (urgent),
- * and when it has been long enough that settled results stand in it (lazy). */
+ * and when it has been long enough that acknowledged results stand in it (lazy). */
 typedef struct page {
     char shard[SHARD_NAME];
     guint number;        /* in its shard */
-    uint64_t stamp;      /* of its key; 0: none */
+    uint64_t revision;   /* of its key; 0: none */
     GPtrArray *machines; /* borrowed */
     uint64_t urgent;     /* 0, or its turn: first come, first written */
     bool lazy;
@@ -107,19 +109,19 @@
 typedef struct {
     task_ref_t ref; /* its key */
     record_entry_t entry;
-    uint64_t hold; /* names its reservation */
+    uint64_t reservation_id; /* names its reservation */
     machine_t *machine;
     attempt_phase_t phase;
-    uint64_t job_stamp;
+    uint64_t job_revision;
     uint64_t session;                                 /* under which it was recorded */
     bool in_record;                                   /* the durable record has it */
     enum { BATCH_NONE, BATCH_ADD, BATCH_DROP } batch; /* what a commit under way does to it */
     bool listed;
-    piece_state_t state;
+    task_state_t state;
     cause_t cause;
-    bool reported_done; /* the leader was told; it stays recorded until settled */
-    bool settled;
-    bool waits; /* for the room of work that is being stopped */
+    bool reported_done; /* the leader was told; it stays recorded until acknowledged */
+    bool acknowledged;
+    bool waits; /* for the resources of work that is being stopped */
     bool preempted;
     bool stop;        /* wanted: gone */
     msec_t stop_kill; /* from then on without time to save */
@@ -132,8 +134,8 @@
     char type[LABEL_SIZE];
     char zone[LABEL_SIZE];
     bool spot;
-    bool known_room;
-    room_t room;
+    bool is_capacity_known;
+    resources_t capacity;
     bool reported; /* it was heard in this view, by a report or by the answer to a probe */
     bool spoke;    /* by an ordinary report */
     bool probe;    /* to be asked for its state: its next report may be seconds away */
@@ -147,12 +149,12 @@
     msec_t reached; /* last sign that what we say arrives there; reports alone are none */
     msec_t first_seen;
     msec_t idle_since;
-    msec_t notice_at; /* when the cloud takes it; 0: not announced */
+    msec_t reclaim_at; /* when the cloud takes it; 0: not announced */
     bool draining;
     GPtrArray *attempts; /* attempt_t, owned */
     GArray *reservations;
     GHashTable *images; /* seen in use here, so probably in its cache */
-    room_t booked;      /* of the last report */
+    resources_t booked; /* of the last report */
     guint starting;
     guint running;
     guint errors; /* failures of jobs that run elsewhere */
@@ -172,7 +174,7 @@
     task_ref_t ref;
     cause_t cause;
     char machine[ID_SIZE];
-} outcome_t;
+} attempt_result_t;
 
 typedef struct {
     uint64_t view;
@@ -182,72 +184,73 @@
     GHashTable *attempts; /* task_ref_t -> attempt_t, borrowed from the machines */
     GQueue *wanted; /* machines that want direct commands, borrowed; first come first served */
     uint64_t turns; /* of urgent pages */
-    uint64_t holds;
-    const GArray *flavors;
-    const GArray *teams; /* team_t, in the order of offer_t.victims */
-    GArray *outcomes;    /* outcome_t, drained by the caller */
+    uint64_t last_reservation_id;
+    const GArray *machine_types;
+    const GArray *teams; /* team_t, in the order of placement_request_t.victims */
+    GArray *results;     /* attempt_result_t, drained by the caller */
     guint turn;          /* round robin among equals */
     msec_t lapse;
-    msec_t fresh;      /* a machine not reached for so long gets no starts and no commands */
-    guint probing;     /* probes under way */
-    bool holds_starts; /* no `run` goes out */
-} part_t;
+    msec_t fresh;       /* a machine not reached for so long gets no starts and no commands */
+    guint probing;      /* probes under way */
+    bool starts_paused; /* no `run` goes out */
+} partition_t;
 
-part_t *part_new(const GArray *flavors, const GArray *teams, msec_t lapse);
-void part_free(part_t *part);
+partition_t *partition_new(const GArray *machine_types, const GArray *teams, msec_t lapse);
+void partition_free(partition_t *partition);
 /* A new token of the same leadership: nothing is read again. */
-void part_set_view(part_t *part, uint64_t view);
-void part_load(part_t *part, const page_record_t *record, msec_t now);
-/* The types became known or changed: rooms are looked up again. */
-void part_apply_flavors(part_t *part);
+void partition_set_view(partition_t *partition, uint64_t view);
+void partition_load(partition_t *partition, const page_record_t *record, msec_t now);
+/* The types became known or changed: capacities are looked up again. */
+void partition_apply_machine_types(partition_t *partition);
 
-/* Chooses a machine by the score and reserves; NULL: none has room. */
-machine_t *part_place(part_t *part, const offer_t *offer, msec_t now);
+/* Chooses a machine by the score and reserves; NULL: none has enough free. */
+machine_t *partition_place(partition_t *partition, const placement_request_t *request, msec_t now);
 /* Cpus of a team's work that is being stopped for others. */
-double part_yielding(const part_t *part, const char *team);
+double partition_yielding(const partition_t *partition, const char *team);
 /* Takes back what was placed: dropped and told if it is not recorded yet, else stopped. */
-void part_withdraw(part_t *part, const task_ref_t *ref, msec_t now);
-/* Room that neither reports nor reservations take. */
-room_t part_free_room(const machine_t *machine);
+void partition_withdraw(partition_t *partition, const task_ref_t *ref, msec_t now);
+/* Resources that neither reports nor reservations take. */
+resources_t partition_free_resources(const machine_t *machine);
 
 /* Overtaken: older than what is known of this session, as when the answer to a direct command came
  * first. Nothing of it is taken, but its worker waits for an answer. Unproven: the first report to
- * this part, and from before its view, so perhaps a copy that comes minutes late; nothing of it is
- * taken, and the answer gives the worker the token that its next report will show. Stale: of an
- * earlier session, or a copy of a report that came before. */
+ * this partition, and from before its view, so perhaps a copy that comes minutes late; nothing of
+ * it is taken, and the answer gives the worker the token that its next report will show. Stale: of
+ * an earlier session, or a copy of a report that came before. */
 typedef enum { REPORT_TAKEN, REPORT_OVERTAKEN, REPORT_UNPROVEN, REPORT_STALE } report_verdict_t;
-/* A report, or the body of a direct command's answer (direct). calls: array of call_t to append
- * the answer's commands to; unused for direct ones. */
-report_verdict_t part_report(part_t *part, const report_t *report, bool direct, msec_t now,
-                             GArray *calls);
+/* A report, or the body of a direct command's answer (direct). commands: array of worker_command_t
+ * to append the answer's commands to; unused for direct ones. */
+report_verdict_t partition_report(partition_t *partition, const report_t *report, bool direct,
+                                  msec_t now, GArray *commands);
 /* A report came that could not be answered: the machine is not silent. */
-void part_note_alive(part_t *part, const report_t *report, msec_t now);
+void partition_note_alive(partition_t *partition, const report_t *report, msec_t now);
 /* Whether what we say has arrived at the machine of late, so that it may get starts. */
-bool part_is_reached(const part_t *part, const machine_t *machine, msec_t now);
+bool partition_is_reached(const partition_t *partition, const machine_t *machine, msec_t now);
 /* How often workers report sets what counts as fresh. */
-void part_set_report(part_t *part, double report_s);
+void partition_set_report(partition_t *partition, double report_s);
 /* It executed a direct command of this view, and what it said was taken. */
-void part_probed(part_t *part, const char *machine, msec_t now);
+void partition_probed(partition_t *partition, const char *machine, msec_t now);
 /* While cancellations may be unknown here no start is sent; what is recorded waits. */
-void part_hold_starts(part_t *part, bool hold);
+void partition_pause_starts(partition_t *partition, bool pause);
 /* The job was cancelled or is over: its attempts stop, those not yet recorded are dropped. */
-void part_end_job(part_t *part, const char *job);
+void partition_end_job(partition_t *partition, const char *job);
 /* Asks one attempt to stop, saving if it can. */
-void part_stop(part_t *part, attempt_t *attempt, msec_t now);
+void partition_stop(partition_t *partition, attempt_t *attempt, msec_t now);
 /* The leader has the finished bit durable. */
-void part_settle(part_t *part, const task_ref_t *ref);
+void partition_acknowledge(partition_t *partition, const task_ref_t *ref);
 /* The cloud confirmed that the machine is gone. */
-void part_machine_gone(part_t *part, const char *id);
+void partition_machine_gone(partition_t *partition, const char *id);
 /* Lapses reservations, empties what is being drained; once a tick. */
-void part_tick(part_t *part, msec_t now);
+void partition_tick(partition_t *partition, msec_t now);
 
 /* Commits. A batch holds the records to write (array of page_record_t; one without machines is a
  * deletion) and the jobs that must still exist. */
 typedef struct {
     GArray *records;
-    GHashTable *jobs; /* id -> stamp (pointer-sized): conditions, so that no start follows an end */
-    gsize bytes;      /* estimated, of all records */
-} part_batch_t;
+    GHashTable
+        *jobs;   /* id -> revision (pointer-sized): conditions, so that no start follows an end */
+    gsize bytes; /* estimated, of all records */
+} partition_batch_t;
 
 /* What a batch may take. */
 typedef struct {
@@ -255,25 +258,27 @@
     guint jobs;      /* conditions on jobs */
     gsize value_max; /* bytes of a record */
     gsize bytes;     /* of all records, if there is more than one */
-} part_limits_t;
-part_batch_t *part_batch_take(part_t *part, const part_limits_t *limits, msec_t now);
-void part_batch_commit(part_t *part, part_batch_t *batch, uint64_t revision, msec_t now);
+} partition_limits_t;
+partition_batch_t *partition_batch_take(partition_t *partition, const partition_limits_t *limits,
+                                        msec_t now);
+void partition_batch_commit(partition_t *partition, partition_batch_t *batch, uint64_t revision,
+                            msec_t now);
 /* It was certainly not executed. */
-void part_batch_undo(part_t *part, part_batch_t *batch);
-void part_batch_free(part_batch_t *batch);
+void partition_batch_undo(partition_t *partition, partition_batch_t *batch);
+void partition_batch_free(partition_batch_t *batch);
 
-/* Direct commands: the next machine that wants some, or NULL; its calls are appended (none: it is
- * only asked for its state). */
-machine_t *part_direct_take(part_t *part, msec_t now, GArray *calls);
+/* Direct commands: the next machine that wants some, or NULL; its commands are appended (none: it
+ * is only asked for its state). */
+machine_t *partition_direct_take(partition_t *partition, msec_t now, GArray *commands);
 typedef enum {
     DIRECT_EXECUTED,
     DIRECT_REFUSED,
     DIRECT_NOT_SENT,
     DIRECT_UNANSWERED
 } direct_result_t;
-void part_direct_done(part_t *part, const char *machine, const GArray *calls, uint64_t token,
-                      direct_result_t result);
+void partition_direct_done(partition_t *partition, const char *machine, const GArray *commands,
+                           uint64_t token, direct_result_t result);
 /* Whether something waits for the token to move before it can be forgotten or proved. */
-bool part_wants_token(const part_t *part);
+bool partition_wants_token(const partition_t *partition);
 
 #endif
