--- /dev/null
+++ b/src/core/redirection.c
@@ -0,0 +1,149 @@
+#include "core/redirection.h"
+
+#include <string.h>
+
+typedef struct {
+    msec_t redirected_at;
+    msec_t retained_until; /* 0: not retained */
+    msec_t seen;
+    msec_t reached; /* when it showed last that an answer of ours arrived */
+    uint64_t session;
+    uint64_t seq;
+} redirected_worker_t;
+
+/* A controller that workers of this view were sent to. */
+typedef struct {
+    char probe[ID_SIZE]; /* the machine that tries it */
+    msec_t tried;
+    msec_t missed; /* when one came back last */
+} owner_t;
+
+struct redirection {
+    GHashTable *machines; /* id -> redirected_worker_t, owned */
+    GHashTable *owners;   /* name -> owner_t, owned */
+    msec_t cleared;
+};
+
+redirection_t *redirection_new(void)
+{
+    redirection_t *redirection = g_new0(redirection_t, 1);
+    redirection->machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    redirection->owners = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return redirection;
+}
+
+void redirection_free(redirection_t *redirection)
+{
+    g_hash_table_unref(redirection->machines);
+    g_hash_table_unref(redirection->owners);
+    g_free(redirection);
+}
+
+void redirection_clear(redirection_t *redirection, msec_t now)
+{
+    redirection->cleared = now;
+    g_hash_table_remove_all(redirection->machines);
+}
+
+static redirected_worker_t *find(redirection_t *redirection, const char *machine)
+{
+    redirected_worker_t *worker = g_hash_table_lookup(redirection->machines, machine);
+    if (!worker) {
+        worker = g_new0(redirected_worker_t, 1);
+        worker->redirected_at = worker->seen = worker->reached = -REDIRECTION_FORGET_MS;
+        g_hash_table_insert(redirection->machines, g_strdup(machine), worker);
+    }
+    return worker;
+}
+
+static owner_t *find_owner(redirection_t *redirection, const char *name)
+{
+    owner_t *owner = g_hash_table_lookup(redirection->owners, name);
+    if (!owner) {
+        owner = g_new0(owner_t, 1);
+        owner->tried = owner->missed = -REDIRECTION_FORGET_MS;
+        g_hash_table_insert(redirection->owners, g_strdup(name), owner);
+    }
+    return owner;
+}
+
+/* Until when the worker is to be retained although it did not come back from its owner itself; 0:
+ * it is to try. */
+static msec_t spared_until(owner_t *owner, const char *machine, bool is_grace_over, msec_t now)
+{
+    if (now - owner->missed < RETAIN_MS)
+        return owner->missed + RETAIN_MS;
+    if (!is_grace_over)
+        return 0;
+    if (now - owner->tried < REDIRECT_PROBE_MS && strcmp(owner->probe, machine) != 0)
+        return owner->tried + REDIRECT_PROBE_MS;
+    /* A probe that stayed away for so long is with its owner, and the others may follow. */
+    if (now - owner->tried >= 2 * REDIRECT_PROBE_MS) {
+        owner->tried = now;
+        g_strlcpy(owner->probe, machine, sizeof owner->probe);
+    }
+    return 0;
+}
+
+redirection_verdict_t redirection_report(redirection_t *redirection, const report_t *report,
+                                         const char *name, msec_t now)
+{
+    redirected_worker_t *worker = find(redirection, report->machine);
+    if (report->session < worker->session ||
+        (report->session == worker->session && report->seq <= worker->seq))
+        return REDIRECTION_STALE;
+    /* Without the answer that retained it here it would have waited, and turned to another node. */
+    if (now < worker->retained_until && now - worker->seen < REPORT_FOLLOWS_MS)
+        worker->reached = now;
+    worker->session = report->session;
+    worker->seq = report->seq;
+    worker->seen = now;
+    if (now < worker->retained_until)
+        return REDIRECTION_RETAINED;
+    owner_t *owner = find_owner(redirection, name);
+    if (worker->retained_until == 0 && now - worker->redirected_at < REDIRECT_PROBE_MS) {
+        worker->retained_until = now + RETAIN_MS;
+        /* One that is back sooner was turned away, as by a controller that has just begun. */
+        if (now - worker->redirected_at >= REDIRECT_TIMEOUT_MS)
+            owner->missed = now;
+        return REDIRECTION_RETAINED;
+    }
+    bool is_grace_over = now - redirection->cleared >= REDIRECTION_GRACE_MS;
+    worker->retained_until = spared_until(owner, report->machine, is_grace_over, now);
+    if (worker->retained_until)
+        return REDIRECTION_RETAINED;
+    worker->redirected_at = now;
+    return REDIRECTION_TO_OWNER;
+}
+
+void redirection_stop_ended(const report_t *report, GHashTable *live_jobs, GArray *commands)
+{
+    for (guint i = 0; i < report->attempts->len; i++) {
+        const reported_attempt_t *reported_attempt =
+            &g_array_index(report->attempts, reported_attempt_t, i);
+        if (reported_attempt->state == TASK_EXITED ||
+            g_hash_table_contains(live_jobs, reported_attempt->job))
+            continue;
+        worker_command_t command = {.op = COMMAND_STOP,
+                                    .task = reported_attempt->task,
+                                    .attempt = reported_attempt->attempt};
+        g_strlcpy(command.job, reported_attempt->job, sizeof command.job);
+        g_array_append_val(commands, command);
+    }
+}
+
+GPtrArray *redirection_retained(redirection_t *redirection, msec_t now)
+{
+    GPtrArray *retained = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter iter;
+    gpointer id, value;
+    g_hash_table_iter_init(&iter, redirection->machines);
+    while (g_hash_table_iter_next(&iter, &id, &value)) {
+        const redirected_worker_t *worker = value;
+        if (now - worker->seen > REDIRECTION_FORGET_MS)
+            g_hash_table_iter_remove(&iter);
+        else if (now < worker->retained_until && now - worker->reached < RETAINED_FRESH_MS)
+            g_ptr_array_add(retained, g_strdup(id));
+    }
+    return retained;
+}
--- /dev/null
+++ b/src/core/redirection.h
@@ -0,0 +1,39 @@
+/* Worker redirection: workers that report to this node, which does not own them.
+ *
+ * Owns: what each of them said last, and which of an owner's workers was sent to try it. Such a
+ * worker is redirected to its owner; one that comes right back can't reach it and is retained here,
+ * without starts, until a new try. A worker that comes when the owners have stood for a while had
+ * one and lost it: of those one is sent as a probe, and the others are retained until it is back or
+ * has stayed away. Each of them would try every controller for 5 s, and lose its lease on the way.
+ * The leader is told of those retained, so that it does not take them for dead. */
+#ifndef PEPPERPULLEY_REDIRECTION_H
+#define PEPPERPULLEY_REDIRECTION_H
+
+#include "core/types.h"
+
+typedef struct redirection redirection_t;
+
+typedef enum {
+    REDIRECTION_TO_OWNER, /* to be sent to its owner */
+    REDIRECTION_RETAINED, /* to be answered */
+    REDIRECTION_STALE     /* a copy of what came before: nothing follows from it */
+} redirection_verdict_t;
+
+redirection_t *redirection_new(void);
+void redirection_free(redirection_t *redirection);
+/* The owners changed: everybody is redirected anew, but to owners that could not be reached of
+ * late.
+ */
+void redirection_clear(redirection_t *redirection, msec_t now);
+/* owner: the controller it belongs to, by name and incarnation. */
+redirection_verdict_t redirection_report(redirection_t *redirection, const report_t *report,
+                                         const char *owner, msec_t now);
+/* Stop commands for all that the report lists of jobs that are not among the live ones (keys: ids).
+ * commands: array of worker_command_t to append to. */
+void redirection_stop_ended(const report_t *report, GHashTable *live_jobs, GArray *commands);
+/* Machines retained here that showed of late that our answers reach them: a worker's reports alone,
+ * late copies among them, are no sign that it lives. Array of strings, owned by the array. Forgets
+ * those long gone. */
+GPtrArray *redirection_retained(redirection_t *redirection, msec_t now);
+
+#endif
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -8,8 +8,8 @@
     rental_t *rental = g_new0(rental_t, 1);
     rental->boots = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     rental->refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    rental->dark = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    rental->lit = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    rental->unreachable_zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    rental->recovered_zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return rental;
 }
 
@@ -17,8 +17,8 @@
 {
     g_hash_table_unref(rental->boots);
     g_hash_table_unref(rental->refused);
-    g_hash_table_unref(rental->dark);
-    g_hash_table_unref(rental->lit);
+    g_hash_table_unref(rental->unreachable_zones);
+    g_hash_table_unref(rental->recovered_zones);
     g_free(rental);
 }
 
@@ -53,7 +53,7 @@
     g_hash_table_insert(rental->refused, wish_key(wish->type, wish->zone, wish->spot), value);
 }
 
-/* What the rows say of a zone. */
+/* What the machine summaries say of a zone. */
 typedef struct {
     guint open;
     guint silent;
@@ -62,17 +62,17 @@
 static GHashTable *sum_zones(const leader_t *leader, msec_t silent_ms)
 {
     GHashTable *zones = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-    for (guint i = 0; i < leader->rows->len; i++) {
-        const GArray *rows = g_ptr_array_index(leader->rows, i);
-        for (guint k = 0; rows && k < rows->len; k++) {
-            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            zone_sum_t *sum = g_hash_table_lookup(zones, row->zone);
+    for (guint i = 0; i < leader->summaries->len; i++) {
+        const GArray *summaries = g_ptr_array_index(leader->summaries, i);
+        for (guint k = 0; summaries && k < summaries->len; k++) {
+            const machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
+            zone_sum_t *sum = g_hash_table_lookup(zones, summary->zone);
             if (!sum) {
                 sum = g_new0(zone_sum_t, 1);
-                g_hash_table_insert(zones, (gpointer)row->zone, sum);
+                g_hash_table_insert(zones, (gpointer)summary->zone, sum);
             }
-            sum->open += row->open;
-            sum->silent += row->silent_ms > silent_ms;
+            sum->open += summary->open;
+            sum->silent += summary->silent_ms > silent_ms;
         }
     }
     return zones;
@@ -89,40 +89,42 @@
     while (g_hash_table_iter_next(&iter, &zone, &value)) {
         const zone_sum_t *sum = value;
         if (sum->open > 0) {
-            if (g_hash_table_remove(rental->dark, zone))
-                g_hash_table_insert(rental->lit, g_strdup(zone), g_memdup2(&now, sizeof now));
+            if (g_hash_table_remove(rental->unreachable_zones, zone))
+                g_hash_table_insert(rental->recovered_zones, g_strdup(zone),
+                                    g_memdup2(&now, sizeof now));
         } else if (sum->silent >= LOST_LEAST) {
-            msec_t until = now + DARK_ZONE_MS;
-            if (!rental_is_dark(rental, zone, now))
+            msec_t until = now + UNREACHABLE_ZONE_MS;
+            if (!rental_is_zone_unreachable(rental, zone, now))
                 g_ptr_array_add(fallen, g_strdup(zone));
-            g_hash_table_insert(rental->dark, g_strdup(zone), g_memdup2(&until, sizeof until));
+            g_hash_table_insert(rental->unreachable_zones, g_strdup(zone),
+                                g_memdup2(&until, sizeof until));
         }
     }
     g_hash_table_unref(zones);
     return fallen;
 }
 
-bool rental_is_dark(const rental_t *rental, const char *zone, msec_t now)
+bool rental_is_zone_unreachable(const rental_t *rental, const char *zone, msec_t now)
 {
-    const msec_t *until = g_hash_table_lookup(rental->dark, zone);
+    const msec_t *until = g_hash_table_lookup(rental->unreachable_zones, zone);
     return until && now < *until;
 }
 
 bool rental_waits(const rental_t *rental, const char *zone, msec_t silent_ms, msec_t patience,
                   msec_t now)
 {
-    const msec_t *lit = g_hash_table_lookup(rental->lit, zone);
-    return silent_ms <= DARK_HOLD_MS + patience &&
-           ((rental_is_dark(rental, zone, now) && silent_ms <= DARK_HOLD_MS) ||
-            (lit && now - *lit <= patience));
+    const msec_t *recovered_zones = g_hash_table_lookup(rental->recovered_zones, zone);
+    return silent_ms <= UNREACHABLE_WAIT_MS + patience &&
+           ((rental_is_zone_unreachable(rental, zone, now) && silent_ms <= UNREACHABLE_WAIT_MS) ||
+            (recovered_zones && now - *recovered_zones <= patience));
 }
 
-static const flavor_t *flavor_find(const GArray *flavors, const char *name)
+static const machine_type_t *machine_type_find(const GArray *machine_types, const char *name)
 {
-    for (guint i = 0; i < flavors->len; i++) {
-        const flavor_t *flavor = &g_array_index(flavors, flavor_t, i);
-        if (strcmp(flavor->name, name) == 0)
-            return flavor;
+    for (guint i = 0; i < machine_types->len; i++) {
+        const machine_type_t *machine_type = &g_array_index(machine_types, machine_type_t, i);
+        if (strcmp(machine_type->name, name) == 0)
+            return machine_type;
     }
     return NULL;
 }
@@ -131,7 +133,7 @@
  * more machines it deserves at once. */
 static double patience(const leader_t *leader, const job_t *job, int64_t day_ms)
 {
-    double most = knob_for_job(leader->policy, KNOB_RENT_PATIENCE, &job->spec);
+    double most = tunable_for_job(leader->policy, TUNABLE_RENT_PATIENCE, &job->spec);
     if (job->spec.deadline_s <= 0)
         return most;
     double due = (double)(job->spec.submitted_ms - day_ms) / 1000.0 + job->spec.deadline_s -
@@ -139,21 +141,21 @@
     return CLAMP(due, MIN(most, RENT_PATIENCE_LEAST_S), most);
 }
 
-static room_t wanted_room(const leader_t *leader, msec_t now, int64_t day_ms)
+static resources_t wanted_resources(const leader_t *leader, msec_t now, int64_t day_ms)
 {
-    room_t wanted = {0};
+    resources_t wanted = {0};
     GHashTableIter iter;
     gpointer value;
-    g_hash_table_iter_init(&iter, leader->live);
+    g_hash_table_iter_init(&iter, leader->outstanding);
     while (g_hash_table_iter_next(&iter, NULL, &value))
-        room_add(&wanted, ((live_t *)value)->need, 1);
+        resources_add(&wanted, ((outstanding_t *)value)->need, 1);
     GArray *demand = leader_demand(leader, now);
     for (guint i = 0; i < demand->len; i++) {
         const demand_t *entry = &g_array_index(demand, demand_t, i);
         const job_spec_t *spec = &entry->job->spec;
-        /* Tasks that one machine's room can run one after the other in time need it once. */
+        /* Tasks that one machine's resources can run one after the other in time need it once. */
         double rounds = MAX(1, patience(leader, entry->job, day_ms) / MAX(spec->estimate_s, 1));
-        room_add(&wanted, spec->need, MAX(entry->tasks / rounds, MIN(entry->tasks, 1.0)));
+        resources_add(&wanted, spec->need, MAX(entry->tasks / rounds, MIN(entry->tasks, 1.0)));
     }
     g_array_unref(demand);
     return wanted;
@@ -182,18 +184,18 @@
 }
 
 rental_balance_t rental_balance(const rental_t *rental, const leader_t *leader,
-                                const GArray *flavors, msec_t now, int64_t day_ms)
+                                const GArray *machine_types, msec_t now, int64_t day_ms)
 {
-    rental_balance_t balance = {.wanted = wanted_room(leader, now, day_ms)};
+    rental_balance_t balance = {.wanted = wanted_resources(leader, now, day_ms)};
     balance.promised = promised_cpus(leader, now, &balance.waiting);
-    for (guint i = 0; i < leader->rows->len; i++) {
-        const GArray *rows = g_ptr_array_index(leader->rows, i);
-        for (guint k = 0; rows && k < rows->len; k++) {
-            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            if (!row->open)
+    for (guint i = 0; i < leader->summaries->len; i++) {
+        const GArray *summaries = g_ptr_array_index(leader->summaries, i);
+        for (guint k = 0; summaries && k < summaries->len; k++) {
+            const machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
+            if (!summary->open)
                 continue;
-            room_add(&balance.standing, row->total, 1);
-            balance.ordinary += row->spot ? 0 : row->total.cpus;
+            resources_add(&balance.standing, summary->total, 1);
+            balance.ordinary += summary->spot ? 0 : summary->total.cpus;
         }
     }
     GHashTableIter iter;
@@ -201,11 +203,11 @@
     g_hash_table_iter_init(&iter, rental->boots);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const boot_t *boot = value;
-        const flavor_t *flavor = flavor_find(flavors, boot->type);
-        if (!flavor)
+        const machine_type_t *machine_type = machine_type_find(machine_types, boot->type);
+        if (!machine_type)
             continue;
-        room_add(&balance.booting, flavor->room, 1);
-        balance.ordinary += boot->spot ? 0 : flavor->room.cpus;
+        resources_add(&balance.booting, machine_type->capacity, 1);
+        balance.ordinary += boot->spot ? 0 : machine_type->capacity.cpus;
     }
     return balance;
 }
@@ -219,7 +221,7 @@
     double extra = MAX(balance->ordinary - balance->promised, 0);
     double spot = MAX(there - extra, 0);
     double needed = balance->waiting / MAX(patience_s, 1);
-    double most = knob_value(leader->policy, KNOB_ORDINARY_SHARE) * MAX(spot, needed);
+    double most = tunable_value(leader->policy, TUNABLE_ORDINARY_SHARE) * MAX(spot, needed);
     return CLAMP(needed - spot, 0, most);
 }
 
@@ -236,12 +238,12 @@
                       const char *zone, bool spot)
 {
     guint count = 0;
-    for (guint i = 0; i < leader->rows->len; i++) {
-        const GArray *rows = g_ptr_array_index(leader->rows, i);
-        for (guint k = 0; rows && k < rows->len; k++) {
-            const machine_row_t *row = &g_array_index(rows, machine_row_t, k);
-            count +=
-                row->spot == spot && strcmp(row->type, type) == 0 && strcmp(row->zone, zone) == 0;
+    for (guint i = 0; i < leader->summaries->len; i++) {
+        const GArray *summaries = g_ptr_array_index(leader->summaries, i);
+        for (guint k = 0; summaries && k < summaries->len; k++) {
+            const machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
+            count += summary->spot == spot && strcmp(summary->type, type) == 0 &&
+                     strcmp(summary->zone, zone) == 0;
         }
     }
     GHashTableIter iter;
@@ -257,15 +259,16 @@
 
 /* Some waiting job can use such a machine. An ordinary one is for work that may not use spot,
  * within what is promised, or while the work that waits presses. */
-static bool is_useful(const policy_t *policy, const GArray *demand, const flavor_t *flavor,
-                      const char *zone, bool spot, bool promised, bool presses)
+static bool is_useful(const policy_t *policy, const GArray *demand,
+                      const machine_type_t *machine_type, const char *zone, bool spot,
+                      bool promised, bool presses)
 {
     for (guint i = 0; i < demand->len; i++) {
         const job_spec_t *spec = &g_array_index(demand, demand_t, i).job->spec;
-        if (job_spec_allows(spec, flavor->name, zone, spot) &&
-            room_fits(spec->need, flavor->room) &&
+        if (job_spec_allows(spec, machine_type->name, zone, spot) &&
+            resources_fit(spec->need, machine_type->capacity) &&
             (spot || promised || !spec->spot ||
-             (presses && knob_for_job(policy, KNOB_RENT_ORDINARY, spec) != 0)))
+             (presses && tunable_for_job(policy, TUNABLE_RENT_ORDINARY, spec) != 0)))
             return true;
     }
     return false;
@@ -273,56 +276,58 @@
 
 /* Machines of the type that cover what lacks. Larger ones are cheaper by the cpu and keep more
  * images, but one that is larger than all that is wanted would mostly stand idle. */
-static guint units_of(const flavor_t *flavor, room_t lack, double wanted_cpus)
+static guint units_of(const machine_type_t *machine_type, resources_t lack, double wanted_cpus)
 {
-    double units = MAX(lack.cpus / MAX(flavor->room.cpus, EPSILON),
-                       lack.memory / MAX(flavor->room.memory, EPSILON));
-    if (flavor->room.cpus > wanted_cpus * RENT_LARGEST && units < 1)
+    double units = MAX(lack.cpus / MAX(machine_type->capacity.cpus, EPSILON),
+                       lack.memory / MAX(machine_type->capacity.memory, EPSILON));
+    if (machine_type->capacity.cpus > wanted_cpus * RENT_LARGEST && units < 1)
         return 0;
     return (guint)CLAMP(ceil(units - RENT_ROUND), 1, (double)RENT_MAX);
 }
 
-bool rental_next(const rental_t *rental, const leader_t *leader, const GArray *flavors, msec_t now,
-                 int64_t day_ms, rental_wish_t *wish)
+bool rental_next(const rental_t *rental, const leader_t *leader, const GArray *machine_types,
+                 msec_t now, int64_t day_ms, rental_wish_t *wish)
 {
-    rental_balance_t balance = rental_balance(rental, leader, flavors, now, day_ms);
-    room_t lack = {0};
-    room_add(&lack, balance.wanted, knob_value(leader->policy, KNOB_RENT_HEADROOM));
-    room_add(&lack, balance.standing, -1);
-    room_add(&lack, balance.booting, -1);
+    rental_balance_t balance = rental_balance(rental, leader, machine_types, now, day_ms);
+    resources_t lack = {0};
+    resources_add(&lack, balance.wanted, tunable_value(leader->policy, TUNABLE_RENT_HEADROOM));
+    resources_add(&lack, balance.standing, -1);
+    resources_add(&lack, balance.booting, -1);
     if (lack.cpus <= 0 && lack.memory <= 0)
         return false;
     double extra =
-        extra_cpus(leader, &balance, knob_value(leader->policy, KNOB_ORDINARY_PATIENCE)) -
+        extra_cpus(leader, &balance, tunable_value(leader->policy, TUNABLE_ORDINARY_PATIENCE)) -
         MAX(balance.ordinary - balance.promised, 0);
     GArray *demand = leader_demand(leader, now);
     double best = INFINITY;
     for (int small = 0; small < 2 && isinf(best); small++) {
-        for (guint i = 0; i < flavors->len; i++) {
-            const flavor_t *flavor = &g_array_index(flavors, flavor_t, i);
-            guint count = units_of(flavor, lack, small ? INFINITY : balance.wanted.cpus);
-            for (char **zone = flavor->zones; count && *zone; zone++) {
+        for (guint i = 0; i < machine_types->len; i++) {
+            const machine_type_t *machine_type = &g_array_index(machine_types, machine_type_t, i);
+            guint count = units_of(machine_type, lack, small ? INFINITY : balance.wanted.cpus);
+            for (char **zone = machine_type->zones; count && *zone; zone++) {
                 for (int spot = 0; spot < 2; spot++) {
-                    bool promised = balance.ordinary + flavor->room.cpus <= balance.promised;
-                    if (rental_is_dark(rental, *zone, now) ||
-                        is_refused(rental, flavor->name, *zone, spot, now) ||
-                        !is_useful(leader->policy, demand, flavor, *zone, spot, promised,
-                                   extra >= flavor->room.cpus))
+                    bool promised =
+                        balance.ordinary + machine_type->capacity.cpus <= balance.promised;
+                    if (rental_is_zone_unreachable(rental, *zone, now) ||
+                        is_refused(rental, machine_type->name, *zone, spot, now) ||
+                        !is_useful(leader->policy, demand, machine_type, *zone, spot, promised,
+                                   extra >= machine_type->capacity.cpus))
                         continue;
-                    double price = (spot ? flavor->spot_price : flavor->price) /
-                                   MAX(flavor->room.cpus, EPSILON);
+                    double price = (spot ? machine_type->spot_price : machine_type->price) /
+                                   MAX(machine_type->capacity.cpus, EPSILON);
                     /* Of equals the type and zone with the fewest, so that a wave or a cut takes
                      * less at once. */
-                    double cost = price * (1 + RENT_SPREAD * count_of(leader, rental, flavor->name,
-                                                                      *zone, spot));
+                    double cost =
+                        price * (1 + RENT_SPREAD *
+                                         count_of(leader, rental, machine_type->name, *zone, spot));
                     if (cost >= best)
                         continue;
                     best = cost;
                     *wish = (rental_wish_t){.spot = spot, .count = count};
                     if (!spot && !promised)
-                        wish->count =
-                            (guint)CLAMP(extra / flavor->room.cpus, 1, (double)wish->count);
-                    g_strlcpy(wish->type, flavor->name, sizeof wish->type);
+                        wish->count = (guint)CLAMP(extra / machine_type->capacity.cpus, 1,
+                                                   (double)wish->count);
+                    g_strlcpy(wish->type, machine_type->name, sizeof wish->type);
                     g_strlcpy(wish->zone, *zone, sizeof wish->zone);
                 }
             }
@@ -332,41 +337,43 @@
     return isfinite(best);
 }
 
-static double row_price(const machine_row_t *row, const GArray *flavors)
+static double machine_price(const machine_summary_t *summary, const GArray *machine_types)
 {
-    const flavor_t *flavor = flavor_find(flavors, row->type);
-    if (!flavor)
+    const machine_type_t *machine_type = machine_type_find(machine_types, summary->type);
+    if (!machine_type)
         return 0;
-    return (row->spot ? flavor->spot_price : flavor->price) / MAX(flavor->room.cpus, EPSILON);
+    return (summary->spot ? machine_type->spot_price : machine_type->price) /
+           MAX(machine_type->capacity.cpus, EPSILON);
 }
 
-machine_row_t *rental_surplus(rental_t *rental, const leader_t *leader, const GArray *flavors,
-                              msec_t now, int64_t day_ms)
+machine_summary_t *rental_surplus(rental_t *rental, const leader_t *leader,
+                                  const GArray *machine_types, msec_t now, int64_t day_ms)
 {
-    rental_balance_t balance = rental_balance(rental, leader, flavors, now, day_ms);
-    double keep = knob_value(leader->policy, KNOB_RENT_KEEP);
+    rental_balance_t balance = rental_balance(rental, leader, machine_types, now, day_ms);
+    double keep = tunable_value(leader->policy, TUNABLE_RENT_KEEP);
     double extra = MAX(balance.ordinary - balance.promised, 0);
-    bool eased =
-        extra > extra_cpus(leader, &balance,
-                           knob_value(leader->policy, KNOB_ORDINARY_PATIENCE) / ORDINARY_EASED);
-    machine_row_t *worst = NULL;
+    bool eased = extra > extra_cpus(leader, &balance,
+                                    tunable_value(leader->policy, TUNABLE_ORDINARY_PATIENCE) /
+                                        ORDINARY_EASED);
+    machine_summary_t *worst = NULL;
     double worst_price = 0;
-    for (guint i = 0; i < leader->rows->len; i++) {
-        GArray *rows = g_ptr_array_index(leader->rows, i);
-        for (guint k = 0; rows && k < rows->len; k++) {
-            machine_row_t *row = &g_array_index(rows, machine_row_t, k);
+    for (guint i = 0; i < leader->summaries->len; i++) {
+        GArray *summaries = g_ptr_array_index(leader->summaries, i);
+        for (guint k = 0; summaries && k < summaries->len; k++) {
+            machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
             /* Those beyond what is promised go back once the work that waits is little. */
-            bool spare = eased && !row->spot && extra >= row->total.cpus;
-            if (!row->open ||
+            bool spare = eased && !summary->spot && extra >= summary->total.cpus;
+            if (!summary->open ||
                 (!spare &&
-                 (balance.standing.cpus - row->total.cpus < balance.wanted.cpus * keep ||
-                  balance.standing.memory - row->total.memory < balance.wanted.memory * keep)))
+                 (balance.standing.cpus - summary->total.cpus < balance.wanted.cpus * keep ||
+                  balance.standing.memory - summary->total.memory < balance.wanted.memory * keep)))
                 continue;
             /* Dear ones first; of equals the emptiest, which is free soonest. */
-            double price = row_price(row, flavors) *
-                           (2 - (row->total.cpus - row->free.cpus) / MAX(row->total.cpus, EPSILON));
+            double price = machine_price(summary, machine_types) *
+                           (2 - (summary->total.cpus - summary->free.cpus) /
+                                    MAX(summary->total.cpus, EPSILON));
             if (!worst || price > worst_price) {
-                worst = row;
+                worst = summary;
                 worst_price = price;
             }
         }
@@ -377,12 +384,12 @@
         rental->surplus_since = now;
     if (!worst)
         return NULL;
-    double wait = knob_for_machine(leader->policy, KNOB_IDLE_KEEP, worst->type, worst->zone,
-                                   worst->spot, worst->total);
+    double wait = tunable_for_machine(leader->policy, TUNABLE_IDLE_KEEP, worst->type, worst->zone,
+                                      worst->spot, worst->total);
     return (double)(now - rental->surplus_since) >= wait * 1000 ? worst : NULL;
 }
 
-GPtrArray *rental_stuck(const rental_t *rental, const GArray *flavors, msec_t now)
+GPtrArray *rental_stuck(const rental_t *rental, const GArray *machine_types, msec_t now)
 {
     GPtrArray *stuck = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter iter;
@@ -390,8 +397,8 @@
     g_hash_table_iter_init(&iter, rental->boots);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const boot_t *boot = value;
-        const flavor_t *flavor = flavor_find(flavors, boot->type);
-        msec_t usual = flavor ? (msec_t)(flavor->boot_s * 1000) : 0;
+        const machine_type_t *machine_type = machine_type_find(machine_types, boot->type);
+        msec_t usual = machine_type ? (msec_t)(machine_type->boot_s * 1000) : 0;
         if (now - boot->since > BOOT_PATIENCE_MS + 3 * usual)
             g_ptr_array_add(stuck, g_strdup(boot->machine));
     }
--- a/src/core/rental.h
+++ b/src/core/rental.h
@@ -19,11 +19,11 @@
  * had and the work that waits would take those that stand too long. */
 
 typedef struct {
-    GHashTable *boots;    /* id -> boot_t, owned */
-    msec_t surplus_since; /* more stands than is wanted; 0: it does not */
-    GHashTable *refused;  /* "type zone kind" -> msec_t *: not asked again before it */
-    GHashTable *dark;     /* zone -> msec_t *: nothing is rented there before it */
-    GHashTable *lit;      /* zone -> msec_t *: when it was heard again */
+    GHashTable *boots;             /* id -> boot_t, owned */
+    msec_t surplus_since;          /* more stands than is wanted; 0: it does not */
+    GHashTable *refused;           /* "type zone kind" -> msec_t *: not asked again before it */
+    GHashTable *unreachable_zones; /* zone -> msec_t *: nothing is rented there before it */
+    GHashTable *recovered_zones;   /* zone -> msec_t *: when it was heard again */
 } rental_t;
 
 typedef struct {
@@ -39,38 +39,38 @@
                     bool spot, msec_t since);
 /* It reported, or is gone. */
 void rental_boot_over(rental_t *rental, const char *machine);
-/* Judges each zone by its rows. Where several machines stand and all have been silent for so long,
- * it is probably cut off: it is dark until one is heard again, or for a while after its machines
- * are gone. Nothing is rented there meanwhile, since it could not report. Returns the names of the
- * zones that went dark just now. */
+/* Judges each zone by its machine summaries. Where several machines stand and all have been silent
+ * for so long, it is probably cut off: it is unreachable until one is heard again, or for a while
+ * after its machines are gone. Nothing is rented there meanwhile, since it could not report.
+ * Returns the names of the zones that became unreachable just now. */
 GPtrArray *rental_watch_zones(rental_t *rental, const leader_t *leader, msec_t silent_ms,
                               msec_t now);
-bool rental_is_dark(const rental_t *rental, const char *zone, msec_t now);
-/* Whether a silent machine of the zone is waited for: the zone is dark, or was less than `patience`
- * ago, so that its machines are only just coming back. */
+bool rental_is_zone_unreachable(const rental_t *rental, const char *zone, msec_t now);
+/* Whether a silent machine of the zone is waited for: the zone is unreachable, or was less than
+ * `patience` ago, so that its machines are only just coming back. */
 bool rental_waits(const rental_t *rental, const char *zone, msec_t silent_ms, msec_t patience,
                   msec_t now);
 void rental_refused(rental_t *rental, const rental_wish_t *wish, msec_t until);
 
-/* Room asked for, in cpus and memory, against what stands and boots. */
+/* Resources asked for, in cpus and memory, against what stands and boots. */
 typedef struct {
-    room_t wanted;
-    room_t standing;
-    room_t booting;
+    resources_t wanted;
+    resources_t standing;
+    resources_t booting;
     double ordinary; /* cpus that stand or boot on ordinary machines */
     double promised; /* cpus guaranteed and asked for */
     double waiting;  /* cpu seconds of tasks that have no machine */
 } rental_balance_t;
 rental_balance_t rental_balance(const rental_t *rental, const leader_t *leader,
-                                const GArray *flavors, msec_t now, int64_t day_ms);
+                                const GArray *machine_types, msec_t now, int64_t day_ms);
 /* The next rental to ask for; false: none. */
-bool rental_next(const rental_t *rental, const leader_t *leader, const GArray *flavors, msec_t now,
-                 int64_t day_ms, rental_wish_t *wish);
+bool rental_next(const rental_t *rental, const leader_t *leader, const GArray *machine_types,
+                 msec_t now, int64_t day_ms, rental_wish_t *wish);
 /* A machine to drain and return because less has been wanted for a while; NULL: none. Borrowed from
- * the rows. Least-loaded placement leaves few machines empty, so it need not be idle. */
-machine_row_t *rental_surplus(rental_t *rental, const leader_t *leader, const GArray *flavors,
-                              msec_t now, int64_t day_ms);
+ * the summaries. Least-loaded placement leaves few machines empty, so it need not be idle. */
+machine_summary_t *rental_surplus(rental_t *rental, const leader_t *leader,
+                                  const GArray *machine_types, msec_t now, int64_t day_ms);
 /* Ids of boots that took too long. Strings owned by the array. */
-GPtrArray *rental_stuck(const rental_t *rental, const GArray *flavors, msec_t now);
+GPtrArray *rental_stuck(const rental_t *rental, const GArray *machine_types, msec_t now);
 
 #endif
--- a/src/core/request_queue.c
+++ b/src/core/request_queue.c
@@ -21,11 +21,11 @@
     return true;
 }
 
-static void *take(request_queue_t *queue, GList *link)
+static void *take(request_queue_t *queue, GList *channel)
 {
-    waiting_t *entry = link->data;
+    waiting_t *entry = channel->data;
     void *request = entry->request;
-    g_queue_delete_link(&queue->waiting, link);
+    g_queue_delete_link(&queue->waiting, channel);
     g_free(entry);
     return request;
 }
@@ -37,16 +37,16 @@
 
 void *request_queue_pop_expired(request_queue_t *queue, msec_t now)
 {
-    for (GList *link = queue->waiting.head; link; link = link->next)
-        if (((const waiting_t *)link->data)->until <= now)
-            return take(queue, link);
+    for (GList *channel = queue->waiting.head; channel; channel = channel->next)
+        if (((const waiting_t *)channel->data)->until <= now)
+            return take(queue, channel);
     return NULL;
 }
 
 msec_t request_queue_next(const request_queue_t *queue)
 {
     msec_t next = G_MAXINT64;
-    for (const GList *link = queue->waiting.head; link; link = link->next)
-        next = MIN(next, ((const waiting_t *)link->data)->until);
+    for (const GList *channel = queue->waiting.head; channel; channel = channel->next)
+        next = MIN(next, ((const waiting_t *)channel->data)->until);
     return next;
 }
--- a/src/core/reservation.c
+++ b/src/core/reservation.c
@@ -1,8 +1,9 @@
 #include "core/reservation.h"
 
-void reservation_add(GArray *list, uint64_t hold, room_t need, uint64_t receipt, msec_t now)
+void reservation_add(GArray *list, uint64_t reservation_id, resources_t need, uint64_t receipt,
+                     msec_t now)
 {
-    reservation_t entry = {.hold = hold,
+    reservation_t entry = {.reservation_id = reservation_id,
                            .receipt = receipt,
                            .made = now,
                            .cpus = need.cpus,
@@ -11,11 +12,11 @@
     g_array_append_val(list, entry);
 }
 
-static reservation_t *find(GArray *list, uint64_t hold, guint *at)
+static reservation_t *find(GArray *list, uint64_t reservation_id, guint *at)
 {
     for (guint i = 0; i < list->len; i++) {
         reservation_t *entry = &g_array_index(list, reservation_t, i);
-        if (entry->hold == hold) {
+        if (entry->reservation_id == reservation_id) {
             *at = i;
             return entry;
         }
@@ -23,29 +24,29 @@
     return NULL;
 }
 
-void reservation_free(GArray *list, uint64_t hold)
+void reservation_free(GArray *list, uint64_t reservation_id)
 {
     guint at;
-    if (find(list, hold, &at))
+    if (find(list, reservation_id, &at))
         g_array_remove_index(list, at);
 }
 
-void reservation_see_start(GArray *list, uint64_t hold, uint64_t receipt)
+void reservation_see_start(GArray *list, uint64_t reservation_id, uint64_t receipt)
 {
     guint at;
-    reservation_t *entry = find(list, hold, &at);
+    reservation_t *entry = find(list, reservation_id, &at);
     if (entry && entry->receipt < receipt)
         entry->start_seen = true;
 }
 
 static void take(double *left, double *growth)
 {
-    double part = MIN(*left, *growth);
-    *left -= part;
-    *growth -= part;
+    double partition = MIN(*left, *growth);
+    *left -= partition;
+    *growth -= partition;
 }
 
-void reservation_confirm(GArray *list, room_t growth, uint64_t receipt)
+void reservation_confirm(GArray *list, resources_t growth, uint64_t receipt)
 {
     for (guint i = 0; i < list->len;) {
         reservation_t *entry = &g_array_index(list, reservation_t, i);
@@ -74,9 +75,9 @@
     return ended;
 }
 
-room_t reservation_sum(const GArray *list)
+resources_t reservation_sum(const GArray *list)
 {
-    room_t sum = {0};
+    resources_t sum = {0};
     for (guint i = 0; i < list->len; i++) {
         const reservation_t *entry = &g_array_index(list, reservation_t, i);
         sum.cpus += entry->cpus;
--- a/src/core/reservation.h
+++ b/src/core/reservation.h
@@ -1,15 +1,15 @@
-/* Reservations: room held on one machine for starts that its reports do not show yet.
+/* Reservations: resources reserved on one machine for starts that its reports do not show yet.
  *
- * The list belongs to the machine that embeds it. A reservation frees projected room when it ends;
- * it never frees the task itself: only proof does that (see part.h). */
+ * The list belongs to the machine that embeds it. A reservation frees projected resources when it
+ * ends; it never frees the task itself: only proof does that (see partition.h). */
 #ifndef PEPPERPULLEY_RESERVATION_H
 #define PEPPERPULLEY_RESERVATION_H
 
 #include "core/types.h"
 
 typedef struct {
-    uint64_t hold;    /* the part's own number for the attempt */
-    uint64_t receipt; /* the newest report of the machine when the reservation was made */
+    uint64_t reservation_id; /* the partition's own number for the attempt */
+    uint64_t receipt;        /* the newest report of the machine when the reservation was made */
     msec_t made;
     bool start_seen; /* a report listed the task as fetching */
     double cpus;     /* still unconfirmed, per dimension */
@@ -18,14 +18,15 @@
 } reservation_t;
 
 /* list: array of reservation_t. */
-void reservation_add(GArray *list, uint64_t hold, room_t need, uint64_t receipt, msec_t now);
-void reservation_free(GArray *list, uint64_t hold);
-void reservation_see_start(GArray *list, uint64_t hold, uint64_t receipt);
-/* Growth of booked room, as a report newer than `receipt` shows it, confirms older reservations
- * whose start was seen, each dimension by itself. What matches nothing is dropped. */
-void reservation_confirm(GArray *list, room_t growth, uint64_t receipt);
+void reservation_add(GArray *list, uint64_t reservation_id, resources_t need, uint64_t receipt,
+                     msec_t now);
+void reservation_free(GArray *list, uint64_t reservation_id);
+void reservation_see_start(GArray *list, uint64_t reservation_id, uint64_t receipt);
+/* Growth of booked resources, as a report newer than `receipt` shows it, confirms older
+ * reservations whose start was seen, each dimension by itself. What matches nothing is dropped. */
+void reservation_confirm(GArray *list, resources_t growth, uint64_t receipt);
 /* Ends what is older than lapse; returns how many ended. */
 guint reservation_lapse(GArray *list, msec_t now, msec_t lapse);
-room_t reservation_sum(const GArray *list);
+resources_t reservation_sum(const GArray *list);
 
 #endif
--- a/src/core/types.c
+++ b/src/core/types.c
@@ -10,9 +10,9 @@
 
 void report_clear(report_t *report)
 {
-    if (report->pieces)
-        g_array_unref(report->pieces);
-    report->pieces = NULL;
+    if (report->attempts)
+        g_array_unref(report->attempts);
+    report->attempts = NULL;
 }
 
 guint task_ref_hash(gconstpointer ref)
@@ -43,14 +43,14 @@
     return !spec->types || g_strv_contains((const char *const *)spec->types, type);
 }
 
-bool job_spec_fits_some(const job_spec_t *spec, const GArray *flavors)
+bool job_spec_fits_some(const job_spec_t *spec, const GArray *machine_types)
 {
-    for (guint i = 0; i < flavors->len; i++) {
-        const flavor_t *flavor = &g_array_index(flavors, flavor_t, i);
-        if (!room_fits(spec->need, flavor->room))
+    for (guint i = 0; i < machine_types->len; i++) {
+        const machine_type_t *machine_type = &g_array_index(machine_types, machine_type_t, i);
+        if (!resources_fit(spec->need, machine_type->capacity))
             continue;
-        for (char **zone = flavor->zones; zone && *zone; zone++)
-            if (job_spec_allows(spec, flavor->name, *zone, false))
+        for (char **zone = machine_type->zones; zone && *zone; zone++)
+            if (job_spec_allows(spec, machine_type->name, *zone, false))
                 return true;
     }
     return false;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -16,9 +16,9 @@
     double cpus;
     double gpus;
     double memory;
-} room_t;
+} resources_t;
 
-typedef enum { URGENCY_LOW, URGENCY_NORMAL, URGENCY_HIGH, URGENCY_CRITICAL } urgency_t;
+typedef enum { PRIORITY_LOW, PRIORITY_NORMAL, PRIORITY_HIGH, PRIORITY_CRITICAL } priority_t;
 
 /* Array: independent tasks. Gang: all tasks start together, or none. Service: runs until cancelled.
  */
@@ -34,9 +34,9 @@
     char image[LABEL_SIZE];
     char **types; /* NULL: any; else a null-terminated list */
     job_kind_t kind;
-    urgency_t urgency;
+    priority_t priority;
     uint32_t tasks;
-    room_t need;
+    resources_t need;
     bool same_zone;
     bool spread;
     bool spot;
@@ -48,7 +48,7 @@
     int64_t submitted_ms; /* time of day */
 } job_spec_t;
 
-typedef enum { PIECE_FETCHING, PIECE_RUNNING, PIECE_SAVING, PIECE_EXITED } piece_state_t;
+typedef enum { TASK_FETCHING, TASK_RUNNING, TASK_SAVING, TASK_EXITED } task_state_t;
 typedef enum {
     CAUSE_NONE,
     CAUSE_DONE,
@@ -66,11 +66,11 @@
     char job[ID_SIZE];
     uint32_t task;
     uint64_t attempt;
-    piece_state_t state;
+    task_state_t state;
     cause_t cause;
-} piece_t;
+} reported_attempt_t;
 
-/* A worker's report. pieces: array of piece_t, owned by the report. */
+/* A worker's report. attempts: array of reported_attempt_t, owned by the report. */
 typedef struct {
     char machine[ID_SIZE];
     char address[ADDRESS_SIZE];
@@ -80,30 +80,30 @@
     uint64_t session;
     uint64_t seq;
     uint64_t token;
-    double notice_s; /* below 0: none */
-    GArray *pieces;
+    double reclaim_in_s; /* below 0: none */
+    GArray *attempts;
 } report_t;
 
-typedef enum { CALL_RUN, CALL_STOP, CALL_FORGET } call_op_t;
+typedef enum { COMMAND_RUN, COMMAND_STOP, COMMAND_FORGET } worker_command_op_t;
 
 /* One command to a worker. */
 typedef struct {
-    call_op_t op;
+    worker_command_op_t op;
     char job[ID_SIZE];
     uint32_t task;
     uint64_t attempt;
     double grace_s;
-} call_t;
+} worker_command_t;
 
 /* A machine type as the cloud describes it. */
 typedef struct {
     char name[LABEL_SIZE];
-    room_t room;
+    resources_t capacity;
     double price;
     double spot_price;
     double boot_s;
     char **zones;
-} flavor_t;
+} machine_type_t;
 
 /* When the jobs of a class should be finished, each list ascending: in multiples of the deadline
  * and in seconds. Arrays of double, owned. */
@@ -134,13 +134,13 @@
 gboolean task_ref_equal(gconstpointer left, gconstpointer right);
 task_ref_t task_ref(const char *job, uint32_t task, uint64_t attempt);
 
-static inline bool room_fits(room_t need, room_t have)
+static inline bool resources_fit(resources_t need, resources_t have)
 {
     return need.cpus <= have.cpus + EPSILON && need.gpus <= have.gpus + EPSILON &&
            need.memory <= have.memory + EPSILON;
 }
 
-static inline void room_add(room_t *to, room_t what, double times)
+static inline void resources_add(resources_t *to, resources_t what, double times)
 {
     to->cpus += what.cpus * times;
     to->gpus += what.gpus * times;
@@ -150,8 +150,9 @@
 void job_spec_clear(job_spec_t *spec);
 void report_clear(report_t *report);
 
-/* Can any machine type and zone ever take one task of the job? flavors: array of flavor_t. */
-bool job_spec_fits_some(const job_spec_t *spec, const GArray *flavors);
+/* Can any machine type and zone ever take one task of the job? machine_types: array of
+ * machine_type_t. */
+bool job_spec_fits_some(const job_spec_t *spec, const GArray *machine_types);
 /* May a task of the job stand on such a machine (type, zone, kind), its other tasks aside? */
 bool job_spec_allows(const job_spec_t *spec, const char *type, const char *zone, bool spot);
 
--- a/src/io/http.c
+++ b/src/io/http.c
@@ -42,7 +42,7 @@
     curl_easy_setopt(client->curl, CURLOPT_CONNECTTIMEOUT_MS, connect_ms);
 }
 
-static int failed_call(CURL *curl, CURLcode code)
+static int failed_request(CURL *curl, CURLcode code)
 {
     long sent = 0;
     curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
@@ -73,7 +73,7 @@
     CURLcode code = curl_easy_perform(curl);
     free(text);
     if (code != CURLE_OK)
-        return failed_call(curl, code);
+        return failed_request(curl, code);
     long status = 0;
     curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
     if (answer)
--- /dev/null
+++ b/src/io/peer_protocol.c
@@ -0,0 +1,386 @@
+#include "io/peer_protocol.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "peer_protocol_xdr.h"
+
+static peer_task_ref ref_to_xdr(const task_ref_t *ref)
+{
+    return (peer_task_ref){(char *)ref->job, ref->task, ref->attempt};
+}
+
+static task_ref_t ref_from_xdr(const peer_task_ref *ref)
+{
+    return task_ref(ref->job, ref->task, ref->attempt);
+}
+
+static peer_resources resources_to_xdr(resources_t resources)
+{
+    return (peer_resources){resources.cpus, resources.gpus, resources.memory};
+}
+
+static resources_t resources_from_xdr(const peer_resources *resources)
+{
+    return (resources_t){resources->cpus, resources->gpus, resources->memory};
+}
+
+static void request_to_xdr(const placement_request_t *request, peer_placement_request *to)
+{
+    task_ref_t ref = task_ref(request->job, request->task, request->attempt);
+    *to = (peer_placement_request){.team = (char *)request->team,
+                                   .image = (char *)request->image,
+                                   .zone = (char *)request->zone,
+                                   .any_type = request->types == NULL,
+                                   .need = resources_to_xdr(request->need),
+                                   .spot = request->spot,
+                                   .gang = request->gang,
+                                   .priority = request->priority,
+                                   .save_s = request->save_s,
+                                   .checkpoint_s = request->checkpoint_s,
+                                   .job_revision = request->job_revision,
+                                   .preempt = request->preempt,
+                                   .claims_guarantee = request->claims_guarantee,
+                                   .victims = request->victims};
+    to->ref = ref_to_xdr(&ref);
+    to->ref.job = (char *)request->job;
+    to->types.types_len = request->types ? g_strv_length(request->types) : 0;
+    to->types.types_val = (peer_name *)request->types;
+}
+
+static void request_from_xdr(const peer_placement_request *from, placement_request_t *request)
+{
+    *request = (placement_request_t){.need = resources_from_xdr(&from->need),
+                                     .spot = from->spot,
+                                     .gang = from->gang,
+                                     .priority = (priority_t)MIN(from->priority, PRIORITY_CRITICAL),
+                                     .save_s = from->save_s,
+                                     .checkpoint_s = from->checkpoint_s,
+                                     .job_revision = from->job_revision,
+                                     .preempt = from->preempt,
+                                     .claims_guarantee = from->claims_guarantee,
+                                     .victims = from->victims,
+                                     .task = from->ref.task,
+                                     .attempt = from->ref.attempt};
+    g_strlcpy(request->job, from->ref.job, sizeof request->job);
+    g_strlcpy(request->team, from->team, sizeof request->team);
+    g_strlcpy(request->image, from->image, sizeof request->image);
+    g_strlcpy(request->zone, from->zone, sizeof request->zone);
+    if (!from->any_type) {
+        request->types = g_new0(char *, from->types.types_len + 1);
+        for (u_int i = 0; i < from->types.types_len; i++)
+            request->types[i] = g_strdup(from->types.types_val[i]);
+    }
+}
+
+static void item_to_xdr(const channel_item_t *item, peer_item *to)
+{
+    to->kind = (peer_kind)item->kind;
+    switch (item->kind) {
+    case CHANNEL_PLACEMENT_REQUEST:
+        request_to_xdr(&item->request, &to->peer_item_u.request);
+        break;
+    case CHANNEL_ACKNOWLEDGE:
+    case CHANNEL_WITHDRAW:
+        to->peer_item_u.ref = ref_to_xdr(&item->ref);
+        break;
+    case CHANNEL_DRAIN:
+    case CHANNEL_MACHINE_GONE:
+    case CHANNEL_CANCEL_DRAIN:
+        to->peer_item_u.machine = (char *)item->machine;
+        break;
+    case CHANNEL_ATTEMPT_RESULT:
+        to->peer_item_u.result = (peer_attempt_result){
+            ref_to_xdr(&item->result.ref), item->result.cause, (char *)item->result.machine};
+        break;
+    }
+}
+
+static void item_from_xdr(const peer_item *from, channel_item_t *item)
+{
+    *item = (channel_item_t){.kind = (channel_item_kind_t)from->kind};
+    switch (from->kind) {
+    case PEER_PLACEMENT_REQUEST:
+        request_from_xdr(&from->peer_item_u.request, &item->request);
+        break;
+    case PEER_ACKNOWLEDGE:
+    case PEER_WITHDRAW:
+        item->ref = ref_from_xdr(&from->peer_item_u.ref);
+        break;
+    case PEER_DRAIN:
+    case PEER_MACHINE_GONE:
+    case PEER_CANCEL_DRAIN:
+        g_strlcpy(item->machine, from->peer_item_u.machine, sizeof item->machine);
+        break;
+    case PEER_ATTEMPT_RESULT:
+        item->result.ref = ref_from_xdr(&from->peer_item_u.result.ref);
+        item->result.cause = (cause_t)MIN(from->peer_item_u.result.cause, CAUSE_ALONE);
+        g_strlcpy(item->result.machine, from->peer_item_u.result.machine,
+                  sizeof item->result.machine);
+        break;
+    }
+}
+
+static void summary_to_xdr(const machine_summary_t *summary, peer_machine_summary *to)
+{
+    *to = (peer_machine_summary){.machine = (char *)summary->machine,
+                                 .type = (char *)summary->type,
+                                 .zone = (char *)summary->zone,
+                                 .spot = summary->spot,
+                                 .open = summary->open,
+                                 .draining = summary->draining,
+                                 .total = resources_to_xdr(summary->total),
+                                 .free = resources_to_xdr(summary->free),
+                                 .attempts = summary->attempts,
+                                 .silent_ms = summary->silent_ms,
+                                 .idle_ms = summary->idle_ms,
+                                 .known_ms = summary->known_ms};
+}
+
+static void summary_from_xdr(const peer_machine_summary *from, machine_summary_t *summary)
+{
+    *summary = (machine_summary_t){.spot = from->spot,
+                                   .open = from->open,
+                                   .draining = from->draining,
+                                   .total = resources_from_xdr(&from->total),
+                                   .free = resources_from_xdr(&from->free),
+                                   .attempts = from->attempts,
+                                   .silent_ms = from->silent_ms,
+                                   .idle_ms = from->idle_ms,
+                                   .known_ms = from->known_ms};
+    g_strlcpy(summary->machine, from->machine, sizeof summary->machine);
+    g_strlcpy(summary->type, from->type, sizeof summary->type);
+    g_strlcpy(summary->zone, from->zone, sizeof summary->zone);
+}
+
+void peer_message_clear(peer_message_t *message)
+{
+    g_clear_pointer(&message->items, g_array_unref);
+    g_clear_pointer(&message->summaries, g_array_unref);
+    g_clear_pointer(&message->yielding, g_array_unref);
+    cancellation_update_clear(&message->update);
+}
+
+GByteArray *peer_encode(const peer_message_t *message)
+{
+    guint items = message->items ? message->items->len : 0,
+          summaries = message->summaries ? message->summaries->len : 0;
+    peer_item *item_list = g_new0(peer_item, items + 1);
+    peer_machine_summary *summary_list = g_new0(peer_machine_summary, summaries + 1);
+    for (guint i = 0; i < items; i++)
+        item_to_xdr(&g_array_index(message->items, channel_item_t, i), &item_list[i]);
+    for (guint i = 0; i < summaries; i++)
+        summary_to_xdr(&g_array_index(message->summaries, machine_summary_t, i), &summary_list[i]);
+    peer_message wire = {.sender = (char *)message->sender,
+                         .incarnation = message->incarnation,
+                         .view = message->view,
+                         .number = message->number,
+                         .ack = message->ack,
+                         .state_answer_age = message->state_answer_age,
+                         .heartbeat = message->heartbeat,
+                         .acknowledged_incarnation = message->acknowledged_incarnation,
+                         .acknowledged_index = message->acknowledged_index,
+                         .update = {.after_index = message->update.after_index,
+                                    .last_index = message->update.last_index,
+                                    .whole = message->update.whole,
+                                    .base_age = message->update.base_age},
+                         .has_summaries = message->summaries != NULL};
+    wire.items.items_len = items;
+    wire.items.items_val = item_list;
+    wire.summaries.summaries_len = summaries;
+    wire.summaries.summaries_val = summary_list;
+    wire.yielding.yielding_len = message->yielding ? message->yielding->len : 0;
+    wire.yielding.yielding_val =
+        message->yielding ? (double *)(void *)message->yielding->data : NULL;
+    if (message->update.jobs) {
+        wire.update.jobs.jobs_len = message->update.jobs->len;
+        wire.update.jobs.jobs_val = (peer_name *)message->update.jobs->pdata;
+    }
+    gulong size = xdr_sizeof((xdrproc_t)xdr_peer_message, &wire);
+    GByteArray *frame = g_byte_array_sized_new((guint)size);
+    g_byte_array_set_size(frame, (guint)size);
+    XDR xdr;
+    xdrmem_create(&xdr, (char *)frame->data, (u_int)size, XDR_ENCODE);
+    if (!xdr_peer_message(&xdr, &wire)) {
+        g_byte_array_unref(frame);
+        frame = NULL;
+    }
+    xdr_destroy(&xdr);
+    g_free(item_list);
+    g_free(summary_list);
+    return frame;
+}
+
+static void take_message(const peer_message *wire, peer_message_t *message)
+{
+    g_strlcpy(message->sender, wire->sender, sizeof message->sender);
+    message->incarnation = wire->incarnation;
+    message->view = wire->view;
+    message->number = wire->number;
+    message->ack = wire->ack;
+    message->state_answer_age = wire->state_answer_age;
+    message->heartbeat = wire->heartbeat;
+    message->acknowledged_incarnation = wire->acknowledged_incarnation;
+    message->acknowledged_index = wire->acknowledged_index;
+    message->update = (cancellation_update_t){.incarnation = wire->incarnation,
+                                              .after_index = wire->update.after_index,
+                                              .last_index = wire->update.last_index,
+                                              .whole = wire->update.whole,
+                                              .base_age = wire->update.base_age,
+                                              .jobs = g_ptr_array_new_with_free_func(g_free)};
+    for (u_int i = 0; i < wire->update.jobs.jobs_len; i++)
+        g_ptr_array_add(message->update.jobs, g_strdup(wire->update.jobs.jobs_val[i]));
+    message->items = channel_items_new();
+    for (u_int i = 0; i < wire->items.items_len; i++) {
+        channel_item_t item;
+        item_from_xdr(&wire->items.items_val[i], &item);
+        g_array_append_val(message->items, item);
+    }
+    if (!wire->has_summaries)
+        return;
+    message->summaries = g_array_new(FALSE, FALSE, sizeof(machine_summary_t));
+    for (u_int i = 0; i < wire->summaries.summaries_len; i++) {
+        machine_summary_t summary;
+        summary_from_xdr(&wire->summaries.summaries_val[i], &summary);
+        g_array_append_val(message->summaries, summary);
+    }
+    message->yielding = g_array_new(FALSE, FALSE, sizeof(double));
+    g_array_append_vals(message->yielding, wire->yielding.yielding_val,
+                        wire->yielding.yielding_len);
+}
+
+bool peer_decode(const uint8_t *data, gsize size, peer_message_t *message)
+{
+    peer_message wire = {0};
+    XDR xdr;
+    *message = (peer_message_t){0};
+    xdrmem_create(&xdr, (char *)data, (u_int)size, XDR_DECODE);
+    bool decoded = xdr_peer_message(&xdr, &wire);
+    if (decoded)
+        take_message(&wire, message);
+    xdr_destroy(&xdr);
+    xdr_free((xdrproc_t)xdr_peer_message, (char *)&wire);
+    return decoded;
+}
+
+static bool parse_address(const char *text, struct sockaddr_in *address)
+{
+    char host[ADDRESS_SIZE];
+    const char *colon = strrchr(text, ':');
+    *address = (struct sockaddr_in){.sin_family = AF_INET};
+    if (!colon)
+        return false;
+    g_strlcpy(host, text, MIN(sizeof host, (gsize)(colon - text) + 1));
+    address->sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10));
+    return inet_pton(AF_INET, host, &address->sin_addr) == 1;
+}
+
+void peer_set_timeout(int fd, guint timeout_ms)
+{
+    struct timeval wait = {.tv_sec = timeout_ms / 1000, .tv_usec = timeout_ms % 1000 * 1000};
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+    setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof wait);
+}
+
+int peer_listen(const char *text)
+{
+    struct sockaddr_in address;
+    int on = 1;
+    int fd = parse_address(text, &address) ? socket(AF_INET, SOCK_STREAM, 0) : -1;
+    if (fd < 0)
+        return -1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (bind(fd, (struct sockaddr *)&address, sizeof address) != 0 || listen(fd, 16) != 0) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+int peer_connect(const char *text, guint timeout_ms)
+{
+    struct sockaddr_in address;
+    int on = 1, error = 0;
+    socklen_t size = sizeof error;
+    int fd = parse_address(text, &address) ? socket(AF_INET, SOCK_STREAM, 0) : -1;
+    if (fd < 0)
+        return -1;
+    int flags = fcntl(fd, F_GETFL);
+    fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+    int result = connect(fd, (struct sockaddr *)&address, sizeof address);
+    if (result != 0 && errno == EINPROGRESS) {
+        struct pollfd waiting = {.fd = fd, .events = POLLOUT};
+        bool done = poll(&waiting, 1, (int)timeout_ms) == 1 &&
+                    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
+        result = done ? 0 : -1;
+    }
+    if (result != 0) {
+        close(fd);
+        return -1;
+    }
+    fcntl(fd, F_SETFL, flags);
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    peer_set_timeout(fd, timeout_ms);
+    return fd;
+}
+
+static bool write_all(int fd, const void *data, size_t size)
+{
+    const char *at = data;
+    while (size > 0) {
+        ssize_t sent = send(fd, at, size, MSG_NOSIGNAL);
+        if (sent <= 0)
+            return false;
+        at += sent;
+        size -= (size_t)sent;
+    }
+    return true;
+}
+
+static bool read_all(int fd, void *data, size_t size)
+{
+    char *at = data;
+    while (size > 0) {
+        ssize_t got = recv(fd, at, size, 0);
+        if (got <= 0)
+            return false;
+        at += got;
+        size -= (size_t)got;
+    }
+    return true;
+}
+
+bool peer_send(int fd, const GByteArray *frame)
+{
+    uint32_t length = htonl(frame->len);
+    GByteArray *whole = g_byte_array_sized_new(frame->len + 4);
+    g_byte_array_append(whole, (const guint8 *)&length, sizeof length);
+    g_byte_array_append(whole, frame->data, frame->len);
+    bool sent = write_all(fd, whole->data, whole->len);
+    g_byte_array_unref(whole);
+    return sent;
+}
+
+GByteArray *peer_receive(int fd)
+{
+    uint32_t length;
+    if (!read_all(fd, &length, sizeof length))
+        return NULL;
+    length = ntohl(length);
+    if (length > PEER_FRAME_MAX)
+        return NULL;
+    GByteArray *frame = g_byte_array_sized_new(length);
+    g_byte_array_set_size(frame, length);
+    if (!read_all(fd, frame->data, length)) {
+        g_byte_array_unref(frame);
+        return NULL;
+    }
+    return frame;
+}
--- /dev/null
+++ b/src/io/peer_protocol.h
@@ -0,0 +1,38 @@
+/* Messages between controllers: XDR in memory, and frames on blocking sockets. */
+#ifndef PEPPERPULLEY_PEER_PROTOCOL_H
+#define PEPPERPULLEY_PEER_PROTOCOL_H
+
+#include "core/cancellation_log.h"
+#include "core/channel.h"
+#include "core/leader.h"
+
+/* One message, decoded. Owns its arrays. */
+typedef struct {
+    char sender[ID_SIZE];
+    uint64_t incarnation;
+    uint64_t view;
+    uint64_t number; /* of the batch; 0: none sent so far */
+    uint64_t ack;
+    msec_t state_answer_age;
+    bool heartbeat;
+    uint64_t acknowledged_incarnation;
+    uint64_t acknowledged_index;
+    cancellation_update_t update; /* jobs NULL: none */
+    GArray *items;                /* channel_item_t */
+    GArray *summaries;            /* machine_summary_t; NULL: unchanged */
+    GArray *yielding;             /* double, a team each; NULL without summaries */
+} peer_message_t;
+
+void peer_message_clear(peer_message_t *message);
+/* NULL if it can't be encoded. items and summaries are only read. */
+GByteArray *peer_encode(const peer_message_t *message);
+bool peer_decode(const uint8_t *data, gsize size, peer_message_t *message);
+
+/* Sockets. Negative: failed. */
+int peer_listen(const char *address);
+int peer_connect(const char *address, guint timeout_ms);
+bool peer_send(int fd, const GByteArray *frame);
+GByteArray *peer_receive(int fd);
+void peer_set_timeout(int fd, guint timeout_ms);
+
+#endif
--- a/src/io/records.c
+++ b/src/io/records.c
@@ -8,54 +8,55 @@
     g_snprintf(job, sizeof job, "jobs/%s", progress->job);
     if (!progress->end) {
         g_snprintf(key, sizeof key, "done/%s/%u", progress->job, progress->chunk);
-        txn_if(txn, job, progress->job_stamp);
-        txn_if(txn, key, progress->stamp);
+        txn_if(txn, job, progress->job_revision);
+        txn_if(txn, key, progress->revision);
         txn_set(txn, key, wire_build_bits(progress->bits, progress->bytes, progress->done), 0);
         return;
     }
-    txn_if(txn, job, progress->job_stamp);
+    txn_if(txn, job, progress->job_revision);
     txn_delete(txn, job);
     g_snprintf(key, sizeof key, "ended/%s", progress->job);
     txn_set(txn, key, wire_build_ended(true, progress->done), 0);
-    for (guint i = 0; i < progress->old_stamps->len; i++) {
-        uint64_t stamp = g_array_index(progress->old_stamps, uint64_t, i);
-        if (!stamp)
+    for (guint i = 0; i < progress->old_revisions->len; i++) {
+        uint64_t revision = g_array_index(progress->old_revisions, uint64_t, i);
+        if (!revision)
             continue;
         g_snprintf(key, sizeof key, "done/%s/%u", progress->job, i);
-        txn_if(txn, key, stamp);
+        txn_if(txn, key, revision);
         txn_delete(txn, key);
     }
 }
 
-static void write_machines(txn_t *txn, const part_batch_t *machines, GHashTable *written_jobs)
+static void write_machines(txn_t *txn, const partition_batch_t *machines, GHashTable *written_jobs)
 {
     char key[128], page[PAGE_NAME];
     for (guint i = 0; i < machines->records->len; i++) {
         const page_record_t *record = &g_array_index(machines->records, page_record_t, i);
         page_name(record->shard, record->page, page, sizeof page);
         g_snprintf(key, sizeof key, "machines/%s", page);
-        txn_if(txn, key, record->stamp);
+        txn_if(txn, key, record->revision);
         if (record->machines->len)
             txn_set(txn, key, wire_build_record(record), 0);
         else
             txn_delete(txn, key);
     }
     GHashTableIter iter;
-    gpointer id, stamp;
+    gpointer id, revision;
     g_hash_table_iter_init(&iter, machines->jobs);
-    while (g_hash_table_iter_next(&iter, &id, &stamp)) {
+    while (g_hash_table_iter_next(&iter, &id, &revision)) {
         if (g_hash_table_contains(written_jobs, id))
             continue;
         g_snprintf(key, sizeof key, "jobs/%s", (char *)id);
-        txn_if(txn, key, GPOINTER_TO_SIZE(stamp));
+        txn_if(txn, key, GPOINTER_TO_SIZE(revision));
     }
 }
 
-txn_t records_commit(const GArray *progress, const part_batch_t *machines, uint64_t view_stamp)
+txn_t records_commit(const GArray *progress, const partition_batch_t *machines,
+                     uint64_t view_revision)
 {
     txn_t txn = txn_new();
     GHashTable *written = g_hash_table_new(g_str_hash, g_str_equal);
-    txn_if(&txn, "view/number", view_stamp);
+    txn_if(&txn, "view/number", view_revision);
     for (guint i = 0; progress && i < progress->len; i++) {
         const progress_t *entry = &g_array_index(progress, progress_t, i);
         write_progress(&txn, entry);
@@ -78,12 +79,12 @@
     return txn;
 }
 
-txn_t records_abort(const char *id, uint64_t stamp, uint32_t tasks)
+txn_t records_abort(const char *id, uint64_t revision, uint32_t tasks)
 {
     char key[128];
     txn_t txn = txn_new();
     g_snprintf(key, sizeof key, "jobs/%s", id);
-    txn_if(&txn, key, stamp);
+    txn_if(&txn, key, revision);
     txn_delete(&txn, key);
     g_snprintf(key, sizeof key, "ended/%s", id);
     txn_set(&txn, key, wire_build_ended(false, 0), 0);
@@ -94,12 +95,12 @@
     return txn;
 }
 
-txn_t records_member(const member_t *self, uint64_t stamp, uint64_t grant)
+txn_t records_member(const member_t *self, uint64_t revision, uint64_t lease)
 {
     char key[ID_SIZE + 16];
     txn_t txn = txn_new();
     g_snprintf(key, sizeof key, "view/members/%s", self->name);
-    txn_if(&txn, key, stamp);
-    txn_set(&txn, key, wire_build_member(self), grant);
+    txn_if(&txn, key, revision);
+    txn_set(&txn, key, wire_build_member(self), lease);
     return txn;
 }
--- a/src/io/mail.c
+++ b/src/io/relay.c
@@ -1,11 +1,11 @@
-#include "io/mail.h"
+#include "io/relay.h"
 
 #include <string.h>
 
 #include <zlib.h>
 
-/* Rows repeat each other's names and rooms: packed, those of a zone of hundreds of machines fit
- * into a transaction, which as they are they did not. */
+/* Machine summaries repeat each other's names and resources: packed, those of a zone of hundreds of
+ * machines fit into a transaction, which as they are they did not. */
 static char *pack(const GByteArray *frame)
 {
     uLongf size = compressBound(frame->len);
@@ -20,7 +20,7 @@
 static GByteArray *unpack(const char *text, json_int_t size)
 {
     gsize length = 0;
-    if (size < 0 || size > MESH_FRAME_MAX)
+    if (size < 0 || size > PEER_FRAME_MAX)
         return NULL;
     uLongf whole = (uLongf)size;
     guchar *packed = g_base64_decode(text, &length);
@@ -32,16 +32,16 @@
     return frame;
 }
 
-guint mail_write(txn_t *txn, const char *box, const char *name, const GByteArray *frame,
-                 gsize value_max)
+guint relay_write(txn_t *txn, const char *inbox, const char *name, const GByteArray *frame,
+                  gsize value_max)
 {
     char key[ID_SIZE + 32];
     char *text = pack(frame);
-    gsize length = strlen(text), page_max = value_max - MAIL_ROOM;
+    gsize length = strlen(text), page_max = value_max - RELAY_RESERVE;
     guint pages = (guint)((length + page_max - 1) / page_max);
     for (guint page = 0; page < pages; page++) {
         gsize from = page * page_max;
-        g_snprintf(key, sizeof key, "mail/%s/%s.%u", box, name, page);
+        g_snprintf(key, sizeof key, "mail/%s/%s.%u", inbox, name, page);
         txn_set(txn, key,
                 json_pack("{s:i,s:i,s:s%}", "Pages", (int)pages, "Bytes", (int)frame->len,
                           "Message", text + from, MIN(page_max, length - from)),
@@ -51,67 +51,67 @@
     return pages;
 }
 
-static void letter_clear(gpointer data)
+static void relay_message_clear(gpointer data)
 {
-    g_byte_array_unref(((letter_t *)data)->frame);
+    g_byte_array_unref(((relay_message_t *)data)->frame);
 }
 
-/* The page's box and number; false: not a page of this box. */
-static bool parse_key(const char *key, const char *box, char *name, gsize size, guint64 *page)
+/* The page's inbox and number; false: not a page of this inbox. */
+static bool parse_key(const char *key, const char *inbox, char *name, gsize size, guint64 *page)
 {
     char prefix[32];
     const char *dot = strrchr(key, '.');
-    g_snprintf(prefix, sizeof prefix, "mail/%s/", box);
+    g_snprintf(prefix, sizeof prefix, "mail/%s/", inbox);
     gsize skip = strlen(prefix);
     if (!g_str_has_prefix(key, prefix) || !dot || dot < key + skip ||
         (gsize)(dot - key) - skip >= size ||
-        !g_ascii_string_to_unsigned(dot + 1, 10, 0, MAIL_PAGES, page, NULL))
+        !g_ascii_string_to_unsigned(dot + 1, 10, 0, RELAY_PAGES, page, NULL))
         return false;
     g_strlcpy(name, key + skip, (gsize)(dot - key) - skip + 1);
     return true;
 }
 
-/* The text of the letter whose first page is the entry; NULL: not whole. Entries are in the order
+/* The text of the message whose first page is the entry; NULL: not whole. Entries are in the order
  * of their keys, so pages up to the tenth follow each other. */
 static GString *gather(const GArray *entries, guint first)
 {
     const state_entry_t *entry = &g_array_index(entries, state_entry_t, first);
     json_int_t pages = json_integer_value(json_object_get(entry->value, "Pages"));
-    if (pages < 1 || pages > MAIL_PAGES || first + (guint)pages > entries->len)
+    if (pages < 1 || pages > RELAY_PAGES || first + (guint)pages > entries->len)
         return NULL;
     GString *text = g_string_new(NULL);
     gsize stem = strlen(entry->key) - 1;
     for (guint page = 0; page < (guint)pages; page++) {
         const state_entry_t *next = &g_array_index(entries, state_entry_t, first + page);
-        const char *part = json_string_value(json_object_get(next->value, "Message"));
-        if (next->stamp != entry->stamp || strncmp(next->key, entry->key, stem) != 0 ||
-            next->key[stem] != (char)('0' + page) || !part) {
+        const char *text_part = json_string_value(json_object_get(next->value, "Message"));
+        if (next->revision != entry->revision || strncmp(next->key, entry->key, stem) != 0 ||
+            next->key[stem] != (char)('0' + page) || !text_part) {
             g_string_free(text, TRUE);
             return NULL;
         }
-        g_string_append(text, part);
+        g_string_append(text, text_part);
     }
     return text;
 }
 
-GArray *mail_read(const GArray *entries, const char *box)
+GArray *relay_read(const GArray *entries, const char *inbox)
 {
-    GArray *letters = g_array_new(FALSE, TRUE, sizeof(letter_t));
-    g_array_set_clear_func(letters, letter_clear);
+    GArray *relayed_messages = g_array_new(FALSE, TRUE, sizeof(relay_message_t));
+    g_array_set_clear_func(relayed_messages, relay_message_clear);
     for (guint i = 0; i < entries->len; i++) {
         const state_entry_t *entry = &g_array_index(entries, state_entry_t, i);
-        letter_t letter = {.stamp = entry->stamp};
+        relay_message_t relayed = {.revision = entry->revision};
         guint64 page = 0;
-        if (!parse_key(entry->key, box, letter.name, sizeof letter.name, &page) || page != 0)
+        if (!parse_key(entry->key, inbox, relayed.name, sizeof relayed.name, &page) || page != 0)
             continue;
         GString *text = gather(entries, i);
         if (!text)
             continue;
-        letter.frame =
+        relayed.frame =
             unpack(text->str, json_integer_value(json_object_get(entry->value, "Bytes")));
         g_string_free(text, TRUE);
-        if (letter.frame)
-            g_array_append_val(letters, letter);
+        if (relayed.frame)
+            g_array_append_val(relayed_messages, relayed);
     }
-    return letters;
+    return relayed_messages;
 }
--- a/src/io/state.c
+++ b/src/io/state.c
@@ -7,7 +7,7 @@
 void state_init(state_t *state, const char *address, msec_t now)
 {
     g_snprintf(state->base, sizeof state->base, "http://%s", address);
-    atomic_init(&state->contact, now);
+    atomic_init(&state->answered_at, now);
 }
 
 static void entry_clear(gpointer data)
@@ -24,8 +24,9 @@
     return entries;
 }
 
-static state_result_t call(state_t *state, http_client_t *client, const char *method,
-                           const char *path, const json_t *body, long timeout_ms, json_t **answer)
+static state_result_t send_request(state_t *state, http_client_t *client, const char *method,
+                                   const char *path, const json_t *body, long timeout_ms,
+                                   json_t **answer)
 {
     char url[512];
     g_snprintf(url, sizeof url, "%s%s", state->base, path);
@@ -49,8 +50,8 @@
     default:
         return STATE_UNKNOWN;
     }
-    msec_t before = atomic_load(&state->contact);
-    while (sent > before && !atomic_compare_exchange_weak(&state->contact, &before, sent))
+    msec_t before = atomic_load(&state->answered_at);
+    while (sent > before && !atomic_compare_exchange_weak(&state->answered_at, &before, sent))
         ;
     if (status == 200)
         return *answer ? STATE_OK : STATE_UNKNOWN;
@@ -68,11 +69,11 @@
     char path[300];
     json_t *answer = NULL;
     g_snprintf(path, sizeof path, "/keys/%s", key);
-    state_result_t result = call(state, client, "GET", path, NULL, timeout_ms, &answer);
+    state_result_t result = send_request(state, client, "GET", path, NULL, timeout_ms, &answer);
     if (result == STATE_OK) {
         entry->key = g_strdup(key);
         entry->value = json_incref(json_object_get(answer, "Value"));
-        entry->stamp = get_number(answer, "Stamp");
+        entry->revision = get_number(answer, "Stamp");
     }
     json_decref(answer);
     return result;
@@ -89,7 +90,8 @@
             first ? NULL : g_array_index(entries, state_entry_t, entries->len - 1).key;
         g_snprintf(path, sizeof path, "/keys?Under=%s%s%s&Limit=%d", prefix, since ? "&Since=" : "",
                    since ? since : "", KEYS_PAGE);
-        state_result_t result = call(state, client, "GET", path, NULL, STATE_TIMEOUT_MS, &answer);
+        state_result_t result =
+            send_request(state, client, "GET", path, NULL, STATE_TIMEOUT_MS, &answer);
         if (result != STATE_OK) {
             json_decref(answer);
             return result;
@@ -102,7 +104,7 @@
         {
             state_entry_t entry = {.key = g_strdup(json_string_value(json_object_get(item, "K"))),
                                    .value = json_incref(json_object_get(item, "Value")),
-                                   .stamp = get_number(item, "Stamp")};
+                                   .revision = get_number(item, "Stamp")};
             g_array_append_val(entries, entry);
             first = false;
         }
@@ -123,20 +125,20 @@
     json_decref(txn->changes);
 }
 
-void txn_if(txn_t *txn, const char *key, uint64_t stamp)
+void txn_if(txn_t *txn, const char *key, uint64_t revision)
 {
     json_array_append_new(txn->conditions,
-                          json_pack("{s:s,s:I}", "K", key, "Stamp", (json_int_t)stamp));
+                          json_pack("{s:s,s:I}", "K", key, "Stamp", (json_int_t)revision));
 }
 
-void txn_set(txn_t *txn, const char *key, json_t *value, uint64_t grant)
+void txn_set(txn_t *txn, const char *key, json_t *value, uint64_t lease)
 {
     json_t *change = json_pack("{s:s,s:o}", "Set", key, "Value", value);
     /* A record that could not be built must not be committed as something else: its attempts would
      * be forgotten, and run twice. */
     txn->faulty = txn->faulty || !change;
-    if (grant)
-        json_object_set_new(change, "Tether", json_integer((json_int_t)grant));
+    if (lease)
+        json_object_set_new(change, "Tether", json_integer((json_int_t)lease));
     json_array_append_new(txn->changes, change);
 }
 
@@ -152,7 +154,7 @@
     if (txn->faulty)
         return STATE_INVALID;
     json_t *body = json_pack("{s:O,s:O}", "If", txn->conditions, "Then", txn->changes);
-    state_result_t result = call(state, client, "POST", "/txn", body, timeout_ms, &answer);
+    state_result_t result = send_request(state, client, "POST", "/txn", body, timeout_ms, &answer);
     json_decref(body);
     if (result == STATE_OK && revision)
         *revision = get_number(answer, "Logline");
@@ -165,24 +167,27 @@
     return result;
 }
 
-state_result_t state_grant(state_t *state, http_client_t *client, guint life_ms, uint64_t *grant)
+state_result_t state_lease_create(state_t *state, http_client_t *client, guint life_ms,
+                                  uint64_t *lease)
 {
     json_t *answer = NULL;
     json_t *body = json_pack("{s:i}", "LifeMs", (int)life_ms);
-    state_result_t result = call(state, client, "POST", "/grants", body, STATE_TIMEOUT_MS, &answer);
+    state_result_t result =
+        send_request(state, client, "POST", "/grants", body, STATE_TIMEOUT_MS, &answer);
     json_decref(body);
     if (result == STATE_OK)
-        *grant = get_number(answer, "Tether");
+        *lease = get_number(answer, "Tether");
     json_decref(answer);
     return result;
 }
 
-state_result_t state_extend(state_t *state, http_client_t *client, uint64_t grant)
+state_result_t state_lease_extend(state_t *state, http_client_t *client, uint64_t lease)
 {
     char path[80];
     json_t *answer = NULL;
-    g_snprintf(path, sizeof path, "/grants/%" G_GUINT64_FORMAT "/extend", grant);
-    state_result_t result = call(state, client, "POST", path, NULL, GRANT_EXTEND_MS, &answer);
+    g_snprintf(path, sizeof path, "/grants/%" G_GUINT64_FORMAT "/extend", lease);
+    state_result_t result =
+        send_request(state, client, "POST", path, NULL, LEASE_EXTEND_MS, &answer);
     json_decref(answer);
     return result;
 }
@@ -195,7 +200,7 @@
     g_snprintf(path, sizeof path, "/follow?Under=%s&Since=%" G_GUINT64_FORMAT "&BlockMs=%u", prefix,
                *revision, block_ms);
     state_result_t result =
-        call(state, client, "GET", path, NULL, (long)block_ms + STATE_TIMEOUT_MS, &answer);
+        send_request(state, client, "GET", path, NULL, (long)block_ms + STATE_TIMEOUT_MS, &answer);
     if (result != STATE_OK) {
         json_decref(answer);
         return result;
@@ -208,7 +213,7 @@
         json_t *key = set ? set : json_object_get(item, "Delete");
         state_entry_t entry = {.key = g_strdup(json_string_value(key)),
                                .value = set ? json_incref(json_object_get(item, "Value")) : NULL,
-                               .stamp = get_number(item, "Stamp")};
+                               .revision = get_number(item, "Stamp")};
         g_array_append_val(changes, entry);
     }
     *revision = get_number(answer, "Logline");
--- a/src/io/state.h
+++ b/src/io/state.h
@@ -9,7 +9,7 @@
 typedef enum {
     STATE_OK,
     STATE_FAILED,  /* a condition did not hold: not executed */
-    STATE_ABSENT,  /* no such key or grant */
+    STATE_ABSENT,  /* no such key or lease */
     STATE_REFUSED, /* certainly not executed: outage, over the limit, or not sent */
     STATE_UNKNOWN, /* no answer: may have been executed, or may still be */
     STATE_EXPIRED, /* a follow from too old a revision */
@@ -19,13 +19,13 @@
 /* Shared by all threads; each brings its own client. */
 typedef struct {
     char base[ADDRESS_SIZE + 8];
-    _Atomic(msec_t) contact; /* when the newest request that was answered had been sent */
+    _Atomic(msec_t) answered_at; /* when the newest request that was answered had been sent */
 } state_t;
 
 typedef struct {
     char *key;
     json_t *value;
-    uint64_t stamp;
+    uint64_t revision;
 } state_entry_t;
 
 void state_init(state_t *state, const char *address, msec_t now);
@@ -47,15 +47,16 @@
 } txn_t;
 txn_t txn_new(void);
 void txn_free(txn_t *txn);
-void txn_if(txn_t *txn, const char *key, uint64_t stamp);
-void txn_set(txn_t *txn, const char *key, json_t *value, uint64_t grant); /* consumes value */
+void txn_if(txn_t *txn, const char *key, uint64_t revision);
+void txn_set(txn_t *txn, const char *key, json_t *value, uint64_t lease); /* consumes value */
 void txn_delete(txn_t *txn, const char *key);
 /* failed (may be NULL): array of keys to append to. */
 state_result_t state_commit(state_t *state, http_client_t *client, const txn_t *txn,
                             long timeout_ms, uint64_t *revision, GPtrArray *failed);
 
-state_result_t state_grant(state_t *state, http_client_t *client, guint life_ms, uint64_t *grant);
-state_result_t state_extend(state_t *state, http_client_t *client, uint64_t grant);
+state_result_t state_lease_create(state_t *state, http_client_t *client, guint life_ms,
+                                  uint64_t *lease);
+state_result_t state_lease_extend(state_t *state, http_client_t *client, uint64_t lease);
 
 /* changes: array of state_entry_t; value NULL: deleted. *revision: from, then up to. */
 state_result_t state_follow(state_t *state, http_client_t *client, const char *prefix,
--- a/src/io/wire.c
+++ b/src/io/wire.c
@@ -24,7 +24,7 @@
     return digits >= 6 && digits <= 18 && id[2 + digits] == '\0';
 }
 
-/* NULL: no string, or one with a NUL character, of which C would see a part only. */
+/* NULL: no string, or one with a NUL character, of which C would see a partition only. */
 static const char *whole_text(const json_t *value)
 {
     const char *text = json_string_value(value);
@@ -83,7 +83,7 @@
     return true;
 }
 
-static const char *const urgency_names[] = {"low", "normal", "high", "critical"};
+static const char *const priority_names[] = {"low", "normal", "high", "critical"};
 static const char *const kind_names[] = {"sweep", "ensemble", "daemon"};
 
 static bool get_choice(const json_t *body, const char *name, const char *const *names, int count,
@@ -150,7 +150,7 @@
 bool wire_parse_job(const json_t *body, bool stored, job_spec_t *spec, reason_t *why)
 {
     uint64_t tasks = 0, submitted = 0;
-    int urgency = 0, kind = 0;
+    int priority = 0, kind = 0;
     *spec = (job_spec_t){0};
     if (!json_is_object(body))
         return fail(why, "a JSON object is expected");
@@ -163,8 +163,8 @@
         get_text(body, "Reel", spec->class_name, sizeof spec->class_name, why) &&
         get_text(body, "Crew", spec->team, sizeof spec->team, why) &&
         get_choice(body, "Rig", kind_names, G_N_ELEMENTS(kind_names), &kind, why) &&
-        get_choice(body, "Urgency", urgency_names, G_N_ELEMENTS(urgency_names), &urgency, why) &&
-        get_count(body, "Pieces", 1, PIECES_MAX, &tasks, why) &&
+        get_choice(body, "Urgency", priority_names, G_N_ELEMENTS(priority_names), &priority, why) &&
+        get_count(body, "Pieces", 1, TASKS_MAX, &tasks, why) &&
         get_amount(body, "Cpus", 0, &spec->need.cpus, why) &&
         get_amount(body, "Accelerators", 0, &spec->need.gpus, why) &&
         get_amount(body, "MemGb", 0, &spec->need.memory, why) &&
@@ -184,7 +184,7 @@
         (stored || check_names(spec, why));
     spec->tasks = (uint32_t)tasks;
     spec->kind = (job_kind_t)kind;
-    spec->urgency = (urgency_t)urgency;
+    spec->priority = (priority_t)priority;
     spec->submitted_ms = (int64_t)submitted;
     if (!valid)
         job_spec_clear(spec);
@@ -200,7 +200,7 @@
         "{s:s,s:s,s:s,s:s,s:s,s:I,s:f,s:f,s:f,s:s,s:f,s:o,s:s?,s:b,s:b,s:b,s:f,s:f,s:f,"
         "s:o,s:I}",
         "Uid", spec->id, "Reel", spec->class_name, "Crew", spec->team, "Rig",
-        kind_names[spec->kind], "Urgency", urgency_names[spec->urgency], "Pieces",
+        kind_names[spec->kind], "Urgency", priority_names[spec->priority], "Pieces",
         (json_int_t)spec->tasks, "Cpus", spec->need.cpus, "Accelerators", spec->need.gpus, "MemGb",
         spec->need.memory, "Cargo", spec->image, "ImageGb", spec->image_gb, "Hulls", types, "Dock",
         spec->zone[0] ? spec->zone : NULL, "SamePlace", spec->same_zone, "Apart", spec->spread,
@@ -209,49 +209,49 @@
         "At", (json_int_t)spec->submitted_ms);
 }
 
-static bool parse_task_name(const char *text, piece_t *piece)
+static bool parse_task_name(const char *text, reported_attempt_t *reported_attempt)
 {
     const char *slash = text ? strchr(text, '/') : NULL;
     guint64 task;
-    if (!slash || slash == text || (gsize)(slash - text) >= sizeof piece->job ||
+    if (!slash || slash == text || (gsize)(slash - text) >= sizeof reported_attempt->job ||
         !g_ascii_string_to_unsigned(slash + 1, 10, 0, G_MAXUINT32, &task, NULL))
         return false;
-    memcpy(piece->job, text, (gsize)(slash - text));
-    piece->job[slash - text] = '\0';
-    piece->task = (uint32_t)task;
+    memcpy(reported_attempt->job, text, (gsize)(slash - text));
+    reported_attempt->job[slash - text] = '\0';
+    reported_attempt->task = (uint32_t)task;
     return true;
 }
 
-static bool parse_piece(const json_t *value, piece_t *piece, reason_t *why)
+static bool parse_attempt(const json_t *value, reported_attempt_t *reported_attempt, reason_t *why)
 {
     /* A gang's task that waits for the others is one that starts: gathering counts as pulling. */
     static const char *const states[] = {"pulling", "running", "saving", "exited", "gathering"};
     static const char *const causes[] = {"",       "done",    "halted", "error", "full",
                                          "in_use", "no_such", "peers",  "alone"};
     int state = 0, cause = CAUSE_NONE;
-    *piece = (piece_t){0};
-    if (!parse_task_name(json_string_value(json_object_get(value, "Piece")), piece))
+    *reported_attempt = (reported_attempt_t){0};
+    if (!parse_task_name(json_string_value(json_object_get(value, "Piece")), reported_attempt))
         return fail(why, "Pieces: Piece is not the name of a task");
-    if (!get_count(value, "Heave", 0, G_MAXINT64, &piece->attempt, why) ||
+    if (!get_count(value, "Heave", 0, G_MAXINT64, &reported_attempt->attempt, why) ||
         !get_choice(value, "Trim", states, G_N_ELEMENTS(states), &state, why))
         return false;
-    piece->state = state > PIECE_EXITED ? PIECE_FETCHING : (piece_state_t)state;
-    if (piece->state != PIECE_EXITED)
+    reported_attempt->state = state > TASK_EXITED ? TASK_FETCHING : (task_state_t)state;
+    if (reported_attempt->state != TASK_EXITED)
         return true;
     /* A cause not known here counts as a failure: the attempt is over in any case. */
     if (!get_choice(value, "Cause", causes, G_N_ELEMENTS(causes), &cause, NULL))
         cause = CAUSE_ERROR;
-    piece->cause = (cause_t)cause;
+    reported_attempt->cause = (cause_t)cause;
     return true;
 }
 
 bool wire_parse_report(const json_t *body, report_t *report, reason_t *why)
 {
-    *report = (report_t){.notice_s = -1};
+    *report = (report_t){.reclaim_in_s = -1};
     if (!json_is_object(body))
         return fail(why, "a JSON object is expected");
-    const json_t *notice = json_object_get(body, "WarningS");
-    const json_t *pieces = json_object_get(body, "Pieces");
+    const json_t *update = json_object_get(body, "WarningS");
+    const json_t *attempts = json_object_get(body, "Pieces");
     if (!get_text(body, "Winch", report->machine, sizeof report->machine, why) ||
         !get_text(body, "Address", report->address, sizeof report->address, why) ||
         !get_text(body, "Hull", report->type, sizeof report->type, why) ||
@@ -260,57 +260,57 @@
         !get_count(body, "Watch", 0, G_MAXINT64, &report->session, why) ||
         !get_count(body, "Tally", 0, G_MAXINT64, &report->seq, why) ||
         !get_count(body, "Helm", 0, G_MAXINT64, &report->token, why) ||
-        (notice && !json_is_null(notice) &&
-         !get_amount(body, "WarningS", 0, &report->notice_s, why)))
+        (update && !json_is_null(update) &&
+         !get_amount(body, "WarningS", 0, &report->reclaim_in_s, why)))
         return false;
-    if (pieces && !json_is_null(pieces) && !json_is_array(pieces))
+    if (attempts && !json_is_null(attempts) && !json_is_array(attempts))
         return fail(why, "Pieces: a list is expected");
-    report->pieces =
-        g_array_sized_new(FALSE, FALSE, sizeof(piece_t), (guint)json_array_size(pieces));
+    report->attempts = g_array_sized_new(FALSE, FALSE, sizeof(reported_attempt_t),
+                                         (guint)json_array_size(attempts));
     size_t i;
     json_t *value;
-    json_array_foreach(pieces, i, value)
+    json_array_foreach(attempts, i, value)
     {
-        piece_t piece;
-        if (!parse_piece(value, &piece, why)) {
+        reported_attempt_t reported_attempt;
+        if (!parse_attempt(value, &reported_attempt, why)) {
             report_clear(report);
             return false;
         }
-        g_array_append_val(report->pieces, piece);
+        g_array_append_val(report->attempts, reported_attempt);
     }
     return true;
 }
 
-static json_t *build_call_list(const GArray *calls)
+static json_t *build_command_list(const GArray *commands)
 {
     static const char *const names[] = {"run", "stop", "forget"};
     json_t *list = json_array();
-    for (guint i = 0; calls && i < calls->len; i++) {
-        const call_t *call = &g_array_index(calls, call_t, i);
-        json_t *item = json_pack("{s:s,s:o,s:I}", "Call", names[call->op], "Piece",
-                                 json_sprintf("%s/%u", call->job, call->task), "Heave",
-                                 (json_int_t)call->attempt);
-        if (call->op == CALL_STOP)
-            json_object_set_new(item, "SlackS", json_real(call->grace_s));
+    for (guint i = 0; commands && i < commands->len; i++) {
+        const worker_command_t *command = &g_array_index(commands, worker_command_t, i);
+        json_t *item = json_pack("{s:s,s:o,s:I}", "Call", names[command->op], "Piece",
+                                 json_sprintf("%s/%u", command->job, command->task), "Heave",
+                                 (json_int_t)command->attempt);
+        if (command->op == COMMAND_STOP)
+            json_object_set_new(item, "SlackS", json_real(command->grace_s));
         json_array_append_new(list, item);
     }
     return list;
 }
 
-json_t *wire_build_calls(uint64_t token, const GArray *calls)
+json_t *wire_build_commands(uint64_t token, const GArray *commands)
 {
-    return json_pack("{s:I,s:o}", "Helm", (json_int_t)token, "Calls", build_call_list(calls));
+    return json_pack("{s:I,s:o}", "Helm", (json_int_t)token, "Calls", build_command_list(commands));
 }
 
-json_t *wire_build_direct(uint64_t token, uint64_t session, const GArray *calls)
+json_t *wire_build_direct(uint64_t token, uint64_t session, const GArray *commands)
 {
     return json_pack("{s:I,s:I,s:o}", "Helm", (json_int_t)token, "Watch", (json_int_t)session,
-                     "Calls", build_call_list(calls));
+                     "Calls", build_command_list(commands));
 }
 
-static void flavor_clear(gpointer data)
+static void machine_type_clear(gpointer data)
 {
-    g_strfreev(((flavor_t *)data)->zones);
+    g_strfreev(((machine_type_t *)data)->zones);
 }
 
 static char **parse_names(const json_t *list)
@@ -324,30 +324,30 @@
     return (char **)g_ptr_array_free(names, FALSE);
 }
 
-GArray *wire_parse_flavors(const json_t *body)
+GArray *wire_parse_machine_types(const json_t *body)
 {
     const json_t *list = json_object_get(body, "Hulls");
     if (!json_is_array(list))
         return NULL;
-    GArray *flavors = g_array_new(FALSE, TRUE, sizeof(flavor_t));
-    g_array_set_clear_func(flavors, flavor_clear);
+    GArray *machine_types = g_array_new(FALSE, TRUE, sizeof(machine_type_t));
+    g_array_set_clear_func(machine_types, machine_type_clear);
     size_t i;
     json_t *value;
     json_array_foreach(list, i, value)
     {
-        flavor_t flavor = {0};
-        if (!get_text(value, "Name", flavor.name, sizeof flavor.name, NULL) ||
-            !get_amount(value, "Cpus", 0, &flavor.room.cpus, NULL) ||
-            !get_amount(value, "MemGb", 0, &flavor.room.memory, NULL))
+        machine_type_t machine_type = {0};
+        if (!get_text(value, "Name", machine_type.name, sizeof machine_type.name, NULL) ||
+            !get_amount(value, "Cpus", 0, &machine_type.capacity.cpus, NULL) ||
+            !get_amount(value, "MemGb", 0, &machine_type.capacity.memory, NULL))
             continue;
-        flavor.room.gpus = json_number_value(json_object_get(value, "Accelerators"));
-        flavor.price = json_number_value(json_object_get(value, "Price"));
-        flavor.spot_price = json_number_value(json_object_get(value, "MarketPrice"));
-        flavor.boot_s = json_number_value(json_object_get(value, "BootS"));
-        flavor.zones = parse_names(json_object_get(value, "Docks"));
-        g_array_append_val(flavors, flavor);
+        machine_type.capacity.gpus = json_number_value(json_object_get(value, "Accelerators"));
+        machine_type.price = json_number_value(json_object_get(value, "Price"));
+        machine_type.spot_price = json_number_value(json_object_get(value, "MarketPrice"));
+        machine_type.boot_s = json_number_value(json_object_get(value, "BootS"));
+        machine_type.zones = parse_names(json_object_get(value, "Docks"));
+        g_array_append_val(machine_types, machine_type);
     }
-    return flavors;
+    return machine_types;
 }
 
 bool wire_parse_hosts(const json_t *body, GArray *hosts, bool *more)
@@ -391,7 +391,7 @@
     return json_pack("{s:o}", "Winches", names);
 }
 
-/* A page's record: {"Jobs":[[id,team,image,cpus,gpus,memory,urgency,save,checkpoint],...],
+/* A page's record: {"Jobs":[[id,team,image,cpus,gpus,memory,priority,save,checkpoint],...],
  * "Machines":[{"Id","Session","Address","Type","Zone","Spot","Tasks":[[job,task,attempt],...]},...]}
  * where job is the index in Jobs, which all its machines share. */
 static json_int_t record_job(json_t *jobs, GHashTable *known, const record_entry_t *entry)
@@ -403,7 +403,7 @@
     json_array_append_new(jobs,
                           json_pack("[s,s,s,f,f,f,i,f,f]", entry->job, entry->team, entry->image,
                                     entry->need.cpus, entry->need.gpus, entry->need.memory,
-                                    (int)entry->urgency, entry->save_s, entry->checkpoint_s));
+                                    (int)entry->priority, entry->save_s, entry->checkpoint_s));
     g_hash_table_insert(known, (gpointer)entry->job, GINT_TO_POINTER((gint)index));
     return index;
 }
@@ -447,11 +447,11 @@
     const char *id = json_string_value(json_array_get(job, 0));
     const char *team = json_string_value(json_array_get(job, 1));
     const char *image = json_string_value(json_array_get(job, 2));
-    json_int_t urgency = json_integer_value(json_array_get(job, 6));
-    if (json_array_size(job) != 9 || !id || !team || !image || urgency < URGENCY_LOW ||
-        urgency > URGENCY_CRITICAL)
+    json_int_t priority = json_integer_value(json_array_get(job, 6));
+    if (json_array_size(job) != 9 || !id || !team || !image || priority < PRIORITY_LOW ||
+        priority > PRIORITY_CRITICAL)
         return false;
-    *entry = (record_entry_t){.urgency = (urgency_t)urgency};
+    *entry = (record_entry_t){.priority = (priority_t)priority};
     entry->need.cpus = json_number_value(json_array_get(job, 3));
     entry->need.gpus = json_number_value(json_array_get(job, 4));
     entry->need.memory = json_number_value(json_array_get(job, 5));
@@ -495,10 +495,11 @@
     return valid;
 }
 
-bool wire_parse_record(const char *page, const json_t *value, uint64_t stamp, page_record_t *record)
+bool wire_parse_record(const char *page, const json_t *value, uint64_t revision,
+                       page_record_t *record)
 {
     const json_t *machines = json_object_get(value, "Machines");
-    *record = (page_record_t){.stamp = stamp, .machines = machine_records_new()};
+    *record = (page_record_t){.revision = revision, .machines = machine_records_new()};
     bool valid = page_parse(page, record->shard, sizeof record->shard, &record->page) &&
                  json_is_array(machines);
     size_t i;
@@ -506,11 +507,11 @@
     json_array_foreach(machines, i, item)
     {
         machine_record_t machine = {.entries = g_array_new(FALSE, FALSE, sizeof(record_entry_t))};
-        char home[SHARD_NAME];
+        char own_shard[SHARD_NAME];
         valid = parse_machine_record(item, json_object_get(value, "Jobs"), &machine) && valid;
         /* In another shard than its own, two owners would write it. */
-        shard_of(machine.machine, machine.zone, home, sizeof home);
-        valid = valid && strcmp(home, record->shard) == 0;
+        shard_of(machine.machine, machine.zone, own_shard, sizeof own_shard);
+        valid = valid && strcmp(own_shard, record->shard) == 0;
         g_array_append_val(record->machines, machine);
     }
     if (!valid)
@@ -546,5 +547,5 @@
 json_t *wire_build_member(const member_t *member)
 {
     return json_pack("{s:s,s:s,s:I,s:b}", "Name", member->name, "Zone", member->zone, "Incarnation",
-                     (json_int_t)member->incarnation, "Aside", member->aside);
+                     (json_int_t)member->incarnation, "Aside", member->excluded);
 }
--- a/src/io/wire.h
+++ b/src/io/wire.h
@@ -8,7 +8,7 @@
 #include <jansson.h>
 
 #include "core/leader.h"
-#include "core/part.h"
+#include "core/partition.h"
 #include "core/types.h"
 
 typedef struct {
@@ -22,11 +22,11 @@
 json_t *wire_build_job(const job_spec_t *spec);
 
 bool wire_parse_report(const json_t *body, report_t *report, reason_t *why);
-json_t *wire_build_calls(uint64_t token, const GArray *calls);
-json_t *wire_build_direct(uint64_t token, uint64_t session, const GArray *calls);
+json_t *wire_build_commands(uint64_t token, const GArray *commands);
+json_t *wire_build_direct(uint64_t token, uint64_t session, const GArray *commands);
 
-/* array of flavor_t, or NULL */
-GArray *wire_parse_flavors(const json_t *body);
+/* array of machine_type_t, or NULL */
+GArray *wire_parse_machine_types(const json_t *body);
 
 /* One machine of the cloud's list. */
 typedef enum { HOST_BOOTING, HOST_RUNNING, HOST_FAILED } host_state_t;
@@ -46,7 +46,7 @@
 
 json_t *wire_build_record(const page_record_t *record);
 /* value of machines/<page>; machines become the caller's */
-bool wire_parse_record(const char *page, const json_t *value, uint64_t stamp,
+bool wire_parse_record(const char *page, const json_t *value, uint64_t revision,
                        page_record_t *record);
 
 json_t *wire_build_bits(const uint8_t *bits, gsize bytes, uint32_t done);
--- a/src/policy/ast.h
+++ b/src/policy/ast.h
@@ -43,7 +43,7 @@
 typedef struct {
     const char *file;
     GPtrArray *faults;
-    ast_t **values; /* KNOB_COUNT, NULL: default */
+    ast_t **values; /* TUNABLE_COUNT, NULL: default */
     int line;
     int column;
     int start; /* column where the newest token began */
--- a/src/policy/policy.c
+++ b/src/policy/policy.c
@@ -24,21 +24,23 @@
     int scope;
     double low, high;
     const char *value;
-} knobs[KNOB_COUNT] = {
-    [KNOB_RESERVATION_LAPSE] = {"reservation_lapse", POLICY_SECONDS, SCOPE_NONE, 5, 600, "30 s"},
-    [KNOB_OFFERS_PER_ROUND] = {"offers_per_round", POLICY_NUMBER, SCOPE_NONE, 1, 500, "64"},
-    [KNOB_PREEMPTIONS_PER_ROUND] = {"preemptions_per_round", POLICY_NUMBER, SCOPE_NONE, 0, 200,
-                                    "24"},
-    [KNOB_RENT_HEADROOM] = {"rent_headroom", POLICY_NUMBER, SCOPE_NONE, 0.5, 3, "1.10"},
-    [KNOB_RENT_KEEP] = {"rent_keep", POLICY_NUMBER, SCOPE_NONE, 1, 5, "1.18"},
-    [KNOB_RENT_PATIENCE] = {"rent_patience", POLICY_SECONDS, SCOPE_JOB, 1, 3600,
-                            "if job.urgency >= high then 15 s else 60 s"},
-    [KNOB_IDLE_KEEP] = {"idle_keep", POLICY_SECONDS, SCOPE_MACHINE, 5, 3600, "20 s"},
-    [KNOB_USE_SPOT] = {"use_spot", POLICY_BOOL, SCOPE_JOB, 0, 1, "true"},
-    [KNOB_RENT_ORDINARY] = {"rent_ordinary", POLICY_BOOL, SCOPE_JOB, 0, 1, "true"},
-    [KNOB_ORDINARY_PATIENCE] = {"ordinary_patience", POLICY_SECONDS, SCOPE_NONE, 1, 3600, "120 s"},
-    [KNOB_ORDINARY_SHARE] = {"ordinary_share", POLICY_NUMBER, SCOPE_NONE, 0, 1, "0.25"},
-    [KNOB_PREEMPT] = {"preempt", POLICY_BOOL, SCOPE_JOB, 0, 1, "job.urgency >= high"},
+} tunables[TUNABLE_COUNT] = {
+    [TUNABLE_RESERVATION_LAPSE] = {"reservation_lapse", POLICY_SECONDS, SCOPE_NONE, 5, 600, "30 s"},
+    [TUNABLE_PLACEMENT_REQUESTS_PER_ROUND] = {"offers_per_round", POLICY_NUMBER, SCOPE_NONE, 1, 500,
+                                              "64"},
+    [TUNABLE_PREEMPTIONS_PER_ROUND] = {"preemptions_per_round", POLICY_NUMBER, SCOPE_NONE, 0, 200,
+                                       "24"},
+    [TUNABLE_RENT_HEADROOM] = {"rent_headroom", POLICY_NUMBER, SCOPE_NONE, 0.5, 3, "1.10"},
+    [TUNABLE_RENT_KEEP] = {"rent_keep", POLICY_NUMBER, SCOPE_NONE, 1, 5, "1.18"},
+    [TUNABLE_RENT_PATIENCE] = {"rent_patience", POLICY_SECONDS, SCOPE_JOB, 1, 3600,
+                               "if job.urgency >= high then 15 s else 60 s"},
+    [TUNABLE_IDLE_KEEP] = {"idle_keep", POLICY_SECONDS, SCOPE_MACHINE, 5, 3600, "20 s"},
+    [TUNABLE_USE_SPOT] = {"use_spot", POLICY_BOOL, SCOPE_JOB, 0, 1, "true"},
+    [TUNABLE_RENT_ORDINARY] = {"rent_ordinary", POLICY_BOOL, SCOPE_JOB, 0, 1, "true"},
+    [TUNABLE_ORDINARY_PATIENCE] = {"ordinary_patience", POLICY_SECONDS, SCOPE_NONE, 1, 3600,
+                                   "120 s"},
+    [TUNABLE_ORDINARY_SHARE] = {"ordinary_share", POLICY_NUMBER, SCOPE_NONE, 0, 1, "0.25"},
+    [TUNABLE_PREEMPT] = {"preempt", POLICY_BOOL, SCOPE_JOB, 0, 1, "job.urgency >= high"},
 };
 
 static const struct {
@@ -46,7 +48,7 @@
     policy_type_t type;
     int scope;
 } attrs[ATTR_COUNT] = {
-    [ATTR_JOB_URGENCY] = {"job.urgency", POLICY_URGENCY, SCOPE_JOB},
+    [ATTR_JOB_PRIORITY] = {"job.urgency", POLICY_PRIORITY, SCOPE_JOB},
     [ATTR_JOB_CPUS] = {"job.cpus", POLICY_CPUS, SCOPE_JOB},
     [ATTR_JOB_MEMORY] = {"job.memory", POLICY_MEMORY, SCOPE_JOB},
     [ATTR_JOB_TASKS] = {"job.tasks", POLICY_NUMBER, SCOPE_JOB},
@@ -65,9 +67,9 @@
     const char *name;
     policy_type_t type;
     double value;
-} words[] = {{"true", POLICY_BOOL, 1},    {"false", POLICY_BOOL, 0},
-             {"low", POLICY_URGENCY, 0},  {"normal", POLICY_URGENCY, 1},
-             {"high", POLICY_URGENCY, 2}, {"critical", POLICY_URGENCY, 3}};
+} words[] = {{"true", POLICY_BOOL, 1},     {"false", POLICY_BOOL, 0},
+             {"low", POLICY_PRIORITY, 0},  {"normal", POLICY_PRIORITY, 1},
+             {"high", POLICY_PRIORITY, 2}, {"critical", POLICY_PRIORITY, 3}};
 
 static const struct {
     const char *name;
@@ -78,7 +80,7 @@
              {"cpus", POLICY_CPUS, 1},    {"gb", POLICY_MEMORY, 1}};
 
 struct policy {
-    ast_t *value[KNOB_COUNT];
+    ast_t *value[TUNABLE_COUNT];
 };
 
 void parse_fault(parse_t *parse, int line, int column, const char *format, ...)
@@ -359,39 +361,40 @@
     return true;
 }
 
-static int find_knob(const char *name)
+static int find_tunable(const char *name)
 {
-    for (int i = 0; i < KNOB_COUNT; i++)
-        if (strcmp(knobs[i].name, name) == 0)
+    for (int i = 0; i < TUNABLE_COUNT; i++)
+        if (strcmp(tunables[i].name, name) == 0)
             return i;
     return -1;
 }
 
-static void check_value(parse_t *parse, int knob, ast_t *value)
+static void check_value(parse_t *parse, int tunable, ast_t *value)
 {
     double constant;
-    policy_type_t type = check(parse, value, knobs[knob].scope, 0);
-    if (type != knobs[knob].type) {
-        complain(parse, value, type_names[knobs[knob].type], type);
+    policy_type_t type = check(parse, value, tunables[tunable].scope, 0);
+    if (type != tunables[tunable].type) {
+        complain(parse, value, type_names[tunables[tunable].type], type);
     } else if (constant_value(value, &constant) &&
-               (constant < knobs[knob].low || constant > knobs[knob].high)) {
+               (constant < tunables[tunable].low || constant > tunables[tunable].high)) {
         parse_fault(parse, value->line, value->column, "%s: from %g to %g is expected, this is %g",
-                    knobs[knob].name, knobs[knob].low, knobs[knob].high, constant);
+                    tunables[tunable].name, tunables[tunable].low, tunables[tunable].high,
+                    constant);
     }
 }
 
 void parse_assign(parse_t *parse, token_t name, ast_t *value)
 {
-    int knob = find_knob(name.text);
-    if (knob < 0) {
+    int tunable = find_tunable(name.text);
+    if (tunable < 0) {
         parse_fault(parse, name.line, name.column, "unknown setting %s", name.text);
         ast_free(value);
-    } else if (parse->values[knob]) {
+    } else if (parse->values[tunable]) {
         parse_fault(parse, name.line, name.column, "%s is set twice", name.text);
         ast_free(value);
     } else {
-        parse->values[knob] = value;
-        check_value(parse, knob, value);
+        parse->values[tunable] = value;
+        check_value(parse, tunable, value);
     }
     g_free(name.text);
 }
@@ -423,10 +426,10 @@
                      .column = 1,
                      .start = 1};
     bool valid = parse_text(&parse, text);
-    for (int i = 0; valid && i < KNOB_COUNT; i++) {
+    for (int i = 0; valid && i < TUNABLE_COUNT; i++) {
         if (policy->value[i])
             continue;
-        char *line = g_strdup_printf("%s = %s;", knobs[i].name, knobs[i].value);
+        char *line = g_strdup_printf("%s = %s;", tunables[i].name, tunables[i].value);
         valid = parse_text(&parse, line);
         g_free(line);
     }
@@ -446,14 +449,14 @@
 
 void policy_free(policy_t *policy)
 {
-    for (int i = 0; i < KNOB_COUNT; i++)
+    for (int i = 0; i < TUNABLE_COUNT; i++)
         ast_free(policy->value[i]);
     g_free(policy);
 }
 
-double policy_value(const policy_t *policy, policy_knob_t knob, const policy_env_t *env)
+double policy_value(const policy_t *policy, policy_tunable_t tunable, const policy_env_t *env)
 {
     static const policy_env_t nothing = {0};
-    double value = evaluate(policy->value[knob], env ? env : &nothing);
-    return CLAMP(value, knobs[knob].low, knobs[knob].high);
+    double value = evaluate(policy->value[tunable], env ? env : &nothing);
+    return CLAMP(value, tunables[tunable].low, tunables[tunable].high);
 }
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -19,29 +19,29 @@
     POLICY_SECONDS,
     POLICY_CPUS,
     POLICY_MEMORY,
-    POLICY_URGENCY,
+    POLICY_PRIORITY,
     POLICY_TEXT,
     POLICY_FAULTY /* of an expression already complained about */
 } policy_type_t;
 
 typedef enum {
-    KNOB_RESERVATION_LAPSE,
-    KNOB_OFFERS_PER_ROUND,
-    KNOB_PREEMPTIONS_PER_ROUND,
-    KNOB_RENT_HEADROOM,
-    KNOB_RENT_KEEP,
-    KNOB_RENT_PATIENCE,
-    KNOB_IDLE_KEEP,
-    KNOB_USE_SPOT,
-    KNOB_RENT_ORDINARY,
-    KNOB_ORDINARY_PATIENCE,
-    KNOB_ORDINARY_SHARE,
-    KNOB_PREEMPT,
-    KNOB_COUNT
-} policy_knob_t;
+    TUNABLE_RESERVATION_LAPSE,
+    TUNABLE_PLACEMENT_REQUESTS_PER_ROUND,
+    TUNABLE_PREEMPTIONS_PER_ROUND,
+    TUNABLE_RENT_HEADROOM,
+    TUNABLE_RENT_KEEP,
+    TUNABLE_RENT_PATIENCE,
+    TUNABLE_IDLE_KEEP,
+    TUNABLE_USE_SPOT,
+    TUNABLE_RENT_ORDINARY,
+    TUNABLE_ORDINARY_PATIENCE,
+    TUNABLE_ORDINARY_SHARE,
+    TUNABLE_PREEMPT,
+    TUNABLE_COUNT
+} policy_tunable_t;
 
 typedef enum {
-    ATTR_JOB_URGENCY,
+    ATTR_JOB_PRIORITY,
     ATTR_JOB_CPUS,
     ATTR_JOB_MEMORY,
     ATTR_JOB_TASKS,
@@ -57,7 +57,8 @@
     ATTR_COUNT
 } policy_attr_t;
 
-/* The attributes that a rule sees; text is borrowed. Those out of a knob's scope are not read. */
+/* The attributes that a rule sees; text is borrowed. Those out of a tunable's scope are not read.
+ */
 typedef struct {
     double number[ATTR_COUNT];
     const char *text[ATTR_COUNT];
@@ -71,7 +72,7 @@
 /* The defaults alone. */
 policy_t *policy_default(void);
 void policy_free(policy_t *policy);
-/* env may be NULL for a knob without attributes. Booleans are 0 and 1. */
-double policy_value(const policy_t *policy, policy_knob_t knob, const policy_env_t *env);
+/* env may be NULL for a tunable without attributes. Booleans are 0 and 1. */
+double policy_value(const policy_t *policy, policy_tunable_t tunable, const policy_env_t *env);
 
 #endif
--- a/tests/fakes/services.c
+++ b/tests/fakes/services.c
@@ -11,7 +11,7 @@
 typedef struct {
     char *key;
     json_t *value; /* NULL: deleted */
-    uint64_t stamp;
+    uint64_t revision;
 } change_t;
 
 /* A daemon's own: the service, and which port. */
@@ -57,7 +57,7 @@
 static json_t *build_entry(const state_entry_t *entry)
 {
     return json_pack("{s:s,s:O,s:I}", "K", entry->key, "Value", entry->value, "Stamp",
-                     (json_int_t)entry->stamp);
+                     (json_int_t)entry->revision);
 }
 
 static answer_t get_key(services_t *services, const char *key)
@@ -95,12 +95,13 @@
     json_t *news = json_array();
     for (guint i = 0; i < services->news->len && !services->mute; i++) {
         const change_t *change = &g_array_index(services->news, change_t, i);
-        if (change->stamp <= since || !g_str_has_prefix(change->key, prefix))
+        if (change->revision <= since || !g_str_has_prefix(change->key, prefix))
             continue;
-        json_t *item = change->value ? json_pack("{s:s,s:O,s:I}", "Set", change->key, "Value",
-                                                 change->value, "Stamp", (json_int_t)change->stamp)
-                                     : json_pack("{s:s,s:I}", "Delete", change->key, "Stamp",
-                                                 (json_int_t)change->stamp);
+        json_t *item = change->value
+                           ? json_pack("{s:s,s:O,s:I}", "Set", change->key, "Value", change->value,
+                                       "Stamp", (json_int_t)change->revision)
+                           : json_pack("{s:s,s:I}", "Delete", change->key, "Stamp",
+                                       (json_int_t)change->revision);
         json_array_append_new(news, item);
     }
     return news;
@@ -130,7 +131,7 @@
     json_array_foreach(conditions, i, condition)
     {
         const char *key = json_string_value(json_object_get(condition, "K"));
-        if (fake_store_stamp(services->store, key) !=
+        if (fake_store_revision(services->store, key) !=
             (uint64_t)json_integer_value(json_object_get(condition, "Stamp")))
             json_array_append_new(failed, json_string(key));
     }
@@ -159,7 +160,7 @@
         json_array_foreach(changes, i, item)
         {
             const char *set = json_string_value(json_object_get(item, "Set"));
-            change_t change = {.stamp = services->store->revision};
+            change_t change = {.revision = services->store->revision};
             change.key = g_strdup(set ? set : json_string_value(json_object_get(item, "Delete")));
             change.value = set ? json_incref(json_object_get(item, "Value")) : NULL;
             g_array_append_val(services->news, change);
@@ -202,7 +203,7 @@
         pthread_cond_wait(&services->changed, &services->lock);
 }
 
-/* With the lock held. Grants last for ever: no story waits for one to end. */
+/* With the lock held. Leases last for ever: no test waits for one to end. */
 static answer_t serve_state(const door_t *door, struct MHD_Connection *connection, const char *path,
                             json_t *body)
 {
@@ -223,7 +224,7 @@
                       g_ascii_strtoull(query(connection, "Since"), NULL, 10),
                       (guint)g_ascii_strtoull(query(connection, "BlockMs"), NULL, 10));
     if (strcmp(path, "/grants") == 0)
-        return plain(200, json_pack("{s:I}", "Tether", (json_int_t)++services->grants));
+        return plain(200, json_pack("{s:I}", "Tether", (json_int_t)++services->leases));
     if (g_str_has_prefix(path, "/grants/"))
         return plain(200, json_object());
     return g_str_has_prefix(path, "/keys/") ? get_key(services, path + strlen("/keys/"))
@@ -350,12 +351,12 @@
     return answer.status == 409 ? STATE_FAILED : STATE_OK;
 }
 
-uint64_t services_stamp(services_t *services, const char *key)
+uint64_t services_revision(services_t *services, const char *key)
 {
     pthread_mutex_lock(&services->lock);
-    uint64_t stamp = fake_store_stamp(services->store, key);
+    uint64_t revision = fake_store_revision(services->store, key);
     pthread_mutex_unlock(&services->lock);
-    return stamp;
+    return revision;
 }
 
 void services_refuse(services_t *services, guint port, bool refused)
@@ -396,22 +397,23 @@
     pthread_mutex_unlock(&services->lock);
 }
 
-void services_tell_types(services_t *services)
+void services_publish_types(services_t *services)
 {
     pthread_mutex_lock(&services->lock);
     services->types_known = true;
     pthread_mutex_unlock(&services->lock);
 }
 
-static json_t *build_piece(const piece_t *piece)
+static json_t *build_attempt(const reported_attempt_t *reported_attempt)
 {
     static const char *const states[] = {"pulling", "running", "saving", "exited"};
     static const char *const causes[] = {"", "done", "halted", "error"};
     json_t *value =
-        json_pack("{s:o,s:I,s:s}", "Piece", json_sprintf("%s/%u", piece->job, piece->task), "Heave",
-                  (json_int_t)piece->attempt, "Trim", states[piece->state]);
-    if (piece->state == PIECE_EXITED)
-        json_object_set_new(value, "Cause", json_string(causes[piece->cause]));
+        json_pack("{s:o,s:I,s:s}", "Piece",
+                  json_sprintf("%s/%u", reported_attempt->job, reported_attempt->task), "Heave",
+                  (json_int_t)reported_attempt->attempt, "Trim", states[reported_attempt->state]);
+    if (reported_attempt->state == TASK_EXITED)
+        json_object_set_new(value, "Cause", json_string(causes[reported_attempt->cause]));
     return value;
 }
 
@@ -419,38 +421,41 @@
 static json_t *build_report(fake_machine_t *machine)
 {
     report_t report = fake_worker_report(machine->worker);
-    json_t *pieces = json_array();
-    for (guint i = 0; i < report.pieces->len; i++)
-        json_array_append_new(pieces, build_piece(&g_array_index(report.pieces, piece_t, i)));
+    json_t *attempts = json_array();
+    for (guint i = 0; i < report.attempts->len; i++)
+        json_array_append_new(
+            attempts, build_attempt(&g_array_index(report.attempts, reported_attempt_t, i)));
     json_t *body =
         json_pack("{s:s,s:o,s:s,s:s,s:b,s:I,s:I,s:I,s:o}", "Winch", report.machine, "Address",
                   json_sprintf("127.0.0.1:%u", machine->port), "Hull", report.type, "Dock",
                   report.zone, "Driftwood", 1, "Watch", (json_int_t)report.session, "Tally",
-                  (json_int_t)report.seq, "Helm", (json_int_t)report.token, "Pieces", pieces);
+                  (json_int_t)report.seq, "Helm", (json_int_t)report.token, "Pieces", attempts);
     report_clear(&report);
     return body;
 }
 
-static GArray *parse_calls(const json_t *body)
+static GArray *parse_commands(const json_t *body)
 {
     static const char *const names[] = {"run", "stop", "forget"};
-    GArray *calls = g_array_new(FALSE, TRUE, sizeof(call_t));
+    GArray *commands = g_array_new(FALSE, TRUE, sizeof(worker_command_t));
     size_t i;
     json_t *value;
     json_array_foreach(json_object_get(body, "Calls"), i, value)
     {
-        call_t call = {.attempt = (uint64_t)json_integer_value(json_object_get(value, "Heave"))};
+        worker_command_t command = {
+            .attempt = (uint64_t)json_integer_value(json_object_get(value, "Heave"))};
         const char *name = json_string_value(json_object_get(value, "Call"));
-        char **piece = g_strsplit(json_string_value(json_object_get(value, "Piece")), "/", 2);
+        char **reported_attempt =
+            g_strsplit(json_string_value(json_object_get(value, "Piece")), "/", 2);
         for (guint op = 0; op < G_N_ELEMENTS(names); op++)
             if (strcmp(names[op], name) == 0)
-                call.op = (call_op_t)op;
-        g_strlcpy(call.job, piece[0], sizeof call.job);
-        call.task = (uint32_t)g_ascii_strtoull(piece[1], NULL, 10);
-        g_strfreev(piece);
-        g_array_append_val(calls, call);
+                command.op = (worker_command_op_t)op;
+        g_strlcpy(command.job, reported_attempt[0], sizeof command.job);
+        command.task = (uint32_t)g_ascii_strtoull(reported_attempt[1], NULL, 10);
+        g_strfreev(reported_attempt);
+        g_array_append_val(commands, command);
     }
-    return calls;
+    return commands;
 }
 
 static uint64_t number(const json_t *body, const char *name)
@@ -470,13 +475,13 @@
         return MHD_YES;
     const GString *text = *context;
     json_t *body = json_loadb(text->str, text->len, 0, NULL);
-    GArray *calls = parse_calls(body);
+    GArray *commands = parse_commands(body);
     pthread_mutex_lock(&machine->lock);
     bool executed =
-        fake_worker_direct(machine->worker, number(body, "Helm"), number(body, "Watch"), calls);
+        fake_worker_direct(machine->worker, number(body, "Helm"), number(body, "Watch"), commands);
     json_t *report = build_report(machine);
     pthread_mutex_unlock(&machine->lock);
-    g_array_unref(calls);
+    g_array_unref(commands);
     json_decref(body);
     return send_answer(connection, plain(executed ? 200 : 409, report));
 }
@@ -500,11 +505,11 @@
 
 void fake_machine_answer(fake_machine_t *machine, const json_t *answer)
 {
-    GArray *calls = parse_calls(answer);
+    GArray *commands = parse_commands(answer);
     pthread_mutex_lock(&machine->lock);
-    fake_worker_answer(machine->worker, number(answer, "Helm"), calls);
+    fake_worker_answer(machine->worker, number(answer, "Helm"), commands);
     pthread_mutex_unlock(&machine->lock);
-    g_array_unref(calls);
+    g_array_unref(commands);
 }
 
 guint fake_machine_active(fake_machine_t *machine)
@@ -518,10 +523,12 @@
 void fake_machine_complete(fake_machine_t *machine)
 {
     pthread_mutex_lock(&machine->lock);
-    for (guint i = 0; i < machine->worker->pieces->len; i++) {
-        piece_t *piece = &g_array_index(machine->worker->pieces, piece_t, i);
-        if (piece->state != PIECE_EXITED)
-            fake_worker_exit(machine->worker, piece->job, piece->task, CAUSE_DONE);
+    for (guint i = 0; i < machine->worker->attempts->len; i++) {
+        reported_attempt_t *reported_attempt =
+            &g_array_index(machine->worker->attempts, reported_attempt_t, i);
+        if (reported_attempt->state != TASK_EXITED)
+            fake_worker_exit(machine->worker, reported_attempt->job, reported_attempt->task,
+                             CAUSE_DONE);
     }
     pthread_mutex_unlock(&machine->lock);
 }
--- a/tests/fakes/services.h
+++ b/tests/fakes/services.h
@@ -1,7 +1,7 @@
-/* Stand-ins for state service, cloud and workers over real loopback sockets, for stories that run
+/* Stand-ins for state service, cloud and workers over real loopback sockets, for tests that run
  * whole controllers. The state service listens on a port for each controller, so that one can be
- * refused while the others are served. Owns its store and threads; a process has one for each
- * story, and never ends it. */
+ * refused while the others are served. Owns its store and threads; a process has one for
+ * each test, and never ends it. */
 #ifndef PEPPERPULLEY_FAKE_SERVICES_H
 #define PEPPERPULLEY_FAKE_SERVICES_H
 
@@ -26,23 +26,23 @@
     bool mute;                    /* who follows hears of no change any more */
     bool types_known;             /* the cloud tells its machine types; else 503 */
     uint16_t cloud_port;
-    uint64_t grants;
+    uint64_t leases;
 } services_t;
 
 services_t *services_new(void);
 /* Carries out a transaction, as another controller would; frees it. */
 state_result_t services_apply(services_t *services, txn_t txn);
-uint64_t services_stamp(services_t *services, const char *key);
+uint64_t services_revision(services_t *services, const char *key);
 void services_refuse(services_t *services, guint port, bool refused);
 void services_swallow(services_t *services, const char *key);
 void services_stall(services_t *services, bool stalled);
 guint services_asked(services_t *services);
 void services_mute(services_t *services);
-void services_tell_types(services_t *services);
+void services_publish_types(services_t *services);
 /* A port that nobody listens on now. */
 uint16_t services_free_port(void);
 
-/* A worker: takes direct commands on a port of its own, and reports when the story says so. Owns
+/* A worker: takes direct commands on a port of its own, and reports when the test says so. Owns
  * its worker and thread; never ends. */
 typedef struct {
     pthread_mutex_t lock; /* guards the worker */
--- a/tests/fakes/store.c
+++ b/tests/fakes/store.c
@@ -26,10 +26,10 @@
     return g_hash_table_lookup(store->keys, key);
 }
 
-uint64_t fake_store_stamp(const fake_store_t *store, const char *key)
+uint64_t fake_store_revision(const fake_store_t *store, const char *key)
 {
     const state_entry_t *entry = fake_store_get(store, key);
-    return entry ? entry->stamp : 0;
+    return entry ? entry->revision : 0;
 }
 
 static bool holds(const fake_store_t *store, const json_t *conditions)
@@ -39,8 +39,8 @@
     json_array_foreach(conditions, i, condition)
     {
         const char *key = json_string_value(json_object_get(condition, "K"));
-        uint64_t stamp = (uint64_t)json_integer_value(json_object_get(condition, "Stamp"));
-        if (fake_store_stamp(store, key) != stamp)
+        uint64_t revision = (uint64_t)json_integer_value(json_object_get(condition, "Stamp"));
+        if (fake_store_revision(store, key) != revision)
             return false;
     }
     return true;
@@ -64,7 +64,7 @@
             state_entry_t *entry = g_new0(state_entry_t, 1);
             entry->key = g_strdup(set);
             entry->value = json_incref(json_object_get(change, "Value"));
-            entry->stamp = store->revision;
+            entry->revision = store->revision;
             g_hash_table_replace(store->keys, entry->key, entry);
         }
     }
--- a/tests/fakes/store.h
+++ b/tests/fakes/store.h
@@ -14,6 +14,6 @@
 /* Frees the transaction. */
 state_result_t fake_store_apply(fake_store_t *store, txn_t txn);
 const state_entry_t *fake_store_get(const fake_store_t *store, const char *key);
-uint64_t fake_store_stamp(const fake_store_t *store, const char *key); /* 0: absent */
+uint64_t fake_store_revision(const fake_store_t *store, const char *key); /* 0: absent */
 
 #endif
--- a/tests/fakes/worker.c
+++ b/tests/fakes/worker.c
@@ -7,13 +7,13 @@
     fake_worker_t *worker = g_new0(fake_worker_t, 1);
     g_strlcpy(worker->id, id, sizeof worker->id);
     worker->session = 1;
-    worker->pieces = g_array_new(FALSE, FALSE, sizeof(piece_t));
+    worker->attempts = g_array_new(FALSE, FALSE, sizeof(reported_attempt_t));
     return worker;
 }
 
 void fake_worker_free(fake_worker_t *worker)
 {
-    g_array_unref(worker->pieces);
+    g_array_unref(worker->attempts);
     g_free(worker);
 }
 
@@ -22,8 +22,8 @@
     report_t report = {.session = worker->session,
                        .seq = ++worker->seq,
                        .token = worker->token,
-                       .notice_s = -1,
-                       .pieces = g_array_copy(worker->pieces)};
+                       .reclaim_in_s = -1,
+                       .attempts = g_array_copy(worker->attempts)};
     g_strlcpy(report.machine, worker->id, sizeof report.machine);
     g_strlcpy(report.address, "10.1.0.1:9000", sizeof report.address);
     g_strlcpy(report.type, "t16", sizeof report.type);
@@ -31,61 +31,67 @@
     return report;
 }
 
-static piece_t *find(fake_worker_t *worker, const call_t *call, guint *at)
+static reported_attempt_t *find(fake_worker_t *worker, const worker_command_t *command, guint *at)
 {
-    for (guint i = 0; i < worker->pieces->len; i++) {
-        piece_t *piece = &g_array_index(worker->pieces, piece_t, i);
-        if (strcmp(piece->job, call->job) == 0 && piece->task == call->task &&
-            piece->attempt == call->attempt) {
+    for (guint i = 0; i < worker->attempts->len; i++) {
+        reported_attempt_t *reported_attempt =
+            &g_array_index(worker->attempts, reported_attempt_t, i);
+        if (strcmp(reported_attempt->job, command->job) == 0 &&
+            reported_attempt->task == command->task &&
+            reported_attempt->attempt == command->attempt) {
             *at = i;
-            return piece;
+            return reported_attempt;
         }
     }
     return NULL;
 }
 
-static void execute(fake_worker_t *worker, const GArray *calls)
+static void execute(fake_worker_t *worker, const GArray *commands)
 {
-    for (guint i = 0; i < calls->len; i++) {
-        const call_t *call = &g_array_index(calls, call_t, i);
+    for (guint i = 0; i < commands->len; i++) {
+        const worker_command_t *command = &g_array_index(commands, worker_command_t, i);
         guint at = 0;
-        piece_t *piece = find(worker, call, &at);
-        if (call->op == CALL_RUN && !piece) {
-            piece_t fresh = {.task = call->task, .attempt = call->attempt, .state = PIECE_RUNNING};
-            g_strlcpy(fresh.job, call->job, sizeof fresh.job);
-            g_array_append_val(worker->pieces, fresh);
+        reported_attempt_t *reported_attempt = find(worker, command, &at);
+        if (command->op == COMMAND_RUN && !reported_attempt) {
+            reported_attempt_t fresh = {
+                .task = command->task, .attempt = command->attempt, .state = TASK_RUNNING};
+            g_strlcpy(fresh.job, command->job, sizeof fresh.job);
+            g_array_append_val(worker->attempts, fresh);
             worker->runs++;
-        } else if (call->op == CALL_STOP && piece && piece->state != PIECE_EXITED) {
-            piece->state = PIECE_EXITED;
-            piece->cause = CAUSE_STOPPED;
-        } else if (call->op == CALL_FORGET && piece && piece->state == PIECE_EXITED) {
-            g_array_remove_index(worker->pieces, at);
+        } else if (command->op == COMMAND_STOP && reported_attempt &&
+                   reported_attempt->state != TASK_EXITED) {
+            reported_attempt->state = TASK_EXITED;
+            reported_attempt->cause = CAUSE_STOPPED;
+        } else if (command->op == COMMAND_FORGET && reported_attempt &&
+                   reported_attempt->state == TASK_EXITED) {
+            g_array_remove_index(worker->attempts, at);
         }
     }
 }
 
-bool fake_worker_answer(fake_worker_t *worker, uint64_t token, const GArray *calls)
+bool fake_worker_answer(fake_worker_t *worker, uint64_t token, const GArray *commands)
 {
     if (token < worker->token)
         return false;
     worker->token = token;
-    execute(worker, calls);
+    execute(worker, commands);
     return true;
 }
 
 bool fake_worker_direct(fake_worker_t *worker, uint64_t token, uint64_t session,
-                        const GArray *calls)
+                        const GArray *commands)
 {
-    return session == worker->session && fake_worker_answer(worker, token, calls);
+    return session == worker->session && fake_worker_answer(worker, token, commands);
 }
 
 void fake_worker_exit(fake_worker_t *worker, const char *job, uint32_t task, cause_t cause)
 {
-    for (guint i = 0; i < worker->pieces->len; i++) {
-        piece_t *piece = &g_array_index(worker->pieces, piece_t, i);
-        if (strcmp(piece->job, job) == 0 && piece->task == task) {
-            piece->state = PIECE_EXITED;
-            piece->cause = cause;
+    for (guint i = 0; i < worker->attempts->len; i++) {
+        reported_attempt_t *reported_attempt =
+            &g_array_index(worker->attempts, reported_attempt_t, i);
+        if (strcmp(reported_attempt->job, job) == 0 && reported_attempt->task == task) {
+            reported_attempt->state = TASK_EXITED;
+            reported_attempt->cause = cause;
         }
     }
 }
@@ -93,13 +99,13 @@
 void fake_worker_lose_lease(fake_worker_t *worker)
 {
     worker->session++;
-    g_array_set_size(worker->pieces, 0);
+    g_array_set_size(worker->attempts, 0);
 }
 
 guint fake_worker_active(const fake_worker_t *worker)
 {
     guint active = 0;
-    for (guint i = 0; i < worker->pieces->len; i++)
-        active += g_array_index(worker->pieces, piece_t, i).state != PIECE_EXITED;
+    for (guint i = 0; i < worker->attempts->len; i++)
+        active += g_array_index(worker->attempts, reported_attempt_t, i).state != TASK_EXITED;
     return active;
 }
--- a/tests/fakes/worker.h
+++ b/tests/fakes/worker.h
@@ -1,5 +1,5 @@
 /* A worker in memory: executes commands as the protocol says and reports. Tests drive its clock by
- * calling what happens. Owns its pieces. */
+ * calling what happens. Owns its attempts. */
 #ifndef PEPPERPULLEY_FAKE_WORKER_H
 #define PEPPERPULLEY_FAKE_WORKER_H
 
@@ -10,8 +10,8 @@
     uint64_t session;
     uint64_t seq;
     uint64_t token;
-    GArray *pieces; /* piece_t */
-    guint runs;     /* tasks that began, refused ones aside */
+    GArray *attempts; /* reported_attempt_t */
+    guint runs;       /* tasks that began, refused ones aside */
 } fake_worker_t;
 
 fake_worker_t *fake_worker_new(const char *id);
@@ -19,9 +19,9 @@
 /* The next report; report_clear it. */
 report_t fake_worker_report(fake_worker_t *worker);
 /* An answer to a report, or a direct command (session checked): true if executed. */
-bool fake_worker_answer(fake_worker_t *worker, uint64_t token, const GArray *calls);
+bool fake_worker_answer(fake_worker_t *worker, uint64_t token, const GArray *commands);
 bool fake_worker_direct(fake_worker_t *worker, uint64_t token, uint64_t session,
-                        const GArray *calls);
+                        const GArray *commands);
 void fake_worker_exit(fake_worker_t *worker, const char *job, uint32_t task, cause_t cause);
 /* Its lease ran out: everything is killed and forgotten. */
 void fake_worker_lose_lease(fake_worker_t *worker);
--- a/tests/stories_election.c
+++ b/tests/test_election.c
@@ -1,6 +1,6 @@
-/* Stories of elections: a process that is back within a moment is a stranger under a known name. */
+/* Tests of elections: a process that is back within a moment is a stranger under a known name. */
 #include "core/election.h"
-#include "story.h"
+#include "unit_test.h"
 
 static election_t election;
 
@@ -16,7 +16,7 @@
 {
     (void)state;
     g_hash_table_unref(election.present);
-    g_hash_table_unref(election.aside);
+    g_hash_table_unref(election.excluded);
     return 0;
 }
 
@@ -35,9 +35,9 @@
     return 0;
 }
 
-/* The leader is back before its grant ended: the lease bears its name and nobody's process. It need
+/* The leader is back before its lease ended, which bears its name and nobody's process. It need
  * not wait, and it must not believe that it leads. */
-static void leader_back_at_once_takes_its_lease_over(void **state)
+static void test_leader_back_at_once_takes_its_lease_over(void **state)
 {
     (void)state;
     election_take_lease(&election, "hand-1", 100, 50);
@@ -49,7 +49,7 @@
 
 /* A candidate that was slower by a moment sees the lease taken, and late news of its end, from
  * before that, does not free it. */
-static void late_news_does_not_free_a_taken_lease(void **state)
+static void test_late_news_does_not_free_a_taken_lease(void **state)
 {
     (void)state;
     assert_true(election_is_vacant(&election));
@@ -63,9 +63,9 @@
     assert_true(election_is_vacant(&election));
 }
 
-/* A member that is back within a moment makes a new view: its parts' offers, reservations and
- * messages were another's. */
-static void member_back_at_once_makes_a_new_view(void **state)
+/* A member that is back within a moment makes a new view: its partitions' placement requests,
+ * reservations and messages were another's. */
+static void test_member_back_at_once_makes_a_new_view(void **state)
 {
     (void)state;
     view_t view = {0}, next = {0};
@@ -82,7 +82,7 @@
 
 /* The request by which the earlier incarnation entered itself is carried out after ours: we would
  * be listed as a process that is gone, and then not at all. */
-static void late_entry_of_an_earlier_incarnation_is_noticed(void **state)
+static void test_late_entry_of_an_earlier_incarnation_is_noticed(void **state)
 {
     (void)state;
     assert_true(election_is_displaced(&election));
@@ -95,9 +95,10 @@
     assert_int_equal(incarnation_in(&view, "hand-1"), 200); /* leading, we know better */
 }
 
-/* Refused alone for 30 s, a leader was replaced. Back in touch, its rows showed all its machines
- * silent, and it gave 48 working ones back in the moment before it heard of the new view. */
-static void replaced_leader_leaves_the_cloud_alone(void **state)
+/* Refused alone for 30 s, a leader was replaced. Back in touch, its summaries showed all its
+ * machines silent, and it gave 48 working ones back in the moment before it heard of the new view.
+ */
+static void test_replaced_leader_leaves_the_cloud_alone(void **state)
 {
     (void)state;
     view_t view = {.number = 7};
@@ -109,13 +110,15 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test_setup_teardown(leader_back_at_once_takes_its_lease_over, set_up,
+        cmocka_unit_test_setup_teardown(test_leader_back_at_once_takes_its_lease_over, set_up,
                                         tear_down),
-        cmocka_unit_test_setup_teardown(late_news_does_not_free_a_taken_lease, set_up, tear_down),
-        cmocka_unit_test(replaced_leader_leaves_the_cloud_alone),
-        cmocka_unit_test_setup_teardown(member_back_at_once_makes_a_new_view, set_up, tear_down),
-        cmocka_unit_test_setup_teardown(late_entry_of_an_earlier_incarnation_is_noticed, set_up,
+        cmocka_unit_test_setup_teardown(test_late_news_does_not_free_a_taken_lease, set_up,
                                         tear_down),
+        cmocka_unit_test(test_replaced_leader_leaves_the_cloud_alone),
+        cmocka_unit_test_setup_teardown(test_member_back_at_once_makes_a_new_view, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_late_entry_of_an_earlier_incarnation_is_noticed,
+                                        set_up, tear_down),
     };
     return cmocka_run_group_tests_name("election", tests, NULL, NULL);
 }
--- /dev/null
+++ b/tests/test_leader.c
@@ -0,0 +1,759 @@
+/* Tests of the leader: whose work goes first, and what counts against limits. */
+#include "core/leader.h"
+#include "core/rental.h"
+#include "unit_test.h"
+
+static GArray *teams;
+static GHashTable *targets;
+static policy_t *policy;
+static leader_t *leader;
+
+static void add_team(const char *name, double cpus, double cpus_max)
+{
+    team_t team = {.cpus = cpus, .cpus_max = cpus_max};
+    g_strlcpy(team.name, name, sizeof team.name);
+    g_array_append_val(teams, team);
+}
+
+static int set_up(void **state)
+{
+    (void)state;
+    teams = g_array_new(FALSE, FALSE, sizeof(team_t));
+    targets = g_hash_table_new(g_str_hash, g_str_equal);
+    policy = policy_default();
+    add_team("red", 8, 24);
+    add_team("blue", 24, 0);
+    leader = leader_new(teams, targets, policy, 2);
+    leader_set_view(leader, 3);
+    return 0;
+}
+
+static int tear_down(void **state)
+{
+    (void)state;
+    leader_free(leader);
+    policy_free(policy);
+    g_array_unref(teams);
+    g_hash_table_unref(targets);
+    return 0;
+}
+
+static void set_resources(guint partition, const char *zone, double cpus)
+{
+    GArray *summaries = g_array_new(FALSE, FALSE, sizeof(machine_summary_t));
+    machine_summary_t summary = {.open = true, .total = {cpus, 0, 999}, .free = {cpus, 0, 999}};
+    g_snprintf(summary.machine, sizeof summary.machine, "m-%s", zone);
+    g_strlcpy(summary.type, "t", sizeof summary.type);
+    g_strlcpy(summary.zone, zone, sizeof summary.zone);
+    g_array_append_val(summaries, summary);
+    leader_set_summaries(leader, partition, summaries);
+}
+
+static job_spec_t job(const char *id, const char *team, uint32_t tasks)
+{
+    job_spec_t spec = {.tasks = tasks,
+                       .need = {2, 0, 1},
+                       .estimate_s = 10,
+                       .submitted_ms = 1000,
+                       .priority = PRIORITY_NORMAL};
+    g_strlcpy(spec.id, id, sizeof spec.id);
+    g_strlcpy(spec.team, team, sizeof spec.team);
+    g_strlcpy(spec.class_name, "c", sizeof spec.class_name);
+    return spec;
+}
+
+static void add(const job_spec_t *spec)
+{
+    leader_add_job(leader, spec, 5);
+}
+
+static GArray *schedule(void)
+{
+    return leader_schedule(leader, 1000, 2000, 100);
+}
+
+static guint count(const GArray *requests, const char *id)
+{
+    guint found = 0;
+    for (guint i = 0; i < requests->len; i++)
+        found += strcmp(g_array_index(requests, leader_request_t, i).request.job, id) == 0;
+    return found;
+}
+
+static void test_requests_go_to_the_partition_with_most_free_resources(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", "blue", 1);
+    set_resources(0, "north", 4);
+    set_resources(1, "south", 16);
+    add(&spec);
+    GArray *requests = schedule();
+    assert_int_equal(requests->len, 1);
+    assert_int_equal(g_array_index(requests, leader_request_t, 0).partition, 1);
+    g_array_unref(requests);
+}
+
+static void test_team_limit_counts_outstanding_attempts(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", "red", 50);
+    set_resources(0, "north", 1000);
+    add(&spec);
+    GArray *requests = schedule();
+    assert_int_equal(requests->len, 12); /* 24 cpus of 2 */
+    g_array_unref(requests);
+    requests = schedule();
+    assert_int_equal(requests->len, 0); /* nothing of it is proved over */
+    g_array_unref(requests);
+}
+
+static void test_recorded_attempts_count_even_for_jobs_that_ended(void **state)
+{
+    (void)state;
+    record_entry_t entry = {.job = "j-000009", .team = "red", .need = {23, 0, 1}, .attempt = 9};
+    leader_load_attempt(leader, &entry, "north", 0);
+    job_spec_t spec = job("j-000001", "red", 1);
+    set_resources(0, "north", 1000);
+    add(&spec);
+    GArray *requests = schedule();
+    assert_int_equal(requests->len, 0);
+    g_array_unref(requests);
+    attempt_result_t over = {.ref = task_ref("j-000009", 0, 9), .cause = CAUSE_NONE};
+    leader_handle_result(leader, 0, &over, 1000);
+    requests = schedule();
+    assert_int_equal(requests->len, 1);
+    g_array_unref(requests);
+}
+
+static void test_shares_are_served_in_turn(void **state)
+{
+    (void)state;
+    job_spec_t red = job("j-000001", "red", 100), blue = job("j-000002", "blue", 100);
+    set_resources(0, "north", 64);
+    add(&red);
+    add(&blue);
+    GArray *requests = schedule();
+    assert_int_equal(requests->len, 32);
+    assert_true(count(requests, "j-000002") > 2 * count(requests, "j-000001"));
+    assert_true(count(requests, "j-000001") >= 4); /* its guarantee of 8 cpus */
+    g_array_unref(requests);
+}
+
+/* Tasks of five minutes of teams without a guarantee beside the others' of twenty seconds: by equal
+ * starts they came to hold five sixths of the resources. What is freed goes to the team that holds
+ * less for its weight. */
+static void test_a_share_is_one_of_the_resources_in_use(void **state)
+{
+    (void)state;
+    GArray *redirection = g_array_copy(teams);
+    g_array_index(redirection, team_t, 0) = (team_t){.name = "red"};
+    g_array_index(redirection, team_t, 1) = (team_t){.name = "blue"};
+    leader_free(leader);
+    leader = leader_new(redirection, targets, policy, 2);
+    leader_set_view(leader, 3);
+    record_entry_t loaded = {.job = "j-000009", .team = "red", .need = {40, 0, 1}, .attempt = 9};
+    leader_load_attempt(leader, &loaded, "north", 0);
+    job_spec_t red = job("j-000001", "red", 100), blue = job("j-000002", "blue", 100);
+    set_resources(0, "north", 30);
+    add(&red);
+    add(&blue);
+    GArray *requests = schedule();
+    assert_int_equal(count(requests, "j-000002"), 15);
+    g_array_unref(requests);
+    set_resources(0, "north", 30); /* blue holds 30 now: 10 more make it equal, then in turn */
+    requests = schedule();
+    assert_int_equal(count(requests, "j-000002"), 10);
+    assert_int_equal(count(requests, "j-000001"), 5);
+    g_array_unref(requests);
+    g_array_unref(redirection);
+}
+
+static void test_priority_comes_before_age(void **state)
+{
+    (void)state;
+    job_spec_t older = job("j-000001", "blue", 1), urgent = job("j-000002", "blue", 1);
+    urgent.priority = PRIORITY_HIGH;
+    urgent.submitted_ms = 1500;
+    set_resources(0, "north", 2);
+    add(&older);
+    add(&urgent);
+    GArray *requests = schedule();
+    assert_int_equal(count(requests, "j-000002"), 1);
+    assert_int_equal(count(requests, "j-000001"), 0);
+    g_array_unref(requests);
+}
+
+/* Small low tasks took each cpu that was freed, and a large normal task never saw four at once. */
+static void test_machines_are_claimed_for_a_large_task_that_goes_first(void **state)
+{
+    (void)state;
+    job_spec_t large = job("j-000001", "blue", 1), small = job("j-000002", "blue", 9);
+    large.need.cpus = 4;
+    small.need.cpus = 1;
+    small.priority = PRIORITY_LOW;
+    set_resources(0, "north", 4);
+    g_array_index((GArray *)g_ptr_array_index(leader->summaries, 0), machine_summary_t, 0)
+        .free.cpus = 3;
+    add(&large);
+    add(&small);
+    GArray *requests = schedule();
+    assert_int_equal(requests->len, 0); /* claimed: the last small task there ends soon */
+    g_array_unref(requests);
+    set_resources(0, "north", 4);
+    set_resources(1, "south", 2);
+    requests = schedule();
+    assert_int_equal(count(requests, "j-000001"), 1);
+    assert_int_equal(count(requests, "j-000002"), 2); /* where the large one can't go, others can */
+    g_array_unref(requests);
+}
+
+/* Small jobs keep coming, and all resources go to them: the large one is begun after two minutes
+ * all the same, and gets on after four. */
+static void test_large_job_is_begun_under_lasting_overload(void **state)
+{
+    (void)state;
+    job_spec_t large = job("j-000001", "blue", 160);
+    large.priority = PRIORITY_LOW;
+    add(&large);
+    for (int i = 2; i < 60; i++) {
+        char id[ID_SIZE];
+        g_snprintf(id, sizeof id, "j-%06d", i);
+        job_spec_t small = job(id, "blue", 2);
+        small.submitted_ms = large.submitted_ms + 5000 * i;
+        add(&small);
+    }
+    int64_t ages[] = {STARVING_MS - 1000, STARVING_MS, STARVING_MS + 10000, STARVING_LONG_MS};
+    guint begun[] = {0, 1, 0, 10}; /* requested then, with room for twenty tasks */
+    for (int i = 0; i < 4; i++) {
+        set_resources(0, "north", 40);
+        GArray *requests = leader_schedule(leader, 1000, large.submitted_ms + ages[i], 100);
+        assert_int_equal(requests->len, 20);
+        assert_int_equal(count(requests, "j-000001"), begun[i]);
+        g_array_unref(requests);
+    }
+}
+
+/* Before the first machine is up, urgent work was requested with preemption round after round, and
+ * each refusal held its job back for a moment. */
+static void test_nothing_is_requested_where_there_is_no_machine(void **state)
+{
+    (void)state;
+    job_spec_t urgent = job("j-000001", "blue", 3);
+    urgent.priority = PRIORITY_HIGH;
+    add(&urgent);
+    GArray *requests = schedule();
+    assert_int_equal(requests->len, 0);
+    g_array_unref(requests);
+    set_resources(1, "north", 2);
+    requests = schedule();
+    assert_int_equal(requests->len, 3); /* one fits, others may be stopped for two */
+    g_array_unref(requests);
+}
+
+static void test_hopeless_deadlines_come_last(void **state)
+{
+    (void)state;
+    job_spec_t hopeless = job("j-000001", "blue", 1), hopeful = job("j-000002", "blue", 1);
+    hopeless.deadline_s = 5; /* estimate 10 */
+    hopeful.deadline_s = 500;
+    set_resources(0, "north", 2);
+    add(&hopeless);
+    add(&hopeful);
+    GArray *requests = schedule();
+    assert_int_equal(count(requests, "j-000002"), 1);
+    assert_int_equal(count(requests, "j-000001"), 0);
+    g_array_unref(requests);
+}
+
+static void test_same_zone_binds_the_later_tasks(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", "blue", 3);
+    spec.same_zone = true;
+    set_resources(0, "north", 2);
+    set_resources(1, "south", 3);
+    add(&spec);
+    GArray *requests = schedule();
+    assert_int_equal(requests->len, 1);
+    assert_string_equal(g_array_index(requests, leader_request_t, 0).request.zone, "south");
+    g_array_unref(requests);
+}
+
+static void test_apart_keeps_half_in_a_zone(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", "blue", 5);
+    spec.spread = true;
+    set_resources(0, "north", 100);
+    add(&spec);
+    GArray *requests = schedule();
+    assert_int_equal(requests->len, 3);
+    g_array_unref(requests);
+}
+
+/* The zone of a bound job lost its machines: what stands there without proof binds the others, and
+ * they start elsewhere as soon as it is proved over. */
+static void test_a_bound_job_moves_only_when_its_old_zone_is_proved_empty(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", "blue", 2), apart = job("j-000002", "blue", 3);
+    spec.same_zone = true;
+    apart.spread = true;
+    add(&spec);
+    add(&apart);
+    record_entry_t bound = {.job = "j-000001", .team = "blue", .need = {2, 0, 1}, .attempt = 9};
+    leader_load_attempt(leader, &bound, "south", 1);
+    for (uint32_t task = 0; task < 2; task++) {
+        record_entry_t half = {
+            .job = "j-000002", .team = "blue", .need = {2, 0, 1}, .task = task, .attempt = 9};
+        leader_load_attempt(leader, &half, "north", 0);
+    }
+    set_resources(0, "north", 20);
+    GArray *requests = schedule();
+    assert_int_equal(requests->len, 0);
+    g_array_unref(requests);
+    attempt_result_t over = {.ref = task_ref("j-000001", 0, 9), .cause = CAUSE_NONE};
+    leader_handle_result(leader, 1, &over, 1000);
+    over.ref = task_ref("j-000002", 1, 9);
+    leader_handle_result(leader, 0, &over, 1000);
+    requests = schedule();
+    assert_int_equal(count(requests, "j-000001"), 2);
+    assert_int_equal(count(requests, "j-000002"), 1); /* the half that may be here */
+    g_array_unref(requests);
+}
+
+/* The large task's resources do not come free: what the claimed machine has is kept from the small
+ * ones for a while only. */
+static void test_a_machine_claim_is_bounded(void **state)
+{
+    (void)state;
+    job_spec_t large = job("j-000001", "blue", 1), small = job("j-000002", "blue", 9);
+    large.need.cpus = 4;
+    small.need.cpus = 1;
+    small.priority = PRIORITY_LOW;
+    add(&large);
+    add(&small);
+    guint began = 0;
+    for (msec_t now = 1000; now < 91000 && !began; now += 250) {
+        set_resources(0, "north", 4);
+        g_array_index((GArray *)g_ptr_array_index(leader->summaries, 0), machine_summary_t, 0)
+            .free.cpus = 3;
+        GArray *requests = leader_schedule(leader, now, 2000, 100);
+        began = count(requests, "j-000002");
+        assert_true(now > CLAIM_MAX_MS || began == 0);
+        g_array_unref(requests);
+    }
+    assert_int_equal(began, 3);
+}
+
+/* A job failing everywhere piles up reservations until its partition looks full: a soft place of
+ * the design. */
+static void test_job_that_fails_everywhere_is_backed_off(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", "blue", 50);
+    set_resources(0, "north", 20);
+    add(&spec);
+    GArray *requests = schedule();
+    assert_int_equal(requests->len, 10);
+    for (guint i = 0; i < requests->len; i++) {
+        const placement_request_t *request = &g_array_index(requests, leader_request_t, i).request;
+        attempt_result_t failed = {.ref = task_ref(request->job, request->task, request->attempt),
+                                   .cause = CAUSE_ERROR};
+        leader_handle_result(leader, 0, &failed, 1000);
+    }
+    g_array_unref(requests);
+    set_resources(0, "north", 20);
+    requests = schedule();
+    assert_int_equal(requests->len, 0);
+    g_array_unref(requests);
+    requests = leader_schedule(leader, 1000 + JOB_BACKOFF_MAX_MS, 2000, 100);
+    assert_int_equal(requests->len, 1);
+    g_array_unref(requests);
+}
+
+static void fail_on(const char *machine, const char *id, uint32_t task)
+{
+    record_entry_t entry = {.team = "blue", .need = {2, 0, 1}, .task = task, .attempt = 77};
+    g_strlcpy(entry.job, id, sizeof entry.job);
+    leader_load_attempt(leader, &entry, "north", 0);
+    attempt_result_t failed = {.ref = task_ref(id, task, 77), .cause = CAUSE_ERROR};
+    g_strlcpy(failed.machine, machine, sizeof failed.machine);
+    leader_handle_result(leader, 0, &failed, 1000);
+}
+
+static void test_machine_that_fails_sound_jobs_is_quarantined(void **state)
+{
+    (void)state;
+    job_spec_t first = job("j-000001", "blue", 9), second = job("j-000002", "blue", 9);
+    add(&first);
+    add(&second);
+    for (uint32_t i = 0; i < 5; i++)
+        fail_on("m-1", "j-000001", i); /* it may be the job */
+    assert_false(leader_is_quarantined(leader, "m-1"));
+    fail_on("m-1", "j-000002", 0);
+    assert_true(leader_is_quarantined(leader, "m-1"));
+    fail_on("m-2", "j-000001", 6);
+    fail_on("m-2", "j-000002", 1);
+    assert_false(leader_is_quarantined(leader, "m-2"));
+}
+
+static gsize take_progress(msec_t min_age, guint ops, gsize bytes, GArray *progress)
+{
+    txn_usage_t usage = {.max_ops = ops, .max_bytes = bytes};
+    leader_progress_take(leader, 1000, min_age, progress, &usage);
+    return usage.bytes;
+}
+
+static void test_finished_task_is_never_requested_again(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", "blue", 2);
+    const uint8_t bits = 1;
+    set_resources(0, "north", 20);
+    add(&spec);
+    leader_load_chunk(leader, "j-000001", 0, &bits, 1, 8);
+    GArray *requests = schedule();
+    assert_int_equal(requests->len, 1);
+    const placement_request_t *request = &g_array_index(requests, leader_request_t, 0).request;
+    assert_int_equal(request->task, 1);
+    attempt_result_t done = {.ref = task_ref(request->job, 1, request->attempt),
+                             .cause = CAUSE_DONE};
+    leader_handle_result(leader, 0, &done, 1000);
+    GArray *progress = leader_progress_new();
+    take_progress(0, 20, TXN_VALUES, progress);
+    assert_int_equal(progress->len, 1);
+    assert_true(g_array_index(progress, progress_t, 0).end);
+    GArray *acknowledged = g_array_new(FALSE, FALSE, sizeof(partition_attempt_t));
+    leader_progress_commit(leader, progress, 9, acknowledged);
+    assert_int_equal(acknowledged->len, 1);
+    g_array_unref(acknowledged);
+    g_array_unref(progress);
+    g_array_unref(requests);
+}
+
+static void finish(const leader_request_t *made)
+{
+    attempt_result_t done = {
+        .ref = task_ref(made->request.job, made->request.task, made->request.attempt),
+        .cause = CAUSE_DONE};
+    leader_handle_result(leader, made->partition, &done, 1000);
+}
+
+/* With a low rate limit, the progress of dozens of jobs kept finished ones waiting for minutes
+ * until their users were told. */
+static void test_end_of_a_job_goes_before_progress_of_others(void **state)
+{
+    (void)state;
+    job_spec_t half = job("j-000001", "blue", 2), whole = job("j-000002", "blue", 1);
+    job_spec_t other = job("j-000003", "blue", 2);
+    set_resources(0, "north", 20);
+    add(&half);
+    add(&whole);
+    add(&other);
+    GArray *requests = schedule();
+    assert_int_equal(requests->len, 5);
+    bool begun[4] = {0};
+    for (guint i = 0; i < requests->len; i++) {
+        const leader_request_t *made = &g_array_index(requests, leader_request_t, i);
+        char job = made->request.job[7];
+        if (job == '2' || !begun[job - '0'])
+            finish(made);
+        begun[job - '0'] = true;
+    }
+    GArray *progress = leader_progress_new();
+    take_progress(0, 3, TXN_VALUES, progress);
+    assert_int_equal(progress->len, 2); /* the end, and what the limit leaves */
+    assert_true(g_array_index(progress, progress_t, 0).end);
+    assert_string_equal(g_array_index(progress, progress_t, 0).job, "j-000002");
+    leader_progress_undo(leader, progress);
+    g_array_set_size(progress, 0);
+    take_progress(500, 20, TXN_VALUES, progress);
+    assert_int_equal(progress->len, 1); /* what is young waits for more */
+    g_array_unref(progress);
+    g_array_unref(requests);
+}
+
+/* Two tasks end far apart, three leaders long: the durable bit of the first is neither lost nor
+ * made twice, the second is done only when it ended, and the job with it. */
+static void test_ends_far_apart_add_up_over_several_leaders(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", "blue", 2);
+    set_resources(0, "north", 20);
+    add(&spec);
+    GArray *requests = schedule();
+    finish(&g_array_index(requests, leader_request_t, 0));
+    uint64_t second = g_array_index(requests, leader_request_t, 1).request.attempt;
+    uint32_t task = g_array_index(requests, leader_request_t, 1).request.task;
+    g_array_unref(requests);
+    GArray *progress = leader_progress_new();
+    take_progress(0, 20, TXN_VALUES, progress);
+    assert_int_equal(progress->len, 1);
+    const progress_t *first = &g_array_index(progress, progress_t, 0);
+    assert_false(first->end);
+    for (uint64_t view = 4; view < 6; view++) {
+        leader_free(leader);
+        leader = leader_new(teams, targets, policy, 2);
+        leader_set_view(leader, view);
+        set_resources(0, "north", 20);
+        add(&spec);
+        leader_load_chunk(leader, "j-000001", 0, first->bits, first->bytes, 7);
+        record_entry_t entry = {
+            .job = "j-000001", .team = "blue", .need = {2, 0, 1}, .task = task, .attempt = second};
+        leader_load_attempt(leader, &entry, "north", 0);
+        requests = schedule();
+        assert_int_equal(requests->len, 0); /* one is done, one is out */
+        g_array_unref(requests);
+    }
+    attempt_result_t done = {.ref = task_ref("j-000001", task, second), .cause = CAUSE_DONE};
+    leader_handle_result(leader, 0, &done, 1000);
+    leader_handle_result(leader, 0, &done, 1000); /* told twice */
+    GArray *ends = leader_progress_new();
+    take_progress(0, 20, TXN_VALUES, ends);
+    assert_int_equal(ends->len, 1);
+    assert_true(g_array_index(ends, progress_t, 0).end);
+    assert_int_equal(g_array_index(ends, progress_t, 0).done, 2);
+    g_array_unref(ends);
+    g_array_unref(progress);
+}
+
+/* Progress of jobs of 100,000 tasks and full pages of records were together more than a transaction
+ * may hold: it was refused as invalid, and everything read again, for ever. */
+static void test_progress_of_large_jobs_keeps_within_the_bytes(void **state)
+{
+    (void)state;
+    set_resources(0, "north", 400);
+    for (guint i = 0; i < 8; i++) {
+        char id[ID_SIZE];
+        g_snprintf(id, sizeof id, "j-%06u", i);
+        job_spec_t spec = job(id, "blue", TASKS_MAX);
+        spec.need.cpus = 0.01;
+        add(&spec);
+        for (guint chunk = 0; chunk * CHUNK_BITS < TASKS_MAX; chunk++) {
+            task_ref_t ref = task_ref(id, chunk * CHUNK_BITS, 1 + chunk);
+            record_entry_t entry = {.task = ref.task, .attempt = ref.attempt, .team = "blue"};
+            g_strlcpy(entry.job, id, sizeof entry.job);
+            leader_load_attempt(leader, &entry, "north", 0);
+            attempt_result_t done = {.ref = ref, .cause = CAUSE_DONE};
+            leader_handle_result(leader, 0, &done, 900);
+        }
+    }
+    GArray *progress = leader_progress_new();
+    assert_in_range(take_progress(0, 1000, TXN_VALUES / 2, progress), 1, TXN_VALUES / 2);
+    assert_int_equal(progress->len, 7); /* one job's chunks; the next has its turn after */
+    leader_progress_undo(leader, progress);
+    g_array_set_size(progress, 0);
+    assert_int_equal(take_progress(0, 1000, 1000, progress), 0);
+    g_array_unref(progress);
+}
+
+static void test_gang_is_requested_whole_or_not_at_all(void **state)
+{
+    (void)state;
+    job_spec_t spec = job("j-000001", "blue", 4);
+    spec.kind = KIND_GANG;
+    set_resources(0, "north", 6);
+    add(&spec);
+    GArray *requests = schedule();
+    assert_int_equal(requests->len, 0);
+    g_array_unref(requests);
+    set_resources(1, "south", 6);
+    requests = schedule();
+    assert_int_equal(requests->len, 4);
+    assert_int_equal(g_array_index(requests, leader_request_t, 0).request.attempt,
+                     g_array_index(requests, leader_request_t, 3).request.attempt);
+    g_array_unref(requests);
+}
+
+static void set_summaries(guint machines, msec_t silent_ms, bool open)
+{
+    GArray *summaries = g_array_new(FALSE, FALSE, sizeof(machine_summary_t));
+    for (guint i = 0; i < machines; i++) {
+        machine_summary_t summary = {
+            .type = "t", .zone = "north", .open = open, .silent_ms = silent_ms};
+        g_snprintf(summary.machine, sizeof summary.machine, "m-%06u", i);
+        g_array_append_val(summaries, summary);
+    }
+    leader_set_summaries(leader, 0, summaries);
+}
+
+/* silent: machines of the zone that have been silent for long, before they were given up; after: ms
+ * since. */
+static bool next_rental(bool spot_allowed, guint silent, msec_t after, rental_wish_t *wish)
+{
+    static char *zones[] = {"north", NULL};
+    GArray *machine_types = g_array_new(FALSE, FALSE, sizeof(machine_type_t));
+    machine_type_t machine_type = {
+        .name = "t", .capacity = {16, 0, 64}, .price = 3, .spot_price = 1, .zones = zones};
+    g_array_append_val(machine_types, machine_type);
+    job_spec_t spec = job("j-000001", "green", 50);
+    spec.spot = spot_allowed;
+    add_team("green", 0, 0);
+    leader_free(leader);
+    leader = leader_new(teams, targets, policy, 1);
+    add(&spec);
+    rental_t *rental = rental_new();
+    set_summaries(silent, 9000, false);
+    GPtrArray *fallen = rental_watch_zones(rental, leader, 6000, 1000);
+    assert_int_equal(fallen->len, silent >= LOST_LEAST);
+    g_ptr_array_unref(fallen);
+    set_summaries(0, 0, false);
+    rental_wish_t taken = {.type = "t", .zone = "north", .spot = true};
+    rental_refused(rental, &taken, G_MAXINT64);
+    bool wished = rental_next(rental, leader, machine_types, 1000 + after, 2000, wish);
+    rental_free(rental);
+    g_array_unref(machine_types);
+    return wished;
+}
+
+static void test_without_a_guarantee_spot_work_waits_for_spot(void **state)
+{
+    (void)state;
+    rental_wish_t wish;
+    assert_false(next_rental(true, 0, 0, &wish));
+}
+
+static void test_work_barred_from_spot_gets_ordinary_machines(void **state)
+{
+    (void)state;
+    rental_wish_t wish;
+    assert_true(next_rental(false, 0, 0, &wish));
+    assert_false(wish.spot);
+}
+
+/* Ten spot machines stand, no more are to be had, and the work that waits takes so many cpu
+ * seconds. */
+static guint ordinary_for(uint32_t tasks)
+{
+    static char *zones[] = {"north", NULL};
+    rental_wish_t wish, taken = {.type = "t", .zone = "north", .spot = true};
+    GArray *machine_types = g_array_new(FALSE, FALSE, sizeof(machine_type_t));
+    machine_type_t machine_type = {
+        .name = "t", .capacity = {16, 0, 64}, .price = 3, .spot_price = 1, .zones = zones};
+    g_array_append_val(machine_types, machine_type);
+    GArray *summaries = g_array_new(FALSE, FALSE, sizeof(machine_summary_t));
+    machine_summary_t summary = {.type = "t", .zone = "north", .open = true, .spot = true};
+    summary.total = machine_type.capacity;
+    for (guint i = 0; i < 10; i++)
+        g_array_append_val(summaries, summary);
+    leader_free(leader);
+    leader = leader_new(teams, targets, policy, 1);
+    leader_set_summaries(leader, 0, summaries);
+    job_spec_t spec = job("j-000001", "green", tasks);
+    spec.spot = true;
+    add(&spec);
+    rental_t *rental = rental_new();
+    rental_refused(rental, &taken, G_MAXINT64);
+    bool wished = rental_next(rental, leader, machine_types, 1000, 2000, &wish);
+    assert_true(!wished || !wish.spot);
+    rental_free(rental);
+    g_array_unref(machine_types);
+    return wished ? wish.count : 0;
+}
+
+/* Spot machines ran out, and a queue of five minutes never drained; ordinary ones for all of it
+ * cost more than they were worth. */
+static void test_work_that_waits_too_long_gets_a_share_of_ordinary_machines(void **state)
+{
+    (void)state;
+    add_team("green", 0, 0);
+    assert_int_equal(ordinary_for(900), 0);  /* 113 s on what stands */
+    assert_int_equal(ordinary_for(1100), 1); /* 138 s: 183 cpus would do it in the patience */
+    assert_int_equal(ordinary_for(3000), 7); /* a fourth of the 500 that would */
+}
+
+/* A zone went silent as a whole and its machines were given up: what was rented there at once
+ * booted, cost, and could not be heard either. */
+static void test_nothing_is_rented_in_an_unreachable_zone(void **state)
+{
+    (void)state;
+    rental_wish_t wish;
+    assert_false(next_rental(false, 3, UNREACHABLE_ZONE_MS - 1, &wish));
+    assert_true(next_rental(false, 2, 0, &wish)); /* two may have died */
+}
+
+static void test_a_zone_is_unreachable_for_a_while_only(void **state)
+{
+    (void)state;
+    rental_wish_t wish;
+    assert_true(next_rental(false, 3, UNREACHABLE_ZONE_MS, &wish));
+}
+
+/* A cut ended after 40 s, and the zone stayed without new machines for a minute more. */
+static void test_a_zone_that_reports_again_is_reachable(void **state)
+{
+    (void)state;
+    add_team("green", 0, 0);
+    leader_free(leader);
+    leader = leader_new(teams, targets, policy, 1);
+    rental_t *rental = rental_new();
+    set_summaries(5, 9000, false);
+    g_ptr_array_unref(rental_watch_zones(rental, leader, 6000, 1000));
+    assert_true(rental_is_zone_unreachable(rental, "north", 1000));
+    assert_true(rental_waits(rental, "north", 40000, 20000, 1000));
+    assert_false(rental_waits(rental, "north", UNREACHABLE_WAIT_MS + 1, 20000, 1000));
+    set_summaries(5, 0, true);
+    g_ptr_array_unref(rental_watch_zones(rental, leader, 6000, 2000));
+    assert_false(rental_is_zone_unreachable(rental, "north", 2000));
+    /* Its other machines were given up the moment that the first was back. */
+    assert_true(rental_waits(rental, "north", 42000, 20000, 2500));
+    assert_false(rental_waits(rental, "north", 42000, 20000, 22001));
+    assert_false(rental_waits(rental, "south", 42000, 20000, 2500));
+    rental_free(rental);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(test_requests_go_to_the_partition_with_most_free_resources,
+                                        set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_team_limit_counts_outstanding_attempts, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_recorded_attempts_count_even_for_jobs_that_ended,
+                                        set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_shares_are_served_in_turn, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_a_share_is_one_of_the_resources_in_use, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_priority_comes_before_age, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_machines_are_claimed_for_a_large_task_that_goes_first,
+                                        set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_large_job_is_begun_under_lasting_overload, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_nothing_is_requested_where_there_is_no_machine, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_hopeless_deadlines_come_last, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_same_zone_binds_the_later_tasks, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_apart_keeps_half_in_a_zone, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_job_that_fails_everywhere_is_backed_off, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_machine_that_fails_sound_jobs_is_quarantined, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_finished_task_is_never_requested_again, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_end_of_a_job_goes_before_progress_of_others, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_progress_of_large_jobs_keeps_within_the_bytes, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_gang_is_requested_whole_or_not_at_all, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_without_a_guarantee_spot_work_waits_for_spot, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_nothing_is_rented_in_an_unreachable_zone, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_a_zone_is_unreachable_for_a_while_only, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_a_zone_that_reports_again_is_reachable, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_work_that_waits_too_long_gets_a_share_of_ordinary_machines, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_work_barred_from_spot_gets_ordinary_machines, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_a_bound_job_moves_only_when_its_old_zone_is_proved_empty, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_ends_far_apart_add_up_over_several_leaders, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_a_machine_claim_is_bounded, set_up, tear_down),
+    };
+    return cmocka_run_group_tests_name("leader", tests, NULL, NULL);
+}
--- a/tests/stories_node.c
+++ b/tests/test_node.c
@@ -1,5 +1,5 @@
-/* Stories of whole controllers, with stand-ins for state service and cloud over real sockets. A
- * story waits until what it expects has come about, so its verdict hangs on no time. Controllers
+/* Tests of whole controllers, with stand-ins for state service and cloud over real sockets. A test
+ * waits until what it expects has come about, so its verdict hangs on no time. Controllers
  * never end: the process leaves without them. */
 #include <curl/curl.h>
 #include <stdio.h>
@@ -11,7 +11,7 @@
 #include "io/records.h"
 #include "io/wire.h"
 #include "services.h"
-#include "story.h"
+#include "unit_test.h"
 
 enum { POLL_MS = 20 };
 
@@ -20,17 +20,17 @@
     node_t *nodes[2];
     uint16_t ports[2]; /* of users and workers */
     http_client_t *client;
-} stage_t;
+} fixture_t;
 
-static stage_t *stage;
+static fixture_t *fixture;
 
-static settings_t *settings_of(guint index, const uint16_t *mesh, guint count)
+static settings_t *settings_of(guint index, const uint16_t *peer_work, guint count)
 {
     settings_t *settings = g_new0(settings_t, 1);
     *settings = (settings_t){.zone = "north",
                              .report_s = 1,
                              .lease_s = 10,
-                             .cancel_s = 3600, /* no story waits for its end */
+                             .cancel_s = 3600, /* no test waits for its end */
                              .state_rps = 1000,
                              .state_write_rps = 1000,
                              .value_kb = 16,
@@ -39,10 +39,11 @@
                              .list_lag_s = 1,
                              .connections = 100};
     g_snprintf(settings->name, sizeof settings->name, "hand-%u", index);
-    g_snprintf(settings->client_listen, ADDRESS_SIZE, "127.0.0.1:%u", stage->ports[index]);
-    g_snprintf(settings->mesh_listen, ADDRESS_SIZE, "127.0.0.1:%u", mesh[index]);
-    g_snprintf(settings->cloud, ADDRESS_SIZE, "127.0.0.1:%u", stage->services->cloud_port);
-    g_snprintf(settings->state, ADDRESS_SIZE, "127.0.0.1:%u", stage->services->state_ports[index]);
+    g_snprintf(settings->client_listen, ADDRESS_SIZE, "127.0.0.1:%u", fixture->ports[index]);
+    g_snprintf(settings->peer_listen, ADDRESS_SIZE, "127.0.0.1:%u", peer_work[index]);
+    g_snprintf(settings->cloud, ADDRESS_SIZE, "127.0.0.1:%u", fixture->services->cloud_port);
+    g_snprintf(settings->state, ADDRESS_SIZE, "127.0.0.1:%u",
+               fixture->services->state_ports[index]);
     settings->teams = g_array_new(FALSE, FALSE, sizeof(team_t));
     team_t team = {.name = "red", .cpus = 8, .cpus_max = 64};
     g_array_append_val(settings->teams, team);
@@ -51,7 +52,7 @@
     for (guint i = 0; i < count; i++) {
         sibling_t sibling = {.zone = "north"};
         g_snprintf(sibling.name, sizeof sibling.name, "hand-%u", i);
-        g_snprintf(sibling.endpoint, sizeof sibling.endpoint, "127.0.0.1:%u", mesh[i]);
+        g_snprintf(sibling.endpoint, sizeof sibling.endpoint, "127.0.0.1:%u", peer_work[i]);
         if (i != index)
             g_array_append_val(settings->siblings, sibling);
     }
@@ -60,31 +61,31 @@
 
 static void begin(guint count)
 {
-    uint16_t mesh[2];
-    stage = g_new0(stage_t, 1);
-    stage->services = services_new();
-    stage->client = http_client_new(4);
+    uint16_t peer_work[2];
+    fixture = g_new0(fixture_t, 1);
+    fixture->services = services_new();
+    fixture->client = http_client_new(4);
     for (guint i = 0; i < count; i++) {
-        stage->ports[i] = services_free_port();
-        mesh[i] = services_free_port();
+        fixture->ports[i] = services_free_port();
+        peer_work[i] = services_free_port();
     }
     for (guint i = 0; i < count; i++) {
-        stage->nodes[i] = node_new(settings_of(i, mesh, count), policy_default());
-        assert_true(node_start(stage->nodes[i]));
+        fixture->nodes[i] = node_new(settings_of(i, peer_work, count), policy_default());
+        assert_true(node_start(fixture->nodes[i]));
     }
 }
 
-static int call(guint node, const char *method, const char *path, const json_t *body,
-                json_t **answer)
+static int send_request(guint node, const char *method, const char *path, const json_t *body,
+                        json_t **answer)
 {
     char url[256];
-    g_snprintf(url, sizeof url, "http://127.0.0.1:%u%s", stage->ports[node], path);
-    return http_call(stage->client, method, url, body, 10000, answer);
+    g_snprintf(url, sizeof url, "http://127.0.0.1:%u%s", fixture->ports[node], path);
+    return http_call(fixture->client, method, url, body, 10000, answer);
 }
 
 static void wait_ready(guint node)
 {
-    while (call(node, "GET", "/ready", NULL, NULL) != 200)
+    while (send_request(node, "GET", "/ready", NULL, NULL) != 200)
         node_sleep(POLL_MS);
 }
 
@@ -92,7 +93,7 @@
 static void begin_ready(guint count)
 {
     begin(count);
-    services_tell_types(stage->services);
+    services_publish_types(fixture->services);
     for (guint i = 0; i < count; i++)
         wait_ready(i);
 }
@@ -115,7 +116,7 @@
 {
     json_t *answer = NULL;
     int got;
-    while ((got = call(node, method, path, body, &answer)) == 503 || got == 429) {
+    while ((got = send_request(node, method, path, body, &answer)) == 503 || got == 429) {
         json_decref(answer);
         node_sleep(POLL_MS);
     }
@@ -132,7 +133,7 @@
 }
 
 /* Calls the job off; trim: what the user must be told. */
-static void call_off(guint node, const char *id, const char *trim)
+static void abort_job(guint node, const char *id, const char *trim)
 {
     char path[64];
     g_snprintf(path, sizeof path, "/v2/runs/%s/abort", id);
@@ -144,51 +145,51 @@
 {
     char key[64];
     g_snprintf(key, sizeof key, "jobs/%s", id);
-    uint64_t stamp = services_stamp(stage->services, key);
-    assert_int_equal(services_apply(stage->services, records_abort(id, stamp, 2)), STATE_OK);
+    uint64_t revision = services_revision(fixture->services, key);
+    assert_int_equal(services_apply(fixture->services, records_abort(id, revision, 2)), STATE_OK);
 }
 
 static bool is_noted(guint node, const char *id)
 {
-    pthread_mutex_lock(&stage->nodes[node]->lock);
-    bool noted = g_hash_table_contains(stage->nodes[node]->cancelled.listed, id);
-    pthread_mutex_unlock(&stage->nodes[node]->lock);
+    pthread_mutex_lock(&fixture->nodes[node]->lock);
+    bool noted = g_hash_table_contains(fixture->nodes[node]->cancellations.listed, id);
+    pthread_mutex_unlock(&fixture->nodes[node]->lock);
     return noted;
 }
 
 /* Whether the node stops the job's tasks, whatever it hears of the state service. */
 static bool is_stopped(guint node, const char *id)
 {
-    pthread_mutex_lock(&stage->nodes[node]->lock);
-    bool stopped = g_hash_table_contains(stage->nodes[node]->gone, id) &&
-                   !g_hash_table_contains(stage->nodes[node]->jobs, id);
-    pthread_mutex_unlock(&stage->nodes[node]->lock);
+    pthread_mutex_lock(&fixture->nodes[node]->lock);
+    bool stopped = g_hash_table_contains(fixture->nodes[node]->gone, id) &&
+                   !g_hash_table_contains(fixture->nodes[node]->jobs, id);
+    pthread_mutex_unlock(&fixture->nodes[node]->lock);
     return stopped;
 }
 
 static uint64_t count_noted(guint node)
 {
-    pthread_mutex_lock(&stage->nodes[node]->lock);
-    uint64_t count = stage->nodes[node]->cancelled.newest;
-    pthread_mutex_unlock(&stage->nodes[node]->lock);
+    pthread_mutex_lock(&fixture->nodes[node]->lock);
+    uint64_t count = fixture->nodes[node]->cancellations.newest;
+    pthread_mutex_unlock(&fixture->nodes[node]->lock);
     return count;
 }
 
 /* Whatever the road on which a user is told "cancelled", the siblings can hear of it from then on:
  * it was noted only where the node's own commit had been answered. */
-static void every_road_to_cancelled_is_noted(void **state)
+static void test_every_road_to_cancelled_is_logged(void **state)
 {
     (void)state;
     begin_ready(1);
     const char *ids[] = {"j-000001", "j-000002", "j-000003", "j-000004", "j-000005"};
     for (guint i = 0; i < G_N_ELEMENTS(ids); i++)
         submit(0, ids[i]);
-    call_off(0, ids[0], "cancelled"); /* an abort, and its repeat from the cache */
+    abort_job(0, ids[0], "cancelled"); /* an abort, and its repeat from the cache */
     assert_true(is_noted(0, ids[0]));
-    call_off(0, ids[0], "cancelled");
+    abort_job(0, ids[0], "cancelled");
     assert_int_equal(count_noted(0), 1);
-    services_swallow(stage->services, "ended/j-000002"); /* its commit's answer is lost */
-    call_off(0, ids[1], "cancelled");
+    services_swallow(fixture->services, "ended/j-000002"); /* its commit's answer is lost */
+    abort_job(0, ids[1], "cancelled");
     assert_true(is_noted(0, ids[1]));
     cancel_elsewhere(ids[2]);
     expect(0, "GET", "/v2/runs/j-000003", NULL, 200, "cancelled");
@@ -197,27 +198,27 @@
     expect(0, "POST", "/v2/runs", job_body(ids[3]), 200, "cancelled");
     assert_true(is_noted(0, ids[3]));
     cancel_elsewhere(ids[4]);
-    call_off(0, ids[4], "cancelled");
+    abort_job(0, ids[4], "cancelled");
     assert_true(is_noted(0, ids[4]));
     assert_int_equal(count_noted(0), 5);
 }
 
 /* An outage begins with the commit of a cancellation: no change of jobs/ is heard. The controller
  * that told it stops the tasks all the same, and a list from before does not bring the job back. */
-static void what_a_controller_told_it_stops_itself(void **state)
+static void test_a_controller_stops_what_it_confirmed_as_cancelled(void **state)
 {
     (void)state;
     begin_ready(1);
     submit(0, "j-000001");
     submit(0, "j-000002");
-    services_mute(stage->services);
-    call_off(0, "j-000001", "cancelled");
+    services_mute(fixture->services);
+    abort_job(0, "j-000001", "cancelled");
     assert_true(is_stopped(0, "j-000001"));
     assert_false(is_stopped(0, "j-000002"));
-    pthread_mutex_lock(&stage->nodes[0]->lock);
+    pthread_mutex_lock(&fixture->nodes[0]->lock);
     job_spec_t old = {.id = "j-000001", .tasks = 2};
-    node_job_set(stage->nodes[0], &old, 1);
-    pthread_mutex_unlock(&stage->nodes[0]->lock);
+    node_job_set(fixture->nodes[0], &old, 1);
+    pthread_mutex_unlock(&fixture->nodes[0]->lock);
     assert_true(is_stopped(0, "j-000001"));
 }
 
@@ -230,16 +231,16 @@
                   "Address", "127.0.0.1:1", "Hull", "t16", "Dock", "north", "Driftwood", 1, "Watch",
                   (json_int_t)1, "Tally", number, "Helm", (json_int_t)0, "Pieces", "Piece", task,
                   "Heave", (json_int_t)1, "Trim", "running");
-    int status = call(node, "POST", "/hello", body, &answer);
-    json_t *calls = status == 200 ? json_incref(json_object_get(answer, "Calls")) : NULL;
+    int status = send_request(node, "POST", "/hello", body, &answer);
+    json_t *commands = status == 200 ? json_incref(json_object_get(answer, "Calls")) : NULL;
     json_decref(answer);
     json_decref(body);
-    return calls;
+    return commands;
 }
 
 /* The state service refuses one controller alone; a job is cancelled through the other. The first
  * hears of it, and the answers by which it keeps its workers alive stop the job's tasks. */
-static void a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled(void **state)
+static void test_a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled(void **state)
 {
     (void)state;
     begin_ready(2);
@@ -247,23 +248,24 @@
     submit(0, "j-000002");
     bool known = false;
     while (!known) { /* node 1 follows the jobs, and is of the view */
-        pthread_mutex_lock(&stage->nodes[1]->lock);
-        known = g_hash_table_size(stage->nodes[1]->jobs) == 2 && stage->nodes[1]->view.count == 2;
-        pthread_mutex_unlock(&stage->nodes[1]->lock);
+        pthread_mutex_lock(&fixture->nodes[1]->lock);
+        known =
+            g_hash_table_size(fixture->nodes[1]->jobs) == 2 && fixture->nodes[1]->view.count == 2;
+        pthread_mutex_unlock(&fixture->nodes[1]->lock);
         node_sleep(POLL_MS);
     }
-    services_refuse(stage->services, 1, true);
-    call_off(0, "j-000001", "cancelled");
+    services_refuse(fixture->services, 1, true);
+    abort_job(0, "j-000001", "cancelled");
     while (!is_noted(1, "j-000001"))
         node_sleep(POLL_MS);
-    json_t *calls = NULL;
+    json_t *commands = NULL;
     json_int_t number = 0;
-    while (!calls && !(calls = report_task(1, ++number, "j-000001/0")))
+    while (!commands && !(commands = report_task(1, ++number, "j-000001/0")))
         node_sleep(POLL_MS);
-    assert_int_equal(json_array_size(calls), 1);
-    assert_string_equal(json_string_value(json_object_get(json_array_get(calls, 0), "Call")),
+    assert_int_equal(json_array_size(commands), 1);
+    assert_string_equal(json_string_value(json_object_get(json_array_get(commands, 0), "Call")),
                         "stop");
-    json_decref(calls);
+    json_decref(commands);
     expect(1, "GET", "/v2/runs/j-000001", NULL, 200, "cancelled"); /* it can tell, too */
 }
 
@@ -274,7 +276,7 @@
     do {
         json_t *answer = NULL;
         json_t *body = fake_machine_report(machine);
-        if (call(0, "POST", "/hello", body, &answer) == 200)
+        if (send_request(0, "POST", "/hello", body, &answer) == 200)
             fake_machine_answer(machine, answer);
         json_decref(answer);
         json_decref(body);
@@ -285,7 +287,7 @@
 
 /* From submission to the end, through every loop: one job completes, one is called off while it
  * runs. */
-static void work_runs_ends_and_is_called_off(void **state)
+static void test_work_runs_ends_and_is_aborted(void **state)
 {
     (void)state;
     begin_ready(1);
@@ -299,13 +301,13 @@
     while (g_strcmp0(trim, "done") != 0) {
         json_decref(answer);
         report_until(machine, 0);
-        call(0, "GET", "/v2/runs/j-000001", NULL, &answer);
+        send_request(0, "GET", "/v2/runs/j-000001", NULL, &answer);
         trim = json_string_value(json_object_get(answer, "Trim"));
     }
     json_decref(answer);
     submit(0, "j-000002");
     report_until(machine, 2);
-    call_off(0, "j-000002", "cancelled");
+    abort_job(0, "j-000002", "cancelled");
     report_until(machine, 0);
     expect(0, "GET", "/v2/runs/j-000001", NULL, 200, "done");
     pthread_mutex_lock(&machine->lock);
@@ -337,19 +339,19 @@
 /* What can never run is never accepted, nor what lacks a field; while the machine types are not
  * known, nobody can tell. A repeat of what was accepted, an abort of what is done: the state as it
  * is. */
-static void odd_requests_get_their_answers(void **state)
+static void test_odd_requests_get_their_answers(void **state)
 {
     (void)state;
     begin(1);
     json_t *body = job_body("j-000001");
     int status;
-    while ((status = call(0, "POST", "/v2/runs", body, NULL)) <= HTTP_NO_ANSWER)
+    while ((status = send_request(0, "POST", "/v2/runs", body, NULL)) <= HTTP_NO_ANSWER)
         node_sleep(POLL_MS);
     assert_int_equal(status, 503);
     json_decref(body);
-    services_apply(stage->services, accepted_elsewhere("j-000007"));
+    services_apply(fixture->services, accepted_elsewhere("j-000007"));
     expect(0, "POST", "/v2/runs", job_body("j-000007"), 200, "queued");
-    services_tell_types(stage->services);
+    services_publish_types(fixture->services);
     wait_ready(0);
     submit(0, "j-000001");
     expect(0, "POST", "/v2/runs", job_body("j-000001"), 200, "queued");
@@ -370,8 +372,8 @@
     expect(0, "GET", "/v2/runs/j-000009", NULL, 404, NULL);
     txn_t txn = txn_new();
     txn_set(&txn, "ended/j-000008", json_pack("{s:s}", "Trim", "done"), 0);
-    services_apply(stage->services, txn);
-    call_off(0, "j-000008", "done");
+    services_apply(fixture->services, txn);
+    abort_job(0, "j-000008", "done");
     assert_int_equal(count_noted(0), 0);
 }
 
@@ -394,7 +396,7 @@
     char url[256];
     long status = 0;
     CURL *curl = curl_easy_init();
-    g_snprintf(url, sizeof url, "http://127.0.0.1:%u%s", stage->ports[0], path);
+    g_snprintf(url, sizeof url, "http://127.0.0.1:%u%s", fixture->ports[0], path);
     curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(curl, CURLOPT_PROXY, "");
     curl_easy_setopt(curl, CURLOPT_URL, url);
@@ -471,7 +473,7 @@
     return wrong;
 }
 
-static void whatever_a_submission_says_it_gets_its_answer(void **state)
+static void test_whatever_a_submission_says_it_gets_its_answer(void **state)
 {
     (void)state;
     static const struct {
@@ -568,9 +570,9 @@
 static void wait_until_live(guint node, const char *id)
 {
     for (bool known = false; !known; node_sleep(POLL_MS)) {
-        pthread_mutex_lock(&stage->nodes[node]->lock);
-        known = g_hash_table_contains(stage->nodes[node]->jobs, id);
-        pthread_mutex_unlock(&stage->nodes[node]->lock);
+        pthread_mutex_lock(&fixture->nodes[node]->lock);
+        known = g_hash_table_contains(fixture->nodes[node]->jobs, id);
+        pthread_mutex_unlock(&fixture->nodes[node]->lock);
     }
 }
 
@@ -604,11 +606,11 @@
 static void expect_all_put_off(void)
 {
     for (guint i = 0; i < G_N_ELEMENTS(questions); i++) {
-        guint before = services_asked(stage->services);
+        guint before = services_asked(fixture->services);
         seen_t seen = ask_question(i);
         assert_int_equal(seen.status, 503);
         assert_true(seen.retry_after_s > 0);
-        assert_in_range(services_asked(stage->services) - before, 0, questions[i].most);
+        assert_in_range(services_asked(fixture->services) - before, 0, questions[i].most);
     }
 }
 
@@ -636,57 +638,57 @@
 }
 
 /* What is given up is answered, though the state service never answers, or refuses. */
-static void no_answer_waits_for_the_state_service(void **state)
+static void test_no_answer_waits_for_the_state_service(void **state)
 {
     (void)state;
     begin_ready(1);
     submit(0, "j-000001");
     wait_until_live(0, "j-000001");
-    services_stall(stage->services, true);
+    services_stall(fixture->services, true);
     expect_all_put_off();
     expect_crowd_put_off();
-    services_stall(stage->services, false);
+    services_stall(fixture->services, false);
     expect(0, "GET", "/v2/runs/j-000001", NULL, 200, "queued");
-    services_refuse(stage->services, 0, true);
+    services_refuse(fixture->services, 0, true);
     expect_all_put_off();
 }
 
 /* Above the node's share of the state service's limits nothing waits for its turn: it is told to
  * come back, and nothing is asked. Questions about live jobs are asked together, whatever else is
  * asked. */
-static void no_answer_waits_for_a_share_of_the_limits(void **state)
+static void test_no_answer_waits_for_a_share_of_the_limits(void **state)
 {
     (void)state;
     enum { OVERDRAWN = 1000000 };
     begin_ready(1);
     submit(0, "j-000001");
     wait_until_live(0, "j-000001");
-    node_t *node = stage->nodes[0];
-    budget_charge(&node->front_rps, OVERDRAWN, clock_steady());
-    budget_charge(&node->front_write, OVERDRAWN, clock_steady());
-    guint before = services_asked(stage->services);
+    node_t *node = fixture->nodes[0];
+    rate_limiter_charge(&node->api_rps, OVERDRAWN, clock_steady());
+    rate_limiter_charge(&node->api_write, OVERDRAWN, clock_steady());
+    guint before = services_asked(fixture->services);
     const guint limited[] = {1, 3, 4}; /* a question about an unknown job, submissions */
     for (guint i = 0; i < G_N_ELEMENTS(limited); i++) {
         seen_t seen = ask_question(limited[i]);
         assert_int_equal(seen.status, 429);
         assert_true(seen.retry_after_s > 0);
     }
-    assert_int_equal(services_asked(stage->services), before);
+    assert_int_equal(services_asked(fixture->services), before);
     expect(0, "GET", "/v2/runs/j-000001", NULL, 200, "queued");
-    call_off(0, "j-000001", "cancelled");
+    abort_job(0, "j-000001", "cancelled");
 }
 
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(every_road_to_cancelled_is_noted),
-        cmocka_unit_test(what_a_controller_told_it_stops_itself),
-        cmocka_unit_test(a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled),
-        cmocka_unit_test(work_runs_ends_and_is_called_off),
-        cmocka_unit_test(odd_requests_get_their_answers),
-        cmocka_unit_test(whatever_a_submission_says_it_gets_its_answer),
-        cmocka_unit_test(no_answer_waits_for_the_state_service),
-        cmocka_unit_test(no_answer_waits_for_a_share_of_the_limits),
+        cmocka_unit_test(test_every_road_to_cancelled_is_logged),
+        cmocka_unit_test(test_a_controller_stops_what_it_confirmed_as_cancelled),
+        cmocka_unit_test(test_a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled),
+        cmocka_unit_test(test_work_runs_ends_and_is_aborted),
+        cmocka_unit_test(test_odd_requests_get_their_answers),
+        cmocka_unit_test(test_whatever_a_submission_says_it_gets_its_answer),
+        cmocka_unit_test(test_no_answer_waits_for_the_state_service),
+        cmocka_unit_test(test_no_answer_waits_for_a_share_of_the_limits),
     };
     signal(SIGPIPE, SIG_IGN);
     http_start();
--- a/tests/stories_policy.c
+++ b/tests/test_policy.c
@@ -1,6 +1,6 @@
-/* Stories of the operators' settings: what the checker accepts and every kind of fault it tells. */
+/* Tests of the operators' settings: what the checker accepts and every kind of fault it tells. */
 #include "policy/policy.h"
-#include "story.h"
+#include "unit_test.h"
 
 static GPtrArray *faults;
 
@@ -26,17 +26,17 @@
     assert_string_equal(g_ptr_array_index(faults, 0), fault);
 }
 
-static void shipped_example_is_the_default(void **state)
+static void test_shipped_example_is_the_default(void **state)
 {
     (void)state;
     char *text = NULL;
     assert_true(g_file_get_contents(SOURCE_DIR "/deploy/example.policy", &text, NULL, NULL));
     policy_t *example = policy_compile("example", text, faults), *standard = policy_default();
     assert_non_null(example);
-    policy_env_t env = {.number = {[ATTR_JOB_URGENCY] = 2}};
-    for (int knob = 0; knob < KNOB_COUNT; knob++) {
-        double a = policy_value(example, (policy_knob_t)knob, &env);
-        double b = policy_value(standard, (policy_knob_t)knob, &env);
+    policy_env_t env = {.number = {[ATTR_JOB_PRIORITY] = 2}};
+    for (int tunable = 0; tunable < TUNABLE_COUNT; tunable++) {
+        double a = policy_value(example, (policy_tunable_t)tunable, &env);
+        double b = policy_value(standard, (policy_tunable_t)tunable, &env);
         assert_true(a == b);
     }
     policy_free(example);
@@ -44,32 +44,32 @@
     g_free(text);
 }
 
-static void rule_sees_the_job(void **state)
+static void test_rule_sees_the_job(void **state)
 {
     (void)state;
     policy_t *policy = policy_compile(
         "f", "use_spot = not (job.team == \"red\" and job.estimate > 2 * 5 min);", faults);
     assert_non_null(policy);
     policy_env_t env = {.number = {[ATTR_JOB_ESTIMATE] = 700}, .text = {[ATTR_JOB_TEAM] = "red"}};
-    assert_true(policy_value(policy, KNOB_USE_SPOT, &env) == 0);
+    assert_true(policy_value(policy, TUNABLE_USE_SPOT, &env) == 0);
     env.number[ATTR_JOB_ESTIMATE] = 500;
-    assert_true(policy_value(policy, KNOB_USE_SPOT, &env) == 1);
+    assert_true(policy_value(policy, TUNABLE_USE_SPOT, &env) == 1);
     policy_free(policy);
 }
 
-static void value_is_brought_back_into_its_range(void **state)
+static void test_value_is_brought_back_into_its_range(void **state)
 {
     (void)state;
     policy_t *policy = policy_compile("f", "rent_patience = job.estimate / job.tasks;", faults);
     assert_non_null(policy);
     policy_env_t env = {.number = {[ATTR_JOB_ESTIMATE] = 1e9, [ATTR_JOB_TASKS] = 1}};
-    assert_true(policy_value(policy, KNOB_RENT_PATIENCE, &env) == 3600);
+    assert_true(policy_value(policy, TUNABLE_RENT_PATIENCE, &env) == 3600);
     env.number[ATTR_JOB_TASKS] = 0;
-    assert_true(policy_value(policy, KNOB_RENT_PATIENCE, &env) == 1);
+    assert_true(policy_value(policy, TUNABLE_RENT_PATIENCE, &env) == 1);
     policy_free(policy);
 }
 
-static void each_fault_is_told_with_its_place(void **state)
+static void test_each_fault_is_reported_with_its_place(void **state)
 {
     (void)state;
     refused("idle_keep = 40;", "f:1:13: seconds is expected, this is a plain number");
@@ -84,14 +84,14 @@
     refused("idle_keep = 40 s + 2 cpus;", "f:1:20: seconds is expected, this is cpus");
 }
 
-static void all_faults_are_told_at_once(void **state)
+static void test_all_faults_are_reported_at_once(void **state)
 {
     (void)state;
     assert_null(policy_compile("f", "idle_keep = ;\nfoo = 1;\nrent_keep = true;\n", faults));
     assert_int_equal(faults->len, 3);
 }
 
-static void deep_nesting_is_refused(void **state)
+static void test_deep_nesting_is_refused(void **state)
 {
     (void)state;
     GString *text = g_string_new("rent_keep = ");
@@ -109,12 +109,14 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test_setup_teardown(shipped_example_is_the_default, set_up, tear_down),
-        cmocka_unit_test_setup_teardown(rule_sees_the_job, set_up, tear_down),
-        cmocka_unit_test_setup_teardown(value_is_brought_back_into_its_range, set_up, tear_down),
-        cmocka_unit_test_setup_teardown(each_fault_is_told_with_its_place, set_up, tear_down),
-        cmocka_unit_test_setup_teardown(all_faults_are_told_at_once, set_up, tear_down),
-        cmocka_unit_test_setup_teardown(deep_nesting_is_refused, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_shipped_example_is_the_default, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_rule_sees_the_job, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_value_is_brought_back_into_its_range, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_each_fault_is_reported_with_its_place, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_all_faults_are_reported_at_once, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_deep_nesting_is_refused, set_up, tear_down),
     };
     return cmocka_run_group_tests_name("policy", tests, NULL, NULL);
 }
