--- a/tests/stories_records.c
+++ b/tests/test_records.c
@@ -1,23 +1,23 @@
-/* Stories of transactions against the state service: late, repeated, racing. */
+/* Tests of transactions against the state service: late, repeated, racing. */
 #include "io/records.h"
 #include "io/wire.h"
 #include "store.h"
-#include "story.h"
+#include "unit_test.h"
 
 static fake_store_t *store;
-static part_t *part;
-static GArray *flavors, *teams;
+static partition_t *partition;
+static GArray *machine_types, *teams;
 
 static int set_up(void **state)
 {
     (void)state;
     store = fake_store_new();
-    flavors = g_array_new(FALSE, FALSE, sizeof(flavor_t));
+    machine_types = g_array_new(FALSE, FALSE, sizeof(machine_type_t));
     teams = g_array_new(FALSE, FALSE, sizeof(team_t));
-    flavor_t flavor = {.name = "t16", .room = {16, 0, 64}};
-    g_array_append_val(flavors, flavor);
-    part = part_new(flavors, teams, 30000);
-    part_set_view(part, 1);
+    machine_type_t machine_type = {.name = "t16", .capacity = {16, 0, 64}};
+    g_array_append_val(machine_types, machine_type);
+    partition = partition_new(machine_types, teams, 30000);
+    partition_set_view(partition, 1);
     txn_t txn = txn_new();
     txn_set(&txn, "view/number", json_integer(1), 0);
     fake_store_apply(store, txn);
@@ -27,9 +27,9 @@
 static int tear_down(void **state)
 {
     (void)state;
-    part_free(part);
+    partition_free(partition);
     fake_store_free(store);
-    g_array_unref(flavors);
+    g_array_unref(machine_types);
     g_array_unref(teams);
     return 0;
 }
@@ -53,47 +53,51 @@
 
 static void report_of(const char *id, const char *type, uint64_t seq)
 {
-    report_t report = {.session = 1, .seq = seq, .token = 1, .notice_s = -1};
+    report_t report = {.session = 1, .seq = seq, .token = 1, .reclaim_in_s = -1};
     g_strlcpy(report.machine, id, sizeof report.machine);
     g_strlcpy(report.address, "10.1.255.254:9000", sizeof report.address);
     g_strlcpy(report.type, type, sizeof report.type);
     g_strlcpy(report.zone, "north", sizeof report.zone);
-    report.pieces = g_array_new(FALSE, FALSE, sizeof(piece_t));
-    GArray *calls = g_array_new(FALSE, FALSE, sizeof(call_t));
-    part_report(part, &report, false, 1000 * (msec_t)seq, calls);
+    report.attempts = g_array_new(FALSE, FALSE, sizeof(reported_attempt_t));
+    GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
+    partition_report(partition, &report, false, 1000 * (msec_t)seq, commands);
     report_clear(&report);
-    g_array_unref(calls);
+    g_array_unref(commands);
 }
 
-static void place(const char *id, uint64_t job_stamp)
+static void place(const char *id, uint64_t job_revision)
 {
     report_of("m-000001", "t16", 1);
-    offer_t offer = {
-        .need = {4, 0, 4}, .attempt = 100, .job_stamp = job_stamp, .team = "red", .image = "i"};
-    g_strlcpy(offer.job, id, sizeof offer.job);
-    assert_non_null(part_place(part, &offer, 1000));
+    placement_request_t request = {.need = {4, 0, 4},
+                                   .attempt = 100,
+                                   .job_revision = job_revision,
+                                   .team = "red",
+                                   .image = "i"};
+    g_strlcpy(request.job, id, sizeof request.job);
+    assert_non_null(partition_place(partition, &request, 1000));
 }
 
-static state_result_t commit_part(uint64_t view_stamp)
+static state_result_t commit_partition(uint64_t view_revision)
 {
-    part_batch_t *batch = part_batch_take(part, &(part_limits_t){20, 80, 16384, TXN_VALUES}, 1000);
-    state_result_t result = fake_store_apply(store, records_commit(NULL, batch, view_stamp));
-    part_batch_free(batch);
+    partition_batch_t *batch =
+        partition_batch_take(partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES}, 1000);
+    state_result_t result = fake_store_apply(store, records_commit(NULL, batch, view_revision));
+    partition_batch_free(batch);
     return result;
 }
 
 /* A member's entry that is carried out after a newer one of the same controller would hang it on a
- * grant that ended: the controller would vanish from the view. */
-static void late_entry_of_a_member_fails(void **state)
+ * lease that ended: the controller would vanish from the view. */
+static void test_late_entry_of_a_member_fails(void **state)
 {
     (void)state;
     member_t self = {.name = "node-1", .zone = "north", .incarnation = 5};
     txn_t late = records_member(&self, 0, 1);
     assert_int_equal(fake_store_apply(store, records_member(&self, 0, 2)), STATE_OK);
-    uint64_t stamp = fake_store_stamp(store, "view/members/node-1");
+    uint64_t revision = fake_store_revision(store, "view/members/node-1");
     assert_int_equal(fake_store_apply(store, late), STATE_FAILED);
-    assert_int_equal(fake_store_stamp(store, "view/members/node-1"), stamp);
-    assert_int_equal(fake_store_apply(store, records_member(&self, stamp, 3)), STATE_OK);
+    assert_int_equal(fake_store_revision(store, "view/members/node-1"), revision);
+    assert_int_equal(fake_store_apply(store, records_member(&self, revision, 3)), STATE_OK);
 }
 
 /* The key of the shard of the one machine. */
@@ -106,41 +110,41 @@
     return key;
 }
 
-static void late_start_record_of_an_older_view_fails(void **state)
+static void test_late_start_record_of_an_older_view_fails(void **state)
 {
     (void)state;
     job_spec_t spec = job("j-000001", 1);
-    uint64_t view = fake_store_stamp(store, "view/number");
+    uint64_t view = fake_store_revision(store, "view/number");
     fake_store_apply(store, records_submit(&spec));
-    place("j-000001", fake_store_stamp(store, "jobs/j-000001"));
+    place("j-000001", fake_store_revision(store, "jobs/j-000001"));
     move_view();
-    assert_int_equal(commit_part(view), STATE_FAILED);
+    assert_int_equal(commit_partition(view), STATE_FAILED);
     assert_null(fake_store_get(store, record_key()));
 }
 
-static void start_record_after_the_abort_fails(void **state)
+static void test_start_record_after_the_abort_fails(void **state)
 {
     (void)state;
     job_spec_t spec = job("j-000001", 1);
     fake_store_apply(store, records_submit(&spec));
-    uint64_t stamp = fake_store_stamp(store, "jobs/j-000001");
-    place("j-000001", stamp);
-    assert_int_equal(fake_store_apply(store, records_abort("j-000001", stamp, 1)), STATE_OK);
-    assert_int_equal(commit_part(fake_store_stamp(store, "view/number")), STATE_FAILED);
+    uint64_t revision = fake_store_revision(store, "jobs/j-000001");
+    place("j-000001", revision);
+    assert_int_equal(fake_store_apply(store, records_abort("j-000001", revision, 1)), STATE_OK);
+    assert_int_equal(commit_partition(fake_store_revision(store, "view/number")), STATE_FAILED);
 }
 
-static void start_record_holds_the_attempt(void **state)
+static void test_start_record_contains_the_attempt(void **state)
 {
     (void)state;
     page_record_t record;
     job_spec_t spec = job("j-000001", 1);
     fake_store_apply(store, records_submit(&spec));
-    place("j-000001", fake_store_stamp(store, "jobs/j-000001"));
-    assert_int_equal(commit_part(fake_store_stamp(store, "view/number")), STATE_OK);
+    place("j-000001", fake_store_revision(store, "jobs/j-000001"));
+    assert_int_equal(commit_partition(fake_store_revision(store, "view/number")), STATE_OK);
     const state_entry_t *entry = fake_store_get(store, record_key());
     assert_non_null(entry);
-    assert_true(
-        wire_parse_record(entry->key + strlen("machines/"), entry->value, entry->stamp, &record));
+    assert_true(wire_parse_record(entry->key + strlen("machines/"), entry->value, entry->revision,
+                                  &record));
     assert_int_equal(record.machines->len, 1);
     const machine_record_t *machine = &g_array_index(record.machines, machine_record_t, 0);
     assert_string_equal(machine->machine, "m-000001");
@@ -151,44 +155,45 @@
     assert_true(attempt->need.cpus > 3.9 && attempt->need.memory > 3.9);
     g_array_unref(record.machines);
     /* Under another shard's key it would have two owners: it is not taken. */
-    assert_false(wire_parse_record("north.99", entry->value, entry->stamp, &record));
+    assert_false(wire_parse_record("north.99", entry->value, entry->revision, &record));
 }
 
-static void submission_applied_late_does_not_bring_the_job_back(void **state)
+static void test_submission_applied_late_does_not_bring_the_job_back(void **state)
 {
     (void)state;
     job_spec_t spec = job("j-000001", 1);
     txn_t late = records_submit(&spec);
     fake_store_apply(store, records_submit(&spec));
-    fake_store_apply(store, records_abort("j-000001", fake_store_stamp(store, "jobs/j-000001"), 1));
+    fake_store_apply(store,
+                     records_abort("j-000001", fake_store_revision(store, "jobs/j-000001"), 1));
     assert_int_equal(fake_store_apply(store, late), STATE_FAILED);
     assert_null(fake_store_get(store, "jobs/j-000001"));
     assert_non_null(fake_store_get(store, "ended/j-000001"));
 }
 
-static void abort_and_done_exclude_each_other(void **state)
+static void test_abort_and_done_exclude_each_other(void **state)
 {
     (void)state;
     job_spec_t spec = job("j-000001", 1);
     fake_store_apply(store, records_submit(&spec));
-    uint64_t stamp = fake_store_stamp(store, "jobs/j-000001");
-    progress_t end = {.job = "j-000001", .end = true, .done = 1, .job_stamp = stamp};
-    end.old_stamps = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    uint64_t revision = fake_store_revision(store, "jobs/j-000001");
+    progress_t end = {.job = "j-000001", .end = true, .done = 1, .job_revision = revision};
+    end.old_revisions = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     GArray *progress = g_array_new(FALSE, FALSE, sizeof(progress_t));
     g_array_append_val(progress, end);
-    part_batch_t *nothing =
-        part_batch_take(part, &(part_limits_t){20, 80, 16384, TXN_VALUES}, 1000);
-    uint64_t view = fake_store_stamp(store, "view/number");
+    partition_batch_t *nothing =
+        partition_batch_take(partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES}, 1000);
+    uint64_t view = fake_store_revision(store, "view/number");
     assert_int_equal(fake_store_apply(store, records_commit(progress, nothing, view)), STATE_OK);
-    assert_int_equal(fake_store_apply(store, records_abort("j-000001", stamp, 1)), STATE_FAILED);
+    assert_int_equal(fake_store_apply(store, records_abort("j-000001", revision, 1)), STATE_FAILED);
     const state_entry_t *ended = fake_store_get(store, "ended/j-000001");
     assert_string_equal(json_string_value(json_object_get(ended->value, "Trim")), "done");
-    g_array_unref(end.old_stamps);
+    g_array_unref(end.old_revisions);
     g_array_unref(progress);
-    part_batch_free(nothing);
+    partition_batch_free(nothing);
 }
 
-static void abort_takes_the_progress_along(void **state)
+static void test_abort_takes_the_progress_along(void **state)
 {
     (void)state;
     job_spec_t spec = job("j-000001", 20000);
@@ -198,12 +203,12 @@
     txn_set(&txn, "done/j-000001/1", json_integer(1), 0);
     fake_store_apply(store, txn);
     fake_store_apply(store,
-                     records_abort("j-000001", fake_store_stamp(store, "jobs/j-000001"), 20000));
+                     records_abort("j-000001", fake_store_revision(store, "jobs/j-000001"), 20000));
     assert_null(fake_store_get(store, "done/j-000001/0"));
     assert_null(fake_store_get(store, "done/j-000001/1"));
 }
 
-static void a_value_that_can_not_be_built_is_never_sent(void **state)
+static void test_a_value_that_can_not_be_built_is_never_sent(void **state)
 {
     (void)state;
     state_t service = {0};
@@ -219,12 +224,12 @@
 static GPtrArray *fleet_of_one_shard(void)
 {
     GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
-    char home[SHARD_NAME], shard[SHARD_NAME];
-    shard_of("m-000001", "north", home, sizeof home);
+    char own_shard[SHARD_NAME], shard[SHARD_NAME];
+    shard_of("m-000001", "north", own_shard, sizeof own_shard);
     for (guint i = 1; ids->len < FLEET; i++) {
         char *id = g_strdup_printf("m-%06u", i);
         shard_of(id, "north", shard, sizeof shard);
-        if (strcmp(shard, home) == 0)
+        if (strcmp(shard, own_shard) == 0)
             g_ptr_array_add(ids, id);
         else
             g_free(id);
@@ -236,20 +241,22 @@
 static void fill(guint tasks, double cpus)
 {
     for (guint i = 0; i < tasks; i++) {
-        offer_t offer = {.need = {cpus, 0, 1.23456789}, .task = 99999, .attempt = (7u << 24) + i};
-        g_snprintf(offer.job, sizeof offer.job, "j-%06u", i / 3);
-        g_strlcpy(offer.team, "a-team-with-a-name", sizeof offer.team);
-        g_strlcpy(offer.image, "an-image-with-a-name", sizeof offer.image);
-        offer.task = 99000 + i % 3;
-        assert_non_null(part_place(part, &offer, 1000));
+        placement_request_t request = {
+            .need = {cpus, 0, 1.23456789}, .task = 99999, .attempt = (7u << 24) + i};
+        g_snprintf(request.job, sizeof request.job, "j-%06u", i / 3);
+        g_strlcpy(request.team, "a-team-with-a-name", sizeof request.team);
+        g_strlcpy(request.image, "an-image-with-a-name", sizeof request.image);
+        request.task = 99000 + i % 3;
+        assert_non_null(partition_place(partition, &request, 1000));
     }
 }
 
 /* One commit; what it writes is checked against the limits. refused: it meets an older view. */
 static guint commit_within_limits(bool refused)
 {
-    uint64_t view = fake_store_stamp(store, "view/number") - refused;
-    part_batch_t *batch = part_batch_take(part, &(part_limits_t){24, 96, VALUE, TXN_VALUES}, 1000);
+    uint64_t view = fake_store_revision(store, "view/number") - refused;
+    partition_batch_t *batch =
+        partition_batch_take(partition, &(partition_limits_t){24, 96, VALUE, TXN_VALUES}, 1000);
     txn_t txn = records_commit(NULL, batch, view);
     size_t i;
     json_t *change;
@@ -270,10 +277,10 @@
     state_result_t result = fake_store_apply(store, txn);
     assert_int_equal(result, refused ? STATE_FAILED : STATE_OK);
     if (refused)
-        part_batch_undo(part, batch);
+        partition_batch_undo(partition, batch);
     else
-        part_batch_commit(part, batch, store->revision, 1000);
-    part_batch_free(batch);
+        partition_batch_commit(partition, batch, store->revision, 1000);
+    partition_batch_free(batch);
     return records;
 }
 
@@ -282,7 +289,8 @@
 {
     if (!g_str_has_prefix(key, "machines/"))
         return false;
-    assert_true(wire_parse_record(key + strlen("machines/"), entry->value, entry->stamp, record));
+    assert_true(
+        wire_parse_record(key + strlen("machines/"), entry->value, entry->revision, record));
     return true;
 }
 
@@ -308,8 +316,8 @@
     return attempts;
 }
 
-/* The offers carry stamp 0, so the jobs stay unwritten here and the condition holds. */
-static void a_shard_of_any_size_records_all_its_starts(void **state)
+/* The requests carry revision 0, so the jobs stay unwritten here and the condition holds. */
+static void test_a_shard_of_any_size_records_all_its_starts(void **state)
 {
     (void)state;
     GPtrArray *ids = fleet_of_one_shard();
@@ -331,7 +339,7 @@
 }
 
 /* A later owner reads the pages as they were written. */
-static void pages_are_loaded_as_they_are(void **state)
+static void test_pages_are_loaded_as_they_are(void **state)
 {
     (void)state;
     GPtrArray *ids = fleet_of_one_shard();
@@ -340,9 +348,9 @@
     fill(FLEET * EACH, 2);
     for (guint round = 0; round < 40; round++)
         commit_within_limits(false);
-    part_free(part);
-    part = part_new(flavors, teams, 30000);
-    part_set_view(part, 1);
+    partition_free(partition);
+    partition = partition_new(machine_types, teams, 30000);
+    partition_set_view(partition, 1);
     GHashTableIter iter;
     gpointer key, value;
     g_hash_table_iter_init(&iter, store->keys);
@@ -350,23 +358,24 @@
         page_record_t record;
         if (!read_record(key, value, &record))
             continue;
-        part_load(part, &record, 1000);
+        partition_load(partition, &record, 1000);
         g_array_unref(record.machines);
     }
-    assert_int_equal(g_hash_table_size(part->attempts), FLEET * EACH);
-    part_machine_gone(part, g_ptr_array_index(ids, 0)); /* its page is written under its stamp */
+    assert_int_equal(g_hash_table_size(partition->attempts), FLEET * EACH);
+    partition_machine_gone(partition,
+                           g_ptr_array_index(ids, 0)); /* its page is written under its revision */
     assert_int_equal(commit_within_limits(false), 1);
-    assert_int_equal(g_hash_table_size(part->attempts), (FLEET - 1) * EACH);
+    assert_int_equal(g_hash_table_size(partition->attempts), (FLEET - 1) * EACH);
     g_ptr_array_unref(ids);
 }
 
 /* More small tasks than one key can hold for one machine: it takes no more, instead of holding
  * their reservations for ever, and takes some again when others have ended. */
-static void a_machine_that_fills_a_page_takes_no_more(void **state)
+static void test_a_machine_that_fills_a_page_takes_no_more(void **state)
 {
     (void)state;
-    flavor_t large = {.name = "t1000", .room = {1000, 0, 4000}};
-    g_array_append_val(flavors, large);
+    machine_type_t large = {.name = "t1000", .capacity = {1000, 0, 4000}};
+    g_array_append_val(machine_types, large);
     report_of("m-000001", "t1000", 1);
     fill(600, 1);
     guint before = 0, after = 1;
@@ -378,16 +387,16 @@
         after = recorded(machines);
     }
     assert_in_range(after, 100, 599);
-    offer_t offer = {.need = {1, 0, 1}, .job = "j-000999", .attempt = 9u << 24};
-    assert_null(part_place(part, &offer, 1000));
-    part_end_job(part, "j-000000");
+    placement_request_t request = {.need = {1, 0, 1}, .job = "j-000999", .attempt = 9u << 24};
+    assert_null(partition_place(partition, &request, 1000));
+    partition_end_job(partition, "j-000000");
     report_of("m-000001", "t1000", 2);
     commit_within_limits(false);
-    assert_non_null(part_place(part, &offer, 2000));
+    assert_non_null(partition_place(partition, &request, 2000));
     g_hash_table_unref(machines);
 }
 
-static void names_of_pages_are_read_back(void **state)
+static void test_names_of_pages_are_read_back(void **state)
 {
     (void)state;
     char name[PAGE_NAME], shard[SHARD_NAME];
@@ -408,22 +417,22 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test_setup_teardown(late_entry_of_a_member_fails, set_up, tear_down),
-        cmocka_unit_test_setup_teardown(late_start_record_of_an_older_view_fails, set_up,
-                                        tear_down),
-        cmocka_unit_test_setup_teardown(start_record_after_the_abort_fails, set_up, tear_down),
-        cmocka_unit_test_setup_teardown(start_record_holds_the_attempt, set_up, tear_down),
-        cmocka_unit_test_setup_teardown(submission_applied_late_does_not_bring_the_job_back, set_up,
+        cmocka_unit_test_setup_teardown(test_late_entry_of_a_member_fails, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_late_start_record_of_an_older_view_fails, set_up,
                                         tear_down),
-        cmocka_unit_test_setup_teardown(abort_and_done_exclude_each_other, set_up, tear_down),
-        cmocka_unit_test_setup_teardown(abort_takes_the_progress_along, set_up, tear_down),
-        cmocka_unit_test_setup_teardown(a_shard_of_any_size_records_all_its_starts, set_up,
+        cmocka_unit_test_setup_teardown(test_start_record_after_the_abort_fails, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_start_record_contains_the_attempt, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_submission_applied_late_does_not_bring_the_job_back,
+                                        set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_abort_and_done_exclude_each_other, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_abort_takes_the_progress_along, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_a_shard_of_any_size_records_all_its_starts, set_up,
                                         tear_down),
-        cmocka_unit_test_setup_teardown(pages_are_loaded_as_they_are, set_up, tear_down),
-        cmocka_unit_test_setup_teardown(a_machine_that_fills_a_page_takes_no_more, set_up,
+        cmocka_unit_test_setup_teardown(test_pages_are_loaded_as_they_are, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_a_machine_that_fills_a_page_takes_no_more, set_up,
                                         tear_down),
-        cmocka_unit_test(names_of_pages_are_read_back),
-        cmocka_unit_test(a_value_that_can_not_be_built_is_never_sent),
+        cmocka_unit_test(test_names_of_pages_are_read_back),
+        cmocka_unit_test(test_a_value_that_can_not_be_built_is_never_sent),
     };
     return cmocka_run_group_tests_name("records", tests, NULL, NULL);
 }
--- /dev/null
+++ b/tests/test_redirection.c
@@ -0,0 +1,196 @@
+/* Tests of workers that report to a node that does not own them. */
+#include "core/redirection.h"
+#include "unit_test.h"
+
+static redirection_t *redirection;
+
+static int set_up(void **state)
+{
+    (void)state;
+    redirection = redirection_new();
+    return 0;
+}
+
+static int tear_down(void **state)
+{
+    (void)state;
+    redirection_free(redirection);
+    return 0;
+}
+
+static redirection_verdict_t receive(uint64_t session, uint64_t seq, msec_t now)
+{
+    report_t report = {.machine = "m-000001", .session = session, .seq = seq};
+    return redirection_report(redirection, &report, "hand-1", now);
+}
+
+static guint retained(msec_t now)
+{
+    GPtrArray *list = redirection_retained(redirection, now);
+    guint count = list->len;
+    g_ptr_array_unref(list);
+    return count;
+}
+
+static void test_worker_that_comes_right_back_is_retained(void **state)
+{
+    (void)state;
+    assert_int_equal(receive(1, 1, 1000), REDIRECTION_TO_OWNER);
+    assert_int_equal(receive(1, 2, 5000), REDIRECTION_RETAINED);
+    assert_int_equal(receive(1, 3, 6000), REDIRECTION_RETAINED);
+    assert_int_equal(retained(6000), 1);
+    assert_int_equal(receive(1, 30, 5000 + RETAIN_MS), REDIRECTION_TO_OWNER); /* a new try */
+    assert_int_equal(retained(5000 + RETAIN_MS), 0);
+}
+
+/* Copies of two old reports look like a worker that came back: the leader would keep a dead
+ * machine, tasks and all. */
+static void test_copies_keep_no_machine_alive(void **state)
+{
+    (void)state;
+    assert_int_equal(receive(1, 5, 1000), REDIRECTION_TO_OWNER);
+    assert_int_equal(receive(1, 5, 2000), REDIRECTION_STALE);
+    assert_int_equal(receive(1, 4, 2000), REDIRECTION_STALE);
+    assert_int_equal(receive(1, 6, 5000),
+                     REDIRECTION_RETAINED); /* perhaps a late one: answered, not told */
+    assert_int_equal(retained(5000), 0);
+    assert_int_equal(receive(1, 6, 5500), REDIRECTION_STALE);
+    assert_int_equal(receive(1, 7, 15000),
+                     REDIRECTION_RETAINED); /* 10 s later: no answer has arrived there */
+    assert_int_equal(retained(15000), 0);
+}
+
+static void test_copy_of_an_earlier_session_is_old(void **state)
+{
+    (void)state;
+    receive(2, 5, 1000);
+    assert_int_equal(receive(1, 90, 2000), REDIRECTION_STALE);
+    assert_int_equal(receive(3, 1, 2000), REDIRECTION_RETAINED);
+}
+
+static redirection_verdict_t receive_with_loss(const char *machine, uint64_t seq, msec_t now)
+{
+    report_t report = {.session = 1, .seq = seq};
+    g_strlcpy(report.machine, machine, sizeof report.machine);
+    return redirection_report(redirection, &report, "hand-1", REDIRECTION_GRACE_MS + now);
+}
+
+/* Workers that had their owner in this view lost it, all at once. Sent back to it, each waited 5 s
+ * for every controller that did not answer, past its lease: of a fleet that one controller alone
+ * could be reached by, 1,405 tasks were killed. */
+static void test_a_probe_goes_to_the_owner_while_the_others_are_retained(void **state)
+{
+    (void)state;
+    assert_int_equal(receive_with_loss("m-000001", 1, 1000), REDIRECTION_TO_OWNER);
+    assert_int_equal(receive_with_loss("m-000002", 1, 1100), REDIRECTION_RETAINED);
+    assert_int_equal(receive_with_loss("m-000003", 1, 1200), REDIRECTION_RETAINED);
+    assert_int_equal(receive_with_loss("m-000001", 2, 11500),
+                     REDIRECTION_RETAINED); /* back: it can't reach it */
+    assert_int_equal(receive_with_loss("m-000002", 9, 1000 + REDIRECT_PROBE_MS),
+                     REDIRECTION_RETAINED);
+    msec_t next = 11500 + RETAIN_MS;
+    assert_int_equal(receive_with_loss("m-000002", 30, next - 100), REDIRECTION_RETAINED);
+    assert_int_equal(receive_with_loss("m-000003", 30, next),
+                     REDIRECTION_TO_OWNER); /* the next probe */
+    assert_int_equal(receive_with_loss("m-000001", 30, next + 100), REDIRECTION_RETAINED);
+    assert_int_equal(receive_with_loss("m-000002", 40, next + REDIRECT_PROBE_MS + 100),
+                     REDIRECTION_TO_OWNER); /* it stayed */
+    assert_int_equal(receive_with_loss("m-000001", 40, next + REDIRECT_PROBE_MS + 200),
+                     REDIRECTION_TO_OWNER);
+}
+
+/* A controller that had just begun turned one worker away, which was back within a second: all the
+ * others were kept from it for 20 s, without starts. */
+static void test_one_that_is_turned_away_speaks_for_itself_only(void **state)
+{
+    (void)state;
+    assert_int_equal(receive_with_loss("m-000001", 1, 1000), REDIRECTION_TO_OWNER);
+    assert_int_equal(receive_with_loss("m-000001", 2, 2000), REDIRECTION_RETAINED);
+    report_t report = {.machine = "m-000002", .session = 1, .seq = 1};
+    redirection_clear(redirection, REDIRECTION_GRACE_MS + 2050);
+    assert_int_equal(
+        redirection_report(redirection, &report, "hand-1", REDIRECTION_GRACE_MS + 2100),
+        REDIRECTION_TO_OWNER);
+    /* Nor is any worker retained for a probe while workers are on their way to new owners, whatever
+     * token a command brought them. */
+    g_strlcpy(report.machine, "m-000003", sizeof report.machine);
+    assert_int_equal(
+        redirection_report(redirection, &report, "hand-1", REDIRECTION_GRACE_MS + 2200),
+        REDIRECTION_TO_OWNER);
+}
+
+/* After a view its owner is another, which others of its workers could not reach a moment ago: it
+ * is not sent there. A controller that began anew is a stranger, and tried. */
+static void test_a_view_does_not_send_workers_to_one_that_was_missed(void **state)
+{
+    (void)state;
+    receive_with_loss("m-000001", 1, 1000);
+    receive_with_loss("m-000001", 2, 11000); /* hand-1 is missed */
+    redirection_clear(redirection, REDIRECTION_GRACE_MS + 11500);
+    report_t report = {.machine = "m-000004", .session = 1, .seq = 1};
+    assert_int_equal(
+        redirection_report(redirection, &report, "hand-1", REDIRECTION_GRACE_MS + 12000),
+        REDIRECTION_RETAINED);
+    report.seq = 2;
+    g_strlcpy(report.machine, "m-000005", sizeof report.machine);
+    assert_int_equal(
+        redirection_report(redirection, &report, "hand-1 anew", REDIRECTION_GRACE_MS + 12000),
+        REDIRECTION_TO_OWNER);
+    assert_int_equal(
+        redirection_report(redirection, &report, "hand-2", REDIRECTION_GRACE_MS + 12000),
+        REDIRECTION_STALE);
+    report.seq = 3; /* it came right back from the one that began anew */
+    assert_int_equal(
+        redirection_report(redirection, &report, "hand-1 anew", REDIRECTION_GRACE_MS + 20000),
+        REDIRECTION_RETAINED);
+}
+
+/* While a partition is not loaded, an answer still renews the lease of all that runs there: an
+ * outage that began with a commit under way left cancelled tasks running for as long as it lasted.
+ */
+static void test_an_answer_without_the_partition_stops_what_is_over(void **state)
+{
+    (void)state;
+    const reported_attempt_t attempts[] = {
+        {.job = "j-000001", .task = 0, .attempt = 7, .state = TASK_RUNNING},
+        {.job = "j-000002", .task = 1, .attempt = 8, .state = TASK_SAVING},
+        {.job = "j-000002", .task = 2, .attempt = 9, .state = TASK_EXITED},
+        {.job = "j-000002", .task = 3, .attempt = 9, .state = TASK_FETCHING}};
+    report_t report = {.machine = "m-000001",
+                       .attempts = g_array_new(FALSE, FALSE, sizeof(reported_attempt_t))};
+    g_array_append_vals(report.attempts, attempts, G_N_ELEMENTS(attempts));
+    GHashTable *live = g_hash_table_new(g_str_hash, g_str_equal);
+    g_hash_table_add(live, (gpointer) "j-000001");
+    GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
+    redirection_stop_ended(&report, live, commands);
+    assert_int_equal(commands->len, 2);
+    for (guint i = 0; i < commands->len; i++) {
+        const worker_command_t *command = &g_array_index(commands, worker_command_t, i);
+        assert_int_equal(command->op, COMMAND_STOP);
+        assert_string_equal(command->job, "j-000002");
+        assert_true(command->task == 1 || command->task == 3);
+        assert_true(command->grace_s == 0); /* one that saves is cut off */
+    }
+    g_array_unref(commands);
+    g_hash_table_unref(live);
+    report_clear(&report);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(test_worker_that_comes_right_back_is_retained, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_copies_keep_no_machine_alive, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_copy_of_an_earlier_session_is_old, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_a_probe_goes_to_the_owner_while_the_others_are_retained, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_one_that_is_turned_away_speaks_for_itself_only, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_a_view_does_not_send_workers_to_one_that_was_missed,
+                                        set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_an_answer_without_the_partition_stops_what_is_over,
+                                        set_up, tear_down),
+    };
+    return cmocka_run_group_tests_name("redirection", tests, NULL, NULL);
+}
--- a/tests/stories_requests.c
+++ b/tests/test_request_queue.c
@@ -1,11 +1,11 @@
-/* Stories of the queue of requests: none waits longer than its time, however busy the threads are.
+/* Tests of the request queue: no request waits beyond its deadline, however busy the threads are.
  */
 #include "core/request_queue.h"
-#include "story.h"
+#include "unit_test.h"
 
 /* A full queue refuses at once. What has waited its time is given up at that moment, and by itself:
  * nothing has to be served before it. */
-static void requests_wait_within_their_time_and_in_order(void **state)
+static void test_requests_wait_within_their_time_and_in_order(void **state)
 {
     (void)state;
     int status, submission, another, late;
@@ -31,7 +31,7 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(requests_wait_within_their_time_and_in_order),
+        cmocka_unit_test(test_requests_wait_within_their_time_and_in_order),
     };
-    return cmocka_run_group_tests_name("requests", tests, NULL, NULL);
+    return cmocka_run_group_tests_name("request_queue", tests, NULL, NULL);
 }
--- a/tests/stories_settings.c
+++ b/tests/test_settings.c
@@ -1,9 +1,9 @@
-/* Stories of the platform's settings file. */
+/* Tests of the platform's settings file. */
 #include <jansson.h>
 #include <unistd.h>
 
 #include "app/settings.h"
-#include "story.h"
+#include "unit_test.h"
 
 static json_t *settings_body(void)
 {
@@ -35,7 +35,7 @@
     return settings;
 }
 
-static void complete_file_is_taken_and_unknown_fields_ignored(void **state)
+static void test_complete_file_is_taken_and_unknown_fields_ignored(void **state)
 {
     (void)state;
     char *error = NULL;
@@ -64,7 +64,7 @@
     g_free(error);
 }
 
-static void wrong_types_and_values_are_told_by_name(void **state)
+static void test_wrong_types_and_values_are_reported_by_name(void **state)
 {
     (void)state;
     refused(NULL, "host_name", json_integer(3));
@@ -95,7 +95,7 @@
 }
 
 /* With 2,537 sockets granted, what their connections take must fit the memory as well. */
-static void connections_stay_below_sockets_and_memory(void **state)
+static void test_connections_stay_below_sockets_and_memory(void **state)
 {
     (void)state;
     assert_int_equal(connections(600, 0), 500);
@@ -105,7 +105,7 @@
     assert_in_range(connections(2537, 56), 300, 56 * 1024 / CONNECTION_COST_KB);
 }
 
-static void missing_file_is_told(void **state)
+static void test_missing_file_is_reported(void **state)
 {
     (void)state;
     char *error = NULL;
@@ -117,10 +117,10 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(complete_file_is_taken_and_unknown_fields_ignored),
-        cmocka_unit_test(wrong_types_and_values_are_told_by_name),
-        cmocka_unit_test(connections_stay_below_sockets_and_memory),
-        cmocka_unit_test(missing_file_is_told),
+        cmocka_unit_test(test_complete_file_is_taken_and_unknown_fields_ignored),
+        cmocka_unit_test(test_wrong_types_and_values_are_reported_by_name),
+        cmocka_unit_test(test_connections_stay_below_sockets_and_memory),
+        cmocka_unit_test(test_missing_file_is_reported),
     };
     return cmocka_run_group_tests_name("settings", tests, NULL, NULL);
 }
--- a/tests/stories_wire.c
+++ b/tests/test_wire.c
@@ -1,6 +1,6 @@
-/* Stories of the codec: what is taken, what is refused, what comes back as it went. */
+/* Tests of the codec: what is taken, what is refused, what comes back as it went. */
 #include "io/wire.h"
-#include "story.h"
+#include "unit_test.h"
 
 static json_t *job_body(void)
 {
@@ -38,7 +38,7 @@
     return body;
 }
 
-static void complete_job_is_taken(void **state)
+static void test_complete_job_is_taken(void **state)
 {
     (void)state;
     assert_true(takes(job_body()));
@@ -46,17 +46,17 @@
     assert_true(takes(without("TideS"))); /* may be null, so may be omitted */
     assert_true(takes(without("Hulls")));
     assert_true(takes(with("Cpus", json_integer(4))));
-    assert_true(takes(with("Pieces", json_integer(PIECES_MAX))));
+    assert_true(takes(with("Pieces", json_integer(TASKS_MAX))));
 }
 
-static void faulty_job_is_refused(void **state)
+static void test_faulty_job_is_refused(void **state)
 {
     (void)state;
     assert_false(takes(without("Cargo")));
     assert_false(takes(with("Uid", json_string("run-7"))));
     assert_false(takes(with("Uid", json_string("j-00041x"))));
     assert_false(takes(with("Pieces", json_integer(0))));
-    assert_false(takes(with("Pieces", json_integer(PIECES_MAX + 1))));
+    assert_false(takes(with("Pieces", json_integer(TASKS_MAX + 1))));
     assert_false(takes(with("Pieces", json_real(3.5))));
     assert_false(takes(with("Cpus", json_string("8"))));
     assert_false(takes(with("Cpus", json_real(-1))));
@@ -66,7 +66,7 @@
     assert_false(takes(json_array()));
 }
 
-static void job_comes_back_from_the_store(void **state)
+static void test_job_comes_back_from_the_store(void **state)
 {
     (void)state;
     job_spec_t spec, again;
@@ -77,7 +77,7 @@
     assert_true(wire_parse_job(stored, true, &again, NULL));
     assert_string_equal(again.types[1], "g4");
     assert_int_equal(again.submitted_ms, 1234567);
-    assert_int_equal(again.urgency, URGENCY_HIGH);
+    assert_int_equal(again.priority, PRIORITY_HIGH);
     assert_true(again.deadline_s > 899 && again.same_zone && !again.spread);
     job_spec_clear(&spec);
     job_spec_clear(&again);
@@ -91,22 +91,22 @@
     "{\"Piece\":\"j-000412/3\",\"Heave\":2,\"Trim\":\"running\"},"
     "{\"Piece\":\"j-000398/0\",\"Heave\":1,\"Trim\":\"exited\",\"Cause\":\"done\"}]}";
 
-static void report_is_read(void **state)
+static void test_report_is_read(void **state)
 {
     (void)state;
     report_t report;
     json_t *body = json_loads(report_text, 0, NULL);
     assert_true(wire_parse_report(body, &report, NULL));
     assert_int_equal(report.token, 41);
-    assert_true(report.notice_s < 0);
-    assert_int_equal(report.pieces->len, 2);
-    assert_int_equal(g_array_index(report.pieces, piece_t, 0).task, 3);
-    assert_int_equal(g_array_index(report.pieces, piece_t, 1).cause, CAUSE_DONE);
+    assert_true(report.reclaim_in_s < 0);
+    assert_int_equal(report.attempts->len, 2);
+    assert_int_equal(g_array_index(report.attempts, reported_attempt_t, 0).task, 3);
+    assert_int_equal(g_array_index(report.attempts, reported_attempt_t, 1).cause, CAUSE_DONE);
     report_clear(&report);
     json_decref(body);
 }
 
-static void malformed_report_is_refused(void **state)
+static void test_malformed_report_is_refused(void **state)
 {
     (void)state;
     static const char *const fields[] = {"Winch", "Address", "Watch", "Tally", "Helm", "Driftwood"};
@@ -128,7 +128,7 @@
     json_decref(body);
 }
 
-static void progress_bits_come_back(void **state)
+static void test_progress_bits_come_back(void **state)
 {
     (void)state;
     uint8_t bits[CHUNK_BITS / 8];
@@ -149,9 +149,12 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(complete_job_is_taken),         cmocka_unit_test(faulty_job_is_refused),
-        cmocka_unit_test(job_comes_back_from_the_store), cmocka_unit_test(report_is_read),
-        cmocka_unit_test(malformed_report_is_refused),   cmocka_unit_test(progress_bits_come_back),
+        cmocka_unit_test(test_complete_job_is_taken),
+        cmocka_unit_test(test_faulty_job_is_refused),
+        cmocka_unit_test(test_job_comes_back_from_the_store),
+        cmocka_unit_test(test_report_is_read),
+        cmocka_unit_test(test_malformed_report_is_refused),
+        cmocka_unit_test(test_progress_bits_come_back),
     };
     return cmocka_run_group_tests_name("wire", tests, NULL, NULL);
 }
--- a/tests/story.h
+++ b/tests/unit_test.h
@@ -1,6 +1,6 @@
-/* What every story file needs. */
-#ifndef PEPPERPULLEY_STORY_H
-#define PEPPERPULLEY_STORY_H
+/* What every test file needs. */
+#ifndef PEPPERPULLEY_UNIT_TEST_H
+#define PEPPERPULLEY_UNIT_TEST_H
 
 #include <setjmp.h>
 #include <stdarg.h>
