Every controller tells how many tasks of a live job are done and running

Only the leader counted them; all others said 0 and "queued". Answers to heartbeats now bear the leader's counts that changed. For display only: live, done and cancelled come from the state read.

--- a/src/app/api.c
+++ b/src/app/api.c
@@ -167,9 +167,18 @@
     return state;
 }
 
+/* With the lock held: for display, as the leader counts now or counted a moment ago. */
+static job_counts_t job_counts(const node_t *node, const char *id)
+{
+    if (!node->leading || !node->loaded)
+        return job_counts_replica_get(&node->job_counts, id);
+    const job_t *job = g_hash_table_lookup(node->leader->jobs, id);
+    return job ? (job_counts_t){.done = job->done_count, .outstanding = job->outstanding_count}
+               : (job_counts_t){0};
+}
+
 static reply_t status_reply(node_t *node, const char *id, job_state_t state, unsigned live_status)
 {
-    uint32_t done = 0, running = 0;
     if (state == JOB_DONE || state == JOB_CANCELLED)
         return (reply_t){.status = 200,
                          .body =
@@ -179,15 +188,11 @@
     if (state == JOB_UNKNOWN)
         return come_back();
     pthread_mutex_lock(&node->lock);
-    const job_t *job =
-        node->loaded && node->leading ? g_hash_table_lookup(node->leader->jobs, id) : NULL;
-    if (job) {
-        done = job->done_count;
-        running = job->outstanding_count;
-    }
+    job_counts_t counts = job_counts(node, id);
     pthread_mutex_unlock(&node->lock);
     return (reply_t){.status = live_status,
-                     .body = wire_build_status(id, running ? "running" : "queued", done, running)};
+                     .body = wire_build_status(id, counts.outstanding ? "running" : "queued",
+                                               counts.done, counts.outstanding)};
 }
 
 /* What this node knows without asking: a final state, or whether it is probably live. */
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -66,6 +66,7 @@
     pthread_cond_init(&node->requests_blocked, &steady);
     pthread_condattr_destroy(&steady);
     node->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, known_job_free);
+    job_counts_replica_init(&node->job_counts);
     node->machine_types = g_array_new(FALSE, FALSE, sizeof(machine_type_t));
     node->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     node->channels = g_ptr_array_new();
@@ -180,6 +181,7 @@
         partition_end_job(node->partition, id);
     if (node->leader)
         leader_end_job(node->leader, id);
+    job_counts_replica_remove(&node->job_counts, id);
     g_hash_table_remove(node->jobs, id);
     pthread_cond_broadcast(&node->direct);
     node_notify(node);
@@ -209,6 +211,14 @@
     g_clear_pointer(&node->leader_channel, channel_free);
 }
 
+/* What we counted as the leader is told until another's counts, or our own next ones, are here. */
+static void keep_own_counts(node_t *node)
+{
+    job_counts_update_t all = leader_counts(node->leader, 0, 0, G_MAXUINT);
+    job_counts_replica_apply(&node->job_counts, &all);
+    job_counts_update_clear(&all);
+}
+
 void node_adopt(node_t *node, const view_t *view)
 {
     if (view->revision <= node->view.revision)
@@ -217,6 +227,8 @@
      * leader takes a machine that nobody hears for dead. */
     if (view->incarnation != node->view.incarnation || !election_same_members(view, &node->view))
         redirection_clear(node->redirection, clock_steady());
+    if (node->leading && node->loaded)
+        keep_own_counts(node);
     node->view = *view;
     if (!node->leading)
         node->leading_since = clock_steady();
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -81,7 +81,8 @@
     guint leader_index;
     uint64_t generation; /* of partition and leader: grows with each load */
     msec_t loaded_at;
-    GHashTable *jobs; /* live jobs: id -> known_job_t, owned */
+    GHashTable *jobs;                /* live jobs: id -> known_job_t, owned */
+    job_counts_replica_t job_counts; /* of another leader, or as it was when we last led */
     bool jobs_synced;
     GHashTable *gone;                 /* ids of jobs that are over, owned; bounded */
     GQueue *gone_order;               /* the same, borrowed; oldest first */
--- a/src/app/peer_exchange.c
+++ b/src/app/peer_exchange.c
@@ -251,6 +251,8 @@
     message.heartbeat = true;
     message.acknowledged_incarnation = replica->incarnation;
     message.acknowledged_index = replica->last_index;
+    message.counts.epoch = node->job_counts.epoch;
+    message.counts.version = node->job_counts.version;
     pthread_mutex_unlock(&node->lock);
     return peer_encode(&message);
 }
@@ -263,12 +265,26 @@
     answer.heartbeat = true;
     answer.update = cancellation_log_update(&node->cancellations, message->acknowledged_incarnation,
                                             message->acknowledged_index, clock_steady());
+    if (node->leading && node->loaded)
+        answer.counts = leader_counts(node->leader, message->counts.epoch, message->counts.version,
+                                      JOB_COUNTS_BATCH);
     pthread_mutex_unlock(&node->lock);
     GByteArray *frame = peer_encode(&answer);
     peer_message_clear(&answer);
     return frame;
 }
 
+/* With the lock held. A job that is over here may still be live where it is counted. */
+static void receive_job_counts(node_t *node, const job_counts_update_t *update)
+{
+    job_counts_replica_apply(&node->job_counts, update);
+    for (guint i = 0; i < update->jobs->len; i++) {
+        const char *id = g_array_index(update->jobs, job_counts_t, i).job;
+        if (g_hash_table_contains(node->gone, id))
+            job_counts_replica_remove(&node->job_counts, id);
+    }
+}
+
 /* With the lock held: what a sibling answered to a heartbeat that left at `asked`. */
 static void receive_heartbeat_answer(node_t *node, guint index, const peer_message_t *message,
                                      msec_t asked)
@@ -281,6 +297,8 @@
         node_remember(node, id, false);
     }
     cancellation_log_apply(&node->cancellations, index, &message->update, asked, clock_steady());
+    if (message->view == node->view.number && message->incarnation == node->view.incarnation)
+        receive_job_counts(node, &message->counts);
 }
 
 static bool send_heartbeat(const heartbeat_t *heartbeat, int fd)
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -4,6 +4,7 @@
  * Every transaction requires view/number unchanged and each key it writes as it was. One whose
  * outcome is unknown is followed by a new view number, under which it can no longer be applied, and
  * by reading everything again; so nothing is decided on a guess. */
+#include <stdlib.h>
 #include <string.h>
 
 #include "app/node.h"
@@ -145,6 +146,7 @@
         node->leader = leader_new(node->settings->teams, node->settings->targets, node->policy,
                                   node->view.count);
         leader_set_view(node->leader, node->view.number);
+        arc4random_buf(&node->leader->counts_epoch, sizeof node->leader->counts_epoch);
         load_jobs(node, listing->jobs);
         load_done(node, listing->done);
     }
--- a/src/constants.h
+++ b/src/constants.h
@@ -55,6 +55,7 @@
                               them: a minute or more of what the rate limits let through */
     CANCELLATION_UPDATE_JOBS =
         256,              /* of them in one message: 6 KB; what is left is fetched in the next */
+    JOB_COUNTS_BATCH = 256, /* jobs whose counts go in one answer to a heartbeat: 8 KB */
     CLOCK_DRIFT = 1000,   /* one part in so many: steady clocks drift apart by up to 0.05% */
     JOB_ERRORS_ALARM = 4, /* failures of one job on as many machines: the job is bad */
     STARVING_TASKS_DIVISOR =
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -9,6 +9,7 @@
 #ifndef PEPPERPULLEY_LEADER_H
 #define PEPPERPULLEY_LEADER_H
 
+#include "core/job_counts.h"
 #include "core/partition.h"
 #include "core/tunables.h"
 #include "core/types.h"
@@ -54,6 +55,8 @@
     guint errors;           /* since the last success */
     msec_t retry_at;
     GHashTable *zone_outstanding; /* zone -> count */
+    job_counts_t counts;          /* as the replicas are told */
+    uint64_t counts_version;      /* of their last change; 0: none so far */
 } job_t;
 
 typedef struct {
@@ -105,7 +108,9 @@
     GArray *single_target;       /* the target of a deadline that no aim names */
     GPtrArray *summaries;        /* partition -> GArray of machine_summary_t, owned */
     GPtrArray *yielding;         /* partition -> GArray of double, a team each, owned */
-    guint preempting;            /* requests of this round that may stop others */
+    uint64_t counts_epoch;       /* set by the creator; 0: no replica is served */
+    uint64_t counts_version;
+    guint preempting; /* requests of this round that may stop others */
 } leader_t;
 
 leader_t *leader_new(const GArray *teams, GHashTable *targets, const policy_t *policy,
@@ -134,6 +139,9 @@
                           msec_t now);
 /* Whether the machine is taken for faulty: it is to be drained. */
 bool leader_is_quarantined(const leader_t *leader, const char *machine);
+/* The jobs whose counts changed after the replica's version, oldest change first, at most `most`.
+ * The update is the caller's. */
+job_counts_update_t leader_counts(leader_t *leader, uint64_t epoch, uint64_t version, guint most);
 /* The job's outstanding attempts. Array of partition_attempt_t. */
 GArray *leader_outstanding(const leader_t *leader, const char *job);
 
--- a/src/io/peer_protocol.c
+++ b/src/io/peer_protocol.c
@@ -166,6 +166,7 @@
     g_clear_pointer(&message->summaries, g_array_unref);
     g_clear_pointer(&message->yielding, g_array_unref);
     cancellation_update_clear(&message->update);
+    job_counts_update_clear(&message->counts);
 }
 
 GByteArray *peer_encode(const peer_message_t *message)
@@ -203,6 +204,16 @@
         wire.update.jobs.jobs_len = message->update.jobs->len;
         wire.update.jobs.jobs_val = (peer_name *)message->update.jobs->pdata;
     }
+    guint counts = message->counts.jobs ? message->counts.jobs->len : 0;
+    peer_job_counts *counts_list = g_new0(peer_job_counts, counts + 1);
+    for (guint i = 0; i < counts; i++) {
+        const job_counts_t *from = &g_array_index(message->counts.jobs, job_counts_t, i);
+        counts_list[i] = (peer_job_counts){(char *)from->job, from->done, from->outstanding};
+    }
+    wire.counts_epoch = message->counts.epoch;
+    wire.counts_version = message->counts.version;
+    wire.counts.counts_len = counts;
+    wire.counts.counts_val = counts_list;
     gulong size = xdr_sizeof((xdrproc_t)xdr_peer_message, &wire);
     GByteArray *frame = g_byte_array_sized_new((guint)size);
     g_byte_array_set_size(frame, (guint)size);
@@ -213,6 +224,7 @@
         frame = NULL;
     }
     xdr_destroy(&xdr);
+    g_free(counts_list);
     g_free(item_list);
     g_free(summary_list);
     return frame;
@@ -237,6 +249,16 @@
                                               .jobs = g_ptr_array_new_with_free_func(g_free)};
     for (u_int i = 0; i < wire->update.jobs.jobs_len; i++)
         g_ptr_array_add(message->update.jobs, g_strdup(wire->update.jobs.jobs_val[i]));
+    message->counts =
+        (job_counts_update_t){.epoch = wire->counts_epoch,
+                              .version = wire->counts_version,
+                              .jobs = g_array_new(FALSE, FALSE, sizeof(job_counts_t))};
+    for (u_int i = 0; i < wire->counts.counts_len; i++) {
+        const peer_job_counts *from = &wire->counts.counts_val[i];
+        job_counts_t counts = {.done = from->done, .outstanding = from->outstanding};
+        g_strlcpy(counts.job, from->job, sizeof counts.job);
+        g_array_append_val(message->counts.jobs, counts);
+    }
     message->items = channel_items_new();
     for (u_int i = 0; i < wire->items.items_len; i++) {
         channel_item_t item;
--- a/src/io/peer_protocol.h
+++ b/src/io/peer_protocol.h
@@ -18,6 +18,7 @@
     uint64_t acknowledged_incarnation;
     uint64_t acknowledged_index;
     cancellation_update_t update; /* jobs NULL: none */
+    job_counts_update_t counts;   /* of a call: what the caller has, without jobs */
     GArray *items;                /* channel_item_t */
     GArray *summaries;            /* machine_summary_t; NULL: unchanged */
     GArray *yielding;             /* double, a team each; NULL without summaries */
--- a/src/io/peer_protocol.x
+++ b/src/io/peer_protocol.x
@@ -91,6 +91,12 @@
     peer_name jobs<PEER_ITEMS_MAX>;
 };
 
+struct peer_job_counts {
+    peer_name job;
+    unsigned int done;
+    unsigned int outstanding;
+};
+
 struct peer_message {
     peer_name sender;
     unsigned hyper incarnation;
@@ -102,6 +108,9 @@
     unsigned hyper acknowledged_incarnation; /* a call: of whose cancellation log the caller has ... */
     unsigned hyper acknowledged_index;     /* ... all up to this number */
     peer_cancellation_update update;               /* an answer: what the sender told users */
+    unsigned hyper counts_epoch;   /* a call: of whose counts of jobs the caller has ... */
+    unsigned hyper counts_version; /* ... all up to this; an answer: has with this answer */
+    peer_job_counts counts<PEER_ITEMS_MAX>;
     peer_item items<PEER_ITEMS_MAX>;
     bool has_summaries;
     peer_machine_summary summaries<PEER_SUMMARIES_MAX>;
--- a/tests/test_channel.c
+++ b/tests/test_channel.c
@@ -73,6 +73,10 @@
     machine_summary_t summary = {
         .machine = "m-1", .type = "t16", .zone = "north", .free = {3, 0, 7}};
     g_array_append_val(message.summaries, summary);
+    job_counts_t counts = {.job = "j-000003", .done = 4, .outstanding = 100000};
+    message.counts = (job_counts_update_t){.epoch = 6, .version = 1ULL << 33};
+    message.counts.jobs = g_array_new(FALSE, FALSE, sizeof(job_counts_t));
+    g_array_append_val(message.counts.jobs, counts);
     GByteArray *frame = peer_encode(&message);
     assert_non_null(frame);
     peer_message_t decoded;
@@ -85,6 +89,11 @@
     assert_true(got->preempt);
     assert_int_equal(g_array_index(decoded.items, channel_item_t, 1).result.cause, CAUSE_DONE);
     assert_true(g_array_index(decoded.summaries, machine_summary_t, 0).free.memory > 6.9);
+    assert_true(decoded.counts.epoch == 6 && decoded.counts.version == 1ULL << 33);
+    assert_int_equal(decoded.counts.jobs->len, 1);
+    counts = g_array_index(decoded.counts.jobs, job_counts_t, 0);
+    assert_string_equal(counts.job, "j-000003");
+    assert_true(counts.done == 4 && counts.outstanding == 100000);
     peer_message_t cut_off;
     assert_false(peer_decode(frame->data, frame->len / 2, &cut_off));
     g_byte_array_unref(frame);
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -440,6 +440,61 @@
     leader_handle_result(leader, made->partition, &done, 1000);
 }
 
+static void apply_counts(job_counts_replica_t *replica, guint most)
+{
+    job_counts_update_t update = leader_counts(leader, replica->epoch, replica->version, most);
+    assert_in_range(update.jobs->len, 0, most);
+    job_counts_replica_apply(replica, &update);
+    job_counts_update_clear(&update);
+}
+
+static void assert_counts(const job_counts_replica_t *replica, const char *id, uint32_t done,
+                          uint32_t outstanding)
+{
+    job_counts_t counts = job_counts_replica_get(replica, id);
+    assert_int_equal(counts.done, done);
+    assert_int_equal(counts.outstanding, outstanding);
+}
+
+/* A replica gets what changed, a part at a time; of another loading of the leader's data, nothing
+ * that it had counts. */
+static void test_counts_of_jobs_reach_a_replica(void **state)
+{
+    (void)state;
+    enum { MOST = 2 };
+    job_counts_replica_t replica;
+    job_counts_replica_init(&replica);
+    leader->counts_epoch = 11;
+    job_spec_t jobs[] = {job("j-000001", "blue", 2), job("j-000002", "blue", 1),
+                         job("j-000003", "blue", 3)};
+    for (guint i = 0; i < G_N_ELEMENTS(jobs); i++)
+        leader_add_job(leader, &jobs[i], 1);
+    set_resources(0, "north", 20);
+    GArray *requests = leader_schedule(leader, 1000, 1000, 10);
+    assert_int_equal(requests->len, 6);
+    apply_counts(&replica, MOST);
+    assert_int_equal(g_hash_table_size(replica.jobs), MOST);
+    apply_counts(&replica, MOST);
+    assert_counts(&replica, "j-000001", 0, 2);
+    assert_counts(&replica, "j-000002", 0, 1);
+    assert_counts(&replica, "j-000003", 0, 3);
+    for (guint i = 0; i < requests->len; i++)
+        if (strcmp(g_array_index(requests, leader_request_t, i).request.job, "j-000003") == 0)
+            finish(&g_array_index(requests, leader_request_t, i));
+    job_counts_update_t update = leader_counts(leader, replica.epoch, replica.version, MOST);
+    assert_int_equal(update.jobs->len, 1); /* only what changed */
+    job_counts_replica_apply(&replica, &update);
+    job_counts_update_clear(&update);
+    assert_counts(&replica, "j-000003", 3, 0);
+    leader_end_job(leader, "j-000002");
+    leader->counts_epoch = 12;
+    apply_counts(&replica, MOST);
+    assert_counts(&replica, "j-000002", 0, 0);
+    assert_counts(&replica, "j-000001", 0, 2);
+    g_hash_table_unref(replica.jobs);
+    g_array_unref(requests);
+}
+
 /* With a low rate limit, the progress of dozens of jobs kept finished ones waiting for minutes
  * until their users were told. */
 static void test_end_of_a_job_goes_before_progress_of_others(void **state)
@@ -722,6 +777,7 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(test_nothing_is_requested_where_there_is_no_machine, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(test_counts_of_jobs_reach_a_replica, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_hopeless_deadlines_come_last, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_same_zone_binds_the_later_tasks, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_apart_keeps_half_in_a_zone, set_up, tear_down),
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -269,15 +269,20 @@
     expect(1, "GET", "/v2/runs/j-000001", NULL, 200, "cancelled"); /* it can tell, too */
 }
 
-/* Reports until the machine runs so many tasks; between reports there is time for direct commands.
- */
+/* Reports until the machine runs so many tasks, to whichever node it is sent; between reports there
+ * is time for direct commands. */
 static void report_until(fake_machine_t *machine, guint active)
 {
+    static guint node; /* an earlier test's may not be there in this one */
+    node = fixture->nodes[node] ? node : 0;
     do {
         json_t *answer = NULL;
         json_t *body = fake_machine_report(machine);
-        if (send_request(0, "POST", "/hello", body, &answer) == 200)
+        int status = send_request(node, "POST", "/hello", body, &answer);
+        if (status == 200)
             fake_machine_answer(machine, answer);
+        else if (status == 421)
+            node = 1 - node;
         json_decref(answer);
         json_decref(body);
         for (guint i = 0; i < 10 && fake_machine_active(machine) != active; i++)
@@ -315,6 +320,42 @@
     pthread_mutex_unlock(&machine->lock);
 }
 
+/* Whether the node tells so many tasks done and running. */
+static bool tells(guint node, const char *id, json_int_t done, json_int_t running)
+{
+    char path[64];
+    json_t *answer = NULL;
+    g_snprintf(path, sizeof path, "/v2/runs/%s", id);
+    int status = send_request(node, "GET", path, NULL, &answer);
+    bool right = status == 200 && json_integer_value(json_object_get(answer, "done")) == done &&
+                 json_integer_value(json_object_get(answer, "running")) == running &&
+                 g_strcmp0(json_string_value(json_object_get(answer, "Trim")), "running") == 0;
+    json_decref(answer);
+    return right;
+}
+
+/* The leader counts; every node tells. */
+static void test_every_node_tells_how_many_tasks_run(void **state)
+{
+    (void)state;
+    begin_ready(2);
+    fake_machine_t *machine = fake_machine_new("m-000001");
+    json_t *body = job_body("j-000001");
+    json_object_set_new(body, "Pieces", json_integer(10)); /* a machine has room for eight */
+    report_until(machine, 0);
+    expect(0, "POST", "/v2/runs", body, 201, "queued");
+    report_until(machine, 8);
+    for (guint node = 0; node < 2; node++)
+        while (!tells(node, "j-000001", 0, 8))
+            node_sleep(POLL_MS);
+    fake_machine_complete(machine);
+    report_until(machine, 2);
+    for (guint node = 0; node < 2; node++)
+        while (!tells(node, "j-000001", 8, 2))
+            node_sleep(POLL_MS);
+    abort_job(1, "j-000001", "cancelled");
+}
+
 static json_t *job_with(const char *name, json_t *value)
 {
     json_t *body = job_body("j-000009");
@@ -685,6 +726,7 @@
         cmocka_unit_test(test_a_controller_stops_what_it_confirmed_as_cancelled),
         cmocka_unit_test(test_a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled),
         cmocka_unit_test(test_work_runs_ends_and_is_aborted),
+        cmocka_unit_test(test_every_node_tells_how_many_tasks_run),
         cmocka_unit_test(test_odd_requests_get_their_answers),
         cmocka_unit_test(test_whatever_a_submission_says_it_gets_its_answer),
         cmocka_unit_test(test_no_answer_waits_for_the_state_service),
