--- a/src/app/node.c
+++ b/src/app/node.c
@@ -71,6 +71,7 @@
     node->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     node->channels = g_ptr_array_new();
     node->own = G_MAXUINT;
+    node->pulse = now;
     node->redirection = redirection_new();
     node->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     node->gone_order = g_queue_new();
@@ -102,6 +103,7 @@
     node_thread(peer_server_run, node);
     node_thread(relay_run, node);
     heartbeat_start(node);
+    node_thread(pulse_run, node);
     node_thread(follow_run, node);
     node_thread(placer_run, node);
     node_thread(cloud_run, node);
@@ -226,13 +228,16 @@
     /* Workers retained here because they could not reach a former owner go to the new ones: the
      * leader takes a machine that nobody hears for dead. */
     if (view->incarnation != node->view.incarnation || !election_same_members(view, &node->view))
-        redirection_clear(node->redirection, clock_steady());
+        redirection_clear(node->redirection, view->number, clock_steady());
     if (node->leading && node->loaded)
         keep_own_counts(node);
     node->view = *view;
-    if (!node->leading)
-        node->leading_since = clock_steady();
+    bool led = node->leading;
     node->leading = view->incarnation == node->incarnation;
+    if (!led)
+        node->leading_since = clock_steady();
+    if (!led && node->leading && node->rental)
+        rental_begin(node->rental);
     node->loaded = false;
     node->generation++;
     node->own = G_MAXUINT;
@@ -424,7 +429,38 @@
     return node->jobs_synced && now - known_until(node) < (msec_t)(spare * 1000) - CANCEL_MARGIN_MS;
 }
 
-bool node_may_start(const node_t *node, msec_t now)
+void node_pulse(node_t *node, msec_t now)
 {
-    return node->jobs_synced && now - known_until(node) < RUN_KNOWN_MS;
+    if (now - node->pulse > STALL_MS)
+        node->woken = now;
+    node->pulse = MAX(node->pulse, now);
+}
+
+bool node_may_start(node_t *node, msec_t now)
+{
+    node_pulse(node, now);
+    msec_t known = known_until(node);
+    return node->jobs_synced && known >= node->woken && now - known < RUN_KNOWN_MS;
+}
+
+bool node_may_send(node_t *node, const char *machine, uint64_t generation, const GArray *commands,
+                   msec_t taken, msec_t now)
+{
+    if (now - taken <= STALL_MS)
+        return true;
+    if (node->generation == generation && node->loaded)
+        partition_direct_done(node->partition, machine, commands, 0, DIRECT_WITHHELD);
+    return false;
+}
+
+void *pulse_run(void *data)
+{
+    node_t *node = data;
+    for (;;) {
+        pthread_mutex_lock(&node->lock);
+        node_pulse(node, clock_steady());
+        pthread_mutex_unlock(&node->lock);
+        node_sleep(PULSE_MS);
+    }
+    return NULL;
 }
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -7,9 +7,9 @@
  *   follow  the live jobs, on every node
  *   placer  our partition: places and commits; the leader also sends placement requests and
  * acknowledges results peer    the exchange between the leader and the partitions sender  direct
- * commands to workers cloud   types everywhere; leader: renting, returning, proof that machines are
- * gone api   users and workers: the HTTP server's threads, and those that serve the queue of
- *           requests that may have to wait */
+ * commands to workers pulse   notices when the process stood still cloud   types everywhere;
+ * leader: renting, returning, proof that machines are gone api   users and workers: the HTTP
+ * server's threads, and those that serve the queue of requests that may have to wait */
 #ifndef PEPPERPULLEY_NODE_H
 #define PEPPERPULLEY_NODE_H
 
@@ -87,6 +87,8 @@
     GHashTable *gone;                 /* ids of jobs that are over, owned; bounded */
     GQueue *gone_order;               /* the same, borrowed; oldest first */
     msec_t jobs_proof;                /* every abort accepted before it is known here */
+    msec_t pulse;                     /* when the time was noticed last */
+    msec_t woken;                     /* when the process was last found to have stood still */
     cancellation_log_t cancellations; /* what this node and its siblings told users */
     GArray *machine_types;            /* machine_type_t; empty: not known yet */
     partition_t *partition;
@@ -133,8 +135,16 @@
 connectivity_t node_connectivity(const node_t *node);
 /* Whether reports may still be answered: what cancellations there are is known well enough. */
 bool node_may_renew(const node_t *node, msec_t now);
-/* Whether starts may still be sent. */
-bool node_may_start(const node_t *node, msec_t now);
+/* Whether starts may still be sent. After the process stood still, what it knows is as old as that:
+ * none is sent until it is known what was cancelled up to its waking. */
+bool node_may_start(node_t *node, msec_t now);
+/* Takes notice of the time. */
+void node_pulse(node_t *node, msec_t now);
+/* Commands that were taken at `taken` are about to leave. False: their sender has stood still
+ * since, and what they say may be out of date (a cancelled job's start among them); they are given
+ * back to be judged anew. */
+bool node_may_send(node_t *node, const char *machine, uint64_t generation, const GArray *commands,
+                   msec_t taken, msec_t now);
 void node_wait(node_t *node, pthread_cond_t *cond, msec_t ms);
 
 void node_sleep(msec_t ms);
@@ -156,6 +166,7 @@
 void *follow_run(void *node);
 void *placer_run(void *node);
 void *sender_run(void *node);
+void *pulse_run(void *node);
 void *cloud_run(void *node);
 bool api_start(node_t *node);
 
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -719,6 +719,108 @@
     abort_job(0, "j-000001", "cancelled");
 }
 
+/* A controller leads, is replaced, and leads again minutes later. What it rented at first is up by
+ * then and works for other partitions, whose rows it has yet to hear: taken for boots that came to
+ * nothing, such machines were returned, work and all. */
+static void test_a_leader_anew_knows_no_boots_of_before(void **state)
+{
+    (void)state;
+    uint16_t peers[2] = {1, 2};
+    fixture = g_new0(fixture_t, 1);
+    fixture->services = services_new();
+    node_t *node = node_new(settings_of(0, peers, 2), policy_default());
+    node->rental = rental_new();
+    view_t own = {.number = 1, .revision = 10, .incarnation = node->incarnation};
+    view_t other = {.number = 3, .revision = 30, .incarnation = node->incarnation + 1};
+    pthread_mutex_lock(&node->lock);
+    node_adopt(node, &own);
+    rental_booting(node->rental, "m-000001", "t16", "north", true, 1000);
+    own.number = 2;
+    own.revision = 20;
+    node_adopt(node, &own); /* the same leadership: it boots on */
+    assert_int_equal(g_hash_table_size(node->rental->boots), 1);
+    node_adopt(node, &other);
+    own.number = 4;
+    own.revision = 40;
+    node_adopt(node, &own);
+    GPtrArray *stuck =
+        rental_stuck(node->rental, node->machine_types, 1000 + 10 * BOOT_PATIENCE_MS);
+    assert_int_equal(stuck->len, 0);
+    g_ptr_array_unref(stuck);
+    pthread_mutex_unlock(&node->lock);
+}
+
+/* A controller with one machine, alone and without its threads: the test says what time it is. */
+static node_t *owner_of_one(fake_worker_t *worker, msec_t now)
+{
+    fixture = g_new0(fixture_t, 1);
+    fixture->services = services_new();
+    node_t *node = node_new(settings_of(0, (uint16_t[]){1}, 1), policy_default());
+    machine_type_t machine_type = {.name = "t16", .capacity = {16, 0, 64}};
+    g_array_append_val(node->machine_types, machine_type);
+    node->partition = partition_new(node->machine_types, node->settings->teams, 30000);
+    partition_set_view(node->partition, 1);
+    node->loaded = node->jobs_synced = true;
+    node->jobs_proof = node->pulse = now;
+    worker->token = 1;
+    report_t report = fake_worker_report(worker);
+    GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
+    assert_int_equal(partition_report(node->partition, &report, false, now, commands),
+                     REPORT_TAKEN);
+    report_clear(&report);
+    g_array_unref(commands);
+    return node;
+}
+
+static void place_and_record(node_t *node, const char *job, uint64_t attempt, msec_t now)
+{
+    placement_request_t request = {
+        .need = {2, 0, 4}, .attempt = attempt, .job_revision = 5, .team = "red"};
+    g_strlcpy(request.job, job, sizeof request.job);
+    assert_non_null(partition_place(node->partition, &request, now));
+    partition_batch_t *batch = partition_batch_take(
+        node->partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES}, now);
+    partition_batch_commit(node->partition, batch, attempt, now);
+    partition_batch_free(batch);
+}
+
+/* What a sender would take now. */
+static machine_t *take(node_t *node, GArray *commands, msec_t now)
+{
+    g_array_set_size(commands, 0);
+    partition_pause_starts(node->partition, !node_may_start(node, now));
+    return partition_direct_take(node->partition, now, commands);
+}
+
+/* A sender has taken a start; the process stands still, and a job is called off elsewhere. On
+ * waking the start does not leave: it is judged anew, and no start goes out before it is known what
+ * was cancelled meanwhile. */
+static void test_a_start_taken_before_a_stall_does_not_leave_after_it(void **state)
+{
+    (void)state;
+    msec_t now = clock_steady(), woken = now + 3 * STALL_MS;
+    fake_worker_t *worker = fake_worker_new("m-000001");
+    node_t *node = owner_of_one(worker, now);
+    GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
+    pthread_mutex_lock(&node->lock);
+    place_and_record(node, "j-000001", 100, now);
+    place_and_record(node, "j-000002", 101, now);
+    assert_non_null(take(node, commands, now));
+    assert_int_equal(commands->len, 2);
+    assert_true(node_may_send(node, "m-000001", node->generation, commands, now, now + 5));
+    assert_false(node_may_send(node, "m-000001", node->generation, commands, now, woken));
+    assert_null(take(node, commands, woken)); /* it does not know yet */
+    assert_null(take(node, commands, woken + 100));
+    node_job_gone(node, "j-000001");
+    node->jobs_proof = woken + 50; /* the follow that began after it woke was answered */
+    assert_non_null(take(node, commands, woken + 200));
+    assert_int_equal(commands->len, 1);
+    assert_string_equal(g_array_index(commands, worker_command_t, 0).job, "j-000002");
+    pthread_mutex_unlock(&node->lock);
+    g_array_unref(commands);
+    fake_worker_free(worker);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -731,6 +833,8 @@
         cmocka_unit_test(test_whatever_a_submission_says_it_gets_its_answer),
         cmocka_unit_test(test_no_answer_waits_for_the_state_service),
         cmocka_unit_test(test_no_answer_waits_for_a_share_of_the_limits),
+        cmocka_unit_test(test_a_leader_anew_knows_no_boots_of_before),
+        cmocka_unit_test(test_a_start_taken_before_a_stall_does_not_leave_after_it),
     };
     signal(SIGPIPE, SIG_IGN);
     http_start();
