--- /dev/null
+++ b/src/app/api_state.c
@@ -0,0 +1,116 @@
+/* What the state service says of a job, read for users. */
+#include "app/api_internal.h"
+
+#include "io/clock.h"
+#include "log.h"
+
+bool api_acquire_client(request_t *request)
+{
+    node_t *node = request->node;
+    msec_t now = clock_steady();
+    pthread_mutex_lock(&node->lock);
+    while (!request->client && node->api_clients_free == 0 && now < request->wait_deadline) {
+        node_wait(node, &node->clients, request->wait_deadline - now);
+        now = clock_steady();
+    }
+    if (!request->client && node->api_clients_free > 0)
+        request->client = node->api_clients[--node->api_clients_free];
+    pthread_mutex_unlock(&node->lock);
+    return request->client != NULL;
+}
+
+void api_release_client(request_t *request)
+{
+    node_t *node = request->node;
+    if (!request->client)
+        return;
+    pthread_mutex_lock(&node->lock);
+    node->api_clients[node->api_clients_free++] = request->client;
+    request->client = NULL;
+    pthread_cond_signal(&node->clients);
+    pthread_mutex_unlock(&node->lock);
+}
+
+/* How long the next call to the state service may take; 0: it is not worth asking. */
+static long call_ms(const request_t *request)
+{
+    return (long)CLAMP(request->deadline - clock_steady(), 0, API_TIMEOUT_MS);
+}
+
+state_result_t api_commit(request_t *request, const txn_t *txn, GPtrArray *failed)
+{
+    node_t *node = request->node;
+    long timeout_ms = call_ms(request);
+    if (timeout_ms == 0)
+        return STATE_REFUSED;
+    rate_limiter_charge(&node->api_rps, 1, clock_steady());
+    return state_commit(&node->state, request->client, txn, timeout_ms, NULL, failed);
+}
+
+job_state_t api_remember_ended(node_t *node, const char *id, bool done)
+{
+    pthread_mutex_lock(&node->lock);
+    node_remember(node, id, done);
+    pthread_mutex_unlock(&node->lock);
+    return done ? JOB_DONE : JOB_CANCELLED;
+}
+
+state_result_t api_read_key(request_t *request, const char *prefix, const char *id,
+                            state_entry_t *entry)
+{
+    char key[128];
+    long timeout_ms = call_ms(request);
+    if (timeout_ms == 0)
+        return STATE_REFUSED;
+    g_snprintf(key, sizeof key, "%s/%s", prefix, id);
+    rate_limiter_charge(&request->node->api_rps, 1, clock_steady());
+    return state_get(&request->node->state, request->client, key, timeout_ms, entry);
+}
+
+void api_entry_clear(state_entry_t *entry)
+{
+    g_free(entry->key);
+    json_decref(entry->value);
+    *entry = (state_entry_t){0};
+}
+
+static job_state_t read_ended(request_t *request, const char *id)
+{
+    state_entry_t entry = {0};
+    state_result_t result = api_read_key(request, "ended", id, &entry);
+    if (result == STATE_ABSENT)
+        return JOB_NEVER;
+    if (result != STATE_OK)
+        return JOB_UNKNOWN;
+    const char *state = json_string_value(json_object_get(entry.value, "Trim"));
+    bool done = g_strcmp0(state, "done") == 0;
+    api_entry_clear(&entry);
+    return api_remember_ended(request->node, id, done);
+}
+
+static job_state_t read_live(request_t *request, const char *id)
+{
+    state_entry_t entry = {0};
+    state_result_t result = api_read_key(request, "jobs", id, &entry);
+    api_entry_clear(&entry);
+    return result == STATE_OK ? JOB_LIVE : result == STATE_ABSENT ? JOB_NEVER : JOB_UNKNOWN;
+}
+
+job_state_t api_look_up(request_t *request, const char *id, bool likely_live)
+{
+    job_state_t state = likely_live ? JOB_NEVER : read_ended(request, id);
+    if (state == JOB_NEVER)
+        state = read_live(request, id);
+    if (state == JOB_NEVER)
+        state = read_ended(request, id);
+    return state;
+}
+
+job_state_t api_known_state(node_t *node, const char *id, bool *likely_live)
+{
+    pthread_mutex_lock(&node->lock);
+    ended_t ended = (ended_t)GPOINTER_TO_INT(g_hash_table_lookup(node->ended, id));
+    *likely_live = g_hash_table_contains(node->jobs, id);
+    pthread_mutex_unlock(&node->lock);
+    return ended == ENDED_UNKNOWN ? JOB_UNKNOWN : ended == ENDED_DONE ? JOB_DONE : JOB_CANCELLED;
+}
--- a/tests/fakes/services.h
+++ b/tests/fakes/services.h
@@ -23,8 +23,11 @@
                                      its connection closed without an answer; owned */
     bool stalled;                 /* what is asked for users gets no answer until that ends */
     guint asked;                  /* requests for users, so far */
-    bool mute;                    /* who follows hears of no change any more */
-    bool types_known;             /* the cloud tells its machine types; else 503 */
+    guint lose_each;              /* of so many transactions that are carried out, one's connection
+                                     is closed without an answer; 0: none */
+    guint carried_out;
+    bool mute;        /* who follows hears of no change any more */
+    bool types_known; /* the cloud tells its machine types; else 503 */
     uint16_t cloud_port;
     uint64_t leases;
 } services_t;
@@ -37,6 +40,7 @@
 void services_swallow(services_t *services, const char *key);
 void services_stall(services_t *services, bool stalled);
 guint services_asked(services_t *services);
+void services_lose_answers(services_t *services, guint each);
 void services_mute(services_t *services);
 void services_publish_types(services_t *services);
 /* A port that nobody listens on now. */
