--- a/src/app/node_permission.c
+++ b/src/app/node_permission.c
@@ -1,5 +1,6 @@
 /* What a node may do with what it knows: answer reports, and send starts. */
 #include "app/node.h"
+#include "log.h"
 
 #include "io/clock.h"
 
@@ -31,8 +32,10 @@
 
 void node_pulse(node_t *node, msec_t now)
 {
-    if (now - node->pulse > STALL_MS)
+    if (now - node->pulse > STALL_MS) {
+        log_info("event=woken stall_ms=%" G_GINT64_FORMAT, now - node->pulse);
         node->woken = now;
+    }
     node->pulse = MAX(node->pulse, now);
 }
 
