--- a/src/app/node_permission.c
+++ b/src/app/node_permission.c
@@ -1,8 +1,8 @@
 /* What a node may do with what it knows: answer reports, and send starts. */
 #include "app/node.h"
-#include "log.h"
 
 #include "io/clock.h"
+#include "log.h"
 
 connectivity_t node_connectivity(const node_t *node)
 {
