--- a/src/app/node_permission.c
+++ b/src/app/node_permission.c
@@ -2,6 +2,7 @@
 #include "app/node.h"
 
 #include "io/clock.h"
+#include "log.h"
 
 connectivity_t node_connectivity(const node_t *node)
 {
@@ -31,8 +32,10 @@
 
 void node_pulse(node_t *node, msec_t now)
 {
-    if (now - node->pulse > STALL_MS)
+    if (now - node->pulse > STALL_MS) {
+        log_info("event=woken stall_ms=%" G_GINT64_FORMAT, now - node->pulse);
         node->woken = now;
+    }
     node->pulse = MAX(node->pulse, now);
 }
 
