--- a/src/app/api_internal.h
+++ b/src/app/api_internal.h
@@ -17,11 +17,17 @@
     char *text;             /* instead of body; owned */
 } reply_t;
 
-/* A request: its body while it arrives, then, if it has to wait, its place in the queue. */
+/* A request: its body while it arrives, then, if it has to wait, what serves it. One that gets no
+ * connection or no answer by its deadline is given up, and its user told so at that moment: nobody
+ * is kept waiting for an answer that is known already. */
 typedef struct {
-    GString *body;
+    node_t *node;
+    GString *body; /* of a body that is too long, how it begins */
     bool too_long;
     struct MHD_Connection *connection;
+    http_client_t *client; /* its connection to the state service; NULL: not yet */
+    msec_t wait_deadline;  /* given up without such a connection by then */
+    msec_t deadline;       /* given up without an answer of the state service by then */
     char method[METHOD_BYTES];
     char path[REQUEST_PATH_BYTES];
     bool answered; /* reply stands; it was not sent yet */
@@ -42,23 +48,27 @@
 /* Routes (api_route.c). */
 
 /* The answer to a whole request. */
-reply_t api_route(node_t *node, const char *method, const char *path, const request_t *request);
+reply_t api_route(request_t *request, const char *method, const char *path);
 
 /* The state of jobs in the state service (api_state.c). */
 
-/* A client of the state service; NULL: none came free in time. Give it back. */
-http_client_t *api_client_take(node_t *node);
-void api_client_return(node_t *node, http_client_t *client);
+/* Whether the request has a connection to the state service: it waits for one until its wait
+ * deadline. */
+bool api_acquire_client(request_t *request);
+void api_release_client(request_t *request);
+/* STATE_REFUSED also where the deadline has passed. failed: as for state_commit. */
+state_result_t api_commit(request_t *request, const txn_t *txn, GPtrArray *failed);
 /* Every road on which a user can be told a final state begins here: it is known to the other
  * threads, and noted for the siblings, before it can be told. */
 job_state_t api_remember_ended(node_t *node, const char *id, bool done);
-/* Reads <prefix>/<id>. entry: api_entry_clear it. */
-state_result_t api_read_key(node_t *node, http_client_t *client, const char *prefix, const char *id,
+/* Reads <prefix>/<id>. entry: api_entry_clear it. STATE_REFUSED also where the deadline has passed.
+ */
+state_result_t api_read_key(request_t *request, const char *prefix, const char *id,
                             state_entry_t *entry);
 void api_entry_clear(state_entry_t *entry);
 /* A job goes from jobs/ to ended/ and never back: one that is found in neither, asked in that
  * order, had not been accepted when the first was asked. */
-job_state_t api_look_up(node_t *node, http_client_t *client, const char *id, bool likely_live);
+job_state_t api_look_up(request_t *request, const char *id, bool likely_live);
 /* What this node knows without asking: a final state, or whether it is probably live. */
 job_state_t api_known_state(node_t *node, const char *id, bool *likely_live);
 
@@ -66,14 +76,12 @@
 
 /* The answer that tells a job's state. live_status: the HTTP status where it is live. */
 reply_t api_status_reply(node_t *node, const char *id, job_state_t state, unsigned live_status);
-reply_t api_get_status(node_t *node, const char *id);
-/* As the state service has the job, asked now. */
-reply_t api_look_up_reply(node_t *node, const char *id, unsigned live_status);
+reply_t api_get_status(request_t *request, const char *id);
 
 /* Submissions and aborts (api_jobs.c). */
 
-reply_t api_submit(node_t *node, const request_t *request);
-reply_t api_abort(node_t *node, const char *id);
+reply_t api_submit(request_t *request);
+reply_t api_abort(request_t *request, const char *id);
 
 /* Workers' reports (api_reports.c). */
 
--- a/src/app/api_status.c
+++ b/src/app/api_status.c
@@ -6,10 +6,18 @@
 #include "io/clock.h"
 #include "io/wire.h"
 
+/* With the lock held: for display, as the leader counts now or counted a moment ago. */
+static job_counts_t job_counts(const node_t *node, const char *id)
+{
+    if (!node->leading || !node->loaded)
+        return job_counts_replica_get(&node->job_counts, id);
+    const job_t *job = g_hash_table_lookup(node->leader->jobs, id);
+    return job ? (job_counts_t){.done = job->done_count, .outstanding = job->outstanding_count}
+               : (job_counts_t){0};
+}
+
 reply_t api_status_reply(node_t *node, const char *id, job_state_t state, unsigned live_status)
 {
-    uint32_t done = 0;
-    uint32_t running = 0;
     if (state == JOB_DONE || state == JOB_CANCELLED)
         return (reply_t){.status = HTTP_OK,
                          .body =
@@ -19,23 +27,19 @@
     if (state == JOB_UNKNOWN)
         return api_come_back();
     pthread_mutex_lock(&node->lock);
-    const job_t *job =
-        node->loaded && node->leading ? g_hash_table_lookup(node->leader->jobs, id) : NULL;
-    if (job) {
-        done = job->done_count;
-        running = job->outstanding_count;
-    }
+    job_counts_t counts = job_counts(node, id);
     pthread_mutex_unlock(&node->lock);
     return (reply_t){.status = live_status,
-                     .body = wire_build_status(id, running ? "running" : "queued", done, running)};
+                     .body = wire_build_status(id, counts.outstanding ? "running" : "queued",
+                                               counts.done, counts.outstanding)};
 }
 
 /* Compares the revisions of all that is asked, in as few requests as go. A job's key is written
  * once, so one whose revision still holds is live; one that fails may have ended and is left to be
  * looked up. */
-static void compare_live(node_t *node, http_client_t *client, inquiry_t *inquiry)
+static void compare_live(request_t *request, inquiry_t *inquiry)
 {
-    guint most = 4 * node->settings->txn_ops;
+    guint most = 4 * request->node->settings->txn_ops;
     bool more = g_hash_table_size(inquiry->asked) > 0;
     while (more) {
         GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
@@ -50,9 +54,7 @@
             g_snprintf(key, sizeof key, "jobs/%s", (char *)id);
             txn_if(&txn, key, GPOINTER_TO_SIZE(revision));
         }
-        rate_limiter_charge(&node->api_rps, 1, clock_steady());
-        state_result_t result =
-            state_commit(&node->state, client, &txn, API_TIMEOUT_MS, NULL, failed);
+        state_result_t result = api_commit(request, &txn, failed);
         for (size_t i = 0; result == STATE_OK && i < json_array_size(txn.conditions); i++) {
             const char *key =
                 json_string_value(json_object_get(json_array_get(txn.conditions, i), "K"));
@@ -69,61 +71,85 @@
     }
 }
 
-static void run_inquiry(node_t *node, inquiry_t *inquiry)
+static void run_inquiry(request_t *request, inquiry_t *inquiry)
 {
+    node_t *node = request->node;
     node_sleep(STATUS_GATHER_MS);
     pthread_mutex_lock(&node->lock);
     node->inquiry = NULL; /* later questions must be asked later */
     pthread_mutex_unlock(&node->lock);
-    http_client_t *client = api_client_take(node);
-    if (client) {
-        compare_live(node, client, inquiry);
-        api_client_return(node, client);
-    }
+    if (api_acquire_client(request))
+        compare_live(request, inquiry);
     pthread_mutex_lock(&node->lock);
     inquiry->done = true;
     pthread_cond_broadcast(&node->inquiries);
     pthread_mutex_unlock(&node->lock);
 }
 
-/* Whether the job is live, asked of the state service after the call began, with others at once;
- * false: not known to be. */
-static bool is_live(node_t *node, const char *id)
+/* With the lock held: an inquiry that still takes questions, with this one. */
+static inquiry_t *join_inquiry(node_t *node, const known_job_t *job)
 {
-    pthread_mutex_lock(&node->lock);
-    const known_job_t *job = g_hash_table_lookup(node->jobs, id);
-    if (!job) {
-        pthread_mutex_unlock(&node->lock);
-        return false;
-    }
-    bool first = node->inquiry == NULL;
-    if (first) {
+    if (!node->inquiry) {
         node->inquiry = g_new0(inquiry_t, 1);
         node->inquiry->asked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
         node->inquiry->live = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     }
     inquiry_t *inquiry = node->inquiry;
-    g_hash_table_insert(inquiry->asked, g_strdup(id), GSIZE_TO_POINTER(job->revision));
+    g_hash_table_insert(inquiry->asked, g_strdup(job->spec.id), GSIZE_TO_POINTER(job->revision));
     inquiry->waiting++;
+    return inquiry;
+}
+
+static void leave_inquiry(inquiry_t *inquiry)
+{
+    if (--inquiry->waiting > 0)
+        return;
+    g_hash_table_unref(inquiry->asked);
+    g_hash_table_unref(inquiry->live);
+    g_free(inquiry);
+}
+
+typedef enum {
+    LIVE_CHECK_LIVE,
+    LIVE_CHECK_CHANGED,   /* it may be over */
+    LIVE_CHECK_UNANSWERED /* refused, or no answer in time: whoever asks again had better ask later
+                           */
+} live_check_t;
+
+/* Whether the job is live, asked of the state service after the call began, with others at once. */
+static live_check_t check_live(request_t *request, const char *id)
+{
+    node_t *node = request->node;
+    pthread_mutex_lock(&node->lock);
+    const known_job_t *job = g_hash_table_lookup(node->jobs, id);
+    if (!job) {
+        pthread_mutex_unlock(&node->lock);
+        return LIVE_CHECK_CHANGED;
+    }
+    bool first = node->inquiry == NULL;
+    inquiry_t *inquiry = join_inquiry(node, job);
     pthread_mutex_unlock(&node->lock);
     if (first)
-        run_inquiry(node, inquiry);
+        run_inquiry(request, inquiry);
     pthread_mutex_lock(&node->lock);
-    while (!inquiry->done)
-        node_wait(node, &node->inquiries, API_TIMEOUT_MS);
-    bool live = g_hash_table_contains(inquiry->live, id);
-    bool last = --inquiry->waiting == 0;
-    pthread_mutex_unlock(&node->lock);
-    if (last) {
-        g_hash_table_unref(inquiry->asked);
-        g_hash_table_unref(inquiry->live);
-        g_free(inquiry);
+    msec_t now = clock_steady();
+    while (!inquiry->done && now < request->deadline) {
+        node_wait(node, &node->inquiries, request->deadline - now);
+        now = clock_steady();
     }
-    return live;
+    live_check_t result = LIVE_CHECK_CHANGED;
+    if (!inquiry->done || g_hash_table_contains(inquiry->asked, id))
+        result = LIVE_CHECK_UNANSWERED;
+    else if (g_hash_table_contains(inquiry->live, id))
+        result = LIVE_CHECK_LIVE;
+    leave_inquiry(inquiry);
+    pthread_mutex_unlock(&node->lock);
+    return result;
 }
 
-reply_t api_get_status(node_t *node, const char *id)
+reply_t api_get_status(request_t *request, const char *id)
 {
+    node_t *node = request->node;
     bool live;
     if (!wire_id_valid(id))
         return api_refuse(HTTP_NOT_FOUND, "no such job", 0);
@@ -132,26 +158,17 @@
         return api_status_reply(node, id, state, HTTP_OK);
     if (api_must_turn_away(node))
         return api_come_back();
-    if (live && is_live(node, id))
+    live_check_t check = live ? check_live(request, id) : LIVE_CHECK_CHANGED;
+    if (check == LIVE_CHECK_LIVE)
         return api_status_reply(node, id, JOB_LIVE, HTTP_OK);
+    if (check == LIVE_CHECK_UNANSWERED)
+        return api_come_back();
     if (!rate_limiter_take(&node->api_rps, 1, clock_steady()))
         return api_refuse(HTTP_TOO_MANY_REQUESTS, "too many requests", 2);
-    http_client_t *client = api_client_take(node);
-    if (!client)
+    if (!api_acquire_client(request))
         return api_come_back();
     msec_t begun = clock_steady();
-    state = api_look_up(node, client, id, live);
+    state = api_look_up(request, id, live);
     metrics_time(node->metrics, TIME_STATUS, clock_steady() - begun);
-    api_client_return(node, client);
     return api_status_reply(node, id, state, HTTP_OK);
 }
-
-reply_t api_look_up_reply(node_t *node, const char *id, unsigned live_status)
-{
-    http_client_t *client = api_must_turn_away(node) ? NULL : api_client_take(node);
-    if (!client)
-        return api_come_back();
-    job_state_t state = api_look_up(node, client, id, true);
-    api_client_return(node, client);
-    return api_status_reply(node, id, state, live_status);
-}
--- a/src/constants.h
+++ b/src/constants.h
@@ -46,10 +46,13 @@
 enum {
     TASKS_MAX_COUNT = 100000,   /* tasks of a job */
     BODY_MAX_BYTES = 64 * 1024, /* body of a request */
-    RENT_MAX_COUNT = 50,        /* machines in one rental */
-    RELEASE_MAX_COUNT = 100,    /* names in one release */
-    LIST_PAGE_COUNT = 500,      /* machines in a page of the cloud's list */
-    JOB_DIGITS_MIN_COUNT = 6,   /* of a job's id after "j-" */
+    JSON_DEPTH_MAX_COUNT =
+        32,               /* levels of a body: the parser calls itself, on THREAD_STACK_BYTES */
+    TYPES_MAX_COUNT = 64, /* machine types that a job may name; a placement request has as many */
+    RENT_MAX_COUNT = 50,  /* machines in one rental */
+    RELEASE_MAX_COUNT = 100,  /* names in one release */
+    LIST_PAGE_COUNT = 500,    /* machines in a page of the cloud's list */
+    JOB_DIGITS_MIN_COUNT = 6, /* of a job's id after "j-" */
     JOB_DIGITS_MAX_COUNT = 18
 };
 
@@ -68,6 +71,8 @@
 static const double CLOUD_RPS_MIN = 0.1;
 /* Any number there; a larger one is a slip. */
 static const double SETTING_MAX = 1e9;
+/* Stands for numbers that a double does not hold. */
+static const double LARGEST_NUMBER = 1e308;
 
 /* ---- Records in the state service ---- */
 
@@ -118,8 +123,11 @@
 /* ---- Users' requests ---- */
 
 enum {
-    API_TIMEOUT_MS = 1500,  /* a call to the state service: users wait 2 s for a status and 5 s
-                               for a submission */
+    API_TIMEOUT_MS = 1500,  /* a call to the state service */
+    API_WAIT_MS = 1000,     /* a request waits so long for a thread and a connection to the state
+                               service: half of what users wait for a status */
+    API_STATUS_MS = 1600,   /* from its arrival a status is worked on so long; users wait 2 s */
+    API_SUBMIT_MS = 4500,   /* a submission or an abort; users wait 5 s */
     STATUS_GATHER_MS = 200, /* status reads of so long are asked together; users wait 2 s */
     API_CLIENTS_COUNT = 10, /* connections to the state service; a call takes some 10 ms */
     API_THREADS_COUNT = 48, /* requests handled at once: half a second each when things are
@@ -225,6 +233,7 @@
     CANCELLATION_LOG_COUNT = 2048,   /* entries kept for siblings that have not fetched them: a
                                         minute or more of what the rate limits let through */
     CANCELLATION_UPDATE_COUNT = 256, /* entries in one message, 6 KB; the rest goes in the next */
+    JOB_COUNTS_BATCH_COUNT = 256,    /* jobs whose counts go in one answer to a heartbeat: 8 KB */
     CLOCK_DRIFT_DIVISOR = 1000       /* steady clocks drift apart by up to 0.05% (protocol) */
 };
 
--- a/src/io/peer_protocol.c
+++ b/src/io/peer_protocol.c
@@ -166,6 +166,7 @@
     g_clear_pointer(&message->summaries, g_array_unref);
     g_clear_pointer(&message->yielding, g_array_unref);
     cancellation_update_clear(&message->update);
+    job_counts_update_clear(&message->counts);
 }
 
 /* The message without its lists, which take memory of their own. */
@@ -202,6 +203,21 @@
     return frame;
 }
 
+/* The list of the counts is to be freed. */
+static void counts_to_xdr(const job_counts_update_t *counts, peer_message *wire)
+{
+    guint count = counts->jobs ? counts->jobs->len : 0;
+    peer_job_counts *list = g_new0(peer_job_counts, count + 1);
+    for (guint i = 0; i < count; i++) {
+        const job_counts_t *from = &g_array_index(counts->jobs, job_counts_t, i);
+        list[i] = (peer_job_counts){(char *)from->job, from->done, from->outstanding};
+    }
+    wire->counts_epoch = counts->epoch;
+    wire->counts_version = counts->version;
+    wire->counts.counts_len = count;
+    wire->counts.counts_val = list;
+}
+
 GByteArray *peer_encode(const peer_message_t *message)
 {
     guint items = message->items ? message->items->len : 0;
@@ -224,12 +240,28 @@
         wire.update.jobs.jobs_len = message->update.jobs->len;
         wire.update.jobs.jobs_val = (peer_name *)message->update.jobs->pdata;
     }
+    counts_to_xdr(&message->counts, &wire);
     GByteArray *frame = serialize(&wire);
+    g_free(wire.counts.counts_val);
     g_free(item_list);
     g_free(summary_list);
     return frame;
 }
 
+static job_counts_update_t counts_from_xdr(const peer_message *wire)
+{
+    job_counts_update_t update = {.epoch = wire->counts_epoch,
+                                  .version = wire->counts_version,
+                                  .jobs = g_array_new(FALSE, FALSE, sizeof(job_counts_t))};
+    for (u_int i = 0; i < wire->counts.counts_len; i++) {
+        const peer_job_counts *from = &wire->counts.counts_val[i];
+        job_counts_t counts = {.done = from->done, .outstanding = from->outstanding};
+        g_strlcpy(counts.job, from->job, sizeof counts.job);
+        g_array_append_val(update.jobs, counts);
+    }
+    return update;
+}
+
 static void take_message(const peer_message *wire, peer_message_t *message)
 {
     g_strlcpy(message->sender, wire->sender, sizeof message->sender);
@@ -250,6 +282,7 @@
                                               .jobs = g_ptr_array_new_with_free_func(g_free)};
     for (u_int i = 0; i < wire->update.jobs.jobs_len; i++)
         g_ptr_array_add(message->update.jobs, g_strdup(wire->update.jobs.jobs_val[i]));
+    message->counts = counts_from_xdr(wire);
     message->items = channel_items_new();
     for (u_int i = 0; i < wire->items.items_len; i++) {
         channel_item_t item;
--- a/src/io/wire_internal.h
+++ b/src/io/wire_internal.h
@@ -9,6 +9,8 @@
 
 /* Sets the reason, if why is not NULL. Always false. */
 bool wire_fail(reason_t *why, const char *format, ...) G_GNUC_PRINTF(2, 3);
+/* NULL: no string, or one with a NUL character, of which C would see a part only. */
+const char *wire_text(const json_t *value);
 /* A string that is not empty and fits the size, final zero included. */
 bool wire_get_text(const json_t *body, const char *name, char *to, gsize size, reason_t *why);
 /* The same; null and absent are allowed, and leave *to as it is. */
--- a/src/io/wire_user.c
+++ b/src/io/wire_user.c
@@ -27,17 +27,42 @@
     json_t *value;
     json_array_foreach(list, i, value)
     {
-        if (!json_is_string(value)) {
+        if (!wire_text(value)) {
             g_ptr_array_unref(names);
             return wire_fail(why, "Hulls: strings are expected");
         }
-        g_ptr_array_add(names, g_strdup(json_string_value(value)));
+        g_ptr_array_add(names, g_strdup(wire_text(value)));
     }
     g_ptr_array_add(names, NULL);
     spec->types = (char **)g_ptr_array_free(names, FALSE);
     return true;
 }
 
+/* Names go into logs, records and messages, each with its limits. */
+static bool is_name(const char *text)
+{
+    gsize length = strlen(text);
+    for (gsize i = 0; i < length; i++)
+        if (g_ascii_iscntrl(text[i]))
+            return false;
+    return length < LABEL_BYTES;
+}
+
+/* Only what is new is refused for it: what is stored was accepted. */
+static bool check_names(const job_spec_t *spec, reason_t *why)
+{
+    guint count = 0;
+    for (char **type = spec->types; type && *type; type++, count++)
+        if (!is_name(*type))
+            return wire_fail(why, "Hulls: not a name");
+    if (count > TYPES_MAX_COUNT)
+        return wire_fail(why, "Hulls: more than %d names", TYPES_MAX_COUNT);
+    if (!is_name(spec->class_name) || !is_name(spec->team) || !is_name(spec->image) ||
+        !is_name(spec->zone))
+        return wire_fail(why, "a name has control characters");
+    return true;
+}
+
 // NOLINTNEXTLINE(readability-function-size): a line for each field
 bool wire_parse_job(const json_t *body, bool stored, job_spec_t *spec, reason_t *why)
 {
@@ -75,7 +100,7 @@
                   wire_get_amount(body, "TideS", 0, &spec->deadline_s, why)) &&
                  (!stored || wire_get_count(body, "At", 0, G_MAXINT64, &submitted, why)) &&
                  (spec->need.cpus > 0 || wire_fail(why, "Cpus: must be above 0")) &&
-                 get_types(body, spec, why);
+                 get_types(body, spec, why) && (stored || check_names(spec, why));
     spec->tasks = (uint32_t)tasks;
     spec->kind = (job_kind_t)kind;
     spec->priority = (priority_t)priority;
--- a/tests/fakes/services.h
+++ b/tests/fakes/services.h
@@ -21,6 +21,8 @@
     bool refused[SERVICES_PORTS]; /* every request there gets 503 */
     char *swallow;                /* the next transaction that changes this key is carried out, and
                                      its connection closed without an answer; owned */
+    bool stalled;                 /* what is asked for users gets no answer until that ends */
+    guint asked;                  /* requests for users, so far */
     guint lose_each;              /* of so many transactions that are carried out, one's connection
                                      is closed without an answer; 0: none */
     guint carried_out;
@@ -36,6 +38,8 @@
 uint64_t services_revision(services_t *services, const char *key);
 void services_refuse(services_t *services, guint port, bool refused);
 void services_swallow(services_t *services, const char *key);
+void services_stall(services_t *services, bool stalled);
+guint services_asked(services_t *services);
 void services_lose_answers(services_t *services, guint each);
 void services_mute(services_t *services);
 void services_publish_types(services_t *services);
