--- a/src/app/cloud_release.c
+++ b/src/app/cloud_release.c
@@ -75,10 +75,10 @@
         now - atomic_load(&node->state.answered_at) < FOLLOW_BLOCK_MS + STATE_TIMEOUT_MS;
     if (!informed)
         node->rental->surplus_since = 0;
-    /* What the work needs is known with the load, and what stands within moments: a surplus has to
-     * last for `idle_keep` in any case. When a leader was given 40 s more and views came every half
-     * minute, nothing was returned for minutes. */
-    bool may_return = informed && now - node->loaded_at > LEADER_GRACE_MS;
+    /* Views of the same leader teach it nothing new: when they came every half minute, nothing was
+     * returned for minutes. */
+    bool may_return = informed && now - node->leading_since > RETURN_AFTER_MS &&
+                      now - node->loaded_at > LEADER_GRACE_MS;
     for (guint drained = 0; may_return && drained < DRAINS_PER_ROUND; drained++) {
         machine_summary_t *surplus =
             rental_surplus(node->rental, node->leader, node->machine_types, now, clock_day());
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -181,6 +181,8 @@
     node->view = *view;
     bool was_leading = node->leading;
     node->leading = view->incarnation == node->incarnation;
+    if (!was_leading)
+        node->leading_since = clock_steady();
     if (!was_leading && node->leading && node->rental)
         rental_begin(node->rental);
     node->loaded = false;
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -79,9 +79,10 @@
     msec_t sibling_message_at;   /* when a sibling's last message came */
     uint64_t superseded;         /* the highest view number that another node spoke of */
     election_t election;
-    bool leading; /* the view is ours */
-    bool loaded;  /* the partition (and the leader's data) of this view stand */
-    guint own;    /* our index among the members; G_MAXUINT: not a member */
+    bool leading;         /* the view is ours */
+    msec_t leading_since; /* without a break, over however many views */
+    bool loaded;          /* the partition (and the leader's data) of this view stand */
+    guint own;            /* our index among the members; G_MAXUINT: not a member */
     guint leader_index;
     uint64_t generation; /* of partition and leader: grows with each load */
     msec_t loaded_at;
--- a/src/constants.h
+++ b/src/constants.h
@@ -54,10 +54,10 @@
     CANCELLATION_LOG_MAX = 2048, /* cancellations told, kept for siblings that have not fetched
                               them: a minute or more of what the rate limits let through */
     CANCELLATION_UPDATE_JOBS =
-        256,              /* of them in one message: 6 KB; what is left is fetched in the next */
+        256,                /* of them in one message: 6 KB; what is left is fetched in the next */
     JOB_COUNTS_BATCH = 256, /* jobs whose counts go in one answer to a heartbeat: 8 KB */
-    CLOCK_DRIFT = 1000,   /* one part in so many: steady clocks drift apart by up to 0.05% */
-    JOB_ERRORS_ALARM = 4, /* failures of one job on as many machines: the job is bad */
+    CLOCK_DRIFT = 1000,     /* one part in so many: steady clocks drift apart by up to 0.05% */
+    JOB_ERRORS_ALARM = 4,   /* failures of one job on as many machines: the job is bad */
     STARVING_TASKS_DIVISOR =
         16, /* of a job's tasks, one in so many at a time goes first once it is starving */
     CLAIMED_MACHINES_DIVISOR =
@@ -165,6 +165,8 @@
                             controllers that don't answer cost it 5 s each */
     PREEMPT_PROTECT_MS = 2000, /* a start is not preempted in its first moments */
     BOOT_PATIENCE_MS = 30000,  /* added to three times BootS before a boot is given up */
+    RETURN_AFTER_MS = 40000,   /* a new leader waits so long before it returns machines: what goes
+                                  back in the trough after a trouble is missed in the next wave */
     STATUS_GATHER_MS = 200,    /* status reads of so long are asked together; users wait 2 s */
     UNHEARD_MS = 5000,         /* without a sibling's word: heartbeats go out every half second */
     SERVE_ALONE_MS = 8000, /* so long workers are answered without state service and siblings: their
@@ -173,7 +175,7 @@
 };
 
 #define LARGEST_NUMBER 1e308 /* stands for numbers that a double does not hold */
-#define SETTING_MAX 1e9 /* of any number in the platform's file; more is a slip */
+#define SETTING_MAX 1e9      /* of any number in the platform's file; more is a slip */
 
 /* Shares of the outside services' limits (1 = all of it). Peaks of the three nodes seldom meet,
  * and what is refused above the limit is repeated: together they may exceed 1. */
