--- a/src/constants.h
+++ b/src/constants.h
@@ -284,6 +284,9 @@
 
 /* Of all guarantees: the weight of a team that has none. */
 static const double UNGUARANTEED_TEAM_FRACTION = 0.1;
+/* Of its weight, for work of a class without an aim: a quarter of it served half of such a class by
+ * the end of a day, half of it nearly all. */
+static const double IDLE_WORK_FRACTION = 0.5;
 /* The cost of a stopped task: it waits and fetches its image again. */
 static const double PREEMPT_COST_S = 5.0;
 /* Added where the image is still to be fetched. */
--- a/src/core/leader_queues.c
+++ b/src/core/leader_queues.c
@@ -132,6 +132,21 @@
     return MAX(queued->job->spec.need.cpus, EPSILON);
 }
 
+static bool has_objective(const leader_t *leader, const job_t *job)
+{
+    return job->spec.deadline_s > 0 || g_hash_table_contains(leader->targets, job->spec.class_name);
+}
+
+/* A team without a guarantee counts for less with work that nobody has set an aim for: it has time,
+ * and what it takes is missed by work that has none. */
+static double team_weight(const leader_t *leader, const team_state_t *state, const job_t *next,
+                          double promised)
+{
+    double weight = MAX(MAX(state->team.cpus, promised * UNGUARANTEED_TEAM_FRACTION), 1);
+    bool is_idle_work = state->team.cpus <= 0 && !has_objective(leader, next);
+    return is_idle_work ? weight * IDLE_WORK_FRACTION : weight;
+}
+
 /* Whose turn it is, of those with work left from `at` on: a share is one of the resources in use,
  * not of starts: tasks of five minutes beside others of twenty seconds took nearly all of it by
  * equal starts.
@@ -146,11 +161,14 @@
         promised += g_array_index(leader->teams, team_state_t, i).team.cpus;
     for (guint i = 0; i < teams; i++) {
         const team_state_t *state = &g_array_index(leader->teams, team_state_t, i);
-        double weight = MAX(MAX(state->team.cpus, promised * UNGUARANTEED_TEAM_FRACTION), 1);
-        if (at[i] >= ((const GArray *)g_ptr_array_index(queues, i))->len ||
-            state->cpus / weight >= least)
+        const GArray *queue = g_ptr_array_index(queues, i);
+        if (at[i] >= queue->len)
+            continue;
+        const job_t *next = g_array_index(queue, queued_t, at[i]).job;
+        double in_use = state->cpus / team_weight(leader, state, next, promised);
+        if (in_use >= least)
             continue;
-        least = state->cpus / weight;
+        least = in_use;
         poorest = i;
     }
     return poorest;
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -146,11 +146,11 @@
 static void test_a_share_is_one_of_the_resources_in_use(void **state)
 {
     (void)state;
-    GArray *redirection = g_array_copy(teams);
-    g_array_index(redirection, team_t, 0) = (team_t){.name = "red"};
-    g_array_index(redirection, team_t, 1) = (team_t){.name = "blue"};
+    GArray *unguaranteed = g_array_copy(teams);
+    g_array_index(unguaranteed, team_t, 0) = (team_t){.name = "red"};
+    g_array_index(unguaranteed, team_t, 1) = (team_t){.name = "blue"};
     leader_free(leader);
-    leader = leader_new(redirection, targets, policy, 2);
+    leader = leader_new(unguaranteed, targets, policy, 2);
     leader_set_view(leader, 3);
     record_entry_t loaded = {.job = "j-000009", .team = "red", .need = {40, 0, 1}, .attempt = 9};
     leader_load_attempt(leader, &loaded, "north", 0);
@@ -167,7 +167,31 @@
     assert_int_equal(count(requests, "j-000002"), 10);
     assert_int_equal(count(requests, "j-000001"), 5);
     g_array_unref(requests);
-    g_array_unref(redirection);
+    g_array_unref(unguaranteed);
+}
+
+/* Five-minute tasks that nobody set an aim for took half of all machines, and most jobs that had
+ * one missed it. */
+static void test_work_without_an_aim_counts_half_of_its_team(void **state)
+{
+    (void)state;
+    GArray *unguaranteed = g_array_copy(teams);
+    g_array_index(unguaranteed, team_t, 0) = (team_t){.name = "red"};
+    g_array_index(unguaranteed, team_t, 1) = (team_t){.name = "blue"};
+    leader_free(leader);
+    leader = leader_new(unguaranteed, targets, policy, 2);
+    leader_set_view(leader, 3);
+    job_spec_t aimed = job("j-000001", "red", 100);
+    job_spec_t idle = job("j-000002", "blue", 100);
+    aimed.deadline_s = 100;
+    set_resources(0, "north", 30);
+    add(&aimed);
+    add(&idle);
+    GArray *requests = schedule();
+    assert_int_equal(count(requests, "j-000001"), 10);
+    assert_int_equal(count(requests, "j-000002"), 5);
+    g_array_unref(requests);
+    g_array_unref(unguaranteed);
 }
 
 static void test_priority_comes_before_age(void **state)
@@ -821,6 +845,8 @@
         cmocka_unit_test_setup_teardown(test_shares_are_served_in_turn, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_a_share_is_one_of_the_resources_in_use, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(test_work_without_an_aim_counts_half_of_its_team, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(test_priority_comes_before_age, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_machines_are_claimed_for_a_large_task_that_goes_first,
                                         set_up, tear_down),
