--- a/src/app/api.c
+++ b/src/app/api.c
@@ -28,16 +28,16 @@
 
 reply_t api_come_back(void)
 {
-    return api_refuse(503, "the state service can't be asked now", 1);
+    return api_refuse(HTTP_UNAVAILABLE, "the state service can't be asked now", 1);
 }
 
 static void count_reply(node_t *node, const reply_t *reply)
 {
-    if (reply->status == 201)
+    if (reply->status == HTTP_CREATED)
         metrics_count(node->metrics, COUNT_SUBMITTED, 1);
-    else if (reply->status == 429 || reply->status == 503)
+    else if (reply->status == HTTP_TOO_MANY_REQUESTS || reply->status == HTTP_UNAVAILABLE)
         metrics_count(node->metrics, COUNT_COME_BACK, 1);
-    else if (reply->status >= 400 && reply->status != 421)
+    else if (reply->status >= HTTP_BAD_REQUEST && reply->status != HTTP_MISDIRECTED)
         metrics_count(node->metrics, COUNT_REFUSED, 1);
 }
 
@@ -55,7 +55,7 @@
     if (close)
         MHD_add_response_header(response, "Connection", "close");
     if (reply.retry_after_s) {
-        char seconds[16];
+        char seconds[NUMBER_BYTES];
         g_snprintf(seconds, sizeof seconds, "%u", reply.retry_after_s);
         MHD_add_response_header(response, "Retry-After", seconds);
     }
@@ -81,7 +81,7 @@
 
 static reply_t refuse_expired(void)
 {
-    return api_refuse(503, "too many requests wait here", 1);
+    return api_refuse(HTTP_UNAVAILABLE, "too many requests wait here", 1);
 }
 
 static void *answer_run(void *data)
@@ -112,7 +112,7 @@
     for (;;) {
         request_t *request = request_queue_pop_expired(&node->requests, clock_steady());
         msec_t next = request_queue_next(&node->requests);
-        struct timespec at = {.tv_sec = next / 1000, .tv_nsec = next % 1000 * 1000000};
+        struct timespec at = {.tv_sec = next / MS_PER_S, .tv_nsec = next % MS_PER_S * NS_PER_MS};
         if (request)
             finish(request, refuse_expired());
         else if (next == G_MAXINT64)
@@ -129,7 +129,7 @@
     node_t *node = request->node;
     if (g_strlcpy(request->method, method, sizeof request->method) >= sizeof request->method ||
         g_strlcpy(request->path, path, sizeof request->path) >= sizeof request->path) {
-        request->reply = api_refuse(404, "no such path", 0);
+        request->reply = api_refuse(HTTP_NOT_FOUND, "no such path", 0);
         return false;
     }
     msec_t now = clock_steady();
@@ -164,7 +164,7 @@
         return MHD_YES;
     }
     if (*upload_size) {
-        request->too_long = request->too_long || request->body->len + *upload_size > BODY_MAX;
+        request->too_long = request->too_long || request->body->len + *upload_size > BODY_MAX_BYTES;
         if (!request->too_long)
             g_string_append_len(request->body, upload, (gssize)*upload_size);
         *upload_size = 0;
@@ -182,7 +182,7 @@
     /* A worker that finds no connection loses its lease, a user asks again: above three quarters of
      * the limit, users' connections are not kept. */
     guint most = node->settings->connections;
-    bool crowded = atomic_load(&node->connections) > most - most / CONNECTIONS_FOR_WORKERS;
+    bool crowded = atomic_load(&node->connections) > most - most / WORKER_CONNECTIONS_DIVISOR;
     return send_reply(connection, request->reply, crowded && strcmp(path, "/hello") != 0);
 }
 
@@ -216,22 +216,23 @@
 bool api_start(node_t *node)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
-    char host[ADDRESS_SIZE];
+    char host[ADDRESS_BYTES];
     const char *listen = node->settings->client_listen;
     const char *colon = strrchr(listen, ':');
     g_strlcpy(host, listen, (gsize)(colon - listen) + 1);
     inet_pton(AF_INET, host, &address.sin_addr);
-    address.sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10));
-    for (guint i = 0; i < ANSWERERS; i++)
+    address.sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, DECIMAL));
+    for (guint i = 0; i < API_THREADS_COUNT; i++)
         node_thread(answer_run, node);
     node_thread(expire_run, node);
     struct MHD_Daemon *daemon = MHD_start_daemon(
         MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
         handle, node, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_THREAD_POOL_SIZE,
-        (unsigned)HTTP_THREADS, MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
+        (unsigned)HTTP_THREADS_COUNT, MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
         MHD_OPTION_NOTIFY_CONNECTION, count_connection, node, MHD_OPTION_CONNECTION_LIMIT,
-        node->settings->connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
-        MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+        node->settings->connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        (size_t)CONNECTION_BUFFER_BYTES, MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK_BYTES,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
         /* A peer behind a cut or hanging never closes: its sockets would add up to the limit. */
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)CONNECTION_IDLE_S, MHD_OPTION_END);
     if (!daemon)
--- a/src/app/api_internal.h
+++ b/src/app/api_internal.h
@@ -28,8 +28,8 @@
     http_client_t *client; /* its connection to the state service; NULL: not yet */
     msec_t wait_deadline;  /* given up without such a connection by then */
     msec_t deadline;       /* given up without an answer of the state service by then */
-    char method[8];
-    char path[REQUEST_PATH];
+    char method[METHOD_BYTES];
+    char path[REQUEST_PATH_BYTES];
     bool answered; /* reply stands; it was not sent yet */
     reply_t reply;
 } request_t;
--- a/src/app/api_jobs.c
+++ b/src/app/api_jobs.c
@@ -18,14 +18,15 @@
         return reply;
     reply_t known;
     if (api_must_turn_away(node))
+        // NOLINTNEXTLINE(bugprone-branch-clone): the order of the questions counts
         known = api_come_back();
     else if (!rate_limiter_take(&node->api_rps, 1, clock_steady()))
-        known = api_refuse(429, "too many requests", 2);
+        known = api_refuse(HTTP_TOO_MANY_REQUESTS, "too many requests", 2);
     else if (!api_acquire_client(request))
         known = api_come_back();
     else
-        known = api_status_reply(node, id, api_look_up(request, id, true), 200);
-    bool unknown = known.status == 404;
+        known = api_status_reply(node, id, api_look_up(request, id, true), HTTP_OK);
+    bool unknown = known.status == HTTP_NOT_FOUND;
     json_decref(unknown ? known.body : reply.body);
     return unknown ? reply : known;
 }
@@ -63,15 +64,17 @@
     if (result == STATE_OK)
         log_info("event=accept job=%s class=%s tasks=%u", spec->id, spec->class_name, spec->tasks);
     if (result == STATE_OK)
-        return (reply_t){.status = 201, .body = wire_build_status(spec->id, "queued", 0, 0)};
+        return (reply_t){.status = HTTP_CREATED,
+                         .body = wire_build_status(spec->id, "queued", 0, 0)};
     if (result == STATE_REFUSED)
         return api_come_back();
     if (result == STATE_INVALID)
-        return reject(request, spec->id, api_refuse(400, "too large to be recorded", 0));
+        return reject(request, spec->id,
+                      api_refuse(HTTP_BAD_REQUEST, "too large to be recorded", 0));
     job_state_t state = api_look_up(request, spec->id, true);
     if (state == JOB_NEVER)
         return api_come_back(); /* no answer, and not applied so far */
-    return api_status_reply(request->node, spec->id, state, 200);
+    return api_status_reply(request->node, spec->id, state, HTTP_OK);
 }
 
 static reply_t submit_job(request_t *request, job_spec_t *spec)
@@ -80,13 +83,14 @@
     bool undecided = false;
     const char *never = never_runs(node, spec, &undecided);
     if (undecided)
-        return reject(request, spec->id, api_refuse(503, "the machine types are not known yet", 1));
+        return reject(request, spec->id,
+                      api_refuse(HTTP_UNAVAILABLE, "the machine types are not known yet", 1));
     if (never)
-        return reject(request, spec->id, api_refuse(422, never, 0));
+        return reject(request, spec->id, api_refuse(HTTP_UNPROCESSABLE, never, 0));
     if (api_must_turn_away(node))
         return api_come_back();
     if (!rate_limiter_take(&node->api_write, 1, clock_steady()))
-        return api_refuse(429, "too many submissions", 2);
+        return api_refuse(HTTP_TOO_MANY_REQUESTS, "too many submissions", 2);
     if (!api_acquire_client(request))
         return api_come_back();
     spec->submitted_ms = clock_day();
@@ -107,7 +111,7 @@
     const GString *text = request->body;
     json_t *partial;
     json_t *body = json_input_load(text->str, text->len, &partial);
-    char id[ID_SIZE];
+    char id[ID_BYTES];
     job_spec_t spec;
     reason_t why = {"a JSON object is expected"};
     bool valid = !request->too_long && wire_parse_job(body, false, &spec, &why);
@@ -119,8 +123,9 @@
         job_spec_clear(&spec);
         return reply;
     }
-    return reject(request, id,
-                  api_refuse(400, request->too_long ? "the body is over 64 KiB" : why.text, 0));
+    return reject(
+        request, id,
+        api_refuse(HTTP_BAD_REQUEST, request->too_long ? "the body is over 64 KiB" : why.text, 0));
 }
 
 reply_t api_submit(request_t *request)
@@ -155,14 +160,14 @@
         api_entry_clear(&entry);
         if (result == STATE_OK) {
             log_info("event=abort job=%s", id);
-            return api_status_reply(node, id, api_remember_ended(node, id, false), 200);
+            return api_status_reply(node, id, api_remember_ended(node, id, false), HTTP_OK);
         }
         if (result != STATE_FAILED && result != STATE_UNKNOWN)
             return api_come_back();
     }
     /* It ended meanwhile, or the answer was lost: only a final state may be told. */
     job_state_t state = api_look_up(request, id, true);
-    return state == JOB_LIVE ? api_come_back() : api_status_reply(node, id, state, 200);
+    return state == JOB_LIVE ? api_come_back() : api_status_reply(node, id, state, HTTP_OK);
 }
 
 reply_t api_abort(request_t *request, const char *id)
@@ -170,10 +175,10 @@
     node_t *node = request->node;
     bool live;
     if (!wire_id_valid(id))
-        return api_refuse(404, "no such job", 0);
+        return api_refuse(HTTP_NOT_FOUND, "no such job", 0);
     job_state_t state = api_known_state(node, id, &live);
     if (state != JOB_UNKNOWN)
-        return api_status_reply(node, id, state, 200);
+        return api_status_reply(node, id, state, HTTP_OK);
     return !api_must_turn_away(node) && api_acquire_client(request) ? abort_with(request, id)
                                                                     : api_come_back();
 }
--- a/src/app/api_state.c
+++ b/src/app/api_state.c
@@ -58,7 +58,7 @@
 state_result_t api_read_key(request_t *request, const char *prefix, const char *id,
                             state_entry_t *entry)
 {
-    char key[128];
+    char key[STATE_KEY_BYTES];
     long timeout_ms = call_ms(request);
     if (timeout_ms == 0)
         return STATE_REFUSED;
--- a/src/app/cloud_members.c
+++ b/src/app/cloud_members.c
@@ -36,7 +36,8 @@
 msec_t cloud_lost_after(const node_t *node)
 {
     return MAX(LOST_SILENT_MS,
-               (msec_t)(node->settings->report_s * REPORT_SPREAD * 1000) + 2 * REPORT_LATE_MS);
+               (msec_t)(node->settings->report_s * REPORT_SPREAD_FACTOR * MS_PER_S) +
+                   2 * (msec_t)REPORT_LATE_MS);
 }
 
 /* With the lock held: machines of a partition that have gone silent, if they are most of it. */
@@ -49,7 +50,7 @@
         if (summary->silent_ms > cloud_lost_after(node))
             g_ptr_array_add(lost, g_strdup(summary->machine));
     }
-    if (lost->len < LOST_LEAST || 2 * lost->len <= summaries->len)
+    if (lost->len < LOST_MACHINES_MIN_COUNT || 2 * lost->len <= summaries->len)
         g_ptr_array_set_size(lost, 0);
     return lost;
 }
@@ -103,13 +104,13 @@
         json_array_append_new(names, json_string(g_ptr_array_index(retained, i)));
     g_ptr_array_unref(retained);
     bool has_grown = json_array_size(names) > cloud->retained_count;
-    msec_t gap = has_grown ? RETAINED_GROWN_MS : RETAINED_WRITE_MS;
+    msec_t gap = has_grown ? RETAINED_GROWN_GAP_MS : RETAINED_WRITE_GAP_MS;
     if (json_array_size(names) == 0 || now - cloud->retained_at <= gap) {
         json_decref(names);
         return;
     }
     cloud->retained_count = (guint)json_array_size(names);
-    char path[ID_SIZE + 8];
+    char path[URL_BYTES];
     txn_t txn = txn_new();
     g_snprintf(path, sizeof path, "kept/%s", node->settings->name);
     txn_set(&txn, path, json_pack("{s:I,s:o}", "At", (json_int_t)clock_day(), "Machines", names),
--- a/src/app/heartbeat.c
+++ b/src/app/heartbeat.c
@@ -37,7 +37,7 @@
                                             message->acknowledged_index, clock_steady());
     if (node->leading && node->loaded)
         answer.counts = leader_counts(node->leader, message->counts.epoch, message->counts.version,
-                                      JOB_COUNTS_BATCH);
+                                      JOB_COUNTS_BATCH_COUNT);
     pthread_mutex_unlock(&node->lock);
     GByteArray *frame = peer_encode(&answer);
     peer_message_clear(&answer);
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -61,7 +61,7 @@
     state_t state;
     rate_limiter_t core_rps, core_write; /* member, follow, placer, cloud */
     rate_limiter_t api_rps, api_write;
-    http_client_t *api_clients[API_CLIENTS];
+    http_client_t *api_clients[API_CLIENTS_COUNT];
 
     pthread_mutex_t lock;
     pthread_cond_t work;    /* for the placer */
@@ -99,14 +99,14 @@
     partition_t *partition;
     leader_t *leader;
     rental_t *rental;
-    channel_t *leader_channel;       /* our partition's end, towards the leader */
-    GPtrArray *channels;             /* the leader's ends, a member each; NULL for its own */
-    msec_t received_at[MEMBERS_MAX]; /* when each member last called by socket */
-    GHashTable *ended;               /* id -> ended_t; a bounded cache */
+    channel_t *leader_channel;             /* our partition's end, towards the leader */
+    GPtrArray *channels;                   /* the leader's ends, a member each; NULL for its own */
+    msec_t received_at[MEMBERS_MAX_COUNT]; /* when each member last called by socket */
+    GHashTable *ended;                     /* id -> ended_t; a bounded cache */
     redirection_t *redirection;
-    owner_health_t sibling_health[MEMBERS_MAX]; /* as the settings list the siblings */
-    msec_t worker_report_at;                    /* when a worker of ours last reported to us */
-    pthread_mutex_t requests_lock;              /* of the next four only; never with `lock` */
+    owner_health_t sibling_health[MEMBERS_MAX_COUNT]; /* as the settings list the siblings */
+    msec_t worker_report_at;       /* when a worker of ours last reported to us */
+    pthread_mutex_t requests_lock; /* of the next four only; never with `lock` */
     pthread_cond_t requests_come;
     pthread_cond_t requests_blocked; /* more of them than threads that are free */
     request_queue_t requests;        /* request_t: those that may have to wait */
@@ -162,19 +162,19 @@
 void node_follow(node_t *node, bool (*read)(node_t *, http_client_t *, uint64_t *revision),
                  state_result_t (*follow)(node_t *, http_client_t *, uint64_t *revision));
 
-/* The loops. */
-void *view_run(void *node);
-void *member_run(void *node);
-void *peer_client_run(void *node);
-void *peer_server_run(void *node);
-void *relay_run(void *node);
+/* The loops; data is the node. */
+void *view_run(void *data);
+void *member_run(void *data);
+void *peer_client_run(void *data);
+void *peer_server_run(void *data);
+void *relay_run(void *data);
 /* Starts the threads that send heartbeats to the siblings. */
 void heartbeat_start(node_t *node);
-void *follow_run(void *node);
-void *placer_run(void *node);
-void *sender_run(void *node);
-void *pulse_run(void *node);
-void *cloud_run(void *node);
+void *follow_run(void *data);
+void *placer_run(void *data);
+void *sender_run(void *data);
+void *pulse_run(void *data);
+void *cloud_run(void *data);
 bool api_start(node_t *node);
 
 #endif
--- a/src/app/node_jobs.c
+++ b/src/app/node_jobs.c
@@ -22,7 +22,7 @@
 {
     if (g_hash_table_contains(node->gone, id))
         return;
-    if (g_queue_get_length(node->gone_order) >= GONE_JOBS_MAX)
+    if (g_queue_get_length(node->gone_order) >= GONE_JOBS_COUNT)
         g_hash_table_remove(node->gone, g_queue_pop_head(node->gone_order));
     char *copy = g_strdup(id);
     g_hash_table_add(node->gone, copy);
@@ -47,7 +47,7 @@
     /* Noted for the siblings before another thread can find it, or this one can tell it. */
     if (!done)
         cancellation_log_append(&node->cancellations, id, clock_steady());
-    if (g_hash_table_size(node->ended) >= ENDED_CACHE)
+    if (g_hash_table_size(node->ended) >= ENDED_CACHE_COUNT)
         g_hash_table_remove_all(node->ended);
     g_hash_table_insert(node->ended, g_strdup(id),
                         GINT_TO_POINTER(done ? ENDED_DONE : ENDED_CANCELLED));
--- a/src/app/node_permission.c
+++ b/src/app/node_permission.c
@@ -27,7 +27,8 @@
      * must be gone within cancel_s, and a worker keeps them for lease_s after our last answer: so
      * answers end this long after the last moment up to which all that users were told is known. */
     double spare = node->settings->cancel_s - node->settings->lease_s;
-    return node->jobs_synced && now - known_until(node) < (msec_t)(spare * 1000) - CANCEL_MARGIN_MS;
+    return node->jobs_synced &&
+           now - known_until(node) < (msec_t)(spare * MS_PER_S) - CANCEL_MARGIN_MS;
 }
 
 void node_pulse(node_t *node, msec_t now)
@@ -43,7 +44,7 @@
 {
     node_pulse(node, now);
     msec_t known = known_until(node);
-    return node->jobs_synced && known >= node->woken && now - known < RUN_KNOWN_MS;
+    return node->jobs_synced && known >= node->woken && now - known < START_KNOWN_MS;
 }
 
 bool node_may_send(node_t *node, const char *machine, uint64_t generation, const GArray *commands,
--- a/src/core/leader_progress.c
+++ b/src/core/leader_progress.c
@@ -3,20 +3,20 @@
 
 bool leader_bit_get(const uint8_t *bits, uint32_t at)
 {
-    return bits[at / 8] >> (at % 8) & 1;
+    return bits[at / BITS_PER_BYTE] >> (at % BITS_PER_BYTE) & 1;
 }
 
 void leader_bit_set(uint8_t *bits, uint32_t at, bool value)
 {
     if (value)
-        bits[at / 8] |= (uint8_t)(1u << (at % 8));
+        bits[at / BITS_PER_BYTE] |= (uint8_t)(1U << (at % BITS_PER_BYTE));
     else
-        bits[at / 8] &= (uint8_t) ~(1u << (at % 8));
+        bits[at / BITS_PER_BYTE] &= (uint8_t) ~(1U << (at % BITS_PER_BYTE));
 }
 
 gsize leader_bits_bytes(uint32_t tasks)
 {
-    return (tasks + 7) / 8;
+    return (tasks + BITS_PER_BYTE - 1) / BITS_PER_BYTE;
 }
 
 guint leader_chunk_count(uint32_t tasks)
@@ -32,7 +32,8 @@
         return;
     g_array_index(job->chunk_revisions, uint64_t, chunk) = revision;
     uint32_t first = chunk * CHUNK_BITS;
-    for (uint32_t i = 0; i < CHUNK_BITS && first + i < job->spec.tasks && i / 8 < bytes; i++) {
+    for (uint32_t i = 0; i < CHUNK_BITS && first + i < job->spec.tasks && i / BITS_PER_BYTE < bytes;
+         i++) {
         if (!leader_bit_get(bits, i) || leader_bit_get(job->done, first + i))
             continue;
         leader_bit_set(job->done, first + i, true);
@@ -72,7 +73,7 @@
     g_strlcpy(progress.job, job->spec.id, sizeof progress.job);
     progress.job_revision = job->revision;
     progress.revision = g_array_index(job->chunk_revisions, uint64_t, chunk);
-    progress.bits = g_memdup2(job->done + first / 8, progress.bytes);
+    progress.bits = g_memdup2(job->done + first / BITS_PER_BYTE, progress.bytes);
     g_array_append_val(batch, progress);
 }
 
@@ -108,8 +109,9 @@
 
 static gint compare_dirty(gconstpointer left, gconstpointer right)
 {
-    const job_t *a = *(job_t *const *)left, *b = *(job_t *const *)right;
-    return a->dirty_since < b->dirty_since ? -1 : a->dirty_since > b->dirty_since;
+    const job_t *first = *(job_t *const *)left;
+    const job_t *second = *(job_t *const *)right;
+    return first->dirty_since < second->dirty_since ? -1 : first->dirty_since > second->dirty_since;
 }
 
 /* Oldest first: with a low rate limit, those at the end of the table would never be. */
@@ -182,7 +184,7 @@
         if (!job)
             continue;
         job->ending = false;
-        job->dirty_chunks |= progress->end ? 1u : 1u << progress->chunk;
+        job->dirty_chunks |= progress->end ? 1U : 1U << progress->chunk;
         if (job->acknowledging) {
             g_array_append_vals(job->unacknowledged, job->acknowledging->data,
                                 job->acknowledging->len);
--- a/src/core/partition.c
+++ b/src/core/partition.c
@@ -62,7 +62,7 @@
 void partition_set_report(partition_t *partition, double report_s)
 {
     partition->fresh =
-        MAX(DIRECT_FRESH_MS, (msec_t)(report_s * REPORT_SPREAD * 1000) + REPORT_LATE_MS);
+        MAX(DIRECT_FRESH_MS, (msec_t)(report_s * REPORT_SPREAD_FACTOR * MS_PER_S) + REPORT_LATE_MS);
 }
 
 void partition_look_up_capacity(const partition_t *partition, machine_t *machine)
@@ -174,7 +174,7 @@
     g_strlcpy(machine->zone, zone, sizeof machine->zone);
     machine->page = page;
     if (!page) {
-        char shard[SHARD_NAME];
+        char shard[SHARD_NAME_BYTES];
         shard_of(id, zone, shard, sizeof shard);
         machine->page = page_for_new(partition_shard(partition, shard));
     }
--- a/src/core/partition_commands.c
+++ b/src/core/partition_commands.c
@@ -23,7 +23,7 @@
      * when its time is over. */
     if (attempt->entry.checkpoint_s <= 0 || attempt->stop_kill <= now)
         return 0;
-    return (double)(attempt->stop_kill - now) / 1000.0;
+    return (double)(attempt->stop_kill - now) / MS_PER_S;
 }
 
 /* Resources free on the machine once the stops that give no time have been executed. */
@@ -97,7 +97,7 @@
         machine_t *machine = at->data;
         bool probe = machine->probe && !machine->reported;
         next = at->next;
-        if (machine->direct_busy || (probe && partition->probing >= SENDERS / 2) ||
+        if (machine->direct_busy || (probe && partition->probing >= SENDERS_COUNT / 2) ||
             (!probe && !partition_is_reached(partition, machine, now)))
             continue;
         g_queue_delete_link(partition->wanted, at);
--- a/src/core/partition_preemption.c
+++ b/src/core/partition_preemption.c
@@ -12,7 +12,7 @@
         return false;
     bool same = strcmp(attempt->entry.team, request->team) == 0;
     bool yields = same;
-    for (guint i = 0; !yields && i < partition->teams->len && i < 64; i++)
+    for (guint i = 0; !yields && i < partition->teams->len && i < TEAMS_MASK_BITS; i++)
         yields = (request->victims >> i & 1) &&
                  strcmp(g_array_index(partition->teams, team_t, i).name, attempt->entry.team) == 0;
     return yields &&
@@ -23,7 +23,7 @@
  * the wait for a new place. */
 static double lost_work(const attempt_t *attempt, msec_t now)
 {
-    double ran = (double)(now - attempt->listed_since) / 1000.0;
+    double ran = (double)(now - attempt->listed_since) / MS_PER_S;
     if (attempt->entry.checkpoint_s > 0)
         ran = MIN(ran, attempt->entry.checkpoint_s / 2);
     return (ran + PREEMPT_COST_S) * attempt->entry.need.cpus;
@@ -37,10 +37,11 @@
 
 static gint compare_victims(gconstpointer left, gconstpointer right)
 {
-    const victim_t *a = left, *b = right;
-    if (a->attempt->entry.priority != b->attempt->entry.priority)
-        return a->attempt->entry.priority < b->attempt->entry.priority ? -1 : 1;
-    return a->lost < b->lost ? -1 : a->lost > b->lost;
+    const victim_t *first = left;
+    const victim_t *second = right;
+    if (first->attempt->entry.priority != second->attempt->entry.priority)
+        return first->attempt->entry.priority < second->attempt->entry.priority ? -1 : 1;
+    return first->lost < second->lost ? -1 : first->lost > second->lost;
 }
 
 /* Victims that make room for the placement request on the machine, cheapest first; NULL if there is
@@ -132,7 +133,7 @@
 void partition_empty_drained(partition_t *partition, machine_t *machine, msec_t now)
 {
     if (!machine->draining || machine->gone ||
-        partition_free_resources(machine).cpus < machine->capacity.cpus * DRAIN_EMPTY)
+        partition_free_resources(machine).cpus < machine->capacity.cpus * DRAIN_EMPTY_FRACTION)
         return;
     for (guint i = 0; i < machine->attempts->len; i++) {
         attempt_t *attempt = g_ptr_array_index(machine->attempts, i);
--- a/src/core/redirection.h
+++ b/src/core/redirection.h
@@ -34,10 +34,10 @@
 void redirection_clear(redirection_t *redirection, uint64_t token, msec_t now);
 /* Whether the controller answers this one and is heard by its workers. */
 bool redirection_owner_is_healthy(const owner_health_t *health, msec_t now);
-/* owner: the controller it belongs to, by name and incarnation. is_owner_reachable: other workers
+/* name: the controller it belongs to, by name and incarnation. is_owner_reachable: other workers
  * reach it, so this one need not wait for a probe. */
 redirection_verdict_t redirection_report(redirection_t *redirection, const report_t *report,
-                                         const char *owner, bool is_owner_reachable, msec_t now);
+                                         const char *name, bool is_owner_reachable, msec_t now);
 /* Stop commands for all that the report lists of jobs that are not among the live ones (keys: ids).
  * commands: array of worker_command_t to append to. */
 void redirection_stop_ended(const report_t *report, GHashTable *live_jobs, GArray *commands);
--- a/src/core/rental_balance.c
+++ b/src/core/rental_balance.c
@@ -8,9 +8,9 @@
     double most = tunable_for_job(leader->policy, TUNABLE_RENT_PATIENCE, &job->spec);
     if (job->spec.deadline_s <= 0)
         return most;
-    double due = (double)(job->spec.submitted_ms - day_ms) / 1000.0 + job->spec.deadline_s -
+    double due = (double)(job->spec.submitted_ms - day_ms) / MS_PER_S + job->spec.deadline_s -
                  job->spec.estimate_s;
-    return CLAMP(due, MIN(most, RENT_PATIENCE_LEAST_S), most);
+    return CLAMP(due, MIN(most, RENT_PATIENCE_MIN_S), most);
 }
 
 static resources_t wanted_resources(const leader_t *leader, msec_t now, int64_t day_ms)
--- a/src/io/json_input.c
+++ b/src/io/json_input.c
@@ -7,8 +7,8 @@
 /* The value while it is read: the containers that are open, outermost first. Each is in its
  * container from its beginning, so that the outermost one holds all that was read. */
 typedef struct {
-    json_t *root;                 /* owned; NULL: nothing read so far */
-    json_t *open[JSON_DEPTH_MAX]; /* borrowed */
+    json_t *root;                       /* owned; NULL: nothing read so far */
+    json_t *open[JSON_DEPTH_MAX_COUNT]; /* borrowed */
     guint depth;
     GString *key; /* under which the next value goes, if the innermost container is an object */
 } reader_t;
@@ -30,7 +30,7 @@
 
 static int open_container(reader_t *reader, json_t *container)
 {
-    if (reader->depth == JSON_DEPTH_MAX) {
+    if (reader->depth == JSON_DEPTH_MAX_COUNT) {
         json_decref(container);
         return READ_STOP;
     }
@@ -89,7 +89,8 @@
 {
     gint64 integer = 0;
     char *number = g_strndup(text, length);
-    bool is_integer = g_ascii_string_to_signed(number, 10, G_MININT64, G_MAXINT64, &integer, NULL);
+    bool is_integer =
+        g_ascii_string_to_signed(number, DECIMAL, G_MININT64, G_MAXINT64, &integer, NULL);
     json_t *value = is_integer ? json_integer(integer) : real_number(number);
     g_free(number);
     return add_value(context, value);
--- a/src/io/peer_protocol.c
+++ b/src/io/peer_protocol.c
@@ -169,31 +169,66 @@
     job_counts_update_clear(&message->counts);
 }
 
+/* The message without its lists, which take memory of their own. */
+static peer_message message_to_xdr(const peer_message_t *message)
+{
+    return (peer_message){.sender = (char *)message->sender,
+                          .incarnation = message->incarnation,
+                          .view = message->view,
+                          .number = message->number,
+                          .ack = message->ack,
+                          .state_answer_age = message->state_answer_age,
+                          .worker_report_age = message->worker_report_age,
+                          .heartbeat = message->heartbeat,
+                          .acknowledged_incarnation = message->acknowledged_incarnation,
+                          .acknowledged_index = message->acknowledged_index,
+                          .update = {.after_index = message->update.after_index,
+                                     .last_index = message->update.last_index,
+                                     .whole = message->update.whole,
+                                     .base_age = message->update.base_age},
+                          .has_summaries = message->summaries != NULL};
+}
+
+/* NULL: it can't be told in the protocol. */
+static GByteArray *serialize(peer_message *wire)
+{
+    gulong size = xdr_sizeof((xdrproc_t)xdr_peer_message, wire);
+    GByteArray *frame = g_byte_array_sized_new((guint)size);
+    g_byte_array_set_size(frame, (guint)size);
+    XDR xdr;
+    xdrmem_create(&xdr, (char *)frame->data, (u_int)size, XDR_ENCODE);
+    if (!xdr_peer_message(&xdr, wire))
+        g_clear_pointer(&frame, g_byte_array_unref);
+    xdr_destroy(&xdr);
+    return frame;
+}
+
+/* The list of the counts is to be freed. */
+static void counts_to_xdr(const job_counts_update_t *counts, peer_message *wire)
+{
+    guint count = counts->jobs ? counts->jobs->len : 0;
+    peer_job_counts *list = g_new0(peer_job_counts, count + 1);
+    for (guint i = 0; i < count; i++) {
+        const job_counts_t *from = &g_array_index(counts->jobs, job_counts_t, i);
+        list[i] = (peer_job_counts){(char *)from->job, from->done, from->outstanding};
+    }
+    wire->counts_epoch = counts->epoch;
+    wire->counts_version = counts->version;
+    wire->counts.counts_len = count;
+    wire->counts.counts_val = list;
+}
+
 GByteArray *peer_encode(const peer_message_t *message)
 {
-    guint items = message->items ? message->items->len : 0,
-          summaries = message->summaries ? message->summaries->len : 0;
+    guint items = message->items ? message->items->len : 0;
+    guint summaries = message->summaries ? message->summaries->len : 0;
     peer_item *item_list = g_new0(peer_item, items + 1);
     peer_machine_summary *summary_list = g_new0(peer_machine_summary, summaries + 1);
     for (guint i = 0; i < items; i++)
         item_to_xdr(&g_array_index(message->items, channel_item_t, i), &item_list[i]);
     for (guint i = 0; i < summaries; i++)
         summary_to_xdr(&g_array_index(message->summaries, machine_summary_t, i), &summary_list[i]);
-    peer_message wire = {.sender = (char *)message->sender,
-                         .incarnation = message->incarnation,
-                         .view = message->view,
-                         .number = message->number,
-                         .ack = message->ack,
-                         .state_answer_age = message->state_answer_age,
-                         .worker_report_age = message->worker_report_age,
-                         .heartbeat = message->heartbeat,
-                         .acknowledged_incarnation = message->acknowledged_incarnation,
-                         .acknowledged_index = message->acknowledged_index,
-                         .update = {.after_index = message->update.after_index,
-                                    .last_index = message->update.last_index,
-                                    .whole = message->update.whole,
-                                    .base_age = message->update.base_age},
-                         .has_summaries = message->summaries != NULL};
+    peer_message wire = message_to_xdr(message);
     wire.items.items_len = items;
     wire.items.items_val = item_list;
     wire.summaries.summaries_len = summaries;
@@ -205,32 +240,28 @@
         wire.update.jobs.jobs_len = message->update.jobs->len;
         wire.update.jobs.jobs_val = (peer_name *)message->update.jobs->pdata;
     }
-    guint counts = message->counts.jobs ? message->counts.jobs->len : 0;
-    peer_job_counts *counts_list = g_new0(peer_job_counts, counts + 1);
-    for (guint i = 0; i < counts; i++) {
-        const job_counts_t *from = &g_array_index(message->counts.jobs, job_counts_t, i);
-        counts_list[i] = (peer_job_counts){(char *)from->job, from->done, from->outstanding};
-    }
-    wire.counts_epoch = message->counts.epoch;
-    wire.counts_version = message->counts.version;
-    wire.counts.counts_len = counts;
-    wire.counts.counts_val = counts_list;
-    gulong size = xdr_sizeof((xdrproc_t)xdr_peer_message, &wire);
-    GByteArray *frame = g_byte_array_sized_new((guint)size);
-    g_byte_array_set_size(frame, (guint)size);
-    XDR xdr;
-    xdrmem_create(&xdr, (char *)frame->data, (u_int)size, XDR_ENCODE);
-    if (!xdr_peer_message(&xdr, &wire)) {
-        g_byte_array_unref(frame);
-        frame = NULL;
-    }
-    xdr_destroy(&xdr);
-    g_free(counts_list);
+    counts_to_xdr(&message->counts, &wire);
+    GByteArray *frame = serialize(&wire);
+    g_free(wire.counts.counts_val);
     g_free(item_list);
     g_free(summary_list);
     return frame;
 }
 
+static job_counts_update_t counts_from_xdr(const peer_message *wire)
+{
+    job_counts_update_t update = {.epoch = wire->counts_epoch,
+                                  .version = wire->counts_version,
+                                  .jobs = g_array_new(FALSE, FALSE, sizeof(job_counts_t))};
+    for (u_int i = 0; i < wire->counts.counts_len; i++) {
+        const peer_job_counts *from = &wire->counts.counts_val[i];
+        job_counts_t counts = {.done = from->done, .outstanding = from->outstanding};
+        g_strlcpy(counts.job, from->job, sizeof counts.job);
+        g_array_append_val(update.jobs, counts);
+    }
+    return update;
+}
+
 static void take_message(const peer_message *wire, peer_message_t *message)
 {
     g_strlcpy(message->sender, wire->sender, sizeof message->sender);
@@ -251,16 +282,7 @@
                                               .jobs = g_ptr_array_new_with_free_func(g_free)};
     for (u_int i = 0; i < wire->update.jobs.jobs_len; i++)
         g_ptr_array_add(message->update.jobs, g_strdup(wire->update.jobs.jobs_val[i]));
-    message->counts =
-        (job_counts_update_t){.epoch = wire->counts_epoch,
-                              .version = wire->counts_version,
-                              .jobs = g_array_new(FALSE, FALSE, sizeof(job_counts_t))};
-    for (u_int i = 0; i < wire->counts.counts_len; i++) {
-        const peer_job_counts *from = &wire->counts.counts_val[i];
-        job_counts_t counts = {.done = from->done, .outstanding = from->outstanding};
-        g_strlcpy(counts.job, from->job, sizeof counts.job);
-        g_array_append_val(message->counts.jobs, counts);
-    }
+    message->counts = counts_from_xdr(wire);
     message->items = channel_items_new();
     for (u_int i = 0; i < wire->items.items_len; i++) {
         channel_item_t item;
@@ -296,44 +318,47 @@
 
 static bool parse_address(const char *text, struct sockaddr_in *address)
 {
-    char host[ADDRESS_SIZE];
+    char host[ADDRESS_BYTES];
     const char *colon = strrchr(text, ':');
     *address = (struct sockaddr_in){.sin_family = AF_INET};
     if (!colon)
         return false;
     g_strlcpy(host, text, MIN(sizeof host, (gsize)(colon - text) + 1));
-    address->sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, 10));
+    address->sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, DECIMAL));
     return inet_pton(AF_INET, host, &address->sin_addr) == 1;
 }
 
 void peer_set_timeout(int fd, guint timeout_ms)
 {
-    struct timeval wait = {.tv_sec = timeout_ms / 1000, .tv_usec = timeout_ms % 1000 * 1000};
+    struct timeval wait = {.tv_sec = timeout_ms / MS_PER_S,
+                           .tv_usec = timeout_ms % MS_PER_S * (suseconds_t)US_PER_MS};
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
     setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof wait);
 }
 
-int peer_listen(const char *text)
+int peer_listen(const char *endpoint)
 {
     struct sockaddr_in address;
     int on = 1;
-    int fd = parse_address(text, &address) ? socket(AF_INET, SOCK_STREAM, 0) : -1;
+    int fd = parse_address(endpoint, &address) ? socket(AF_INET, SOCK_STREAM, 0) : -1;
     if (fd < 0)
         return -1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    if (bind(fd, (struct sockaddr *)&address, sizeof address) != 0 || listen(fd, 16) != 0) {
+    if (bind(fd, (struct sockaddr *)&address, sizeof address) != 0 ||
+        listen(fd, LISTEN_BACKLOG_COUNT) != 0) {
         close(fd);
         return -1;
     }
     return fd;
 }
 
-int peer_connect(const char *text, guint timeout_ms)
+int peer_connect(const char *endpoint, guint timeout_ms)
 {
     struct sockaddr_in address;
-    int on = 1, error = 0;
+    int on = 1;
+    int error = 0;
     socklen_t size = sizeof error;
-    int fd = parse_address(text, &address) ? socket(AF_INET, SOCK_STREAM, 0) : -1;
+    int fd = parse_address(endpoint, &address) ? socket(AF_INET, SOCK_STREAM, 0) : -1;
     if (fd < 0)
         return -1;
     int flags = fcntl(fd, F_GETFL);
@@ -398,7 +423,7 @@
     if (!read_all(fd, &length, sizeof length))
         return NULL;
     length = ntohl(length);
-    if (length > PEER_FRAME_MAX)
+    if (length > PEER_FRAME_MAX_BYTES)
         return NULL;
     GByteArray *frame = g_byte_array_sized_new(length);
     g_byte_array_set_size(frame, length);
--- a/src/io/wire_fields.c
+++ b/src/io/wire_fields.c
@@ -44,7 +44,7 @@
     if (!json_is_number(value))
         return wire_fail(why, "%s: a number is expected", name);
     double amount = json_number_value(value);
-    if (!isfinite(amount) || amount < low || amount > 1e12)
+    if (!isfinite(amount) || amount < low || amount > AMOUNT_MAX)
         return wire_fail(why, "%s: out of range", name);
     *to = amount;
     return true;
--- a/src/io/wire_user.c
+++ b/src/io/wire_user.c
@@ -11,7 +11,8 @@
     if (strncmp(id, "j-", 2) != 0)
         return false;
     gsize digits = strspn(id + 2, "0123456789");
-    return digits >= 6 && digits <= 18 && id[2 + digits] == '\0';
+    return digits >= JOB_DIGITS_MIN_COUNT && digits <= JOB_DIGITS_MAX_COUNT &&
+           id[2 + digits] == '\0';
 }
 
 static bool get_types(const json_t *body, job_spec_t *spec, reason_t *why)
@@ -44,7 +45,7 @@
     for (gsize i = 0; i < length; i++)
         if (g_ascii_iscntrl(text[i]))
             return false;
-    return length < LABEL_SIZE;
+    return length < LABEL_BYTES;
 }
 
 /* Only what is new is refused for it: what is stored was accepted. */
@@ -54,18 +55,21 @@
     for (char **type = spec->types; type && *type; type++, count++)
         if (!is_name(*type))
             return wire_fail(why, "Hulls: not a name");
-    if (count > TYPES_MAX)
-        return wire_fail(why, "Hulls: more than %d names", TYPES_MAX);
+    if (count > TYPES_MAX_COUNT)
+        return wire_fail(why, "Hulls: more than %d names", TYPES_MAX_COUNT);
     if (!is_name(spec->class_name) || !is_name(spec->team) || !is_name(spec->image) ||
         !is_name(spec->zone))
         return wire_fail(why, "a name has control characters");
     return true;
 }
 
+// NOLINTNEXTLINE(readability-function-size): a line for each field
 bool wire_parse_job(const json_t *body, bool stored, job_spec_t *spec, reason_t *why)
 {
-    uint64_t tasks = 0, submitted = 0;
-    int priority = 0, kind = 0;
+    uint64_t tasks = 0;
+    uint64_t submitted = 0;
+    int priority = 0;
+    int kind = 0;
     *spec = (job_spec_t){0};
     if (!json_is_object(body))
         return wire_fail(why, "a JSON object is expected");
@@ -79,7 +83,7 @@
                  wire_get_choice(body, "Rig", kind_names, G_N_ELEMENTS(kind_names), &kind, why) &&
                  wire_get_choice(body, "Urgency", priority_names, G_N_ELEMENTS(priority_names),
                                  &priority, why) &&
-                 wire_get_count(body, "Pieces", 1, TASKS_MAX, &tasks, why) &&
+                 wire_get_count(body, "Pieces", 1, TASKS_MAX_COUNT, &tasks, why) &&
                  wire_get_amount(body, "Cpus", 0, &spec->need.cpus, why) &&
                  wire_get_amount(body, "Accelerators", 0, &spec->need.gpus, why) &&
                  wire_get_amount(body, "MemGb", 0, &spec->need.memory, why) &&
--- a/src/policy/policy_evaluate.c
+++ b/src/policy/policy_evaluate.c
@@ -10,56 +10,67 @@
     return text ? text : "";
 }
 
-double ast_evaluate(const ast_t *ast, const policy_env_t *env)
+/* right is 0 for an operator of one value. */
+// NOLINTNEXTLINE(readability-function-size): two lines for each operator
+static double apply(ast_op_t op, double left, double right)
 {
-    if (ast->op == AST_NUMBER)
-        return ast->number;
-    if (ast->op == AST_NAME)
-        return ast->attr < 0 ? ast->number : env->number[ast->attr];
-    if (ast->op == AST_IF)
-        return ast_evaluate(ast->kid[ast_evaluate(ast->kid[0], env) != 0 ? 1 : 2], env);
-    if (ast->kid[0]->type == POLICY_TEXT) {
-        bool same = strcmp(text_of(ast->kid[0], env), text_of(ast->kid[1], env)) == 0;
-        return same == (ast->op == AST_EQUAL);
-    }
-    double a = ast_evaluate(ast->kid[0], env);
-    double b = ast->kid[1] ? ast_evaluate(ast->kid[1], env) : 0;
-    switch (ast->op) {
+    switch (op) {
     case AST_NOT:
-        return a == 0;
+        return left == 0;
     case AST_NEGATE:
-        return -a;
+        return -left;
     case AST_AND:
-        return a != 0 && b != 0;
+        return left != 0 && right != 0;
     case AST_OR:
-        return a != 0 || b != 0;
+        return left != 0 || right != 0;
     case AST_ADD:
-        return a + b;
+        return left + right;
     case AST_SUBTRACT:
-        return a - b;
+        return left - right;
     case AST_MULTIPLY:
-        return a * b;
+        return left * right;
     case AST_DIVIDE:
-        return b != 0 ? a / b : 0;
+        return right != 0 ? left / right : 0;
     case AST_LESS:
-        return a < b;
+        return left < right;
     case AST_LESS_EQUAL:
-        return a <= b;
+        return left <= right;
     case AST_GREATER:
-        return a > b;
+        return left > right;
     case AST_GREATER_EQUAL:
-        return a >= b;
+        return left >= right;
     case AST_EQUAL:
-        return a == b;
+        return left == right;
     case AST_UNEQUAL:
-        return a != b;
+        return left != right;
     case AST_MIN:
-        return fmin(a, b);
+        return fmin(left, right);
     case AST_MAX:
-        return fmax(a, b);
-    default:
-        return 0;
+        return fmax(left, right);
+    case AST_NUMBER:
+    case AST_TEXT:
+    case AST_NAME:
+    case AST_IF:
+        break; /* no operators of two values */
+    }
+    return 0;
+}
+
+double ast_evaluate(const ast_t *ast, const policy_env_t *env)
+{
+    if (ast->op == AST_NUMBER)
+        return ast->number;
+    if (ast->op == AST_NAME)
+        return ast->attr < 0 ? ast->number : env->number[ast->attr];
+    if (ast->op == AST_IF)
+        return ast_evaluate(ast->kid[ast_evaluate(ast->kid[0], env) != 0 ? 1 : 2], env);
+    if (ast->kid[0]->type == POLICY_TEXT) {
+        bool same = strcmp(text_of(ast->kid[0], env), text_of(ast->kid[1], env)) == 0;
+        return same == (ast->op == AST_EQUAL);
     }
+    double left = ast_evaluate(ast->kid[0], env);
+    double right = ast->kid[1] ? ast_evaluate(ast->kid[1], env) : 0;
+    return apply(ast->op, left, right);
 }
 
 static bool is_constant(const ast_t *ast)
--- a/tests/test_channel.c
+++ b/tests/test_channel.c
@@ -14,7 +14,8 @@
 static void test_lost_answer_repeats_the_batch_and_it_counts_once(void **state)
 {
     (void)state;
-    channel_t *from = channel_new(), *to = channel_new();
+    channel_t *from = channel_new();
+    channel_t *to = channel_new();
     channel_push(from, drain("m-1"));
     assert_int_equal(channel_batch(from, 10)->len, 1);
     assert_true(channel_accept(to, from->sent));
@@ -31,7 +32,8 @@
 static void test_late_batch_and_late_acknowledgement_change_nothing(void **state)
 {
     (void)state;
-    channel_t *from = channel_new(), *to = channel_new();
+    channel_t *from = channel_new();
+    channel_t *to = channel_new();
     for (int i = 0; i < 3; i++) {
         channel_push(from, drain("m-1"));
         channel_batch(from, 10);
@@ -109,7 +111,7 @@
 {
     (void)state;
     for (int i = 0; i < 50; i++) {
-        char machine[ID_SIZE];
+        char machine[ID_BYTES];
         g_snprintf(machine, sizeof machine, "m-%06d", i);
         assert_int_equal(owner_of(members, 3, machine, "south"), 1);
         assert_int_not_equal(owner_of(members, 3, machine, "north"), 1);
@@ -119,9 +121,10 @@
 static void test_lost_member_moves_only_its_own_machines(void **state)
 {
     (void)state;
-    guint moved = 0, owned = 0;
+    guint moved = 0;
+    guint owned = 0;
     for (int i = 0; i < 200; i++) {
-        char machine[ID_SIZE];
+        char machine[ID_BYTES];
         g_snprintf(machine, sizeof machine, "m-%06d", i);
         guint before = owner_of(members, 3, machine, "west");
         guint after = owner_of(members, 2, machine, "west");
@@ -140,7 +143,7 @@
     memcpy(some, members, sizeof some);
     some[1].excluded = true;
     for (int i = 0; i < 50; i++) {
-        char machine[ID_SIZE];
+        char machine[ID_BYTES];
         g_snprintf(machine, sizeof machine, "m-%06d", i);
         assert_int_not_equal(owner_of(some, 3, machine, "south"), 1);
     }
--- a/tests/test_request_queue.c
+++ b/tests/test_request_queue.c
@@ -8,7 +8,10 @@
 static void test_requests_wait_within_their_time_and_in_order(void **state)
 {
     (void)state;
-    int status, submission, another, late;
+    int status;
+    int submission;
+    int another;
+    int late;
     request_queue_t queue;
     request_queue_init(&queue, 3);
     assert_true(request_queue_next(&queue) == G_MAXINT64);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -46,7 +46,7 @@
     assert_true(takes(without("TideS"))); /* may be null, so may be omitted */
     assert_true(takes(without("Hulls")));
     assert_true(takes(with("Cpus", json_integer(4))));
-    assert_true(takes(with("Pieces", json_integer(TASKS_MAX))));
+    assert_true(takes(with("Pieces", json_integer(TASKS_MAX_COUNT))));
 }
 
 static void test_faulty_job_is_refused(void **state)
@@ -56,7 +56,7 @@
     assert_false(takes(with("Uid", json_string("run-7"))));
     assert_false(takes(with("Uid", json_string("j-00041x"))));
     assert_false(takes(with("Pieces", json_integer(0))));
-    assert_false(takes(with("Pieces", json_integer(TASKS_MAX + 1))));
+    assert_false(takes(with("Pieces", json_integer(TASKS_MAX_COUNT + 1))));
     assert_false(takes(with("Pieces", json_real(3.5))));
     assert_false(takes(with("Cpus", json_string("8"))));
     assert_false(takes(with("Cpus", json_real(-1))));
@@ -69,7 +69,8 @@
 static void test_job_comes_back_from_the_store(void **state)
 {
     (void)state;
-    job_spec_t spec, again;
+    job_spec_t spec;
+    job_spec_t again;
     json_t *body = with("Hulls", json_pack("[s,s]", "g8", "g4"));
     assert_true(wire_parse_job(body, false, &spec, NULL));
     spec.submitted_ms = 1234567;
@@ -137,7 +138,7 @@
         bits[i] = (uint8_t)(i * 37);
     json_t *value = wire_build_bits(bits, sizeof bits, 7);
     char *text = json_dumps(value, JSON_COMPACT);
-    assert_true(strlen(text) < 4 * 1024); /* the least value_kb that settings may name */
+    assert_true(strlen(text) < (size_t)4 * 1024); /* the least value_kb that settings may name */
     uint8_t *back = wire_parse_bits(value, &bytes);
     assert_int_equal(bytes, sizeof bits);
     assert_memory_equal(back, bits, sizeof bits);
