Writes are left to the end of a job until it fits the rate limit

An end takes three writes or more at once. Where the limit was used up, records and other jobs' progress took each write as it came, and ended jobs stayed live until the load fell.

--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -333,7 +333,8 @@
     take_results(node, now);
     double left = rate_limiter_left(&node->core_write, now);
     guint most = left < 1 ? 0 : MIN((guint)left, node->settings->txn_ops);
-    batch->usage = (txn_usage_t){.max_ops = most, .max_bytes = TXN_VALUES / 2};
+    guint full = MIN((guint)node->core_write.rate, node->settings->txn_ops);
+    batch->usage = (txn_usage_t){.max_ops = most, .full_ops = full, .max_bytes = TXN_VALUES / 2};
     if (node->leading) {
         send_placement_requests(
             node, now, (guint)tunable_value(node->policy, TUNABLE_PLACEMENT_REQUESTS_PER_ROUND));
@@ -343,8 +344,10 @@
     guint conditions = 4 * node->settings->txn_ops;
     /* The view, and two for each key written. */
     guint spoken_for = 1 + 2 * MAX(most, batch->usage.ops);
+    /* Records that took each write as the rate limit gives it would leave none for the end of a
+     * job, which takes several at once. */
     partition_limits_t limits = {
-        .ops = most - MIN(most, batch->usage.ops),
+        .ops = batch->usage.end_waits ? 0 : most - MIN(most, batch->usage.ops),
         .jobs = conditions - MIN(conditions, spoken_for),
         .value_max = MIN((gsize)(node->settings->value_kb * 1024), (gsize)TXN_VALUES / 3),
         .bytes = TXN_VALUES - batch->usage.bytes};
--- a/src/core/leader_progress.c
+++ b/src/core/leader_progress.c
@@ -92,18 +92,22 @@
 
 static void take_ends(leader_t *leader, GArray *batch, txn_usage_t *usage)
 {
+    bool left_out = false;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, leader->jobs);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         job_t *job = value;
-        if (job->done_count < job->spec.tasks || job->acknowledging ||
-            usage->ops + 2 + job->chunk_revisions->len > usage->max_ops ||
-            usage->bytes + PROGRESS_BYTES > usage->max_bytes)
+        if (job->done_count < job->spec.tasks || job->acknowledging)
+            continue;
+        guint ops = 2 + job->chunk_revisions->len;
+        left_out = left_out || (usage->ops + ops > usage->max_ops && ops <= usage->full_ops);
+        if (usage->ops + ops > usage->max_ops || usage->bytes + PROGRESS_BYTES > usage->max_bytes)
             continue;
         progress_end(job, batch, usage);
         progress_taken(job);
     }
+    usage->end_waits = left_out && usage->ops == 0;
 }
 
 static gint compare_dirty(gconstpointer left, gconstpointer right)
@@ -151,7 +155,8 @@
                           txn_usage_t *usage)
 {
     take_ends(leader, batch, usage);
-    take_chunks(leader, now - min_age, batch, usage);
+    if (!usage->end_waits)
+        take_chunks(leader, now - min_age, batch, usage);
 }
 
 void leader_progress_commit(leader_t *leader, const GArray *batch, uint64_t revision,
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -529,6 +529,38 @@
     g_array_unref(requests);
 }
 
+/* Under a rate limit that gives a write at a time, progress of others took each of them, and no end
+ * was ever written. One that needs more than the limit can give at once holds nothing up. */
+static void test_writes_are_left_to_an_end_until_it_fits(void **state)
+{
+    (void)state;
+    job_spec_t whole = job("j-000001", "blue", 1), half = job("j-000002", "blue", 2);
+    set_resources(0, "north", 20);
+    add(&whole);
+    add(&half);
+    GArray *requests = schedule();
+    assert_int_equal(requests->len, 3);
+    for (guint i = 0; i < 2; i++)
+        finish(&g_array_index(requests, leader_request_t, i));
+    GArray *progress = leader_progress_new();
+    txn_usage_t usage = {.max_ops = 2, .full_ops = 3, .max_bytes = TXN_VALUES};
+    leader_progress_take(leader, 1000, 0, progress, &usage);
+    assert_true(usage.end_waits);
+    assert_int_equal(progress->len, 0);
+    usage.full_ops = 2;
+    leader_progress_take(leader, 1000, 0, progress, &usage);
+    assert_false(usage.end_waits);
+    assert_int_equal(progress->len, 1);
+    leader_progress_undo(leader, progress);
+    g_array_set_size(progress, 0);
+    usage = (txn_usage_t){.max_ops = 3, .full_ops = 3, .max_bytes = TXN_VALUES};
+    leader_progress_take(leader, 1000, 0, progress, &usage);
+    assert_false(usage.end_waits);
+    assert_true(g_array_index(progress, progress_t, 0).end);
+    g_array_unref(progress);
+    g_array_unref(requests);
+}
+
 /* Two tasks end far apart, three leaders long: the durable bit of the first is neither lost nor
  * made twice, the second is done only when it ended, and the job with it. */
 static void test_ends_far_apart_add_up_over_several_leaders(void **state)
@@ -829,6 +861,8 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(test_end_of_a_job_goes_before_progress_of_others, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(test_writes_are_left_to_an_end_until_it_fits, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(test_progress_of_large_jobs_keeps_within_the_bytes, set_up,
                                         tear_down),
         cmocka_unit_test_setup_teardown(test_gang_is_requested_whole_or_not_at_all, set_up,
