--- a/src/app/api_health.c
+++ b/src/app/api_health.c
@@ -25,6 +25,6 @@
      * by the load balancer lasts longer than the one before. */
     bool able = node->machine_types->len > 0 && node->jobs_synced && !api_is_shut_out(node);
     pthread_mutex_unlock(&node->lock);
-    return able ? (reply_t){.status = 200, .body = json_pack("{s:b}", "ready", 1)}
-                : api_refuse(503, "starting", 1);
+    return able ? (reply_t){.status = HTTP_OK, .body = json_pack("{s:b}", "ready", 1)}
+                : api_refuse(HTTP_UNAVAILABLE, "starting", 1);
 }
--- a/src/app/api_reports.c
+++ b/src/app/api_reports.c
@@ -27,19 +27,20 @@
 static reply_t redirect_worker(node_t *node, const report_t *report, const member_t *owner,
                                msec_t now)
 {
-    char key[ID_SIZE + 24];
+    char key[STATE_KEY_BYTES];
     g_snprintf(key, sizeof key, "%s#%" G_GUINT64_FORMAT, owner->name, owner->incarnation);
     bool is_reachable = owner_is_reachable(node, owner, report->zone, now);
     redirection_verdict_t verdict =
         redirection_report(node->redirection, report, key, is_reachable, now);
     if (verdict == REDIRECTION_STALE)
-        return api_refuse(503, "an old report", 0);
+        return api_refuse(HTTP_UNAVAILABLE, "an old report", 0);
     if (verdict == REDIRECTION_TO_OWNER)
-        return (reply_t){.status = 421, .body = json_pack("{s:s}", "Bosun", owner->name)};
+        return (reply_t){.status = HTTP_MISDIRECTED,
+                         .body = json_pack("{s:s}", "Bosun", owner->name)};
     log_debug("event=retained machine=%s", report->machine);
     GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     redirection_stop_ended(report, node->jobs, commands);
-    reply_t reply = {.status = 200, .body = wire_build_commands(node->view.number, commands)};
+    reply_t reply = {.status = HTTP_OK, .body = wire_build_commands(node->view.number, commands)};
     g_array_unref(commands);
     return reply;
 }
@@ -59,11 +60,12 @@
     if (verdict == REPORT_TAKEN)
         node->worker_report_at = now;
     if (verdict == REPORT_STALE) {
-        reply = api_refuse(503, "an old report", 0);
+        reply = api_refuse(HTTP_UNAVAILABLE, "an old report", 0);
     } else {
         if (verdict != REPORT_TAKEN)
             redirection_stop_ended(report, node->jobs, commands);
-        reply = (reply_t){.status = 200, .body = wire_build_commands(node->view.number, commands)};
+        reply =
+            (reply_t){.status = HTTP_OK, .body = wire_build_commands(node->view.number, commands)};
         node_notify(node);
     }
     g_array_unref(commands);
@@ -77,13 +79,13 @@
     /* A higher token is out: this node's view is old, and a 200 from it would be dropped while it
      * holds the worker here. Silence about aborts ends the answers as well. */
     if (node->view.count == 0 || MAX(report->token, node->superseded) > node->view.number)
-        return api_refuse(503, "not entitled now", 0);
+        return api_refuse(HTTP_UNAVAILABLE, "not entitled now", 0);
     if (!node_may_renew(node, now)) {
         /* It lives, though its lease may not be renewed: after an outage, machines that were only
          * refused must not be taken for dead. */
         if (node->loaded)
             partition_note_alive(node->partition, report, now);
-        return api_refuse(503, "not entitled now", 0);
+        return api_refuse(HTTP_UNAVAILABLE, "not entitled now", 0);
     }
     guint owner = node_owner(node, report->machine, report->zone);
     metrics_count(node->metrics, COUNT_REPORTS_NOT_OWNED, owner != node->own);
@@ -102,7 +104,7 @@
     json_decref(body);
     json_decref(partial);
     if (!valid)
-        return api_refuse(400, why.text, 0);
+        return api_refuse(HTTP_BAD_REQUEST, why.text, 0);
     pthread_mutex_lock(&node->lock);
     reply_t reply = take_report(node, &report);
     pthread_mutex_unlock(&node->lock);
--- a/src/app/api_status.c
+++ b/src/app/api_status.c
@@ -19,11 +19,11 @@
 reply_t api_status_reply(node_t *node, const char *id, job_state_t state, unsigned live_status)
 {
     if (state == JOB_DONE || state == JOB_CANCELLED)
-        return (reply_t){.status = 200,
+        return (reply_t){.status = HTTP_OK,
                          .body =
                              wire_build_status(id, state == JOB_DONE ? "done" : "cancelled", 0, 0)};
     if (state == JOB_NEVER)
-        return api_refuse(404, "no such job", 0);
+        return api_refuse(HTTP_NOT_FOUND, "no such job", 0);
     if (state == JOB_UNKNOWN)
         return api_come_back();
     pthread_mutex_lock(&node->lock);
@@ -44,12 +44,13 @@
     while (more) {
         GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
         GHashTableIter iter;
-        gpointer id, revision;
+        gpointer id;
+        gpointer revision;
         txn_t txn = txn_new();
         g_hash_table_iter_init(&iter, inquiry->asked);
         while (json_array_size(txn.conditions) < most &&
                g_hash_table_iter_next(&iter, &id, &revision)) {
-            char key[128];
+            char key[STATE_KEY_BYTES];
             g_snprintf(key, sizeof key, "jobs/%s", (char *)id);
             txn_if(&txn, key, GPOINTER_TO_SIZE(revision));
         }
@@ -151,23 +152,23 @@
     node_t *node = request->node;
     bool live;
     if (!wire_id_valid(id))
-        return api_refuse(404, "no such job", 0);
+        return api_refuse(HTTP_NOT_FOUND, "no such job", 0);
     job_state_t state = api_known_state(node, id, &live);
     if (state != JOB_UNKNOWN)
-        return api_status_reply(node, id, state, 200);
+        return api_status_reply(node, id, state, HTTP_OK);
     if (api_must_turn_away(node))
         return api_come_back();
     live_check_t check = live ? check_live(request, id) : LIVE_CHECK_CHANGED;
     if (check == LIVE_CHECK_LIVE)
-        return api_status_reply(node, id, JOB_LIVE, 200);
+        return api_status_reply(node, id, JOB_LIVE, HTTP_OK);
     if (check == LIVE_CHECK_UNANSWERED)
         return api_come_back();
     if (!rate_limiter_take(&node->api_rps, 1, clock_steady()))
-        return api_refuse(429, "too many requests", 2);
+        return api_refuse(HTTP_TOO_MANY_REQUESTS, "too many requests", 2);
     if (!api_acquire_client(request))
         return api_come_back();
     msec_t begun = clock_steady();
     state = api_look_up(request, id, live);
     metrics_time(node->metrics, TIME_STATUS, clock_steady() - begun);
-    return api_status_reply(node, id, state, 200);
+    return api_status_reply(node, id, state, HTTP_OK);
 }
--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -10,7 +10,7 @@
 int cloud_call(cloud_t *cloud, const char *method, const char *path, const json_t *body,
                json_t **answer)
 {
-    char url[256];
+    char url[URL_BYTES];
     g_snprintf(url, sizeof url, "http://%s%s", cloud->node->settings->cloud, path);
     return http_call(cloud->client, method, url, body, CLOUD_TIMEOUT_MS, answer);
 }
@@ -30,7 +30,7 @@
 static void refresh_machine_types(cloud_t *cloud)
 {
     json_t *answer = NULL;
-    if (cloud_call(cloud, "GET", "/flavors", NULL, &answer) == 200) {
+    if (cloud_call(cloud, "GET", "/flavors", NULL, &answer) == HTTP_OK) {
         GArray *machine_types = wire_parse_machine_types(answer);
         if (machine_types && machine_types->len) {
             pthread_mutex_lock(&cloud->node->lock);
@@ -69,7 +69,8 @@
 bool cloud_is_returned(const cloud_t *cloud, const char *id, msec_t now)
 {
     const msec_t *at = g_hash_table_lookup(cloud->returned, id);
-    return at && now - *at < (msec_t)(cloud->node->settings->list_lag_s * 2000) + LEADER_GRACE_MS;
+    return at &&
+           now - *at < (msec_t)(cloud->node->settings->list_lag_s * 2 * MS_PER_S) + LEADER_GRACE_MS;
 }
 
 void cloud_send_machine_item(node_t *node, guint partition, channel_item_kind_t kind,
@@ -96,7 +97,7 @@
         pthread_mutex_lock(&node->lock);
         bool leading = cloud_leads(node);
         pthread_mutex_unlock(&node->lock);
-        if (leading && now - cloud.listed_at > CLOUD_LIST_MS) {
+        if (leading && now - cloud.listed_at > CLOUD_LIST_GAP_MS) {
             cloud_refresh_hosts(&cloud);
             cloud_exclude_members(&cloud, now);
         }
--- a/src/app/cloud_internal.h
+++ b/src/app/cloud_internal.h
@@ -9,7 +9,7 @@
 /* A rental whose answer is still owed: repeated under its name until it is answered. */
 typedef struct {
     bool open;
-    char charter[64];
+    char charter[LABEL_BYTES];
     rental_wish_t wish;
     uint64_t generation;
 } charter_t;
--- a/src/app/cloud_listing.c
+++ b/src/app/cloud_listing.c
@@ -8,14 +8,14 @@
 {
     bool more = true;
     while (more) {
-        char path[160];
+        char path[URL_BYTES];
         json_t *answer = NULL;
         const char *since =
             hosts->len ? g_array_index(hosts, host_t, hosts->len - 1).machine : NULL;
         g_snprintf(path, sizeof path, "/hosts?%s%s%sLimit=%d", since ? "Since=" : "",
-                   since ? since : "", since ? "&" : "", LIST_PAGE);
+                   since ? since : "", since ? "&" : "", LIST_PAGE_COUNT);
         guint before = hosts->len;
-        bool read = cloud_call(cloud, "GET", path, NULL, &answer) == 200 &&
+        bool read = cloud_call(cloud, "GET", path, NULL, &answer) == HTTP_OK &&
                     wire_parse_hosts(answer, hosts, &more);
         json_decref(answer);
         if (!read)
@@ -38,12 +38,13 @@
             g_ptr_array_add(cloud->failed, g_strdup(host->machine));
         else if (!machine && !cloud_is_returned(cloud, host->machine, now)) /* else the list lags */
             rental_booting(node->rental, host->machine, host->type, host->zone, host->spot,
-                           MAX(now - (msec_t)(host->age_s * 1000), node->loaded_at));
+                           MAX(now - (msec_t)(host->age_s * MS_PER_S), node->loaded_at));
     }
     /* What was rented long enough ago to be listed and is not, was taken while it booted. */
     GHashTableIter iter;
-    gpointer key, value;
-    msec_t lag = (msec_t)(node->settings->list_lag_s * 2000) + LEADER_GRACE_MS;
+    gpointer key;
+    gpointer value;
+    msec_t lag = (msec_t)(node->settings->list_lag_s * 2 * MS_PER_S) + LEADER_GRACE_MS;
     g_hash_table_iter_init(&iter, node->rental->boots);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         const boot_t *boot = value;
--- a/src/app/cloud_rental.c
+++ b/src/app/cloud_rental.c
@@ -81,10 +81,11 @@
     int status = cloud_call(cloud, "POST", "/hosts", body, &answer);
     json_decref(body);
     const char *error = json_string_value(json_object_get(answer, "error"));
-    if (status == 200) {
+    if (status == HTTP_OK) {
         take_rental(cloud, answer);
         charter->open = false;
-    } else if (status == 400 || (status == 503 && g_strcmp0(error, "no capacity") == 0)) {
+    } else if (status == HTTP_BAD_REQUEST ||
+               (status == HTTP_UNAVAILABLE && g_strcmp0(error, "no capacity") == 0)) {
         pthread_mutex_lock(&cloud->node->lock);
         if (cloud->node->rental)
             rental_refused(cloud->node->rental, &charter->wish,
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -18,16 +18,43 @@
 static void share_rate_limits(node_t *node, guint members)
 {
     const settings_t *settings = node->settings;
-    double partition_share = MIN(SHARE_PARTITION_WRITE, SHARE_PARTITIONS_WRITE / members);
-    rate_limiter_set_rate(&node->core_rps,
-                          settings->state_rps * MIN(SHARE_CORE_RPS, SHARE_CORES_RPS / members));
+    double partition_share = MIN(PARTITION_WRITE_FRACTION, PARTITIONS_WRITE_FRACTION / members);
+    rate_limiter_set_rate(&node->core_rps, settings->state_rps * MIN(CORE_RPS_FRACTION,
+                                                                     CORES_RPS_FRACTION / members));
     rate_limiter_set_rate(&node->core_write,
                           settings->state_write_rps *
-                              (node->leading ? SHARE_LEADER_WRITE : partition_share));
+                              (node->leading ? LEADER_WRITE_FRACTION : partition_share));
     rate_limiter_set_rate(&node->api_rps,
-                          settings->state_rps * MIN(SHARE_API_RPS, SHARE_APIS_RPS / members));
-    rate_limiter_set_rate(&node->api_write, settings->state_write_rps *
-                                                MIN(SHARE_API_WRITE, SHARE_APIS_WRITE / members));
+                          settings->state_rps * MIN(API_RPS_FRACTION, APIS_RPS_FRACTION / members));
+    rate_limiter_set_rate(&node->api_write,
+                          settings->state_write_rps *
+                              MIN(API_WRITE_FRACTION, APIS_WRITE_FRACTION / members));
+}
+
+static void init_limiters(node_t *node, msec_t now)
+{
+    const settings_t *settings = node->settings;
+    rate_limiter_init(&node->core_rps, settings->state_rps * CORE_RPS_FRACTION, now);
+    rate_limiter_init(&node->core_write, settings->state_write_rps * PARTITION_WRITE_FRACTION, now);
+    rate_limiter_init(&node->api_rps, settings->state_rps * API_RPS_FRACTION, now);
+    rate_limiter_init(&node->api_write, settings->state_write_rps * API_WRITE_FRACTION, now);
+    share_rate_limits(node, settings->siblings->len + 1);
+}
+
+/* Waits end by the steady clock. */
+static void init_conditions(node_t *node)
+{
+    pthread_condattr_t steady;
+    pthread_condattr_init(&steady);
+    pthread_condattr_setclock(&steady, CLOCK_MONOTONIC);
+    pthread_cond_init(&node->work, &steady);
+    pthread_cond_init(&node->direct, &steady);
+    pthread_cond_init(&node->clients, &steady);
+    pthread_cond_init(&node->members, &steady);
+    pthread_cond_init(&node->inquiries, &steady);
+    pthread_cond_init(&node->peer_work, &steady);
+    pthread_cond_init(&node->requests_blocked, &steady);
+    pthread_condattr_destroy(&steady);
 }
 
 node_t *node_new(const settings_t *settings, const policy_t *policy)
@@ -45,26 +72,12 @@
     election_init(&node->election, &self);
     cancellation_log_init(&node->cancellations, node->incarnation, now);
     state_init(&node->state, settings->state);
-    rate_limiter_init(&node->core_rps, settings->state_rps * SHARE_CORE_RPS, now);
-    rate_limiter_init(&node->core_write, settings->state_write_rps * SHARE_PARTITION_WRITE, now);
-    rate_limiter_init(&node->api_rps, settings->state_rps * SHARE_API_RPS, now);
-    rate_limiter_init(&node->api_write, settings->state_write_rps * SHARE_API_WRITE, now);
-    share_rate_limits(node, settings->siblings->len + 1);
-    for (guint i = 0; i < API_CLIENTS; i++)
+    init_limiters(node, now);
+    for (guint i = 0; i < API_CLIENTS_COUNT; i++)
         node->api_clients[i] = http_client_new(1);
-    node->api_clients_free = API_CLIENTS;
+    node->api_clients_free = API_CLIENTS_COUNT;
     pthread_mutex_init(&node->lock, NULL);
-    pthread_condattr_t steady;
-    pthread_condattr_init(&steady);
-    pthread_condattr_setclock(&steady, CLOCK_MONOTONIC);
-    pthread_cond_init(&node->work, &steady);
-    pthread_cond_init(&node->direct, &steady);
-    pthread_cond_init(&node->clients, &steady);
-    pthread_cond_init(&node->members, &steady);
-    pthread_cond_init(&node->inquiries, &steady);
-    pthread_cond_init(&node->peer_work, &steady);
-    pthread_cond_init(&node->requests_blocked, &steady);
-    pthread_condattr_destroy(&steady);
+    init_conditions(node);
     node->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, known_job_free);
     job_counts_replica_init(&node->job_counts);
     node->machine_types = g_array_new(FALSE, FALSE, sizeof(machine_type_t));
@@ -77,7 +90,7 @@
     node->gone_order = g_queue_new();
     pthread_mutex_init(&node->requests_lock, NULL);
     pthread_cond_init(&node->requests_come, NULL);
-    request_queue_init(&node->requests, REQUESTS_WAITING);
+    request_queue_init(&node->requests, REQUESTS_WAITING_COUNT);
     return node;
 }
 
@@ -86,7 +99,7 @@
     pthread_t thread;
     pthread_attr_t attr;
     pthread_attr_init(&attr);
-    pthread_attr_setstacksize(&attr, THREAD_STACK);
+    pthread_attr_setstacksize(&attr, THREAD_STACK_BYTES);
     if (pthread_create(&thread, &attr, run, data) != 0) {
         log_error("event=thread_failed errno=%d", errno);
         abort();
@@ -107,7 +120,7 @@
     node_thread(follow_run, node);
     node_thread(placer_run, node);
     node_thread(cloud_run, node);
-    for (guint i = 0; i < SENDERS; i++)
+    for (guint i = 0; i < SENDERS_COUNT; i++)
         node_thread(sender_run, node);
     return api_start(node);
 }
@@ -120,13 +133,13 @@
 void node_wait(node_t *node, pthread_cond_t *cond, msec_t ms)
 {
     msec_t until = clock_steady() + ms;
-    struct timespec at = {.tv_sec = until / 1000, .tv_nsec = until % 1000 * 1000000};
+    struct timespec at = {.tv_sec = until / MS_PER_S, .tv_nsec = until % MS_PER_S * NS_PER_MS};
     pthread_cond_timedwait(cond, &node->lock, &at);
 }
 
 void node_sleep(msec_t ms)
 {
-    struct timespec left = {.tv_sec = ms / 1000, .tv_nsec = ms % 1000 * 1000000};
+    struct timespec left = {.tv_sec = ms / MS_PER_S, .tv_nsec = ms % MS_PER_S * NS_PER_MS};
     nanosleep(&left, NULL);
 }
 
--- a/src/app/peer_exchange.c
+++ b/src/app/peer_exchange.c
@@ -22,7 +22,7 @@
 {
     peer_message_t message = peer_exchange_message(node);
     if (channel) {
-        message.items = g_array_ref((GArray *)(void *)channel_batch(channel, PEER_BATCH));
+        message.items = g_array_ref((GArray *)(void *)channel_batch(channel, PEER_BATCH_COUNT));
         message.number = channel->sent;
         message.ack = channel->received;
     }
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -54,15 +54,15 @@
 {
     for (guint i = 0; i < entries->len; i++) {
         const state_entry_t *entry = &g_array_index(entries, state_entry_t, i);
-        char **key_parts = g_strsplit(entry->key, "/", 3);
+        char **key_fields = g_strsplit(entry->key, "/", 3);
         gsize bytes = 0;
         uint8_t *bits = wire_parse_bits(entry->value, &bytes);
-        if (g_strv_length(key_parts) == 3 && bits)
-            leader_load_chunk(node->leader, key_parts[1],
-                              (guint)g_ascii_strtoull(key_parts[2], NULL, 10), bits, bytes,
+        if (g_strv_length(key_fields) == 3 && bits)
+            leader_load_chunk(node->leader, key_fields[1],
+                              (guint)g_ascii_strtoull(key_fields[2], NULL, DECIMAL), bits, bytes,
                               entry->revision);
         g_free(bits);
-        g_strfreev(key_parts);
+        g_strfreev(key_fields);
     }
 }
 
@@ -139,7 +139,7 @@
         node->rental = rental_new();
     node->partition =
         partition_new(node->machine_types, node->settings->teams,
-                      (msec_t)(tunable_value(node->policy, TUNABLE_RESERVATION_LAPSE) * 1000));
+                      (msec_t)(tunable_value(node->policy, TUNABLE_RESERVATION_LAPSE) * MS_PER_S));
     if (earlier) {
         partition_inherit_drains(node->partition, earlier);
         partition_free(earlier);
@@ -334,7 +334,8 @@
     double left = rate_limiter_left(&node->core_write, now);
     guint most = left < 1 ? 0 : MIN((guint)left, node->settings->txn_ops);
     guint full = MIN((guint)node->core_write.rate, node->settings->txn_ops);
-    batch->usage = (txn_usage_t){.max_ops = most, .full_ops = full, .max_bytes = TXN_VALUES / 2};
+    batch->usage =
+        (txn_usage_t){.max_ops = most, .full_ops = full, .max_bytes = TXN_VALUES_BYTES / 2};
     if (node->leading) {
         send_placement_requests(
             node, now, (guint)tunable_value(node->policy, TUNABLE_PLACEMENT_REQUESTS_PER_ROUND));
@@ -349,12 +350,13 @@
     partition_limits_t limits = {
         .ops = batch->usage.end_waits ? 0 : most - MIN(most, batch->usage.ops),
         .jobs = conditions - MIN(conditions, spoken_for),
-        .value_max = MIN((gsize)(node->settings->value_kb * 1024), (gsize)TXN_VALUES / 3),
-        .bytes = TXN_VALUES - batch->usage.bytes};
+        .value_max =
+            MIN((gsize)(node->settings->value_kb * BYTES_PER_KIB), (gsize)TXN_VALUES_BYTES / 3),
+        .bytes = TXN_VALUES_BYTES - batch->usage.bytes};
     batch->machines = partition_batch_take(node->partition, &limits, now);
     batch->usage.ops += batch->machines->records->len;
     batch->usage.bytes += batch->machines->bytes;
-    batch->usage.max_bytes = TXN_VALUES;
+    batch->usage.max_bytes = TXN_VALUES_BYTES;
     if (node->leading)
         leader_progress_take(node->leader, now, PROGRESS_GAP_MS, batch->progress, &batch->usage);
     take_results(node, now);
--- a/src/core/election.h
+++ b/src/core/election.h
@@ -12,9 +12,9 @@
 typedef struct {
     uint64_t number;   /* 0: none known */
     uint64_t revision; /* of view/number */
-    char leader[ID_SIZE];
+    char leader[ID_BYTES];
     uint64_t incarnation; /* of the leader */
-    member_t members[MEMBERS_MAX];
+    member_t members[MEMBERS_MAX_COUNT];
     guint count;
 } view_t;
 
@@ -24,7 +24,7 @@
     GHashTable *excluded;    /* leader: name -> msec_t *, owned: owns no machines until then */
     msec_t present_since;    /* last change of present */
     uint64_t lease_revision; /* of view/lease; 0: nobody leads */
-    char lease_holder[ID_SIZE];
+    char lease_holder[ID_BYTES];
     uint64_t lease_incarnation;
 } election_t;
 
@@ -44,7 +44,7 @@
 bool election_is_taken(const election_t *election);
 /* Fills in the members of the next view; we ourselves always are. */
 void election_members(const election_t *election, view_t *view, msec_t now);
-bool election_same_members(const view_t *a, const view_t *b);
+bool election_same_members(const view_t *left, const view_t *right);
 /* Whether the leader of the view may act for all outside the state service, where nothing checks
  * its number: `proof`: all views made before it are known; `superseded`: the highest number heard
  * of. */
--- a/src/core/job_counts.h
+++ b/src/core/job_counts.h
@@ -11,7 +11,7 @@
 #include "core/types.h"
 
 typedef struct {
-    char job[ID_SIZE];
+    char job[ID_BYTES];
     uint32_t done;
     uint32_t outstanding;
 } job_counts_t;
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -211,7 +211,7 @@
         }
         if (!job->dirty_chunks)
             job->dirty_since = now;
-        job->dirty_chunks |= 1u << (task / CHUNK_BITS);
+        job->dirty_chunks |= 1U << (task / CHUNK_BITS);
         partition_attempt_t completion = {.ref = result->ref, .partition = partition};
         g_array_append_val(job->unacknowledged, completion);
         return;
@@ -222,9 +222,9 @@
 
 static gint compare_counts_versions(gconstpointer left, gconstpointer right)
 {
-    uint64_t a = (*(job_t *const *)left)->counts_version;
-    uint64_t b = (*(job_t *const *)right)->counts_version;
-    return (a > b) - (a < b);
+    uint64_t first = (*(job_t *const *)left)->counts_version;
+    uint64_t second = (*(job_t *const *)right)->counts_version;
+    return (first > second) - (first < second);
 }
 
 static void update_counts(leader_t *leader, job_t *job)
--- a/src/core/leader_claims.c
+++ b/src/core/leader_claims.c
@@ -33,7 +33,8 @@
     const job_spec_t *spec = &job->spec;
     machine_summary_t *chosen = NULL;
     double least = INFINITY;
-    guint count = 0, claimed = 0;
+    guint count = 0;
+    guint claimed = 0;
     for (guint i = 0; i < leader->summaries->len; i++) {
         GArray *summaries = g_ptr_array_index(leader->summaries, i);
         for (guint k = 0; summaries && k < summaries->len; k++) {
@@ -65,7 +66,7 @@
     const job_t *job = queued->job;
     priority_t below = queued->owed ? MAX(PRIORITY_HIGH, job->spec.priority) : job->spec.priority;
     guint wanted = queued->owed ? queued->owed - job->outstanding_count
-                                : MIN(leader_job_pending(job), CLAIMED_MACHINES_PER_JOB);
+                                : MIN(leader_job_pending(job), CLAIMED_MACHINES_PER_JOB_COUNT);
     if (!leader_team_admits(state, job->spec.need))
         return;
     while (below > PRIORITY_LOW && wanted > 0 && claim_machine(leader, job, below, now))
--- a/src/core/leader_failures.c
+++ b/src/core/leader_failures.c
@@ -9,8 +9,8 @@
         job->retry_at = MAX(job->retry_at, now + TASK_BACKOFF_MS);
     } else if (cause == CAUSE_ERROR || cause == CAUSE_UNKNOWN) {
         job->errors++;
-        if (job->errors >= JOB_ERRORS_ALARM) {
-            guint doublings = MIN(job->errors - JOB_ERRORS_ALARM, 5);
+        if (job->errors >= JOB_ERRORS_ALARM_COUNT) {
+            guint doublings = MIN(job->errors - JOB_ERRORS_ALARM_COUNT, 5);
             msec_t wait = MIN((msec_t)JOB_BACKOFF_MS << doublings, JOB_BACKOFF_MAX_MS);
             job->retry_at = MAX(job->retry_at, now + wait);
         }
@@ -45,5 +45,5 @@
 {
     const failure_record_t *failure_record = g_hash_table_lookup(leader->failure_records, machine);
     return failure_record && failure_record->is_machine_at_fault &&
-           failure_record->errors >= MACHINE_ERRORS_ALARM;
+           failure_record->errors >= MACHINE_ERRORS_ALARM_COUNT;
 }
--- a/src/core/leader_queues.c
+++ b/src/core/leader_queues.c
@@ -37,7 +37,7 @@
         double due =
             (double)queued->job->spec.submitted_ms + g_array_index(list, double, i) * unit_ms;
         if (due >= ready_ms) {
-            queued->start = MIN(queued->start, due - queued->job->spec.estimate_s * 1000.0);
+            queued->start = MIN(queued->start, due - queued->job->spec.estimate_s * MS_PER_S);
             return;
         }
     }
@@ -60,13 +60,13 @@
     queued_t queued = {.job = job, .start = INFINITY};
     queued.work = leader_job_pending(job) * spec->need.cpus * MAX(spec->estimate_s, 1);
     const targets_t *targets = g_hash_table_lookup(leader->targets, spec->class_name);
-    double ready = (double)day_ms + spec->estimate_s * 1000.0;
+    double ready = (double)day_ms + spec->estimate_s * MS_PER_S;
     if (spec->deadline_s > 0 && targets && targets->times->len)
-        next_target(targets->times, spec->deadline_s * 1000.0, ready, &queued);
+        next_target(targets->times, spec->deadline_s * MS_PER_S, ready, &queued);
     else if (spec->deadline_s > 0)
-        next_target(leader->single_target, spec->deadline_s * 1000.0, ready, &queued);
+        next_target(leader->single_target, spec->deadline_s * MS_PER_S, ready, &queued);
     if (targets)
-        next_target(targets->within, 1000.0, ready, &queued);
+        next_target(targets->within, MS_PER_S, ready, &queued);
     return queued;
 }
 
@@ -75,24 +75,25 @@
  * that keeps the next one; then by age. */
 static gint compare_queued(gconstpointer left, gconstpointer right)
 {
-    const queued_t *a = left, *b = right;
-    bool urgent_a = a->job->spec.priority >= PRIORITY_HIGH;
-    bool urgent_b = b->job->spec.priority >= PRIORITY_HIGH;
-    if (urgent_a != urgent_b)
-        return urgent_a ? -1 : 1;
-    if (!a->owed != !b->owed)
-        return a->owed ? -1 : 1;
-    if (a->job->spec.priority != b->job->spec.priority)
-        return a->job->spec.priority > b->job->spec.priority ? -1 : 1;
-    if (isinf(a->start) != isinf(b->start))
-        return isinf(b->start) ? -1 : 1;
-    if (a->work != b->work)
-        return a->work < b->work ? -1 : 1;
-    if (a->start != b->start)
-        return a->start < b->start ? -1 : 1;
-    if (a->job->spec.submitted_ms != b->job->spec.submitted_ms)
-        return a->job->spec.submitted_ms < b->job->spec.submitted_ms ? -1 : 1;
-    return strcmp(a->job->spec.id, b->job->spec.id);
+    const queued_t *first = left;
+    const queued_t *second = right;
+    bool first_urgent = first->job->spec.priority >= PRIORITY_HIGH;
+    bool second_urgent = second->job->spec.priority >= PRIORITY_HIGH;
+    if (first_urgent != second_urgent)
+        return first_urgent ? -1 : 1;
+    if (!first->owed != !second->owed)
+        return first->owed ? -1 : 1;
+    if (first->job->spec.priority != second->job->spec.priority)
+        return first->job->spec.priority > second->job->spec.priority ? -1 : 1;
+    if (isinf(first->start) != isinf(second->start))
+        return isinf(second->start) ? -1 : 1;
+    if (first->work != second->work)
+        return first->work < second->work ? -1 : 1;
+    if (first->start != second->start)
+        return first->start < second->start ? -1 : 1;
+    if (first->job->spec.submitted_ms != second->job->spec.submitted_ms)
+        return first->job->spec.submitted_ms < second->job->spec.submitted_ms ? -1 : 1;
+    return strcmp(first->job->spec.id, second->job->spec.id);
 }
 
 /* A job that fails wherever it runs must not fill the partitions with its attempts (a soft place of
@@ -101,7 +102,7 @@
 {
     if (job->ending || now < job->retry_at)
         return true;
-    return job->errors >= JOB_ERRORS_ALARM && job->outstanding_count > 0;
+    return job->errors >= JOB_ERRORS_ALARM_COUNT && job->outstanding_count > 0;
 }
 
 GArray *leader_team_queue(leader_t *leader, guint team, msec_t now, int64_t day_ms)
@@ -131,28 +132,62 @@
     return MAX(queued->job->spec.need.cpus, EPSILON);
 }
 
+static bool has_objective(const leader_t *leader, const job_t *job)
+{
+    return job->spec.deadline_s > 0 || g_hash_table_contains(leader->targets, job->spec.class_name);
+}
+
+/* A team without a guarantee counts for less with work that nobody has set an aim for: it has time,
+ * and what it takes is missed by work that has none. */
+static double team_weight(const leader_t *leader, const team_state_t *state, const job_t *next,
+                          double promised)
+{
+    double weight = MAX(MAX(state->team.cpus, promised * UNGUARANTEED_TEAM_FRACTION), 1);
+    bool is_idle_work = state->team.cpus <= 0 && !has_objective(leader, next);
+    return is_idle_work ? weight * IDLE_WORK_FRACTION : weight;
+}
+
 /* Whose turn it is, of those with work left from `at` on: a share is one of the resources in use,
  * not of starts: tasks of five minutes beside others of twenty seconds took nearly all of it by
  * equal starts.
  */
 guint leader_poorest_team(const leader_t *leader, const GPtrArray *queues, const guint *at)
 {
-    guint teams = leader->teams->len, poorest = teams;
-    double least = INFINITY, promised = 0;
+    guint teams = leader->teams->len;
+    guint poorest = teams;
+    double least = INFINITY;
+    double promised = 0;
     for (guint i = 0; i < teams; i++)
         promised += g_array_index(leader->teams, team_state_t, i).team.cpus;
     for (guint i = 0; i < teams; i++) {
         const team_state_t *state = &g_array_index(leader->teams, team_state_t, i);
-        double weight = MAX(MAX(state->team.cpus, promised * UNGUARANTEED_TEAM_SHARE), 1);
-        if (at[i] >= ((const GArray *)g_ptr_array_index(queues, i))->len ||
-            state->cpus / weight >= least)
+        const GArray *queue = g_ptr_array_index(queues, i);
+        if (at[i] >= queue->len)
             continue;
-        least = state->cpus / weight;
+        const job_t *next = g_array_index(queue, queued_t, at[i]).job;
+        double in_use = state->cpus / team_weight(leader, state, next, promised);
+        if (in_use >= least)
+            continue;
+        least = in_use;
         poorest = i;
     }
     return poorest;
 }
 
+/* Tasks of the job for which machines are wanted: within the team's limit, one of a job that keeps
+ * failing. */
+static uint32_t demanded_tasks(const job_t *job, const team_state_t *state)
+{
+    uint32_t tasks = leader_job_pending(job);
+    if (state->team.cpus_max > 0 && job->spec.need.cpus > 0) {
+        double left = MAX(state->team.cpus_max - state->cpus, 0) / job->spec.need.cpus;
+        tasks = MIN(tasks, (uint32_t)MIN(left, (double)TASKS_MAX_COUNT));
+    }
+    if (job->errors >= JOB_ERRORS_ALARM_COUNT)
+        tasks = MIN(tasks, 1);
+    return tasks;
+}
+
 GArray *leader_demand(const leader_t *leader, msec_t now)
 {
     GArray *demand = g_array_new(FALSE, FALSE, sizeof(demand_t));
@@ -163,17 +198,10 @@
         job_t *job = value;
         guint team = 0;
         const team_state_t *state = leader_team_find(leader, job->spec.team, &team);
-        uint32_t tasks = leader_job_pending(job);
-        if (!tasks || !state || leader_is_job_blocked(job, now))
+        if (!state || leader_is_job_blocked(job, now))
             continue;
-        if (state->team.cpus_max > 0 && job->spec.need.cpus > 0) {
-            double left = MAX(state->team.cpus_max - state->cpus, 0) / job->spec.need.cpus;
-            tasks = MIN(tasks, (uint32_t)MIN(left, (double)TASKS_MAX));
-        }
-        if (job->errors >= JOB_ERRORS_ALARM)
-            tasks = MIN(tasks, 1);
-        demand_t entry = {.job = job, .team = team, .tasks = tasks};
-        if (tasks)
+        demand_t entry = {.job = job, .team = team, .tasks = demanded_tasks(job, state)};
+        if (entry.tasks)
             g_array_append_val(demand, entry);
     }
     return demand;
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -6,7 +6,7 @@
 
 void shard_of(const char *machine, const char *zone, char *name, gsize size)
 {
-    guint number = (guint)(XXH64(machine, strlen(machine), 0) % SHARDS_PER_ZONE);
+    guint number = (guint)(XXH64(machine, strlen(machine), 0) % SHARDS_PER_ZONE_COUNT);
     g_snprintf(name, size, "%s.%02u", zone, number);
 }
 
@@ -21,11 +21,12 @@
 bool page_parse(const char *name, char *shard, gsize size, guint *page)
 {
     /* The shard's number follows the last dot, whatever the zone's name holds. */
-    const char *dot = strrchr(name, '.'), *plus = dot ? strchr(dot, '+') : NULL;
+    const char *dot = strrchr(name, '.');
+    const char *plus = dot ? strchr(dot, '+') : NULL;
     gsize length = plus ? (gsize)(plus - name) : strlen(name);
     guint64 number = 0;
     if (!dot || length >= size ||
-        (plus && !g_ascii_string_to_unsigned(plus + 1, 10, 1, G_MAXINT, &number, NULL)))
+        (plus && !g_ascii_string_to_unsigned(plus + 1, DECIMAL, 1, G_MAXINT, &number, NULL)))
         return false;
     memcpy(shard, name, length);
     shard[length] = '\0';
@@ -35,7 +36,7 @@
 
 guint owner_of(const member_t *members, guint count, const char *machine, const char *zone)
 {
-    char shard[SHARD_NAME];
+    char shard[SHARD_NAME_BYTES];
     bool local = false, any = false;
     guint owner = 0;
     uint64_t highest = 0;
--- a/src/core/partition_attempts.c
+++ b/src/core/partition_attempts.c
@@ -67,8 +67,9 @@
     if (attempt->stop)
         return;
     attempt->stop = true;
-    attempt->stop_kill =
-        attempt->entry.checkpoint_s > 0 ? now + (msec_t)(attempt->entry.save_s * 2000) + 1000 : 0;
+    attempt->stop_kill = attempt->entry.checkpoint_s > 0
+                             ? now + (msec_t)(attempt->entry.save_s * 2 * MS_PER_S) + MS_PER_S
+                             : 0;
     partition_want_direct(partition, attempt->machine);
 }
 
--- a/src/core/redirection.c
+++ b/src/core/redirection.c
@@ -13,7 +13,7 @@
 
 /* A controller that workers of this view were sent to. */
 typedef struct {
-    char probe[ID_SIZE]; /* the machine that tries it */
+    char probe[ID_BYTES]; /* the machine that tries it */
     msec_t tried;
     msec_t missed; /* when one came back last */
 } owner_t;
@@ -83,7 +83,7 @@
     if (now - owner->tried < REDIRECT_PROBE_MS && strcmp(owner->probe, machine) != 0)
         return owner->tried + REDIRECT_PROBE_MS;
     /* A probe that stayed away for so long is with its owner, and the others may follow. */
-    if (now - owner->tried >= 2 * REDIRECT_PROBE_MS) {
+    if (now - owner->tried >= 2 * (msec_t)REDIRECT_PROBE_MS) {
         owner->tried = now;
         g_strlcpy(owner->probe, machine, sizeof owner->probe);
     }
@@ -151,7 +151,8 @@
 {
     GPtrArray *retained = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter iter;
-    gpointer id, value;
+    gpointer id;
+    gpointer value;
     g_hash_table_iter_init(&iter, redirection->machines);
     while (g_hash_table_iter_next(&iter, &id, &value)) {
         const redirected_worker_t *worker = value;
--- a/src/core/rental.c
+++ b/src/core/rental.c
@@ -99,7 +99,8 @@
     GPtrArray *fallen = g_ptr_array_new_with_free_func(g_free);
     GHashTable *zones = sum_zones(leader, silent_ms);
     GHashTableIter iter;
-    gpointer zone, value;
+    gpointer zone;
+    gpointer value;
     g_hash_table_iter_init(&iter, zones);
     while (g_hash_table_iter_next(&iter, &zone, &value)) {
         const zone_sum_t *sum = value;
@@ -107,7 +108,7 @@
             if (g_hash_table_remove(rental->unreachable_zones, zone))
                 g_hash_table_insert(rental->recovered_zones, g_strdup(zone),
                                     g_memdup2(&now, sizeof now));
-        } else if (sum->silent >= LOST_LEAST) {
+        } else if (sum->silent >= LOST_MACHINES_MIN_COUNT) {
             msec_t until = now + UNREACHABLE_ZONE_MS;
             if (!rental_is_zone_unreachable(rental, zone, now))
                 g_ptr_array_add(fallen, g_strdup(zone));
@@ -153,7 +154,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const boot_t *boot = value;
         const machine_type_t *machine_type = rental_machine_type(machine_types, boot->type);
-        msec_t usual = machine_type ? (msec_t)(machine_type->boot_s * 1000) : 0;
+        msec_t usual = machine_type ? (msec_t)(machine_type->boot_s * MS_PER_S) : 0;
         if (now - boot->since > BOOT_PATIENCE_MS + 3 * usual)
             g_ptr_array_add(stuck, g_strdup(boot->machine));
     }
--- a/src/core/types.c
+++ b/src/core/types.c
@@ -18,13 +18,14 @@
 guint task_ref_hash(gconstpointer ref)
 {
     const task_ref_t *key = ref;
-    return g_str_hash(key->job) * 31 + key->task;
+    return g_str_hash(key->job) * HASH_FACTOR + key->task;
 }
 
 gboolean task_ref_equal(gconstpointer left, gconstpointer right)
 {
-    const task_ref_t *a = left, *b = right;
-    return a->task == b->task && strcmp(a->job, b->job) == 0;
+    const task_ref_t *first = left;
+    const task_ref_t *second = right;
+    return first->task == second->task && strcmp(first->job, second->job) == 0;
 }
 
 task_ref_t task_ref(const char *job, uint32_t task, uint64_t attempt)
--- a/src/io/relay.c
+++ b/src/io/relay.c
@@ -20,7 +20,7 @@
 static GByteArray *unpack(const char *text, json_int_t size)
 {
     gsize length = 0;
-    if (size < 0 || size > PEER_FRAME_MAX)
+    if (size < 0 || size > PEER_FRAME_MAX_BYTES)
         return NULL;
     uLongf whole = (uLongf)size;
     guchar *packed = g_base64_decode(text, &length);
@@ -35,9 +35,10 @@
 guint relay_write(txn_t *txn, const char *inbox, const char *name, const GByteArray *frame,
                   gsize value_max)
 {
-    char key[ID_SIZE + 32];
+    char key[STATE_KEY_BYTES];
     char *text = pack(frame);
-    gsize length = strlen(text), page_max = value_max - RELAY_RESERVE;
+    gsize length = strlen(text);
+    gsize page_max = value_max - RELAY_RESERVE_BYTES;
     guint pages = (guint)((length + page_max - 1) / page_max);
     for (guint page = 0; page < pages; page++) {
         gsize from = page * page_max;
@@ -59,13 +60,13 @@
 /* The page's inbox and number; false: not a page of this inbox. */
 static bool parse_key(const char *key, const char *inbox, char *name, gsize size, guint64 *page)
 {
-    char prefix[32];
+    char prefix[STATE_KEY_BYTES];
     const char *dot = strrchr(key, '.');
     g_snprintf(prefix, sizeof prefix, "mail/%s/", inbox);
     gsize skip = strlen(prefix);
     if (!g_str_has_prefix(key, prefix) || !dot || dot < key + skip ||
         (gsize)(dot - key) - skip >= size ||
-        !g_ascii_string_to_unsigned(dot + 1, 10, 0, RELAY_PAGES, page, NULL))
+        !g_ascii_string_to_unsigned(dot + 1, DECIMAL, 0, RELAY_PAGES_COUNT, page, NULL))
         return false;
     g_strlcpy(name, key + skip, (gsize)(dot - key) - skip + 1);
     return true;
@@ -77,19 +78,19 @@
 {
     const state_entry_t *entry = &g_array_index(entries, state_entry_t, first);
     json_int_t pages = json_integer_value(json_object_get(entry->value, "Pages"));
-    if (pages < 1 || pages > RELAY_PAGES || first + (guint)pages > entries->len)
+    if (pages < 1 || pages > RELAY_PAGES_COUNT || first + (guint)pages > entries->len)
         return NULL;
     GString *text = g_string_new(NULL);
     gsize stem = strlen(entry->key) - 1;
     for (guint page = 0; page < (guint)pages; page++) {
         const state_entry_t *next = &g_array_index(entries, state_entry_t, first + page);
-        const char *text_part = json_string_value(json_object_get(next->value, "Message"));
+        const char *page_text = json_string_value(json_object_get(next->value, "Message"));
         if (next->revision != entry->revision || strncmp(next->key, entry->key, stem) != 0 ||
-            next->key[stem] != (char)('0' + page) || !text_part) {
+            next->key[stem] != (char)('0' + page) || !page_text) {
             g_string_free(text, TRUE);
             return NULL;
         }
-        g_string_append(text, text_part);
+        g_string_append(text, page_text);
     }
     return text;
 }
--- a/src/io/wire_worker.c
+++ b/src/io/wire_worker.c
@@ -8,7 +8,7 @@
     const char *slash = text ? strchr(text, '/') : NULL;
     guint64 task;
     if (!slash || slash == text || (gsize)(slash - text) >= sizeof reported_attempt->job ||
-        !g_ascii_string_to_unsigned(slash + 1, 10, 0, G_MAXUINT32, &task, NULL))
+        !g_ascii_string_to_unsigned(slash + 1, DECIMAL, 0, G_MAXUINT32, &task, NULL))
         return false;
     memcpy(reported_attempt->job, text, (gsize)(slash - text));
     reported_attempt->job[slash - text] = '\0';
@@ -22,7 +22,8 @@
     static const char *const states[] = {"pulling", "running", "saving", "exited", "gathering"};
     static const char *const causes[] = {"",       "done",    "halted", "error", "full",
                                          "in_use", "no_such", "peers",  "alone"};
-    int state = 0, cause = CAUSE_NONE;
+    int state = 0;
+    int cause = CAUSE_NONE;
     *reported_attempt = (reported_attempt_t){0};
     if (!parse_task_name(json_string_value(json_object_get(value, "Piece")), reported_attempt))
         return wire_fail(why, "Pieces: Piece is not the name of a task");
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -128,7 +128,8 @@
 static void test_shares_are_served_in_turn(void **state)
 {
     (void)state;
-    job_spec_t red = job("j-000001", "red", 100), blue = job("j-000002", "blue", 100);
+    job_spec_t red = job("j-000001", "red", 100);
+    job_spec_t blue = job("j-000002", "blue", 100);
     set_resources(0, "north", 64);
     add(&red);
     add(&blue);
@@ -145,15 +146,16 @@
 static void test_a_share_is_one_of_the_resources_in_use(void **state)
 {
     (void)state;
-    GArray *redirection = g_array_copy(teams);
-    g_array_index(redirection, team_t, 0) = (team_t){.name = "red"};
-    g_array_index(redirection, team_t, 1) = (team_t){.name = "blue"};
+    GArray *unguaranteed = g_array_copy(teams);
+    g_array_index(unguaranteed, team_t, 0) = (team_t){.name = "red"};
+    g_array_index(unguaranteed, team_t, 1) = (team_t){.name = "blue"};
     leader_free(leader);
-    leader = leader_new(redirection, targets, policy, 2);
+    leader = leader_new(unguaranteed, targets, policy, 2);
     leader_set_view(leader, 3);
     record_entry_t loaded = {.job = "j-000009", .team = "red", .need = {40, 0, 1}, .attempt = 9};
     leader_load_attempt(leader, &loaded, "north", 0);
-    job_spec_t red = job("j-000001", "red", 100), blue = job("j-000002", "blue", 100);
+    job_spec_t red = job("j-000001", "red", 100);
+    job_spec_t blue = job("j-000002", "blue", 100);
     set_resources(0, "north", 30);
     add(&red);
     add(&blue);
@@ -165,13 +167,38 @@
     assert_int_equal(count(requests, "j-000002"), 10);
     assert_int_equal(count(requests, "j-000001"), 5);
     g_array_unref(requests);
-    g_array_unref(redirection);
+    g_array_unref(unguaranteed);
+}
+
+/* Five-minute tasks that nobody set an aim for took half of all machines, and most jobs that had
+ * one missed it. */
+static void test_work_without_an_aim_counts_half_of_its_team(void **state)
+{
+    (void)state;
+    GArray *unguaranteed = g_array_copy(teams);
+    g_array_index(unguaranteed, team_t, 0) = (team_t){.name = "red"};
+    g_array_index(unguaranteed, team_t, 1) = (team_t){.name = "blue"};
+    leader_free(leader);
+    leader = leader_new(unguaranteed, targets, policy, 2);
+    leader_set_view(leader, 3);
+    job_spec_t aimed = job("j-000001", "red", 100);
+    job_spec_t idle = job("j-000002", "blue", 100);
+    aimed.deadline_s = 100;
+    set_resources(0, "north", 30);
+    add(&aimed);
+    add(&idle);
+    GArray *requests = schedule();
+    assert_int_equal(count(requests, "j-000001"), 10);
+    assert_int_equal(count(requests, "j-000002"), 5);
+    g_array_unref(requests);
+    g_array_unref(unguaranteed);
 }
 
 static void test_priority_comes_before_age(void **state)
 {
     (void)state;
-    job_spec_t older = job("j-000001", "blue", 1), urgent = job("j-000002", "blue", 1);
+    job_spec_t older = job("j-000001", "blue", 1);
+    job_spec_t urgent = job("j-000002", "blue", 1);
     urgent.priority = PRIORITY_HIGH;
     urgent.submitted_ms = 1500;
     set_resources(0, "north", 2);
@@ -187,7 +214,8 @@
 static void test_machines_are_claimed_for_a_large_task_that_goes_first(void **state)
 {
     (void)state;
-    job_spec_t large = job("j-000001", "blue", 1), small = job("j-000002", "blue", 9);
+    job_spec_t large = job("j-000001", "blue", 1);
+    job_spec_t small = job("j-000002", "blue", 9);
     large.need.cpus = 4;
     small.need.cpus = 1;
     small.priority = PRIORITY_LOW;
@@ -216,10 +244,10 @@
     large.priority = PRIORITY_LOW;
     add(&large);
     for (int i = 2; i < 60; i++) {
-        char id[ID_SIZE];
+        char id[ID_BYTES];
         g_snprintf(id, sizeof id, "j-%06d", i);
         job_spec_t small = job(id, "blue", 2);
-        small.submitted_ms = large.submitted_ms + 5000 * i;
+        small.submitted_ms = large.submitted_ms + (int64_t)5000 * i;
         add(&small);
     }
     int64_t ages[] = {STARVING_MS - 1000, STARVING_MS, STARVING_MS + 10000, STARVING_LONG_MS};
@@ -253,7 +281,8 @@
 static void test_hopeless_deadlines_come_last(void **state)
 {
     (void)state;
-    job_spec_t hopeless = job("j-000001", "blue", 1), hopeful = job("j-000002", "blue", 1);
+    job_spec_t hopeless = job("j-000001", "blue", 1);
+    job_spec_t hopeful = job("j-000002", "blue", 1);
     hopeless.deadline_s = 5; /* estimate 10 */
     hopeful.deadline_s = 500;
     set_resources(0, "north", 2);
@@ -296,7 +325,8 @@
 static void test_a_bound_job_moves_only_when_its_old_zone_is_proved_empty(void **state)
 {
     (void)state;
-    job_spec_t spec = job("j-000001", "blue", 2), apart = job("j-000002", "blue", 3);
+    job_spec_t spec = job("j-000001", "blue", 2);
+    job_spec_t apart = job("j-000002", "blue", 3);
     spec.same_zone = true;
     apart.spread = true;
     add(&spec);
@@ -327,7 +357,8 @@
 static void test_a_machine_claim_is_bounded(void **state)
 {
     (void)state;
-    job_spec_t large = job("j-000001", "blue", 1), small = job("j-000002", "blue", 9);
+    job_spec_t large = job("j-000001", "blue", 1);
+    job_spec_t small = job("j-000002", "blue", 9);
     large.need.cpus = 4;
     small.need.cpus = 1;
     small.priority = PRIORITY_LOW;
@@ -385,7 +416,8 @@
 static void test_machine_that_fails_sound_jobs_is_quarantined(void **state)
 {
     (void)state;
-    job_spec_t first = job("j-000001", "blue", 9), second = job("j-000002", "blue", 9);
+    job_spec_t first = job("j-000001", "blue", 9);
+    job_spec_t second = job("j-000002", "blue", 9);
     add(&first);
     add(&second);
     for (uint32_t i = 0; i < 5; i++)
@@ -421,7 +453,7 @@
                              .cause = CAUSE_DONE};
     leader_handle_result(leader, 0, &done, 1000);
     GArray *progress = leader_progress_new();
-    take_progress(0, 20, TXN_VALUES, progress);
+    take_progress(0, 20, TXN_VALUES_BYTES, progress);
     assert_int_equal(progress->len, 1);
     assert_true(g_array_index(progress, progress_t, 0).end);
     GArray *acknowledged = g_array_new(FALSE, FALSE, sizeof(partition_attempt_t));
@@ -500,7 +532,8 @@
 static void test_end_of_a_job_goes_before_progress_of_others(void **state)
 {
     (void)state;
-    job_spec_t half = job("j-000001", "blue", 2), whole = job("j-000002", "blue", 1);
+    job_spec_t half = job("j-000001", "blue", 2);
+    job_spec_t whole = job("j-000002", "blue", 1);
     job_spec_t other = job("j-000003", "blue", 2);
     set_resources(0, "north", 20);
     add(&half);
@@ -517,13 +550,13 @@
         begun[job - '0'] = true;
     }
     GArray *progress = leader_progress_new();
-    take_progress(0, 3, TXN_VALUES, progress);
+    take_progress(0, 3, TXN_VALUES_BYTES, progress);
     assert_int_equal(progress->len, 2); /* the end, and what the limit leaves */
     assert_true(g_array_index(progress, progress_t, 0).end);
     assert_string_equal(g_array_index(progress, progress_t, 0).job, "j-000002");
     leader_progress_undo(leader, progress);
     g_array_set_size(progress, 0);
-    take_progress(500, 20, TXN_VALUES, progress);
+    take_progress(500, 20, TXN_VALUES_BYTES, progress);
     assert_int_equal(progress->len, 1); /* what is young waits for more */
     g_array_unref(progress);
     g_array_unref(requests);
@@ -543,7 +576,7 @@
     for (guint i = 0; i < 2; i++)
         finish(&g_array_index(requests, leader_request_t, i));
     GArray *progress = leader_progress_new();
-    txn_usage_t usage = {.max_ops = 2, .full_ops = 3, .max_bytes = TXN_VALUES};
+    txn_usage_t usage = {.max_ops = 2, .full_ops = 3, .max_bytes = TXN_VALUES_BYTES};
     leader_progress_take(leader, 1000, 0, progress, &usage);
     assert_true(usage.end_waits);
     assert_int_equal(progress->len, 0);
@@ -553,7 +586,7 @@
     assert_int_equal(progress->len, 1);
     leader_progress_undo(leader, progress);
     g_array_set_size(progress, 0);
-    usage = (txn_usage_t){.max_ops = 3, .full_ops = 3, .max_bytes = TXN_VALUES};
+    usage = (txn_usage_t){.max_ops = 3, .full_ops = 3, .max_bytes = TXN_VALUES_BYTES};
     leader_progress_take(leader, 1000, 0, progress, &usage);
     assert_false(usage.end_waits);
     assert_true(g_array_index(progress, progress_t, 0).end);
@@ -575,7 +608,7 @@
     uint32_t task = g_array_index(requests, leader_request_t, 1).request.task;
     g_array_unref(requests);
     GArray *progress = leader_progress_new();
-    take_progress(0, 20, TXN_VALUES, progress);
+    take_progress(0, 20, TXN_VALUES_BYTES, progress);
     assert_int_equal(progress->len, 1);
     const progress_t *first = &g_array_index(progress, progress_t, 0);
     assert_false(first->end);
@@ -597,7 +630,7 @@
     leader_handle_result(leader, 0, &done, 1000);
     leader_handle_result(leader, 0, &done, 1000); /* told twice */
     GArray *ends = leader_progress_new();
-    take_progress(0, 20, TXN_VALUES, ends);
+    take_progress(0, 20, TXN_VALUES_BYTES, ends);
     assert_int_equal(ends->len, 1);
     assert_true(g_array_index(ends, progress_t, 0).end);
     assert_int_equal(g_array_index(ends, progress_t, 0).done, 2);
@@ -612,12 +645,12 @@
     (void)state;
     set_resources(0, "north", 400);
     for (guint i = 0; i < 8; i++) {
-        char id[ID_SIZE];
+        char id[ID_BYTES];
         g_snprintf(id, sizeof id, "j-%06u", i);
-        job_spec_t spec = job(id, "blue", TASKS_MAX);
+        job_spec_t spec = job(id, "blue", TASKS_MAX_COUNT);
         spec.need.cpus = 0.01;
         add(&spec);
-        for (guint chunk = 0; chunk * CHUNK_BITS < TASKS_MAX; chunk++) {
+        for (guint chunk = 0; chunk * CHUNK_BITS < TASKS_MAX_COUNT; chunk++) {
             task_ref_t ref = task_ref(id, chunk * CHUNK_BITS, 1 + chunk);
             record_entry_t entry = {.task = ref.task, .attempt = ref.attempt, .team = "blue"};
             g_strlcpy(entry.job, id, sizeof entry.job);
@@ -627,7 +660,8 @@
         }
     }
     GArray *progress = leader_progress_new();
-    assert_in_range(take_progress(0, 1000, TXN_VALUES / 2, progress), 1, TXN_VALUES / 2);
+    assert_in_range(take_progress(0, 1000, TXN_VALUES_BYTES / 2, progress), 1,
+                    TXN_VALUES_BYTES / 2);
     assert_int_equal(progress->len, 7); /* one job's chunks; the next has its turn after */
     leader_progress_undo(leader, progress);
     g_array_set_size(progress, 0);
@@ -683,7 +717,7 @@
     rental_t *rental = rental_new();
     set_summaries(silent, 9000, false);
     GPtrArray *fallen = rental_watch_zones(rental, leader, 6000, 1000);
-    assert_int_equal(fallen->len, silent >= LOST_LEAST);
+    assert_int_equal(fallen->len, silent >= LOST_MACHINES_MIN_COUNT);
     g_ptr_array_unref(fallen);
     set_summaries(0, 0, false);
     rental_wish_t taken = {.type = "t", .zone = "north", .spot = true};
@@ -714,7 +748,8 @@
 static guint ordinary_for(uint32_t tasks)
 {
     static char *zones[] = {"north", NULL};
-    rental_wish_t wish, taken = {.type = "t", .zone = "north", .spot = true};
+    rental_wish_t wish;
+    rental_wish_t taken = {.type = "t", .zone = "north", .spot = true};
     GArray *machine_types = g_array_new(FALSE, FALSE, sizeof(machine_type_t));
     machine_type_t machine_type = {
         .name = "t", .capacity = {16, 0, 64}, .price = 3, .spot_price = 1, .zones = zones};
@@ -842,6 +877,8 @@
         cmocka_unit_test_setup_teardown(test_shares_are_served_in_turn, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_a_share_is_one_of_the_resources_in_use, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(test_work_without_an_aim_counts_half_of_its_team, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(test_priority_comes_before_age, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_machines_are_claimed_for_a_large_task_that_goes_first,
                                         set_up, tear_down),
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -39,10 +39,10 @@
                              .list_lag_s = 1,
                              .connections = 100};
     g_snprintf(settings->name, sizeof settings->name, "hand-%u", index);
-    g_snprintf(settings->client_listen, ADDRESS_SIZE, "127.0.0.1:%u", fixture->ports[index]);
-    g_snprintf(settings->peer_listen, ADDRESS_SIZE, "127.0.0.1:%u", peer_work[index]);
-    g_snprintf(settings->cloud, ADDRESS_SIZE, "127.0.0.1:%u", fixture->services->cloud_port);
-    g_snprintf(settings->state, ADDRESS_SIZE, "127.0.0.1:%u",
+    g_snprintf(settings->client_listen, ADDRESS_BYTES, "127.0.0.1:%u", fixture->ports[index]);
+    g_snprintf(settings->peer_listen, ADDRESS_BYTES, "127.0.0.1:%u", peer_work[index]);
+    g_snprintf(settings->cloud, ADDRESS_BYTES, "127.0.0.1:%u", fixture->services->cloud_port);
+    g_snprintf(settings->state, ADDRESS_BYTES, "127.0.0.1:%u",
                fixture->services->state_ports[index]);
     settings->teams = g_array_new(FALSE, FALSE, sizeof(team_t));
     team_t team = {.name = "red", .cpus = 8, .cpus_max = 64};
@@ -331,7 +331,7 @@
 }
 
 /* Whether the node tells so many tasks done and running. */
-static bool tells(guint node, const char *id, json_int_t done, json_int_t running)
+static bool shows_counts(guint node, const char *id, json_int_t done, json_int_t running)
 {
     char path[64];
     json_t *answer = NULL;
@@ -345,7 +345,7 @@
 }
 
 /* The leader counts; every node tells. */
-static void test_every_node_tells_how_many_tasks_run(void **state)
+static void test_every_node_reports_how_many_tasks_run(void **state)
 {
     (void)state;
     begin_ready(2);
@@ -356,12 +356,12 @@
     expect(0, "POST", "/v2/runs", body, 201, "queued");
     report_until(machine, 8);
     for (guint node = 0; node < 2; node++)
-        while (!tells(node, "j-000001", 0, 8))
+        while (!shows_counts(node, "j-000001", 0, 8))
             node_sleep(POLL_MS);
     fake_machine_complete(machine);
     report_until(machine, 2);
     for (guint node = 0; node < 2; node++)
-        while (!tells(node, "j-000001", 8, 2))
+        while (!shows_counts(node, "j-000001", 8, 2))
             node_sleep(POLL_MS);
     abort_job(1, "j-000001", "cancelled");
 }
@@ -434,6 +434,7 @@
     curl_off_t retry_after_s;
 } seen_t;
 
+// NOLINTNEXTLINE(readability-non-const-parameter): libcurl says the type
 static size_t drop(char *data, size_t size, size_t count, void *to)
 {
     (void)data;
@@ -524,6 +525,7 @@
     return wrong;
 }
 
+// NOLINTNEXTLINE(readability-function-size): the table is the test
 static void test_whatever_a_submission_says_it_gets_its_answer(void **state)
 {
     (void)state;
@@ -581,7 +583,8 @@
     };
     begin_ready(1);
     submit(0, "j-000001");
-    guint number = 0, wrong = 0;
+    guint number = 0;
+    guint wrong = 0;
     for (guint i = 0; i < G_N_ELEMENTS(fields); i++) {
         GString *raw = g_string_new(fields[i].raw);
         wrong += count_wrong_answers(number++, fields[i].name, raw, fields[i].status);
@@ -597,7 +600,7 @@
         {"Reel",
          g_string_new("\"0123456789012345678901234567890123456789012345678901234567890123\""), 400},
         {"Hulls", g_string_new("[\"t16\""), 400},
-        {"Unheard", repeated(" ", BODY_MAX, ""), 400},
+        {"Unheard", repeated(" ", BODY_MAX_BYTES, ""), 400},
     };
     for (guint i = 0; i < 70; i++)
         g_string_append_printf(large[3].raw, ",\"t%u\"", 100 + i);
@@ -611,7 +614,7 @@
     static const char *const bodies[] = {"", "null", "[]", "7", "\"j-000001\"", "{}", "{", "job"};
     for (guint i = 0; i < G_N_ELEMENTS(bodies); i++)
         assert_int_equal(ask("POST", "/v2/runs", bodies[i], strlen(bodies[i])).status, 400);
-    GString *deep = repeated("[", BODY_MAX - 1, "");
+    GString *deep = repeated("[", BODY_MAX_BYTES - 1, "");
     assert_int_equal(submit_text(deep), 400);
     assert_int_equal(ask("POST", "/hello", deep->str, deep->len).status, 400);
     g_string_free(deep, TRUE);
@@ -676,7 +679,7 @@
  * service. */
 static void expect_crowd_put_off(void)
 {
-    enum { CROWD = ANSWERERS + 20 };
+    enum { CROWD = API_THREADS_COUNT + 20 };
     seen_t seen[CROWD];
     pthread_t threads[CROWD];
     for (guint i = 0; i < CROWD; i++)
@@ -789,7 +792,7 @@
     g_strlcpy(request.job, job, sizeof request.job);
     assert_non_null(partition_place(node->partition, &request, now));
     partition_batch_t *batch = partition_batch_take(
-        node->partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES}, now);
+        node->partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES_BYTES}, now);
     partition_batch_commit(node->partition, batch, attempt, now);
     partition_batch_free(batch);
 }
@@ -808,22 +811,23 @@
 static void test_a_start_taken_before_a_stall_does_not_leave_after_it(void **state)
 {
     (void)state;
-    msec_t now = clock_steady(), woken = now + 3 * STALL_MS;
+    msec_t begun = clock_steady();
+    msec_t after_stall = begun + 3 * (msec_t)STALL_MS;
     fake_worker_t *worker = fake_worker_new("m-000001");
-    node_t *node = owner_of_one(worker, now);
+    node_t *node = owner_of_one(worker, begun);
     GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     pthread_mutex_lock(&node->lock);
-    place_and_record(node, "j-000001", 100, now);
-    place_and_record(node, "j-000002", 101, now);
-    assert_non_null(take(node, commands, now));
+    place_and_record(node, "j-000001", 100, begun);
+    place_and_record(node, "j-000002", 101, begun);
+    assert_non_null(take(node, commands, begun));
     assert_int_equal(commands->len, 2);
-    assert_true(node_may_send(node, "m-000001", node->generation, commands, now, now + 5));
-    assert_false(node_may_send(node, "m-000001", node->generation, commands, now, woken));
-    assert_null(take(node, commands, woken)); /* it does not know yet */
-    assert_null(take(node, commands, woken + 100));
+    assert_true(node_may_send(node, "m-000001", node->generation, commands, begun, begun + 5));
+    assert_false(node_may_send(node, "m-000001", node->generation, commands, begun, after_stall));
+    assert_null(take(node, commands, after_stall)); /* it does not know yet */
+    assert_null(take(node, commands, after_stall + 100));
     node_job_gone(node, "j-000001");
-    node->jobs_proof = woken + 50; /* the follow that began after it woke was answered */
-    assert_non_null(take(node, commands, woken + 200));
+    node->jobs_proof = after_stall + 50; /* the follow that began after it woke was answered */
+    assert_non_null(take(node, commands, after_stall + 200));
     assert_int_equal(commands->len, 1);
     assert_string_equal(g_array_index(commands, worker_command_t, 0).job, "j-000002");
     pthread_mutex_unlock(&node->lock);
@@ -931,16 +935,16 @@
     expect(0, "GET", "/v2/runs/j-000002", NULL, 200, "done");
     node_t *node = fixture->nodes[0];
     pthread_mutex_lock(&node->lock);
-    for (guint i = 0; i < GONE_JOBS_MAX + ENDED_CACHE; i++) {
-        char id[ID_SIZE];
+    for (guint i = 0; i < GONE_JOBS_COUNT + ENDED_CACHE_COUNT; i++) {
+        char id[ID_BYTES];
         g_snprintf(id, sizeof id, "j-1%05u", i);
         node_remember(node, id, i % 4 != 0);
     }
     assert_false(g_hash_table_contains(node->ended, "j-000001"));
     assert_false(g_hash_table_contains(node->gone, "j-000001"));
-    assert_in_range(g_hash_table_size(node->ended), 1, ENDED_CACHE);
-    assert_in_range(g_hash_table_size(node->gone), 1, GONE_JOBS_MAX);
-    assert_in_range(g_queue_get_length(node->cancellations.entries), 1, CANCELLATION_LOG_MAX);
+    assert_in_range(g_hash_table_size(node->ended), 1, ENDED_CACHE_COUNT);
+    assert_in_range(g_hash_table_size(node->gone), 1, GONE_JOBS_COUNT);
+    assert_in_range(g_queue_get_length(node->cancellations.entries), 1, CANCELLATION_LOG_COUNT);
     pthread_mutex_unlock(&node->lock);
     expect(0, "POST", "/v2/runs", job_body("j-000001"), 200, "cancelled");
     expect(0, "GET", "/v2/runs/j-000001", NULL, 200, "cancelled");
@@ -996,7 +1000,8 @@
     fake_machine_t *machine = fake_machine_new("m-000001");
     report_until_active(machine, &at, 0);
     for (guint i = 1; i <= 4; i++) {
-        char id[ID_SIZE], path[64];
+        char id[ID_BYTES];
+        char path[64];
         json_t *answer = NULL;
         const char *trim = NULL;
         g_snprintf(id, sizeof id, "j-%06u", i);
@@ -1069,7 +1074,7 @@
     msec_t until = clock_steady() + EXCLUDED_MS;
     for (guint i = 0; i < 2; i++) { /* the leader is one of them */
         pthread_mutex_lock(&fixture->nodes[i]->lock);
-        char name[ID_SIZE];
+        char name[ID_BYTES];
         g_snprintf(name, sizeof name, "hand-%u", owner);
         g_hash_table_insert(fixture->nodes[i]->election.excluded, g_strdup(name),
                             g_memdup2(&until, sizeof until));
@@ -1098,7 +1103,7 @@
     const node_t *fresh = node_new(settings_of(0, peers, 2), policy_default());
     msec_t age = clock_steady() - atomic_load(&fresh->state.answered_at);
     connectivity_t other = {
-        .state = now - 2 * SHUT_OUT_MS, .received_at = now, .siblings = now - age};
+        .state = now - 2 * (msec_t)SHUT_OUT_MS, .received_at = now, .siblings = now - age};
     assert_int_equal(connectivity_judge(&other, now), CONNECTIVITY_OUTAGE);
     connectivity_t own = node_connectivity(fresh);
     assert_int_not_equal(connectivity_judge(&own, now), CONNECTIVITY_GOOD);
@@ -1111,7 +1116,7 @@
         cmocka_unit_test(test_a_controller_stops_what_it_confirmed_as_cancelled),
         cmocka_unit_test(test_a_controller_that_is_refused_alone_stops_what_its_sibling_cancelled),
         cmocka_unit_test(test_work_runs_ends_and_is_aborted),
-        cmocka_unit_test(test_every_node_tells_how_many_tasks_run),
+        cmocka_unit_test(test_every_node_reports_how_many_tasks_run),
         cmocka_unit_test(test_odd_requests_get_their_answers),
         cmocka_unit_test(test_whatever_a_submission_says_it_gets_its_answer),
         cmocka_unit_test(test_no_answer_waits_for_the_state_service),
--- a/tests/test_partition.c
+++ b/tests/test_partition.c
@@ -76,7 +76,7 @@
 static void commit(void)
 {
     partition_batch_t *batch = partition_batch_take(
-        fixture->partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES}, fixture->now);
+        fixture->partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES_BYTES}, fixture->now);
     partition_batch_commit(fixture->partition, batch, ++fixture->revision, fixture->now);
     partition_batch_free(batch);
 }
@@ -142,7 +142,7 @@
     place("j-000001", 0, 100);
     commit();
     exchange();
-    fixture->now += 3600 * 1000;
+    fixture->now += (msec_t)3600 * 1000;
     partition_tick(fixture->partition, fixture->now);
     commit();
     assert_int_equal(fixture->partition->results->len, 0);
@@ -254,12 +254,12 @@
     partition_tick(fixture->partition, fixture->now);
     partition_acknowledge(fixture->partition, &ref);
     partition_batch_t *batch = partition_batch_take(
-        fixture->partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES}, fixture->now);
+        fixture->partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES_BYTES}, fixture->now);
     assert_int_equal(batch->records->len, 0);
     partition_batch_free(batch);
     place("j-000001", 1, 101);
-    batch = partition_batch_take(fixture->partition,
-                                 &(partition_limits_t){20, 80, 16384, TXN_VALUES}, fixture->now);
+    batch = partition_batch_take(
+        fixture->partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES_BYTES}, fixture->now);
     assert_int_equal(batch->records->len, 1);
     const page_record_t *record = &g_array_index(batch->records, page_record_t, 0);
     const machine_record_t *machine = &g_array_index(record->machines, machine_record_t, 0);
@@ -575,7 +575,8 @@
 {
     (void)state;
     exchange();
-    report_t original = fake_worker_report(fixture->worker), copy = original;
+    report_t original = fake_worker_report(fixture->worker);
+    report_t copy = original;
     copy.attempts = g_array_copy(original.attempts);
     deliver(&original, false);
     msec_t last = fixture->now;
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -79,8 +79,8 @@
 
 static state_result_t commit_partition(uint64_t view_revision)
 {
-    partition_batch_t *batch =
-        partition_batch_take(partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES}, 1000);
+    partition_batch_t *batch = partition_batch_take(
+        partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES_BYTES}, 1000);
     state_result_t result = fake_store_apply(store, records_commit(NULL, batch, view_revision));
     partition_batch_free(batch);
     return result;
@@ -103,8 +103,8 @@
 /* The key of the shard of the one machine. */
 static const char *record_key(void)
 {
-    static char key[SHARD_NAME + 16];
-    char shard[SHARD_NAME];
+    static char key[SHARD_NAME_BYTES + 16];
+    char shard[SHARD_NAME_BYTES];
     shard_of("m-000001", "north", shard, sizeof shard);
     g_snprintf(key, sizeof key, "machines/%s", shard);
     return key;
@@ -181,8 +181,8 @@
     end.old_revisions = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     GArray *progress = g_array_new(FALSE, FALSE, sizeof(progress_t));
     g_array_append_val(progress, end);
-    partition_batch_t *nothing =
-        partition_batch_take(partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES}, 1000);
+    partition_batch_t *nothing = partition_batch_take(
+        partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES_BYTES}, 1000);
     uint64_t view = fake_store_revision(store, "view/number");
     assert_int_equal(fake_store_apply(store, records_commit(progress, nothing, view)), STATE_OK);
     assert_int_equal(fake_store_apply(store, records_abort("j-000001", revision, 1)), STATE_FAILED);
@@ -224,7 +224,8 @@
 static GPtrArray *fleet_of_one_shard(void)
 {
     GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
-    char own_shard[SHARD_NAME], shard[SHARD_NAME];
+    char own_shard[SHARD_NAME_BYTES];
+    char shard[SHARD_NAME_BYTES];
     shard_of("m-000001", "north", own_shard, sizeof own_shard);
     for (guint i = 1; ids->len < FLEET; i++) {
         char *id = g_strdup_printf("m-%06u", i);
@@ -242,7 +243,7 @@
 {
     for (guint i = 0; i < tasks; i++) {
         placement_request_t request = {
-            .need = {cpus, 0, 1.23456789}, .task = 99999, .attempt = (7u << 24) + i};
+            .need = {cpus, 0, 1.23456789}, .task = 99999, .attempt = (7U << 24) + i};
         g_snprintf(request.job, sizeof request.job, "j-%06u", i / 3);
         g_strlcpy(request.team, "a-team-with-a-name", sizeof request.team);
         g_strlcpy(request.image, "an-image-with-a-name", sizeof request.image);
@@ -255,8 +256,8 @@
 static guint commit_within_limits(bool refused)
 {
     uint64_t view = fake_store_revision(store, "view/number") - refused;
-    partition_batch_t *batch =
-        partition_batch_take(partition, &(partition_limits_t){24, 96, VALUE, TXN_VALUES}, 1000);
+    partition_batch_t *batch = partition_batch_take(
+        partition, &(partition_limits_t){24, 96, VALUE, TXN_VALUES_BYTES}, 1000);
     txn_t txn = records_commit(NULL, batch, view);
     size_t i;
     json_t *change;
@@ -299,7 +300,8 @@
 {
     guint attempts = 0;
     GHashTableIter iter;
-    gpointer key, value;
+    gpointer key;
+    gpointer value;
     g_hash_table_remove_all(machines);
     g_hash_table_iter_init(&iter, store->keys);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
@@ -352,7 +354,8 @@
     partition = partition_new(machine_types, teams, 30000);
     partition_set_view(partition, 1);
     GHashTableIter iter;
-    gpointer key, value;
+    gpointer key;
+    gpointer value;
     g_hash_table_iter_init(&iter, store->keys);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         page_record_t record;
@@ -378,7 +381,8 @@
     g_array_append_val(machine_types, large);
     report_of("m-000001", "t1000", 1);
     fill(600, 1);
-    guint before = 0, after = 1;
+    guint before = 0;
+    guint after = 1;
     GHashTable *machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     while (before != after) {
         before = recorded(machines);
@@ -387,7 +391,7 @@
         after = recorded(machines);
     }
     assert_in_range(after, 100, 599);
-    placement_request_t request = {.need = {1, 0, 1}, .job = "j-000999", .attempt = 9u << 24};
+    placement_request_t request = {.need = {1, 0, 1}, .job = "j-000999", .attempt = 9U << 24};
     assert_null(partition_place(partition, &request, 1000));
     partition_end_job(partition, "j-000000");
     report_of("m-000001", "t1000", 2);
@@ -399,7 +403,8 @@
 static void test_names_of_pages_are_read_back(void **state)
 {
     (void)state;
-    char name[PAGE_NAME], shard[SHARD_NAME];
+    char name[PAGE_NAME_BYTES];
+    char shard[SHARD_NAME_BYTES];
     guint page = 9;
     page_name("east+1.b.07", 0, name, sizeof name);
     assert_string_equal(name, "east+1.b.07"); /* as builds without pages wrote it */
@@ -431,8 +436,8 @@
     assert_int_equal(count_changes(records_abort("j-000001", 5, 2)), 3); /* it may have progress */
     report_of("m-000001", "t16", 1);
     fill(8, 2); /* their starts go in one */
-    partition_batch_t *batch =
-        partition_batch_take(partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES}, 1000);
+    partition_batch_t *batch = partition_batch_take(
+        partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES_BYTES}, 1000);
     assert_int_equal(count_changes(records_commit(NULL, batch, 1)), 1);
     partition_batch_free(batch);
 }
@@ -447,8 +452,8 @@
     fake_store_apply(store, records_submit(&spec));
     uint64_t view = fake_store_revision(store, "view/number");
     place("j-000001", fake_store_revision(store, "jobs/j-000001"));
-    partition_batch_t *batch =
-        partition_batch_take(partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES}, 1000);
+    partition_batch_t *batch = partition_batch_take(
+        partition, &(partition_limits_t){20, 80, 16384, TXN_VALUES_BYTES}, 1000);
     txn_t late = records_commit(NULL, batch, view);
     assert_int_equal(fake_store_apply(store, records_commit(NULL, batch, view)), STATE_OK);
     partition_batch_free(batch);
@@ -456,7 +461,7 @@
     partition_free(partition);
     partition = partition_new(machine_types, teams, 30000);
     partition_set_view(partition, 2);
-    page_record_t record;
+    page_record_t record = {0};
     assert_true(read_record(record_key(), fake_store_get(store, record_key()), &record));
     partition_load(partition, &record, 1000);
     g_array_unref(record.machines);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -72,14 +72,14 @@
         machine_summary_t summary = {.total = {16, 0, 128},
                                      .free = {(double)(i % 8) * 2, 0, 11.3 + (double)i * 0.37},
                                      .attempts = 8 - i % 8,
-                                     .silent_ms = i * 7,
+                                     .silent_ms = (msec_t)i * 7,
                                      .known_ms = 100000 + i};
         g_snprintf(summary.machine, sizeof summary.machine, "m-%06u", i * 3);
         g_strlcpy(summary.type, "sixteen", sizeof summary.type);
         g_strlcpy(summary.zone, i % 3 ? "north" : "south", sizeof summary.zone);
         g_array_append_val(message.summaries, summary);
     }
-    for (guint i = 0; i < PEER_BATCH; i++) {
+    for (guint i = 0; i < PEER_BATCH_COUNT; i++) {
         channel_item_t item = {.kind = CHANNEL_ATTEMPT_RESULT,
                                .result.ref = {.task = i, .attempt = 1ULL << 30}};
         g_snprintf(item.result.ref.job, sizeof item.result.ref.job, "j-%06u", i * 31);
@@ -126,7 +126,8 @@
 static void test_pages_of_an_earlier_message_are_passed_over(void **state)
 {
     (void)state;
-    guint before = post("hand-1", 5000, 7), after = post("hand-1", 1800, 8);
+    guint before = post("hand-1", 5000, 7);
+    guint after = post("hand-1", 1800, 8);
     assert_true(after > 1 && after < before);
     GArray *relayed_messages = open_inbox();
     assert_int_equal(relayed_messages->len, 1);
