--- a/src/core/redirection.c
+++ b/src/core/redirection.c
@@ -5,6 +5,7 @@
 typedef struct {
     msec_t redirected_at;
     msec_t retained_until; /* 0: not retained */
+    bool waits_for_probe;  /* retained for what others met, not for a try of its own */
     msec_t seen;
     msec_t reached; /* when it showed last that an answer of ours arrived */
     uint64_t session;
@@ -111,10 +112,12 @@
     worker->session = report->session;
     worker->seq = report->seq;
     worker->seen = now;
-    if (now < worker->retained_until)
+    if (now < worker->retained_until && !(worker->waits_for_probe && is_owner_reachable))
         return REDIRECTION_RETAINED;
+    bool was_redirected = worker->retained_until == 0;
+    worker->waits_for_probe = false;
     owner_t *owner = find_owner(redirection, name);
-    if (worker->retained_until == 0 && now - worker->redirected_at < REDIRECT_PROBE_MS) {
+    if (was_redirected && now - worker->redirected_at < REDIRECT_PROBE_MS) {
         /* One that is back sooner was turned away, as by a controller that has just begun. */
         bool was_turned_away = now - worker->redirected_at < REDIRECT_TIMEOUT_MS;
         worker->retained_until = now + (was_turned_away ? RETAIN_TURNED_AWAY_MS : RETAIN_MS);
@@ -125,7 +128,8 @@
     bool is_grace_over = now - redirection->cleared >= REDIRECTION_GRACE_MS;
     worker->retained_until =
         spared_until(owner, report->machine, is_grace_over, is_owner_reachable, now);
-    if (worker->retained_until)
+    worker->waits_for_probe = worker->retained_until != 0;
+    if (worker->waits_for_probe)
         return REDIRECTION_RETAINED;
     worker->redirected_at = now;
     return REDIRECTION_TO_OWNER;
--- a/tests/test_redirection.c
+++ b/tests/test_redirection.c
@@ -224,6 +224,34 @@
     assert_false(redirection_owner_is_healthy(&health, 100)); /* it never answered */
 }
 
+/* All workers left their owner when processes stood still for a moment. One tried it and stayed;
+ * the others, without starts, were kept from it for 12 s more. */
+static void test_workers_follow_a_probe_that_reached_its_owner(void **state)
+{
+    (void)state;
+    msec_t now = REDIRECTION_GRACE_MS + 1000;
+    report_t probe = {.machine = "m-000001", .session = 1, .seq = 1};
+    report_t other = {.machine = "m-000002", .session = 1, .seq = 1};
+    assert_int_equal(redirection_report(redirection, &probe, "hand-1", false, now),
+                     REDIRECTION_TO_OWNER);
+    assert_int_equal(redirection_report(redirection, &other, "hand-1", false, now + 100),
+                     REDIRECTION_RETAINED);
+    other.seq++;
+    assert_int_equal(redirection_report(redirection, &other, "hand-1", false, now + 1100),
+                     REDIRECTION_RETAINED);
+    other.seq++;
+    assert_int_equal(redirection_report(redirection, &other, "hand-1", true, now + 2100),
+                     REDIRECTION_TO_OWNER);
+    other.seq++; /* it tried for itself in vain, and stays for the whole time */
+    assert_int_equal(
+        redirection_report(redirection, &other, "hand-1", true, now + 2100 + REDIRECT_TIMEOUT_MS),
+        REDIRECTION_RETAINED);
+    other.seq++;
+    assert_int_equal(
+        redirection_report(redirection, &other, "hand-1", true, now + 3100 + REDIRECT_TIMEOUT_MS),
+        REDIRECTION_RETAINED);
+}
+
 /* A controller that had just begun kept each worker that it turned away without starts for 20 s. */
 static void test_one_that_was_turned_away_tries_again_soon(void **state)
 {
@@ -267,6 +295,8 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(test_workers_of_a_reachable_owner_go_there_at_once, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(test_workers_follow_a_probe_that_reached_its_owner, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(test_one_that_was_turned_away_tries_again_soon, set_up,
                                         tear_down),
         cmocka_unit_test_setup_teardown(test_retained_workers_are_known_to_their_node_at_once,
