--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -140,18 +140,25 @@
     g_array_unref(requests);
 }
 
-/* Tasks of five minutes of teams without a guarantee beside the others' of twenty seconds: by equal
- * starts they came to hold five sixths of the resources. What is freed goes to the team that holds
- * less for its weight. */
-static void test_a_share_is_one_of_the_resources_in_use(void **state)
+/* A leader whose two teams, red and blue, have neither guarantees nor limits. */
+static void lead_without_guarantees(void)
 {
-    (void)state;
     GArray *unguaranteed = g_array_copy(teams);
     g_array_index(unguaranteed, team_t, 0) = (team_t){.name = "red"};
     g_array_index(unguaranteed, team_t, 1) = (team_t){.name = "blue"};
     leader_free(leader);
     leader = leader_new(unguaranteed, targets, policy, 2);
     leader_set_view(leader, 3);
+    g_array_unref(unguaranteed);
+}
+
+/* Tasks of five minutes of teams without a guarantee beside the others' of twenty seconds: by equal
+ * starts they came to hold five sixths of the resources. What is freed goes to the team that holds
+ * less for its weight. */
+static void test_a_share_is_one_of_the_resources_in_use(void **state)
+{
+    (void)state;
+    lead_without_guarantees();
     record_entry_t loaded = {.job = "j-000009", .team = "red", .need = {40, 0, 1}, .attempt = 9};
     leader_load_attempt(leader, &loaded, "north", 0);
     job_spec_t red = job("j-000001", "red", 100);
@@ -167,7 +174,6 @@
     assert_int_equal(count(requests, "j-000002"), 10);
     assert_int_equal(count(requests, "j-000001"), 5);
     g_array_unref(requests);
-    g_array_unref(unguaranteed);
 }
 
 /* Five-minute tasks that nobody set an aim for took half of all machines, and most jobs that had
@@ -175,12 +181,7 @@
 static void test_work_without_an_aim_counts_half_of_its_team(void **state)
 {
     (void)state;
-    GArray *unguaranteed = g_array_copy(teams);
-    g_array_index(unguaranteed, team_t, 0) = (team_t){.name = "red"};
-    g_array_index(unguaranteed, team_t, 1) = (team_t){.name = "blue"};
-    leader_free(leader);
-    leader = leader_new(unguaranteed, targets, policy, 2);
-    leader_set_view(leader, 3);
+    lead_without_guarantees();
     job_spec_t aimed = job("j-000001", "red", 100);
     job_spec_t idle = job("j-000002", "blue", 100);
     aimed.deadline_s = 100;
@@ -191,7 +192,6 @@
     assert_int_equal(count(requests, "j-000001"), 10);
     assert_int_equal(count(requests, "j-000002"), 5);
     g_array_unref(requests);
-    g_array_unref(unguaranteed);
 }
 
 static void test_priority_comes_before_age(void **state)
