Metrics: processor time by role of threads; a load program to measure the service by

Threads start through a registry that reads their clocks when somebody asks for /metrics, and costs nothing else. tests/load.c puts workers and users on real processes over the stand-ins, and prints what each controller's metrics changed a second; perf and strace can be put on the leader.

--- a/src/app/api.c
+++ b/src/app/api.c
@@ -17,6 +17,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "app/threads.h"
 #include "io/clock.h"
 #include "log.h"
 
@@ -156,6 +157,7 @@
     (void)version;
     request_t *request = *context;
     if (!request) {
+        threads_adopt("http");
         request = g_new0(request_t, 1);
         request->node = data;
         request->connection = connection;
@@ -223,8 +225,8 @@
     inet_pton(AF_INET, host, &address.sin_addr);
     address.sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, DECIMAL));
     for (guint i = 0; i < API_THREADS_COUNT; i++)
-        node_thread(answer_run, node);
-    node_thread(expire_run, node);
+        threads_start("answer", answer_run, node);
+    threads_start("expire", expire_run, node);
     struct MHD_Daemon *daemon = MHD_start_daemon(
         MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
         handle, node, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_THREAD_POOL_SIZE,
--- a/src/app/heartbeat.c
+++ b/src/app/heartbeat.c
@@ -3,6 +3,7 @@
 
 #include <unistd.h>
 
+#include "app/threads.h"
 #include "io/clock.h"
 #include "log.h"
 
@@ -117,6 +118,6 @@
     for (guint i = 0; i < node->settings->siblings->len; i++) {
         heartbeat_t *heartbeat = g_new(heartbeat_t, 1);
         *heartbeat = (heartbeat_t){node, i};
-        node_thread(heartbeat_run, heartbeat);
+        threads_start("heartbeat", heartbeat_run, heartbeat);
     }
 }
--- a/src/app/metrics.c
+++ b/src/app/metrics.c
@@ -1,9 +1,12 @@
 #include "app/metrics.h"
 
 #include <pthread.h>
+#include <sys/resource.h>
 
 #include <gsl/gsl_histogram.h>
 
+#include "app/threads.h"
+
 static const char *const count_names[COUNT_LAST] = {"submissions_accepted",
                                                     "requests_refused",
                                                     "requests_put_off",
@@ -66,6 +69,15 @@
                                    gsl_histogram_get(histogram, i));
 }
 
+/* What the process as a whole has used. A voluntary context switch is a wait of a thread. */
+static void write_usage(GString *text)
+{
+    struct rusage usage;
+    getrusage(RUSAGE_SELF, &usage);
+    g_string_append_printf(text, "context_switches %ld\nmemory_peak_kib %ld\n", usage.ru_nvcsw,
+                           usage.ru_maxrss);
+}
+
 char *metrics_text(metrics_t *metrics)
 {
     GString *text = g_string_new(NULL);
@@ -76,5 +88,7 @@
     for (int i = 0; i < TIME_LAST; i++)
         write_histogram(text, time_names[i], metrics->time[i]);
     pthread_mutex_unlock(&metrics->lock);
+    write_usage(text);
+    threads_write(text);
     return g_string_free(text, FALSE);
 }
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -1,9 +1,7 @@
 /* A node as a whole: its making, its threads, its view. */
 #include "app/node.h"
 
-#include <errno.h>
-#include <stdlib.h>
-
+#include "app/threads.h"
 #include "io/clock.h"
 #include "log.h"
 
@@ -94,34 +92,20 @@
     return node;
 }
 
-pthread_t node_thread(void *(*run)(void *), void *data)
-{
-    pthread_t thread;
-    pthread_attr_t attr;
-    pthread_attr_init(&attr);
-    pthread_attr_setstacksize(&attr, THREAD_STACK_BYTES);
-    if (pthread_create(&thread, &attr, run, data) != 0) {
-        log_error("event=thread_failed errno=%d", errno);
-        abort();
-    }
-    pthread_attr_destroy(&attr);
-    return thread;
-}
-
 bool node_start(node_t *node)
 {
-    node_thread(view_run, node);
-    node_thread(member_run, node);
-    node_thread(peer_client_run, node);
-    node_thread(peer_server_run, node);
-    node_thread(relay_run, node);
+    threads_start("view", view_run, node);
+    threads_start("member", member_run, node);
+    threads_start("peer_client", peer_client_run, node);
+    threads_start("peer_server", peer_server_run, node);
+    threads_start("relay", relay_run, node);
     heartbeat_start(node);
-    node_thread(pulse_run, node);
-    node_thread(follow_run, node);
-    node_thread(placer_run, node);
-    node_thread(cloud_run, node);
+    threads_start("pulse", pulse_run, node);
+    threads_start("follow", follow_run, node);
+    threads_start("placer", placer_run, node);
+    threads_start("cloud", cloud_run, node);
     for (guint i = 0; i < SENDERS_COUNT; i++)
-        node_thread(sender_run, node);
+        threads_start("sender", sender_run, node);
     return api_start(node);
 }
 
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -155,7 +155,6 @@
 void node_wait(node_t *node, pthread_cond_t *cond, msec_t ms);
 
 void node_sleep(msec_t ms);
-pthread_t node_thread(void *(*run)(void *), void *data);
 
 /* Follows a prefix for ever: reads it whole, then its changes, and whole again when they are gone.
  */
--- a/src/app/peer_server.c
+++ b/src/app/peer_server.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "app/threads.h"
 #include "io/clock.h"
 #include "log.h"
 
@@ -113,7 +114,7 @@
         peer_set_timeout(fd, PEER_IDLE_MS);
         peer_connection_t *peer_connection = g_new(peer_connection_t, 1);
         *peer_connection = (peer_connection_t){node, fd};
-        pthread_detach(node_thread(peer_connection_run, peer_connection));
+        pthread_detach(threads_start("peer_connection", peer_connection_run, peer_connection));
     }
     return NULL;
 }
--- /dev/null
+++ b/tests/load.c
@@ -0,0 +1,333 @@
+/* A load for the service, to find where its processor time goes: the stand-ins of the tests, as
+ * many workers and users as asked for, and controllers that are processes of their own, so that a
+ * profiler or a call counter can be put on them. No test, and not in CI.
+ *
+ * It prints, for each controller, what /metrics said at the end less what it said after the
+ * warm-up, a second. CONTRIBUTING.md tells how it is used. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "app/threads.h"
+#include "io/clock.h"
+#include "io/http.h"
+#include "services.h"
+
+enum {
+    TICK_MS_LOAD = 250,  /* between looks of a worker at what changed */
+    CONTROLLERS_MAX = 3, /* a port of the state service each */
+    CHANGE_GAP_MS = 500, /* a worker reports a change no sooner after its last report */
+    USER_POLL_MS = 5000, /* users ask for a job so often */
+    HTTP_TIMEOUT_MS = 4000,
+    CPU_MS_PER_S = 1000
+};
+
+typedef struct {
+    int controllers;
+    int machines;
+    int seconds;
+    int warmup;
+    double report_s;
+    double jobs_per_s;
+    int tasks;
+    double run_s;
+    double core_share;
+    char *program;
+    char *command;
+} options_t;
+
+typedef struct {
+    options_t options;
+    services_t *services;
+    uint16_t ports[CONTROLLERS_MAX];
+    uint16_t peer_ports[CONTROLLERS_MAX];
+    GPid pids[CONTROLLERS_MAX];
+    volatile bool over;
+} load_t;
+
+static load_t load = {.options = {.controllers = 3,
+                                  .machines = 60,
+                                  .seconds = 20,
+                                  .warmup = 10,
+                                  .report_s = 1,
+                                  .jobs_per_s = 1,
+                                  .tasks = 10,
+                                  .run_s = 20,
+                                  .core_share = 0.029,
+                                  .program = "target/pepperpulley"}};
+
+static void sleep_ms(msec_t ms)
+{
+    g_usleep((gulong)ms * US_PER_MS);
+}
+
+static int call(http_client_t *client, guint controller, const char *method, const char *path,
+                const json_t *body, json_t **answer)
+{
+    char url[URL_BYTES];
+    g_snprintf(url, sizeof url, "http://127.0.0.1:%u%s", load.ports[controller], path);
+    return http_call(client, method, url, body, HTTP_TIMEOUT_MS, answer);
+}
+
+static json_t *endpoint(uint16_t port)
+{
+    return json_sprintf("127.0.0.1:%u", port);
+}
+
+static json_t *build_settings(const services_t *services, guint index)
+{
+    json_t *siblings = json_array();
+    for (guint i = 0; i < (guint)load.options.controllers; i++)
+        if (i != index)
+            json_array_append_new(
+                siblings, json_pack("{s:o,s:s,s:o}", "host_name", json_sprintf("hand-%u", i),
+                                    "location", "north", "endpoint", endpoint(load.peer_ports[i])));
+    json_t *settings = json_pack(
+        "{s:i,s:[s],s:[{s:s,s:f,s:f,s:f,s:f}],s:[],s:{s:f,s:f,s:f,s:f,s:f},s:{s:f,s:f,s:f,s:i},"
+        "s:{s:f,s:f},s:{s:f,s:f,s:i}}",
+        "initial_size", load.options.controllers, "zones", "north", "teams", "name", "red", "cpus",
+        1e5, "cpus_max", 1e6, "gpus", 0.0, "gpus_max", 0.0, "objectives", "workers", "report_s",
+        load.options.report_s, "lease_s", 10.0, "gang_wait_s", 35.0, "gang_peer_s", 4.0, "cancel_s",
+        30.0, "state", "rps", 250.0, "write_rps", 80.0, "value_kb", 16.0, "txn_ops", 48, "cloud",
+        "rps", 5.0, "list_lag_s", 3.0, "limits", "core_share", load.options.core_share, "ram_mb",
+        37.0, "fd_limit", 600);
+    json_object_set_new(settings, "clock_off_ms", json_real(5));
+    return json_pack("{s:o,s:s,s:o,s:o,s:o,s:{s:o,s:o},s:o}", "host_name",
+                     json_sprintf("hand-%u", index), "location", "north", "client_listen",
+                     endpoint(load.ports[index]), "mesh_addr", endpoint(load.peer_ports[index]),
+                     "siblings", siblings, "endpoints", "cloud", endpoint(services->cloud_port),
+                     "state", endpoint(services->state_ports[index]), "settings", settings);
+}
+
+static void start_controller(guint index, const char *folder)
+{
+    char *path = g_strdup_printf("%s/hand-%u.json", folder, index);
+    json_t *settings = build_settings(load.services, index);
+    json_dump_file(settings, path, JSON_INDENT(2));
+    json_decref(settings);
+    char *arguments[] = {load.options.program, "--config", path, NULL};
+    GError *error = NULL;
+    if (!g_spawn_async(NULL, arguments, NULL, G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_SEARCH_PATH, NULL,
+                       NULL, &load.pids[index], &error)) {
+        fprintf(stderr, "load: %s\n", error->message);
+        exit(EXIT_FAILURE);
+    }
+    g_free(path);
+}
+
+/* A worker: reports every report_s and soon after a change, and its tasks end by and by. */
+static void *machine_run(void *data)
+{
+    fake_machine_t *machine = data;
+    http_client_t *client = http_client_new(2);
+    guint controller = arc4random_uniform((guint)load.options.controllers);
+    guint runs = 0;
+    msec_t reported = 0;
+    while (!load.over) {
+        sleep_ms(TICK_MS_LOAD);
+        double ending = (double)TICK_MS_LOAD / MS_PER_S / load.options.run_s;
+        if (arc4random_uniform(CPU_MS_PER_S) < ending * CPU_MS_PER_S)
+            fake_machine_complete(machine);
+        pthread_mutex_lock(&machine->lock);
+        bool changed = machine->worker->runs != runs;
+        runs = machine->worker->runs;
+        pthread_mutex_unlock(&machine->lock);
+        msec_t age = clock_steady() - reported;
+        if (age < (changed ? CHANGE_GAP_MS : (msec_t)(load.options.report_s * MS_PER_S)))
+            continue;
+        json_t *answer = NULL;
+        json_t *body = fake_machine_report(machine);
+        int status = call(client, controller, "POST", "/hello", body, &answer);
+        const char *owner = json_string_value(json_object_get(answer, "Bosun"));
+        reported = clock_steady();
+        if (status == HTTP_OK)
+            fake_machine_answer(machine, answer);
+        else if (status == HTTP_MISDIRECTED && owner)
+            controller = (guint)(owner[strlen("hand-")] - '0');
+        else
+            controller = (controller + 1) % (guint)load.options.controllers;
+        reported -= status == HTTP_OK ? 0 : (msec_t)(load.options.report_s * MS_PER_S);
+        json_decref(answer);
+        json_decref(body);
+    }
+    return NULL;
+}
+
+/* Users: a job now and then; each job is asked for until it is done. */
+static void *users_run(void *data)
+{
+    (void)data;
+    http_client_t *client = http_client_new(2);
+    GPtrArray *open = g_ptr_array_new_with_free_func(g_free);
+    guint number = 0;
+    msec_t polled = 0;
+    while (!load.over) {
+        sleep_ms(load.options.jobs_per_s > 0 ? (msec_t)(MS_PER_S / load.options.jobs_per_s)
+                                             : MS_PER_S);
+        if (load.options.jobs_per_s > 0) {
+            char *id = g_strdup_printf("j-%06u", ++number);
+            json_t *body = json_pack(
+                "{s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:f,s:s,s:f,s:n,s:n,s:b,s:b,s:b,s:f,s:f,s:f,s:n}",
+                "Uid", id, "Reel", "c", "Crew", "red", "Rig", "sweep", "Urgency", "normal",
+                "Pieces", load.options.tasks, "Cpus", 1.0, "Accelerators", 0.0, "MemGb", 2.0,
+                "Cargo", "i", "ImageGb", 1.0, "Hulls", "Dock", "SamePlace", 0, "Apart", 0,
+                "Driftwood", 1, "HaulS", load.options.run_s, "KnotS", 0.0, "StowS", 0.0, "TideS");
+            call(client, arc4random_uniform((guint)load.options.controllers), "POST", "/v2/runs",
+                 body, NULL);
+            json_decref(body);
+            g_ptr_array_add(open, id);
+        }
+        if (clock_steady() - polled < USER_POLL_MS)
+            continue;
+        polled = clock_steady();
+        for (guint i = open->len; i-- > 0;) {
+            char path[URL_BYTES];
+            json_t *answer = NULL;
+            g_snprintf(path, sizeof path, "/v2/runs/%s", (char *)g_ptr_array_index(open, i));
+            call(client, arc4random_uniform((guint)load.options.controllers), "GET", path, NULL,
+                 &answer);
+            if (g_strcmp0(json_string_value(json_object_get(answer, "Trim")), "done") == 0)
+                g_ptr_array_remove_index(open, i);
+            json_decref(answer);
+        }
+    }
+    return NULL;
+}
+
+/* What /metrics of the controller says: name -> value. */
+static GHashTable *read_metrics(guint controller)
+{
+    GHashTable *values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    char *text = NULL;
+    char *command = g_strdup_printf("curl -s http://127.0.0.1:%u/metrics", load.ports[controller]);
+    if (g_spawn_command_line_sync(command, &text, NULL, NULL, NULL)) {
+        char **lines = g_strsplit(text, "\n", -1);
+        for (char **line = lines; *line; line++) {
+            char *space = strrchr(*line, ' ');
+            if (!space)
+                continue;
+            double value = g_ascii_strtod(space + 1, NULL);
+            g_hash_table_insert(values, g_strndup(*line, (gsize)(space - *line)),
+                                g_memdup2(&value, sizeof value));
+        }
+        g_strfreev(lines);
+    }
+    g_free(text);
+    g_free(command);
+    return values;
+}
+
+static gint compare_names(gconstpointer left, gconstpointer right)
+{
+    return strcmp(*(char *const *)left, *(char *const *)right);
+}
+
+static void print_difference(guint controller, GHashTable *before, GHashTable *after)
+{
+    GPtrArray *names = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer name;
+    gpointer value;
+    g_hash_table_iter_init(&iter, after);
+    while (g_hash_table_iter_next(&iter, &name, &value))
+        g_ptr_array_add(names, name);
+    g_ptr_array_sort(names, compare_names);
+    for (guint i = 0; i < names->len; i++) {
+        const char *key = g_ptr_array_index(names, i);
+        const double *first = g_hash_table_lookup(before, key);
+        const double *last = g_hash_table_lookup(after, key);
+        double rate = (*last - (first ? *first : 0)) / load.options.seconds;
+        if (rate > 0)
+            printf("hand-%u %s %.3f/s\n", controller, key, rate);
+    }
+    g_ptr_array_unref(names);
+}
+
+static void parse_options(int argc, char **argv)
+{
+    options_t *options = &load.options;
+    GError *error = NULL;
+    const GOptionEntry entries[] = {
+        {"controllers", 0, 0, G_OPTION_ARG_INT, &options->controllers, "1 to 3", "N"},
+        {"machines", 0, 0, G_OPTION_ARG_INT, &options->machines, "workers", "N"},
+        {"seconds", 0, 0, G_OPTION_ARG_INT, &options->seconds, "measured", "N"},
+        {"warmup", 0, 0, G_OPTION_ARG_INT, &options->warmup, "not measured", "N"},
+        {"report-s", 0, 0, G_OPTION_ARG_DOUBLE, &options->report_s, "between reports", "S"},
+        {"jobs-per-s", 0, 0, G_OPTION_ARG_DOUBLE, &options->jobs_per_s, "0: none", "R"},
+        {"tasks", 0, 0, G_OPTION_ARG_INT, &options->tasks, "of a job", "N"},
+        {"run-s", 0, 0, G_OPTION_ARG_DOUBLE, &options->run_s, "of a task, about", "S"},
+        {"core-share", 0, 0, G_OPTION_ARG_DOUBLE, &options->core_share, "in their settings", "F"},
+        {"program", 0, 0, G_OPTION_ARG_FILENAME, &options->program, "the service", "FILE"},
+        {"command", 0, 0, G_OPTION_ARG_STRING, &options->command,
+         "run in the measured time; {} is the process id of hand-0", "LINE"},
+        {0}};
+    GOptionContext *context = g_option_context_new("- load for the service");
+    g_option_context_add_main_entries(context, entries, NULL);
+    bool parsed = g_option_context_parse(context, &argc, &argv, &error);
+    g_option_context_free(context);
+    if (!parsed || options->controllers < 1 || options->controllers > CONTROLLERS_MAX) {
+        fprintf(stderr, "load: %s\n", error ? error->message : "1 to 3 controllers");
+        exit(EXIT_FAILURE);
+    }
+}
+
+static void run_command(void)
+{
+    if (!load.options.command)
+        return;
+    char pid[NUMBER_BYTES];
+    g_snprintf(pid, sizeof pid, "%d", load.pids[0]);
+    char **fragments = g_strsplit(load.options.command, "{}", -1);
+    char *line = g_strjoinv(pid, fragments);
+    if (system(line) != 0)
+        fprintf(stderr, "load: the command failed: %s\n", line);
+    g_free(line);
+    g_strfreev(fragments);
+}
+
+static void start_all(const char *folder)
+{
+    guint controllers = (guint)load.options.controllers;
+    for (guint i = 0; i < controllers; i++) {
+        load.ports[i] = services_free_port();
+        load.peer_ports[i] = services_free_port();
+    }
+    http_client_t *client = http_client_new(2);
+    for (guint i = 0; i < controllers; i++) { /* the first one leads */
+        start_controller(i, folder);
+        while (call(client, i, "GET", "/ready", NULL, NULL) != HTTP_OK)
+            sleep_ms(TICK_MS_LOAD);
+    }
+    for (int i = 0; i < load.options.machines; i++) {
+        char id[ID_BYTES];
+        g_snprintf(id, sizeof id, "m-%06d", i + 1);
+        threads_start("machine", machine_run, fake_machine_new(id));
+    }
+    threads_start("users", users_run, NULL);
+}
+
+int main(int argc, char **argv)
+{
+    parse_options(argc, argv);
+    signal(SIGPIPE, SIG_IGN);
+    http_start();
+    load.services = services_new();
+    services_publish_types(load.services);
+    char *folder = g_dir_make_tmp("load-XXXXXX", NULL);
+    start_all(folder);
+    sleep((guint)load.options.warmup);
+    GHashTable *before[CONTROLLERS_MAX] = {NULL};
+    for (guint i = 0; i < (guint)load.options.controllers; i++)
+        before[i] = read_metrics(i);
+    msec_t until = clock_steady() + (msec_t)load.options.seconds * MS_PER_S;
+    run_command();
+    sleep_ms(MAX(until - clock_steady(), 0));
+    for (guint i = 0; i < (guint)load.options.controllers; i++)
+        print_difference(i, before[i], read_metrics(i));
+    load.over = true;
+    for (guint i = 0; i < (guint)load.options.controllers; i++)
+        kill(load.pids[i], SIGKILL);
+    return EXIT_SUCCESS;
+}
