--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -106,7 +106,7 @@
             cloud_rent(&cloud);
             cloud_give_back(&cloud);
         }
-        node_sleep(gap);
+        node_sleep(leading ? gap : MAX(gap, CLOUD_IDLE_GAP_MS));
     }
     return NULL;
 }
--- a/src/app/heartbeat.c
+++ b/src/app/heartbeat.c
@@ -28,12 +28,29 @@
     return peer_encode(&message);
 }
 
+/* With the lock held, which is given up meanwhile: waits until there is a cancellation that the
+ * caller has not got, for a while at most. Returns how long that was. */
+static msec_t hold_answer(node_t *node, const peer_message_t *message)
+{
+    const cancellation_log_t *log = &node->cancellations;
+    msec_t begun = clock_steady();
+    msec_t held = 0;
+    while (message->acknowledged_incarnation == log->incarnation &&
+           message->acknowledged_index >= log->newest && held < HEARTBEAT_HOLD_MS) {
+        node_wait(node, &node->cancellation, HEARTBEAT_HOLD_MS - held);
+        held = clock_steady() - begun;
+    }
+    return held;
+}
+
 GByteArray *heartbeat_answer(node_t *node, const peer_message_t *message)
 {
     pthread_mutex_lock(&node->lock);
     peer_exchange_receive_any(node, message);
+    msec_t held = hold_answer(node, message);
     peer_message_t answer = peer_exchange_message(node);
     answer.heartbeat = true;
+    answer.held_ms = held;
     answer.update = cancellation_log_update(&node->cancellations, message->acknowledged_incarnation,
                                             message->acknowledged_index, clock_steady());
     if (node->leading && node->loaded)
@@ -56,7 +73,8 @@
     }
 }
 
-/* With the lock held: what a sibling answered to a heartbeat that left at `asked`. */
+/* With the lock held: what a sibling answered to a heartbeat, whose answer it made at `asked` or
+ * later. */
 static void receive_heartbeat_answer(node_t *node, guint index, const peer_message_t *message,
                                      msec_t asked)
 {
@@ -74,6 +92,13 @@
         receive_job_counts(node, &message->counts);
 }
 
+/* The answer was made when it had been held for so long after the heartbeat had left, or later.
+ * Clocks drift apart: what the sibling measured is shortened. */
+static msec_t answer_made_at(const peer_message_t *answer, msec_t asked)
+{
+    return asked + MAX(answer->held_ms - answer->held_ms / CLOCK_DRIFT_DIVISOR - 1, 0);
+}
+
 static bool send_heartbeat(const heartbeat_t *heartbeat, int fd)
 {
     node_t *node = heartbeat->node;
@@ -85,7 +110,7 @@
     if (!answered)
         return false;
     pthread_mutex_lock(&node->lock);
-    receive_heartbeat_answer(node, heartbeat->index, &message, asked);
+    receive_heartbeat_answer(node, heartbeat->index, &message, answer_made_at(&message, asked));
     pthread_mutex_unlock(&node->lock);
     peer_message_clear(&message);
     return true;
@@ -102,13 +127,21 @@
         &g_array_index(heartbeat->node->settings->siblings, sibling_t, heartbeat->index);
     int fd = -1;
     for (;;) {
-        if (fd < 0)
+        if (fd < 0) {
             fd = peer_connect(sibling->endpoint, PEER_TIMEOUT_MS);
-        if (fd >= 0 && !send_heartbeat(heartbeat, fd)) {
+            if (fd >= 0)
+                peer_set_timeout(fd, HEARTBEAT_TIMEOUT_MS);
+        }
+        msec_t sent = clock_steady();
+        bool is_answered = fd >= 0 && send_heartbeat(heartbeat, fd);
+        if (!is_answered && fd >= 0) {
             close(fd);
             fd = -1;
         }
-        node_sleep(HEARTBEAT_GAP_MS);
+        if (!is_answered)
+            node_sleep(HEARTBEAT_GAP_MS);
+        else if (clock_steady() - sent < HEARTBEAT_NEWS_GAP_MS)
+            node_sleep(HEARTBEAT_NEWS_GAP_MS);
     }
     return NULL;
 }
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -51,6 +51,8 @@
     pthread_cond_init(&node->members, &steady);
     pthread_cond_init(&node->inquiries, &steady);
     pthread_cond_init(&node->peer_work, &steady);
+    pthread_cond_init(&node->relay, &steady);
+    pthread_cond_init(&node->cancellation, &steady);
     pthread_cond_init(&node->requests_blocked, &steady);
     pthread_condattr_destroy(&steady);
 }
@@ -154,6 +156,8 @@
         if (g_ptr_array_index(node->channels, i))
             channel_free(g_ptr_array_index(node->channels, i));
     g_ptr_array_set_size(node->channels, 0);
+    for (guint i = 0; i < MEMBERS_MAX_COUNT; i++)
+        summary_replica_clear(&node->summary_replicas[i]);
     g_clear_pointer(&node->leader_channel, channel_free);
 }
 
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -33,6 +33,7 @@
 #include "core/redirection.h"
 #include "core/rental.h"
 #include "core/request_queue.h"
+#include "core/summary_update.h"
 #include "io/http.h"
 #include "io/rate_limiter.h"
 #include "io/state.h"
@@ -64,14 +65,17 @@
     http_client_t *api_clients[API_CLIENTS_COUNT];
 
     pthread_mutex_t lock;
-    pthread_cond_t work;    /* for the placer */
-    pthread_cond_t direct;  /* for the senders */
-    pthread_cond_t clients; /* for the API's clients */
+    pthread_cond_t work;      /* for the placer */
+    pthread_cond_t direct;    /* for the senders: one is notified, and notifies the next */
+    bool has_watching_sender; /* one that waits with a time limit, for all of them */
+    pthread_cond_t clients;   /* for the API's clients */
     pthread_cond_t inquiries;
-    inquiry_t *inquiry;       /* still taking questions; NULL: none */
-    pthread_cond_t members;   /* for the member loop */
-    pthread_cond_t peer_work; /* something to say to a partition */
-    guint api_clients_free;   /* clients [0, api_clients_free) are free */
+    inquiry_t *inquiry;          /* still taking questions; NULL: none */
+    pthread_cond_t members;      /* for the member loop */
+    pthread_cond_t peer_work;    /* something to say to a partition */
+    pthread_cond_t cancellation; /* for answers to heartbeats: a user was told of one */
+    pthread_cond_t relay;        /* for the relay loop: the data of a view were loaded */
+    guint api_clients_free;      /* clients [0, api_clients_free) are free */
     view_t view;
     bool view_synced;
     msec_t view_proof;           /* every view made before it is known here */
@@ -99,8 +103,9 @@
     partition_t *partition;
     leader_t *leader;
     rental_t *rental;
-    channel_t *leader_channel;             /* our partition's end, towards the leader */
-    GPtrArray *channels;                   /* the leader's ends, a member each; NULL for its own */
+    channel_t *leader_channel; /* our partition's end, towards the leader */
+    GPtrArray *channels;       /* the leader's ends, a member each; NULL for its own */
+    summary_replica_t summary_replicas[MEMBERS_MAX_COUNT]; /* the leader's, a member each */
     msec_t received_at[MEMBERS_MAX_COUNT]; /* when each member last called by socket */
     GHashTable *ended;                     /* id -> ended_t; a bounded cache */
     redirection_t *redirection;
--- a/src/app/node_jobs.c
+++ b/src/app/node_jobs.c
@@ -38,15 +38,17 @@
         leader_end_job(node->leader, id);
     job_counts_replica_remove(&node->job_counts, id);
     g_hash_table_remove(node->jobs, id);
-    pthread_cond_broadcast(&node->direct);
+    pthread_cond_signal(&node->direct);
     node_notify(node);
 }
 
 void node_remember(node_t *node, const char *id, bool done)
 {
     /* Noted for the siblings before another thread can find it, or this one can tell it. */
-    if (!done)
+    if (!done) {
         cancellation_log_append(&node->cancellations, id, clock_steady());
+        pthread_cond_broadcast(&node->cancellation);
+    }
     if (g_hash_table_size(node->ended) >= ENDED_CACHE_COUNT)
         g_hash_table_remove_all(node->ended);
     g_hash_table_insert(node->ended, g_strdup(id),
--- a/src/app/peer_client.c
+++ b/src/app/peer_client.c
@@ -29,18 +29,6 @@
     return NULL;
 }
 
-static bool exchange(node_t *node, int fd, const GByteArray *frame)
-{
-    peer_message_t message;
-    if (!peer_exchange_converse(fd, frame, &message))
-        return false;
-    pthread_mutex_lock(&node->lock);
-    peer_client_receive(node, &message);
-    pthread_mutex_unlock(&node->lock);
-    peer_message_clear(&message);
-    return true;
-}
-
 /* The partition's side of the exchange. */
 typedef struct {
     node_t *node;
@@ -53,6 +41,7 @@
     msec_t summaries_sent_at;
     uint64_t reported_batch; /* the batch that the machine summaries sent last answered */
     uint64_t generation;     /* of the data from which they came */
+    summary_sender_t summaries;
 } peer_client_t;
 
 /* Machine summaries are most of a message: they go with news of batches, else at a slower pace.
@@ -70,6 +59,34 @@
     return true;
 }
 
+/* With the lock held: the summaries that go with the next message; the caller's. */
+static summary_update_t next_summaries(peer_client_t *peer)
+{
+    const node_t *node = peer->node;
+    uint64_t generation = peer->generation;
+    if (!wants_summaries(peer))
+        return (summary_update_t){0};
+    if (peer->generation != generation)
+        summary_sender_reset(&peer->summaries);
+    msec_t now = clock_steady();
+    return summary_sender_next(&peer->summaries, node_summaries(node, now), now);
+}
+
+/* Whether the leader answered by socket. */
+static bool exchange(peer_client_t *peer, const GByteArray *frame)
+{
+    node_t *node = peer->node;
+    peer_message_t message;
+    if (!peer_exchange_converse(peer->fd, frame, &message))
+        return false;
+    pthread_mutex_lock(&node->lock);
+    peer_client_receive(node, &message);
+    summary_sender_acknowledge(&peer->summaries, message.summaries.version);
+    pthread_mutex_unlock(&node->lock);
+    peer_message_clear(&message);
+    return true;
+}
+
 /* The next message to the leader, to be freed; NULL: this controller leads or has nothing loaded,
  * and a while has passed. */
 static GByteArray *next_frame(peer_client_t *peer)
@@ -79,7 +96,8 @@
     pthread_mutex_lock(&node->lock);
     if (!node->leading && node->loaded && node->own != G_MAXUINT && leader_endpoint(node)) {
         g_strlcpy(peer->endpoint, leader_endpoint(node), sizeof peer->endpoint);
-        frame = peer_exchange_compose(node, node->leader_channel, wants_summaries(peer));
+        summary_update_t summaries = next_summaries(peer);
+        frame = peer_exchange_compose(node, node->leader_channel, &summaries);
     } else {
         node_wait(node, &node->peer_work, MEMBER_TICK_MS);
     }
@@ -107,13 +125,14 @@
         g_strlcpy(peer->connected, peer->endpoint, sizeof peer->connected);
         peer->tried = clock_steady();
     }
-    if (peer->fd >= 0 && exchange(peer->node, peer->fd, frame)) {
+    if (peer->fd >= 0 && exchange(peer, frame)) {
         peer->reached = clock_steady();
         return true;
     }
     if (by_relay)
         peer_relay_exchange(peer->node, peer->client, frame);
     peer->summaries_sent_at = 0;
+    summary_sender_reset(&peer->summaries);
     disconnect(peer);
     return false;
 }
--- a/src/app/peer_exchange.c
+++ b/src/app/peer_exchange.c
@@ -18,7 +18,8 @@
     return message;
 }
 
-GByteArray *peer_exchange_compose(const node_t *node, channel_t *channel, bool with_summaries)
+GByteArray *peer_exchange_compose(const node_t *node, channel_t *channel,
+                                  const summary_update_t *summaries)
 {
     peer_message_t message = peer_exchange_message(node);
     if (channel) {
@@ -26,9 +27,9 @@
         message.number = channel->sent;
         message.ack = channel->received;
     }
-    if (with_summaries) {
-        message.summaries = node_summaries(node, clock_steady());
-        message.yielding = node_yielding(node);
+    if (summaries) {
+        message.summaries = *summaries;
+        message.yielding = summaries->summaries ? node_yielding(node) : NULL;
     }
     GByteArray *frame = peer_encode(&message);
     peer_message_clear(&message);
--- a/src/app/peer_exchange.h
+++ b/src/app/peer_exchange.h
@@ -9,8 +9,9 @@
 /* With the lock held: what every message of this node begins with. peer_message_clear it. */
 peer_message_t peer_exchange_message(const node_t *node);
 /* With the lock held: one message of the exchange, encoded; the caller's. channel: whose batch goes
- * with it; NULL: none. */
-GByteArray *peer_exchange_compose(const node_t *node, channel_t *channel, bool with_summaries);
+ * with it; NULL: none. summaries: taken over; NULL: none are told. */
+GByteArray *peer_exchange_compose(const node_t *node, channel_t *channel,
+                                  const summary_update_t *summaries);
 /* With the lock held: what counts whoever says it, and in whatever view. */
 void peer_exchange_receive_any(node_t *node, const peer_message_t *message);
 /* Sends a message and takes its answer; false: none came, and the connection is of no more use. */
--- a/src/app/peer_relay.c
+++ b/src/app/peer_relay.c
@@ -50,7 +50,7 @@
             continue;
         pthread_mutex_lock(&node->lock);
         channel_t *channel = peer_server_receive(node, &message);
-        GByteArray *frame = channel ? peer_exchange_compose(node, channel, false) : NULL;
+        GByteArray *frame = channel ? peer_exchange_compose(node, channel, NULL) : NULL;
         pthread_mutex_unlock(&node->lock);
         if (frame) {
             write_relay(node, client, "down", message.sender, frame);
@@ -61,15 +61,34 @@
     g_array_unref(relayed_messages);
 }
 
-/* With the lock held: some member has not called for a while. */
-static bool misses_partition(const node_t *node, msec_t now)
+/* With the lock held: when the member that called longest ago will have been silent for so long
+ * that it may need the relay; G_MAXINT64: this node has no partitions to serve. */
+static msec_t relay_due(const node_t *node)
 {
-    if (!node->leading || !node->loaded || now - node->loaded_at < RELAY_AFTER_MS)
-        return false;
+    msec_t due = G_MAXINT64;
+    if (!node->leading || !node->loaded)
+        return due;
     for (guint i = 0; i < node->view.count; i++)
-        if (i != node->own && now - node->received_at[i] > RELAY_AFTER_MS)
-            return true;
-    return false;
+        if (i != node->own)
+            due = MIN(due, MAX(node->received_at[i], node->loaded_at) + RELAY_AFTER_MS);
+    return due;
+}
+
+/* Waits until some member has not called for a while. */
+static void wait_for_silence(node_t *node)
+{
+    pthread_mutex_lock(&node->lock);
+    for (;;) {
+        msec_t now = clock_steady();
+        msec_t due = relay_due(node);
+        if (due < now)
+            break;
+        if (due == G_MAXINT64)
+            pthread_cond_wait(&node->relay, &node->lock);
+        else
+            node_wait(node, &node->relay, due - now + 1);
+    }
+    pthread_mutex_unlock(&node->lock);
 }
 
 void *relay_run(void *data)
@@ -78,11 +97,8 @@
     http_client_t *client = http_client_new(2);
     GHashTable *revisions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     for (;;) {
-        pthread_mutex_lock(&node->lock);
-        bool missing = misses_partition(node, clock_steady());
-        pthread_mutex_unlock(&node->lock);
-        if (missing)
-            answer_relay(node, client, revisions);
+        wait_for_silence(node);
+        answer_relay(node, client, revisions);
         node_sleep(RELAY_GAP_MS);
     }
     return NULL;
--- a/src/app/peer_server.c
+++ b/src/app/peer_server.c
@@ -46,8 +46,10 @@
     }
     /* Machine summaries from before the last batch of placement requests would show its resources
      * as free. */
-    if (message->summaries && message->ack == channel->sent) {
-        leader_set_summaries(node->leader, index, g_steal_pointer(&message->summaries));
+    summary_replica_t *replica = &node->summary_replicas[index];
+    if (message->summaries.summaries && summary_replica_apply(replica, &message->summaries, now) &&
+        message->ack == channel->sent) {
+        leader_set_summaries(node->leader, index, g_array_copy(replica->summaries));
         leader_set_yielding(node->leader, index, g_steal_pointer(&message->yielding));
     }
     node_notify(node);
@@ -68,7 +70,8 @@
         if (node->generation != generation)
             channel = NULL; /* freed with its view while the lock was given up */
     }
-    GByteArray *frame = peer_exchange_compose(node, channel, false);
+    summary_update_t known = {.version = channel ? node->summary_replicas[index].version : 0};
+    GByteArray *frame = peer_exchange_compose(node, channel, &known);
     pthread_mutex_unlock(&node->lock);
     return frame;
 }
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -158,7 +158,8 @@
     node->generation++;
     node->loaded_at = now;
     pthread_cond_broadcast(&node->peer_work);
-    pthread_cond_broadcast(&node->direct);
+    pthread_cond_signal(&node->relay);
+    pthread_cond_signal(&node->direct);
 }
 
 static void load(placer_t *placer)
@@ -259,7 +260,7 @@
         node_job_gone(node, progress->job);
     }
     g_array_unref(acknowledged);
-    pthread_cond_broadcast(&node->direct);
+    pthread_cond_signal(&node->direct);
 }
 
 static void undo(node_t *node, batch_t *batch)
@@ -378,6 +379,7 @@
             continue;
         }
         msec_t now = clock_steady();
+        node_pulse(node, now);
         batch_t batch = {0};
         bool changes = tick(node, &batch, now);
         bool wants_token =
--- a/src/app/sender.c
+++ b/src/app/sender.c
@@ -62,6 +62,19 @@
     return may;
 }
 
+/* With the lock held. Machines come into reach again without a notice, so one idle sender looks
+ * for them now and then; the others wait until they are notified. */
+static void wait_for_commands(node_t *node)
+{
+    if (node->has_watching_sender) {
+        pthread_cond_wait(&node->direct, &node->lock);
+        return;
+    }
+    node->has_watching_sender = true;
+    node_wait(node, &node->direct, SENDER_IDLE_MS);
+    node->has_watching_sender = false;
+}
+
 void *sender_run(void *data)
 {
     node_t *node = data;
@@ -77,7 +90,7 @@
         machine_t *machine =
             node->loaded ? partition_direct_take(node->partition, now, commands) : NULL;
         if (!machine) {
-            node_wait(node, &node->direct, SENDER_IDLE_MS);
+            wait_for_commands(node);
             pthread_mutex_unlock(&node->lock);
             continue;
         }
@@ -86,6 +99,8 @@
                                .generation = node->generation};
         g_strlcpy(exchange.machine, machine->id, sizeof exchange.machine);
         g_snprintf(exchange.url, sizeof exchange.url, "http://%s/do", machine->address);
+        if (partition_has_direct(node->partition))
+            pthread_cond_signal(&node->direct);
         pthread_mutex_unlock(&node->lock);
         json_t *answer = NULL;
         json_t *body = wire_build_direct(exchange.token, exchange.session, commands);
--- a/src/constants.h
+++ b/src/constants.h
@@ -231,7 +231,7 @@
     START_KNOWN_MS = 6000,   /* no start is sent while cancellations are unknown for longer:
                                 answers to a follow come every 2 s, slow ones later */
     STALL_MS = 1000,         /* a process that took no notice of the time for so long stood still */
-    PULSE_MS = 250,          /* between its notices */
+    PULSE_MS = 500,          /* between its notices, where no other thread takes notice */
     CANCELLATION_LOG_COUNT = 2048,   /* entries kept for siblings that have not fetched them: a
                                         minute or more of what the rate limits let through */
     CANCELLATION_UPDATE_COUNT = 256, /* entries in one message, 6 KB; the rest goes in the next */
@@ -247,12 +247,19 @@
     PEER_IDLE_MS = 15000,           /* a connection without an exchange for longer is closed */
     PEER_GAP_MS = 50,               /* between exchanges: batches what comes in a burst */
     PEER_RETRY_MS = 300,            /* after one that failed */
+    SUMMARY_SILENT_MS = 3500,       /* a machine silent for less counts as heard: nobody who reads
+                                       summaries asks for less than DIRECT_FRESH_MS */
+    SUMMARY_IDLE_ERROR_MS = 500,    /* idle times are judged in seconds */
     PEER_SUMMARIES_GAP_MS = 400,    /* between machine summaries that no new batch asks for */
+    PEER_READ_BYTES = 4096,         /* read at once: most messages, with one call */
     PEER_FRAME_MAX_BYTES = 1 << 20, /* a message; usual ones have 10 KB */
     PEER_BATCH_COUNT = 128,         /* items in a message: a second's starts and ends of 200
                                        machines, when an exchange by relay takes one */
-    HEARTBEAT_GAP_MS = 500,         /* between heartbeats to a sibling: in an outage a cancellation
-                                       told by it is known here, and stopped, within this */
+    HEARTBEAT_HOLD_MS = 1000,       /* a heartbeat is answered once there is news of cancellations:
+                                       they are known at once; without any, after this */
+    HEARTBEAT_TIMEOUT_MS = 2500,    /* an answer: the hold, and a sibling that lags */
+    HEARTBEAT_GAP_MS = 500,         /* after a heartbeat that failed */
+    HEARTBEAT_NEWS_GAP_MS = 250,    /* after one that brought news: more of a burst come together */
     RELAY_AFTER_MS = 2500,      /* without an exchange by socket for longer, the relay is used */
     RELAY_SOCKET_GAP_MS = 6000, /* between tries by socket meanwhile */
     RELAY_GAP_MS = 400,        /* between looks at the relay: few of the state service's requests */
@@ -298,6 +305,7 @@
     CLOUD_TIMEOUT_MS = 10000,    /* rentals may be slow; a lost answer costs a repeat only */
     CLOUD_LIST_GAP_MS = 2500,    /* between lists; the list lags by seconds anyway */
     CLOUD_ROUND_MS = 1500,       /* over cloud.rps: three calls of a round share the limit */
+    CLOUD_IDLE_GAP_MS = 1000,    /* between looks at what is to be published, where another leads */
     CLOUD_GAP_MS = 300,          /* between other calls: under 5 a second with the lists */
     MACHINE_TYPES_MS = 60000,    /* between reads of the types; prices move slowly */
     CAPACITY_MEMORY_MS = 12000,  /* a refused type, zone and kind is not asked for again sooner */
--- a/src/core/partition.h
+++ b/src/core/partition.h
@@ -276,6 +276,8 @@
 /* Direct commands: the next machine that wants some, or NULL; its commands are appended (none: it
  * is only asked for its state). */
 machine_t *partition_direct_take(partition_t *partition, msec_t now, GArray *commands);
+/* Whether any machine wants direct commands, be it in reach or not. */
+bool partition_has_direct(const partition_t *partition);
 typedef enum {
     DIRECT_EXECUTED,
     DIRECT_REFUSED,
--- a/src/core/partition_commands.c
+++ b/src/core/partition_commands.c
@@ -108,6 +108,11 @@
     return NULL;
 }
 
+bool partition_has_direct(const partition_t *partition)
+{
+    return !g_queue_is_empty(partition->wanted);
+}
+
 void partition_direct_done(partition_t *partition, const char *id, const GArray *commands,
                            uint64_t token, direct_result_t result)
 {
--- a/src/io/peer_protocol.c
+++ b/src/io/peer_protocol.c
@@ -163,7 +163,7 @@
 void peer_message_clear(peer_message_t *message)
 {
     g_clear_pointer(&message->items, g_array_unref);
-    g_clear_pointer(&message->summaries, g_array_unref);
+    summary_update_clear(&message->summaries);
     g_clear_pointer(&message->yielding, g_array_unref);
     cancellation_update_clear(&message->update);
     job_counts_update_clear(&message->counts);
@@ -178,6 +178,7 @@
                           .number = message->number,
                           .ack = message->ack,
                           .state_answer_age = message->state_answer_age,
+                          .held_ms = message->held_ms,
                           .worker_report_age = message->worker_report_age,
                           .heartbeat = message->heartbeat,
                           .acknowledged_incarnation = message->acknowledged_incarnation,
@@ -186,7 +187,9 @@
                                      .last_index = message->update.last_index,
                                      .whole = message->update.whole,
                                      .base_age = message->update.base_age},
-                          .has_summaries = message->summaries != NULL};
+                          .summaries_base = message->summaries.base,
+                          .summaries_version = message->summaries.version,
+                          .has_summaries = message->summaries.summaries != NULL};
 }
 
 /* NULL: it can't be told in the protocol. */
@@ -221,18 +224,23 @@
 GByteArray *peer_encode(const peer_message_t *message)
 {
     guint items = message->items ? message->items->len : 0;
-    guint summaries = message->summaries ? message->summaries->len : 0;
+    const GArray *changed = message->summaries.summaries;
+    guint summaries = changed ? changed->len : 0;
     peer_item *item_list = g_new0(peer_item, items + 1);
     peer_machine_summary *summary_list = g_new0(peer_machine_summary, summaries + 1);
     for (guint i = 0; i < items; i++)
         item_to_xdr(&g_array_index(message->items, channel_item_t, i), &item_list[i]);
     for (guint i = 0; i < summaries; i++)
-        summary_to_xdr(&g_array_index(message->summaries, machine_summary_t, i), &summary_list[i]);
+        summary_to_xdr(&g_array_index(changed, machine_summary_t, i), &summary_list[i]);
     peer_message wire = message_to_xdr(message);
     wire.items.items_len = items;
     wire.items.items_val = item_list;
     wire.summaries.summaries_len = summaries;
     wire.summaries.summaries_val = summary_list;
+    if (message->summaries.departed) {
+        wire.departed.departed_len = message->summaries.departed->len;
+        wire.departed.departed_val = (peer_name *)message->summaries.departed->pdata;
+    }
     wire.yielding.yielding_len = message->yielding ? message->yielding->len : 0;
     wire.yielding.yielding_val =
         message->yielding ? (double *)(void *)message->yielding->data : NULL;
@@ -270,7 +278,10 @@
     message->number = wire->number;
     message->ack = wire->ack;
     message->state_answer_age = wire->state_answer_age;
+    message->held_ms = wire->held_ms;
     message->worker_report_age = wire->worker_report_age;
+    message->summaries.base = wire->summaries_base;
+    message->summaries.version = wire->summaries_version;
     message->heartbeat = wire->heartbeat;
     message->acknowledged_incarnation = wire->acknowledged_incarnation;
     message->acknowledged_index = wire->acknowledged_index;
@@ -291,12 +302,16 @@
     }
     if (!wire->has_summaries)
         return;
-    message->summaries = g_array_new(FALSE, FALSE, sizeof(machine_summary_t));
+    summary_update_t *update = &message->summaries;
+    update->summaries = g_array_new(FALSE, FALSE, sizeof(machine_summary_t));
     for (u_int i = 0; i < wire->summaries.summaries_len; i++) {
         machine_summary_t summary;
         summary_from_xdr(&wire->summaries.summaries_val[i], &summary);
-        g_array_append_val(message->summaries, summary);
+        g_array_append_val(update->summaries, summary);
     }
+    update->departed = g_ptr_array_new_with_free_func(g_free);
+    for (u_int i = 0; i < wire->departed.departed_len; i++)
+        g_ptr_array_add(update->departed, g_strdup(wire->departed.departed_val[i]));
     message->yielding = g_array_new(FALSE, FALSE, sizeof(double));
     g_array_append_vals(message->yielding, wire->yielding.yielding_val,
                         wire->yielding.yielding_len);
@@ -417,17 +432,36 @@
     return sent;
 }
 
+/* Reads what has arrived, at least the length of the frame and at most `size` bytes. The other side
+ * sends one frame and waits for the answer, so nothing of a next frame is taken along. */
+static gsize read_some(int fd, uint8_t *data, gsize size)
+{
+    gsize got = 0;
+    while (got < sizeof(uint32_t)) {
+        ssize_t more = recv(fd, data + got, size - got, 0);
+        if (more <= 0)
+            return 0;
+        got += (gsize)more;
+    }
+    return got;
+}
+
 GByteArray *peer_receive(int fd)
 {
+    uint8_t start[PEER_READ_BYTES];
     uint32_t length;
-    if (!read_all(fd, &length, sizeof length))
+    gsize got = read_some(fd, start, sizeof start);
+    if (got == 0)
         return NULL;
+    memcpy(&length, start, sizeof length);
     length = ntohl(length);
-    if (length > PEER_FRAME_MAX_BYTES)
+    got -= sizeof length;
+    if (length > PEER_FRAME_MAX_BYTES || got > length)
         return NULL;
     GByteArray *frame = g_byte_array_sized_new(length);
+    g_byte_array_append(frame, start + sizeof length, (guint)got);
     g_byte_array_set_size(frame, length);
-    if (!read_all(fd, frame->data, length)) {
+    if (!read_all(fd, frame->data + got, length - got)) {
         g_byte_array_unref(frame);
         return NULL;
     }
--- a/src/io/peer_protocol.h
+++ b/src/io/peer_protocol.h
@@ -5,6 +5,7 @@
 #include "core/cancellation_log.h"
 #include "core/channel.h"
 #include "core/leader.h"
+#include "core/summary_update.h"
 
 /* One message, decoded. Owns its arrays. */
 typedef struct {
@@ -14,6 +15,7 @@
     uint64_t number; /* of the batch; 0: none sent so far */
     uint64_t ack;
     msec_t state_answer_age;
+    msec_t held_ms;           /* an answer to a heartbeat: how long it was held back for news */
     msec_t worker_report_age; /* since a worker that the sender owns last reported to it */
     bool heartbeat;
     uint64_t acknowledged_incarnation;
@@ -21,7 +23,8 @@
     cancellation_update_t update; /* jobs NULL: none */
     job_counts_update_t counts;   /* of a call: what the caller has, without jobs */
     GArray *items;                /* channel_item_t */
-    GArray *summaries;            /* machine_summary_t; NULL: unchanged */
+    summary_update_t summaries;   /* of a call: its summaries NULL: none are told; of an answer:
+                                     only the version, which the leader has */
     GArray *yielding;             /* double, a team each; NULL without summaries */
 } peer_message_t;
 
--- a/src/io/peer_protocol.x
+++ b/src/io/peer_protocol.x
@@ -104,6 +104,7 @@
     unsigned hyper number;
     unsigned hyper ack;
     hyper state_answer_age; /* ms since the state service last answered the sender */
+    hyper held_ms;            /* an answer to a heartbeat: how long it was held back for news */
     hyper worker_report_age;  /* ms since a worker that the sender owns last reported to it */
     bool heartbeat;     /* a call, or the answer to one, from any controller to any other */
     unsigned hyper acknowledged_incarnation; /* a call: of whose cancellation log the caller has ... */
@@ -114,6 +115,9 @@
     peer_job_counts counts<PEER_ITEMS_MAX>;
     peer_item items<PEER_ITEMS_MAX>;
     bool has_summaries;
+    unsigned hyper summaries_base;    /* what follows are changes to this version; 0: all there is */
+    unsigned hyper summaries_version; /* a call: of what follows; an answer: of what was taken */
     peer_machine_summary summaries<PEER_SUMMARIES_MAX>;
+    peer_name departed<PEER_SUMMARIES_MAX>; /* machines of the base that are not there any more */
     double yielding<64>;
 };
--- a/tests/test_channel.c
+++ b/tests/test_channel.c
@@ -71,10 +71,10 @@
     result.result.cause = CAUSE_DONE;
     g_array_append_val(message.items, request);
     g_array_append_val(message.items, result);
-    message.summaries = g_array_new(FALSE, FALSE, sizeof(machine_summary_t));
+    message.summaries.summaries = g_array_new(FALSE, FALSE, sizeof(machine_summary_t));
     machine_summary_t summary = {
         .machine = "m-1", .type = "t16", .zone = "north", .free = {3, 0, 7}};
-    g_array_append_val(message.summaries, summary);
+    g_array_append_val(message.summaries.summaries, summary);
     job_counts_t counts = {.job = "j-000003", .done = 4, .outstanding = 100000};
     message.counts = (job_counts_update_t){.epoch = 6, .version = 1ULL << 33};
     message.counts.jobs = g_array_new(FALSE, FALSE, sizeof(job_counts_t));
@@ -90,7 +90,7 @@
     assert_int_equal(got->attempt, 1ULL << 40);
     assert_true(got->preempt);
     assert_int_equal(g_array_index(decoded.items, channel_item_t, 1).result.cause, CAUSE_DONE);
-    assert_true(g_array_index(decoded.summaries, machine_summary_t, 0).free.memory > 6.9);
+    assert_true(g_array_index(decoded.summaries.summaries, machine_summary_t, 0).free.memory > 6.9);
     assert_true(decoded.counts.epoch == 6 && decoded.counts.version == 1ULL << 33);
     assert_int_equal(decoded.counts.jobs->len, 1);
     counts = g_array_index(decoded.counts.jobs, job_counts_t, 0);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "app/node.h"
+#include "app/peer_exchange.h"
 #include "io/clock.h"
 #include "io/records.h"
 #include "io/wire.h"
@@ -1109,6 +1110,43 @@
     assert_int_not_equal(connectivity_judge(&own, now), CONNECTIVITY_GOOD);
 }
 
+/* A caller that has nothing of the node's log yet. */
+static peer_message_t ask_heartbeat(node_t *node, uint64_t incarnation, uint64_t index)
+{
+    peer_message_t call = {.sender = "hand-1",
+                           .heartbeat = true,
+                           .acknowledged_incarnation = incarnation,
+                           .acknowledged_index = index};
+    peer_message_t answer;
+    GByteArray *frame = heartbeat_answer(node, &call);
+    assert_true(peer_decode(frame->data, frame->len, &answer));
+    g_byte_array_unref(frame);
+    return answer;
+}
+
+/* An answer to a heartbeat waits for news, and says for how long it waited: the caller counts what
+ * it learned from then on. With news it leaves at once. */
+static void test_a_heartbeat_is_answered_at_once_where_there_is_news(void **state)
+{
+    (void)state;
+    uint16_t peers[2] = {1, 2};
+    prepare();
+    node_t *node = node_new(settings_of(0, peers, 2), policy_default());
+    peer_message_t first = ask_heartbeat(node, 0, 0);
+    assert_int_equal(first.held_ms, 0);
+    peer_message_t second = ask_heartbeat(node, first.update.incarnation, first.update.last_index);
+    assert_true(second.held_ms >= HEARTBEAT_HOLD_MS);
+    pthread_mutex_lock(&node->lock);
+    node_remember(node, "j-000001", false);
+    pthread_mutex_unlock(&node->lock);
+    peer_message_t third = ask_heartbeat(node, second.update.incarnation, second.update.last_index);
+    assert_int_equal(third.held_ms, 0);
+    assert_int_equal(third.update.jobs->len, 1);
+    peer_message_clear(&first);
+    peer_message_clear(&second);
+    peer_message_clear(&third);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -1128,6 +1166,7 @@
         cmocka_unit_test(test_lost_answers_change_nothing),
         cmocka_unit_test(test_a_cancellation_reaches_work_that_changes_hands),
         cmocka_unit_test(test_a_controller_that_has_just_begun_vouches_for_no_answer),
+        cmocka_unit_test(test_a_heartbeat_is_answered_at_once_where_there_is_news),
     };
     signal(SIGPIPE, SIG_IGN);
     http_start();
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -66,7 +66,8 @@
 static guint post_summaries(guint machines)
 {
     peer_message_t message = {.items = channel_items_new(),
-                              .summaries = g_array_new(FALSE, FALSE, sizeof(machine_summary_t)),
+                              .summaries.summaries =
+                                  g_array_new(FALSE, FALSE, sizeof(machine_summary_t)),
                               .yielding = g_array_new(FALSE, FALSE, sizeof(double))};
     for (guint i = 0; i < machines; i++) {
         machine_summary_t summary = {.total = {16, 0, 128},
@@ -77,7 +78,7 @@
         g_snprintf(summary.machine, sizeof summary.machine, "m-%06u", i * 3);
         g_strlcpy(summary.type, "sixteen", sizeof summary.type);
         g_strlcpy(summary.zone, i % 3 ? "north" : "south", sizeof summary.zone);
-        g_array_append_val(message.summaries, summary);
+        g_array_append_val(message.summaries.summaries, summary);
     }
     for (guint i = 0; i < PEER_BATCH_COUNT; i++) {
         channel_item_t item = {.kind = CHANNEL_ATTEMPT_RESULT,
--- /dev/null
+++ b/tests/test_summary_update.c
@@ -0,0 +1,218 @@
+/* Tests of summary updates: whatever is lost on the way, the leader has what the partition has. */
+#include "core/summary_update.h"
+
+#include "unit_test.h"
+
+enum { MACHINES_MAX = 40, ROUNDS = 2000 };
+
+typedef struct {
+    summary_sender_t sender;
+    summary_replica_t replica;
+    GArray *current; /* the partition's */
+    msec_t now;
+    guint created;
+} fixture_t;
+
+static machine_summary_t summary_of(guint number)
+{
+    machine_summary_t summary = {.open = true, .total = {16, 0, 64}, .free = {16, 0, 64}};
+    g_snprintf(summary.machine, sizeof summary.machine, "m-%06u", number);
+    g_strlcpy(summary.type, "t16", sizeof summary.type);
+    g_strlcpy(summary.zone, "north", sizeof summary.zone);
+    return summary;
+}
+
+static fixture_t fixture_new(guint machines)
+{
+    fixture_t fixture = {.current = g_array_new(FALSE, FALSE, sizeof(machine_summary_t)),
+                         .now = 1000};
+    for (guint i = 0; i < machines; i++) {
+        machine_summary_t summary = summary_of(fixture.created++);
+        g_array_append_val(fixture.current, summary);
+    }
+    return fixture;
+}
+
+static void fixture_clear(fixture_t *fixture)
+{
+    g_array_unref(fixture->current);
+    summary_sender_reset(&fixture->sender);
+    summary_replica_clear(&fixture->replica);
+}
+
+/* Time passes for every machine. */
+static void pass(fixture_t *fixture, msec_t ms)
+{
+    fixture->now += ms;
+    for (guint i = 0; i < fixture->current->len; i++) {
+        machine_summary_t *summary = &g_array_index(fixture->current, machine_summary_t, i);
+        summary->known_ms += ms;
+        summary->idle_ms = summary->attempts ? 0 : summary->idle_ms + ms;
+        summary->silent_ms += summary->open ? 0 : ms;
+    }
+}
+
+static machine_summary_t *machine_at(const fixture_t *fixture, guint at)
+{
+    return &g_array_index(fixture->current, machine_summary_t, at);
+}
+
+static summary_update_t next_update(fixture_t *fixture)
+{
+    return summary_sender_next(&fixture->sender, g_array_copy(fixture->current), fixture->now);
+}
+
+/* One exchange; returns how many summaries it took. */
+static guint exchange(fixture_t *fixture, bool arrives, bool is_answered)
+{
+    summary_update_t update = next_update(fixture);
+    guint count = update.summaries->len;
+    if (arrives)
+        summary_replica_apply(&fixture->replica, &update, fixture->now);
+    if (arrives && is_answered)
+        summary_sender_acknowledge(&fixture->sender, fixture->replica.version);
+    else
+        summary_sender_reset(&fixture->sender);
+    summary_update_clear(&update);
+    return count;
+}
+
+static const machine_summary_t *find(const GArray *summaries, const char *machine)
+{
+    for (guint i = 0; i < summaries->len; i++) {
+        const machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, i);
+        if (strcmp(summary->machine, machine) == 0)
+            return summary;
+    }
+    return NULL;
+}
+
+static void assert_replica_is_current(const fixture_t *fixture)
+{
+    assert_int_equal(fixture->replica.summaries->len, fixture->current->len);
+    for (guint i = 0; i < fixture->current->len; i++) {
+        const machine_summary_t *summary = machine_at(fixture, i);
+        const machine_summary_t *known = find(fixture->replica.summaries, summary->machine);
+        assert_non_null(known);
+        assert_int_equal(known->open, summary->open);
+        assert_int_equal(known->draining, summary->draining);
+        assert_int_equal(known->attempts, summary->attempts);
+        assert_true(known->free.cpus == summary->free.cpus);
+        assert_true(known->free.memory == summary->free.memory);
+        assert_int_equal(known->known_ms, summary->known_ms);
+        if (summary->attempts == 0)
+            assert_in_range(known->idle_ms + SUMMARY_IDLE_ERROR_MS, summary->idle_ms,
+                            summary->idle_ms + 2 * SUMMARY_IDLE_ERROR_MS);
+        if (summary->silent_ms >= SUMMARY_SILENT_MS || known->silent_ms >= SUMMARY_SILENT_MS)
+            assert_int_equal(known->silent_ms, summary->silent_ms);
+    }
+}
+
+static void test_an_unchanged_partition_tells_nothing(void **state)
+{
+    (void)state;
+    fixture_t fixture = fixture_new(MACHINES_MAX);
+    assert_int_equal(exchange(&fixture, true, true), MACHINES_MAX);
+    for (guint i = 0; i < 20; i++) {
+        pass(&fixture, 400);
+        assert_int_equal(exchange(&fixture, true, true), 0);
+        assert_replica_is_current(&fixture);
+    }
+    machine_at(&fixture, 3)->free.cpus -= 4;
+    assert_int_equal(exchange(&fixture, true, true), 1);
+    assert_replica_is_current(&fixture);
+    fixture_clear(&fixture);
+}
+
+/* Silence decides on releases: how long it has lasted is told each time. */
+static void test_silence_is_told_as_it_grows(void **state)
+{
+    (void)state;
+    fixture_t fixture = fixture_new(5);
+    exchange(&fixture, true, true);
+    machine_at(&fixture, 2)->open = false;
+    for (guint i = 0; i < 30; i++) {
+        pass(&fixture, 700);
+        exchange(&fixture, true, true);
+        assert_replica_is_current(&fixture);
+    }
+    machine_at(&fixture, 2)->open = true;
+    machine_at(&fixture, 2)->silent_ms = 0;
+    assert_int_equal(exchange(&fixture, true, true), 1);
+    assert_replica_is_current(&fixture);
+    fixture_clear(&fixture);
+}
+
+static void change_something(fixture_t *fixture, GRand *random)
+{
+    guint kind = (guint)g_rand_int_range(random, 0, 5);
+    guint at = (guint)g_rand_int_range(random, 0, MAX((gint)fixture->current->len, 1));
+    if (kind == 0 && fixture->current->len < MACHINES_MAX) {
+        machine_summary_t summary = summary_of(fixture->created++);
+        g_array_append_val(fixture->current, summary);
+    } else if (kind == 1 && fixture->current->len > 1) {
+        g_array_remove_index(fixture->current, at);
+    } else if (at < fixture->current->len) {
+        machine_summary_t *summary = machine_at(fixture, at);
+        summary->open = kind != 2;
+        summary->silent_ms = 0;
+        summary->attempts = (guint)g_rand_int_range(random, 0, 3);
+        summary->free.cpus = g_rand_int_range(random, 0, 16);
+        summary->idle_ms = 0;
+    }
+}
+
+/* Messages and answers are lost at random, old messages come again. */
+static void test_losses_and_copies_leave_the_leader_what_the_partition_has(void **state)
+{
+    (void)state;
+    GRand *random = g_rand_new_with_seed(7);
+    fixture_t fixture = fixture_new(10);
+    summary_update_t old = {0};
+    for (guint i = 0; i < ROUNDS; i++) {
+        pass(&fixture, g_rand_int_range(random, 50, 1500));
+        for (gint changes = g_rand_int_range(random, 0, 4); changes > 0; changes--)
+            change_something(&fixture, random);
+        bool arrives = g_rand_int_range(random, 0, 10) > 0;
+        exchange(&fixture, arrives, g_rand_int_range(random, 0, 10) > 0);
+        if (old.summaries)
+            assert_false(summary_replica_apply(&fixture.replica, &old, fixture.now));
+        summary_update_clear(&old);
+        if (fixture.replica.summaries && arrives)
+            assert_replica_is_current(&fixture);
+        if (i % 50 == 0) { /* one that overtakes nothing: it is older when it comes */
+            old = next_update(&fixture);
+            summary_sender_reset(&fixture.sender);
+            exchange(&fixture, true, true);
+        }
+    }
+    summary_update_clear(&old);
+    g_rand_free(random);
+    fixture_clear(&fixture);
+}
+
+/* A leader that has another version takes no changes, and gets all there is next. */
+static void test_a_leader_with_another_version_gets_all(void **state)
+{
+    (void)state;
+    fixture_t fixture = fixture_new(6);
+    exchange(&fixture, true, true);
+    summary_replica_clear(&fixture.replica); /* a new view */
+    machine_at(&fixture, 0)->attempts = 1;
+    assert_int_equal(exchange(&fixture, true, true), 1);
+    assert_null(fixture.replica.summaries);
+    assert_int_equal(exchange(&fixture, true, true), 6);
+    assert_replica_is_current(&fixture);
+    fixture_clear(&fixture);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_an_unchanged_partition_tells_nothing),
+        cmocka_unit_test(test_silence_is_told_as_it_grows),
+        cmocka_unit_test(test_losses_and_copies_leave_the_leader_what_the_partition_has),
+        cmocka_unit_test(test_a_leader_with_another_version_gets_all),
+    };
+    return cmocka_run_group_tests_name("summary_update", tests, NULL, NULL);
+}
