Reports: read without a tree, answered once built, and a round of placing only on a change

Each was parsed to a tree of some 170 allocations, its answer built anew, and it woke the placer, so that the leader made a whole round of placing some sixteen times a second. - wire_report.c reads a report while yajl parses it; the tree's reader is gone, and direct answers are read by the same code. The checks are the same; tests cover fields that nobody reads and fields of the wrong kind. - The answer that calls for nothing is built once a view by each thread of the HTTP server. - partition_t.changes tells whether a report gave the placer something to do: results, records to write, a machine that opens or closes. Exchanges without news wake it neither. The 250 ms tick stays.

--- a/src/app/api.c
+++ b/src/app/api.c
@@ -19,6 +19,7 @@
 
 #include "app/threads.h"
 #include "io/clock.h"
+#include "io/wire.h"
 #include "log.h"
 
 reply_t api_refuse(unsigned status, const char *why, unsigned retry_after_s)
@@ -42,9 +43,30 @@
         metrics_count(node->metrics, COUNT_REFUSED, 1);
 }
 
+/* The answer to a report that calls for nothing: the same for all workers of a view, so each thread
+ * of the HTTP server builds it once. */
+static struct MHD_Response *quiet_response(uint64_t token)
+{
+    static _Thread_local struct MHD_Response *response;
+    static _Thread_local uint64_t built_for;
+    if (built_for == token)
+        return response;
+    if (response)
+        MHD_destroy_response(response);
+    json_t *body = wire_build_commands(token, NULL);
+    char *text = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
+    response = MHD_create_response_from_buffer(strlen(text), text, MHD_RESPMEM_MUST_FREE);
+    MHD_add_response_header(response, "Content-Type", "application/json");
+    built_for = token;
+    return response;
+}
+
 /* close: the connection is given up after this answer. */
 static enum MHD_Result send_reply(struct MHD_Connection *connection, reply_t reply, bool close)
 {
+    if (reply.quiet_token)
+        return MHD_queue_response(connection, reply.status, quiet_response(reply.quiet_token));
     char *text =
         reply.body ? json_dumps(reply.body, JSON_COMPACT | JSON_REAL_PRECISION(9)) : reply.text;
     json_decref(reply.body);
--- a/src/app/api_reports.c
+++ b/src/app/api_reports.c
@@ -2,7 +2,6 @@
 #include "app/api_internal.h"
 
 #include "io/clock.h"
-#include "io/json_input.h"
 #include "io/wire.h"
 #include "log.h"
 
@@ -53,6 +52,7 @@
     GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     report_verdict_t verdict = REPORT_UNPROVEN;
     reply_t reply;
+    uint64_t changes = node->partition ? node->partition->changes : 0;
     if (node->loaded) {
         partition_pause_starts(node->partition, !node_may_start(node, now));
         verdict = partition_report(node->partition, report, false, now, commands);
@@ -64,10 +64,12 @@
     } else {
         if (verdict != REPORT_TAKEN)
             redirection_stop_ended(report, node->jobs, commands);
-        reply =
-            (reply_t){.status = HTTP_OK, .body = wire_build_commands(node->view.number, commands)};
-        node_notify(node);
+        reply = commands->len ? (reply_t){.status = HTTP_OK,
+                                          .body = wire_build_commands(node->view.number, commands)}
+                              : (reply_t){.status = HTTP_OK, .quiet_token = node->view.number};
     }
+    if (node->partition && node->partition->changes != changes)
+        node_notify(node);
     g_array_unref(commands);
     return reply;
 }
@@ -97,13 +99,9 @@
 reply_t api_report(node_t *node, const request_t *request)
 {
     report_t report;
-    reason_t why = {"not JSON"};
-    json_t *partial;
-    json_t *body = json_input_load(request->body->str, request->body->len, &partial);
-    bool valid = !request->too_long && body && wire_parse_report(body, &report, &why);
-    json_decref(body);
-    json_decref(partial);
-    if (!valid)
+    reason_t why = {"too long"};
+    if (request->too_long ||
+        !wire_parse_report(request->body->str, request->body->len, &report, &why))
         return api_refuse(HTTP_BAD_REQUEST, why.text, 0);
     pthread_mutex_lock(&node->lock);
     reply_t reply = take_report(node, &report);
--- a/src/app/peer_server.c
+++ b/src/app/peer_server.c
@@ -37,7 +37,9 @@
         return NULL;
     channel_t *channel = g_ptr_array_index(node->channels, index);
     channel_ack(channel, message->ack);
+    bool has_news = false;
     if (message->items->len && channel_accept(channel, message->number)) {
+        has_news = true;
         for (guint i = 0; i < message->items->len; i++) {
             const channel_item_t *item = &g_array_index(message->items, channel_item_t, i);
             if (item->kind == CHANNEL_ATTEMPT_RESULT)
@@ -51,8 +53,10 @@
         message->ack == channel->sent) {
         leader_set_summaries(node->leader, index, g_array_copy(replica->summaries));
         leader_set_yielding(node->leader, index, g_steal_pointer(&message->yielding));
+        has_news = has_news || message->summaries.summaries->len > 0;
     }
-    node_notify(node);
+    if (has_news)
+        node_notify(node);
     return channel;
 }
 
--- a/src/app/sender.c
+++ b/src/app/sender.c
@@ -23,10 +23,12 @@
 } exchange_t;
 
 static void finish(node_t *node, const exchange_t *exchange, const GArray *commands, int status,
-                   const json_t *answer)
+                   const http_client_t *client)
 {
     report_t report = {0};
-    bool reported = answer && wire_parse_report(answer, &report, NULL);
+    gsize length;
+    const char *answer = http_answer(client, &length);
+    bool reported = status > HTTP_NO_ANSWER && wire_parse_report(answer, length, &report, NULL);
     direct_result_t result = status == HTTP_OK && reported ? DIRECT_EXECUTED
                              : status == HTTP_CONFLICT || status == HTTP_BAD_REQUEST
                                  ? DIRECT_REFUSED
@@ -40,11 +42,13 @@
         partition_direct_done(node->partition, exchange->machine, commands, exchange->token,
                               result);
         msec_t now = clock_steady();
+        uint64_t changes = node->partition->changes;
         if (reported && strcmp(report.machine, exchange->machine) == 0 &&
             partition_report(node->partition, &report, true, now, NULL) == REPORT_TAKEN &&
             result == DIRECT_EXECUTED)
             partition_probed(node->partition, exchange->machine, now);
-        node_notify(node);
+        if (node->partition->changes != changes)
+            node_notify(node);
     }
     pthread_mutex_unlock(&node->lock);
     report_clear(&report);
@@ -102,20 +106,18 @@
         if (partition_has_direct(node->partition))
             pthread_cond_signal(&node->direct);
         pthread_mutex_unlock(&node->lock);
-        json_t *answer = NULL;
         json_t *body = wire_build_direct(exchange.token, exchange.session, commands);
         if (!may_leave(node, &exchange, commands, now)) {
             json_decref(body);
             continue;
         }
         msec_t sent = clock_steady();
-        int status = http_call(client, "POST", exchange.url, body, DIRECT_TIMEOUT_MS, &answer);
+        int status = http_call(client, "POST", exchange.url, body, DIRECT_TIMEOUT_MS, NULL);
         metrics_time(node->metrics, TIME_DIRECT, clock_steady() - sent);
         metrics_count(node->metrics,
                       status <= HTTP_NO_ANSWER ? COUNT_DIRECT_UNANSWERED : COUNT_DIRECT, 1);
         json_decref(body);
-        finish(node, &exchange, commands, status, answer);
-        json_decref(answer);
+        finish(node, &exchange, commands, status, client);
     }
     return NULL;
 }
--- a/src/core/partition.c
+++ b/src/core/partition.c
@@ -159,6 +159,7 @@
 {
     if (!page->urgent)
         page->urgent = ++partition->turns;
+    partition->changes++;
 }
 
 void partition_touch(partition_t *partition, const machine_t *machine)
--- a/src/core/partition.h
+++ b/src/core/partition.h
@@ -189,6 +189,8 @@
     const GArray *machine_types;
     const GArray *teams; /* team_t, in the order of placement_request_t.victims */
     GArray *results;     /* attempt_result_t, drained by the caller */
+    uint64_t changes;    /* grows with whatever a round of placing or a commit should look at:
+                            results, records to write, machines that open or close */
     guint turn;          /* round robin among equals */
     msec_t lapse;
     msec_t fresh;       /* a machine not reached for so long gets no starts and no commands */
--- a/src/core/partition_attempts.c
+++ b/src/core/partition_attempts.c
@@ -44,6 +44,7 @@
     attempt_result_t result = {.ref = attempt->ref, .cause = attempt->cause};
     g_strlcpy(result.machine, attempt->machine->id, sizeof result.machine);
     g_array_append_val(partition->results, result);
+    partition->changes++;
 }
 
 void partition_attempt_over(partition_t *partition, attempt_t *attempt, cause_t cause)
--- a/src/core/partition_reports.c
+++ b/src/core/partition_reports.c
@@ -153,6 +153,12 @@
     machine->spoken = report->seq;
 }
 
+/* Whether starts may be sent there, as far as the machine goes. */
+static bool takes_starts(const partition_t *partition, const machine_t *machine, msec_t now)
+{
+    return partition_is_reached(partition, machine, now) && !machine->reclaim_at;
+}
+
 report_verdict_t partition_report(partition_t *partition, const report_t *report, bool direct,
                                   msec_t now, GArray *commands)
 {
@@ -167,6 +173,7 @@
         note_turn(machine, report, now);
     if (verdict != REPORT_TAKEN)
         return verdict;
+    bool took_starts = takes_starts(partition, machine, now);
     take_identity(partition, machine, report);
     take_session(partition, machine, report);
     machine->seq = report->seq;
@@ -189,6 +196,7 @@
     }
     if (machine->attempts->len)
         machine->idle_since = now;
+    partition->changes += takes_starts(partition, machine, now) != took_starts;
     return REPORT_TAKEN;
 }
 
@@ -201,6 +209,7 @@
         return;
     machine->reported = true;
     machine->reached = now;
+    partition->changes++;
     partition_want_direct(partition, machine); /* starts that were recorded and perhaps not sent */
 }
 
--- a/src/io/http.c
+++ b/src/io/http.c
@@ -52,6 +52,17 @@
     return HTTP_NO_ANSWER;
 }
 
+/* A follow can answer with a lot at once; that memory is not kept. */
+static void empty_answer(http_client_t *client)
+{
+    g_string_truncate(client->answer, 0);
+    if (client->answer->allocated_len <= ANSWER_BUFFER_BYTES)
+        return;
+    g_string_free(client->answer, TRUE);
+    client->answer = g_string_new(NULL);
+    curl_easy_setopt(client->curl, CURLOPT_WRITEDATA, client->answer);
+}
+
 int http_call(http_client_t *client, const char *method, const char *url, const json_t *body,
               long timeout_ms, json_t **answer)
 {
@@ -59,7 +70,7 @@
     char *text = body ? json_dumps(body, JSON_COMPACT | JSON_REAL_PRECISION(9)) : NULL;
     if (answer)
         *answer = NULL;
-    g_string_truncate(client->answer, 0);
+    empty_answer(client);
     curl_easy_setopt(curl, CURLOPT_URL, url);
     curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, timeout_ms);
     curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
@@ -78,11 +89,13 @@
     curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
     if (answer)
         *answer = json_loadb(client->answer->str, client->answer->len, 0, NULL);
-    /* A follow can answer with a lot at once; that is not kept. */
-    if (client->answer->allocated_len > ANSWER_BUFFER_BYTES) {
-        g_string_free(client->answer, TRUE);
-        client->answer = g_string_new(NULL);
-        curl_easy_setopt(curl, CURLOPT_WRITEDATA, client->answer);
-    }
+    if (client->answer->allocated_len > ANSWER_BUFFER_BYTES)
+        empty_answer(client);
     return (int)status;
 }
+
+const char *http_answer(const http_client_t *client, gsize *length)
+{
+    *length = client->answer->len;
+    return client->answer->str;
+}
--- a/src/io/http.h
+++ b/src/io/http.h
@@ -33,5 +33,7 @@
 /* body may be NULL and is not consumed; *answer (may be NULL) gets a new reference or NULL. */
 int http_call(http_client_t *client, const char *method, const char *url, const json_t *body,
               long timeout_ms, json_t **answer);
+/* The body of the last call's answer as it came, until the next call. */
+const char *http_answer(const http_client_t *client, gsize *length);
 
 #endif
--- a/src/io/wire.h
+++ b/src/io/wire.h
@@ -21,7 +21,8 @@
 bool wire_parse_job(const json_t *body, bool stored, job_spec_t *spec, reason_t *why);
 json_t *wire_build_job(const job_spec_t *spec);
 
-bool wire_parse_report(const json_t *body, report_t *report, reason_t *why);
+/* A worker's report, as it came: parsed without a tree. */
+bool wire_parse_report(const char *text, gsize length, report_t *report, reason_t *why);
 json_t *wire_build_commands(uint64_t token, const GArray *commands);
 json_t *wire_build_direct(uint64_t token, uint64_t session, const GArray *commands);
 
--- a/tests/test_partition.c
+++ b/tests/test_partition.c
@@ -135,6 +135,32 @@
     assert_int_equal(fixture->partition->results->len, 0);
 }
 
+/* Nobody looks at what a report says anew that says nothing new: rounds of placing and commits
+ * follow changes, not reports. */
+static void test_a_report_that_says_nothing_new_is_no_change(void **state)
+{
+    (void)state;
+    uint64_t changes = fixture->partition->changes;
+    exchange();
+    assert_true(fixture->partition->changes > changes); /* the machine takes starts */
+    place("j-000001", 0, 100);
+    commit();
+    exchange();
+    exchange();
+    changes = fixture->partition->changes;
+    for (guint i = 0; i < 10; i++)
+        exchange();
+    assert_int_equal(fixture->partition->changes, changes);
+    fake_worker_exit(fixture->worker, "j-000001", 0, CAUSE_DONE);
+    exchange();
+    assert_true(fixture->partition->changes > changes);
+    changes = fixture->partition->changes;
+    fixture->now += 20000; /* silent, then heard again */
+    exchange();
+    exchange();
+    assert_true(fixture->partition->changes > changes);
+}
+
 static void test_silence_is_no_proof(void **state)
 {
     (void)state;
@@ -948,6 +974,8 @@
         cmocka_unit_test_setup_teardown(test_start_follows_its_record, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_lost_answer_repeats_the_same_attempt, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(test_a_report_that_says_nothing_new_is_no_change, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(test_silence_is_no_proof, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_lapsed_reservation_frees_resources_but_not_the_task,
                                         set_up, tear_down),
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -96,37 +96,124 @@
 {
     (void)state;
     report_t report;
-    json_t *body = json_loads(report_text, 0, NULL);
-    assert_true(wire_parse_report(body, &report, NULL));
+    assert_true(wire_parse_report(report_text, strlen(report_text), &report, NULL));
     assert_int_equal(report.token, 41);
     assert_true(report.reclaim_in_s < 0);
     assert_int_equal(report.attempts->len, 2);
     assert_int_equal(g_array_index(report.attempts, reported_attempt_t, 0).task, 3);
     assert_int_equal(g_array_index(report.attempts, reported_attempt_t, 1).cause, CAUSE_DONE);
+    assert_int_equal(g_array_index(report.attempts, reported_attempt_t, 0).cause, CAUSE_NONE);
     report_clear(&report);
+}
+
+/* Consumes the body. */
+static bool takes_report(json_t *body, reason_t *why)
+{
+    report_t report;
+    char *text = json_dumps(body, JSON_ENCODE_ANY);
+    bool taken = wire_parse_report(text, strlen(text), &report, why);
+    if (taken)
+        report_clear(&report);
+    else
+        assert_null(report.attempts);
+    free(text);
     json_decref(body);
+    return taken;
+}
+
+static json_t *report_with(const char *field, json_t *value)
+{
+    json_t *body = json_loads(report_text, 0, NULL);
+    json_object_set_new(body, field, value);
+    return body;
+}
+
+static json_t *attempt_with(const char *field, json_t *value)
+{
+    json_t *body = json_loads(report_text, 0, NULL);
+    json_object_set_new(json_array_get(json_object_get(body, "Pieces"), 0), field, value);
+    return body;
+}
+
+static void test_report_fields_that_nobody_reads_do_no_harm(void **state)
+{
+    (void)state;
+    assert_true(takes_report(
+        report_with("New", json_pack("{s:[i,{s:i}],s:n}", "Watch", 1, "Piece", 2, "Trim")), NULL));
+    assert_true(
+        takes_report(report_with("New", json_pack("[[s],{s:s}]", "Pieces", "Helm", "x")), NULL));
+    assert_true(
+        takes_report(attempt_with("New", json_pack("{s:s,s:[i]}", "Trim", "x", "Cause", 1)), NULL));
+    assert_true(takes_report(report_with("Pieces", json_null()), NULL));
+    assert_true(takes_report(report_with("WarningS", json_real(12.5)), NULL));
+}
+
+static void test_report_with_a_field_of_the_wrong_kind_is_refused(void **state)
+{
+    (void)state;
+    reason_t why;
+    assert_false(takes_report(report_with("Pieces", json_integer(1)), &why));
+    assert_non_null(strstr(why.text, "Pieces"));
+    assert_false(takes_report(report_with("Pieces", json_object()), &why));
+    assert_false(takes_report(report_with("Pieces", json_pack("[i]", 1)), &why));
+    assert_false(takes_report(report_with("Pieces", json_pack("[[]]")), &why));
+    assert_false(takes_report(report_with("Pieces", json_pack("[{}]")), &why));
+    assert_false(takes_report(report_with("WarningS", json_real(-1)), &why));
+    assert_false(takes_report(report_with("WarningS", json_string("1")), &why));
+    assert_false(takes_report(report_with("Helm", json_real(1.5)), &why));
+    assert_false(takes_report(report_with("Helm", json_integer(-1)), &why));
+    assert_false(takes_report(report_with("Winch", json_stringn("m\0x", 3)), &why));
+    assert_false(takes_report(report_with("Winch", json_string("")), &why));
+    assert_false(takes_report(attempt_with("Heave", json_string("2")), &why));
+    assert_non_null(strstr(why.text, "Heave"));
+    assert_false(takes_report(attempt_with("Trim", json_string("asleep")), &why));
+    assert_false(takes_report(attempt_with("Piece", json_string("j-000412/")), &why));
+    assert_false(takes_report(attempt_with("Piece", json_string("/3")), &why));
+    assert_false(takes_report(attempt_with("Piece", json_string("j-000412/-3")), &why));
+    assert_false(takes_report(json_array(), &why));
+    assert_false(takes_report(json_string("report"), &why));
+    report_t report;
+    assert_false(wire_parse_report(report_text, strlen(report_text) - 1, &report, &why));
+    assert_false(wire_parse_report("{}{}", 4, &report, &why));
+    assert_false(wire_parse_report("", 0, &report, &why));
+}
+
+/* What is over is over, whatever the worker calls it. */
+static void test_unknown_causes_are_failures(void **state)
+{
+    (void)state;
+    static const char text[] =
+        "{\"Pieces\":[{\"Cause\":\"odd\",\"Trim\":\"exited\",\"Heave\":1,\"Piece\":\"j-000001/0\"},"
+        "{\"Trim\":\"exited\",\"Heave\":1,\"Piece\":\"j-000001/1\"},"
+        "{\"Trim\":\"gathering\",\"Cause\":\"done\",\"Heave\":1,\"Piece\":\"j-000001/2\"}],"
+        "\"Winch\":\"m-1\",\"Address\":\"a\",\"Hull\":\"g8\",\"Dock\":\"a\",\"Driftwood\":false,"
+        "\"Watch\":1,\"Tally\":2,\"Helm\":0}";
+    report_t report;
+    assert_true(wire_parse_report(text, strlen(text), &report, NULL));
+    assert_int_equal(g_array_index(report.attempts, reported_attempt_t, 0).cause, CAUSE_ERROR);
+    assert_int_equal(g_array_index(report.attempts, reported_attempt_t, 1).cause, CAUSE_ERROR);
+    assert_int_equal(g_array_index(report.attempts, reported_attempt_t, 2).cause, CAUSE_NONE);
+    assert_int_equal(g_array_index(report.attempts, reported_attempt_t, 2).state, TASK_FETCHING);
+    report_clear(&report);
 }
 
 static void test_malformed_report_is_refused(void **state)
 {
     (void)state;
     static const char *const fields[] = {"Winch", "Address", "Watch", "Tally", "Helm", "Driftwood"};
+    reason_t why;
     for (guint i = 0; i < G_N_ELEMENTS(fields); i++) {
-        report_t report;
-        reason_t why;
+        assert_false(takes_report(report_with(fields[i], json_array()), &why));
+        assert_non_null(strstr(why.text, fields[i]));
         json_t *body = json_loads(report_text, 0, NULL);
-        json_object_set_new(body, fields[i], json_array());
-        assert_false(wire_parse_report(body, &report, &why));
+        json_object_del(body, fields[i]);
+        assert_false(takes_report(body, &why));
         assert_non_null(strstr(why.text, fields[i]));
-        json_decref(body);
     }
-    report_t report;
-    reason_t why;
     json_t *body = json_loads(report_text, 0, NULL);
     json_object_set_new(json_array_get(json_object_get(body, "Pieces"), 1), "Piece",
                         json_string("j-000398"));
-    assert_false(wire_parse_report(body, &report, &why));
-    json_decref(body);
+    assert_false(takes_report(body, &why));
 }
 
 static void test_progress_bits_come_back(void **state)
@@ -155,6 +242,9 @@
         cmocka_unit_test(test_job_comes_back_from_the_store),
         cmocka_unit_test(test_report_is_read),
         cmocka_unit_test(test_malformed_report_is_refused),
+        cmocka_unit_test(test_report_fields_that_nobody_reads_do_no_harm),
+        cmocka_unit_test(test_report_with_a_field_of_the_wrong_kind_is_refused),
+        cmocka_unit_test(test_unknown_causes_are_failures),
         cmocka_unit_test(test_progress_bits_come_back),
     };
     return cmocka_run_group_tests_name("wire", tests, NULL, NULL);
