--- a/src/app/heartbeat.c
+++ b/src/app/heartbeat.c
@@ -34,23 +34,23 @@
 {
     const cancellation_log_t *log = &node->cancellations;
     msec_t begun = clock_steady();
-    msec_t held = 0;
+    msec_t hold = 0;
     while (message->acknowledged_incarnation == log->incarnation &&
-           message->acknowledged_index >= log->newest && held < HEARTBEAT_HOLD_MS) {
-        node_wait(node, &node->cancellation, HEARTBEAT_HOLD_MS - held);
-        held = clock_steady() - begun;
+           message->acknowledged_index >= log->newest && hold < HEARTBEAT_HOLD_MS) {
+        node_wait(node, &node->cancellation, HEARTBEAT_HOLD_MS - hold);
+        hold = clock_steady() - begun;
     }
-    return held;
+    return hold;
 }
 
 GByteArray *heartbeat_answer(node_t *node, const peer_message_t *message)
 {
     pthread_mutex_lock(&node->lock);
     peer_exchange_receive_any(node, message);
-    msec_t held = hold_answer(node, message);
+    msec_t hold = hold_answer(node, message);
     peer_message_t answer = peer_exchange_message(node);
     answer.heartbeat = true;
-    answer.held_ms = held;
+    answer.hold_ms = hold;
     answer.update = cancellation_log_update(&node->cancellations, message->acknowledged_incarnation,
                                             message->acknowledged_index, clock_steady());
     if (node->leading && node->loaded)
@@ -92,11 +92,11 @@
         receive_job_counts(node, &message->counts);
 }
 
-/* The answer was made when it had been held for so long after the heartbeat had left, or later.
+/* The answer was made when it had been delayed for so long after the heartbeat had left, or later.
  * Clocks drift apart: what the sibling measured is shortened. */
 static msec_t answer_made_at(const peer_message_t *answer, msec_t asked)
 {
-    return asked + MAX(answer->held_ms - answer->held_ms / CLOCK_DRIFT_DIVISOR - 1, 0);
+    return asked + MAX(answer->hold_ms - answer->hold_ms / CLOCK_DRIFT_DIVISOR - 1, 0);
 }
 
 static bool send_heartbeat(const heartbeat_t *heartbeat, int fd)
--- a/src/io/peer_protocol.c
+++ b/src/io/peer_protocol.c
@@ -178,7 +178,7 @@
                           .number = message->number,
                           .ack = message->ack,
                           .state_answer_age = message->state_answer_age,
-                          .held_ms = message->held_ms,
+                          .hold_ms = message->hold_ms,
                           .worker_report_age = message->worker_report_age,
                           .heartbeat = message->heartbeat,
                           .acknowledged_incarnation = message->acknowledged_incarnation,
@@ -278,7 +278,7 @@
     message->number = wire->number;
     message->ack = wire->ack;
     message->state_answer_age = wire->state_answer_age;
-    message->held_ms = wire->held_ms;
+    message->hold_ms = wire->hold_ms;
     message->worker_report_age = wire->worker_report_age;
     message->summaries.base = wire->summaries_base;
     message->summaries.version = wire->summaries_version;
--- a/src/io/peer_protocol.h
+++ b/src/io/peer_protocol.h
@@ -15,7 +15,7 @@
     uint64_t number; /* of the batch; 0: none sent so far */
     uint64_t ack;
     msec_t state_answer_age;
-    msec_t held_ms;           /* an answer to a heartbeat: how long it was held back for news */
+    msec_t hold_ms;           /* an answer to a heartbeat: how long it was delayed for news */
     msec_t worker_report_age; /* since a worker that the sender owns last reported to it */
     bool heartbeat;
     uint64_t acknowledged_incarnation;
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -1133,14 +1133,14 @@
     prepare();
     node_t *node = node_new(settings_of(0, peers, 2), policy_default());
     peer_message_t first = ask_heartbeat(node, 0, 0);
-    assert_int_equal(first.held_ms, 0);
+    assert_int_equal(first.hold_ms, 0);
     peer_message_t second = ask_heartbeat(node, first.update.incarnation, first.update.last_index);
-    assert_true(second.held_ms >= HEARTBEAT_HOLD_MS);
+    assert_true(second.hold_ms >= HEARTBEAT_HOLD_MS);
     pthread_mutex_lock(&node->lock);
     node_remember(node, "j-000001", false);
     pthread_mutex_unlock(&node->lock);
     peer_message_t third = ask_heartbeat(node, second.update.incarnation, second.update.last_index);
-    assert_int_equal(third.held_ms, 0);
+    assert_int_equal(third.hold_ms, 0);
     assert_int_equal(third.update.jobs->len, 1);
     peer_message_clear(&first);
     peer_message_clear(&second);
--- a/tests/test_summary_update.c
+++ b/tests/test_summary_update.c
@@ -108,7 +108,7 @@
     }
 }
 
-static void test_an_unchanged_partition_tells_nothing(void **state)
+static void test_an_unchanged_partition_sends_nothing(void **state)
 {
     (void)state;
     fixture_t fixture = fixture_new(MACHINES_MAX);
@@ -125,7 +125,7 @@
 }
 
 /* Silence decides on releases: how long it has lasted is told each time. */
-static void test_silence_is_told_as_it_grows(void **state)
+static void test_silence_is_sent_as_it_grows(void **state)
 {
     (void)state;
     fixture_t fixture = fixture_new(5);
@@ -209,8 +209,8 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_an_unchanged_partition_tells_nothing),
-        cmocka_unit_test(test_silence_is_told_as_it_grows),
+        cmocka_unit_test(test_an_unchanged_partition_sends_nothing),
+        cmocka_unit_test(test_silence_is_sent_as_it_grows),
         cmocka_unit_test(test_losses_and_copies_leave_the_leader_what_the_partition_has),
         cmocka_unit_test(test_a_leader_with_another_version_gets_all),
     };
