Senders by machine, paces by share, rounds that look at what may fit

A notice wakes the senders of the machines that want something, not the next in line. Each sender keeps fd_limit / 96 connections (2 to 16). Work that is being stopped is summed up only where some was.

--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -102,11 +102,13 @@
             cloud_exclude_members(&cloud, now);
         }
         cloud_publish_retained(&cloud, now);
+        bool has_changed = false;
         if (leading) {
-            cloud_rent(&cloud);
-            cloud_give_back(&cloud);
+            has_changed = cloud_rent(&cloud);
+            has_changed = cloud_give_back(&cloud) || has_changed;
         }
-        node_sleep(leading ? gap : MAX(gap, CLOUD_IDLE_GAP_MS));
+        msec_t quiet_gap = leading ? node_paced(node, gap) : MAX(gap, CLOUD_IDLE_GAP_MS);
+        node_sleep(has_changed ? gap : quiet_gap);
     }
     return NULL;
 }
--- a/src/app/cloud_internal.h
+++ b/src/app/cloud_internal.h
@@ -54,13 +54,13 @@
 
 /* Rentals (cloud_rental.c). */
 
-/* Asks for the next machines that are wanted, if any. */
-void cloud_rent(cloud_t *cloud);
+/* Asks for the next machines that are wanted. False: there are none. */
+bool cloud_rent(cloud_t *cloud);
 
 /* Releases (cloud_release.c). */
 
-/* Releases what is to go, for whatever reason. */
-void cloud_give_back(cloud_t *cloud);
+/* Releases what is to go, for whatever reason. False: nothing was. */
+bool cloud_give_back(cloud_t *cloud);
 
 /* Retained workers and excluded members (cloud_members.c). */
 
--- a/src/app/cloud_release.c
+++ b/src/app/cloud_release.c
@@ -149,7 +149,7 @@
                             g_memdup2(&now, sizeof now));
 }
 
-void cloud_give_back(cloud_t *cloud)
+bool cloud_give_back(cloud_t *cloud)
 {
     node_t *node = cloud->node;
     GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
@@ -179,5 +179,7 @@
         }
         pthread_mutex_unlock(&node->lock);
     }
+    bool has_released = names->len > 0;
     g_ptr_array_unref(names);
+    return has_released;
 }
--- a/src/app/cloud_rental.c
+++ b/src/app/cloud_rental.c
@@ -69,12 +69,12 @@
              json_array_size(names));
 }
 
-void cloud_rent(cloud_t *cloud)
+bool cloud_rent(cloud_t *cloud)
 {
     choose_wish(cloud);
     charter_t *charter = &cloud->charter;
     if (!charter->open)
-        return;
+        return false;
     json_t *answer = NULL;
     json_t *body = wire_build_rental(charter->charter, charter->wish.type, charter->wish.zone,
                                      charter->wish.spot, charter->wish.count);
@@ -96,4 +96,5 @@
         charter->open = false;
     }
     json_decref(answer);
+    return true;
 }
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -46,7 +46,8 @@
     pthread_condattr_init(&steady);
     pthread_condattr_setclock(&steady, CLOCK_MONOTONIC);
     pthread_cond_init(&node->work, &steady);
-    pthread_cond_init(&node->direct, &steady);
+    for (guint i = 0; i < SENDERS_COUNT; i++)
+        pthread_cond_init(&node->direct[i], &steady);
     pthread_cond_init(&node->clients, &steady);
     pthread_cond_init(&node->members, &steady);
     pthread_cond_init(&node->inquiries, &steady);
@@ -106,8 +107,7 @@
     threads_start("follow", follow_run, node);
     threads_start("placer", placer_run, node);
     threads_start("cloud", cloud_run, node);
-    for (guint i = 0; i < SENDERS_COUNT; i++)
-        threads_start("sender", sender_run, node);
+    sender_start(node);
     return api_start(node);
 }
 
@@ -116,6 +116,23 @@
     pthread_cond_signal(&node->work);
 }
 
+void node_notify_senders(node_t *node)
+{
+    if (!node->loaded)
+        return;
+    uint32_t slots = partition_direct_slots(node->partition, clock_steady());
+    uint32_t chosen = slots & node->idle_senders;
+    uint32_t others = node->idle_senders & ~chosen;
+    /* A busy sender may be held up by a machine that hangs. */
+    for (uint32_t busy = slots & ~chosen; busy && others; busy &= busy - 1) {
+        chosen |= others & -others;
+        others &= others - 1;
+    }
+    for (guint i = 0; i < SENDERS_COUNT; i++)
+        if (chosen >> i & 1)
+            pthread_cond_signal(&node->direct[i]);
+}
+
 void node_wait(node_t *node, pthread_cond_t *cond, msec_t ms)
 {
     msec_t until = clock_steady() + ms;
@@ -123,6 +140,11 @@
     pthread_cond_timedwait(cond, &node->lock, &at);
 }
 
+msec_t node_paced(const node_t *node, msec_t ms)
+{
+    return (msec_t)((double)ms * node->settings->pace);
+}
+
 void node_sleep(msec_t ms)
 {
     struct timespec left = {.tv_sec = ms / MS_PER_S, .tv_nsec = ms % MS_PER_S * NS_PER_MS};
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -65,10 +65,11 @@
     http_client_t *api_clients[API_CLIENTS_COUNT];
 
     pthread_mutex_t lock;
-    pthread_cond_t work;      /* for the placer */
-    pthread_cond_t direct;    /* for the senders: one is notified, and notifies the next */
-    bool has_watching_sender; /* one that waits with a time limit, for all of them */
-    pthread_cond_t clients;   /* for the API's clients */
+    pthread_cond_t work;                  /* for the placer */
+    pthread_cond_t direct[SENDERS_COUNT]; /* for each sender */
+    uint32_t idle_senders;                /* a bit each: those that wait */
+    bool has_watching_sender;             /* one that waits with a time limit, for all of them */
+    pthread_cond_t clients;               /* for the API's clients */
     pthread_cond_t inquiries;
     inquiry_t *inquiry;          /* still taking questions; NULL: none */
     pthread_cond_t members;      /* for the member loop */
@@ -126,6 +127,8 @@
 
 /* All with the lock held. */
 void node_notify(node_t *node);
+/* Wakes the senders of machines that want commands; for one that is busy, another. */
+void node_notify_senders(node_t *node);
 void node_job_set(node_t *node, const job_spec_t *spec, uint64_t revision);
 /* The job is over for good: no older list of jobs brings it back. */
 void node_job_gone(node_t *node, const char *id);
@@ -158,6 +161,8 @@
 bool node_may_send(node_t *node, const char *machine, uint64_t generation, const GArray *commands,
                    msec_t taken, msec_t now);
 void node_wait(node_t *node, pthread_cond_t *cond, msec_t ms);
+/* The pause as it is on the share of a processor that the settings grant. */
+msec_t node_paced(const node_t *node, msec_t ms);
 
 void node_sleep(msec_t ms);
 
@@ -176,7 +181,8 @@
 void heartbeat_start(node_t *node);
 void *follow_run(void *data);
 void *placer_run(void *data);
-void *sender_run(void *data);
+/* Starts the threads that send direct commands. */
+void sender_start(node_t *node);
 void *pulse_run(void *data);
 void *cloud_run(void *data);
 bool api_start(node_t *node);
--- a/src/app/node_jobs.c
+++ b/src/app/node_jobs.c
@@ -38,7 +38,7 @@
         leader_end_job(node->leader, id);
     job_counts_replica_remove(&node->job_counts, id);
     g_hash_table_remove(node->jobs, id);
-    pthread_cond_signal(&node->direct);
+    node_notify_senders(node);
     node_notify(node);
 }
 
--- a/src/app/peer_server.c
+++ b/src/app/peer_server.c
@@ -68,9 +68,10 @@
     guint index = 0;
     if (channel && is_member(node, message, &index))
         node->received_at[index] = clock_steady();
-    msec_t until = clock_steady() + PEER_ANSWER_DELAY_MS;
+    msec_t delay = node_paced(node, PEER_ANSWER_DELAY_MS);
+    msec_t until = clock_steady() + delay;
     while (channel && !channel_busy(channel) && clock_steady() < until) {
-        node_wait(node, &node->peer_work, PEER_ANSWER_DELAY_MS);
+        node_wait(node, &node->peer_work, delay);
         if (node->generation != generation)
             channel = NULL; /* freed with its view while the lock was given up */
     }
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -159,7 +159,7 @@
     node->loaded_at = now;
     pthread_cond_broadcast(&node->peer_work);
     pthread_cond_signal(&node->relay);
-    pthread_cond_signal(&node->direct);
+    node_notify_senders(node);
 }
 
 static void load(placer_t *placer)
@@ -260,7 +260,7 @@
         node_job_gone(node, progress->job);
     }
     g_array_unref(acknowledged);
-    pthread_cond_signal(&node->direct);
+    node_notify_senders(node);
 }
 
 static void undo(node_t *node, batch_t *batch)
@@ -370,7 +370,7 @@
     node_t *node = placer.node;
     for (;;) {
         pthread_mutex_lock(&node->lock);
-        node_wait(node, &node->work, TICK_MS);
+        node_wait(node, &node->work, node_paced(node, TICK_MS));
         if (!node->loaded) {
             bool member = node->own != G_MAXUINT;
             pthread_mutex_unlock(&node->lock);
@@ -393,7 +393,7 @@
         partition_batch_free(batch.machines);
         if (wants_token && view_renumber(node, placer.client))
             placer.renumbered = clock_steady();
-        node_sleep(COMMIT_GAP_MS);
+        node_sleep(node_paced(node, COMMIT_GAP_MS));
     }
     return NULL;
 }
--- a/src/app/sender.c
+++ b/src/app/sender.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "app/node.h"
+#include "app/threads.h"
 #include "io/clock.h"
 #include "io/wire.h"
 #include "log.h"
@@ -66,35 +67,57 @@
     return may;
 }
 
+/* A sender. It keeps connections to the machines of its slot, and serves others only while their
+ * sender is busy. */
+typedef struct {
+    node_t *node;
+    guint slot;
+} sender_t;
+
 /* With the lock held. Machines come into reach again without a notice, so one idle sender looks
  * for them now and then; the others wait until they are notified. */
-static void wait_for_commands(node_t *node)
+static void wait_for_commands(const sender_t *sender)
 {
+    node_t *node = sender->node;
+    pthread_cond_t *condition = &node->direct[sender->slot];
+    node_notify_senders(node); /* of what was left to those who have become idle meanwhile */
+    node->idle_senders |= 1U << sender->slot;
     if (node->has_watching_sender) {
-        pthread_cond_wait(&node->direct, &node->lock);
+        pthread_cond_wait(condition, &node->lock);
+        node->idle_senders &= ~(1U << sender->slot);
         return;
     }
     node->has_watching_sender = true;
-    node_wait(node, &node->direct, SENDER_IDLE_MS);
+    node_wait(node, condition, SENDER_IDLE_MS);
     node->has_watching_sender = false;
+    node->idle_senders &= ~(1U << sender->slot);
+}
+
+/* With the lock held: the next machine of this sender's, or of one that is busy. */
+static machine_t *take_commands(const sender_t *sender, msec_t now, GArray *commands)
+{
+    node_t *node = sender->node;
+    if (!node->loaded)
+        return NULL;
+    partition_pause_starts(node->partition, !node_may_start(node, now));
+    uint32_t slots = 1U << sender->slot | ~node->idle_senders;
+    return partition_direct_take(node->partition, slots, now, commands);
 }
 
-void *sender_run(void *data)
+static void *sender_run(void *data)
 {
-    node_t *node = data;
-    http_client_t *client = http_client_new(2);
+    const sender_t *sender = data;
+    node_t *node = sender->node;
+    http_client_t *client = http_client_new(node->settings->sender_connections);
     http_client_hurry(client, DIRECT_CONNECT_MS);
     GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     for (;;) {
         g_array_set_size(commands, 0);
         pthread_mutex_lock(&node->lock);
         msec_t now = clock_steady();
-        if (node->loaded)
-            partition_pause_starts(node->partition, !node_may_start(node, now));
-        machine_t *machine =
-            node->loaded ? partition_direct_take(node->partition, now, commands) : NULL;
+        machine_t *machine = take_commands(sender, now, commands);
         if (!machine) {
-            wait_for_commands(node);
+            wait_for_commands(sender);
             pthread_mutex_unlock(&node->lock);
             continue;
         }
@@ -103,8 +126,6 @@
                                .generation = node->generation};
         g_strlcpy(exchange.machine, machine->id, sizeof exchange.machine);
         g_snprintf(exchange.url, sizeof exchange.url, "http://%s/do", machine->address);
-        if (partition_has_direct(node->partition))
-            pthread_cond_signal(&node->direct);
         pthread_mutex_unlock(&node->lock);
         json_t *body = wire_build_direct(exchange.token, exchange.session, commands);
         if (!may_leave(node, &exchange, commands, now)) {
@@ -121,3 +142,12 @@
     }
     return NULL;
 }
+
+void sender_start(node_t *node)
+{
+    for (guint i = 0; i < SENDERS_COUNT; i++) {
+        sender_t *sender = g_new(sender_t, 1);
+        *sender = (sender_t){node, i};
+        threads_start("sender", sender_run, sender);
+    }
+}
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -174,11 +174,27 @@
     }
 }
 
+static guint sender_connections(double sockets)
+{
+    return (guint)CLAMP(sockets / SENDER_CONNECTIONS_DIVISOR, SENDER_CONNECTIONS_MIN_COUNT,
+                        SENDER_CONNECTIONS_MAX_COUNT);
+}
+
+/* How much rarer than on a usual share those rounds are that serve quality alone. */
+static double read_pace(reader_t *reader, const json_t *limits)
+{
+    if (!json_object_get(limits, "core_share"))
+        return 1;
+    double share = read_number(reader, limits, "core_share", 0);
+    return share > 0 ? CLAMP(USUAL_CORE_SHARE / share, 1, PACE_MAX) : PACE_MAX;
+}
+
 /* The sockets granted are not all that limits connections: memory may be less. */
 static guint read_connections(reader_t *reader, const json_t *limits)
 {
+    double sockets = read_number(reader, limits, "fd_limit", FD_LIMIT_MIN_COUNT);
     double most =
-        read_number(reader, limits, "fd_limit", FD_LIMIT_MIN_COUNT) - CONNECTIONS_SPARE_COUNT;
+        sockets - CONNECTIONS_SPARE_COUNT - (double)SENDERS_COUNT * sender_connections(sockets);
     if (json_object_get(limits, "ram_mb")) {
         double memory =
             read_number(reader, limits, "ram_mb", RAM_MIN_MIB) * KIB_PER_MIB * BYTES_PER_KIB;
@@ -215,6 +231,9 @@
     settings->cloud_rps = read_number(reader, cloud, "rps", CLOUD_RPS_MIN);
     settings->list_lag_s = read_number(reader, cloud, "list_lag_s", 0);
     settings->connections = read_connections(reader, limits);
+    settings->sender_connections =
+        sender_connections(read_number(reader, limits, "fd_limit", FD_LIMIT_MIN_COUNT));
+    settings->pace = read_pace(reader, limits);
 }
 
 void settings_free(settings_t *settings)
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -29,6 +29,9 @@
     guint txn_ops;
     double cloud_rps;
     double list_lag_s;
+    guint sender_connections; /* kept open to workers by each thread that sends them commands */
+    double pace; /* 1, or more on a small share of a processor: factor of the pauses between rounds
+                    that serve quality alone */
     guint connections; /* of users and workers at once, within the limits of sockets, threads and
                           memory */
 } settings_t;
--- a/src/constants.h
+++ b/src/constants.h
@@ -17,11 +17,15 @@
     BYTES_PER_KIB = 1024,
     KIB_PER_MIB = 1024,
     BITS_PER_BYTE = 8,
-    DECIMAL = 10,     /* base of the numbers in keys and addresses */
-    HASH_FACTOR = 31, /* joins two hashes */
-    PORT_MAX = 65535  /* of TCP */
+    DECIMAL = 10,    /* base of the numbers in keys and addresses */
+    PORT_MAX = 65535 /* of TCP */
 };
 
+/* Joins two hashes. Odd and large (2^32 by the golden ratio): tasks of jobs with near ids don't
+ * meet.
+ */
+#define HASH_FACTOR 2654435761U
+
 /* Amounts of cpus and GB that differ by less are equal. It is below any amount in use. */
 static const double EPSILON = 1e-6;
 
@@ -151,13 +155,18 @@
     THREAD_STACK_BYTES = 128 * 1024,     /* the deepest path: a JSON parse in an HTTP handler */
     CONNECTION_BUFFER_BYTES = 16 * 1024, /* HTTP buffers of a connection */
     CONNECTION_COST_BYTES = 32 * 1024,   /* a connection takes at most: buffers and a request */
-    ANSWER_BUFFER_BYTES = 1 << 18,  /* buffer of a call's answer that is kept for the next call */
-    LISTEN_BACKLOG_COUNT = 16,      /* connections of siblings that wait to be accepted */
-    CONNECTION_IDLE_S = 30,         /* workers and users that are there speak every few s */
-    CONNECTIONS_SPARE_COUNT = 100,  /* sockets of fd_limit kept for calls of our own */
-    WORKER_CONNECTIONS_DIVISOR = 4, /* of the connections: one in so many is for workers */
-    HEAP_TRIM_BYTES = 256 * 1024    /* free memory at the end of the heap above which it goes
-                                       back to the system */
+    ANSWER_BUFFER_BYTES = 1 << 18, /* buffer of a call's answer that is kept for the next call */
+    LISTEN_BACKLOG_COUNT = 16,     /* connections of siblings that wait to be accepted */
+    CONNECTION_IDLE_S = 30,        /* workers and users that are there speak every few s */
+    CONNECTIONS_SPARE_COUNT = 100, /* sockets of fd_limit kept for calls of our own: 33 clients of
+                                      HTTP with two each, their connections, the siblings; those
+                                      of the senders are beside it */
+    SENDER_CONNECTIONS_MIN_COUNT = 2,  /* kept open by a sender to its workers ... */
+    SENDER_CONNECTIONS_MAX_COUNT = 16, /* ... and at most: 256 for all of them */
+    SENDER_CONNECTIONS_DIVISOR = 96,   /* between these: one in so many of fd_limit */
+    WORKER_CONNECTIONS_DIVISOR = 4,    /* of the connections: one in so many is for workers */
+    HEAP_TRIM_BYTES = 256 * 1024       /* free memory at the end of the heap above which it goes
+                                          back to the system */
 };
 
 /* Of the memory granted, for connections; the rest is for records and the program. */
@@ -267,6 +276,16 @@
     RELAY_PAGES_COUNT = 10     /* of a message; a transaction takes about four of 16 KiB */
 };
 
+/* ---- Pace ----
+ *
+ * On a small share of a processor, rounds that serve quality alone are made less often. What keeps
+ * a rule (leases, known cancellations, proof, deadlines after a stall) is not paced. */
+
+/* Of a core: from this on nothing is paced. */
+static const double USUAL_CORE_SHARE = 0.09;
+/* Twice the pause: starts still leave within a quarter of a second. */
+static const double PACE_MAX = 2;
+
 /* ---- Placement ---- */
 
 enum {
--- a/src/core/leader.h
+++ b/src/core/leader.h
@@ -94,6 +94,15 @@
     msec_t last;
 } machine_claim_t;
 
+/* What a placement round knows of all machines, so that it looks at each of them only for work that
+ * may fit. */
+typedef struct {
+    guint machines;
+    guint claimed;
+    resources_t most_free; /* of open machines, each resource by itself: no machine has more */
+    uint64_t examined;     /* summaries looked at since the leader began */
+} leader_round_t;
+
 typedef struct {
     uint64_t view;
     uint64_t count;              /* attempts numbered in this view */
@@ -111,6 +120,7 @@
     uint64_t counts_epoch;       /* set by the creator; 0: no replica is served */
     uint64_t counts_version;
     guint preempting; /* requests of this round that may stop others */
+    leader_round_t round;
 } leader_t;
 
 leader_t *leader_new(const GArray *teams, GHashTable *targets, const policy_t *policy,
--- a/src/core/leader_claims.c
+++ b/src/core/leader_claims.c
@@ -33,31 +33,30 @@
     const job_spec_t *spec = &job->spec;
     machine_summary_t *chosen = NULL;
     double least = INFINITY;
-    guint count = 0;
-    guint claimed = 0;
+    if (leader->round.claimed >= MAX(1, leader->round.machines / CLAIMED_MACHINES_DIVISOR))
+        return false;
     for (guint i = 0; i < leader->summaries->len; i++) {
         GArray *summaries = g_ptr_array_index(leader->summaries, i);
         for (guint k = 0; summaries && k < summaries->len; k++) {
             machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
-            count++;
-            claimed += summary->claim_priority > PRIORITY_LOW;
+            leader->round.examined++;
             double lack = spec->need.cpus - summary->free.cpus;
             if (summary->claim_priority > PRIORITY_LOW || !summary->open || lack >= least ||
-                is_claim_exhausted(leader, summary->machine, now) ||
                 !resources_fit(spec->need, summary->total) ||
                 !job_spec_allows(spec, summary->type, summary->zone, summary->spot) ||
-                (spec->zone[0] && strcmp(spec->zone, summary->zone) != 0))
+                (spec->zone[0] && strcmp(spec->zone, summary->zone) != 0) ||
+                is_claim_exhausted(leader, summary->machine, now))
                 continue;
             chosen = summary;
             least = lack;
         }
     }
-    bool claimed_one = chosen && claimed < MAX(1, count / CLAIMED_MACHINES_DIVISOR);
-    if (claimed_one) {
-        chosen->claim_priority = (int)below;
-        record_claim(leader, chosen->machine, now);
-    }
-    return claimed_one;
+    if (!chosen)
+        return false;
+    chosen->claim_priority = (int)below;
+    leader->round.claimed++;
+    record_claim(leader, chosen->machine, now);
+    return true;
 }
 
 void leader_claim_machines(leader_t *leader, const team_state_t *state, const queued_t *queued,
@@ -73,11 +72,21 @@
         wanted--;
 }
 
-void leader_release_claims(leader_t *leader)
+void leader_begin_round(leader_t *leader)
 {
+    leader_round_t *round = &leader->round;
+    *round = (leader_round_t){.examined = round->examined};
     for (guint i = 0; i < leader->summaries->len; i++) {
         GArray *summaries = g_ptr_array_index(leader->summaries, i);
-        for (guint k = 0; summaries && k < summaries->len; k++)
-            g_array_index(summaries, machine_summary_t, k).claim_priority = PRIORITY_LOW;
+        for (guint k = 0; summaries && k < summaries->len; k++) {
+            machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
+            summary->claim_priority = PRIORITY_LOW;
+            round->machines++;
+            if (!summary->open)
+                continue;
+            round->most_free.cpus = MAX(round->most_free.cpus, summary->free.cpus);
+            round->most_free.gpus = MAX(round->most_free.gpus, summary->free.gpus);
+            round->most_free.memory = MAX(round->most_free.memory, summary->free.memory);
+        }
     }
 }
--- a/src/core/leader_internal.h
+++ b/src/core/leader_internal.h
@@ -58,8 +58,8 @@
 /* Claims machines for a job that nothing fits: until it fits, they take no work below it. */
 void leader_claim_machines(leader_t *leader, const team_state_t *state, const queued_t *queued,
                            msec_t now);
-/* A new round: every claim is made anew or not at all. */
-void leader_release_claims(leader_t *leader);
+/* A new round: what it knows of all machines, and every claim is made anew or not at all. */
+void leader_begin_round(leader_t *leader);
 
 /* Failure records (leader_failures.c). */
 
--- a/src/core/leader_schedule.c
+++ b/src/core/leader_schedule.c
@@ -79,14 +79,17 @@
 
 /* The partition with most free resources on machines that take the task, and the summary of the
  * machine that it would book. */
-static machine_summary_t *choose_summary(const leader_t *leader, const job_t *job, guint *partition)
+static machine_summary_t *choose_summary(leader_t *leader, const job_t *job, guint *partition)
 {
     machine_summary_t *chosen = NULL;
     double most = -1;
+    if (!resources_fit(job->spec.need, leader->round.most_free))
+        return NULL;
     for (guint i = 0; i < leader->summaries->len; i++) {
         double cpus = 0;
-        machine_summary_t *best =
-            best_of_partition(job, g_ptr_array_index(leader->summaries, i), &cpus);
+        GArray *summaries = g_ptr_array_index(leader->summaries, i);
+        machine_summary_t *best = best_of_partition(job, summaries, &cpus);
+        leader->round.examined += summaries ? summaries->len : 0;
         if (best && cpus > most) {
             most = cpus;
             chosen = best;
@@ -259,7 +262,7 @@
     GArray *requests = g_array_new(FALSE, FALSE, sizeof(leader_request_t));
     guint teams = leader->teams->len;
     leader->preempting = 0;
-    leader_release_claims(leader);
+    leader_begin_round(leader);
     GPtrArray *queues = g_ptr_array_new_with_free_func((GDestroyNotify)g_array_unref);
     guint *at = g_new0(guint, MAX(teams, 1));
     for (guint i = 0; i < teams; i++)
--- a/src/core/partition.c
+++ b/src/core/partition.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include <xxhash.h>
+
 static void machine_free(gpointer data)
 {
     machine_t *machine = data;
@@ -172,6 +174,7 @@
 {
     machine_t *machine = g_new0(machine_t, 1);
     g_strlcpy(machine->id, id, sizeof machine->id);
+    machine->slot = (guint)(XXH64(id, strlen(id), SENDERS_COUNT) % SENDERS_COUNT);
     g_strlcpy(machine->zone, zone, sizeof machine->zone);
     machine->page = page;
     if (!page) {
--- a/src/core/partition.h
+++ b/src/core/partition.h
@@ -164,6 +164,7 @@
                       that hangs must not hold up those that don't */
     bool gone;     /* the cloud confirmed it; the struct goes with its last attempt */
     bool direct_busy;
+    guint slot; /* of the sender that serves it, unless that is busy */
     bool direct_wanted;
     uint64_t unanswered_token; /* a direct `run` under it got no answer: a copy may still arrive */
 };
@@ -196,6 +197,7 @@
     msec_t fresh;       /* a machine not reached for so long gets no starts and no commands */
     guint probing;      /* probes under way */
     bool starts_paused; /* no `run` goes out */
+    bool has_preempted; /* it has stopped some work for other work */
 } partition_t;
 
 partition_t *partition_new(const GArray *machine_types, const GArray *teams, msec_t lapse);
@@ -275,11 +277,13 @@
 void partition_batch_undo(partition_t *partition, partition_batch_t *batch);
 void partition_batch_free(partition_batch_t *batch);
 
-/* Direct commands: the next machine that wants some, or NULL; its commands are appended (none: it
- * is only asked for its state). */
-machine_t *partition_direct_take(partition_t *partition, msec_t now, GArray *commands);
-/* Whether any machine wants direct commands, be it in reach or not. */
-bool partition_has_direct(const partition_t *partition);
+/* Direct commands. A machine has a slot, which names the sender that keeps a connection to it. The
+ * next machine of these slots (a bit each) that wants some, or NULL; its commands are appended
+ * (none: it is only asked for its state). */
+machine_t *partition_direct_take(partition_t *partition, uint32_t slots, msec_t now,
+                                 GArray *commands);
+/* The slots of the machines whose turn it is now, a bit each. */
+uint32_t partition_direct_slots(const partition_t *partition, msec_t now);
 typedef enum {
     DIRECT_EXECUTED,
     DIRECT_REFUSED,
--- a/src/core/partition_commands.c
+++ b/src/core/partition_commands.c
@@ -91,14 +91,23 @@
     return machine->direct_busy;
 }
 
-machine_t *partition_direct_take(partition_t *partition, msec_t now, GArray *commands)
+/* Whether the machine's turn may come now. */
+static bool is_direct_due(const partition_t *partition, const machine_t *machine, msec_t now)
+{
+    bool probe = machine->probe && !machine->reported;
+    if (machine->direct_busy)
+        return false;
+    return probe ? partition->probing < SENDERS_COUNT / 2
+                 : partition_is_reached(partition, machine, now);
+}
+
+machine_t *partition_direct_take(partition_t *partition, uint32_t slots, msec_t now,
+                                 GArray *commands)
 {
     for (GList *at = partition->wanted->head, *next; at; at = next) {
         machine_t *machine = at->data;
-        bool probe = machine->probe && !machine->reported;
         next = at->next;
-        if (machine->direct_busy || (probe && partition->probing >= SENDERS_COUNT / 2) ||
-            (!probe && !partition_is_reached(partition, machine, now)))
+        if (!(slots >> machine->slot & 1) || !is_direct_due(partition, machine, now))
             continue;
         g_queue_delete_link(partition->wanted, at);
         machine->direct_wanted = false;
@@ -108,9 +117,15 @@
     return NULL;
 }
 
-bool partition_has_direct(const partition_t *partition)
+uint32_t partition_direct_slots(const partition_t *partition, msec_t now)
 {
-    return !g_queue_is_empty(partition->wanted);
+    uint32_t slots = 0;
+    for (const GList *at = partition->wanted->head; at; at = at->next) {
+        const machine_t *machine = at->data;
+        if (is_direct_due(partition, machine, now))
+            slots |= 1U << machine->slot;
+    }
+    return slots;
 }
 
 void partition_direct_done(partition_t *partition, const char *id, const GArray *commands,
--- a/src/core/partition_preemption.c
+++ b/src/core/partition_preemption.c
@@ -105,6 +105,7 @@
         attempt_t *attempt = g_array_index(best_victims, victim_t, i).attempt;
         partition_stop(partition, attempt, now);
         attempt->preempted = true;
+        partition->has_preempted = true;
         if (request->priority >= PRIORITY_HIGH)
             attempt->stop_kill = now; /* no time to save: the request is to start at once */
     }
@@ -118,6 +119,8 @@
     double cpus = 0;
     GHashTableIter iter;
     gpointer value;
+    if (!partition->has_preempted)
+        return 0;
     g_hash_table_iter_init(&iter, partition->attempts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const attempt_t *attempt = value;
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -237,6 +237,40 @@
 
 /* Small jobs keep coming, and all resources go to them: the large one is begun after two minutes
  * all the same, and gets on after four. */
+/* A backlog costs what can be done about it, not its length times the machines. */
+static void test_work_that_fits_nowhere_looks_at_no_machine(void **state)
+{
+    (void)state;
+    enum { MACHINES = 64, JOBS = 200 };
+    GArray *summaries = g_array_new(FALSE, FALSE, sizeof(machine_summary_t));
+    for (guint i = 0; i < MACHINES; i++) {
+        machine_summary_t summary = {
+            .open = true, .spot = true, .total = {16, 0, 64}, .free = {0.5, 0, 64}};
+        g_snprintf(summary.machine, sizeof summary.machine, "m-%06u", i);
+        g_strlcpy(summary.type, "t16", sizeof summary.type);
+        g_strlcpy(summary.zone, "north", sizeof summary.zone);
+        g_array_append_val(summaries, summary);
+    }
+    leader_set_summaries(leader, 0, summaries);
+    for (guint i = 0; i < JOBS; i++) {
+        char id[ID_BYTES];
+        g_snprintf(id, sizeof id, "j-%06u", i);
+        job_spec_t spec = job(id, "red", 50);
+        spec.priority = PRIORITY_LOW; /* nothing is stopped or claimed for it */
+        add(&spec);
+    }
+    GArray *requests = schedule();
+    assert_int_equal(requests->len, 0);
+    g_array_unref(requests);
+    assert_int_equal(leader->round.examined, 0);
+    job_spec_t spec = job("j-900000", "red", 50);
+    add(&spec);
+    requests = schedule();
+    g_array_unref(requests);
+    /* claimed for the one of higher priority: an eighth of the machines, each by one look at all */
+    assert_in_range(leader->round.examined, 1, MACHINES * (MACHINES / CLAIMED_MACHINES_DIVISOR));
+}
+
 static void test_large_job_is_begun_under_lasting_overload(void **state)
 {
     (void)state;
@@ -883,6 +917,8 @@
         cmocka_unit_test_setup_teardown(test_priority_comes_before_age, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_machines_are_claimed_for_a_large_task_that_goes_first,
                                         set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_work_that_fits_nowhere_looks_at_no_machine, set_up,
+                                        tear_down),
         cmocka_unit_test_setup_teardown(test_large_job_is_begun_under_lasting_overload, set_up,
                                         tear_down),
         cmocka_unit_test_setup_teardown(test_nothing_is_requested_where_there_is_no_machine, set_up,
