--- a/src/app/cloud_listing.c
+++ b/src/app/cloud_listing.c
@@ -25,18 +25,31 @@
     return true;
 }
 
+/* The machines that the partitions know: a set of ids, borrowed from the summaries. */
+static GHashTable *known_machines(const leader_t *leader)
+{
+    GHashTable *known = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = 0; i < leader->summaries->len; i++) {
+        GArray *summaries = g_ptr_array_index(leader->summaries, i);
+        for (guint k = 0; summaries && k < summaries->len; k++)
+            g_hash_table_add(known, g_array_index(summaries, machine_summary_t, k).machine);
+    }
+    return known;
+}
+
 static void take_hosts(cloud_t *cloud, const GArray *hosts, msec_t now)
 {
     node_t *node = cloud->node;
+    GHashTable *known = known_machines(node->leader);
     g_hash_table_remove_all(cloud->listed);
     g_ptr_array_set_size(cloud->failed, 0);
     for (guint i = 0; i < hosts->len; i++) {
         const host_t *host = &g_array_index(hosts, host_t, i);
         g_hash_table_add(cloud->listed, g_strdup(host->machine));
-        const machine_summary_t *machine = cloud_find_summary(node, host->machine, NULL);
         if (host->state == HOST_FAILED)
             g_ptr_array_add(cloud->failed, g_strdup(host->machine));
-        else if (!machine && !cloud_is_returned(cloud, host->machine, now)) /* else the list lags */
+        else if (!g_hash_table_contains(known, host->machine) &&
+                 !cloud_is_returned(cloud, host->machine, now)) /* else the list lags */
             rental_booting(node->rental, host->machine, host->type, host->zone, host->spot,
                            MAX(now - (msec_t)(host->age_s * MS_PER_S), node->loaded_at));
     }
@@ -48,10 +61,11 @@
     g_hash_table_iter_init(&iter, node->rental->boots);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         const boot_t *boot = value;
-        if (cloud_find_summary(node, key, NULL) ||
+        if (g_hash_table_contains(known, key) ||
             (now - boot->since > lag && !g_hash_table_contains(cloud->listed, key)))
             g_hash_table_iter_remove(&iter);
     }
+    g_hash_table_unref(known);
 }
 
 void cloud_refresh_hosts(cloud_t *cloud)
--- a/src/core/summary_update.c
+++ b/src/core/summary_update.c
@@ -43,17 +43,19 @@
 
 /* Whether the leader, which lets the ages grow, would have the summary as it is now. Of machines
  * that are not silent nobody asks for how many milliseconds. */
-static bool is_as_expected(const machine_summary_t *before, const machine_summary_t *now,
+static bool is_as_expected(const machine_summary_t *known, const machine_summary_t *current,
                            msec_t elapsed)
 {
-    bool is_silent = before->silent_ms >= SUMMARY_SILENT_MS || now->silent_ms >= SUMMARY_SILENT_MS;
-    msec_t idle_error = now->idle_ms - before->idle_ms - elapsed;
-    bool is_idle_known = now->attempts > 0 || (idle_error < SUMMARY_IDLE_ERROR_MS &&
-                                               idle_error > -SUMMARY_IDLE_ERROR_MS);
-    return !is_silent && is_idle_known && before->spot == now->spot && before->open == now->open &&
-           before->draining == now->draining && before->attempts == now->attempts &&
-           same_resources(before->total, now->total) && same_resources(before->free, now->free) &&
-           strcmp(before->type, now->type) == 0 && strcmp(before->zone, now->zone) == 0;
+    bool is_silent =
+        known->silent_ms >= SUMMARY_SILENT_MS || current->silent_ms >= SUMMARY_SILENT_MS;
+    msec_t idle_error = current->idle_ms - known->idle_ms - elapsed;
+    bool is_idle_known = current->attempts > 0 || (idle_error < SUMMARY_IDLE_ERROR_MS &&
+                                                   idle_error > -SUMMARY_IDLE_ERROR_MS);
+    return !is_silent && is_idle_known && known->spot == current->spot &&
+           known->open == current->open && known->draining == current->draining &&
+           known->attempts == current->attempts && same_resources(known->total, current->total) &&
+           same_resources(known->free, current->free) && strcmp(known->type, current->type) == 0 &&
+           strcmp(known->zone, current->zone) == 0;
 }
 
 static void find_changes(const summary_version_t *base, GArray *current, msec_t now,
--- a/tests/load.c
+++ b/tests/load.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "app/threads.h"
@@ -40,7 +41,6 @@
 
 typedef struct {
     options_t options;
-    services_t *services;
     uint16_t ports[CONTROLLERS_MAX];
     uint16_t peer_ports[CONTROLLERS_MAX];
     GPid pids[CONTROLLERS_MAX];
@@ -101,10 +101,10 @@
                      "state", endpoint(services->state_ports[index]), "settings", settings);
 }
 
-static void start_controller(guint index, const char *folder)
+static void start_controller(const services_t *services, guint index, const char *folder)
 {
     char *path = g_strdup_printf("%s/hand-%u.json", folder, index);
-    json_t *settings = build_settings(load.services, index);
+    json_t *settings = build_settings(services, index);
     json_dump_file(settings, path, JSON_INDENT(2));
     json_decref(settings);
     char *arguments[] = {load.options.program, "--config", path, NULL};
@@ -287,7 +287,7 @@
     g_strfreev(fragments);
 }
 
-static void start_all(const char *folder)
+static void start_all(const services_t *services, const char *folder)
 {
     guint controllers = (guint)load.options.controllers;
     for (guint i = 0; i < controllers; i++) {
@@ -296,7 +296,7 @@
     }
     http_client_t *client = http_client_new(2);
     for (guint i = 0; i < controllers; i++) { /* the first one leads */
-        start_controller(i, folder);
+        start_controller(services, i, folder);
         while (call(client, i, "GET", "/ready", NULL, NULL) != HTTP_OK)
             sleep_ms(TICK_MS_LOAD);
     }
@@ -308,15 +308,25 @@
     threads_start("users", users_run, NULL);
 }
 
+/* Each worker takes some of them. */
+static void allow_many_sockets(void)
+{
+    struct rlimit limit;
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 int main(int argc, char **argv)
 {
     parse_options(argc, argv);
     signal(SIGPIPE, SIG_IGN);
+    allow_many_sockets();
     http_start();
-    load.services = services_new();
-    services_publish_types(load.services);
+    services_t *services = services_new();
+    services_publish_types(services);
     char *folder = g_dir_make_tmp("load-XXXXXX", NULL);
-    start_all(folder);
+    start_all(services, folder);
     sleep((guint)load.options.warmup);
     GHashTable *before[CONTROLLERS_MAX] = {NULL};
     for (guint i = 0; i < (guint)load.options.controllers; i++)
