Threads as they are needed; on a small share, probes only of machines that stay silent

Cause: at 2.9% of a core a start-up of 10 ms of processor time takes a third of a second, and each of 80 threads costs a turn of its own before anybody is served; and each change of view probed every machine with work, some 70 commands of 0.2 to 0.3 ms, while the machines' own reports come within a second. - The 48 threads for users' requests and the 16 senders start with the first request and command that needs one. - Where the share is small (pace above 1), a machine is probed only if it has not reported within twice its time. A mute machine is still resolved by its probe, up to 2.5 s later; proof is what it was.

--- a/src/app/api.c
+++ b/src/app/api.c
@@ -146,6 +146,16 @@
     return NULL;
 }
 
+/* With the lock of the requests held: one more thread that answers, if all are busy. */
+static void start_answerer(node_t *node)
+{
+    if (g_queue_get_length(&node->requests.waiting) <= node->answerers_free ||
+        node->answerers == API_THREADS_COUNT)
+        return;
+    node->answerers++;
+    threads_start("answer", answer_run, node);
+}
+
 /* Whether the request now waits in the queue; else it is answered at once. */
 static bool enqueue(request_t *request, const char *method, const char *path)
 {
@@ -162,6 +172,7 @@
     bool has_space = request_queue_push(&node->requests, request, request->wait_deadline);
     if (has_space) {
         MHD_suspend_connection(request->connection); /* before one that answers can resume it */
+        start_answerer(node);
         pthread_cond_signal(&node->requests_come);
         if (g_queue_get_length(&node->requests.waiting) > node->answerers_free)
             pthread_cond_signal(&node->requests_blocked);
@@ -246,8 +257,6 @@
     g_strlcpy(host, listen, (gsize)(colon - listen) + 1);
     inet_pton(AF_INET, host, &address.sin_addr);
     address.sin_port = htons((uint16_t)g_ascii_strtoull(colon + 1, NULL, DECIMAL));
-    for (guint i = 0; i < API_THREADS_COUNT; i++)
-        threads_start("answer", answer_run, node);
     threads_start("expire", expire_run, node);
     struct MHD_Daemon *daemon = MHD_start_daemon(
         MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -77,6 +77,7 @@
     for (guint i = 0; i < API_CLIENTS_COUNT; i++)
         node->api_clients[i] = http_client_new(1);
     node->api_clients_free = API_CLIENTS_COUNT;
+    node->idle_senders = (1U << SENDERS_COUNT) - 1;
     pthread_mutex_init(&node->lock, NULL);
     init_conditions(node);
     node->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, known_job_free);
@@ -107,7 +108,6 @@
     threads_start("follow", follow_run, node);
     threads_start("placer", placer_run, node);
     threads_start("cloud", cloud_run, node);
-    sender_start(node);
     return api_start(node);
 }
 
@@ -130,7 +130,7 @@
     }
     for (guint i = 0; i < SENDERS_COUNT; i++)
         if (chosen >> i & 1)
-            pthread_cond_signal(&node->direct[i]);
+            sender_wake(node, i);
 }
 
 void node_wait(node_t *node, pthread_cond_t *cond, msec_t ms)
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -67,7 +67,8 @@
     pthread_mutex_t lock;
     pthread_cond_t work;                  /* for the placer */
     pthread_cond_t direct[SENDERS_COUNT]; /* for each sender */
-    uint32_t idle_senders;                /* a bit each: those that wait */
+    uint32_t idle_senders;                /* a bit each: those that wait, or have no thread yet */
+    uint32_t started_senders;             /* a bit each: those that have a thread */
     bool has_watching_sender;             /* one that waits with a time limit, for all of them */
     pthread_cond_t clients;               /* for the API's clients */
     pthread_cond_t inquiries;
@@ -116,8 +117,9 @@
     pthread_cond_t requests_come;
     pthread_cond_t requests_blocked; /* more of them than threads that are free */
     request_queue_t requests;        /* request_t: those that may have to wait */
-    guint answerers_free;
-    atomic_uint connections; /* of users and workers, open now */
+    guint answerers;                 /* threads that answer, started as they are needed */
+    guint answerers_free;            /* of them, those that wait */
+    atomic_uint connections;         /* of users and workers, open now */
 } node_t;
 
 /* Both are borrowed for the life of the process. */
@@ -181,8 +183,9 @@
 void heartbeat_start(node_t *node);
 void *follow_run(void *data);
 void *placer_run(void *data);
-/* Starts the threads that send direct commands. */
-void sender_start(node_t *node);
+/* With the lock held: wakes the sender of that slot, whose thread starts when it is first needed.
+ */
+void sender_wake(node_t *node, guint slot);
 void *pulse_run(void *data);
 void *cloud_run(void *data);
 bool api_start(node_t *node);
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -146,6 +146,8 @@
     }
     partition_set_view(node->partition, node->view.number);
     partition_set_report(node->partition, node->settings->report_s);
+    if (node->settings->pace > 1)
+        partition_delay_probes(node->partition, node->settings->report_s);
     if (node->leading) {
         node->leader = leader_new(node->settings->teams, node->settings->targets, node->policy,
                                   node->view.count);
--- a/src/app/sender.c
+++ b/src/app/sender.c
@@ -143,11 +143,15 @@
     return NULL;
 }
 
-void sender_start(node_t *node)
+void sender_wake(node_t *node, guint slot)
 {
-    for (guint i = 0; i < SENDERS_COUNT; i++) {
-        sender_t *sender = g_new(sender_t, 1);
-        *sender = (sender_t){node, i};
-        threads_start("sender", sender_run, sender);
+    if (node->started_senders >> slot & 1) {
+        pthread_cond_signal(&node->direct[slot]);
+        return;
     }
+    sender_t *sender = g_new(sender_t, 1);
+    *sender = (sender_t){node, slot};
+    node->started_senders |= 1U << slot;
+    node->idle_senders &= ~(1U << slot);
+    threads_start("sender", sender_run, sender);
 }
--- a/src/core/partition.c
+++ b/src/core/partition.c
@@ -67,6 +67,11 @@
         MAX(DIRECT_FRESH_MS, (msec_t)(report_s * REPORT_SPREAD_FACTOR * MS_PER_S) + REPORT_LATE_MS);
 }
 
+void partition_delay_probes(partition_t *partition, double report_s)
+{
+    partition->probe_delay = (msec_t)(report_s * REPORT_SPREAD_FACTOR * MS_PER_S) + REPORT_LATE_MS;
+}
+
 void partition_look_up_capacity(const partition_t *partition, machine_t *machine)
 {
     for (guint i = 0; i < partition->machine_types->len; i++) {
--- a/src/core/partition.h
+++ b/src/core/partition.h
@@ -194,8 +194,10 @@
                             results, records to write, machines that open or close */
     guint turn;          /* round robin among equals */
     msec_t lapse;
-    msec_t fresh;       /* a machine not reached for so long gets no starts and no commands */
-    guint probing;      /* probes under way */
+    msec_t fresh;  /* a machine not reached for so long gets no starts and no commands */
+    guint probing; /* probes under way */
+    msec_t
+        probe_delay; /* a machine that has not reported for so long since it was loaded is probed */
     bool starts_paused; /* no `run` goes out */
     bool has_preempted; /* it has stopped some work for other work */
 } partition_t;
@@ -238,6 +240,9 @@
 bool partition_is_reached(const partition_t *partition, const machine_t *machine, msec_t now);
 /* How often workers report sets what counts as fresh. */
 void partition_set_report(partition_t *partition, double report_s);
+/* Probes wait until the machine should have reported twice: where a probe of each takes longer than
+ * that. */
+void partition_delay_probes(partition_t *partition, double report_s);
 /* It executed a direct command of this view, and what it said was taken. */
 void partition_probed(partition_t *partition, const char *id, msec_t now);
 /* While cancellations may be unknown here no start is sent; what is recorded waits. */
--- a/src/core/partition_commands.c
+++ b/src/core/partition_commands.c
@@ -97,7 +97,8 @@
     bool probe = machine->probe && !machine->reported;
     if (machine->direct_busy)
         return false;
-    return probe ? partition->probing < SENDERS_COUNT / 2
+    return probe ? partition->probing < SENDERS_COUNT / 2 &&
+                       now - machine->first_seen >= partition->probe_delay
                  : partition_is_reached(partition, machine, now);
 }
 
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -1112,6 +1112,26 @@
     assert_int_not_equal(connectivity_judge(&own, now), CONNECTIVITY_GOOD);
 }
 
+/* Each thread costs a start-up some of its share: those for users and for commands begin with the
+ * first request and the first command. */
+static void test_threads_start_as_they_are_needed(void **state)
+{
+    (void)state;
+    begin_ready(1);
+    pthread_mutex_lock(&fixture->nodes[0]->lock);
+    assert_int_equal(fixture->nodes[0]->answerers, 0);
+    assert_int_equal(fixture->nodes[0]->started_senders, 0);
+    pthread_mutex_unlock(&fixture->nodes[0]->lock);
+    fake_machine_t *machine = fake_machine_new("m-000001");
+    report_until(machine, 0);
+    submit(0, "j-000001");
+    report_until(machine, 2);
+    pthread_mutex_lock(&fixture->nodes[0]->lock);
+    assert_in_range(fixture->nodes[0]->answerers, 1, API_THREADS_COUNT);
+    assert_int_equal(__builtin_popcount(fixture->nodes[0]->started_senders), 1);
+    pthread_mutex_unlock(&fixture->nodes[0]->lock);
+}
+
 /* A caller that has nothing of the node's log yet. */
 static peer_message_t ask_heartbeat(node_t *node, uint64_t incarnation, uint64_t index)
 {
@@ -1169,6 +1189,7 @@
         cmocka_unit_test(test_a_cancellation_reaches_work_that_changes_hands),
         cmocka_unit_test(test_a_controller_that_has_just_begun_vouches_for_no_answer),
         cmocka_unit_test(test_a_heartbeat_is_answered_at_once_where_there_is_news),
+        cmocka_unit_test(test_threads_start_as_they_are_needed),
     };
     signal(SIGPIPE, SIG_IGN);
     http_start();
--- a/tests/test_partition.c
+++ b/tests/test_partition.c
@@ -719,6 +719,33 @@
     assert_non_null(partition_place(fixture->partition, &request, fixture->now));
 }
 
+/* On a small share of a processor, probes of all machines take longer than their next reports: only
+ * those that stay silent are asked. */
+static void test_delayed_probes_ask_only_machines_that_stay_silent(void **state)
+{
+    (void)state;
+    partition_delay_probes(fixture->partition, 1.0);
+    load_record();
+    assert_int_equal(partition_direct_slots(fixture->partition, fixture->now), 0);
+    assert_null(probe(DIRECT_EXECUTED));
+    fixture->now += fixture->partition->probe_delay;
+    assert_int_not_equal(partition_direct_slots(fixture->partition, fixture->now), 0);
+    assert_non_null(probe(DIRECT_EXECUTED));
+    /* One that reported in time is open without being asked. */
+    partition_free(fixture->partition);
+    fixture->partition = partition_new(fixture->machine_types, fixture->teams, 30000);
+    partition_set_view(fixture->partition, 7);
+    partition_delay_probes(fixture->partition, 1.0);
+    load_record();
+    exchange();
+    placement_request_t request = request_of("j-000009", 0, 900, 4);
+    assert_non_null(partition_place(fixture->partition, &request, fixture->now));
+    fixture->now += fixture->partition->probe_delay;
+    exchange();
+    partition_direct_take(fixture->partition, G_MAXUINT32, fixture->now, fixture->commands);
+    assert_int_equal(fixture->partition->probing, 0);
+}
+
 static void test_probe_that_is_refused_or_lost_opens_nothing(void **state)
 {
     (void)state;
@@ -1049,6 +1076,8 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(test_new_owner_asks_and_need_not_wait_for_a_report, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(test_delayed_probes_ask_only_machines_that_stay_silent,
+                                        set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_probe_that_is_refused_or_lost_opens_nothing, set_up,
                                         tear_down),
         cmocka_unit_test_setup_teardown(test_workers_that_report_seldom_are_not_taken_for_silent,
