--- a/src/app/node.c
+++ b/src/app/node.c
@@ -130,7 +130,7 @@
     }
     for (guint i = 0; i < SENDERS_COUNT; i++)
         if (chosen >> i & 1)
-            sender_wake(node, i);
+            sender_notify(node, i);
 }
 
 void node_wait(node_t *node, pthread_cond_t *cond, msec_t ms)
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -183,9 +183,10 @@
 void heartbeat_start(node_t *node);
 void *follow_run(void *data);
 void *placer_run(void *data);
-/* With the lock held: wakes the sender of that slot, whose thread starts when it is first needed.
+/* With the lock held: notifies the sender of that slot, whose thread starts when it is first
+ * needed.
  */
-void sender_wake(node_t *node, guint slot);
+void sender_notify(node_t *node, guint slot);
 void *pulse_run(void *data);
 void *cloud_run(void *data);
 bool api_start(node_t *node);
--- a/src/app/sender.c
+++ b/src/app/sender.c
@@ -143,7 +143,7 @@
     return NULL;
 }
 
-void sender_wake(node_t *node, guint slot)
+void sender_notify(node_t *node, guint slot)
 {
     if (node->started_senders >> slot & 1) {
         pthread_cond_signal(&node->direct[slot]);
