--- a/src/app/api_internal.h
+++ b/src/app/api_internal.h
@@ -79,6 +79,10 @@
 /* The answer that tells a job's state. live_status: the HTTP status where it is live. */
 reply_t api_status_reply(node_t *node, const char *id, job_state_t state, unsigned live_status);
 reply_t api_get_status(request_t *request, const char *id);
+/* Whether a question about a job, or its abort, has its answer without the state service: the id is
+ * none, the job's final state is known here, or the state service can't be asked. */
+bool api_answer_at_once(const request_t *request, const char *id, bool *likely_live,
+                        reply_t *reply);
 
 /* Submissions and aborts (api_jobs.c). */
 
--- a/src/app/api_jobs.c
+++ b/src/app/api_jobs.c
@@ -172,13 +172,9 @@
 
 reply_t api_abort(request_t *request, const char *id)
 {
-    node_t *node = request->node;
-    bool live;
-    if (!wire_id_valid(id))
-        return api_refuse(HTTP_NOT_FOUND, "no such job", 0);
-    job_state_t state = api_known_state(node, id, &live);
-    if (state != JOB_UNKNOWN)
-        return api_status_reply(node, id, state, HTTP_OK);
-    return !api_must_turn_away(node) && api_acquire_client(request) ? abort_with(request, id)
-                                                                    : api_come_back();
+    bool likely_live;
+    reply_t reply;
+    if (api_answer_at_once(request, id, &likely_live, &reply))
+        return reply;
+    return api_acquire_client(request) ? abort_with(request, id) : api_come_back();
 }
--- a/src/app/api_status.c
+++ b/src/app/api_status.c
@@ -147,17 +147,28 @@
     return result;
 }
 
+bool api_answer_at_once(const request_t *request, const char *id, bool *likely_live, reply_t *reply)
+{
+    node_t *node = request->node;
+    job_state_t state = wire_id_valid(id) ? api_known_state(node, id, likely_live) : JOB_NEVER;
+    if (state == JOB_NEVER)
+        *reply = api_refuse(HTTP_NOT_FOUND, "no such job", 0);
+    else if (state != JOB_UNKNOWN)
+        *reply = api_status_reply(node, id, state, HTTP_OK);
+    else if (api_must_turn_away(node))
+        *reply = api_come_back();
+    else
+        return false;
+    return true;
+}
+
 reply_t api_get_status(request_t *request, const char *id)
 {
     node_t *node = request->node;
     bool live;
-    if (!wire_id_valid(id))
-        return api_refuse(HTTP_NOT_FOUND, "no such job", 0);
-    job_state_t state = api_known_state(node, id, &live);
-    if (state != JOB_UNKNOWN)
-        return api_status_reply(node, id, state, HTTP_OK);
-    if (api_must_turn_away(node))
-        return api_come_back();
+    reply_t reply;
+    if (api_answer_at_once(request, id, &live, &reply))
+        return reply;
     live_check_t check = live ? check_live(request, id) : LIVE_CHECK_CHANGED;
     if (check == LIVE_CHECK_LIVE)
         return api_status_reply(node, id, JOB_LIVE, HTTP_OK);
@@ -168,7 +179,7 @@
     if (!api_acquire_client(request))
         return api_come_back();
     msec_t begun = clock_steady();
-    state = api_look_up(request, id, live);
+    job_state_t state = api_look_up(request, id, live);
     metrics_time(node->metrics, TIME_STATUS, clock_steady() - begun);
     return api_status_reply(node, id, state, HTTP_OK);
 }
--- a/src/app/peer_exchange.h
+++ b/src/app/peer_exchange.h
@@ -5,6 +5,7 @@
 
 #include "app/node.h"
 #include "io/peer_protocol.h"
+#include "io/peer_socket.h"
 
 /* With the lock held: what every message of this node begins with. peer_message_clear it. */
 peer_message_t peer_exchange_message(const node_t *node);
--- a/src/io/peer_protocol.h
+++ b/src/io/peer_protocol.h
@@ -1,4 +1,4 @@
-/* Messages between controllers: XDR in memory, and frames on blocking sockets. */
+/* Messages between controllers, as XDR in memory. */
 #ifndef PEPPERPULLEY_PEER_PROTOCOL_H
 #define PEPPERPULLEY_PEER_PROTOCOL_H
 
@@ -33,11 +33,4 @@
 GByteArray *peer_encode(const peer_message_t *message);
 bool peer_decode(const uint8_t *data, gsize size, peer_message_t *message);
 
-/* Sockets. Negative: failed. */
-int peer_listen(const char *endpoint);
-int peer_connect(const char *endpoint, guint timeout_ms);
-bool peer_send(int fd, const GByteArray *frame);
-GByteArray *peer_receive(int fd);
-void peer_set_timeout(int fd, guint timeout_ms);
-
 #endif
