--- a/src/app/cloud.c
+++ b/src/app/cloud.c
@@ -81,6 +81,14 @@
     node_send(node, partition, item);
 }
 
+/* One that has just begun to lead waits no longer: queues may have no machine yet. */
+static void wait_for_round(node_t *node, msec_t gap)
+{
+    pthread_mutex_lock(&node->lock);
+    node_wait(node, &node->cloud_work, gap);
+    pthread_mutex_unlock(&node->lock);
+}
+
 void *cloud_run(void *data)
 {
     cloud_t cloud = {.node = data,
@@ -108,7 +116,7 @@
             has_changed = cloud_give_back(&cloud) || has_changed;
         }
         msec_t quiet_gap = leading ? node_paced(node, gap) : MAX(gap, CLOUD_IDLE_GAP_MS);
-        node_sleep(has_changed ? gap : quiet_gap);
+        wait_for_round(node, has_changed ? gap : quiet_gap);
     }
     return NULL;
 }
--- a/src/app/node.c
+++ b/src/app/node.c
@@ -53,6 +53,7 @@
     pthread_cond_init(&node->inquiries, &steady);
     pthread_cond_init(&node->peer_work, &steady);
     pthread_cond_init(&node->relay, &steady);
+    pthread_cond_init(&node->cloud_work, &steady);
     pthread_cond_init(&node->cancellation, &steady);
     pthread_cond_init(&node->requests_blocked, &steady);
     pthread_condattr_destroy(&steady);
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -76,6 +76,7 @@
     pthread_cond_t members;      /* for the member loop */
     pthread_cond_t peer_work;    /* something to say to a partition */
     pthread_cond_t cancellation; /* for answers to heartbeats: a user was told of one */
+    pthread_cond_t cloud_work;   /* for the cloud loop: the leader's data were loaded */
     pthread_cond_t relay;        /* for the relay loop: the data of a view were loaded */
     guint api_clients_free;      /* clients [0, api_clients_free) are free */
     view_t view;
@@ -108,8 +109,9 @@
     channel_t *leader_channel; /* our partition's end, towards the leader */
     GPtrArray *channels;       /* the leader's ends, a member each; NULL for its own */
     summary_replica_t summary_replicas[MEMBERS_MAX_COUNT]; /* the leader's, a member each */
-    msec_t received_at[MEMBERS_MAX_COUNT]; /* when each member last called by socket */
-    GHashTable *ended;                     /* id -> ended_t; a bounded cache */
+    bool summaries_wait[MEMBERS_MAX_COUNT]; /* changes of a replica that the leader has not got */
+    msec_t received_at[MEMBERS_MAX_COUNT];  /* when each member last called by socket */
+    GHashTable *ended;                      /* id -> ended_t; a bounded cache */
     redirection_t *redirection;
     owner_health_t sibling_health[MEMBERS_MAX_COUNT]; /* as the settings list the siblings */
     msec_t worker_report_at;       /* when a worker of ours last reported to us */
--- a/src/app/peer_server.c
+++ b/src/app/peer_server.c
@@ -27,6 +27,25 @@
     return false;
 }
 
+/* Whether the leader has other summaries now than before. Those from before the last batch of
+ * placement requests would show its resources as free: they wait for the next message. */
+static bool take_summaries(node_t *node, guint index, peer_message_t *message, msec_t now)
+{
+    const channel_t *channel = g_ptr_array_index(node->channels, index);
+    summary_replica_t *replica = &node->summary_replicas[index];
+    if (!message->summaries.summaries || !summary_replica_apply(replica, &message->summaries, now))
+        return false;
+    node->summaries_wait[index] |=
+        message->summaries.summaries->len > 0 || message->summaries.departed->len > 0;
+    if (message->ack != channel->sent)
+        return false;
+    leader_set_summaries(node->leader, index, g_array_copy(replica->summaries));
+    leader_set_yielding(node->leader, index, g_steal_pointer(&message->yielding));
+    bool has_changed = node->summaries_wait[index];
+    node->summaries_wait[index] = false;
+    return has_changed;
+}
+
 channel_t *peer_server_receive(node_t *node, peer_message_t *message)
 {
     guint index = 0;
@@ -46,15 +65,7 @@
                 node_handle_result(node, index, &item->result, now);
         }
     }
-    /* Machine summaries from before the last batch of placement requests would show its resources
-     * as free. */
-    summary_replica_t *replica = &node->summary_replicas[index];
-    if (message->summaries.summaries && summary_replica_apply(replica, &message->summaries, now) &&
-        message->ack == channel->sent) {
-        leader_set_summaries(node->leader, index, g_array_copy(replica->summaries));
-        leader_set_yielding(node->leader, index, g_steal_pointer(&message->yielding));
-        has_news = has_news || message->summaries.summaries->len > 0;
-    }
+    has_news = take_summaries(node, index, message, now) || has_news;
     if (has_news)
         node_notify(node);
     return channel;
--- a/src/app/placer.c
+++ b/src/app/placer.c
@@ -161,6 +161,7 @@
     node->loaded_at = now;
     pthread_cond_broadcast(&node->peer_work);
     pthread_cond_signal(&node->relay);
+    pthread_cond_signal(&node->cloud_work);
     node_notify_senders(node);
 }
 
