--- a/tests/test_summary_update.c
+++ b/tests/test_summary_update.c
@@ -102,7 +102,7 @@
         assert_int_equal(known->known_ms, summary->known_ms);
         if (summary->attempts == 0)
             assert_in_range(known->idle_ms + SUMMARY_IDLE_ERROR_MS, summary->idle_ms,
-                            summary->idle_ms + 2 * SUMMARY_IDLE_ERROR_MS);
+                            summary->idle_ms + 2 * (msec_t)SUMMARY_IDLE_ERROR_MS);
         if (summary->silent_ms >= SUMMARY_SILENT_MS || known->silent_ms >= SUMMARY_SILENT_MS)
             assert_int_equal(known->silent_ms, summary->silent_ms);
     }
