--- a/review/1/case.c
+++ b/review/1/case.c
@@ -102,8 +102,8 @@
     fleet_init(&fotominoseg_grown, argv + 3, argc - 3, argv[2]);
     fleet_start();
     for (int i = 0; i < TASKS; i++)
-        machine_start("szeged");
-    machine_start("gyor");
+        machine_start("szeged", false);
+    machine_start("gyor", false);
     fleet_wait_ready(20000);
     const job_t *job = job_describe("j-000001", "sweep", "szeged", TASKS, 10, 300);
     user_submit_until_accepted(0, job);
--- a/review/2/case.c
+++ b/review/2/case.c
@@ -92,8 +92,8 @@
     state_hook = observe_state;
     fleet_init(&ondapartilhada_grown, argv + 3, argc - 3, argv[2]);
     fleet_start();
-    machine_start("alfama");
-    machine_start("alfama");
+    machine_start("alfama", false);
+    machine_start("alfama", false);
     fleet_wait_ready(20000);
     /* Keeps both machines, so that they are not returned, and leaves 7 cpus on each. */
     const job_t *long_job = job_describe("j-000001", "sweep", NULL, 2, 9, 300);
--- a/review/standins/common.c
+++ b/review/standins/common.c
@@ -98,11 +98,31 @@
     return fd;
 }
 
+/* Tries to listen. Returns false if the port is taken. */
+static bool try_to_listen(int port)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    bool is_free = bind(fd, (struct sockaddr *)&address, sizeof address) == 0 && listen(fd, 1) == 0;
+    close(fd);
+    return is_free;
+}
+
+/* The port is below those that the system gives to outgoing connections, so that none of these
+ * takes it while its controller is down. */
 int free_port(void)
 {
-    int port = 0;
-    close(tcp_listen(&port));
-    return port;
+    enum { FIRST_PORT = 20000, PORTS = 12000 };
+    static unsigned seed;
+    if (seed == 0)
+        seed = (unsigned)getpid() * 2654435761U + (unsigned)now_ms();
+    for (int i = 0; i < 1000; i++) {
+        int port = FIRST_PORT + (int)((unsigned)rand_r(&seed) % PORTS);
+        if (try_to_listen(port))
+            return port;
+    }
+    finish(2, "there is no free port");
 }
 
 int tcp_connect(int port, int timeout_ms)
--- a/review/standins/fleet.c
+++ b/review/standins/fleet.c
@@ -326,6 +326,7 @@
     for (int i = 0; i < node_count; i++) {
         ports[i] = free_port();
         mesh_ports[i] = free_port();
+        proxy_ports[i] = free_port();
         proxy_listeners[i] = tcp_listen(&proxy_ports[i]);
         start_thread(run_proxy, (void *)(intptr_t)i);
     }
--- a/review/standins/platform.c
+++ b/review/standins/platform.c
@@ -6,7 +6,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { PULL_MS = 300, FAULTY_MS = 700, ANSWER_MS = 4000, TICK_MS = 20 };
+/* fetch_gb_per_s of the site files; a fetch takes a fifth longer than it says */
+static const double fetch_gb_per_s = 0.8;
+static const double fetch_factor = 1.2;
+
+enum { ANSWER_MS = 4000, TICK_MS = 20, CHARTERS_MAX = 64 };
 
 machine_t machines[MACHINES_MAX];
 int machine_count;
@@ -18,6 +22,14 @@
     int started, done, error, other;
 } totals[JOBS_MAX];
 static int cloud_port_number;
+int cloud_capacity;
+int cloud_asked_count;
+static int rented_count; /* machines that were rented and may still boot */
+static struct {
+    char charter[48];
+    json_t *answer;
+} charters[CHARTERS_MAX];
+static int charter_count;
 
 bool has_trouble(void)
 {
@@ -102,7 +114,7 @@
     }
     json_t *report = json_pack("{s:s,s:o,s:s,s:s,s:b,s:I,s:I,s:I,s:n,s:o}", "Winch", machine->id,
                                "Address", json_sprintf("127.0.0.1:%d", machine->port), "Hull",
-                               deployment->type, "Dock", machine->zone, "Driftwood", 0, "Watch",
+                               deployment->type, "Dock", machine->zone, "Driftwood", machine->is_spot, "Watch",
                                (json_int_t)machine->watch, "Tally", (json_int_t)machine->tally,
                                "Helm", (json_int_t)machine->helm, "WarningS", "Pieces", pieces);
     return report;
@@ -139,7 +151,8 @@
     bool fits = task->cpus <= free_cpus(machine) + 1e-6;
     machine->task_count++;
     snprintf(task->trim, sizeof task->trim, "pulling");
-    task->pulled_at = now_ms() + PULL_MS;
+    double image_gb = job ? json_number_value(json_object_get(job->spec, "ImageGb")) : 0;
+    task->pulled_at = now_ms() + (int64_t)(image_gb / fetch_gb_per_s * fetch_factor * 1000);
     machine->is_changed = true;
     record("machine %s: run %s attempt %llu", machine->id, piece, (unsigned long long)heave);
     if (!job)
@@ -204,8 +217,9 @@
     machine_t *machine = data;
     int status = 200;
     pthread_mutex_lock(&lock);
-    if (machine->is_gone) {
+    if (machine->is_gone) { /* silent */
         pthread_mutex_unlock(&lock);
+        sleep_ms(60000);
         return 0;
     }
     if (strcmp(request->path, "/do") == 0) {
@@ -243,13 +257,13 @@
         if (strcmp(task->trim, "pulling") == 0 && now >= task->pulled_at) {
             const job_t *job = find_job(task->job);
             snprintf(task->trim, sizeof task->trim, "running");
-            task->ends_at = now + (machine->is_faulty ? FAULTY_MS : (int64_t)(job->run_s * 1000));
+            task->ends_at = now + (int64_t)(job->run_s * 1000);
             machine->is_changed = true;
             count_total(task->job, "started");
             record("machine %s: %s attempt %llu started", machine->id, task->piece,
                    (unsigned long long)task->heave);
         } else if (strcmp(task->trim, "running") == 0 && now >= task->ends_at) {
-            exit_task(machine, task, machine->is_faulty ? "error" : "done");
+            exit_task(machine, task, "done");
         }
     }
 }
@@ -343,19 +357,72 @@
     }
 }
 
-machine_t *machine_start(const char *zone)
+/* Adds a machine that is not up yet. Called with the lock held. */
+static machine_t *add_machine(const char *zone, bool is_spot)
 {
+    if (machine_count == MACHINES_MAX)
+        finish(2, "too many machines");
     machine_t *machine = &machines[machine_count];
-    *machine = (machine_t){.zone = zone, .watch = 1, .renewed_at = now_ms()};
+    *machine = (machine_t){.zone = zone, .is_spot = is_spot, .watch = 1, .is_booting = true};
     snprintf(machine->id, sizeof machine->id, "m-%06d", machine_count + 1);
     machine->node = machine_count % fleet_size();
     machine->port = http_serve(handle_worker, machine);
     machine_count++;
+    return machine;
+}
+
+static void boot(machine_t *machine)
+{
+    machine->renewed_at = now_ms();
+    machine->is_booting = false;
     start_thread(run_worker, machine);
     start_thread(run_tasks, machine);
+}
+
+static void *boot_later(void *data)
+{
+    sleep_ms((int64_t)(deployment->boot_s * 1000));
+    pthread_mutex_lock(&lock);
+    boot(data);
+    pthread_mutex_unlock(&lock);
+    return NULL;
+}
+
+machine_t *machine_start(const char *zone, bool is_spot)
+{
+    pthread_mutex_lock(&lock);
+    machine_t *machine = add_machine(zone, is_spot);
+    boot(machine);
+    pthread_mutex_unlock(&lock);
     return machine;
 }
 
+void machine_take(machine_t *machine)
+{
+    pthread_mutex_lock(&lock);
+    machine->is_gone = true;
+    pthread_mutex_unlock(&lock);
+    record("cloud: %s is taken back without notice", machine->id);
+}
+
+bool end_task(const char *job)
+{
+    bool is_ended = false;
+    pthread_mutex_lock(&lock);
+    for (int i = 0; i < machine_count && !is_ended; i++) {
+        for (int k = 0; k < machines[i].task_count && !is_ended; k++) {
+            task_t *task = &machines[i].tasks[k];
+            if (machines[i].is_gone || strcmp(task->job, job) != 0 ||
+                strcmp(task->trim, "running") != 0)
+                continue;
+            exit_task(&machines[i], task, "error");
+            is_ended = true;
+        }
+    }
+    pthread_mutex_unlock(&lock);
+    return is_ended;
+}
+
 int tasks_on_machines(const char *job, char *text, size_t size)
 {
     int count = 0;
@@ -392,6 +459,16 @@
     return count;
 }
 
+int tasks_known(const machine_t *machine, const char *job)
+{
+    int count = 0;
+    pthread_mutex_lock(&lock);
+    for (int i = 0; i < machine->task_count; i++)
+        count += strcmp(machine->tasks[i].job, job) == 0;
+    pthread_mutex_unlock(&lock);
+    return count;
+}
+
 int tasks_started(const char *job)
 {
     return read_total(job, "started");
@@ -445,13 +522,54 @@
             json_array_append_new(
                 list, json_pack("{s:s,s:o,s:s,s:s,s:b,s:s,s:f}", "Uid", machines[i].id, "Address",
                                 json_sprintf("127.0.0.1:%d", machines[i].port), "Hull", deployment->type,
-                                "Dock", machines[i].zone, "Driftwood", 0, "Trim", "running",
-                                "HeldS", 100 + record_time()));
+                                "Dock", machines[i].zone, "Driftwood", machines[i].is_spot,
+                                "Trim", machines[i].is_booting ? "booting" : "running", "HeldS",
+                                100 + record_time()));
     pthread_mutex_unlock(&lock);
     *answer = json_pack("{s:o,s:b}", "Winches", list, "More", 0);
     return 200;
 }
 
+/* Rents machines, as long as there is capacity. */
+static int rent_machines(const json_t *body, json_t **answer)
+{
+    const char *charter = json_text(body, "Charter");
+    int status = 200;
+    pthread_mutex_lock(&lock);
+    cloud_asked_count++;
+    for (int i = 0; i < charter_count && !*answer; i++)
+        if (strcmp(charters[i].charter, charter) == 0)
+            *answer = json_incref(charters[i].answer);
+    json_t *names = json_array();
+    int number = (int)json_number(body, "Number");
+    for (int i = 0; !*answer && i < number && rented_count < cloud_capacity; i++, rented_count++) {
+        const char *zone = NULL;
+        for (int k = 0; k < deployment->zone_count; k++)
+            if (strcmp(deployment->zones[k], json_text(body, "Dock")) == 0)
+                zone = deployment->zones[k];
+        machine_t *machine = add_machine(zone, json_is_true(json_object_get(body, "Driftwood")));
+        json_array_append_new(names, json_string(machine->id));
+        start_thread(boot_later, machine);
+    }
+    if (*answer) {
+        json_decref(names);
+    } else if (json_array_size(names) == 0) {
+        json_decref(names);
+        *answer = json_pack("{s:s}", "error", "no capacity");
+        status = 503;
+    } else {
+        *answer = json_pack("{s:o}", "Winches", names);
+        if (charter_count == CHARTERS_MAX)
+            finish(2, "too many requests for machines");
+        snprintf(charters[charter_count].charter, sizeof charters[0].charter, "%s", charter);
+        charters[charter_count++].answer = json_incref(*answer);
+    }
+    pthread_mutex_unlock(&lock);
+    record("cloud: asked for %d in %s, spot %d: %d", number, json_text(body, "Dock"),
+           json_is_true(json_object_get(body, "Driftwood")), status);
+    return status;
+}
+
 static int handle_cloud(void *data, const http_request_t *request, json_t **answer)
 {
     (void)data;
@@ -462,7 +580,7 @@
         *answer = json_pack("{s:[{s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:o}]}", "Hulls", "Name",
                             deployment->type, "Cpus", deployment->type_cpus, "Accelerators", 0.0,
                             "MemGb", deployment->type_memory_gb, "LocalGb", 50.0, "FetchGbPerS",
-                            0.2, "Price", deployment->price, "MarketPrice", deployment->spot_price,
+                            fetch_gb_per_s, "Price", deployment->price, "MarketPrice", deployment->spot_price,
                             "BootS", deployment->boot_s, "Docks", docks);
         return 200;
     }
@@ -470,10 +588,8 @@
         return release_machines(request->body);
     if (strcmp(request->path, "/hosts") == 0 && strcmp(request->method, "GET") == 0)
         return list_machines(request, answer);
-    if (strcmp(request->path, "/hosts") == 0) {
-        *answer = json_pack("{s:s}", "error", "no capacity");
-        return 503;
-    }
+    if (strcmp(request->path, "/hosts") == 0)
+        return rent_machines(request->body, answer);
     return 400;
 }
 
--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -58,7 +58,8 @@
     char id[16];
     const char *zone;
     int port;
-    bool is_faulty; /* tasks fail soon after they start */
+    bool is_spot;
+    bool is_booting;
     bool is_gone;
     uint64_t watch, tally, helm;
     int64_t renewed_at, sent_at;
@@ -71,13 +72,23 @@
 } machine_t;
 
 /* Starts a machine that is up, with its worker. */
-machine_t *machine_start(const char *zone);
+machine_t *machine_start(const char *zone, bool is_spot);
+/* The cloud takes the machine back without notice. */
+void machine_take(machine_t *machine);
+/* How many machines the cloud rents out in all; at first none. They boot for the usual time. */
+extern int cloud_capacity;
+/* How many requests for machines the cloud has got. */
+extern int cloud_asked_count;
 void cloud_start(void);
 int cloud_port(void);
 
 /* What is on the machines now: counts the tasks of the job that have their image and have not
  * exited. Writes their names to the text if it is not NULL. */
 int tasks_on_machines(const char *job, char *text, size_t size);
+/* Ends one running task of the job, which then reports that it failed. Returns false if none runs. */
+bool end_task(const char *job);
+/* Returns of how many tasks of the job the machine knows, in any state. */
+int tasks_known(const machine_t *machine, const char *job);
 /* Returns how many times tasks of the job got their image (started). */
 int tasks_started(const char *job);
 /* Returns how many tasks of the job exited with the cause. */
