--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -61,6 +61,8 @@
     int port;
     bool is_spot;
     bool is_booting;
+    int64_t rented_at;
+    int64_t image_ready_at; /* when it has the image, which all jobs share; 0: not fetched */
     bool is_gone;
     uint64_t watch, tally, helm;
     int64_t renewed_at, sent_at;
@@ -109,8 +111,7 @@
 /* Waits until all controllers are ready and every machine's reports get a 200; ends the test with
  * 2 if that takes too long. */
 void fleet_wait_ready(int64_t timeout_ms);
-/* Refuses connections between controllers, and resets those that are open, until called with
- * false. */
+/* Refuses new connections between controllers until called with false. Open ones stay. */
 void fleet_refuse_peers(bool is_refused);
 int fleet_port(int node);
 const char *fleet_name(int node);
--- a/review/standins/state.c
+++ b/review/standins/state.c
@@ -329,6 +329,30 @@
     return malformed(answer, "malformed");
 }
 
+/* Records a transaction with its changes, or a read of a list. Other requests are not recorded. */
+static void record_request(int node, const http_request_t *request, int status)
+{
+    char keys[512] = "";
+    size_t used = 0;
+    size_t i;
+    json_t *item;
+    if (strcmp(request->path, "/keys") == 0)
+        record("state: controller %d lists %s: %d", node, request->query, status);
+    if (strcmp(request->path, "/txn") != 0)
+        return;
+    json_array_foreach(json_object_get(request->body, "Then"), i, item)
+    {
+        bool is_set = *json_text(item, "Set");
+        if (used < sizeof keys)
+            used += (size_t)snprintf(keys + used, sizeof keys - used, " %s %s",
+                                     is_set ? "set" : "delete",
+                                     json_text(item, is_set ? "Set" : "Delete"));
+    }
+    record("state: transaction of controller %d, %d conditions,%s: %d", node,
+           (int)json_array_size(json_object_get(request->body, "If")), *keys ? keys : " no change",
+           status);
+}
+
 static int handle(void *data, const http_request_t *request, json_t **answer)
 {
     int node = (int)(intptr_t)data;
@@ -337,6 +361,7 @@
     pthread_mutex_lock(&lock);
     int status = execute(request, answer);
     pthread_mutex_unlock(&lock);
+    record_request(node, request, status);
     if (state_hook && !state_hook(node, request, false))
         return 0;
     return status;
