--- a/review/3/case.c
+++ b/review/3/case.c
@@ -9,7 +9,9 @@
     WAIT_MS = 90000,     /* the stated bound */
     MARGIN_MS = 500,     /* for the test's own clock readings */
     MISTAKES = 2,        /* jobs with a mistake */
-    FAILURES = 4,        /* how many of their tasks fail before they are cancelled */
+    FAILURES = 4,        /* how many of their tasks have failed when the users look */
+    NOTICE_MS = 2000,    /* the users then take this long to cancel the jobs */
+    PAUSE_MS = 3000,     /* from the end of the troubles to the next job */
     POLL_MS = 5000
 };
 
@@ -53,6 +55,7 @@
         sleep_ms(50);
         failures = tasks_exited(jobs[0]->id, "error") + tasks_exited(jobs[1]->id, "error");
     }
+    sleep_ms(NOTICE_MS);
     for (int i = 0; i < MISTAKES; i++)
         cancel(jobs[i]->id);
     while (tasks_on_machines(jobs[0]->id, NULL, 0) + tasks_on_machines(jobs[1]->id, NULL, 0) > 0)
@@ -78,7 +81,7 @@
     if (has_trouble())
         make_trouble();
     record("the troubles are over");
-    sleep_ms(1000);
+    sleep_ms(PAUSE_MS);
     const job_t *job = job_describe("j-000004", "sweep", zone, 1, job_cpus, 5);
     user_submit_until_accepted(0, job);
     int64_t accepted_at = now_ms();
