--- a/review/standins/common.c
+++ b/review/standins/common.c
@@ -98,15 +98,21 @@
     return fd;
 }
 
-/* Tries to listen. Returns false if the port is taken. */
-static bool try_to_listen(int port)
+/* Reserves the port: binds a socket that stays open and never listens, so that other tests can't
+ * choose the port, while a program that permits the reuse of addresses can listen there. Returns
+ * false if the port is taken. */
+static bool reserve_port(int port)
 {
+    int on = 1;
     struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    bool is_free = bind(fd, (struct sockaddr *)&address, sizeof address) == 0 && listen(fd, 1) == 0;
-    close(fd);
-    return is_free;
+    if (bind(fd, (struct sockaddr *)&address, sizeof address) != 0) {
+        close(fd);
+        return false;
+    }
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    return true;
 }
 
 /* The port is below those that the system gives to outgoing connections, so that none of these
@@ -119,7 +125,7 @@
         seed = (unsigned)getpid() * 2654435761U + (unsigned)now_ms();
     for (int i = 0; i < 1000; i++) {
         int port = FIRST_PORT + (int)((unsigned)rand_r(&seed) % PORTS);
-        if (try_to_listen(port))
+        if (reserve_port(port))
             return port;
     }
     finish(2, "there is no free port");
