Job directory: applies lists and changes of jobs/ itself; the record loader's apply step is public

Change: the two functions move from job_watch.c, and get the revision that a list or a watch covers; record_loader_apply() is load_listing_locked() under a public name. No change of behaviour.

--- a/src/controller/jobs/job_directory.h
+++ b/src/controller/jobs/job_directory.h
@@ -12,6 +12,10 @@
 #include "controller/controller_type.h"
 #include "core/replication/cancellation_log.h"
 #include "core/replication/job_counts.h"
+#include "io/kv_store.h"
+
+/** The prefix of the keys of live jobs in the key-value store. */
+#define JOBS_PREFIX "jobs/"
 
 /** A job that is neither done nor cancelled. */
 typedef struct live_job {
@@ -59,4 +63,14 @@
  * is done, false if it was cancelled. */
 void job_directory_record_terminal(controller_t *controller, const char *id, bool is_done);
 
+/** Applies a list of jobs/: @p entries is an array of kv_entry_t; transfer none. Jobs that are not
+ * listed have ended. */
+void job_directory_apply_list(controller_t *controller, const GArray *entries,
+                              kv_coverage_t coverage);
+
+/** Applies changes of jobs/ that a watch reported: @p changes is an array of kv_entry_t, in which a
+ * NULL value means that the job has ended; transfer none. */
+void job_directory_apply_changes(controller_t *controller, const GArray *changes,
+                                 kv_coverage_t coverage);
+
 #endif
--- a/src/controller/kv_watch_loop.c
+++ b/src/controller/kv_watch_loop.c
@@ -20,7 +20,7 @@
     if (result != KV_OK)
         return false;
     pthread_mutex_lock(&controller->lock);
-    loop->watch->apply_all(controller, entries, sent_at);
+    loop->watch->apply_all(controller, entries, (kv_coverage_t){loop->revision, sent_at});
     pthread_mutex_unlock(&controller->lock);
     return true;
 }
@@ -36,7 +36,7 @@
                                   KV_WATCH_BLOCK_MS, &loop->revision, changes);
     if (result == KV_OK) {
         pthread_mutex_lock(&controller->lock);
-        loop->watch->apply_changes(controller, changes, sent_at);
+        loop->watch->apply_changes(controller, changes, (kv_coverage_t){loop->revision, sent_at});
         pthread_mutex_unlock(&controller->lock);
     } else if (result == KV_COMPACTED && loop->watch->handle_compaction) {
         pthread_mutex_lock(&controller->lock);
--- a/src/controller/kv_watch_loop.h
+++ b/src/controller/kv_watch_loop.h
@@ -8,17 +8,14 @@
 #include "controller/controller.h"
 
 /** A prefix to watch, and the callbacks that apply its entries. All callbacks are called with the
- * controller's lock held. @c sent_at is the time (steady clock, ms) at which the request that
- * returned the entries was sent; once the entries are applied, every change made before that time
- * is known. */
+ * controller's lock held. */
 typedef struct kv_watch {
     const char *prefix; /**< The prefix of the keys, ending in '/'; transfer none. */
-    /** Replaces the local copy by @p entries (array of kv_entry_t; transfer none): all keys with
-     * the prefix. */
-    void (*apply_all)(controller_t *controller, const GArray *entries, msec_t sent_at);
+    /** Applies @p entries (array of kv_entry_t; transfer none): all keys with the prefix. */
+    void (*apply_all)(controller_t *controller, const GArray *entries, kv_coverage_t coverage);
     /** Applies the changes since the last call (array of kv_entry_t, in which a NULL value means
      * that the key was deleted; transfer none). The array may be empty. */
-    void (*apply_changes)(controller_t *controller, const GArray *changes, msec_t sent_at);
+    void (*apply_changes)(controller_t *controller, const GArray *changes, kv_coverage_t coverage);
     /** Called when the store has compacted changes that were not received yet; the prefix is then
      * listed again. May be NULL. */
     void (*handle_compaction)(controller_t *controller);
--- a/src/controller/membership/view_watch.c
+++ b/src/controller/membership/view_watch.c
@@ -42,21 +42,21 @@
         apply_member(controller, entry);
 }
 
-static void apply_all(controller_t *controller, const GArray *entries, msec_t sent_at)
+static void apply_all(controller_t *controller, const GArray *entries, kv_coverage_t coverage)
 {
     election_clear(&controller->membership.election);
     for (guint i = 0; i < entries->len; i++)
         apply_entry(controller, &g_array_index(entries, kv_entry_t, i));
     controller->membership.is_view_synced = true;
-    controller->membership.views_complete_until = sent_at;
+    controller->membership.views_complete_until = coverage.sent_at;
     pthread_cond_broadcast(&controller->membership.changed);
 }
 
-static void apply_changes(controller_t *controller, const GArray *changes, msec_t sent_at)
+static void apply_changes(controller_t *controller, const GArray *changes, kv_coverage_t coverage)
 {
     for (guint i = 0; i < changes->len; i++)
         apply_entry(controller, &g_array_index(changes, kv_entry_t, i));
-    controller->membership.views_complete_until = sent_at;
+    controller->membership.views_complete_until = coverage.sent_at;
     if (changes->len)
         pthread_cond_broadcast(&controller->membership.changed);
 }
--- a/src/controller/placement/record_loader.c
+++ b/src/controller/placement/record_loader.c
@@ -10,20 +10,13 @@
 #include "io/codec/codec.h"
 #include "io/log.h"
 
-/* The entries read from the key-value store. */
-typedef struct listing {
-    GArray *machines; /* of kv_entry_t, owned: machines/ */
-    GArray *done;     /* of kv_entry_t, owned: done/, read by the leader only */
-    GArray *jobs;     /* of kv_entry_t, owned: jobs/ */
-} listing_t;
-
-static listing_t listing_new(void)
+record_listing_t record_listing_new(void)
 {
-    return (listing_t){
+    return (record_listing_t){
         .machines = kv_entries_new(), .done = kv_entries_new(), .jobs = kv_entries_new()};
 }
 
-static void listing_clear(listing_t *listing)
+void record_listing_clear(record_listing_t *listing)
 {
     g_array_unref(listing->machines);
     g_array_unref(listing->done);
@@ -31,20 +24,23 @@
 }
 
 static bool read_prefix(controller_t *controller, http_client_t *client, const char *prefix,
-                        GArray *entries)
+                        GArray *entries, uint64_t *revision)
 {
-    return kv_list(&controller->kv_store, client, prefix, entries, NULL) == KV_OK;
+    return kv_list(&controller->kv_store, client, prefix, entries, revision) == KV_OK;
 }
 
 /* Returns whether everything was read. Jobs are read last, so a job that is listed was still live
  * when its finished tasks were read, and a job that is not listed has ended. */
 static bool read_listing(controller_t *controller, http_client_t *client, bool is_leader,
-                         listing_t *listing)
+                         record_listing_t *listing)
 {
     rate_limiter_charge(&controller->loop_request_limiter, is_leader ? 3 : 2, clock_steady());
-    return read_prefix(controller, client, "machines/", listing->machines) &&
-           (!is_leader || read_prefix(controller, client, "done/", listing->done)) &&
-           read_prefix(controller, client, "jobs/", listing->jobs);
+    if (!read_prefix(controller, client, "machines/", listing->machines, NULL) ||
+        (is_leader && !read_prefix(controller, client, "done/", listing->done, NULL)))
+        return false;
+    listing->jobs_coverage.sent_at = clock_steady();
+    return read_prefix(controller, client, JOBS_PREFIX, listing->jobs,
+                       &listing->jobs_coverage.revision);
 }
 
 static void load_jobs_locked(controller_t *controller, const GArray *entries)
@@ -131,7 +127,7 @@
 {
     GHashTable *live_jobs = g_hash_table_new(g_str_hash, g_str_equal);
     for (guint i = 0; i < job_entries->len; i++) {
-        char *id = g_array_index(job_entries, kv_entry_t, i).key + strlen("jobs/");
+        char *id = g_array_index(job_entries, kv_entry_t, i).key + strlen(JOBS_PREFIX);
         if (!g_hash_table_contains(controller->jobs.terminal, id))
             g_hash_table_add(live_jobs, id);
     }
@@ -140,7 +136,8 @@
 
 /* Returns whether every record is valid. Logs each invalid record. Stops loading pages at the first
  * one, because its tasks would run twice if it were treated as empty. */
-static bool load_machines_locked(controller_t *controller, const listing_t *listing, msec_t now)
+static bool load_machines_locked(controller_t *controller, const record_listing_t *listing,
+                                 msec_t now)
 {
     bool is_valid = true;
     /* Set of ids (char *, owned). */
@@ -184,7 +181,7 @@
     controller->placement.partition = partition;
 }
 
-static void load_leader_locked(controller_t *controller, const listing_t *listing)
+static void load_leader_locked(controller_t *controller, const record_listing_t *listing)
 {
     const settings_t *settings = controller->settings;
     const view_t *view = &controller->membership.view;
@@ -205,7 +202,7 @@
     command_dispatcher_notify(controller);
 }
 
-static void load_listing_locked(controller_t *controller, const listing_t *listing, msec_t now)
+void record_loader_apply(controller_t *controller, const record_listing_t *listing, msec_t now)
 {
     placement_state_t *placement = &controller->placement;
     g_clear_pointer(&placement->leader, leader_free);
@@ -220,7 +217,7 @@
     notify_loaded_locked(controller);
 }
 
-static void log_loaded_locked(const controller_t *controller, const listing_t *listing)
+static void log_loaded_locked(const controller_t *controller, const record_listing_t *listing)
 {
     const partition_t *partition = controller->placement.partition;
     log_info("event=records_loaded view=%" G_GUINT64_FORMAT
@@ -236,15 +233,15 @@
     uint64_t view_number = controller->membership.view.number;
     bool is_leader = controller->membership.is_leader;
     pthread_mutex_unlock(&controller->lock);
-    listing_t listing = listing_new();
+    record_listing_t listing = record_listing_new();
     bool is_read = read_listing(controller, client, is_leader, &listing);
     pthread_mutex_lock(&controller->lock);
     if (is_read && controller->membership.view.number == view_number) {
-        load_listing_locked(controller, &listing, clock_steady());
+        record_loader_apply(controller, &listing, clock_steady());
         log_loaded_locked(controller, &listing);
     }
     pthread_mutex_unlock(&controller->lock);
-    listing_clear(&listing);
+    record_listing_clear(&listing);
     if (!is_read)
         controller_sleep(KV_RETRY_DELAY_MS);
 }
--- a/src/io/kv_store.h
+++ b/src/io/kv_store.h
@@ -46,6 +46,14 @@
     uint64_t revision; /**< Revision of the key's last change. */
 } kv_entry_t;
 
+/** How much the answer to a list or a watch covers: once its entries are applied, every change up
+ * to the revision, and every change made before the request was sent, is known. */
+typedef struct kv_coverage {
+    uint64_t revision; /**< Store revision: of a list, when its first page was read; of a watch, up
+                          to which its changes are complete. */
+    msec_t sent_at;    /**< When the request was sent (steady clock, ms). */
+} kv_coverage_t;
+
 /** Initializes the client of the store at @p address ("host:port"). Makes no request. */
 void kv_store_init(kv_store_t *kv_store, const char *address);
 
