Job directory: decides alone which jobs are live, so a joining controller stops cancelled jobs

Cause: the watch and the load of the records read jobs/ separately, and each updated data of its own. A job that the load had listed and that was cancelled before the watch's first list was executed was ended in neither: the watch ended only jobs that it had seen itself. Change: every list and change of jobs/ is applied to the job directory, which keeps the revision up to which it is complete (a job created up to it is live there or has ended). After each list and each load, attempts are stopped whose job was created up to that revision and is not live. The same cause on related paths: a task that the leader requested before the watch reported its job; a late list that ended a newer job, restored an ended one or moved back the time of known cancellations. Why it works: a job is created once and ends once, so by revisions the order in which the answers of several readers are applied does not matter.

--- a/src/controller/jobs/job_directory.c
+++ b/src/controller/jobs/job_directory.c
@@ -10,7 +10,10 @@
 
 void job_directory_add(controller_t *controller, const job_spec_t *spec, uint64_t revision)
 {
-    if (g_hash_table_contains(controller->jobs.live, spec->id) ||
+    /* A job that was created at a revision up to which all changes are known, but is not live, has
+     * ended. */
+    if (revision <= controller->jobs.revision ||
+        g_hash_table_contains(controller->jobs.live, spec->id) ||
         g_hash_table_contains(controller->jobs.terminal, spec->id))
         return;
     live_job_t *job = g_new0(live_job_t, 1);
@@ -83,20 +86,33 @@
     job_spec_clear(&spec);
 }
 
-/* Returns copies of the ids of the live jobs that are not in the set `listed` (char * keys). The
- * ids are copied because removing a job from the directory frees its id. */
-static GPtrArray *copy_unlisted_ids(const controller_t *controller, GHashTable *listed)
+/* Returns copies of the ids of the live jobs that were created up to the list's revision and are
+ * not in the set `listed` (char * keys): they have ended. The ids are copied because removing a job
+ * from the directory frees its id. */
+static GPtrArray *copy_unlisted_ids(const controller_t *controller, GHashTable *listed,
+                                    uint64_t list_revision)
 {
     GPtrArray *unlisted = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter iter;
     gpointer id;
+    gpointer value;
     g_hash_table_iter_init(&iter, controller->jobs.live);
-    while (g_hash_table_iter_next(&iter, &id, NULL))
-        if (!g_hash_table_contains(listed, id))
+    while (g_hash_table_iter_next(&iter, &id, &value)) {
+        const live_job_t *job = value;
+        if (job->revision <= list_revision && !g_hash_table_contains(listed, id))
             g_ptr_array_add(unlisted, g_strdup(id));
+    }
     return unlisted;
 }
 
+/* Records that everything that the answer to a list or a watch covers is known. The answers of the
+ * readers of jobs/ may be applied in any order, so neither value may decrease. */
+static void record_coverage(job_directory_t *jobs, kv_coverage_t coverage)
+{
+    jobs->revision = MAX(jobs->revision, coverage.revision);
+    jobs->complete_until = MAX(jobs->complete_until, coverage.sent_at);
+}
+
 void job_directory_apply_list(controller_t *controller, const GArray *entries,
                               kv_coverage_t coverage)
 {
@@ -107,11 +123,20 @@
         g_hash_table_add(listed, (gpointer)job_id_of_key(entry->key));
         apply_put(controller, entry);
     }
-    g_autoptr(GPtrArray) unlisted = copy_unlisted_ids(controller, listed);
+    g_autoptr(GPtrArray) unlisted = copy_unlisted_ids(controller, listed, coverage.revision);
     for (guint i = 0; i < unlisted->len; i++)
         job_directory_remove(controller, g_ptr_array_index(unlisted, i));
+    record_coverage(&controller->jobs, coverage);
     controller->jobs.is_synced = true;
-    controller->jobs.complete_until = coverage.sent_at;
+    job_directory_end_unknown_attempts(controller);
+}
+
+void job_directory_end_unknown_attempts(controller_t *controller)
+{
+    partition_t *partition = controller->placement.partition;
+    if (partition &&
+        partition_end_unknown_jobs(partition, controller->jobs.live, controller->jobs.revision))
+        command_dispatcher_notify(controller);
 }
 
 void job_directory_apply_changes(controller_t *controller, const GArray *changes,
@@ -124,5 +149,5 @@
         else
             job_directory_remove(controller, job_id_of_key(entry->key));
     }
-    controller->jobs.complete_until = coverage.sent_at;
+    record_coverage(&controller->jobs, coverage);
 }
--- a/src/controller/jobs/job_directory.h
+++ b/src/controller/jobs/job_directory.h
@@ -2,6 +2,12 @@
  * The jobs known to a controller: the live jobs, the ids of jobs that have ended, and a cache of
  * terminal states.
  *
+ * The directory alone decides which jobs are live. Every list of jobs/ and every reported change is
+ * applied to it, whoever read it, and the data of the partition and the leader follow from it.
+ * Invariant: a job that was created at or before the revision job_directory_t.revision is in
+ * job_directory_t.live or has ended. A job is created once and ends once, so the answers of several
+ * readers may be applied in any order.
+ *
  * All functions are called with the controller's lock held, which guards the directory.
  */
 #ifndef PEPPERPULLEY_JOB_DIRECTORY_H
@@ -33,7 +39,8 @@
 /** The directory's state. Guarded by the controller's lock. */
 typedef struct job_directory {
     GHashTable *live;      /**< Id (char *, borrowed from the value) -> live_job_t *, owned. */
-    bool is_synced;        /**< Whether all of jobs/ has been read. Its changes are watched then. */
+    bool is_synced;        /**< Whether all of jobs/ has been read at least once. */
+    uint64_t revision;     /**< Store revision up to which all changes of jobs/ are known. */
     msec_t complete_until; /**< Every job accepted or cancelled before this time (steady clock,
                               ms) is known. */
     job_counts_replica_t counts; /**< The leader's task counts per job, or those that this
@@ -50,7 +57,8 @@
 } job_directory_t;
 
 /** Adds a live job (@p spec is copied), unless it is known already or has ended. @p revision: the
- * revision of jobs/ID. Wakes the placement loop. */
+ * revision of jobs/ID; if it is not above job_directory_t.revision, an unknown job has ended. Wakes
+ * the placement loop. */
 void job_directory_add(controller_t *controller, const job_spec_t *spec, uint64_t revision);
 
 /** Removes a job that has ended from the directory and from the data of the partition and the
@@ -63,8 +71,9 @@
  * is done, false if it was cancelled. */
 void job_directory_record_terminal(controller_t *controller, const char *id, bool is_done);
 
-/** Applies a list of jobs/: @p entries is an array of kv_entry_t; transfer none. Jobs that are not
- * listed have ended. */
+/** Applies a list of jobs/, whichever thread read it: @p entries is an array of kv_entry_t;
+ * transfer none. Jobs that were created up to the list's revision and are not listed have ended;
+ * their tasks in the partition are stopped even if the directory never knew the jobs. */
 void job_directory_apply_list(controller_t *controller, const GArray *entries,
                               kv_coverage_t coverage);
 
@@ -73,4 +82,8 @@
 void job_directory_apply_changes(controller_t *controller, const GArray *changes,
                                  kv_coverage_t coverage);
 
+/** Ends the attempts in the partition whose jobs have ended without being known to the directory.
+ * Called after each list, and after records that were read before that list have been loaded. */
+void job_directory_end_unknown_attempts(controller_t *controller);
+
 #endif
--- a/src/controller/placement/record_loader.c
+++ b/src/controller/placement/record_loader.c
@@ -30,7 +30,8 @@
 }
 
 /* Returns whether everything was read. Jobs are read last, so a job that is listed was still live
- * when its finished tasks were read, and a job that is not listed has ended. */
+ * when its finished tasks were read, and a job that was created before and is not listed has ended.
+ */
 static bool read_listing(controller_t *controller, http_client_t *client, bool is_leader,
                          record_listing_t *listing)
 {
@@ -75,23 +76,17 @@
         load_chunk_locked(controller, &g_array_index(entries, kv_entry_t, i));
 }
 
-/* Loads the attempts on a machine into the leader's data. In this controller's own partition, ends
- * the attempts of jobs that are not live. live_jobs: set of ids. */
+/* Loads the attempts on a machine into the leader's data. */
 static void load_attempts_locked(controller_t *controller, const machine_record_t *record,
-                                 guint owner, GHashTable *live_jobs)
-{
-    bool is_own = owner == controller->membership.own_index;
-    for (guint i = 0; i < record->entries->len; i++) {
-        const record_entry_t *attempt = &g_array_index(record->entries, record_entry_t, i);
-        if (controller->membership.is_leader)
-            leader_load_attempt(controller->placement.leader, attempt, record->zone, owner);
-        if (is_own && !g_hash_table_contains(live_jobs, attempt->job))
-            partition_end_job(controller->placement.partition, attempt->job);
-    }
+                                 guint owner)
+{
+    for (guint i = 0; i < record->entries->len; i++)
+        leader_load_attempt(controller->placement.leader,
+                            &g_array_index(record->entries, record_entry_t, i), record->zone,
+                            owner);
 }
 
-static void load_page_locked(controller_t *controller, const page_record_t *page,
-                             GHashTable *live_jobs, msec_t now)
+static void load_page_locked(controller_t *controller, const page_record_t *page, msec_t now)
 {
     if (page->machines->len == 0)
         return;
@@ -99,9 +94,9 @@
     guint owner = membership_owner_index(controller, first->machine, first->zone);
     if (owner == controller->membership.own_index)
         partition_load_record(controller->placement.partition, page, now);
-    for (guint i = 0; i < page->machines->len; i++)
-        load_attempts_locked(controller, &g_array_index(page->machines, machine_record_t, i), owner,
-                             live_jobs);
+    for (guint i = 0; controller->membership.is_leader && i < page->machines->len; i++)
+        load_attempts_locked(controller, &g_array_index(page->machines, machine_record_t, i),
+                             owner);
 }
 
 /* Adds the ids of the page's machines to the set, which owns them. Returns false if a machine was
@@ -119,21 +114,6 @@
     return is_unique;
 }
 
-/* Returns the ids of the live jobs, a set (char *, borrowed from the entries). A job that has been
- * cancelled since it was listed is left out. Otherwise its tasks would not be stopped, because the
- * cancellation was recorded in the data that this load replaces and is not reported a second time.
- */
-static GHashTable *live_job_ids_locked(const controller_t *controller, const GArray *job_entries)
-{
-    GHashTable *live_jobs = g_hash_table_new(g_str_hash, g_str_equal);
-    for (guint i = 0; i < job_entries->len; i++) {
-        char *id = g_array_index(job_entries, kv_entry_t, i).key + strlen(JOBS_PREFIX);
-        if (!g_hash_table_contains(controller->jobs.terminal, id))
-            g_hash_table_add(live_jobs, id);
-    }
-    return live_jobs;
-}
-
 /* Returns whether every record is valid. Logs each invalid record. Stops loading pages at the first
  * one, because its tasks would run twice if it were treated as empty. */
 static bool load_machines_locked(controller_t *controller, const record_listing_t *listing,
@@ -142,7 +122,6 @@
     bool is_valid = true;
     /* Set of ids (char *, owned). */
     g_autoptr(GHashTable) machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    g_autoptr(GHashTable) live_jobs = live_job_ids_locked(controller, listing->jobs);
     for (guint i = 0; i < listing->machines->len; i++) {
         const kv_entry_t *entry = &g_array_index(listing->machines, kv_entry_t, i);
         const char *page_name = entry->key + strlen("machines/");
@@ -155,7 +134,7 @@
         if (!add_unique_machines(machines, &page, entry->key))
             is_valid = false;
         if (is_valid)
-            load_page_locked(controller, &page, live_jobs, now);
+            load_page_locked(controller, &page, now);
         g_array_unref(page.machines);
     }
     return is_valid;
@@ -205,6 +184,7 @@
 void record_loader_apply(controller_t *controller, const record_listing_t *listing, msec_t now)
 {
     placement_state_t *placement = &controller->placement;
+    job_directory_apply_list(controller, listing->jobs, listing->jobs_coverage);
     g_clear_pointer(&placement->leader, leader_free);
     if (!controller->autoscaler)
         controller->autoscaler = autoscaler_new();
@@ -212,6 +192,9 @@
     if (controller->membership.is_leader)
         load_leader_locked(controller, listing);
     placement->is_loaded = load_machines_locked(controller, listing, now);
+    /* The records were read before the list of jobs, so the jobs of their attempts that the
+     * directory does not know have ended. */
+    job_directory_end_unknown_attempts(controller);
     placement->generation++;
     placement->loaded_at = now;
     notify_loaded_locked(controller);
--- a/src/core/partition/attempt_internal.h
+++ b/src/core/partition/attempt_internal.h
@@ -34,7 +34,7 @@
     machine_t *machine;      /**< The machine it is placed on, which owns the attempt. */
     attempt_phase_t phase;   /**< Its phase. */
     uint64_t job_revision; /**< Revision of the job's key. The transaction that records the attempt
-                              requires it unchanged. */
+                              requires it unchanged. 0 if the attempt was loaded from a record. */
     uint64_t worker_epoch; /**< The worker epoch under which it is recorded. */
     bool is_in_record;     /**< Whether the durable record contains it. */
     batch_change_t batch_change; /**< What the commit in flight does with it. */
--- a/src/core/partition/attempts.c
+++ b/src/core/partition/attempts.c
@@ -111,6 +111,23 @@
     }
 }
 
+bool partition_end_unknown_jobs(partition_t *partition, GHashTable *live_jobs, uint64_t revision)
+{
+    bool has_ended = false;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, partition->attempts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        attempt_t *attempt = value;
+        if (attempt->job_revision > revision ||
+            g_hash_table_contains(live_jobs, attempt->entry.job))
+            continue;
+        end_attempt(partition, attempt);
+        has_ended = true;
+    }
+    return has_ended;
+}
+
 void partition_acknowledge_result(partition_t *partition, const task_ref_t *ref)
 {
     attempt_t *attempt = find_by_ref(partition, ref);
--- a/src/core/partition/partition.h
+++ b/src/core/partition/partition.h
@@ -96,6 +96,10 @@
 /** Ends a job that was cancelled or is over. Its recorded attempts are stopped without time to
  * save, and its other attempts are dropped. */
 void partition_end_job(partition_t *partition, const char *job);
+/** Ends the jobs that have attempts here and are not in the set @p live_jobs (char * keys), unless
+ * they were created after @p revision, up to which the set is complete. An attempt loaded from a
+ * record belongs to a job that was created before. Returns whether there was such a job. */
+bool partition_end_unknown_jobs(partition_t *partition, GHashTable *live_jobs, uint64_t revision);
 /** Records that the leader has stored the result of the attempt durably, so that the attempt may
  * leave the record. */
 void partition_acknowledge_result(partition_t *partition, const task_ref_t *ref);
