Record loader: the leader's jobs are the live jobs of the directory, so none is left out

Cause: after a change of view the leader read the list of jobs, whose answer took 203 ms. The watch reported a job that was committed in between. The leader's data were not loaded, so the job entered only the directory; the load then filled the leader from the older list. The watch reports a job once. Change: the load fills the leader from the live jobs of the directory, to which the list was applied under the same lock. records_loaded logs that number of jobs. Why it works: whichever reader comes first, directory and leader have the same jobs.

--- a/src/controller/placement/record_loader.c
+++ b/src/controller/placement/record_loader.c
@@ -44,16 +44,16 @@
                        &listing->jobs_coverage.revision);
 }
 
-static void load_jobs_locked(controller_t *controller, const GArray *entries)
-{
-    for (guint i = 0; i < entries->len; i++) {
-        const kv_entry_t *entry = &g_array_index(entries, kv_entry_t, i);
-        job_spec_t spec;
-        if (!codec_parse_job(entry->value, true, &spec, NULL))
-            continue;
-        if (!g_hash_table_contains(controller->jobs.terminal, spec.id))
-            leader_add_job(controller->placement.leader, &spec, entry->revision);
-        job_spec_clear(&spec);
+/* Loads the live jobs from the job directory. The list that was read with the records has been
+ * applied to it, but the watch may have reported jobs since that list was executed. */
+static void load_jobs_locked(controller_t *controller)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, controller->jobs.live);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const live_job_t *job = value;
+        leader_add_job(controller->placement.leader, &job->spec, job->revision);
     }
 }
 
@@ -168,7 +168,7 @@
     leader_set_view(leader, view->number);
     arc4random_buf(&leader->counts_epoch, sizeof leader->counts_epoch);
     controller->placement.leader = leader;
-    load_jobs_locked(controller, listing->jobs);
+    load_jobs_locked(controller);
     load_finished_tasks_locked(controller, listing->done);
 }
 
@@ -200,13 +200,13 @@
     notify_loaded_locked(controller);
 }
 
-static void log_loaded_locked(const controller_t *controller, const record_listing_t *listing)
+static void log_loaded_locked(const controller_t *controller)
 {
     const partition_t *partition = controller->placement.partition;
     log_info("event=records_loaded view=%" G_GUINT64_FORMAT
              " is_leader=%d jobs=%u machines=%u attempts=%u",
              controller->membership.view.number, controller->membership.is_leader,
-             listing->jobs->len, partition_machine_count(partition),
+             g_hash_table_size(controller->jobs.live), partition_machine_count(partition),
              partition_attempt_count(partition));
 }
 
@@ -221,7 +221,7 @@
     pthread_mutex_lock(&controller->lock);
     if (is_read && controller->membership.view.number == view_number) {
         record_loader_apply(controller, &listing, clock_steady());
-        log_loaded_locked(controller, &listing);
+        log_loaded_locked(controller);
     }
     pthread_mutex_unlock(&controller->lock);
     record_listing_clear(&listing);
--- a/tests/controller/test_controller_job_lists.c
+++ b/tests/controller/test_controller_job_lists.c
@@ -191,6 +191,34 @@
     assert_false(g_hash_table_contains(controller->jobs.live, "j-000002"));
 }
 
+/* Applies the report of the watch that a job was created, or has ended if it is not live. */
+static void report_change(controller_t *controller, const char *id, bool is_live,
+                          kv_coverage_t coverage)
+{
+    g_autoptr(GArray) changes = kv_entries_new();
+    if (is_live) {
+        append_job(changes, id, coverage.revision);
+    } else {
+        kv_entry_t end = {.key = g_strconcat(JOBS_PREFIX, id, NULL), .revision = coverage.revision};
+        g_array_append_val(changes, end);
+    }
+    job_directory_apply_changes(controller, changes, coverage);
+}
+
+/* Guards against accepted jobs that never start. The view changes, and the leader reads the list of
+ * jobs again. While the answer is on its way, the watch reports that one job was created and that
+ * another one has ended. The list is older than both changes. */
+static void test_jobs_reported_while_the_leader_reads_the_records_are_loaded(void **state)
+{
+    controller_t *controller = new_member(*state, true);
+    report_change(controller, "j-000001", true, (kv_coverage_t){5, 900});
+    report_change(controller, "j-000002", true, (kv_coverage_t){9, 1100});
+    report_change(controller, "j-000001", false, (kv_coverage_t){10, 1200});
+    load_records(controller, NULL, "j-000001", (kv_coverage_t){8, 1000});
+    assert_non_null(leader_find_job(controller->placement.leader, "j-000002"));
+    assert_null(leader_find_job(controller->placement.leader, "j-000001"));
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -199,6 +227,8 @@
         cmocka_unit_test_setup(test_a_job_known_from_the_leader_only_is_ended_by_a_newer_list,
                                setup_fakes),
         cmocka_unit_test_setup(test_a_late_list_does_not_replace_newer_knowledge, setup_fakes),
+        cmocka_unit_test_setup(test_jobs_reported_while_the_leader_reads_the_records_are_loaded,
+                               setup_fakes),
     };
     fixture_run_tests("controller_job_lists", tests, G_N_ELEMENTS(tests));
 }
