Autoscaler: demand that only some machines can serve is compared with those machines

Cause: scale-out asked for nothing while the sum of all capacity covered the sum of all demand, wherever that capacity was. Scale-in used the same sums, so it could return the only machine that a job can use, and a waiting job kept idle machines that it cannot use. A drain that was cancelled instead of a request could be that of any machine. Change: jobs are grouped by the pools of machines (type, zone, spot) that their constraints permit, same zone and spread given their outstanding tasks. Each group that cannot use all existing machines is compared with what is free and booting in its pools, and a gang with the tasks that fit at the same time. What is missing is requested first; a machine that a group needs is not scaled in; only the drain of a usable machine is cancelled. If all usable types are too large for the group, the cheapest machine is taken. Why it works: every job with tasks that may be placed has such a machine, or one is requested.

--- a/src/controller/autoscaler/scale_out.c
+++ b/src/controller/autoscaler/scale_out.c
@@ -1,28 +1,23 @@
 /* Chooses scale-out requests, sends them and handles their answers. */
 #include "controller/autoscaler/scale_out.h"
 
-#include "core/autoscaler/machine_summary_iter.h"
 #include "io/clock.h"
 #include "io/codec/codec.h"
 #include "io/log.h"
 
-/* Instead of scaling out, cancels the drain of one machine that still has work, because it is
- * available sooner than any new machine. Returns false if there is no such machine. Called with the
- * lock held. */
-static bool cancel_drain(controller_t *controller)
+/* Instead of scaling out, cancels the drain of one machine that still has work and can serve the
+ * demand of the request, because it is available sooner than any new machine. Returns false if
+ * there is no such machine. Called with the lock held. */
+static bool cancel_drain(controller_t *controller, const scale_out_request_t *request, msec_t now)
 {
-    const leader_t *leader = controller->placement.leader;
-    machine_summary_iter_t iter = {.leader = leader};
-    for (const machine_summary_t *summary = machine_summary_iter_next(&iter); summary;
-         summary = machine_summary_iter_next(&iter)) {
-        if (!summary->is_draining || summary->attempts == 0 ||
-            leader_is_quarantined(leader, summary->machine))
-            continue;
-        log_info("event=drain_cancelled machine=%s", summary->machine);
-        cloud_context_send_item(controller, iter.partition, CHANNEL_CANCEL_DRAIN, summary->machine);
-        return true;
-    }
-    return false;
+    guint partition = 0;
+    const machine_summary_t *machine =
+        autoscaler_drain_to_cancel(controller->placement.leader, request, now);
+    if (!machine || !cloud_context_find_summary(controller, machine->machine, &partition))
+        return false;
+    log_info("event=drain_cancelled machine=%s", machine->machine);
+    cloud_context_send_item(controller, partition, CHANNEL_CANCEL_DRAIN, machine->machine);
+    return true;
 }
 
 /* Returns whether all machines that an earlier leader scaled out are known by now. In the first
@@ -48,7 +43,7 @@
                                    controller->placement.machine_types, now, clock_realtime(),
                                    &pending->request))
         return false;
-    return !cancel_drain(controller);
+    return !cancel_drain(controller, &pending->request, now);
 }
 
 /* Drops a pending request of an earlier generation. If none is pending, prepares the next one. */
--- a/src/core/autoscaler/autoscaler.h
+++ b/src/core/autoscaler/autoscaler.h
@@ -27,6 +27,8 @@
     char zone[LABEL_BYTES]; /**< The zone. */
     bool is_spot;           /**< True for spot machines, false for on-demand machines. */
     guint count;            /**< Number of machines. */
+    char job[ID_BYTES];     /**< Id of a job that only some machines can serve and for which the
+                               machines are; empty: they are for all pending jobs. */
 } scale_out_request_t;
 
 /** Returns a new autoscaler, which has recorded nothing yet; transfer full. */
@@ -92,12 +94,19 @@
 bool autoscaler_keeps_silent_machine(const autoscaler_t *autoscaler, const char *zone,
                                      msec_t silent_ms, msec_t grace_ms, msec_t now);
 
-/** Chooses the next machines to scale out and fills in @p request. Returns false, and leaves
- * @p request undefined, if no machines are to be scaled out. */
+/** Chooses the next machines to scale out and fills in @p request. Demand that only some of the
+ * machines can serve comes first: it is not covered by the capacity of other machines. Returns
+ * false, and leaves @p request undefined, if no machines are to be scaled out. */
 bool autoscaler_next_scale_out(const autoscaler_t *autoscaler, const leader_t *leader,
                                const GArray *machine_types, msec_t now, int64_t wall_clock_ms,
                                scale_out_request_t *request);
 
+/** Returns a draining machine that has attempts and that can serve the demand of the request, so
+ * that cancelling its drain makes capacity available sooner than the request would. Returns NULL if
+ * there is none; transfer none. Quarantined and silent machines are left out. */
+const machine_summary_t *autoscaler_drain_to_cancel(const leader_t *leader,
+                                                    const scale_out_request_t *request, msec_t now);
+
 /** Chooses a machine to drain and terminate because the capacity has exceeded the demand for at
  * least the policy's scale-in delay. The machine need not be idle, because least-loaded placement
  * leaves few machines empty. Returns the leader's summary of the machine, or NULL if no machine is
--- a/src/core/autoscaler/autoscaler_internal.h
+++ b/src/core/autoscaler/autoscaler_internal.h
@@ -7,6 +7,7 @@
 #define PEPPERPULLEY_AUTOSCALER_INTERNAL_H
 
 #include "core/autoscaler/autoscaler.h"
+#include "core/autoscaler/constrained_demand_internal.h"
 
 /** A machine that was scaled out, or that appears in the cloud's list, and has not sent a heartbeat
  * yet. */
@@ -36,7 +37,8 @@
 
 /** The demand for resources compared with the capacity that is running or booting. */
 typedef struct autoscaler_balance {
-    resources_t demand;            /**< Resources for the outstanding and the pending tasks. */
+    resources_t demand;            /**< Resources for the outstanding tasks, and for the pending
+                                      tasks that some of the existing machines can serve. */
     resources_t running;           /**< Capacity of the machines that accept starts. */
     resources_t booting;           /**< Capacity of the booting instances. */
     double on_demand_cpus;         /**< Cpus of the running and booting on-demand machines. */
@@ -44,11 +46,18 @@
     double pending_cpu_s;          /**< Cpu seconds of the tasks that have no machine. */
 } autoscaler_balance_t;
 
-/** Computes the balance of demand and capacity. */
+/** Computes the balance of demand and capacity. The demand that none of the existing machines can
+ * serve is compared with them by constrained_demand_missing() only. */
 autoscaler_balance_t autoscaler_balance(const autoscaler_t *autoscaler, const leader_t *leader,
-                                        const GArray *machine_types, msec_t now,
+                                        const GArray *machine_types,
+                                        const constrained_demand_t *constrained, msec_t now,
                                         int64_t wall_clock_ms);
 
+/** Returns the resources that the pending tasks of the job need at the same time, so that each
+ * starts within the maximum wait. */
+resources_t autoscaler_pending_resources(const leader_t *leader, const job_demand_t *entry,
+                                         int64_t wall_clock_ms);
+
 /** Returns the number of on-demand cpus beyond the demand within the guarantees, or 0 if there are
  * none. */
 double autoscaler_extra_on_demand_cpus(const autoscaler_balance_t *balance);
--- a/src/core/autoscaler/demand_balance.c
+++ b/src/core/autoscaler/demand_balance.c
@@ -14,6 +14,21 @@
     return CLAMP(latest_start_in_s, MIN(max_wait_s, SCALE_OUT_MAX_WAIT_MIN_S), max_wait_s);
 }
 
+resources_t autoscaler_pending_resources(const leader_t *leader, const job_demand_t *entry,
+                                         int64_t wall_clock_ms)
+{
+    const job_spec_t *spec = &entry->job->spec;
+    resources_t pending = {0};
+    /* Tasks that can run one after another on the same resources within the maximum wait count
+     * once. The tasks of a gang run at the same time. */
+    double rounds =
+        spec->kind == KIND_GANG
+            ? 1
+            : MAX(1, job_max_wait_s(leader, entry->job, wall_clock_ms) / MAX(spec->estimate_s, 1));
+    resources_add(&pending, spec->need, MAX(entry->tasks / rounds, MIN(entry->tasks, 1.0)));
+    return pending;
+}
+
 /* Returns the resources for the outstanding tasks and for the pending tasks. */
 static resources_t total_demand(const leader_t *leader, msec_t now, int64_t wall_clock_ms)
 {
@@ -24,15 +39,11 @@
     while (g_hash_table_iter_next(&iter, NULL, &value))
         resources_add(&total, ((outstanding_attempt_t *)value)->need, 1);
     g_autoptr(GArray) demand = leader_demand(leader, now); /* job_demand_t */
-    for (guint i = 0; i < demand->len; i++) {
-        const job_demand_t *entry = &g_array_index(demand, job_demand_t, i);
-        const job_spec_t *spec = &entry->job->spec;
-        /* Tasks that can run one after another on the same resources within the maximum wait count
-         * once. */
-        double rounds =
-            MAX(1, job_max_wait_s(leader, entry->job, wall_clock_ms) / MAX(spec->estimate_s, 1));
-        resources_add(&total, spec->need, MAX(entry->tasks / rounds, MIN(entry->tasks, 1.0)));
-    }
+    for (guint i = 0; i < demand->len; i++)
+        resources_add(&total,
+                      autoscaler_pending_resources(leader, &g_array_index(demand, job_demand_t, i),
+                                                   wall_clock_ms),
+                      1);
     return total;
 }
 
@@ -86,10 +97,12 @@
 }
 
 autoscaler_balance_t autoscaler_balance(const autoscaler_t *autoscaler, const leader_t *leader,
-                                        const GArray *machine_types, msec_t now,
+                                        const GArray *machine_types,
+                                        const constrained_demand_t *constrained, msec_t now,
                                         int64_t wall_clock_ms)
 {
     autoscaler_balance_t balance = {.demand = total_demand(leader, now, wall_clock_ms)};
+    resources_add(&balance.demand, constrained->unservable, -1);
     measure_team_demand(leader, now, &balance);
     add_running(&balance, leader);
     add_booting(&balance, autoscaler, machine_types);
--- a/src/core/autoscaler/scale_in_choice.c
+++ b/src/core/autoscaler/scale_in_choice.c
@@ -4,7 +4,8 @@
 
 /* The data by which a machine is chosen. */
 typedef struct scale_in_choice {
-    const GArray *machine_types; /* machine_type_t, borrowed */
+    const GArray *machine_types;             /* machine_type_t, borrowed */
+    const constrained_demand_t *constrained; /* borrowed */
     autoscaler_balance_t balance;
     double headroom;             /* the capacity to keep, as a factor of the demand */
     double extra_on_demand_cpus; /* on-demand cpus beyond the guaranteed demand */
@@ -12,12 +13,14 @@
 } scale_in_choice_t;
 
 static scale_in_choice_t prepare_choice(const autoscaler_t *autoscaler, const leader_t *leader,
-                                        const GArray *machine_types, msec_t now,
+                                        const GArray *machine_types,
+                                        const constrained_demand_t *constrained, msec_t now,
                                         int64_t wall_clock_ms)
 {
-    scale_in_choice_t choice = {
-        .machine_types = machine_types,
-        .balance = autoscaler_balance(autoscaler, leader, machine_types, now, wall_clock_ms)};
+    scale_in_choice_t choice = {.machine_types = machine_types,
+                                .constrained = constrained,
+                                .balance = autoscaler_balance(autoscaler, leader, machine_types,
+                                                              constrained, now, wall_clock_ms)};
     choice.headroom = tunable_value(leader->policy, TUNABLE_SCALE_IN_HEADROOM);
     choice.extra_on_demand_cpus = autoscaler_extra_on_demand_cpus(&choice.balance);
     /* Hysteresis: on-demand machines are scaled in only if less work is pending than the amount at
@@ -41,14 +44,16 @@
 }
 
 /* Returns whether the machine may be scaled in: it accepts starts, and either the remaining
- * capacity suffices or it is an on-demand machine that the pending work does not justify. */
+ * capacity suffices or it is an on-demand machine that the pending work does not justify, and no
+ * work that only some machines can serve needs it. */
 static bool may_scale_in(const scale_in_choice_t *choice, const machine_summary_t *summary)
 {
     if (!summary->accepts_starts)
         return false;
     bool is_unjustified = choice->is_extra_unjustified && !summary->is_spot &&
                           choice->extra_on_demand_cpus >= summary->total.cpus;
-    return is_unjustified || !is_needed(choice, summary);
+    return (is_unjustified || !is_needed(choice, summary)) &&
+           !constrained_demand_needs(choice->constrained, summary, choice->headroom);
 }
 
 /* Returns the machine's rank; the machine with the highest rank is scaled in first. The rank rises
@@ -85,8 +90,10 @@
                                             const GArray *machine_types, msec_t now,
                                             int64_t wall_clock_ms)
 {
+    g_autoptr(constrained_demand_t) constrained =
+        constrained_demand_new(autoscaler, leader, machine_types, now, wall_clock_ms);
     scale_in_choice_t choice =
-        prepare_choice(autoscaler, leader, machine_types, now, wall_clock_ms);
+        prepare_choice(autoscaler, leader, machine_types, constrained, now, wall_clock_ms);
     machine_summary_t *machine = choose_machine(&choice, leader);
     if (!machine) {
         autoscaler->surplus_since = 0;
--- a/src/core/autoscaler/scale_out_choice.c
+++ b/src/core/autoscaler/scale_out_choice.c
@@ -19,7 +19,12 @@
     const autoscaler_t *autoscaler;
     const leader_t *leader;
     const autoscaler_balance_t *balance;
-    const GArray *demand; /* job_demand_t, borrowed */
+    const constrained_demand_t *constrained;
+    const demand_group_t *group; /* the group that the machines are for; NULL: all demand */
+    bool has_preferred_zones;    /* only zones that bring the group's gang closest to fitting */
+    bool is_oversized;    /* the types are too large for the demand: compares prices of machines
+                             instead of cpus */
+    const GArray *demand; /* of the group, or all demand: job_demand_t, borrowed */
     /* On-demand cpus beyond the guaranteed demand that the pending work justifies and that do not
      * exist yet. */
     double missing_on_demand_cpus;
@@ -65,10 +70,26 @@
            tunable_for_job(choice->leader->policy, TUNABLE_USE_ON_DEMAND, spec) != 0;
 }
 
+/* Returns whether the group for which machines are scaled out can use the candidate's machines. */
+static bool is_usable_by_group(const scale_out_choice_t *choice,
+                               const machine_candidate_t *candidate)
+{
+    if (!choice->group)
+        return true;
+    if (choice->has_preferred_zones &&
+        !constrained_demand_prefers_zone(choice->constrained, choice->group, candidate->zone))
+        return false;
+    return constrained_demand_can_use(choice->constrained, choice->group,
+                                      candidate->machine_type->name, candidate->zone,
+                                      candidate->spot);
+}
+
 /* Returns whether some pending job can use a machine as described by the candidate. */
 static bool is_usable(const scale_out_choice_t *choice, const machine_candidate_t *candidate)
 {
     const machine_type_t *machine_type = candidate->machine_type;
+    if (!is_usable_by_group(choice, candidate))
+        return false;
     for (guint i = 0; i < choice->demand->len; i++) {
         const job_spec_t *spec = &g_array_index(choice->demand, job_demand_t, i).job->spec;
         if (job_spec_allows(spec, machine_type->name, candidate->zone, candidate->spot) &&
@@ -85,9 +106,12 @@
 static guint machines_to_cover(const machine_type_t *machine_type, resources_t missing,
                                double demand_cpus)
 {
-    double machines = MAX(missing.cpus / MAX(machine_type->capacity.cpus, RESOURCE_EPSILON),
-                          missing.memory / MAX(machine_type->capacity.memory, RESOURCE_EPSILON));
-    if (machine_type->capacity.cpus > demand_cpus * SCALE_OUT_OVERSIZE_FRACTION && machines < 1)
+    const resources_t *capacity = &machine_type->capacity;
+    double machines = MAX(missing.cpus / MAX(capacity->cpus, RESOURCE_EPSILON),
+                          missing.memory / MAX(capacity->memory, RESOURCE_EPSILON));
+    if (missing.gpus > 0 && capacity->gpus > 0)
+        machines = MAX(machines, missing.gpus / capacity->gpus);
+    if (capacity->cpus > demand_cpus * SCALE_OUT_OVERSIZE_FRACTION && machines < 1)
         return 0;
     return (guint)CLAMP(ceil(machines - SCALE_OUT_ROUNDING_FRACTION), 1,
                         (double)SCALE_OUT_MAX_COUNT);
@@ -115,6 +139,7 @@
     /* At similar prices, the type and zone with the fewest machines is preferred, so that a wave of
      * spot interruptions or the loss of a zone affects fewer machines at once. */
     double cost = autoscaler_price_per_cpu(machine_type, candidate.spot) *
+                  (choice->is_oversized ? cpus * candidate.count : 1) *
                   (1 + SCALE_OUT_SPREAD_FRACTION * count_matching_machines(choice, &candidate));
     if (cost >= choice->best_cost)
         return;
@@ -157,30 +182,125 @@
     return missing;
 }
 
+/* Considers all machine types. If only types that are too large in relation to the demand are
+ * usable and available, considers these as well. Returns whether a request was found. */
+static bool find_request(scale_out_choice_t *choice, const GArray *machine_types,
+                         resources_t missing, double demand_cpus)
+{
+    choice->is_oversized = false;
+    consider_all_types(choice, machine_types, missing, demand_cpus);
+    if (isinf(choice->best_cost)) {
+        choice->is_oversized = choice->group != NULL;
+        consider_all_types(choice, machine_types, missing, INFINITY);
+    }
+    return isfinite(choice->best_cost);
+}
+
+static bool is_missing(resources_t missing)
+{
+    return missing.cpus > RESOURCE_EPSILON || missing.gpus > RESOURCE_EPSILON ||
+           missing.memory > RESOURCE_EPSILON;
+}
+
+/* Chooses machines for the group if it lacks any. Returns whether a request was found. */
+static bool find_request_for_group(scale_out_choice_t *choice, const GArray *machine_types,
+                                   const demand_group_t *group)
+{
+    double headroom = tunable_value(choice->leader->policy, TUNABLE_SCALE_OUT_HEADROOM);
+    resources_t missing = constrained_demand_missing(choice->constrained, group, headroom);
+    if (!is_missing(missing))
+        return false;
+    choice->group = group;
+    choice->demand = group->demand;
+    choice->has_preferred_zones = true;
+    if (find_request(choice, machine_types, missing, missing.cpus))
+        return true;
+    /* A gang that must run in one zone may start anew in another one. */
+    choice->has_preferred_zones =
+        !g_array_index(group->demand, job_demand_t, 0).job->spec.needs_same_zone;
+    return find_request(choice, machine_types, missing, missing.cpus);
+}
+
+/* Chooses machines for the demand that only some of the machines can serve, which is not covered by
+ * the sum of all machines. Returns whether a request was found. */
+static bool find_request_for_groups(scale_out_choice_t *choice, const GArray *machine_types)
+{
+    for (guint i = 0; i < choice->constrained->groups->len; i++) {
+        const demand_group_t *group = g_ptr_array_index(choice->constrained->groups, i);
+        if (group->demand->len == 0 || !find_request_for_group(choice, machine_types, group))
+            continue;
+        g_strlcpy(choice->request->job, g_array_index(group->demand, job_demand_t, 0).job->spec.id,
+                  sizeof choice->request->job);
+        return true;
+    }
+    return false;
+}
+
+/* Chooses machines for all demand. Returns whether a request was found. */
+static bool find_request_for_balance(scale_out_choice_t *choice, const GArray *machine_types,
+                                     const GArray *demand)
+{
+    resources_t missing = missing_resources(choice->leader, choice->balance);
+    if (missing.cpus <= 0 && missing.memory <= 0)
+        return false;
+    choice->group = NULL;
+    choice->demand = demand;
+    return find_request(choice, machine_types, missing, choice->balance->demand.cpus);
+}
+
 bool autoscaler_next_scale_out(const autoscaler_t *autoscaler, const leader_t *leader,
                                const GArray *machine_types, msec_t now, int64_t wall_clock_ms,
                                scale_out_request_t *request)
 {
+    g_autoptr(constrained_demand_t) constrained =
+        constrained_demand_new(autoscaler, leader, machine_types, now, wall_clock_ms);
     autoscaler_balance_t balance =
-        autoscaler_balance(autoscaler, leader, machine_types, now, wall_clock_ms);
-    resources_t missing = missing_resources(leader, &balance);
-    if (missing.cpus <= 0 && missing.memory <= 0)
-        return false;
+        autoscaler_balance(autoscaler, leader, machine_types, constrained, now, wall_clock_ms);
     double max_wait_s = tunable_value(leader->policy, TUNABLE_ON_DEMAND_MAX_WAIT);
     g_autoptr(GArray) demand = leader_demand(leader, now); /* job_demand_t */
     scale_out_choice_t choice = {
         .autoscaler = autoscaler,
         .leader = leader,
         .balance = &balance,
-        .demand = demand,
+        .constrained = constrained,
         .missing_on_demand_cpus =
             autoscaler_justified_on_demand_cpus(leader, &balance, max_wait_s) -
             autoscaler_extra_on_demand_cpus(&balance),
         .now = now,
         .best_cost = INFINITY,
         .request = request};
-    consider_all_types(&choice, machine_types, missing, balance.demand.cpus);
-    if (isinf(choice.best_cost))
-        consider_all_types(&choice, machine_types, missing, INFINITY);
-    return isfinite(choice.best_cost);
+    return find_request_for_groups(&choice, machine_types) ||
+           find_request_for_balance(&choice, machine_types, demand);
+}
+
+/* Returns whether a pending job can use the machine, or only the job with this id unless it is
+ * empty. */
+static bool is_usable_machine(const GArray *demand, const char *job,
+                              const machine_summary_t *machine)
+{
+    for (guint i = 0; i < demand->len; i++) {
+        const job_t *pending = g_array_index(demand, job_demand_t, i).job;
+        const job_spec_t *spec = &pending->spec;
+        if ((!job[0] || strcmp(spec->id, job) == 0) &&
+            job_spec_allows(spec, machine->type, machine->zone, machine->is_spot) &&
+            resources_fit(spec->need, machine->total) &&
+            leader_job_admits_zone(pending, machine->zone))
+            return true;
+    }
+    return false;
+}
+
+const machine_summary_t *autoscaler_drain_to_cancel(const leader_t *leader,
+                                                    const scale_out_request_t *request, msec_t now)
+{
+    g_autoptr(GArray) demand = leader_demand(leader, now); /* job_demand_t */
+    machine_summary_iter_t iter = {.leader = leader};
+    for (const machine_summary_t *summary = machine_summary_iter_next(&iter); summary;
+         summary = machine_summary_iter_next(&iter))
+        if (summary->is_draining && summary->attempts > 0 &&
+            summary->silent_ms <= ACKNOWLEDGEMENT_TIMEOUT_MS &&
+            !leader_is_quarantined(leader, summary->machine) &&
+            is_usable_machine(demand, request->job, summary))
+            return summary;
+    return NULL;
 }
--- a/src/core/leader/demand.h
+++ b/src/core/leader/demand.h
@@ -18,4 +18,8 @@
  * array are valid until the leader is changed. Called with the controller's lock held. */
 GArray *leader_demand(const leader_t *leader, msec_t now);
 
+/** Returns whether the same-zone and spread constraints of the job, given its outstanding attempts,
+ * permit one more task in the zone. */
+bool leader_job_admits_zone(const job_t *job, const char *zone);
+
 #endif
--- a/src/core/leader/partition_choice.c
+++ b/src/core/leader/partition_choice.c
@@ -1,4 +1,5 @@
 /* Choice of a partition: the first step of projected least-loaded placement. */
+#include "core/leader/demand.h"
 #include "core/leader/leader_internal.h"
 
 #include <math.h>
@@ -25,9 +26,7 @@
     return false;
 }
 
-/* Returns whether the same-zone and spread constraints of the job, given its outstanding attempts,
- * permit one more task in the zone. */
-static bool zone_admits(const job_t *job, const char *zone)
+bool leader_job_admits_zone(const job_t *job, const char *zone)
 {
     if (job->spec.needs_same_zone && has_outstanding_outside(job, zone))
         return false;
@@ -61,7 +60,7 @@
         machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, i);
         if (!is_eligible(summary, &job->spec))
             continue;
-        if (has_zone_constraint && !zone_admits(job, summary->zone))
+        if (has_zone_constraint && !leader_job_admits_zone(job, summary->zone))
             continue;
         *free_cpus += summary->free.cpus;
         double load = projected_load(summary, job);
