Failure records: a quarantine ends when its evidence is void, and after 60 s, with its drain

The machine in the job's zone had 12 free cpus and got no start for 90 s; it would have got none until its long task ended. Cause: two jobs submitted with a mistake failed on the only machine of their zone, which was quarantined and drained. Only a success on the machine ended that, which a drained machine cannot have; cancelling the jobs did not. Change: failures are kept by job. Those of a job that ended without having finished a task are dropped, and those of such a job that failed on a second machine do not count. leader_update_quarantines ends quarantines that no longer hold or are 60 s old, and the leader cancels their drains (event=quarantine_ended). A result of an attempt that is not outstanding counts no failure, so a repeated one does not count twice. Why it works: a job with a mistake fails on every machine until its user cancels it, so it is no evidence; a machine that still exists after 60 s of drain runs tasks well.

--- a/src/constants/placement.h
+++ b/src/constants/placement.h
@@ -19,6 +19,9 @@
     /** Failures without a success in between after which a machine is quarantined, unless they
      * all concern one job that has finished no task. */
     MACHINE_ERRORS_QUARANTINE_COUNT = 3,
+    /** Longest quarantine. A machine that still exists then is kept by tasks that run well there,
+     * and work that can run only there must not wait 90 s. */
+    QUARANTINE_MAX_MS = 60000,
     JOB_BACKOFF_MS = 5000,      /**< First back-off of a job; doubles with each further failure. */
     JOB_BACKOFF_MAX_MS = 60000, /**< Longest back-off of a job: one start per minute. */
     JOB_REFUSED_BACKOFF_MS = 500, /**< Back-off after a start refused for lack of resources. */
--- a/src/controller/autoscaler/scale_in.c
+++ b/src/controller/autoscaler/scale_in.c
@@ -68,6 +68,23 @@
     }
 }
 
+/* Cancels the drains of the machines whose quarantine has ended. Called with the lock held. */
+static void end_quarantines(controller_t *controller, msec_t now)
+{
+    leader_t *leader = controller->placement.leader;
+    g_autoptr(GPtrArray) ended = leader_update_quarantines(leader, now); /* ids, owned */
+    machine_summary_iter_t iter = {.leader = leader};
+    for (machine_summary_t *summary = ended->len ? machine_summary_iter_next(&iter) : NULL; summary;
+         summary = machine_summary_iter_next(&iter)) {
+        if (!g_ptr_array_find_with_equal_func(ended, summary->machine, g_str_equal, NULL))
+            continue;
+        log_info("event=quarantine_ended machine=%s", summary->machine);
+        /* From now on, the machine may get starts, so it is not terminated as an empty one. */
+        summary->is_draining = false;
+        cloud_context_send_item(controller, iter.partition, CHANNEL_CANCEL_DRAIN, summary->machine);
+    }
+}
+
 /* Adds the machines to terminate for any reason other than silence, and starts to drain surplus and
  * quarantined machines. A drained machine is terminated only once its partition's summaries show it
  * as draining and without attempts, so that no start can still be on its way to it. Called with the
@@ -78,6 +95,7 @@
     const leader_t *leader = controller->placement.leader;
     msec_t now = clock_steady();
     add_failed_and_stuck(context, machines, now);
+    end_quarantines(controller, now);
     drain_surplus(controller, now);
     machine_summary_iter_t iter = {.leader = leader};
     for (const machine_summary_t *summary = machine_summary_iter_next(&iter); summary;
--- a/src/core/leader/leader.c
+++ b/src/core/leader/leader.c
@@ -43,7 +43,9 @@
     }
     leader->slos = slos;
     leader->policy = policy;
-    leader->failure_records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    leader->failure_records =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, leader_free_failure_record);
+    leader->quarantines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     leader->machine_claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     const double deadline_multiple = 1;
     leader->default_deadline_multiples = g_array_new(FALSE, FALSE, sizeof(double));
@@ -62,6 +64,7 @@
     g_ptr_array_unref(leader->cpus_being_preempted);
     g_array_unref(leader->default_deadline_multiples);
     g_hash_table_unref(leader->failure_records);
+    g_hash_table_unref(leader->quarantines);
     g_hash_table_unref(leader->machine_claims);
     g_free(leader);
 }
@@ -91,14 +94,17 @@
     g_hash_table_insert(leader->jobs, job->spec.id, job);
 }
 
-void leader_remove_job(leader_t *leader, const char *id)
+const job_t *leader_find_job(const leader_t *leader, const char *id)
 {
-    g_hash_table_remove(leader->jobs, id);
+    return g_hash_table_lookup(leader->jobs, id);
 }
 
-const job_t *leader_find_job(const leader_t *leader, const char *id)
+void leader_remove_job(leader_t *leader, const char *id)
 {
-    return g_hash_table_lookup(leader->jobs, id);
+    const job_t *job = leader_find_job(leader, id);
+    if (job)
+        leader_forget_failures(leader, job);
+    g_hash_table_remove(leader->jobs, id);
 }
 
 job_counts_t leader_job_counts(const leader_t *leader, const char *id)
--- a/src/core/leader/leader.h
+++ b/src/core/leader/leader.h
@@ -88,7 +88,7 @@
 
 /** Records that an attempt is over, or that the partition refused its placement request
  * (CAUSE_FULL). If the attempt is no longer outstanding, for example because its result arrived
- * before, only the failure record of the machine is updated. */
+ * before, only a success is recorded, for its machine. */
 void leader_handle_result(leader_t *leader, guint partition, const attempt_result_t *result,
                           msec_t now);
 
@@ -96,6 +96,12 @@
  * quarantined machine is to be drained. */
 bool leader_is_quarantined(const leader_t *leader, const char *machine);
 
+/** Returns the ids of the machines whose quarantine has ended since the last call (transfer full,
+ * including the strings); their drains are to be cancelled. A quarantine ends when its evidence is
+ * void, because a task succeeded on the machine, or a job was cancelled or failed elsewhere without
+ * having finished a task; and QUARANTINE_MAX_MS after the call that found it to have begun. */
+GPtrArray *leader_update_quarantines(leader_t *leader, msec_t now);
+
 /** Returns the job counts that a replica lacks: at most @p max_jobs jobs whose counts changed after
  * the replica's @p version, oldest change first. If the replica's @p epoch is not the current one,
  * all jobs count as changed. Transfer full: cleared by job_counts_update_clear. */
--- a/src/core/leader/leader_internal.h
+++ b/src/core/leader/leader_internal.h
@@ -128,20 +128,32 @@
 /** @name Failure records (failure_records.c)
  * @{ */
 
+/** The failed attempts of one job on a machine. */
+typedef struct failed_job {
+    guint error_count;  /**< Number of failed attempts. */
+    bool has_succeeded; /**< Whether the job has finished a task on any machine. */
+} failed_job_t;
+
 /** Failed attempts on a machine since the last success there. */
 typedef struct failure_record {
-    guint error_count;               /**< Number of failed attempts. */
-    char first_failed_job[ID_BYTES]; /**< Id of the job whose attempt failed first. */
-    bool is_machine_at_fault; /**< Whether attempts of more than one job failed, or an attempt of a
-                                 job that has finished tasks. */
+    GHashTable *jobs; /**< Job id (char *, owned) to failed_job_t *, owned. A job that ended without
+                         having finished a task is removed. */
 } failure_record_t;
 
+/** Frees a failure_record_t. For GHashTable. */
+void leader_free_failure_record(gpointer data);
+
 /** Sets the back-off of the job after an attempt that failed or was refused for @p cause. */
 void leader_back_off_job(job_t *job, cause_t cause, msec_t now);
 
-/** Updates the failure record of the machine of the result. @p job: the job of the attempt, NULL if
- * it is not live. */
-void leader_record_failure(leader_t *leader, const attempt_result_t *result, const job_t *job);
+/** Updates the failure record of the machine of the result. @p job: the job of the attempt. If it
+ * is NULL, because the attempt is not outstanding or its job is not live, a failure does not count:
+ * it was counted before, or proves nothing about the machine. */
+void leader_record_failure(leader_t *leader, const attempt_result_t *result, job_t *job);
+
+/** Called when a job has ended. If it has finished no task, its failures were probably caused by a
+ * mistake in the job, and no longer count against any machine. */
+void leader_forget_failures(leader_t *leader, const job_t *job);
 
 /** @} */
 
--- a/src/core/leader/leader_type.h
+++ b/src/core/leader/leader_type.h
@@ -41,6 +41,8 @@
     msec_t dirty_since_at;       /**< When the oldest progress of dirty_chunks was received. */
     bool is_completion_in_flight; /**< Whether the commit in flight completes the job. */
     guint consecutive_errors;     /**< Failed attempts since the last success. */
+    guint failed_machine_count;   /**< Number of machines on which attempts have failed since the
+                                     last success of an attempt on any machine. */
     msec_t retry_at;              /**< No task of the job is requested before this time. */
     GHashTable *zone_outstanding; /**< Zone name (char *, owned) to the number of outstanding
                                      attempts there (GINT_TO_POINTER). */
@@ -89,6 +91,9 @@
     const policy_t *policy;  /**< The operators' policy; transfer none. */
     GHashTable *failure_records; /**< Machine id (char *, owned) to failure_record_t *, owned: the
                                     machines on which an attempt failed since the last success. */
+    GHashTable *quarantines;     /**< Machine id (char *, owned) to msec_t *, owned: when
+                                    leader_update_quarantines found that the machine's quarantine
+                                    had begun. */
     GHashTable *machine_claims;  /**< Machine id (char *, owned) to machine_claim_t *, owned: the
                                     machines that have been claimed. */
     GArray *default_deadline_multiples; /**< Array of double, owned: the single multiple 1, for
--- a/tests/core/leader/test_failure_records.c
+++ b/tests/core/leader/test_failure_records.c
@@ -52,6 +52,86 @@
     assert_false(leader_is_quarantined(fixture->leader, "m-2"));
 }
 
+/* Adds two jobs, and lets the tasks of both fail on the machine until it is quarantined. */
+static void quarantine_by_two_jobs(leader_fixture_t *fixture, const char *machine)
+{
+    job_spec_t first = make_job("j-000001", "team-b", 9);
+    job_spec_t second = make_job("j-000002", "team-b", 9);
+    add_job(fixture, &first);
+    add_job(fixture, &second);
+    fail_on_machine(fixture, machine, "j-000001", 0);
+    fail_on_machine(fixture, machine, "j-000001", 1);
+    fail_on_machine(fixture, machine, "j-000002", 0);
+    assert_true(leader_is_quarantined(fixture->leader, machine));
+}
+
+/* Returns the number of machines whose quarantine has ended. */
+static guint update_quarantines(leader_fixture_t *fixture, msec_t now)
+{
+    g_autoptr(GPtrArray) ended = leader_update_quarantines(fixture->leader, now);
+    return ended->len;
+}
+
+/* Guards against a machine that stays quarantined, and keeps other work waiting, after the jobs
+ * have been cancelled that were submitted with a mistake and failed on it. */
+static void test_quarantine_ends_when_the_failing_jobs_are_cancelled(void **state)
+{
+    leader_fixture_t *fixture = *state;
+    quarantine_by_two_jobs(fixture, "m-1");
+    assert_int_equal(update_quarantines(fixture, 1000), 0);
+    leader_remove_job(fixture->leader, "j-000001");
+    assert_false(leader_is_quarantined(fixture->leader, "m-1"));
+    assert_int_equal(update_quarantines(fixture, 1100), 1);
+    assert_int_equal(update_quarantines(fixture, 1200), 0);
+}
+
+/* Guards against machines that are quarantined because of jobs with a mistake, which fail on every
+ * machine. A job that has finished a task counts on every machine. */
+static void test_a_job_that_fails_elsewhere_is_no_evidence_against_a_machine(void **state)
+{
+    leader_fixture_t *fixture = *state;
+    quarantine_by_two_jobs(fixture, "m-1");
+    fail_on_machine(fixture, "m-2", "j-000001", 2);
+    assert_false(leader_is_quarantined(fixture->leader, "m-1"));
+    fail_on_machine(fixture, "m-2", "j-000002", 1);
+    fail_on_machine(fixture, "m-2", "j-000002", 2);
+    assert_false(leader_is_quarantined(fixture->leader, "m-2"));
+    record_entry_t entry = make_record_entry("j-000001", "team-b", 3, 77);
+    load_attempt(fixture, &entry, "zone-a", 0);
+    handle_result(fixture, 0, task_ref("j-000001", 3, 77), CAUSE_DONE);
+    assert_false(leader_is_quarantined(fixture->leader, "m-1")); /* two failures count */
+    fail_on_machine(fixture, "m-1", "j-000001", 4);
+    assert_true(leader_is_quarantined(fixture->leader, "m-1"));
+    leader_remove_job(fixture->leader, "j-000001");
+    assert_true(leader_is_quarantined(fixture->leader, "m-1"));
+}
+
+/* Guards against a quarantine without an end: long tasks run on the machine, so it is not returned,
+ * and other work that can run only there waits. */
+static void test_quarantine_ends_after_its_longest_time(void **state)
+{
+    leader_fixture_t *fixture = *state;
+    quarantine_by_two_jobs(fixture, "m-1");
+    assert_int_equal(update_quarantines(fixture, 1000), 0);
+    assert_int_equal(update_quarantines(fixture, 1000 + QUARANTINE_MAX_MS - 1), 0);
+    assert_int_equal(update_quarantines(fixture, 1000 + QUARANTINE_MAX_MS), 1);
+    assert_false(leader_is_quarantined(fixture->leader, "m-1"));
+}
+
+/* Guards against results that are counted twice, or that arrive after their job was cancelled. */
+static void test_failures_of_unknown_attempts_do_not_count(void **state)
+{
+    leader_fixture_t *fixture = *state;
+    job_spec_t first = make_job("j-000001", "team-b", 9);
+    add_job(fixture, &first);
+    fail_on_machine(fixture, "m-1", "j-000001", 0);
+    attempt_result_t repeated = {.ref = task_ref("j-000001", 0, 77), .cause = CAUSE_ERROR};
+    g_strlcpy(repeated.machine, "m-1", sizeof repeated.machine);
+    leader_handle_result(fixture->leader, 0, &repeated, 1000);
+    fail_on_machine(fixture, "m-1", "j-000009", 0); /* not live */
+    assert_false(leader_is_quarantined(fixture->leader, "m-1"));
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -59,6 +139,15 @@
                                         tear_down_leader),
         cmocka_unit_test_setup_teardown(test_machine_is_quarantined_after_failures_of_several_jobs,
                                         set_up_leader, tear_down_leader),
+        cmocka_unit_test_setup_teardown(test_quarantine_ends_when_the_failing_jobs_are_cancelled,
+                                        set_up_leader, tear_down_leader),
+        cmocka_unit_test_setup_teardown(
+            test_a_job_that_fails_elsewhere_is_no_evidence_against_a_machine, set_up_leader,
+            tear_down_leader),
+        cmocka_unit_test_setup_teardown(test_quarantine_ends_after_its_longest_time, set_up_leader,
+                                        tear_down_leader),
+        cmocka_unit_test_setup_teardown(test_failures_of_unknown_attempts_do_not_count,
+                                        set_up_leader, tear_down_leader),
     };
     return cmocka_run_group_tests_name("failure_records", tests, NULL, NULL);
 }
