Autoscaler: work without any machine gets an on-demand one if spot machines are refused

An on-demand machine had to be justified by a quarter of the cpus that all pending work needs, which little work never reaches. Change: a job that no machine, existing or booting, can serve may use an on-demand machine from its rent_patience after its submission, unless the policy forbids it. The only machine is not drained as unjustified while there is demand for it. Why it works: the wait is bounded by rent_patience and the boot time, and one machine is enough for the balance to hold again, so no more than that is bought.

--- a/src/core/autoscaler/constrained_capacity.c
+++ b/src/core/autoscaler/constrained_capacity.c
@@ -166,6 +166,16 @@
     return missing;
 }
 
+bool constrained_demand_has_machines(const constrained_demand_t *constrained,
+                                     const demand_group_t *group)
+{
+    for (guint i = 0; i < constrained->pools.pools->len; i++)
+        if (machine_pool_at(&constrained->pools, i)->count > 0 &&
+            (!group || demand_group_can_use(group, i)))
+            return true;
+    return false;
+}
+
 bool constrained_demand_can_use(const constrained_demand_t *constrained,
                                 const demand_group_t *group, const char *type, const char *zone,
                                 bool is_spot)
--- a/src/core/autoscaler/constrained_demand_internal.h
+++ b/src/core/autoscaler/constrained_demand_internal.h
@@ -56,6 +56,11 @@
 resources_t constrained_demand_missing(const constrained_demand_t *constrained,
                                        const demand_group_t *group, double headroom);
 
+/** Returns whether any machine that the group can use accepts starts or is booting; @p group may be
+ * NULL for any machine. */
+bool constrained_demand_has_machines(const constrained_demand_t *constrained,
+                                     const demand_group_t *group);
+
 /** Returns whether the group can use machines of this type, zone and kind. */
 bool constrained_demand_can_use(const constrained_demand_t *constrained,
                                 const demand_group_t *group, const char *type, const char *zone,
--- a/src/core/autoscaler/scale_in_choice.c
+++ b/src/core/autoscaler/scale_in_choice.c
@@ -43,6 +43,14 @@
                balance->demand.memory * choice->headroom;
 }
 
+/* Returns whether the machine is the only one that accepts starts, and there is demand for it. */
+static bool is_only_machine(const scale_in_choice_t *choice, const machine_summary_t *summary)
+{
+    const autoscaler_balance_t *balance = &choice->balance;
+    return balance->demand.cpus > RESOURCE_EPSILON &&
+           balance->running.cpus - summary->total.cpus <= RESOURCE_EPSILON;
+}
+
 /* Returns whether the machine may be scaled in: it accepts starts, and either the remaining
  * capacity suffices or it is an on-demand machine that the pending work does not justify, and no
  * work that only some machines can serve needs it. */
@@ -51,7 +59,8 @@
     if (!summary->accepts_starts)
         return false;
     bool is_unjustified = choice->is_extra_unjustified && !summary->is_spot &&
-                          choice->extra_on_demand_cpus >= summary->total.cpus;
+                          choice->extra_on_demand_cpus >= summary->total.cpus &&
+                          !is_only_machine(choice, summary);
     return (is_unjustified || !is_needed(choice, summary)) &&
            !constrained_demand_needs(choice->constrained, summary, choice->headroom);
 }
--- a/src/core/autoscaler/scale_out_choice.c
+++ b/src/core/autoscaler/scale_out_choice.c
@@ -28,7 +28,9 @@
     /* On-demand cpus beyond the guaranteed demand that the pending work justifies and that do not
      * exist yet. */
     double missing_on_demand_cpus;
+    bool has_no_machines; /* the demand can use no machine that accepts starts or is booting */
     msec_t now;
+    int64_t wall_clock_ms;
     double best_cost; /* of the request; infinite if none was found yet */
     scale_out_request_t *request;
 } scale_out_choice_t;
@@ -60,13 +62,25 @@
     return count;
 }
 
+/* Returns whether the job has no machine and has waited for one for its maximum wait. As long as
+ * the cloud refuses spot machines, other machines would need an unlimited time for its work,
+ * however little it is. */
+static bool is_stranded(const scale_out_choice_t *choice, const job_spec_t *spec)
+{
+    double max_wait_s = tunable_for_job(choice->leader->policy, TUNABLE_SCALE_OUT_MAX_WAIT, spec);
+    return choice->has_no_machines &&
+           (double)(choice->wall_clock_ms - spec->submitted_ms) >= max_wait_s * MS_PER_S;
+}
+
 /* Returns whether the job may use an on-demand machine as described by the candidate. */
 static bool may_use_on_demand(const scale_out_choice_t *choice,
                               const machine_candidate_t *candidate, const job_spec_t *spec)
 {
     if (candidate->is_within_guarantees || !spec->may_use_spot)
         return true;
-    return choice->missing_on_demand_cpus >= candidate->machine_type->capacity.cpus &&
+    bool is_justified = choice->missing_on_demand_cpus >= candidate->machine_type->capacity.cpus ||
+                        is_stranded(choice, spec);
+    return is_justified &&
            tunable_for_job(choice->leader->policy, TUNABLE_USE_ON_DEMAND, spec) != 0;
 }
 
@@ -212,6 +226,7 @@
         return false;
     choice->group = group;
     choice->demand = group->demand;
+    choice->has_no_machines = !constrained_demand_has_machines(choice->constrained, group);
     choice->has_preferred_zones = true;
     if (find_request(choice, machine_types, missing, missing.cpus))
         return true;
@@ -245,6 +260,7 @@
         return false;
     choice->group = NULL;
     choice->demand = demand;
+    choice->has_no_machines = !constrained_demand_has_machines(choice->constrained, NULL);
     return find_request(choice, machine_types, missing, choice->balance->demand.cpus);
 }
 
@@ -267,6 +283,7 @@
             autoscaler_justified_on_demand_cpus(leader, &balance, max_wait_s) -
             autoscaler_extra_on_demand_cpus(&balance),
         .now = now,
+        .wall_clock_ms = wall_clock_ms,
         .best_cost = INFINITY,
         .request = request};
     return find_request_for_groups(&choice, machine_types) ||
--- a/tests/core/autoscaler/test_constrained_demand.c
+++ b/tests/core/autoscaler/test_constrained_demand.c
@@ -203,6 +203,74 @@
     assert_null(autoscaler_drain_to_cancel(fixture->leader, &request, NOW_MS));
 }
 
+/* Records that the cloud refused all spot machines. */
+static void record_spot_refusals(autoscaler_t *autoscaler)
+{
+    static const char *const types[] = {"t", "large", "gpu"};
+    for (guint i = 0; i < G_N_ELEMENTS(types); i++)
+        for (char **zone = both_zones; *zone; zone++) {
+            scale_out_request_t refused = {.is_spot = true};
+            g_strlcpy(refused.type, types[i], sizeof refused.type);
+            g_strlcpy(refused.zone, *zone, sizeof refused.zone);
+            autoscaler_record_refusal(autoscaler, &refused, G_MAXINT64);
+        }
+}
+
+/* Returns whether machines are scaled out when the job has waited for this long. */
+static bool next_scale_out_after(const leader_fixture_t *fixture, const autoscaler_t *autoscaler,
+                                 int64_t waited_ms, scale_out_request_t *request)
+{
+    g_autoptr(GArray) machine_types = machine_types_new();
+    *request = (scale_out_request_t){0};
+    return autoscaler_next_scale_out(autoscaler, fixture->leader, machine_types, NOW_MS,
+                                     1000 + waited_ms, request);
+}
+
+/* Guards against little work that never runs: the cloud refuses spot machines, and the work is too
+ * little to justify an on-demand machine. A job without any machine gets one after its maximum
+ * wait; a job that some machine can serve waits for it. */
+static void test_little_work_without_machines_gets_an_on_demand_machine(void **state)
+{
+    enum { MAX_WAIT_MS = 60000 }; /* the default for normal priority */
+    leader_fixture_t *fixture = *state;
+    g_autoptr(autoscaler_t) autoscaler = autoscaler_new();
+    scale_out_request_t request;
+    add_team(fixture, "team-c", 0, 0);
+    replace_leader(fixture, 2, 3);
+    job_spec_t spec = make_job("j-000001", "team-c", 1);
+    spec.may_use_spot = true;
+    g_strlcpy(spec.zone, "zone-b", sizeof spec.zone);
+    add_job(fixture, &spec);
+    record_spot_refusals(autoscaler);
+    assert_false(next_scale_out_after(fixture, autoscaler, MAX_WAIT_MS - 1, &request));
+    assert_true(next_scale_out_after(fixture, autoscaler, MAX_WAIT_MS, &request));
+    assert_int_equal(request.count, 1);
+    assert_false(request.is_spot);
+    set_idle_machine(fixture, 0, "zone-a", 16); /* which the job cannot use */
+    assert_false(next_scale_out_after(fixture, autoscaler, MAX_WAIT_MS - 1, &request));
+    assert_true(next_scale_out_after(fixture, autoscaler, MAX_WAIT_MS, &request));
+    assert_string_equal(request.zone, "zone-b");
+    set_machine(fixture, 1, "zone-b", 16, 1);
+    assert_false(next_scale_out_after(fixture, autoscaler, MAX_WAIT_MS, &request));
+}
+
+/* Guards against an on-demand machine that is drained as soon as it has booted, because the work
+ * that it was scaled out for is too little to justify it, and is then scaled out again. */
+static void test_the_only_machine_is_kept_for_little_work(void **state)
+{
+    leader_fixture_t *fixture = *state;
+    g_autoptr(autoscaler_t) autoscaler = autoscaler_new();
+    add_team(fixture, "team-c", 0, 0);
+    replace_leader(fixture, 2, 3);
+    job_spec_t spec = make_job("j-000001", "team-c", 1);
+    spec.may_use_spot = true;
+    set_idle_machine(fixture, 0, "zone-a", 16);
+    add_job(fixture, &spec);
+    assert_null(next_scale_in(fixture, autoscaler));
+    leader_remove_job(fixture->leader, "j-000001");
+    assert_string_equal(next_scale_in(fixture, autoscaler), "m-zone-a");
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -217,6 +285,10 @@
                                         set_up_leader, tear_down_leader),
         cmocka_unit_test_setup_teardown(test_a_job_does_not_keep_a_machine_that_it_cannot_use,
                                         set_up_leader, tear_down_leader),
+        cmocka_unit_test_setup_teardown(test_little_work_without_machines_gets_an_on_demand_machine,
+                                        set_up_leader, tear_down_leader),
+        cmocka_unit_test_setup_teardown(test_the_only_machine_is_kept_for_little_work,
+                                        set_up_leader, tear_down_leader),
         cmocka_unit_test_setup_teardown(test_only_the_drain_of_a_usable_machine_is_cancelled,
                                         set_up_leader, tear_down_leader),
     };
