Autoscaler: work that can run only in unreachable zones gets machines there in a bounded time

What callers would see: a job bound to a zone whose machines all failed at once waited for more than 120 s and the boot time before a machine was requested. Found by reading, not reported. Cause: that a zone is cut off is a suspicion, and each look at its silent machines extended it. A draining machine that acknowledges was no evidence against it. Change: the beginning of the state is kept. Work that can use no reachable zone may use an unreachable one after 30 s if its own constraints confine it there, and after 60 s if every zone is unreachable. A draining machine that acknowledges makes its zone reachable. Other work is treated as before. Why it works: the wait for scale-out is counted from the beginning, so looks do not extend it.

--- a/src/constants/autoscaler.h
+++ b/src/constants/autoscaler.h
@@ -21,6 +21,9 @@
     CAPACITY_RETRY_MS = 12000,
     /** No scale-out in a zone for this long after all its machines were last found unresponsive. */
     UNREACHABLE_ZONE_MS = 60000,
+    /** A job that its own constraints confine to such zones gets machines there after this time:
+     * with the boot time, less than the 90 s for which no job may wait. */
+    UNREACHABLE_ZONE_CONFINED_MS = 30000,
     /** The machines of such a zone are not terminated for this long, three boot times. */
     UNREACHABLE_ZONE_WAIT_MS = 60000,
     /** A booting instance is terminated after this time plus three times its type's boot time. */
--- a/src/core/autoscaler/autoscaler.h
+++ b/src/core/autoscaler/autoscaler.h
@@ -74,12 +74,14 @@
                                msec_t until);
 
 /** Determines from the machine summaries which zones are unreachable. A zone is probably cut off
- * from the network if none of its machines accepts starts and at least SILENT_MACHINES_MIN_COUNT of
- * them have been silent for more than @p silent_ms. It then counts as unreachable until one of its
- * machines accepts starts again, or until UNREACHABLE_ZONE_MS after the last call that found it cut
- * off. No machines are scaled out in an unreachable zone, because their heartbeats would not arrive
- * either. Returns the names of the zones that this call found to have become unreachable; transfer
- * full, including the strings. */
+ * from the network if none of its machines accepts starts or acknowledges while it is draining, and
+ * at least SILENT_MACHINES_MIN_COUNT of them have been silent for more than @p silent_ms. It then
+ * counts as unreachable until one of its machines does so again, or until UNREACHABLE_ZONE_MS after
+ * the last call that found it cut off. No machines are scaled out in an unreachable zone, because
+ * their heartbeats would not arrive either; except for work that can run nowhere else, after
+ * UNREACHABLE_ZONE_CONFINED_MS if a job's own constraints confine it there, and after
+ * UNREACHABLE_ZONE_MS if all zones are unreachable. Returns the names of the zones that this call
+ * found to have become unreachable; transfer full, including the strings. */
 GPtrArray *autoscaler_update_zones(autoscaler_t *autoscaler, const leader_t *leader,
                                    msec_t silent_ms, msec_t now);
 
--- a/src/core/autoscaler/autoscaler_internal.h
+++ b/src/core/autoscaler/autoscaler_internal.h
@@ -19,6 +19,12 @@
     msec_t requested_at;    /**< Time from which its boot time counts. */
 } booting_instance_t;
 
+/** When a zone counts as unreachable. */
+typedef struct unreachable_zone {
+    msec_t since_at; /**< From when on, without interruption. */
+    msec_t until_at; /**< Until when, unless its machines are found to be silent again. */
+} unreachable_zone_t;
+
 /** The state of the autoscaler. */
 struct autoscaler {
     /** Machine id (stored in the value) -> booting_instance_t; values owned. */
@@ -29,7 +35,7 @@
     /** Type, zone and kind (see refusal_key) -> msec_t *: when such machines may be requested
      * again; keys and values owned. */
     GHashTable *refused_until;
-    /** Zone -> msec_t *: when the zone stops counting as unreachable; keys and values owned. */
+    /** Zone -> unreachable_zone_t *; keys and values owned. */
     GHashTable *unreachable_zones;
     /** Zone -> msec_t *: when the zone last became reachable again; keys and values owned. */
     GHashTable *recovered_zones;
@@ -76,6 +82,9 @@
 /** Returns the price per cpu of a machine of this type, spot or on-demand. */
 double autoscaler_price_per_cpu(const machine_type_t *machine_type, bool spot);
 
+/** Returns for how long the zone, which counts as unreachable, has done so without interruption. */
+msec_t autoscaler_zone_unreachable_ms(const autoscaler_t *autoscaler, const char *zone, msec_t now);
+
 /** Returns whether the cloud refused such machines so recently that they may not be requested again
  * yet. */
 bool autoscaler_is_refused(const autoscaler_t *autoscaler, const char *type, const char *zone,
--- a/src/core/autoscaler/scale_out_choice.c
+++ b/src/core/autoscaler/scale_out_choice.c
@@ -28,6 +28,7 @@
     /* On-demand cpus beyond the guaranteed demand that the pending work justifies and that do not
      * exist yet. */
     double missing_on_demand_cpus;
+    bool may_use_unreachable_zones; /* the demand can use no other zone */
     bool has_no_machines; /* the demand can use no machine that accepts starts or is booting */
     msec_t now;
     int64_t wall_clock_ms;
@@ -131,11 +132,22 @@
                         (double)SCALE_OUT_MAX_COUNT);
 }
 
-/* Returns whether such machines may be requested: their zone is not unreachable, and the cloud has
- * not refused them recently. */
+/* Returns whether machines may be requested in the zone: it is reachable, or the demand can be
+ * served nowhere else and the zone has been unreachable for so long that its machines may have
+ * failed instead. */
+static bool is_zone_available(const scale_out_choice_t *choice, const char *zone)
+{
+    if (!autoscaler_is_zone_unreachable(choice->autoscaler, zone, choice->now))
+        return true;
+    msec_t wait_ms = choice->group ? UNREACHABLE_ZONE_CONFINED_MS : UNREACHABLE_ZONE_MS;
+    return choice->may_use_unreachable_zones &&
+           autoscaler_zone_unreachable_ms(choice->autoscaler, zone, choice->now) >= wait_ms;
+}
+
+/* Returns whether such machines may be requested, and the cloud has not refused them recently. */
 static bool is_available(const scale_out_choice_t *choice, const machine_candidate_t *candidate)
 {
-    return !autoscaler_is_zone_unreachable(choice->autoscaler, candidate->zone, choice->now) &&
+    return is_zone_available(choice, candidate->zone) &&
            !autoscaler_is_refused(choice->autoscaler, candidate->machine_type->name,
                                   candidate->zone, candidate->spot, choice->now);
 }
@@ -196,11 +208,24 @@
     return missing;
 }
 
+/* Returns whether the demand can use machines in a reachable zone, existing or not. */
+static bool has_reachable_zone(const scale_out_choice_t *choice)
+{
+    const machine_pools_t *pools = &choice->constrained->pools;
+    for (guint i = 0; i < pools->pools->len; i++)
+        if ((!choice->group || demand_group_can_use(choice->group, i)) &&
+            !autoscaler_is_zone_unreachable(choice->autoscaler, machine_pool_at(pools, i)->zone,
+                                            choice->now))
+            return true;
+    return false;
+}
+
 /* Considers all machine types. If only types that are too large in relation to the demand are
  * usable and available, considers these as well. Returns whether a request was found. */
 static bool find_request(scale_out_choice_t *choice, const GArray *machine_types,
                          resources_t missing, double demand_cpus)
 {
+    choice->may_use_unreachable_zones = !has_reachable_zone(choice);
     choice->is_oversized = false;
     consider_all_types(choice, machine_types, missing, demand_cpus);
     if (isinf(choice->best_cost)) {
--- a/tests/core/autoscaler/test_constrained_demand.c
+++ b/tests/core/autoscaler/test_constrained_demand.c
@@ -271,6 +271,89 @@
     assert_string_equal(next_scale_in(fixture, autoscaler), "m-zone-a");
 }
 
+/* Gives the partition three machines in zone-b that have been silent for long, and makes the
+ * autoscaler look at the zones every second from NOW_MS to until. The first machine may be draining
+ * and not silent. */
+static void observe_silent_zone(leader_fixture_t *fixture, autoscaler_t *autoscaler, msec_t until,
+                                bool is_first_draining)
+{
+    GArray *summaries = g_array_new(FALSE, FALSE, sizeof(machine_summary_t));
+    for (guint i = 0; i < 4; i++) {
+        machine_summary_t summary = {
+            .type = "t", .zone = "zone-b", .silent_ms = 9000, .total = {16, 0, 999}};
+        g_snprintf(summary.machine, sizeof summary.machine, "m-%06u", i);
+        if (i == 0 && is_first_draining) {
+            summary.is_draining = true;
+            summary.silent_ms = 100;
+        }
+        g_array_append_val(summaries, summary);
+    }
+    leader_set_summaries(fixture->leader, 1, summaries);
+    for (msec_t now = NOW_MS; now <= until; now += MS_PER_S)
+        g_ptr_array_unref(autoscaler_update_zones(autoscaler, fixture->leader, 6000, now));
+}
+
+/* Returns whether machines are scaled out in zone-b at this time. */
+static bool is_scaled_out_in_silent_zone(const leader_fixture_t *fixture,
+                                         const autoscaler_t *autoscaler, msec_t now)
+{
+    g_autoptr(GArray) machine_types = machine_types_new();
+    scale_out_request_t request = {0};
+    return autoscaler_next_scale_out(autoscaler, fixture->leader, machine_types, now, WALL_CLOCK_MS,
+                                     &request) &&
+           strcmp(request.zone, "zone-b") == 0;
+}
+
+/* Guards against a job that waits without an end for a zone that counts as unreachable, although it
+ * can run nowhere else: its machines may have failed, and each look at them extended the state. */
+static void test_work_bound_to_an_unreachable_zone_gets_a_machine_in_time(void **state)
+{
+    leader_fixture_t *fixture = *state;
+    g_autoptr(autoscaler_t) autoscaler = autoscaler_new();
+    job_spec_t spec = make_job("j-000001", "team-b", 1);
+    g_strlcpy(spec.zone, "zone-b", sizeof spec.zone);
+    set_idle_machine(fixture, 0, "zone-a", 16);
+    add_job(fixture, &spec);
+    const msec_t allowed_at = NOW_MS + UNREACHABLE_ZONE_CONFINED_MS;
+    observe_silent_zone(fixture, autoscaler, allowed_at, false);
+    assert_false(is_scaled_out_in_silent_zone(fixture, autoscaler, allowed_at - 1));
+    assert_true(is_scaled_out_in_silent_zone(fixture, autoscaler, allowed_at));
+}
+
+/* Guards against a wait without an end if all zones count as unreachable: work that no other zone
+ * can take gets machines, as if the zone were reachable. */
+static void test_work_gets_machines_although_all_zones_stay_unreachable(void **state)
+{
+    leader_fixture_t *fixture = *state;
+    g_autoptr(autoscaler_t) autoscaler = autoscaler_new();
+    job_spec_t spec = make_job("j-000001", "team-b", 1);
+    char *only_zone[] = {"zone-b", NULL};
+    machine_type_t type = {
+        .name = "t", .capacity = {16, 0, 999}, .price = 3, .spot_price = 1, .zones = only_zone};
+    g_autoptr(GArray) machine_types = g_array_new(FALSE, FALSE, sizeof(machine_type_t));
+    g_array_append_val(machine_types, type);
+    add_job(fixture, &spec);
+    observe_silent_zone(fixture, autoscaler, NOW_MS + UNREACHABLE_ZONE_MS, false);
+    scale_out_request_t request;
+    assert_false(autoscaler_next_scale_out(autoscaler, fixture->leader, machine_types,
+                                           NOW_MS + UNREACHABLE_ZONE_MS - 1, WALL_CLOCK_MS,
+                                           &request));
+    assert_true(autoscaler_next_scale_out(autoscaler, fixture->leader, machine_types,
+                                          NOW_MS + UNREACHABLE_ZONE_MS, WALL_CLOCK_MS, &request));
+}
+
+/* Guards against a zone that counts as unreachable although a draining machine there acknowledges.
+ */
+static void test_a_draining_machine_shows_that_its_zone_is_reachable(void **state)
+{
+    leader_fixture_t *fixture = *state;
+    g_autoptr(autoscaler_t) autoscaler = autoscaler_new();
+    observe_silent_zone(fixture, autoscaler, NOW_MS, true);
+    assert_false(autoscaler_is_zone_unreachable(autoscaler, "zone-b", NOW_MS));
+    observe_silent_zone(fixture, autoscaler, NOW_MS, false);
+    assert_true(autoscaler_is_zone_unreachable(autoscaler, "zone-b", NOW_MS));
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -289,6 +372,13 @@
                                         set_up_leader, tear_down_leader),
         cmocka_unit_test_setup_teardown(test_the_only_machine_is_kept_for_little_work,
                                         set_up_leader, tear_down_leader),
+        cmocka_unit_test_setup_teardown(
+            test_work_bound_to_an_unreachable_zone_gets_a_machine_in_time, set_up_leader,
+            tear_down_leader),
+        cmocka_unit_test_setup_teardown(test_work_gets_machines_although_all_zones_stay_unreachable,
+                                        set_up_leader, tear_down_leader),
+        cmocka_unit_test_setup_teardown(test_a_draining_machine_shows_that_its_zone_is_reachable,
+                                        set_up_leader, tear_down_leader),
         cmocka_unit_test_setup_teardown(test_only_the_drain_of_a_usable_machine_is_cancelled,
                                         set_up_leader, tear_down_leader),
     };
