Leader: a running task no longer keeps a failing job's other tasks from being started for good

Cause: from the fourth error since the last success on, a job gets one attempt at a time. Change: an attempt hinders the next one for JOB_BACKOFF_MAX_MS (60 s) at most. For a service, an error after all attempts have lasted that long begins the count anew. Why it works: both are bounded by time, not by the end of an attempt. Jobs that fail quickly still get one attempt at a time with growing pauses.

--- a/src/core/leader/admission.c
+++ b/src/core/leader/admission.c
@@ -33,16 +33,24 @@
     return taken < job->spec.tasks ? job->spec.tasks - taken : 0;
 }
 
+bool leader_has_newest_lasted(const job_t *job, msec_t now)
+{
+    return job->last_requested_at == 0 || now - job->last_requested_at >= JOB_BACKOFF_MAX_MS;
+}
+
 /* A job that fails on every machine must not fill the partitions with reservations, which is a
  * known weakness of projected least-loaded placement. After repeated failures, the job gets one
- * attempt at a time, with a growing back-off between attempts. */
-bool leader_job_admits(const job_t *job)
+ * attempt at a time, with a growing back-off between attempts. An attempt that has lasted for the
+ * longest back-off does not hinder the next one: the tasks of a service never end successfully, and
+ * those that run would otherwise keep the others from being started for good. */
+bool leader_job_admits(const job_t *job, msec_t now)
 {
     bool is_failing = job->consecutive_errors >= JOB_ERRORS_BACKOFF_COUNT;
-    return !job->is_completion_in_flight && !(is_failing && job->outstanding_count > 0);
+    bool waits_for_attempt = job->outstanding_count > 0 && !leader_has_newest_lasted(job, now);
+    return !job->is_completion_in_flight && !(is_failing && waits_for_attempt);
 }
 
 bool leader_is_job_blocked(const job_t *job, msec_t now)
 {
-    return now < job->retry_at || !leader_job_admits(job);
+    return now < job->retry_at || !leader_job_admits(job, now);
 }
--- a/src/core/leader/failure_records.c
+++ b/src/core/leader/failure_records.c
@@ -11,9 +11,12 @@
     job->retry_at = MAX(job->retry_at, retry_at);
 }
 
-/* The first failures cause no back-off, since a faulty machine may have caused them. */
+/* The first failures cause no back-off, since a faulty machine may have caused them. The tasks of a
+ * service never end successfully; instead, a service is successful while its attempts last. */
 static void back_off_after_error(job_t *job, msec_t now)
 {
+    if (job->spec.kind == KIND_SERVICE && leader_has_newest_lasted(job, now))
+        job->consecutive_errors = 0;
     job->consecutive_errors++;
     if (job->consecutive_errors < JOB_ERRORS_BACKOFF_COUNT)
         return;
--- a/src/core/leader/leader_internal.h
+++ b/src/core/leader/leader_internal.h
@@ -39,10 +39,15 @@
 /** Returns the number of the job's tasks that are neither done nor outstanding. */
 uint32_t leader_pending_task_count(const job_t *job);
 
-/** Returns whether the job may have one more outstanding task; its back-off is not considered.
- * Returns false while the commit in flight contains the job's completion and, after repeated
- * failures, while the job has an outstanding attempt. */
-bool leader_job_admits(const job_t *job);
+/** Returns whether even the job's newest attempt was requested JOB_BACKOFF_MAX_MS ago or earlier,
+ * or under an earlier view. */
+bool leader_has_newest_lasted(const job_t *job, msec_t now);
+
+/** Returns whether the job may have one more outstanding task at @p now; its back-off is not
+ * considered. Returns false while the commit in flight contains the job's completion and, after
+ * repeated failures, while the job has outstanding attempts of which the newest was requested less
+ * than JOB_BACKOFF_MAX_MS ago. */
+bool leader_job_admits(const job_t *job, msec_t now);
 
 /** Returns whether no task of the job may be placed at @p now, either because the job is backing
  * off or because leader_job_admits returns false. */
--- a/src/core/leader/leader_type.h
+++ b/src/core/leader/leader_type.h
@@ -43,6 +43,7 @@
     guint consecutive_errors;     /**< Failed attempts since the last success. */
     guint failed_machine_count;   /**< Number of machines on which attempts have failed since the
                                      last success of an attempt on any machine. */
+    msec_t last_requested_at;     /**< When a task was last requested; 0: never. */
     msec_t retry_at;              /**< No task of the job is requested before this time. */
     GHashTable *zone_outstanding; /**< Zone name (char *, owned) to the number of outstanding
                                      attempts there (GINT_TO_POINTER). */
--- a/tests/core/leader/test_failure_records.c
+++ b/tests/core/leader/test_failure_records.c
@@ -25,6 +25,63 @@
     assert_int_equal(later->len, 1);
 }
 
+/* Runs a round on a machine with 20 free cpus. Returns the number of requests. */
+static guint schedule_and_count_at(leader_fixture_t *fixture, msec_t now)
+{
+    set_idle_machine(fixture, 0, "zone-a", 20);
+    g_autoptr(GArray) requests = leader_schedule(fixture->leader, now, 2000, 100);
+    return requests->len;
+}
+
+/* Reports at this time that the outstanding attempt at the task has failed. */
+static void fail_task(leader_fixture_t *fixture, const char *job, uint32_t task, msec_t now)
+{
+    g_autoptr(GArray) attempts = leader_outstanding_attempts(fixture->leader, job);
+    for (guint i = 0; i < attempts->len; i++) {
+        attempt_result_t failed = {.ref = g_array_index(attempts, partition_attempt_t, i).ref,
+                                   .cause = CAUSE_ERROR};
+        if (failed.ref.task == task)
+            leader_handle_result(fixture->leader, 0, &failed, now);
+    }
+}
+
+static void add_job_of_kind(leader_fixture_t *fixture, job_kind_t kind)
+{
+    job_spec_t spec = make_job("j-000001", "team-b", 7);
+    spec.kind = kind;
+    add_job(fixture, &spec);
+    assert_int_equal(schedule_and_count_at(fixture, 1000), 7);
+}
+
+/* Guards against a service that loses replicas for good. Its replicas end with an error now and
+ * then, but never successfully, so after the fourth such end it counted as failing, however far
+ * apart the ends were, and its other replicas kept the lost ones from being started again. */
+static void test_lost_replicas_of_a_service_are_started_again(void **state)
+{
+    leader_fixture_t *fixture = *state;
+    add_job_of_kind(fixture, KIND_SERVICE);
+    for (uint32_t i = 0; i < 6; i++) {
+        msec_t now = 1000 + (i + 1) * (msec_t)JOB_BACKOFF_MAX_MS;
+        fail_task(fixture, "j-000001", i, now);
+        assert_int_equal(schedule_and_count_at(fixture, now), 1);
+    }
+}
+
+/* Guards against a job with running tasks that counts as failing and gets no further attempt: an
+ * attempt that lasts must not hinder the next one for more than JOB_BACKOFF_MAX_MS. */
+static void test_a_failing_job_with_running_tasks_gets_further_attempts(void **state)
+{
+    leader_fixture_t *fixture = *state;
+    add_job_of_kind(fixture, KIND_ARRAY);
+    for (uint32_t i = 0; i < JOB_ERRORS_BACKOFF_COUNT; i++)
+        fail_task(fixture, "j-000001", i, 1000);
+    assert_int_equal(schedule_and_count_at(fixture, 1000 + JOB_BACKOFF_MAX_MS - 1), 0);
+    msec_t first = 1000 + JOB_BACKOFF_MAX_MS;
+    assert_int_equal(schedule_and_count_at(fixture, first), 1);
+    assert_int_equal(schedule_and_count_at(fixture, first + JOB_BACKOFF_MAX_MS - 1), 0);
+    assert_int_equal(schedule_and_count_at(fixture, first + JOB_BACKOFF_MAX_MS), 1);
+}
+
 static void fail_on_machine(leader_fixture_t *fixture, const char *machine, const char *job,
                             uint32_t task)
 {
@@ -137,6 +194,10 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_job_that_fails_everywhere_backs_off, set_up_leader,
                                         tear_down_leader),
+        cmocka_unit_test_setup_teardown(test_lost_replicas_of_a_service_are_started_again,
+                                        set_up_leader, tear_down_leader),
+        cmocka_unit_test_setup_teardown(test_a_failing_job_with_running_tasks_gets_further_attempts,
+                                        set_up_leader, tear_down_leader),
         cmocka_unit_test_setup_teardown(test_machine_is_quarantined_after_failures_of_several_jobs,
                                         set_up_leader, tear_down_leader),
         cmocka_unit_test_setup_teardown(test_quarantine_ends_when_the_failing_jobs_are_cancelled,
