Leader: preemption is requested only where the task fits on a machine

What callers would see: urgent work that preempts nothing, although another partition has a machine for it. Found by reading, not reported. Change: leader_largest_partition counts only machines that are large enough for a task. Result: test_preemption_is_requested_where_the_task_fits_on_a_machine failed before the change and passes now.

--- a/src/core/leader/leader_internal.h
+++ b/src/core/leader/leader_internal.h
@@ -180,8 +180,8 @@
 machine_summary_t *leader_choose_summary(leader_t *leader, const job_t *job, guint *partition);
 
 /** Returns the index of the partition with the most cpus, free or in use, on machines that accept
- * starts and that the job allows. Returns G_MAXUINT if no partition has such a machine, so that a
- * request would only be refused. */
+ * starts, that the job allows and that are large enough for one of its tasks. Returns G_MAXUINT if
+ * no partition has such a machine, so that a request would only be refused. */
 guint leader_largest_partition(const leader_t *leader, const job_spec_t *spec);
 
 /** @} */
--- a/src/core/leader/partition_choice.c
+++ b/src/core/leader/partition_choice.c
@@ -92,14 +92,14 @@
     return chosen;
 }
 
-/* Returns the total cpus, free or in use, of the partition's machines that accept starts and that
- * the job allows. */
+/* Returns the total cpus, free or in use, of the partition's machines that accept starts, that the
+ * job allows and that are large enough for one of its tasks. */
 static double allowed_cpus(const GArray *summaries, const job_spec_t *spec)
 {
     double cpus = 0;
     for (guint i = 0; summaries && i < summaries->len; i++) {
         const machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, i);
-        if (summary->accepts_starts &&
+        if (summary->accepts_starts && resources_fit(spec->need, summary->total) &&
             job_spec_allows(spec, summary->type, summary->zone, summary->is_spot))
             cpus += summary->total.cpus;
     }
--- a/tests/core/leader/test_placement_requests.c
+++ b/tests/core/leader/test_placement_requests.c
@@ -30,6 +30,29 @@
     assert_int_equal(schedule_and_count(fixture), 3);
 }
 
+/* Guards against urgent work that never preempts: the partition with the most cpus was asked again
+ * and again, although the task is too large for each of its machines. */
+static void test_preemption_is_requested_where_the_task_fits_on_a_machine(void **state)
+{
+    enum { SMALL_MACHINES = 5 };
+    leader_fixture_t *fixture = *state;
+    job_spec_t urgent = make_job("j-000001", "team-b", 1);
+    GArray *summaries = g_array_new(FALSE, FALSE, sizeof(machine_summary_t));
+    for (guint i = 0; i < SMALL_MACHINES; i++) {
+        machine_summary_t summary = {
+            .type = "s", .zone = "zone-a", .accepts_starts = true, .total = {4, 0, 999}};
+        g_array_append_val(summaries, summary);
+    }
+    leader_set_summaries(fixture->leader, 0, summaries);
+    set_machine(fixture, 1, "zone-b", 16, 0);
+    urgent.priority = PRIORITY_HIGH;
+    urgent.need.cpus = 8;
+    add_job(fixture, &urgent);
+    g_autoptr(GArray) requests = schedule(fixture);
+    assert_int_equal(requests->len, 1);
+    assert_int_equal(request_at(requests, 0)->partition, 1);
+}
+
 static void test_same_zone_job_is_placed_in_a_single_zone(void **state)
 {
     leader_fixture_t *fixture = *state;
@@ -102,6 +125,9 @@
                                         set_up_leader, tear_down_leader),
         cmocka_unit_test_setup_teardown(test_no_placement_is_requested_without_an_eligible_machine,
                                         set_up_leader, tear_down_leader),
+        cmocka_unit_test_setup_teardown(
+            test_preemption_is_requested_where_the_task_fits_on_a_machine, set_up_leader,
+            tear_down_leader),
         cmocka_unit_test_setup_teardown(test_same_zone_job_is_placed_in_a_single_zone,
                                         set_up_leader, tear_down_leader),
         cmocka_unit_test_setup_teardown(test_spread_job_places_at_most_half_of_its_tasks_in_a_zone,
