Leader: machines are claimed only for jobs that can use them

What callers would see: work of lower priority waits up to 60 s for a machine that is claimed for a job which cannot run there. Found by reading, not reported. Cause: claims did not consider the same-zone and spread constraints given the outstanding tasks, nor whether a failing job may have another attempt. Change: is_claimable asks leader_job_admits_zone; serve_entry claims nothing if the job is not admitted. Result: the two new tests of test_machine_claims failed before the change and pass now.

--- a/src/core/leader/machine_claims.c
+++ b/src/core/leader/machine_claims.c
@@ -1,4 +1,5 @@
 /* Machine claims: machines that are kept for work that is too large to fit on any machine now. */
+#include "core/leader/demand.h"
 #include "core/leader/leader_internal.h"
 
 #include <math.h>
@@ -26,19 +27,20 @@
     claim->last_claimed_at = now;
 }
 
-static bool is_claimable(const leader_t *leader, const machine_summary_t *summary,
-                         const job_spec_t *spec, msec_t now)
+static bool is_claimable(const leader_t *leader, const machine_summary_t *summary, const job_t *job,
+                         msec_t now)
 {
+    const job_spec_t *spec = &job->spec;
     return summary->claim_priority <= PRIORITY_LOW && summary->accepts_starts &&
            resources_fit(spec->need, summary->total) &&
            job_spec_allows(spec, summary->type, summary->zone, summary->is_spot) &&
+           leader_job_admits_zone(job, summary->zone) &&
            !is_claim_exhausted(leader, summary->machine, now);
 }
 
 /* Returns the claimable machine that lacks the fewest free cpus for a task of the job, or NULL if
  * no machine is claimable. */
-static machine_summary_t *choose_machine_to_claim(leader_t *leader, const job_spec_t *spec,
-                                                  msec_t now)
+static machine_summary_t *choose_machine_to_claim(leader_t *leader, const job_t *job, msec_t now)
 {
     machine_summary_t *chosen = NULL;
     double least_shortfall = INFINITY;
@@ -47,8 +49,8 @@
         for (guint k = 0; summaries && k < summaries->len; k++) {
             machine_summary_t *summary = &g_array_index(summaries, machine_summary_t, k);
             leader->round.summaries_examined++;
-            double shortfall = spec->need.cpus - summary->free.cpus;
-            if (shortfall >= least_shortfall || !is_claimable(leader, summary, spec, now))
+            double shortfall = job->spec.need.cpus - summary->free.cpus;
+            if (shortfall >= least_shortfall || !is_claimable(leader, summary, job, now))
                 continue;
             chosen = summary;
             least_shortfall = shortfall;
@@ -67,7 +69,7 @@
     guint max_claims = MAX(1, leader->round.machine_count / CLAIMED_MACHINES_DIVISOR);
     if (leader->round.claimed_count >= max_claims)
         return false;
-    machine_summary_t *chosen = choose_machine_to_claim(leader, &job->spec, now);
+    machine_summary_t *chosen = choose_machine_to_claim(leader, job, now);
     if (!chosen)
         return false;
     chosen->claim_priority = (int)claim_priority;
--- a/src/core/leader/schedule.c
+++ b/src/core/leader/schedule.c
@@ -23,8 +23,9 @@
 {
     if (is_starvation_minimum_met(queued))
         return false;
-    if (leader_job_admits(queued->job, schedule->now) &&
-        leader_request_placement(schedule->leader, state, queued->job, schedule->requests)) {
+    if (!leader_job_admits(queued->job, schedule->now))
+        return false;
+    if (leader_request_placement(schedule->leader, state, queued->job, schedule->requests)) {
         queued->job->last_requested_at = schedule->now;
         return true;
     }
--- a/tests/core/leader/test_machine_claims.c
+++ b/tests/core/leader/test_machine_claims.c
@@ -87,6 +87,49 @@
                     MACHINES * (MACHINES / CLAIMED_MACHINES_DIVISOR));
 }
 
+/* Guards against machines that are kept for a job that cannot use them, because its other task is
+ * in another zone, which delays the work that can. */
+static void test_no_machine_is_claimed_in_a_zone_that_the_job_may_not_use(void **state)
+{
+    leader_fixture_t *fixture = *state;
+    job_spec_t large = make_job("j-000001", "team-b", 2);
+    job_spec_t small = make_job("j-000002", "team-b", 9);
+    large.need.cpus = 4;
+    large.needs_same_zone = true;
+    small.need.cpus = 1;
+    small.priority = PRIORITY_LOW;
+    add_job(fixture, &large);
+    add_job(fixture, &small);
+    record_entry_t entry = make_record_entry("j-000001", "team-b", 0, 7);
+    load_attempt(fixture, &entry, "zone-a", 0);
+    set_machine(fixture, 1, "zone-b", 4, 3);
+    g_autoptr(GArray) requests = schedule(fixture);
+    assert_int_equal(count_requests(requests, "j-000002"), 3);
+}
+
+/* Guards against machines that are kept for a job that gets only one attempt at a time because it
+ * fails. */
+static void test_no_machine_is_claimed_for_a_job_that_may_not_start_a_task(void **state)
+{
+    leader_fixture_t *fixture = *state;
+    add_large_and_small_job(fixture);
+    job_spec_t failing = make_job("j-000003", "team-b", JOB_ERRORS_BACKOFF_COUNT + 2);
+    failing.need.cpus = 4;
+    leader_remove_job(fixture->leader, "j-000001");
+    add_job(fixture, &failing);
+    for (uint32_t i = 0; i < JOB_ERRORS_BACKOFF_COUNT; i++) {
+        record_entry_t entry = make_record_entry("j-000003", "team-b", i, 7);
+        load_attempt(fixture, &entry, "zone-a", 0);
+        handle_result(fixture, 0, task_ref("j-000003", i, 7), CAUSE_ERROR);
+    }
+    set_idle_machine(fixture, 0, "zone-a", 4);
+    set_machine(fixture, 1, "zone-b", 4, 3);
+    g_autoptr(GArray) requests =
+        leader_schedule(fixture->leader, 1000 + JOB_BACKOFF_MAX_MS, 2000, 100);
+    assert_int_equal(count_requests(requests, "j-000003"), 1);
+    assert_int_equal(count_requests(requests, "j-000002"), 3);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -95,6 +138,12 @@
             tear_down_leader),
         cmocka_unit_test_setup_teardown(test_machine_claim_ends_after_the_maximum_time,
                                         set_up_leader, tear_down_leader),
+        cmocka_unit_test_setup_teardown(
+            test_no_machine_is_claimed_in_a_zone_that_the_job_may_not_use, set_up_leader,
+            tear_down_leader),
+        cmocka_unit_test_setup_teardown(
+            test_no_machine_is_claimed_for_a_job_that_may_not_start_a_task, set_up_leader,
+            tear_down_leader),
         cmocka_unit_test_setup_teardown(test_round_skips_summaries_for_work_that_fits_no_machine,
                                         set_up_leader, tear_down_leader),
     };
