Leader: no demand for tasks that the limits of their team do not admit

What callers would see: machines that are rented and kept for a team at its limit of gpus, or for a gang that exceeds what is left of its team's limit. Found by reading, not reported. Change: count_demanded_tasks considers both limits; a gang counts only as a whole. Result: test_there_is_no_demand_beyond_the_limits_of_the_team failed before the change and passes now.

--- a/src/core/leader/demand.c
+++ b/src/core/leader/demand.c
@@ -3,19 +3,29 @@
 
 #include "core/leader/leader_internal.h"
 
-/* Returns the number of pending tasks of the job that fit within the cpu limit of its team, but at
- * most one for a job that fails repeatedly. */
+/* Returns how many tasks that need this amount each fit within what is left of a limit; a limit of
+ * 0 is none. */
+static uint32_t count_within_limit(double limit, double outstanding, double need)
+{
+    if (limit <= 0 || need <= 0)
+        return TASKS_MAX_COUNT;
+    double tasks = MAX(limit - outstanding, 0) / need + RESOURCE_EPSILON;
+    return (uint32_t)MIN(tasks, (double)TASKS_MAX_COUNT);
+}
+
+/* Returns the number of pending tasks of the job that fit within the limits of its team, but at
+ * most one for a job that fails repeatedly. Returns 0 for a gang of which not all tasks fit. */
 static uint32_t count_demanded_tasks(const job_t *job, const team_state_t *state)
 {
-    uint32_t tasks = leader_pending_task_count(job);
-    if (state->team.max_cpus > 0 && job->spec.need.cpus > 0) {
-        double cpus_left = MAX(state->team.max_cpus - state->outstanding_cpus, 0);
-        double tasks_left = cpus_left / job->spec.need.cpus;
-        tasks = MIN(tasks, (uint32_t)MIN(tasks_left, (double)TASKS_MAX_COUNT));
-    }
-    if (job->consecutive_errors >= JOB_ERRORS_BACKOFF_COUNT)
-        tasks = MIN(tasks, 1);
-    return tasks;
+    const uint32_t pending = leader_pending_task_count(job);
+    const resources_t *need = &job->spec.need;
+    uint32_t tasks =
+        MIN(pending, count_within_limit(state->team.max_cpus, state->outstanding_cpus, need->cpus));
+    tasks =
+        MIN(tasks, count_within_limit(state->team.max_gpus, state->outstanding_gpus, need->gpus));
+    if (job->spec.kind == KIND_GANG)
+        return tasks < pending ? 0 : tasks;
+    return job->consecutive_errors >= JOB_ERRORS_BACKOFF_COUNT ? MIN(tasks, 1) : tasks;
 }
 
 GArray *leader_demand(const leader_t *leader, msec_t now)
--- a/tests/core/leader/test_quota.c
+++ b/tests/core/leader/test_quota.c
@@ -1,4 +1,5 @@
 /* Tests of quotas: every attempt counts against its team's limit until it is proven to be over. */
+#include "core/leader/demand.h"
 #include "leader_fixture.h"
 #include "unit_test.h"
 
@@ -59,6 +60,39 @@
     }
 }
 
+/* Returns the number of tasks of the only job for which there is demand. */
+static uint32_t count_demanded(const leader_fixture_t *fixture)
+{
+    g_autoptr(GArray) demand = leader_demand(fixture->leader, 1000);
+    return demand->len ? g_array_index(demand, job_demand_t, 0).tasks : 0;
+}
+
+/* Guards against machines that are scaled out, and kept, for tasks that the limits of their team do
+ * not admit: gpus were not considered, and neither that a gang needs all of its tasks at once. */
+static void test_there_is_no_demand_beyond_the_limits_of_the_team(void **state)
+{
+    leader_fixture_t *fixture = *state;
+    add_team(fixture, "team-c", 0, 0);
+    g_array_index(fixture->teams, team_t, 2).max_gpus = 3;
+    replace_leader(fixture, 1, 3);
+    job_spec_t spec = make_job("j-000001", "team-c", 9);
+    spec.need.gpus = 1;
+    add_job(fixture, &spec);
+    assert_int_equal(count_demanded(fixture), 3);
+    replace_leader(fixture, 1, 3);
+    spec = make_job("j-000001", "team-a", 13); /* team-a has 24 cpus at most */
+    add_job(fixture, &spec);
+    assert_int_equal(count_demanded(fixture), 12);
+    replace_leader(fixture, 1, 3);
+    spec.kind = KIND_GANG;
+    add_job(fixture, &spec);
+    assert_int_equal(count_demanded(fixture), 0);
+    replace_leader(fixture, 1, 3);
+    spec.tasks = 12;
+    add_job(fixture, &spec);
+    assert_int_equal(count_demanded(fixture), 12);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -67,6 +101,8 @@
         cmocka_unit_test_setup_teardown(
             test_recorded_attempts_of_ended_jobs_count_against_the_quota, set_up_leader,
             tear_down_leader),
+        cmocka_unit_test_setup_teardown(test_there_is_no_demand_beyond_the_limits_of_the_team,
+                                        set_up_leader, tear_down_leader),
         cmocka_unit_test_setup_teardown(test_quotas_hold_across_a_leader_change_with_cancellations,
                                         set_up_leader, tear_down_leader),
     };
