Leader: a refused request does not hide urgent work from scale-out

What callers would see: urgent work waits for the only machine that it can use, and no other one is requested. Cause: work that may preempt is requested, refused, backs off for 0.5 s and is requested again. During the back-off the job was not among the demand, and during the request its task is not pending, so scale-out saw it by chance only. Change: only a back-off after failures takes a job out of the demand.

--- a/src/core/leader/demand.c
+++ b/src/core/leader/demand.c
@@ -28,6 +28,15 @@
     return job->consecutive_errors >= JOB_ERRORS_BACKOFF_COUNT ? MIN(tasks, 1) : tasks;
 }
 
+/* Returns whether the job needs no machines now: it backs off after failures, or its completion is
+ * being committed. The short back-off after a refused request does not count. Urgent work is
+ * requested with preemption and refused again and again while no machine has capacity for it. */
+static bool is_failing_or_complete(const job_t *job, msec_t now)
+{
+    bool is_failing = job->consecutive_errors >= JOB_ERRORS_BACKOFF_COUNT;
+    return is_failing ? leader_is_job_blocked(job, now) : !leader_job_admits(job, now);
+}
+
 GArray *leader_demand(const leader_t *leader, msec_t now)
 {
     GArray *demand = g_array_new(FALSE, FALSE, sizeof(job_demand_t));
@@ -38,7 +47,7 @@
         job_t *job = value;
         guint team = 0;
         const team_state_t *state = leader_find_team(leader, job->spec.team, &team);
-        if (!state || leader_is_job_blocked(job, now))
+        if (!state || is_failing_or_complete(job, now))
             continue;
         job_demand_t entry = {.job = job, .team = team, .tasks = count_demanded_tasks(job, state)};
         if (entry.tasks)
--- a/src/core/leader/demand.h
+++ b/src/core/leader/demand.h
@@ -14,8 +14,9 @@
 } job_demand_t;
 
 /** Returns the demand of the live jobs whose tasks may be placed at @p now: an array of
- * job_demand_t, transfer full. Jobs that are backing off are left out. The job pointers in the
- * array are valid until the leader is changed. Called with the controller's lock held. */
+ * job_demand_t, transfer full. Jobs that are backing off after failures are left out. The job
+ * pointers in the array are valid until the leader is changed. Called with the controller's lock
+ * held. */
 GArray *leader_demand(const leader_t *leader, msec_t now);
 
 /** Returns whether the same-zone and spread constraints of the job, given its outstanding attempts,
--- a/tests/controller/test_controller_job_lists_soak.c
+++ b/tests/controller/test_controller_job_lists_soak.c
@@ -5,22 +5,11 @@
  * and SOAK_SEED another seed. Time and revisions are those of the test. */
 #include "controller/placement/record_loader.h"
 #include "controller_fixture.h"
-#include "io/codec/codec.h"
-
-#include <stdlib.h>
+#include "soak_setting.h"
+#include "stored_jobs.h"
 
 enum { DEFAULT_EVENTS = 20000, DEFAULT_SEED = 34, EVENTS_PER_CHECK = 40 };
 
-static const char own_machine[] = "m-000001";
-
-/* A job in the store. */
-typedef struct stored_job {
-    char id[ID_BYTES];
-    uint64_t created_at; /* revision */
-    uint64_t ended_at;   /* revision; 0: it is live */
-    bool is_recorded;    /* whether the machine's record has an attempt of it */
-} stored_job_t;
-
 /* An answer of the store that has not been applied yet. */
 typedef struct answer {
     bool is_pending;
@@ -49,48 +38,6 @@
     return (guint)g_rand_int_range(soak->random, 0, (gint32)count);
 }
 
-static stored_job_t *job_at(const soak_t *soak, guint index)
-{
-    return &g_array_index(soak->jobs, stored_job_t, index);
-}
-
-static void append_entry(GArray *entries, const stored_job_t *job, bool is_deletion)
-{
-    job_spec_t spec = {.tasks = 1, .need = {1, 0, 1}, .team = "team-a", .class_name = "c"};
-    g_strlcpy(spec.id, job->id, sizeof spec.id);
-    g_strlcpy(spec.image, "i", sizeof spec.image);
-    kv_entry_t entry = {.key = g_strconcat(JOBS_PREFIX, job->id, NULL),
-                        .value = is_deletion ? NULL : codec_build_job(&spec),
-                        .revision = is_deletion ? job->ended_at : job->created_at};
-    g_array_append_val(entries, entry);
-}
-
-static void append_live_jobs(const soak_t *soak, GArray *entries)
-{
-    for (guint i = 0; i < soak->jobs->len; i++)
-        if (!job_at(soak, i)->ended_at)
-            append_entry(entries, job_at(soak, i), false);
-}
-
-static gint compare_revisions(gconstpointer left, gconstpointer right)
-{
-    uint64_t first = ((const kv_entry_t *)left)->revision;
-    uint64_t second = ((const kv_entry_t *)right)->revision;
-    return (first > second) - (first < second);
-}
-
-static void append_changes(const soak_t *soak, GArray *changes)
-{
-    for (guint i = 0; i < soak->jobs->len; i++) {
-        const stored_job_t *job = job_at(soak, i);
-        if (job->created_at > soak->watch_revision)
-            append_entry(changes, job, false);
-        if (job->ended_at > soak->watch_revision)
-            append_entry(changes, job, true);
-    }
-    g_array_sort(changes, compare_revisions);
-}
-
 static void submit(soak_t *soak)
 {
     stored_job_t job = {.created_at = ++soak->revision};
@@ -103,7 +50,7 @@
 {
     if (soak->jobs->len == 0)
         return;
-    stored_job_t *job = job_at(soak, random_below(soak, soak->jobs->len));
+    stored_job_t *job = stored_job_at(soak->jobs, random_below(soak, soak->jobs->len));
     if (job->ended_at)
         return;
     job->ended_at = ++soak->revision;
@@ -121,9 +68,9 @@
     soak->watch_answer = (answer_t){
         .is_pending = true, .entries = kv_entries_new(), .coverage = {soak->revision, soak->now}};
     if (soak->is_list)
-        append_live_jobs(soak, soak->watch_answer.entries);
+        stored_jobs_append_live(soak->jobs, soak->watch_answer.entries);
     else
-        append_changes(soak, soak->watch_answer.entries);
+        stored_jobs_append_changes(soak->jobs, soak->watch_revision, soak->watch_answer.entries);
 }
 
 static void apply_watch(soak_t *soak)
@@ -141,40 +88,6 @@
     answer->is_pending = false;
 }
 
-/* Returns the machine's record, with an attempt of each recorded job. */
-static machine_record_t build_machine_record(const soak_t *soak)
-{
-    machine_record_t machine = {.worker_epoch = 1,
-                                .entries = g_array_new(FALSE, TRUE, sizeof(record_entry_t))};
-    g_strlcpy(machine.machine, own_machine, sizeof machine.machine);
-    g_strlcpy(machine.address, "127.0.0.1:1", sizeof machine.address);
-    g_strlcpy(machine.type, "t", sizeof machine.type);
-    g_strlcpy(machine.zone, "zone-a", sizeof machine.zone);
-    for (guint i = 0; i < soak->jobs->len; i++) {
-        const stored_job_t *job = job_at(soak, i);
-        record_entry_t attempt = {
-            .team = "team-a", .image = "i", .need = {1, 0, 1}, .attempt = job->created_at};
-        g_strlcpy(attempt.job, job->id, sizeof attempt.job);
-        if (job->is_recorded)
-            g_array_append_val(machine.entries, attempt);
-    }
-    return machine;
-}
-
-static void read_machines(soak_t *soak)
-{
-    page_record_t page = {.machines = machine_records_new()};
-    shard_of(own_machine, "zone-a", page.shard, sizeof page.shard);
-    machine_record_t machine = build_machine_record(soak);
-    g_array_append_val(page.machines, machine);
-    kv_entry_t entry = {.key = g_strconcat("machines/", page.shard, NULL),
-                        .value = codec_build_page_record(&page),
-                        .revision = 3};
-    g_array_append_val(soak->listing.machines, entry);
-    g_array_unref(page.machines);
-    soak->has_machines = true;
-}
-
 /* Takes the next step of a load: reads machines/, reads jobs/, applies both. */
 static void advance_load(soak_t *soak)
 {
@@ -182,10 +95,11 @@
         return;
     if (!soak->has_machines) {
         soak->listing = record_listing_new();
-        read_machines(soak);
+        stored_jobs_append_page(soak->jobs, soak->listing.machines);
+        soak->has_machines = true;
     } else if (!soak->has_jobs) {
         soak->listing.jobs_coverage = (kv_coverage_t){soak->revision, soak->now};
-        append_live_jobs(soak, soak->listing.jobs);
+        stored_jobs_append_live(soak->jobs, soak->listing.jobs);
         soak->has_jobs = true;
     } else {
         record_loader_apply(soak->controller, &soak->listing, soak->now);
@@ -219,11 +133,11 @@
                                     .heartbeat_sequence = (uint64_t)soak->now,
                                     .fencing_token = soak->controller->membership.view.number,
                                     .interruption_in_s = -1};
-    g_strlcpy(heartbeat.machine, own_machine, sizeof heartbeat.machine);
+    g_strlcpy(heartbeat.machine, stored_machine_id, sizeof heartbeat.machine);
     g_strlcpy(heartbeat.address, "127.0.0.1:1", sizeof heartbeat.address);
     heartbeat.attempts = g_array_new(FALSE, TRUE, sizeof(reported_attempt_t));
     for (guint i = 0; i < soak->jobs->len; i++) {
-        const stored_job_t *job = job_at(soak, i);
+        const stored_job_t *job = stored_job_at(soak->jobs, i);
         reported_attempt_t attempt = {.attempt = job->created_at, .state = TASK_RUNNING};
         g_strlcpy(attempt.job, job->id, sizeof attempt.job);
         if (job->is_recorded)
@@ -248,7 +162,7 @@
     partition_t *partition = soak->controller->placement.partition;
     if (soak->jobs->len == 0 || !soak->controller->placement.is_loaded)
         return;
-    stored_job_t *job = job_at(soak, random_below(soak, soak->jobs->len));
+    stored_job_t *job = stored_job_at(soak->jobs, random_below(soak, soak->jobs->len));
     if (job->ended_at || job->is_recorded)
         return;
     g_autoptr(GArray) commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
@@ -314,7 +228,7 @@
     assert_true(jobs->revision >= before->revision);
     assert_true(jobs->complete_until >= before->complete_until);
     for (guint i = 0; i < soak->jobs->len; i++) {
-        const stored_job_t *job = job_at(soak, i);
+        const stored_job_t *job = stored_job_at(soak->jobs, i);
         bool is_missing =
             job->created_at <= jobs->revision && !g_hash_table_contains(jobs->live, job->id);
         assert_false(is_missing && !job->ended_at);
@@ -344,7 +258,7 @@
     soak->now++;
     exchange_heartbeat(soak, commands);
     for (guint i = 0; i < soak->jobs->len; i++) {
-        const stored_job_t *job = job_at(soak, i);
+        const stored_job_t *job = stored_job_at(soak->jobs, i);
         assert_int_equal(g_hash_table_contains(controller->jobs.live, job->id), !job->ended_at);
         if (controller->membership.is_leader)
             assert_int_equal(leader_find_job(controller->placement.leader, job->id) != NULL,
@@ -358,8 +272,8 @@
 static void clear_jobs(soak_t *soak)
 {
     for (guint i = 0; i < soak->jobs->len; i++)
-        if (!job_at(soak, i)->ended_at)
-            job_at(soak, i)->ended_at = ++soak->revision;
+        if (!stored_job_at(soak->jobs, i)->ended_at)
+            stored_job_at(soak->jobs, i)->ended_at = ++soak->revision;
     execute_watch(soak);
     apply_watch(soak);
     g_array_set_size(soak->jobs, 0);
@@ -368,9 +282,8 @@
 
 static soak_t soak_new(const fixture_t *fixture, bool is_leader)
 {
-    const char *seed = getenv("SOAK_SEED");
     soak_t soak = {.controller = fixture_new_idle_controller(fixture, 2),
-                   .random = g_rand_new_with_seed(seed ? (guint32)atoi(seed) : DEFAULT_SEED),
+                   .random = g_rand_new_with_seed(soak_setting("SOAK_SEED", DEFAULT_SEED)),
                    .jobs = g_array_new(FALSE, FALSE, sizeof(stored_job_t)),
                    .revision = 10,
                    .now = 1000};
@@ -388,8 +301,7 @@
 
 static void play(const fixture_t *fixture, bool is_leader)
 {
-    const char *count = getenv("SOAK_EVENTS");
-    guint events = count ? (guint)atoi(count) : DEFAULT_EVENTS;
+    guint events = soak_setting("SOAK_EVENTS", DEFAULT_EVENTS);
     soak_t soak = soak_new(fixture, is_leader);
     for (guint i = 1; i <= events; i++) {
         job_directory_t before = soak.controller->jobs;
--- a/tests/core/leader/test_quota.c
+++ b/tests/core/leader/test_quota.c
@@ -93,6 +93,22 @@
     assert_int_equal(count_demanded(fixture), 12);
 }
 
+/* Guards against urgent work for which no machine is scaled out. It is requested with preemption,
+ * refused, and requested again half a second later, so it was seldom among the demand. */
+static void test_a_refused_request_does_not_hide_demand(void **state)
+{
+    leader_fixture_t *fixture = *state;
+    job_spec_t urgent = make_job("j-000001", "team-b", 1);
+    urgent.priority = PRIORITY_HIGH;
+    add_job(fixture, &urgent);
+    set_machine(fixture, 0, "zone-a", 16, 0);
+    g_autoptr(GArray) requests = schedule(fixture);
+    assert_int_equal(requests->len, 1);
+    handle_result(fixture, 0, task_ref("j-000001", 0, request_at(requests, 0)->request.attempt),
+                  CAUSE_FULL);
+    assert_int_equal(count_demanded(fixture), 1);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -103,6 +119,8 @@
             tear_down_leader),
         cmocka_unit_test_setup_teardown(test_there_is_no_demand_beyond_the_limits_of_the_team,
                                         set_up_leader, tear_down_leader),
+        cmocka_unit_test_setup_teardown(test_a_refused_request_does_not_hide_demand, set_up_leader,
+                                        tear_down_leader),
         cmocka_unit_test_setup_teardown(test_quotas_hold_across_a_leader_change_with_cancellations,
                                         set_up_leader, tear_down_leader),
     };
