Key-value store: lists continue after keys with a plus sign

Cause: the key after which a page begins was not escaped in the query. A plus sign stands for a space there, which sorts before it, so the page began with the same key again, without an end. Change: the key is escaped. The fake store lists in pages.

--- a/src/io/kv_store.c
+++ b/src/io/kv_store.c
@@ -106,8 +106,10 @@
 {
     char path[URL_BYTES];
     json_auto_t *answer = NULL;
+    /* In a query, an unescaped plus sign stands for a space. */
+    g_autofree char *escaped = after_key ? g_uri_escape_string(after_key, "/", FALSE) : NULL;
     g_snprintf(path, sizeof path, "/keys?Under=%s%s%s&Limit=%d", prefix, after_key ? "&Since=" : "",
-               after_key ? after_key : "", KEYS_PAGE_COUNT);
+               after_key ? escaped : "", KEYS_PAGE_COUNT);
     kv_result_t result = send_request(kv_store, client, "GET", path, NULL, KV_TIMEOUT_MS, &answer);
     if (result != KV_OK)
         return result;
--- a/tests/fakes/fake_kv_server.c
+++ b/tests/fakes/fake_kv_server.c
@@ -46,7 +46,9 @@
     return strcmp((*(kv_entry_t *const *)left)->key, (*(kv_entry_t *const *)right)->key);
 }
 
-static fake_http_answer_t list_keys(const fake_kv_server_t *server, const char *prefix)
+/* Returns the page of the keys with the prefix that follows the key `after`, which may be empty. */
+static fake_http_answer_t list_keys(const fake_kv_server_t *server, const char *prefix,
+                                    const char *after, guint64 limit)
 {
     g_autoptr(GPtrArray) found = g_ptr_array_new(); /* of kv_entry_t *, borrowed */
     GHashTableIter iter;
@@ -54,14 +56,14 @@
     gpointer entry;
     g_hash_table_iter_init(&iter, server->store->keys);
     while (g_hash_table_iter_next(&iter, &key, &entry))
-        if (g_str_has_prefix(key, prefix))
+        if (g_str_has_prefix(key, prefix) && strcmp(key, after) > 0)
             g_ptr_array_add(found, entry);
     g_ptr_array_sort(found, compare_keys);
     json_t *entries = json_array();
-    for (guint i = 0; i < found->len; i++)
+    for (guint i = 0; i < found->len && i < limit; i++)
         json_array_append_new(entries, build_entry(g_ptr_array_index(found, i)));
-    return answer_with(200, json_pack("{s:o,s:b,s:I}", "Entries", entries, "More", 0, "Logline",
-                                      current_revision(server)));
+    return answer_with(200, json_pack("{s:o,s:b,s:I}", "Entries", entries, "More",
+                                      found->len > limit, "Logline", current_revision(server)));
 }
 
 static json_t *build_change(const fake_kv_change_t *change)
@@ -209,7 +211,9 @@
         return execute_txn(server, txn);
     }
     if (strcmp(path, "/keys") == 0)
-        return list_keys(server, fake_http_query(request, "Under"));
+        return list_keys(server, fake_http_query(request, "Under"),
+                         fake_http_query(request, "Since"),
+                         g_ascii_strtoull(fake_http_query(request, "Limit"), NULL, 10));
     if (strcmp(path, "/follow") == 0)
         return watch_changes(
             server, fake_http_query(request, "Under"),
