Leader: attempt numbers count requests only, and do not run into those of the next view

Cause: every try to place a job used a number of the view's 16 million, also if nothing was requested. Change: only requests use numbers. After half of them, the placement loop advances the fencing token, and the counter begins anew with the new view. Result: test_only_requests_use_attempt_numbers failed before the change (20 numbers for no request) and passes now.

--- a/src/constants/kv_store.h
+++ b/src/constants/kv_store.h
@@ -10,7 +10,8 @@
     KEYS_PAGE_COUNT = 500, /**< Keys per list request: half of the store's limit, to save memory. */
     CHUNK_BITS = 16384,    /**< Tasks in one progress key: 2 KiB, or 2.7 KiB as base64. */
     /** An attempt number is the view number shifted left by this many bits, plus a counter of the
-     * view's attempts, of which there may be 16 million. The number stays below 2^53. */
+     * view's attempts, of which there may be 16 million. The number stays below 2^53. After half
+     * of them, the leader advances the view number. */
     ATTEMPT_SHIFT_BITS = 24,
     SHARDS_PER_ZONE_COUNT = 12, /**< Members own whole shards. A large one has several pages. */
     RECORD_RESERVE_BYTES = 512, /**< Space kept free below value_kb in the record of a page. */
--- a/src/controller/placement/placement_loop.c
+++ b/src/controller/placement/placement_loop.c
@@ -21,7 +21,8 @@
 typedef struct placement_round {
     record_batch_t batch;
     bool has_changes;             /* whether there is anything to commit */
-    bool needs_new_fencing_token; /* whether the partition waits for a higher fencing token */
+    bool needs_new_fencing_token; /* whether the partition waits for a higher fencing token, or the
+                                     leader needs new attempt numbers */
     uint64_t view_revision;       /* revision of view/number when the batch was taken */
 } placement_round_t;
 
@@ -135,6 +136,13 @@
         take_progress_locked(controller, batch, now, PROGRESS_BATCH_DELAY_MS);
 }
 
+static bool needs_new_fencing_token_locked(const controller_t *controller)
+{
+    return partition_needs_new_fencing_token(controller->placement.partition) ||
+           (controller->membership.is_leader &&
+            leader_needs_new_view(controller->placement.leader));
+}
+
 static void prepare_round_locked(placement_loop_t *loop, placement_round_t *round)
 {
     controller_t *controller = loop->controller;
@@ -145,9 +153,8 @@
     take_batch_locked(controller, &round->batch, now);
     forward_results_locked(controller, now);
     round->has_changes = round->batch.usage.ops > 0;
-    round->needs_new_fencing_token =
-        partition_needs_new_fencing_token(controller->placement.partition) &&
-        now - loop->fencing_token_advanced_at > FENCING_TOKEN_GAP_MS;
+    round->needs_new_fencing_token = needs_new_fencing_token_locked(controller) &&
+                                     now - loop->fencing_token_advanced_at > FENCING_TOKEN_GAP_MS;
     round->view_revision = controller->membership.view.revision;
 }
 
--- a/src/core/leader/leader.h
+++ b/src/core/leader/leader.h
@@ -80,6 +80,10 @@
  * exceeds that limit. Transfer full. */
 GArray *leader_schedule(leader_t *leader, msec_t now, int64_t wall_clock_ms, guint max_requests);
 
+/** Returns whether half of the view's attempt numbers are used, so that the fencing token is to be
+ * advanced: numbers beyond those of the view would belong to the next one. */
+bool leader_needs_new_view(const leader_t *leader);
+
 /** Returns whether the attempt is outstanding. */
 bool leader_is_outstanding(const leader_t *leader, const task_ref_t *ref);
 
--- a/src/core/leader/placement_requests.c
+++ b/src/core/leader/placement_requests.c
@@ -93,7 +93,8 @@
     request->job_revision = job->revision;
 }
 
-/* Requests placement of one task under the current attempt number. */
+/* Requests placement of one task under the next attempt number. The caller counts the number as
+ * used once all requests under it are made. */
 static bool request_task(leader_t *leader, const team_state_t *state, job_t *job, GArray *requests)
 {
     uint32_t task = 0;
@@ -105,7 +106,7 @@
     placement_request_t *request = &leader_request.request;
     copy_job_fields(job, request);
     request->task = task;
-    request->attempt = (leader->view << ATTEMPT_SHIFT_BITS) + leader->attempt_count;
+    request->attempt = (leader->view << ATTEMPT_SHIFT_BITS) + leader->attempt_count + 1;
     leader_add_outstanding(leader, task_ref(job->spec.id, task, request->attempt), job->spec.team,
                            job->spec.need, request->zone, leader_request.partition);
     g_array_append_val(requests, leader_request);
@@ -145,12 +146,13 @@
     if (pending_count == 0)
         return false; /* the caller repeats the call while it returns true */
     GPtrArray *saved_summaries = copy_summaries(leader);
-    leader->attempt_count++;
     uint32_t requested_count = 0;
     while (requested_count < pending_count && request_task(leader, state, job, requests))
         requested_count++;
     bool is_complete = requested_count == pending_count;
-    if (!is_complete) {
+    if (is_complete) {
+        leader->attempt_count++;
+    } else {
         withdraw_requests(leader, job, requests, first);
         GPtrArray *modified_summaries = leader->summaries;
         leader->summaries = saved_summaries;
@@ -165,6 +167,12 @@
 {
     if (job->spec.kind == KIND_GANG)
         return request_gang(leader, state, job, requests);
-    leader->attempt_count++;
-    return request_task(leader, state, job, requests);
+    bool is_requested = request_task(leader, state, job, requests);
+    leader->attempt_count += is_requested;
+    return is_requested;
+}
+
+bool leader_needs_new_view(const leader_t *leader)
+{
+    return leader->attempt_count >= (1ULL << ATTEMPT_SHIFT_BITS) / 2;
 }
--- a/tests/core/leader/test_placement_requests.c
+++ b/tests/core/leader/test_placement_requests.c
@@ -103,6 +103,29 @@
     assert_int_equal(count_requests(requests, "j-000002"), 1); /* at most 2 of 3 in zone-a */
 }
 
+/* Guards against attempt numbers of one view that run into those of the next one. Each round tried
+ * to place every waiting job and used a number for it, so a long queue used up the 16 million
+ * numbers of a view within hours. */
+static void test_only_requests_use_attempt_numbers(void **state)
+{
+    leader_fixture_t *fixture = *state;
+    job_spec_t array = make_job("j-000001", "team-b", 1);
+    job_spec_t gang = make_job("j-000002", "team-b", 2);
+    gang.kind = KIND_GANG;
+    add_job(fixture, &array);
+    add_job(fixture, &gang);
+    set_machine(fixture, 0, "zone-a", 16, 0);
+    for (guint i = 0; i < 10; i++)
+        assert_int_equal(schedule_and_count(fixture), 0);
+    assert_int_equal(fixture->leader->attempt_count, 0);
+    set_idle_machine(fixture, 0, "zone-a", 16);
+    assert_int_equal(schedule_and_count(fixture), 3);
+    assert_int_equal(fixture->leader->attempt_count, 2);
+    assert_false(leader_needs_new_view(fixture->leader));
+    fixture->leader->attempt_count = 1 << (ATTEMPT_SHIFT_BITS - 1);
+    assert_true(leader_needs_new_view(fixture->leader));
+}
+
 static void test_gang_is_requested_completely_or_not_at_all(void **state)
 {
     leader_fixture_t *fixture = *state;
@@ -134,6 +157,8 @@
                                         set_up_leader, tear_down_leader),
         cmocka_unit_test_setup_teardown(test_zone_limits_count_attempts_until_proven_to_be_over,
                                         set_up_leader, tear_down_leader),
+        cmocka_unit_test_setup_teardown(test_only_requests_use_attempt_numbers, set_up_leader,
+                                        tear_down_leader),
         cmocka_unit_test_setup_teardown(test_gang_is_requested_completely_or_not_at_all,
                                         set_up_leader, tear_down_leader),
     };
