Autoscaler: an overdue booting instance does not count as capacity

What callers would see: a job waits for an instance that never comes up, until it is terminated. Change: an instance that has been booting for more than two boot times does not count, in the balance and for constrained demand. It is terminated as before, and used if it comes up. The random test has such machines.

--- a/src/constants/autoscaler.h
+++ b/src/constants/autoscaler.h
@@ -50,4 +50,8 @@
  * checkpoint is moved to other machines. */
 static const double DRAIN_MIN_FREE_FRACTION = 0.5;
 
+/** Multiple of a type's boot time after which a booting instance does not count as capacity. Boots
+ * usually take up to 1.5 times as long (protocol); the rest is for the first heartbeats. */
+static const double BOOT_OVERDUE_FACTOR = 2.0;
+
 #endif
--- a/src/core/autoscaler/autoscaler.c
+++ b/src/core/autoscaler/autoscaler.c
@@ -92,6 +92,13 @@
     return stuck;
 }
 
+bool autoscaler_is_boot_overdue(const booting_instance_t *booting,
+                                const machine_type_t *machine_type, msec_t now)
+{
+    double usual_boot_ms = machine_type->boot_s * MS_PER_S;
+    return (double)(now - booting->requested_at) > usual_boot_ms * BOOT_OVERDUE_FACTOR;
+}
+
 static char *refusal_key(const char *type, const char *zone, bool spot)
 {
     return g_strdup_printf("%s %s %s", type, zone, spot ? "spot" : "on-demand");
--- a/src/core/autoscaler/autoscaler_internal.h
+++ b/src/core/autoscaler/autoscaler_internal.h
@@ -76,6 +76,11 @@
 double autoscaler_justified_on_demand_cpus(const leader_t *leader,
                                            const autoscaler_balance_t *balance, double max_wait_s);
 
+/** Returns whether the instance, which is of this type, has been booting for longer than usual. It
+ * may never come up, so it does not count as capacity any more. */
+bool autoscaler_is_boot_overdue(const booting_instance_t *booting,
+                                const machine_type_t *machine_type, msec_t now);
+
 /** Returns the machine type with this name, or NULL if there is none; transfer none. */
 const machine_type_t *autoscaler_find_machine_type(const GArray *machine_types, const char *name);
 
--- a/src/core/autoscaler/constrained_demand.c
+++ b/src/core/autoscaler/constrained_demand.c
@@ -171,7 +171,7 @@
     constrained_demand_t *constrained = g_new0(constrained_demand_t, 1);
     constrained->leader = leader;
     constrained->groups = g_ptr_array_new_with_free_func(free_group);
-    constrained->pools = machine_pools_new(autoscaler, leader, machine_types);
+    constrained->pools = machine_pools_new(autoscaler, leader, machine_types, now);
     add_groups(constrained, now, wall_clock_ms);
     return constrained;
 }
--- a/src/core/autoscaler/demand_balance.c
+++ b/src/core/autoscaler/demand_balance.c
@@ -80,7 +80,7 @@
 }
 
 static void add_booting(autoscaler_balance_t *balance, const autoscaler_t *autoscaler,
-                        const GArray *machine_types)
+                        const GArray *machine_types, msec_t now)
 {
     GHashTableIter iter;
     gpointer value;
@@ -89,7 +89,7 @@
         const booting_instance_t *booting = value;
         const machine_type_t *machine_type =
             autoscaler_find_machine_type(machine_types, booting->type);
-        if (!machine_type)
+        if (!machine_type || autoscaler_is_boot_overdue(booting, machine_type, now))
             continue;
         resources_add(&balance->booting, machine_type->capacity, 1);
         balance->on_demand_cpus += booting->is_spot ? 0 : machine_type->capacity.cpus;
@@ -105,7 +105,7 @@
     resources_add(&balance.demand, constrained->unservable, -1);
     measure_team_demand(leader, now, &balance);
     add_running(&balance, leader);
-    add_booting(&balance, autoscaler, machine_types);
+    add_booting(&balance, autoscaler, machine_types, now);
     return balance;
 }
 
--- a/src/core/autoscaler/machine_pools.c
+++ b/src/core/autoscaler/machine_pools.c
@@ -63,7 +63,7 @@
 }
 
 static void add_booting_instances(machine_pools_t *pools, const autoscaler_t *autoscaler,
-                                  const GArray *machine_types)
+                                  const GArray *machine_types, msec_t now)
 {
     GHashTableIter iter;
     gpointer value;
@@ -72,7 +72,7 @@
         const booting_instance_t *booting = value;
         const machine_type_t *machine_type =
             autoscaler_find_machine_type(machine_types, booting->type);
-        if (!machine_type)
+        if (!machine_type || autoscaler_is_boot_overdue(booting, machine_type, now))
             continue;
         resources_t capacity = machine_type->capacity;
         guint index = ensure_pool(pools, booting->type, booting->zone, booting->is_spot, capacity);
@@ -95,13 +95,13 @@
 }
 
 machine_pools_t machine_pools_new(const autoscaler_t *autoscaler, const leader_t *leader,
-                                  const GArray *machine_types)
+                                  const GArray *machine_types, msec_t now)
 {
     machine_pools_t pools = {.pools = g_array_new(FALSE, FALSE, sizeof(machine_pool_t)),
                              .machines = g_array_new(FALSE, FALSE, sizeof(running_machine_t)),
                              .smallest_capacity = {INFINITY, INFINITY, INFINITY}};
     add_running_machines(&pools, leader);
-    add_booting_instances(&pools, autoscaler, machine_types);
+    add_booting_instances(&pools, autoscaler, machine_types, now);
     add_empty_pools(&pools, machine_types);
     return pools;
 }
--- a/src/core/autoscaler/machine_pools_internal.h
+++ b/src/core/autoscaler/machine_pools_internal.h
@@ -36,9 +36,9 @@
 } machine_pools_t;
 
 /** Returns the pools of the machines that accept starts or are booting, and of the machine types
- * that the cloud might provide. Transfer full. */
+ * that the cloud might provide. Instances whose boot is overdue are left out. Transfer full. */
 machine_pools_t machine_pools_new(const autoscaler_t *autoscaler, const leader_t *leader,
-                                  const GArray *machine_types);
+                                  const GArray *machine_types, msec_t now);
 
 /** Frees what the struct owns. */
 void machine_pools_clear(machine_pools_t *pools);
--- a/tests/core/autoscaler/scaling_day.c
+++ b/tests/core/autoscaler/scaling_day.c
@@ -12,11 +12,30 @@
 static char *first_zone[] = {"zone-a", NULL};
 static char *second_zone[] = {"zone-b", NULL};
 
-static const machine_type_t machine_types[] = {
-    {.name = "small", .capacity = {4, 0, 16}, .price = 1, .spot_price = 0.3, .zones = both_zones},
-    {.name = "medium", .capacity = {16, 0, 64}, .price = 4, .spot_price = 1, .zones = both_zones},
-    {.name = "large", .capacity = {64, 0, 256}, .price = 15, .spot_price = 4, .zones = first_zone},
-    {.name = "gpu", .capacity = {16, 4, 64}, .price = 30, .spot_price = 9, .zones = second_zone}};
+static const machine_type_t machine_types[] = {{.name = "small",
+                                                .capacity = {4, 0, 16},
+                                                .price = 1,
+                                                .spot_price = 0.3,
+                                                .boot_s = BOOT_S,
+                                                .zones = both_zones},
+                                               {.name = "medium",
+                                                .capacity = {16, 0, 64},
+                                                .price = 4,
+                                                .spot_price = 1,
+                                                .boot_s = BOOT_S,
+                                                .zones = both_zones},
+                                               {.name = "large",
+                                                .capacity = {64, 0, 256},
+                                                .price = 15,
+                                                .spot_price = 4,
+                                                .boot_s = BOOT_S,
+                                                .zones = first_zone},
+                                               {.name = "gpu",
+                                                .capacity = {16, 4, 64},
+                                                .price = 30,
+                                                .spot_price = 9,
+                                                .boot_s = BOOT_S,
+                                                .zones = second_zone}};
 
 static bool is_one_in(day_t *day, gint32 count)
 {
@@ -164,7 +183,8 @@
             if (strcmp(machine_types[k].name, request->type) == 0)
                 summary->total = machine_types[k].capacity;
         summary->free = summary->total;
-        machine->up_at = day->now + BOOT_S * (msec_t)MS_PER_S;
+        bool never_boots = !day_are_troubles_over(day) && is_one_in(day, 8);
+        machine->up_at = never_boots ? G_MAXINT64 : day->now + BOOT_S * (msec_t)MS_PER_S;
         machine->tasks = g_array_new(FALSE, FALSE, sizeof(running_task_t));
         machine->is_faulty = !day_are_troubles_over(day) && is_one_in(day, 20);
         g_ptr_array_add(day->machines, machine);
@@ -198,8 +218,16 @@
         provide_machines(day, &request);
 }
 
+static void remove_stuck_instances(day_t *day)
+{
+    g_autoptr(GPtrArray) stuck = autoscaler_stuck_instances(day->autoscaler, day->types, day->now);
+    for (guint i = 0; i < stuck->len; i++)
+        remove_machine(day, find_machine(day, g_ptr_array_index(stuck, i)));
+}
+
 static void scale_in(day_t *day)
 {
+    remove_stuck_instances(day);
     g_autoptr(GPtrArray) ended = leader_update_quarantines(day->leader, day->now);
     for (guint i = 0; i < ended->len; i++) {
         simulated_machine_t *machine = find_machine(day, g_ptr_array_index(ended, i));
--- a/tests/core/autoscaler/test_autoscaler.c
+++ b/tests/core/autoscaler/test_autoscaler.c
@@ -164,11 +164,36 @@
     autoscaler_free(autoscaler);
 }
 
+/* Guards against work that waits for a machine that never comes up. Such an instance is terminated
+ * only later, because it may be late, but it must not count as capacity meanwhile. */
+static void test_an_overdue_booting_instance_is_replaced(void **state)
+{
+    enum { BOOT_MS = 20000, REQUESTED_AT_MS = 1000 };
+    leader_fixture_t *fixture = *state;
+    g_autoptr(GArray) machine_types = machine_types_new();
+    g_array_index(machine_types, machine_type_t, 0).boot_s = BOOT_MS / MS_PER_S;
+    autoscaler_t *autoscaler = autoscaler_new();
+    job_spec_t spec = make_job("j-000001", "team-b", 1);
+    add_job(fixture, &spec);
+    autoscaler_add_booting(autoscaler, "m-000001", "t", "zone-a", false, REQUESTED_AT_MS);
+    const msec_t overdue_at = REQUESTED_AT_MS + 2 * BOOT_MS + 1;
+    scale_out_request_t request;
+    assert_false(autoscaler_next_scale_out(autoscaler, fixture->leader, machine_types,
+                                           overdue_at - 1, 2000, &request));
+    assert_true(autoscaler_next_scale_out(autoscaler, fixture->leader, machine_types, overdue_at,
+                                          2000, &request));
+    g_autoptr(GPtrArray) stuck = autoscaler_stuck_instances(autoscaler, machine_types, overdue_at);
+    assert_int_equal(stuck->len, 0);
+    autoscaler_free(autoscaler);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_spot_work_beyond_the_guarantee_waits_for_spot_machines,
                                         set_up_leader, tear_down_leader),
+        cmocka_unit_test_setup_teardown(test_an_overdue_booting_instance_is_replaced, set_up_leader,
+                                        tear_down_leader),
         cmocka_unit_test_setup_teardown(test_nothing_is_scaled_out_in_an_unreachable_zone,
                                         set_up_leader, tear_down_leader),
         cmocka_unit_test_setup_teardown(test_a_zone_stops_being_unreachable_after_the_timeout,
