--- a/tests/core/autoscaler/test_autoscaler.c
+++ b/tests/core/autoscaler/test_autoscaler.c
@@ -168,15 +168,15 @@
  * only later, because it may be late, but it must not count as capacity meanwhile. */
 static void test_an_overdue_booting_instance_is_replaced(void **state)
 {
-    enum { BOOT_MS = 20000, REQUESTED_AT_MS = 1000 };
+    enum { BOOT_S = 20, REQUESTED_AT_MS = 1000 };
     leader_fixture_t *fixture = *state;
     g_autoptr(GArray) machine_types = machine_types_new();
-    g_array_index(machine_types, machine_type_t, 0).boot_s = BOOT_MS / MS_PER_S;
+    g_array_index(machine_types, machine_type_t, 0).boot_s = BOOT_S;
     autoscaler_t *autoscaler = autoscaler_new();
     job_spec_t spec = make_job("j-000001", "team-b", 1);
     add_job(fixture, &spec);
     autoscaler_add_booting(autoscaler, "m-000001", "t", "zone-a", false, REQUESTED_AT_MS);
-    const msec_t overdue_at = REQUESTED_AT_MS + 2 * BOOT_MS + 1;
+    const msec_t overdue_at = REQUESTED_AT_MS + 2 * BOOT_S * (msec_t)MS_PER_S + 1;
     scale_out_request_t request;
     assert_false(autoscaler_next_scale_out(autoscaler, fixture->leader, machine_types,
                                            overdue_at - 1, 2000, &request));
