--- a/tests/core/autoscaler/test_autoscaler.c
+++ b/tests/core/autoscaler/test_autoscaler.c
@@ -176,7 +176,7 @@
     job_spec_t spec = make_job("j-000001", "team-b", 1);
     add_job(fixture, &spec);
     autoscaler_add_booting(autoscaler, "m-000001", "t", "zone-a", false, REQUESTED_AT_MS);
-    const msec_t overdue_at = REQUESTED_AT_MS + 2 * BOOT_S * (msec_t)MS_PER_S + 1;
+    const msec_t overdue_at = REQUESTED_AT_MS + 2 * (msec_t)BOOT_S * MS_PER_S + 1;
     scale_out_request_t request;
     assert_false(autoscaler_next_scale_out(autoscaler, fixture->leader, machine_types,
                                            overdue_at - 1, 2000, &request));
