--- a/tests/core/partition/partition_fixture.c
+++ b/tests/core/partition/partition_fixture.c
@@ -45,6 +45,12 @@
     return g_hash_table_lookup(fixture->partition->machines, "m-000001");
 }
 
+uint64_t fencing_token_of(const partition_t *partition, const char *machine)
+{
+    (void)machine;
+    return partition->view;
+}
+
 heartbeat_verdict_t deliver_heartbeat(partition_fixture_t *fixture, worker_heartbeat_t *heartbeat,
                                       bool is_push_answer)
 {
@@ -59,8 +65,8 @@
 {
     worker_heartbeat_t heartbeat = fake_worker_heartbeat(fixture->worker);
     assert_int_equal(deliver_heartbeat(fixture, &heartbeat, false), HEARTBEAT_ACCEPTED);
-    assert_true(
-        fake_worker_handle_answer(fixture->worker, fixture->partition->view, fixture->commands));
+    uint64_t fencing_token = fencing_token_of(fixture->partition, fixture->worker->id);
+    assert_true(fake_worker_handle_answer(fixture->worker, fencing_token, fixture->commands));
     fixture->now += 1000;
 }
 
--- a/tests/fakes/fake_worker.c
+++ b/tests/fakes/fake_worker.c
@@ -8,12 +8,14 @@
     g_strlcpy(worker->id, id, sizeof worker->id);
     worker->worker_epoch = 1;
     worker->attempts = g_array_new(FALSE, FALSE, sizeof(reported_attempt_t));
+    worker->started = g_array_new(FALSE, FALSE, sizeof(task_ref_t));
     return worker;
 }
 
 void fake_worker_free(fake_worker_t *worker)
 {
     g_array_unref(worker->attempts);
+    g_array_unref(worker->started);
     g_free(worker);
 }
 
@@ -51,6 +53,8 @@
         .task = command->task, .attempt = command->attempt, .state = TASK_RUNNING};
     g_strlcpy(attempt.job, command->job, sizeof attempt.job);
     g_array_append_val(worker->attempts, attempt);
+    task_ref_t started = task_ref(command->job, command->task, command->attempt);
+    g_array_append_val(worker->started, started);
     worker->started_count++;
 }
 
--- a/tests/fakes/fake_worker.h
+++ b/tests/fakes/fake_worker.h
@@ -12,6 +12,7 @@
     uint64_t fencing_token;
     GArray *attempts;    /* of reported_attempt_t, owned */
     guint started_count; /* number of attempts started so far */
+    GArray *started;     /* of task_ref_t, owned: the attempts started so far, in order */
 } fake_worker_t;
 
 fake_worker_t *fake_worker_new(const char *id);
