Partition: a worker forgets an attempt only under a raised fencing token

A copy of a pushed start command, which the worker had executed and answered 9.4 s earlier, reached the worker again after it had forgotten the attempt, under the same fencing token and worker epoch. The worker started the attempt anew, while the task ran on another machine. A cancelled task could start again in the same way.

Cause: a right that had not lapsed, and a check in one path only. The proof that a run can no longer arrive considered pushes without an answer only (unanswered_fencing_token). An answered push was taken to be over, although the network may deliver it once more. So the forget was sent under the token under which the run had been pushed, and the worker had no reason to refuse the copy.

Change: the fencing token of a machine consists of the view's number (upper 32 bits) and a counter (lower 32 bits) that the machine's owner increases alone, without the key-value store. An answer to a heartbeat that contains a forget raises the counter, so a worker that executes the forget refuses every push that was sent to it before, answered or not. The same raise replaces the new view that an unanswered run needed until now. A push that is refused because the token was raised while it was in flight is sent again. Controllers that do not own the machine, or have not loaded the records, answer under the token that the worker reports, since it ignores a lower one. A machine whose worker lists 128 exited attempts that are no longer recorded gets no starts until they are forgotten.

--- a/src/constants/membership.h
+++ b/src/constants/membership.h
@@ -24,9 +24,8 @@
     /** A new leader does not scale in before this time has passed. Machines terminated while the
      * load is low after an outage would be missing in the next peak. */
     NEW_LEADER_SCALE_IN_DELAY_MS = 40000,
-    /** Shortest interval between increases of the fencing token that only serve to forget attempts
-     * or to prove them to be over. */
-    FENCING_TOKEN_GAP_MS = 15000,
+    /** Shortest interval between views that only provide new fencing tokens or attempt numbers. */
+    VIEW_ADVANCE_GAP_MS = 15000,
     /** How long a member that its workers do not reach is excluded and owns no machines. */
     EXCLUSION_MS = 90000
 };
--- a/src/constants/workers.h
+++ b/src/constants/workers.h
@@ -15,6 +15,9 @@
     /** Timeout of a push. Workers answer within ms; after the timeout the commands are sent in
      * heartbeat answers. */
     PUSH_TIMEOUT_MS = 2000,
+    /** A machine whose worker lists this many exited attempts that are no longer recorded gets no
+     * starts, since a heartbeat of 64 KiB also has to list the recorded ones. */
+    EXITED_ATTEMPTS_MAX_COUNT = 128,
     PUSH_CONNECT_TIMEOUT_MS = 1000, /**< Connecting takes ms; a frozen machine never accepts. */
     /** A machine that has acknowledged nothing for longer than this gets no starts or commands. The
      * timeout is longer if heartbeats are rare. */
--- a/src/controller/api/worker_heartbeats.c
+++ b/src/controller/api/worker_heartbeats.c
@@ -5,6 +5,7 @@
 
 #include "controller/controller.h"
 #include "controller/worker_lease.h"
+#include "core/membership/fencing_token.h"
 #include "io/clock.h"
 #include "io/codec/codec.h"
 #include "io/log.h"
@@ -38,6 +39,19 @@
                                         is_reachable, now);
 }
 
+/* Returns the fencing token for the answer to a heartbeat. It is at least the highest one that the
+ * worker has seen, because the worker ignores an answer under a lower one;
+ * is_view_outdated_locked() has excluded that this belongs to a later view. */
+static uint64_t answer_fencing_token_locked(const controller_t *controller,
+                                            const worker_heartbeat_t *heartbeat)
+{
+    uint64_t fencing_token = fencing_token_first(controller->membership.view.number);
+    if (controller->placement.is_loaded)
+        fencing_token =
+            partition_fencing_token(controller->placement.partition, heartbeat->machine);
+    return MAX(fencing_token, heartbeat->fencing_token);
+}
+
 /* Renews the lease of a worker that another controller owns. The reply starts nothing, but stops
  * the attempts of jobs that are not live. */
 static reply_t retain_worker_locked(controller_t *controller, const worker_heartbeat_t *heartbeat)
@@ -45,8 +59,8 @@
     g_autoptr(GArray) commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     log_debug("event=worker_retained machine=%s", heartbeat->machine);
     redirection_append_stops(heartbeat, controller->jobs.live, commands);
-    return api_reply_json(HTTP_OK,
-                          codec_build_commands(controller->membership.view.number, commands));
+    uint64_t fencing_token = answer_fencing_token_locked(controller, heartbeat);
+    return api_reply_json(HTTP_OK, codec_build_commands(fencing_token, commands));
 }
 
 /* Redirects a worker that this controller does not own to its owner. Retains it here if it cannot
@@ -78,9 +92,10 @@
     return partition_handle_heartbeat(partition, heartbeat, false, now, commands);
 }
 
-static reply_t commands_reply_locked(const controller_t *controller, const GArray *commands)
+static reply_t commands_reply_locked(const controller_t *controller,
+                                     const worker_heartbeat_t *heartbeat, const GArray *commands)
 {
-    uint64_t fencing_token = controller->membership.view.number;
+    uint64_t fencing_token = answer_fencing_token_locked(controller, heartbeat);
     if (commands->len == 0)
         return api_reply_no_commands(fencing_token);
     return api_reply_json(HTTP_OK, codec_build_commands(fencing_token, commands));
@@ -99,7 +114,7 @@
         return api_reply_refusal(HTTP_UNAVAILABLE, "an old report", 0);
     if (verdict != HEARTBEAT_ACCEPTED)
         redirection_append_stops(heartbeat, controller->jobs.live, commands);
-    return commands_reply_locked(controller, commands);
+    return commands_reply_locked(controller, heartbeat, commands);
 }
 
 static reply_t handle_own_worker_locked(controller_t *controller,
@@ -117,14 +132,14 @@
     return reply;
 }
 
-/* Returns whether a higher fencing token than this controller's is in use, so that its view is
- * outdated. Workers ignore replies with an outdated token, but as long as they get replies they
- * stay with this controller instead of moving to their owner. */
+/* Returns whether a fencing token of a later view than this controller's is in use, so that its
+ * view is outdated. Workers ignore replies with an outdated token, but as long as they get replies
+ * they stay with this controller instead of moving to their owner. */
 static bool is_view_outdated_locked(const controller_t *controller,
                                     const worker_heartbeat_t *heartbeat)
 {
-    return MAX(heartbeat->fencing_token, controller->membership.highest_view_seen) >
-           controller->membership.view.number;
+    return MAX(fencing_token_view(heartbeat->fencing_token),
+               controller->membership.highest_view_seen) > controller->membership.view.number;
 }
 
 static reply_t handle_heartbeat_locked(controller_t *controller,
--- a/src/controller/membership/view_store.c
+++ b/src/controller/membership/view_store.c
@@ -63,7 +63,7 @@
     return result;
 }
 
-bool view_advance_fencing_token(controller_t *controller, http_client_t *client)
+bool view_advance_number(controller_t *controller, http_client_t *client)
 {
     pthread_mutex_lock(&controller->lock);
     view_t next = controller->membership.view;
--- a/src/controller/membership/view_store.h
+++ b/src/controller/membership/view_store.h
@@ -25,10 +25,10 @@
 kv_result_t view_change(controller_t *controller, http_client_t *client, view_t *next,
                         uint64_t revision, uint64_t lease, uint64_t lease_revision);
 
-/** Increments the fencing token by installing a view with the next number and the same leader and
- * members. Returns whether the installed view has a higher number than before. If not, the caller
- * may try again. */
-bool view_advance_fencing_token(controller_t *controller, http_client_t *client);
+/** Installs a view with the next number and the same leader and members. All its fencing tokens are
+ * higher than those of the views before. Returns whether the installed view has a higher number
+ * than before. If not, the caller may try again. */
+bool view_advance_number(controller_t *controller, http_client_t *client);
 
 /** Reads view/number and installs the view if it is newer. */
 void view_refresh(controller_t *controller, http_client_t *client);
--- a/src/controller/placement/command_dispatcher.c
+++ b/src/controller/placement/command_dispatcher.c
@@ -162,7 +162,8 @@
     push->taken_at = clock_steady();
     const machine_t *machine = take_commands_locked(dispatcher, push->taken_at, push->commands);
     if (machine) {
-        push->fencing_token = controller->membership.view.number;
+        push->fencing_token =
+            partition_fencing_token(controller->placement.partition, machine_id(machine));
         push->worker_epoch = machine_worker_epoch(machine);
         push->generation = controller->placement.generation;
         g_strlcpy(push->machine, machine_id(machine), sizeof push->machine);
--- a/src/controller/placement/placement_loop.c
+++ b/src/controller/placement/placement_loop.c
@@ -13,17 +13,17 @@
 /* Data that only the loop's thread uses. */
 typedef struct placement_loop {
     controller_t *controller;
-    http_client_t *client;            /* owned; to the key-value store */
-    msec_t fencing_token_advanced_at; /* when this loop last advanced it; 0: never */
+    http_client_t *client;   /* owned; to the key-value store */
+    msec_t view_advanced_at; /* when this loop last advanced the view's number; 0: never */
 } placement_loop_t;
 
 /* What a round prepares under the lock and carries out without it. */
 typedef struct placement_round {
     record_batch_t batch;
-    bool has_changes;             /* whether there is anything to commit */
-    bool needs_new_fencing_token; /* whether the partition waits for a higher fencing token, or the
-                                     leader needs new attempt numbers */
-    uint64_t view_revision;       /* revision of view/number when the batch was taken */
+    bool has_changes;       /* whether there is anything to commit */
+    bool needs_new_view;    /* whether the view's fencing tokens or attempt numbers are used
+                               up */
+    uint64_t view_revision; /* revision of view/number when the batch was taken */
 } placement_round_t;
 
 /* Passes the partition's attempt results on to the leader. */
@@ -136,9 +136,9 @@
         take_progress_locked(controller, batch, now, PROGRESS_BATCH_DELAY_MS);
 }
 
-static bool needs_new_fencing_token_locked(const controller_t *controller)
+static bool needs_new_view_locked(const controller_t *controller)
 {
-    return partition_needs_new_fencing_token(controller->placement.partition) ||
+    return partition_needs_new_view(controller->placement.partition) ||
            (controller->membership.is_leader &&
             leader_needs_new_view(controller->placement.leader));
 }
@@ -153,13 +153,13 @@
     take_batch_locked(controller, &round->batch, now);
     forward_results_locked(controller, now);
     round->has_changes = round->batch.usage.ops > 0;
-    round->needs_new_fencing_token = needs_new_fencing_token_locked(controller) &&
-                                     now - loop->fencing_token_advanced_at > FENCING_TOKEN_GAP_MS;
+    round->needs_new_view =
+        needs_new_view_locked(controller) && now - loop->view_advanced_at > VIEW_ADVANCE_GAP_MS;
     round->view_revision = controller->membership.view.revision;
 }
 
 /* Discards the loaded data after a commit whose result is unknown or that contradicts them.
- * Advances the fencing token, so that a transaction in transit can no longer be applied; the next
+ * Advances the view's number, so that a transaction in transit can no longer be applied; the next
  * round then reads all records again. */
 static void discard_loaded_data(placement_loop_t *loop, commit_result_t commit_result)
 {
@@ -170,9 +170,9 @@
     controller->placement.is_loaded = false;
     controller->placement.generation++;
     pthread_mutex_unlock(&controller->lock);
-    while (!view_advance_fencing_token(controller, loop->client))
+    while (!view_advance_number(controller, loop->client))
         controller_sleep(KV_RETRY_DELAY_MS);
-    loop->fencing_token_advanced_at = clock_steady();
+    loop->view_advanced_at = clock_steady();
 }
 
 static void commit_round(placement_loop_t *loop, placement_round_t *round)
@@ -194,15 +194,15 @@
     }
 }
 
-/* Commits what the round prepared and advances the fencing token if necessary, then pauses. */
+/* Commits what the round prepared and advances the view's number if necessary, then pauses. */
 static void finish_round(placement_loop_t *loop, placement_round_t *round)
 {
     controller_t *controller = loop->controller;
     if (round->has_changes)
         commit_round(loop, round);
     record_batch_clear(&round->batch);
-    if (round->needs_new_fencing_token && view_advance_fencing_token(controller, loop->client))
-        loop->fencing_token_advanced_at = clock_steady();
+    if (round->needs_new_view && view_advance_number(controller, loop->client))
+        loop->view_advanced_at = clock_steady();
     controller_sleep(controller_scale_pause(controller, COMMIT_GAP_MS));
 }
 
--- a/src/core/membership/redirection.c
+++ b/src/core/membership/redirection.c
@@ -1,5 +1,7 @@
 #include "core/membership/redirection.h"
 
+#include "core/membership/fencing_token.h"
+
 #include <string.h>
 
 typedef struct redirected_worker {
@@ -21,10 +23,10 @@
 } owner_t;
 
 struct redirection {
-    GHashTable *machines;   /* machine id (char *, owned) -> redirected_worker_t *, owned */
-    GHashTable *owners;     /* owner's name (char *, owned) -> owner_t *, owned */
-    uint64_t fencing_token; /* of the view that assigned these owners */
-    msec_t cleared_at;      /* when that view was installed */
+    GHashTable *machines; /* machine id (char *, owned) -> redirected_worker_t *, owned */
+    GHashTable *owners;   /* owner's name (char *, owned) -> owner_t *, owned */
+    uint64_t view;        /* number of the view that assigned these owners */
+    msec_t cleared_at;    /* when that view was installed */
 };
 
 redirection_t *redirection_new(void)
@@ -42,9 +44,9 @@
     g_free(redirection);
 }
 
-void redirection_reset(redirection_t *redirection, uint64_t fencing_token, msec_t now)
+void redirection_reset(redirection_t *redirection, uint64_t view, msec_t now)
 {
-    redirection->fencing_token = fencing_token;
+    redirection->view = view;
     redirection->cleared_at = now;
     g_hash_table_remove_all(redirection->machines);
 }
@@ -141,7 +143,7 @@
                                                    const char *owner_name, bool is_owner_reachable,
                                                    msec_t now)
 {
-    if (heartbeat->fencing_token < redirection->fencing_token)
+    if (fencing_token_view(heartbeat->fencing_token) < redirection->view)
         return REDIRECTION_UNVERIFIED;
     redirected_worker_t *worker = ensure_worker(redirection, heartbeat->machine);
     if (is_duplicate(worker, heartbeat))
--- a/src/core/membership/redirection.h
+++ b/src/core/membership/redirection.h
@@ -48,9 +48,10 @@
 void redirection_free(redirection_t *redirection);
 
 /** Discards the state of the workers because a new view may have changed their owners. They are all
- * redirected again, except to owners that were recently unreachable. @p fencing_token: the token of
- * that view; heartbeats with a lower one were sent before the worker knew the view. */
-void redirection_reset(redirection_t *redirection, uint64_t fencing_token, msec_t now);
+ * redirected again, except to owners that were recently unreachable. @p view: the number of that
+ * view; heartbeats with a fencing token of an earlier one were sent before the worker knew the
+ * view. */
+void redirection_reset(redirection_t *redirection, uint64_t view, msec_t now);
 
 /** Returns whether the owner has recently answered this controller and received a heartbeat from
  * one of its own workers. */
--- a/src/core/partition/heartbeats.c
+++ b/src/core/partition/heartbeats.c
@@ -1,3 +1,4 @@
+#include "core/membership/fencing_token.h"
 #include "core/partition/commands_internal.h"
 #include "core/partition/partition_heartbeats.h"
 #include "core/partition/partition_internal.h"
@@ -20,9 +21,21 @@
     }
     machine->worker_epoch = heartbeat->worker_epoch;
     machine->unanswered_fencing_token = 0;
+    g_hash_table_remove_all(machine->exited);
+    machine->unforgotten = 0;
     machine->listed_resources = (resources_t){0};
 }
 
+/* Commands must not be sent under a lower token than one that the worker has seen. */
+static void record_fencing_token(const partition_t *partition, machine_t *machine,
+                                 const worker_heartbeat_t *heartbeat)
+{
+    uint64_t first = fencing_token_first(partition->view);
+    machine->fencing_token = MAX(machine->fencing_token, first);
+    if (fencing_token_view(heartbeat->fencing_token) == partition->view)
+        machine->fencing_token = MAX(machine->fencing_token, heartbeat->fencing_token);
+}
+
 static void update_identity(partition_t *partition, machine_t *machine,
                             const worker_heartbeat_t *heartbeat)
 {
@@ -82,6 +95,10 @@
                                  listed_resources_t *resources)
 {
     attempt_t *attempt = partition_find_attempt(partition, reported_attempt, machine);
+    if (reported_attempt->state == TASK_EXITED) {
+        exited_attempts_record(machine->exited, reported_attempt, machine->accepted_count, now);
+        machine->unforgotten += !attempt;
+    }
     if (!attempt || attempt->phase == ATTEMPT_TERMINATED)
         return;
     attempt->is_listed = true;
@@ -102,20 +119,22 @@
                                   const worker_heartbeat_t *heartbeat, msec_t now)
 {
     listed_resources_t resources = {0};
+    machine->unforgotten = 0;
     reset_listed_attempts(machine);
     for (guint i = 0; i < heartbeat->attempts->len; i++)
         apply_listed_attempt(partition, machine,
                              &g_array_index(heartbeat->attempts, reported_attempt_t, i), now,
                              &resources);
+    exited_attempts_remove_unlisted(machine->exited, machine->accepted_count);
     /* Growth is the sum over newly listed attempts, not the difference of the totals, so that an
      * attempt that ended in the meantime does not hide a new one. */
     reservation_confirm(machine->reservations, resources.growth, machine->accepted_count);
     machine->listed_resources = resources.total;
 }
 
-/* Returns whether the worker may still execute a `run` after it sent this heartbeat.
+/* Returns whether the worker may still execute an unanswered `run` after it sent this heartbeat.
  *
- * No `run` can arrive later if the worker had seen the fencing token of this view, no pushed
+ * No such `run` can arrive later if the worker had seen a fencing token of this view, no pushed
  * command is in flight, and no pushed `run` went unanswered under a fencing token as high as the
  * one that the worker had seen. Commands in answers to heartbeats need no further check, because
  * the worker sends a heartbeat only after it received the answer to the previous one or stopped
@@ -125,10 +144,25 @@
 static bool is_run_in_flight(const partition_t *partition, const machine_t *machine,
                              const worker_heartbeat_t *heartbeat)
 {
-    return heartbeat->fencing_token < partition->view || machine->is_push_in_flight ||
+    return fencing_token_view(heartbeat->fencing_token) < partition->view ||
+           machine->is_push_in_flight ||
            machine->unanswered_fencing_token >= heartbeat->fencing_token;
 }
 
+/* Raises the fencing token of the machine, which the answer to this heartbeat then carries. The
+ * worker refuses every push that was sent to it before. Returns whether the view has a higher
+ * token.
+ */
+static bool raise_fencing_token(partition_t *partition, machine_t *machine)
+{
+    if (fencing_token_view(machine->fencing_token + 1) > partition->view) {
+        partition->needs_new_view = true;
+        return false;
+    }
+    machine->fencing_token++;
+    return true;
+}
+
 /* Terminates the attempts that are to stop and that a periodic heartbeat does not list, unless a
  * `run` may still be in flight. */
 static void terminate_absent_attempts(partition_t *partition, machine_t *machine,
@@ -146,15 +180,15 @@
 /* Appends the commands for listed attempts that the partition does not have on this machine. Those
  * that have not exited are stopped without time to save.
  *
- * After a `forget`, the worker no longer remembers the attempt, so a late copy of its `run` would
- * start it again. A `forget` is therefore sent only in the answer to a periodic heartbeat that
- * lists the attempt as exited, and only while no copy of the `run` is in flight.
+ * After a `forget`, the worker no longer remembers the attempt, so any copy of its `run` would
+ * start it again, even if that `run` was answered. A `forget` is therefore sent only in an answer
+ * that raises the fencing token: whether or not it arrives, the worker starts the attempt no more.
  */
 static void append_commands_for_unknown_attempts(partition_t *partition, machine_t *machine,
                                                  const worker_heartbeat_t *heartbeat,
                                                  GArray *commands)
 {
-    bool may_forget = !is_run_in_flight(partition, machine, heartbeat);
+    bool may_forget = machine->unforgotten > 0 && raise_fencing_token(partition, machine);
     for (guint i = 0; i < heartbeat->attempts->len; i++) {
         const reported_attempt_t *listed =
             &g_array_index(heartbeat->attempts, reported_attempt_t, i);
@@ -168,12 +202,20 @@
     }
 }
 
+/* Raises the fencing token if the worker has not seen one yet under which it refuses each `run`
+ * that went unanswered. */
+static void refuse_unanswered_runs(partition_t *partition, machine_t *machine)
+{
+    if (machine->unanswered_fencing_token >= machine->fencing_token)
+        raise_fencing_token(partition, machine);
+}
+
 /* Returns the verdict on a heartbeat. A copy of a heartbeat may arrive seconds to minutes late,
  * here or at a controller that never received the original. It must not restore an older state,
  * prove that an attempt is over, confirm a reservation or make a machine look alive. If this
  * partition has received a heartbeat of the machine before, the worker epoch and the sequence
  * number show which one is newer. There is nothing to compare the first periodic heartbeat with. It
- * is accepted only if it carries the fencing token of this view, which shows that it was sent in
+ * is accepted only if it carries a fencing token of this view, which shows that it was sent in
  * this view. */
 static heartbeat_verdict_t classify_heartbeat(const partition_t *partition,
                                               const machine_t *machine,
@@ -182,7 +224,8 @@
 {
     if (machine->is_terminated || heartbeat->worker_epoch < machine->worker_epoch)
         return HEARTBEAT_DUPLICATE;
-    if (!is_push_answer && !machine->has_heartbeat && heartbeat->fencing_token < partition->view)
+    if (!is_push_answer && !machine->has_heartbeat &&
+        fencing_token_view(heartbeat->fencing_token) < partition->view)
         return HEARTBEAT_UNVERIFIED;
     if (!machine->has_responded || heartbeat->worker_epoch > machine->worker_epoch)
         return HEARTBEAT_ACCEPTED;
@@ -236,6 +279,7 @@
     terminate_absent_attempts(partition, machine, heartbeat);
     commands_append_for_desired_state(partition, machine, now, commands);
     append_commands_for_unknown_attempts(partition, machine, heartbeat, commands);
+    refuse_unanswered_runs(partition, machine);
 }
 
 static void apply_heartbeat(partition_t *partition, machine_t *machine,
@@ -245,6 +289,7 @@
     bool could_send_starts = may_send_starts(partition, machine, now);
     update_identity(partition, machine, heartbeat);
     update_worker_epoch(partition, machine, heartbeat);
+    record_fencing_token(partition, machine, heartbeat);
     machine->heartbeat_sequence = heartbeat->heartbeat_sequence;
     machine->accepted_count++;
     machine->interruption_at = interruption_time(heartbeat, now);
--- a/src/core/partition/machine.h
+++ b/src/core/partition/machine.h
@@ -18,6 +18,20 @@
  * heartbeat was accepted yet; 0: unknown. */
 uint64_t machine_worker_epoch(const machine_t *machine);
 
+/** Returns the fencing token under which commands are sent to the machine now: the highest one of
+ * this view that its worker has reported or that was sent to it. The first one of the view if the
+ * partition does not know the machine. */
+uint64_t partition_fencing_token(const partition_t *partition, const char *id);
+
+/** The exited attempts that workers still list. */
+typedef struct exited_statistics {
+    guint count;      /**< Their number on all machines. */
+    msec_t oldest_ms; /**< The longest time for which one of them has been listed; 0: none. */
+} exited_statistics_t;
+
+/** Returns the statistics of the exited attempts that the workers list at @p now. */
+exited_statistics_t partition_exited_statistics(const partition_t *partition, msec_t now);
+
 /** The status of a machine at one moment, from which the summary for the leader is built. */
 typedef struct machine_status {
     const char *id;      /**< Id (transfer none). */
--- a/src/core/partition/machine_internal.h
+++ b/src/core/partition/machine_internal.h
@@ -7,6 +7,7 @@
 #define PEPPERPULLEY_MACHINE_INTERNAL_H
 
 #include "core/partition/attempt_internal.h"
+#include "core/partition/exited_attempts.h"
 #include "core/partition/machine.h"
 #include "core/partition/page_internal.h"
 #include "core/partition/reservation.h"
@@ -60,8 +61,14 @@
     bool is_push_in_flight; /**< Whether a push was taken and is not finished. */
     guint dispatcher_index; /**< Index of the dispatcher that serves it, unless that one is busy. */
     bool is_push_queued;    /**< Whether it is in the partition's push queue. */
+    uint64_t fencing_token; /**< Highest fencing token that its worker has reported or that was sent
+                               to it in this view; see partition_fencing_token(). */
     uint64_t unanswered_fencing_token; /**< Highest fencing token of a pushed `run` without an
-                                          answer, a copy of which may still arrive. 0: none. */
+                                          answer, which may still arrive. 0: none. */
+    GHashTable *exited; /**< The exited attempts that its newest accepted heartbeat lists, see
+                           exited_attempts.h; owned. */
+    guint unforgotten;  /**< Number of those that are no longer recorded, which its worker is to
+                           forget. */
 };
 
 /** Returns an empty table of machines by id: machine_t (owned). */
--- a/src/core/partition/machines.c
+++ b/src/core/partition/machines.c
@@ -1,3 +1,4 @@
+#include "core/membership/fencing_token.h"
 #include "core/partition/machine_internal.h"
 #include "core/partition/partition_internal.h"
 
@@ -11,6 +12,7 @@
     g_ptr_array_unref(machine->attempts);
     g_array_unref(machine->reservations);
     g_hash_table_unref(machine->images);
+    g_hash_table_unref(machine->exited);
     g_free(machine);
 }
 
@@ -39,6 +41,7 @@
     machine->attempts = g_ptr_array_new_with_free_func(g_free);
     machine->reservations = g_array_new(FALSE, FALSE, sizeof(reservation_t));
     machine->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    machine->exited = exited_attempts_new();
     machine->first_seen_at = now;
     machine->last_heartbeat_at = now;
     machine->last_acknowledged_at = now;
@@ -94,7 +97,38 @@
 bool partition_accepts_starts(const partition_t *partition, const machine_t *machine, msec_t now)
 {
     return partition_is_reachable(partition, machine, now) && machine->is_capacity_known &&
-           !machine->is_draining && !machine->interruption_at;
+           !machine->is_draining && !machine->interruption_at &&
+           machine->unforgotten < EXITED_ATTEMPTS_MAX_COUNT;
+}
+
+uint64_t partition_fencing_token(const partition_t *partition, const char *id)
+{
+    const machine_t *machine = g_hash_table_lookup(partition->machines, id);
+    uint64_t first = fencing_token_first(partition->view);
+    return machine ? MAX(machine->fencing_token, first) : first;
+}
+
+static void add_exited(exited_statistics_t *statistics, const machine_t *machine, msec_t now)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, machine->exited);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const exited_attempt_t *attempt = value;
+        statistics->count++;
+        statistics->oldest_ms = MAX(statistics->oldest_ms, now - attempt->since_at);
+    }
+}
+
+exited_statistics_t partition_exited_statistics(const partition_t *partition, msec_t now)
+{
+    exited_statistics_t statistics = {0};
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, partition->machines);
+    while (g_hash_table_iter_next(&iter, NULL, &value))
+        add_exited(&statistics, value, now);
+    return statistics;
 }
 
 const char *machine_id(const machine_t *machine)
--- a/src/core/partition/partition.h
+++ b/src/core/partition/partition.h
@@ -14,8 +14,8 @@
  * longer be started. Each of these is proof:
  *  - The worker reports a newer worker epoch. A worker refuses commands of an older epoch.
  *  - A heartbeat of the attempt's worker epoch lists it as exited. A late copy of its `run` has no
- *    effect after that, because the worker remembers the attempt; and no `forget` is sent while a
- *    copy may be in flight.
+ *    effect after that, because the worker remembers the attempt; and the answer that lets the
+ *    worker forget it has a fencing token under which the worker refuses every copy.
  *  - A periodic heartbeat (not the answer to a pushed command) does not list it, and was sent under
  *    a fencing token higher than that of any `run` that may still arrive (see is_run_in_flight() in
  *    heartbeats.c).
@@ -48,8 +48,7 @@
                            msec_t reservation_ttl_ms);
 /** Frees the partition and its machines. */
 void partition_free(partition_t *partition);
-/** Sets the view number, which is the fencing token. It may increase while the leader stays the
- * same; the records are then not loaded again. */
+/** Sets the number of the view, which determines its fencing tokens. */
 void partition_set_view(partition_t *partition, uint64_t view);
 /** Adds the machines of a page's record (transfer none), with their attempts, to the partition. */
 void partition_load_record(partition_t *partition, const page_record_t *record, msec_t now);
--- a/src/core/partition/partition_internal.h
+++ b/src/core/partition/partition_internal.h
@@ -13,7 +13,7 @@
 
 /** See partition_type.h. */
 struct partition {
-    uint64_t view;                   /**< Number of the view, which is the fencing token. */
+    uint64_t view;                   /**< Number of the view. */
     GHashTable *machines;            /**< Id to machine_t (owned). */
     GHashTable *shards;              /**< Name to shard_t (owned). */
     GHashTable *terminated_machines; /**< Set of ids (owned) of dropped machines. */
@@ -35,6 +35,8 @@
     guint probes_in_flight;            /**< Number of probes taken and not finished. */
     msec_t probe_delay_ms;  /**< Minimum time between the loading of a machine and its probe. */
     bool are_starts_paused; /**< Whether no `run` is sent, see partition_pause_starts(). */
+    bool needs_new_view;    /**< Whether a machine's fencing token has reached the highest one of
+                               the view. */
     bool has_preempted;     /**< Whether it has ever preempted an attempt. */
 };
 
--- a/src/core/partition/push_queue.c
+++ b/src/core/partition/push_queue.c
@@ -109,17 +109,12 @@
     machine->is_push_failing = result == PUSH_UNANSWERED || result == PUSH_NOT_SENT;
     if (result == PUSH_UNANSWERED && has_run(commands))
         machine->unanswered_fencing_token = MAX(machine->unanswered_fencing_token, fencing_token);
+    /* The machine's token was raised while the push was in flight. */
+    if (result == PUSH_REFUSED && fencing_token < machine->fencing_token)
+        partition_queue_push(partition, machine);
 }
 
-bool partition_needs_new_fencing_token(const partition_t *partition)
+bool partition_needs_new_view(const partition_t *partition)
 {
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, partition->machines);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const machine_t *machine = value;
-        if (machine->unanswered_fencing_token >= partition->view && machine->has_responded)
-            return true;
-    }
-    return false;
+    return partition->needs_new_view;
 }
--- a/src/core/partition/pushed_commands.h
+++ b/src/core/partition/pushed_commands.h
@@ -46,9 +46,9 @@
 void partition_finish_push(partition_t *partition, const char *id, const GArray *commands,
                            uint64_t fencing_token, push_result_t result);
 
-/** Returns whether a higher fencing token is needed before attempts can be forgotten or proven to
- * be over, because an unanswered `run` under the current one may still arrive. */
-bool partition_needs_new_fencing_token(const partition_t *partition);
+/** Returns whether a new view is needed before attempts can be forgotten or proven to be over,
+ * because the fencing token of a machine cannot be raised any further in this view. */
+bool partition_needs_new_view(const partition_t *partition);
 
 /** Sets whether starts are paused. They are paused while this controller may not know of all
  * cancellations. No `run` is sent then, and recorded attempts wait. */
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -101,7 +101,7 @@
     bool is_spot;                /**< Whether the machine is a spot machine. */
     uint64_t worker_epoch;       /**< Increases when the worker restarts or its lease expires. */
     uint64_t heartbeat_sequence; /**< Sequence number within the worker epoch. */
-    uint64_t fencing_token;      /**< The highest view number that the worker has received. */
+    uint64_t fencing_token;      /**< The highest fencing token that the worker has received. */
     double interruption_in_s;    /**< Seconds until the cloud reclaims the machine; negative: no
                                     notice. */
     GArray *attempts;            /**< Array of reported_attempt_t, owned; may be NULL. */
--- a/tests/controller/test_controller_drains.c
+++ b/tests/controller/test_controller_drains.c
@@ -5,6 +5,7 @@
 #include "controller/placement/partition_items.h"
 #include "controller/placement/record_loader.h"
 #include "controller_fixture.h"
+#include "core/membership/fencing_token.h"
 #include "fake_worker.h"
 #include "io/clock.h"
 
@@ -37,7 +38,7 @@
 {
     g_autoptr(GArray) commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     fake_worker_t *worker = fake_worker_new(own_machine);
-    worker->fencing_token = 1;
+    worker->fencing_token = fencing_token_first(1);
     worker_heartbeat_t heartbeat = fake_worker_heartbeat(worker);
     placement_request_t request = {.job = "j-000009", .need = {4, 0, 4}, .attempt = 9};
     pthread_mutex_lock(&controller->lock);
--- a/tests/controller/test_controller_job_lists.c
+++ b/tests/controller/test_controller_job_lists.c
@@ -4,6 +4,7 @@
  * themselves, with revisions and times of their own choice. */
 #include "controller/placement/record_loader.h"
 #include "controller_fixture.h"
+#include "core/membership/fencing_token.h"
 #include "fake_worker.h"
 #include "io/codec/codec.h"
 
@@ -97,7 +98,7 @@
     worker_command_t run = {.op = COMMAND_RUN, .attempt = 7};
     g_strlcpy(run.job, job, sizeof run.job);
     g_array_append_val(commands, run);
-    assert_true(fake_worker_handle_answer(worker, 1, commands));
+    assert_true(fake_worker_handle_answer(worker, fencing_token_first(1), commands));
     return worker;
 }
 
@@ -145,7 +146,7 @@
 {
     g_autoptr(GArray) commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     fake_worker_t *worker = fake_worker_new(machine);
-    worker->fencing_token = 1;
+    worker->fencing_token = fencing_token_first(1);
     worker_heartbeat_t heartbeat = fake_worker_heartbeat(worker);
     partition_handle_heartbeat(controller->placement.partition, &heartbeat, false, now, commands);
     worker_heartbeat_clear(&heartbeat);
--- a/tests/controller/test_controller_job_lists_soak.c
+++ b/tests/controller/test_controller_job_lists_soak.c
@@ -5,6 +5,7 @@
  * and SOAK_SEED another seed. Time and revisions are those of the test. */
 #include "controller/placement/record_loader.h"
 #include "controller_fixture.h"
+#include "core/membership/fencing_token.h"
 #include "soak_setting.h"
 #include "stored_jobs.h"
 
@@ -127,12 +128,13 @@
  * worker_heartbeat_clear). */
 static worker_heartbeat_t build_heartbeat(const soak_t *soak)
 {
-    worker_heartbeat_t heartbeat = {.type = "t",
-                                    .zone = "zone-a",
-                                    .worker_epoch = 1,
-                                    .heartbeat_sequence = (uint64_t)soak->now,
-                                    .fencing_token = soak->controller->membership.view.number,
-                                    .interruption_in_s = -1};
+    worker_heartbeat_t heartbeat = {
+        .type = "t",
+        .zone = "zone-a",
+        .worker_epoch = 1,
+        .heartbeat_sequence = (uint64_t)soak->now,
+        .fencing_token = fencing_token_first(soak->controller->membership.view.number),
+        .interruption_in_s = -1};
     g_strlcpy(heartbeat.machine, stored_machine_id, sizeof heartbeat.machine);
     g_strlcpy(heartbeat.address, "127.0.0.1:1", sizeof heartbeat.address);
     heartbeat.attempts = g_array_new(FALSE, TRUE, sizeof(reported_attempt_t));
--- a/tests/controller/test_controller_timing.c
+++ b/tests/controller/test_controller_timing.c
@@ -4,6 +4,7 @@
 #include "controller/peer/peer_heartbeat.h"
 #include "controller/worker_lease.h"
 #include "controller_fixture.h"
+#include "core/membership/fencing_token.h"
 #include "io/clock.h"
 
 /* Guards against terminating machines that run tasks. A controller leads, is replaced, and leads
@@ -50,7 +51,7 @@
     controller->jobs.is_synced = true;
     controller->jobs.complete_until = now;
     controller->stalls.last_observed_at = now;
-    worker->fencing_token = 1;
+    worker->fencing_token = fencing_token_first(1);
     worker_heartbeat_t heartbeat = fake_worker_heartbeat(worker);
     GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     assert_int_equal(partition_handle_heartbeat(controller->placement.partition, &heartbeat, false,
--- a/tests/core/membership/test_redirection.c
+++ b/tests/core/membership/test_redirection.c
@@ -1,4 +1,5 @@
 /* Tests of workers that send heartbeats to a controller that does not own them. */
+#include "core/membership/fencing_token.h"
 #include "core/membership/redirection.h"
 #include "unit_test.h"
 
@@ -170,7 +171,7 @@
 {
     redirection_t *redirection = *state;
     worker_heartbeat_t heartbeat = heartbeat_of("m-000001", 5);
-    heartbeat.fencing_token = 6;
+    heartbeat.fencing_token = fencing_token_first(6);
     redirection_reset(redirection, 7, 1000);
     assert_int_equal(
         redirection_handle_heartbeat(redirection, &heartbeat, "controller-1", false, 1100),
@@ -179,13 +180,13 @@
         redirection_handle_heartbeat(redirection, &heartbeat, "controller-1", false, 1200),
         REDIRECTION_UNVERIFIED);
     heartbeat.heartbeat_sequence = 9;
-    heartbeat.fencing_token =
-        7; /* sent by the worker after an answer or a command from its owner gave it the token */
+    heartbeat.fencing_token = fencing_token_first(
+        7); /* sent by the worker after an answer or a command from its owner gave it the token */
     assert_int_equal(redirection_handle_heartbeat(redirection, &heartbeat, "controller-1", false,
                                                   1100 + REDIRECT_TIMEOUT_MS),
                      REDIRECTION_TO_OWNER);
     worker_heartbeat_t other = heartbeat_of("m-000002", 5);
-    other.fencing_token = 7;
+    other.fencing_token = fencing_token_first(7);
     assert_int_equal(redirection_handle_heartbeat(redirection, &other, "controller-1", false,
                                                   1200 + REDIRECT_TIMEOUT_MS),
                      REDIRECTION_TO_OWNER);
--- a/tests/core/partition/partition_fixture.c
+++ b/tests/core/partition/partition_fixture.c
@@ -12,7 +12,7 @@
     fixture->teams = g_array_new(FALSE, FALSE, sizeof(team_t));
     fixture->partition = partition_fixture_new_partition(fixture, VIEW);
     fixture->worker = fake_worker_new("m-000001");
-    fixture->worker->fencing_token = VIEW; /* the worker has seen this view */
+    fixture->worker->fencing_token = fencing_token_first(VIEW); /* the worker has seen this view */
     fixture->commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     fixture->now = 1000;
     fixture->revision = 10;
@@ -45,12 +45,6 @@
     return g_hash_table_lookup(fixture->partition->machines, "m-000001");
 }
 
-uint64_t fencing_token_of(const partition_t *partition, const char *machine)
-{
-    (void)machine;
-    return partition->view;
-}
-
 heartbeat_verdict_t deliver_heartbeat(partition_fixture_t *fixture, worker_heartbeat_t *heartbeat,
                                       bool is_push_answer)
 {
@@ -65,7 +59,7 @@
 {
     worker_heartbeat_t heartbeat = fake_worker_heartbeat(fixture->worker);
     assert_int_equal(deliver_heartbeat(fixture, &heartbeat, false), HEARTBEAT_ACCEPTED);
-    uint64_t fencing_token = fencing_token_of(fixture->partition, fixture->worker->id);
+    uint64_t fencing_token = partition_fencing_token(fixture->partition, fixture->worker->id);
     assert_true(fake_worker_handle_answer(fixture->worker, fencing_token, fixture->commands));
     fixture->now += 1000;
 }
--- a/tests/core/partition/partition_fixture.h
+++ b/tests/core/partition/partition_fixture.h
@@ -3,6 +3,7 @@
 #ifndef PEPPERPULLEY_PARTITION_FIXTURE_H
 #define PEPPERPULLEY_PARTITION_FIXTURE_H
 
+#include "core/membership/fencing_token.h"
 #include "core/partition/partition.h"
 #include "core/partition/partition_internal.h"
 #include "fake_worker.h"
@@ -27,9 +28,6 @@
 /* Returns the worker's machine (transfer none), or NULL if the partition does not know it. */
 machine_t *fixture_machine(const partition_fixture_t *fixture);
 
-/* Returns the fencing token of the commands that the partition sends to the machine now. */
-uint64_t fencing_token_of(const partition_t *partition, const char *machine);
-
 /* Passes a heartbeat, or the body of the answer to a push, to the partition and then clears it. */
 heartbeat_verdict_t deliver_heartbeat(partition_fixture_t *fixture, worker_heartbeat_t *heartbeat,
                                       bool is_push_answer);
--- a/tests/core/partition/test_late_commands.c
+++ b/tests/core/partition/test_late_commands.c
@@ -19,10 +19,10 @@
 /* Pushes what is due to the worker, which executes and answers it. */
 static received_push_t push_commands(partition_fixture_t *fixture)
 {
-    received_push_t push = {
-        .fencing_token = fencing_token_of(fixture->partition, fixture->worker->id),
-        .worker_epoch = fixture->worker->worker_epoch,
-        .commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t))};
+    received_push_t push = {.fencing_token =
+                                partition_fencing_token(fixture->partition, fixture->worker->id),
+                            .worker_epoch = fixture->worker->worker_epoch,
+                            .commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t))};
     assert_non_null(
         partition_take_push(fixture->partition, G_MAXUINT32, fixture->now, push.commands));
     assert_true(execute(fixture, &push));
--- a/tests/core/partition/test_partition_heartbeats.c
+++ b/tests/core/partition/test_partition_heartbeats.c
@@ -51,7 +51,7 @@
     worker_heartbeat_t late_heartbeat = fake_worker_heartbeat(fixture->worker);
     GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     assert_non_null(partition_take_push(fixture->partition, G_MAXUINT32, fixture->now, commands));
-    assert_true(fake_worker_handle_push(fixture->worker, 7, 1, commands));
+    assert_true(fake_worker_handle_push(fixture->worker, fencing_token_first(7), 1, commands));
     g_array_unref(commands);
     worker_heartbeat_t answer = fake_worker_heartbeat(fixture->worker);
     /* The push answer lists the task as running. */
@@ -75,7 +75,7 @@
     GArray *commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     worker_heartbeat_t heartbeat = fake_worker_heartbeat(fixture->worker);
     partition_handle_heartbeat(older_owner, &heartbeat, false, fixture->now, commands);
-    assert_false(fake_worker_handle_answer(fixture->worker, 6, commands));
+    assert_false(fake_worker_handle_answer(fixture->worker, fencing_token_first(6), commands));
     assert_int_equal(fake_worker_active_count(fixture->worker), 1);
     worker_heartbeat_clear(&heartbeat);
     g_array_unref(commands);
@@ -91,7 +91,7 @@
     load_page_record(fixture);
     partition_end_job(fixture->partition, "j-000001");
     fake_worker_t *earlier_worker = fake_worker_new("m-000001");
-    earlier_worker->fencing_token = 6;
+    earlier_worker->fencing_token = fencing_token_first(6);
     earlier_worker->heartbeat_sequence = 40;
     worker_heartbeat_t copy = fake_worker_heartbeat(earlier_worker);
     g_strlcpy(copy.address, "10.9.9.9:1", sizeof copy.address);
--- a/tests/core/partition/test_partition_placement.c
+++ b/tests/core/partition/test_partition_placement.c
@@ -48,7 +48,7 @@
 {
     partition_fixture_t *fixture = *state;
     fake_worker_t *other = fake_worker_new("m-000002");
-    other->fencing_token = 7;
+    other->fencing_token = fencing_token_first(7);
     worker_heartbeat_t heartbeat = fake_worker_heartbeat(other);
     exchange_heartbeat(fixture);
     deliver_heartbeat(fixture, &heartbeat, false);
@@ -178,7 +178,7 @@
     partition_set_view(fixture->partition, 8);
     partition_free(earlier);
     load_page_record(fixture);
-    fixture->worker->fencing_token = 8;
+    fixture->worker->fencing_token = fencing_token_first(8);
     exchange_heartbeat(fixture);
     placement_request_t request = placement_request_of("j-000002", 0, 200, 1);
     assert_null(partition_place(fixture->partition, &request, fixture->now));
--- a/tests/core/partition/test_partition_reachability.c
+++ b/tests/core/partition/test_partition_reachability.c
@@ -58,7 +58,8 @@
     if (!machine)
         return NULL;
     assert_int_equal(fixture->commands->len, 0);
-    partition_finish_push(fixture->partition, "m-000001", fixture->commands, 7, result);
+    partition_finish_push(fixture->partition, "m-000001", fixture->commands, fencing_token_first(7),
+                          result);
     worker_heartbeat_t heartbeat = fake_worker_heartbeat(fixture->worker);
     if (result <= PUSH_REFUSED)
         assert_int_equal(deliver_heartbeat(fixture, &heartbeat, true), HEARTBEAT_ACCEPTED);
@@ -86,7 +87,7 @@
     assert_null(partition_place(fixture->partition, &request, fixture->now));
     /* A heartbeat that was sent before this view may still be a copy. */
     worker_heartbeat_t copy = fake_worker_heartbeat(fixture->worker);
-    copy.fencing_token = 6;
+    copy.fencing_token = fencing_token_first(6);
     assert_int_equal(deliver_heartbeat(fixture, &copy, false), HEARTBEAT_UNVERIFIED);
     assert_null(partition_place(fixture->partition, &request, fixture->now));
     exchange_heartbeat(fixture);
@@ -165,7 +166,8 @@
     machine_t *machine =
         partition_take_push(fixture->partition, G_MAXUINT32, fixture->now, fixture->commands);
     assert_ptr_equal(machine, fixture_machine(fixture));
-    partition_finish_push(fixture->partition, "m-000001", fixture->commands, 7, PUSH_UNANSWERED);
+    partition_finish_push(fixture->partition, "m-000001", fixture->commands, fencing_token_first(7),
+                          PUSH_UNANSWERED);
     partition_end_job(fixture->partition, "j-000001"); /* a stop is now due for the machine */
     assert_null(
         partition_take_push(fixture->partition, G_MAXUINT32, fixture->now, fixture->commands));
--- a/tests/io/records_fixture.h
+++ b/tests/io/records_fixture.h
@@ -3,6 +3,7 @@
 #ifndef PEPPERPULLEY_RECORDS_FIXTURE_H
 #define PEPPERPULLEY_RECORDS_FIXTURE_H
 
+#include "core/membership/fencing_token.h"
 #include "core/partition/partition.h"
 #include "fake_kv_store.h"
 #include "io/codec/codec.h"
@@ -78,7 +79,7 @@
 {
     worker_heartbeat_t heartbeat = {.worker_epoch = 1,
                                     .heartbeat_sequence = heartbeat_sequence,
-                                    .fencing_token = 1,
+                                    .fencing_token = fencing_token_first(1),
                                     .interruption_in_s = -1};
     g_strlcpy(heartbeat.machine, id, sizeof heartbeat.machine);
     g_strlcpy(heartbeat.address, "10.1.255.254:9000", sizeof heartbeat.address);
