Tests: late copies of start commands on every path by which a worker forgets an attempt

Refused, withdrawn (the same stop as for drains and preemption), lease expired, owner changed, record not written while the key-value store is down, push refused because the token was raised, many exited attempts, tokens of the view used up; and moved and cancelled tasks with complete controllers over loopback.

--- a/tests/fakes/fake_machine.c
+++ b/tests/fakes/fake_machine.c
@@ -71,13 +71,21 @@
     return (uint64_t)json_integer_value(json_object_get(body, name));
 }
 
+/* Called with the lock held. Returns whether the worker executed the push. */
+static bool execute_commands(fake_machine_t *machine, const json_t *push)
+{
+    g_autoptr(GArray) commands = parse_commands(push);
+    return fake_worker_handle_push(machine->worker, read_number(push, "Helm"),
+                                   read_number(push, "Watch"), commands);
+}
+
 static fake_http_answer_t execute_push(void *data, const fake_http_request_t *request)
 {
     fake_machine_t *machine = data;
-    g_autoptr(GArray) commands = parse_commands(request->body);
     pthread_mutex_lock(&machine->lock);
-    bool is_executed = fake_worker_handle_push(machine->worker, read_number(request->body, "Helm"),
-                                               read_number(request->body, "Watch"), commands);
+    bool is_executed = execute_commands(machine, request->body);
+    if (is_executed)
+        g_ptr_array_add(machine->pushes, json_deep_copy(request->body));
     json_t *heartbeat = build_heartbeat(machine);
     pthread_mutex_unlock(&machine->lock);
     return (fake_http_answer_t){is_executed ? 200 : 409, heartbeat};
@@ -88,6 +96,7 @@
     fake_machine_t *machine = g_new0(fake_machine_t, 1);
     pthread_mutex_init(&machine->lock, NULL);
     machine->worker = fake_worker_new(id);
+    machine->pushes = g_ptr_array_new();
     machine->port = fake_http_server_start(execute_push, machine);
     return machine;
 }
@@ -108,6 +117,30 @@
     pthread_mutex_unlock(&machine->lock);
 }
 
+void fake_machine_repeat_pushes(fake_machine_t *machine)
+{
+    pthread_mutex_lock(&machine->lock);
+    for (guint i = 0; i < machine->pushes->len; i++)
+        execute_commands(machine, g_ptr_array_index(machine->pushes, i));
+    pthread_mutex_unlock(&machine->lock);
+}
+
+guint fake_machine_push_count(fake_machine_t *machine)
+{
+    pthread_mutex_lock(&machine->lock);
+    guint count = machine->pushes->len;
+    pthread_mutex_unlock(&machine->lock);
+    return count;
+}
+
+guint fake_machine_listed_count(fake_machine_t *machine)
+{
+    pthread_mutex_lock(&machine->lock);
+    guint listed = machine->worker->attempts->len;
+    pthread_mutex_unlock(&machine->lock);
+    return listed;
+}
+
 guint fake_machine_active_count(fake_machine_t *machine)
 {
     pthread_mutex_lock(&machine->lock);
@@ -125,13 +158,18 @@
 }
 
 void fake_machine_complete_attempts(fake_machine_t *machine)
+{
+    fake_machine_exit_attempts(machine, CAUSE_DONE);
+}
+
+void fake_machine_exit_attempts(fake_machine_t *machine, cause_t cause)
 {
     pthread_mutex_lock(&machine->lock);
     for (guint i = 0; i < machine->worker->attempts->len; i++) {
         const reported_attempt_t *attempt =
             &g_array_index(machine->worker->attempts, reported_attempt_t, i);
         if (attempt->state != TASK_EXITED)
-            fake_worker_exit_attempts(machine->worker, attempt->job, attempt->task, CAUSE_DONE);
+            fake_worker_exit_attempts(machine->worker, attempt->job, attempt->task, cause);
     }
     pthread_mutex_unlock(&machine->lock);
 }
