Logs and metrics: why a command to a worker was allowed, under which fencing token

In the incident of the task on two machines, the controllers' logs showed neither the start, the forget nor the stop of the attempt, nor the tokens: only the records of the workers told the cause.

Each command is now an event at debug, with its reason, token and epoch (command_sent); a stop of an attempt that no record names is at info, because it is the trace of such a break. Heartbeats, commits and status answers have events at debug; view_installed names the token and the revision of the view, records_loaded the revision and age of the list of jobs. Counters of commands, refused pushes and raised tokens; gauges of the exited attempts that workers list and of the oldest of them.

--- a/src/controller/api/health.c
+++ b/src/controller/api/health.c
@@ -1,4 +1,4 @@
-/* Decides whether this controller serves users' requests. */
+/* Decides whether this controller serves users' requests, and serves its metrics. */
 #include "controller/api/health.h"
 
 #include "controller/controller.h"
@@ -21,6 +21,18 @@
     return is_isolated;
 }
 
+reply_t api_metrics(controller_t *controller)
+{
+    exited_statistics_t exited = {0};
+    pthread_mutex_lock(&controller->lock);
+    if (controller->placement.is_loaded)
+        exited = partition_exited_statistics(controller->placement.partition, clock_steady());
+    pthread_mutex_unlock(&controller->lock);
+    metrics_set(controller->metrics, GAUGE_EXITED_ATTEMPTS, exited.count);
+    metrics_set(controller->metrics, GAUGE_EXITED_ATTEMPTS_OLDEST_MS, (guint64)exited.oldest_ms);
+    return api_reply_text(metrics_text(controller->metrics));
+}
+
 reply_t api_ready(controller_t *controller)
 {
     pthread_mutex_lock(&controller->lock);
--- a/src/controller/api/health.h
+++ b/src/controller/api/health.h
@@ -1,5 +1,5 @@
 /** @file
- * Decides whether this controller serves users' requests.
+ * Decides whether this controller serves users' requests, and serves its metrics.
  */
 #ifndef PEPPERPULLEY_API_HEALTH_H
 #define PEPPERPULLEY_API_HEALTH_H
@@ -17,4 +17,7 @@
  * without the lock. */
 reply_t api_ready(controller_t *controller);
 
+/** Serves GET /metrics. Called without the lock. */
+reply_t api_metrics(controller_t *controller);
+
 #endif
--- a/src/controller/api/routes.c
+++ b/src/controller/api/routes.c
@@ -57,7 +57,7 @@
     if (strcmp(path, "/v2/runs") == 0 && is_post(method))
         return api_submit(request);
     if (strcmp(path, "/metrics") == 0 && is_get(method))
-        return api_reply_text(metrics_text(controller->metrics));
+        return api_metrics(controller);
     if (g_str_has_prefix(path, runs))
         return route_run(request, method, path + strlen(runs));
     return api_reply_refusal(HTTP_NOT_FOUND, "no such path", 0);
--- a/src/controller/api/status.c
+++ b/src/controller/api/status.c
@@ -7,6 +7,7 @@
 #include "controller/controller.h"
 #include "io/clock.h"
 #include "io/codec/codec.h"
+#include "io/log.h"
 
 /* Returns how many of the job's tasks are done and outstanding: the leader's own counts if this
  * controller leads, otherwise those that the leader sent last. They may be out of date, so they
@@ -71,22 +72,29 @@
     return api_status_reply(controller, id, state);
 }
 
+/* source: what the answer rests on. */
+static reply_t log_answer(const char *id, const char *source, reply_t reply)
+{
+    log_debug("event=status_answered job=%s source=%s status=%u", id, source, reply.status);
+    return reply;
+}
+
 reply_t api_get_status(request_t *request, const char *id)
 {
     controller_t *controller = request->controller;
     known_job_t known = api_get_known_job(controller, id);
     reply_t reply;
     if (api_reply_without_lookup(request, id, &known, &reply))
-        return reply;
+        return log_answer(id, "memory", reply);
     live_check_t check =
         known.is_likely_live ? status_batch_check(request, id) : LIVE_CHECK_CHANGED;
     switch (check) {
     case LIVE_CHECK_LIVE:
-        return api_status_reply(controller, id, JOB_LIVE);
+        return log_answer(id, "status_batch", api_status_reply(controller, id, JOB_LIVE));
     case LIVE_CHECK_UNANSWERED:
-        return api_reply_retry_later();
+        return log_answer(id, "none", api_reply_retry_later());
     case LIVE_CHECK_CHANGED:
         break;
     }
-    return look_up_status(request, id, known.is_likely_live);
+    return log_answer(id, "read", look_up_status(request, id, known.is_likely_live));
 }
--- a/src/controller/api/worker_heartbeats.c
+++ b/src/controller/api/worker_heartbeats.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "controller/command_log.h"
 #include "controller/controller.h"
 #include "controller/worker_lease.h"
 #include "core/membership/fencing_token.h"
@@ -52,6 +53,22 @@
     return MAX(fencing_token, heartbeat->fencing_token);
 }
 
+/* Returns the reply to a heartbeat with these commands, and logs and counts them. */
+static reply_t commands_reply_locked(const controller_t *controller,
+                                     const worker_heartbeat_t *heartbeat, const GArray *commands)
+{
+    command_target_t target = {.path = COMMANDS_ANSWERED,
+                               .machine = heartbeat->machine,
+                               .fencing_token = answer_fencing_token_locked(controller, heartbeat),
+                               .worker_epoch = heartbeat->worker_epoch};
+    command_log_record(controller, &target, commands);
+    if (target.fencing_token > heartbeat->fencing_token)
+        metrics_count(controller->metrics, COUNT_FENCING_TOKENS_RAISED, 1);
+    if (commands->len == 0)
+        return api_reply_no_commands(target.fencing_token);
+    return api_reply_json(HTTP_OK, codec_build_commands(target.fencing_token, commands));
+}
+
 /* Renews the lease of a worker that another controller owns. The reply starts nothing, but stops
  * the attempts of jobs that are not live. */
 static reply_t retain_worker_locked(controller_t *controller, const worker_heartbeat_t *heartbeat)
@@ -59,8 +76,7 @@
     g_autoptr(GArray) commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
     log_debug("event=worker_retained machine=%s", heartbeat->machine);
     redirection_append_stops(heartbeat, controller->jobs.live, commands);
-    uint64_t fencing_token = answer_fencing_token_locked(controller, heartbeat);
-    return api_reply_json(HTTP_OK, codec_build_commands(fencing_token, commands));
+    return commands_reply_locked(controller, heartbeat, commands);
 }
 
 /* Redirects a worker that this controller does not own to its owner. Retains it here if it cannot
@@ -92,15 +108,6 @@
     return partition_handle_heartbeat(partition, heartbeat, false, now, commands);
 }
 
-static reply_t commands_reply_locked(const controller_t *controller,
-                                     const worker_heartbeat_t *heartbeat, const GArray *commands)
-{
-    uint64_t fencing_token = answer_fencing_token_locked(controller, heartbeat);
-    if (commands->len == 0)
-        return api_reply_no_commands(fencing_token);
-    return api_reply_json(HTTP_OK, codec_build_commands(fencing_token, commands));
-}
-
 /* Returns the reply to the heartbeat of a worker that this controller owns. The reply renews the
  * lease of everything that runs on the worker, so it must always stop the jobs whose cancellation
  * was confirmed to users. If the partition did not accept the heartbeat or is not loaded, for
@@ -117,6 +124,24 @@
     return commands_reply_locked(controller, heartbeat, commands);
 }
 
+static const char *verdict_name(heartbeat_verdict_t verdict)
+{
+    static const char *const names[] = {[HEARTBEAT_ACCEPTED] = "accepted",
+                                        [HEARTBEAT_OUT_OF_ORDER] = "out_of_order",
+                                        [HEARTBEAT_UNVERIFIED] = "unverified",
+                                        [HEARTBEAT_DUPLICATE] = "duplicate"};
+    return names[verdict];
+}
+
+static void log_heartbeat(const worker_heartbeat_t *heartbeat, heartbeat_verdict_t verdict)
+{
+    log_debug("event=heartbeat_handled machine=%s worker_epoch=%" G_GUINT64_FORMAT
+              " sequence=%" G_GUINT64_FORMAT " fencing_token=%" G_GUINT64_FORMAT
+              " attempts=%u verdict=%s",
+              heartbeat->machine, heartbeat->worker_epoch, heartbeat->heartbeat_sequence,
+              heartbeat->fencing_token, heartbeat->attempts->len, verdict_name(verdict));
+}
+
 static reply_t handle_own_worker_locked(controller_t *controller,
                                         const worker_heartbeat_t *heartbeat, msec_t now)
 {
@@ -124,6 +149,7 @@
     const partition_t *partition = controller->placement.partition;
     uint64_t changes = partition ? partition_change_count(partition) : 0;
     heartbeat_verdict_t verdict = update_partition_locked(controller, heartbeat, now, commands);
+    log_heartbeat(heartbeat, verdict);
     if (verdict == HEARTBEAT_ACCEPTED)
         controller->peers.worker_heartbeat_at = now;
     reply_t reply = own_worker_reply_locked(controller, heartbeat, verdict, commands);
--- a/src/controller/membership/membership.c
+++ b/src/controller/membership/membership.c
@@ -1,6 +1,7 @@
 #include "controller/membership/membership.h"
 
 #include "controller/controller.h"
+#include "core/membership/fencing_token.h"
 #include "io/clock.h"
 #include "io/log.h"
 
@@ -82,8 +83,11 @@
 {
     const view_t *view = &membership->view;
     bool is_member = membership->own_index != G_MAXUINT;
-    log_info("event=view_installed view=%" G_GUINT64_FORMAT " leader=%s members=%u own=%d",
-             view->number, view->leader, view->count, is_member ? (int)membership->own_index : -1);
+    log_info("event=view_installed view=%" G_GUINT64_FORMAT
+             " leader=%s members=%u own=%d fencing_token=%" G_GUINT64_FORMAT
+             " revision=%" G_GUINT64_FORMAT,
+             view->number, view->leader, view->count, is_member ? (int)membership->own_index : -1,
+             fencing_token_first(view->number), view->revision);
 }
 
 void membership_install_view(controller_t *controller, const view_t *view)
--- a/src/controller/metrics.c
+++ b/src/controller/metrics.c
@@ -19,12 +19,23 @@
     [COUNT_VIEWS] = "views",
     [COUNT_PUSHES] = "pushes",
     [COUNT_PUSHES_UNANSWERED] = "pushes_unanswered",
+    [COUNT_PUSHES_REFUSED] = "pushes_refused",
+    [COUNT_COMMANDS_RUN] = "commands_run",
+    [COUNT_COMMANDS_STOP] = "commands_stop",
+    [COUNT_COMMANDS_FORGET] = "commands_forget",
+    [COUNT_UNRECORDED_STOPS] = "unrecorded_stops",
+    [COUNT_FENCING_TOKENS_RAISED] = "fencing_tokens_raised",
     [COUNT_PLACEMENTS] = "placements",
     [COUNT_PLACEMENTS_REFUSED] = "placements_refused",
     [COUNT_SCALED_OUT] = "machines_scaled_out",
     [COUNT_SCALED_IN] = "machines_scaled_in",
 };
 
+static const char *const gauge_names[GAUGE_LAST] = {
+    [GAUGE_EXITED_ATTEMPTS] = "exited_attempts",
+    [GAUGE_EXITED_ATTEMPTS_OLDEST_MS] = "exited_attempts_oldest_ms",
+};
+
 static const char *const time_names[TIME_LAST] = {
     [TIME_COMMIT] = "commit_ms",
     [TIME_SUBMIT] = "submit_ms",
@@ -40,6 +51,7 @@
 struct metrics {
     pthread_mutex_t lock;
     guint64 counts[COUNT_LAST];           /* guarded by lock */
+    guint64 gauges[GAUGE_LAST];           /* guarded by lock */
     gsl_histogram *histograms[TIME_LAST]; /* owned; guarded by lock */
 };
 
@@ -62,6 +74,13 @@
     pthread_mutex_unlock(&metrics->lock);
 }
 
+void metrics_set(metrics_t *metrics, metric_gauge_t which, guint64 value)
+{
+    pthread_mutex_lock(&metrics->lock);
+    metrics->gauges[which] = value;
+    pthread_mutex_unlock(&metrics->lock);
+}
+
 void metrics_time(metrics_t *metrics, metric_time_t which, msec_t ms)
 {
     pthread_mutex_lock(&metrics->lock);
@@ -96,6 +115,9 @@
     for (int i = 0; i < COUNT_LAST; i++)
         g_string_append_printf(text, "%s %" G_GUINT64_FORMAT "\n", count_names[i],
                                metrics->counts[i]);
+    for (int i = 0; i < GAUGE_LAST; i++)
+        g_string_append_printf(text, "%s %" G_GUINT64_FORMAT "\n", gauge_names[i],
+                               metrics->gauges[i]);
     for (int i = 0; i < TIME_LAST; i++)
         write_histogram(text, time_names[i], metrics->histograms[i]);
     pthread_mutex_unlock(&metrics->lock);
--- a/src/controller/placement/command_dispatcher.c
+++ b/src/controller/placement/command_dispatcher.c
@@ -13,6 +13,7 @@
 
 #include <string.h>
 
+#include "controller/command_log.h"
 #include "controller/controller.h"
 #include "controller/threads.h"
 #include "controller/worker_lease.h"
@@ -79,8 +80,9 @@
     const char *answer = http_answer_body(client, &length);
     bool has_heartbeat =
         status > HTTP_NO_ANSWER && codec_parse_worker_heartbeat(answer, length, &heartbeat, NULL);
-    log_debug("event=commands_pushed machine=%s commands=%u status=%d", push->machine,
-              push->commands->len, status);
+    log_debug("event=commands_pushed machine=%s commands=%u status=%d"
+              " fencing_token=%" G_GUINT64_FORMAT " worker_epoch=%" G_GUINT64_FORMAT,
+              push->machine, push->commands->len, status, push->fencing_token, push->worker_epoch);
     pthread_mutex_lock(&controller->lock);
     /* If another generation was loaded meanwhile, its data do not include this push, and the higher
      * fencing token that comes with it makes the push invalid. */
@@ -105,17 +107,29 @@
     return may_push;
 }
 
+static void log_push(const controller_t *controller, const push_t *push)
+{
+    command_target_t target = {.path = COMMANDS_PUSHED,
+                               .machine = push->machine,
+                               .fencing_token = push->fencing_token,
+                               .worker_epoch = push->worker_epoch};
+    command_log_record(controller, &target, push->commands);
+}
+
 static void send_push(controller_t *controller, const push_t *push, http_client_t *client)
 {
     json_auto_t *body =
         codec_build_pushed_commands(push->fencing_token, push->worker_epoch, push->commands);
     if (!recheck_push(controller, push))
         return;
+    log_push(controller, push);
     msec_t sent_at = clock_steady();
     int status = http_call(client, "POST", push->url, body, PUSH_TIMEOUT_MS, NULL);
     bool is_answered = status > HTTP_NO_ANSWER;
     metrics_time(controller->metrics, TIME_PUSH, clock_steady() - sent_at);
     metrics_count(controller->metrics, is_answered ? COUNT_PUSHES : COUNT_PUSHES_UNANSWERED, 1);
+    if (status == HTTP_CONFLICT)
+        metrics_count(controller->metrics, COUNT_PUSHES_REFUSED, 1);
     record_push_result(controller, push, status, client);
 }
 
--- a/src/controller/placement/record_commit.c
+++ b/src/controller/placement/record_commit.c
@@ -148,6 +148,9 @@
     commit_result_t commit_result =
         handle_kv_result_locked(controller, batch, result, revision, failed_keys);
     pthread_mutex_unlock(&controller->lock);
+    log_debug("event=commit_answered result=%s ops=%u view_revision=%" G_GUINT64_FORMAT
+              " revision=%" G_GUINT64_FORMAT,
+              commit_result_name(commit_result), batch->usage.ops, view_revision, revision);
     if (result == KV_NOT_EXECUTED)
         controller_sleep(PLACEMENT_TICK_MS);
     if (result == KV_INVALID)
--- a/src/controller/placement/record_loader.c
+++ b/src/controller/placement/record_loader.c
@@ -200,14 +200,16 @@
     notify_loaded_locked(controller);
 }
 
-static void log_loaded_locked(const controller_t *controller)
+static void log_loaded_locked(const controller_t *controller, const record_listing_t *listing)
 {
     const partition_t *partition = controller->placement.partition;
     log_info("event=records_loaded view=%" G_GUINT64_FORMAT
-             " is_leader=%d jobs=%u machines=%u attempts=%u",
+             " is_leader=%d jobs=%u machines=%u attempts=%u"
+             " jobs_revision=%" G_GUINT64_FORMAT " jobs_read_ms_ago=%" G_GINT64_FORMAT,
              controller->membership.view.number, controller->membership.is_leader,
              g_hash_table_size(controller->jobs.live), partition_machine_count(partition),
-             partition_attempt_count(partition));
+             partition_attempt_count(partition), listing->jobs_coverage.revision,
+             clock_steady() - listing->jobs_coverage.sent_at);
 }
 
 void record_loader_load(controller_t *controller, http_client_t *client)
@@ -221,7 +223,7 @@
     pthread_mutex_lock(&controller->lock);
     if (is_read && controller->membership.view.number == view_number) {
         record_loader_apply(controller, &listing, clock_steady());
-        log_loaded_locked(controller);
+        log_loaded_locked(controller, &listing);
     }
     pthread_mutex_unlock(&controller->lock);
     record_listing_clear(&listing);
--- a/src/core/membership/redirection.c
+++ b/src/core/membership/redirection.c
@@ -176,8 +176,10 @@
             &g_array_index(heartbeat->attempts, reported_attempt_t, i);
         if (attempt->state == TASK_EXITED || g_hash_table_contains(live_jobs, attempt->job))
             continue;
-        worker_command_t command = {
-            .op = COMMAND_STOP, .task = attempt->task, .attempt = attempt->attempt};
+        worker_command_t command = {.op = COMMAND_STOP,
+                                    .task = attempt->task,
+                                    .attempt = attempt->attempt,
+                                    .reason = REASON_JOB_ENDED};
         g_strlcpy(command.job, attempt->job, sizeof command.job);
         g_array_append_val(commands, command);
     }
--- a/src/core/partition/commands.c
+++ b/src/core/partition/commands.c
@@ -1,11 +1,12 @@
 #include "core/partition/commands_internal.h"
 #include "core/partition/partition_internal.h"
 
-void commands_append(GArray *commands, worker_command_op_t op, const char *job, uint32_t task,
-                     uint64_t attempt, double grace_s)
+void commands_append(GArray *commands, worker_command_op_t op, command_reason_t reason,
+                     const task_ref_t *ref, double grace_s)
 {
-    worker_command_t command = {.op = op, .task = task, .attempt = attempt, .grace_s = grace_s};
-    g_strlcpy(command.job, job, sizeof command.job);
+    worker_command_t command = {
+        .op = op, .task = ref->task, .attempt = ref->attempt, .grace_s = grace_s, .reason = reason};
+    g_strlcpy(command.job, ref->job, sizeof command.job);
     g_array_append_val(commands, command);
 }
 
@@ -30,7 +31,6 @@
 {
     for (guint i = 0; i < machine->attempts->len; i++) {
         const attempt_t *attempt = machine_attempt(machine, i);
-        const record_entry_t *entry = &attempt->entry;
         if (!may_send_commands(machine, attempt) || !attempt->is_stop_requested ||
             !attempt->is_listed)
             continue;
@@ -38,8 +38,7 @@
         /* A task that is already saving gets another stop only when its time to save is over. */
 
         if (attempt->state != TASK_SAVING || grace_s <= 0)
-            commands_append(commands, COMMAND_STOP, entry->job, entry->task, entry->attempt,
-                            grace_s);
+            commands_append(commands, COMMAND_STOP, REASON_STOP_REQUESTED, &attempt->ref, grace_s);
     }
 }
 
@@ -74,7 +73,7 @@
         if (attempt->waits_for_preempted && !resources_fit(entry->need, resources))
             continue;
         resources_add(&resources, entry->need, -1);
-        commands_append(commands, COMMAND_RUN, entry->job, entry->task, entry->attempt, 0);
+        commands_append(commands, COMMAND_RUN, REASON_RECORDED, &attempt->ref, 0);
     }
 }
 
--- a/src/core/partition/heartbeats.c
+++ b/src/core/partition/heartbeats.c
@@ -194,11 +194,11 @@
             &g_array_index(heartbeat->attempts, reported_attempt_t, i);
         if (partition_find_attempt(partition, listed, machine))
             continue;
+        task_ref_t ref = task_ref(listed->job, listed->task, listed->attempt);
         if (listed->state != TASK_EXITED)
-            commands_append(commands, COMMAND_STOP, listed->job, listed->task, listed->attempt, 0);
+            commands_append(commands, COMMAND_STOP, REASON_UNRECORDED, &ref, 0);
         else if (may_forget)
-            commands_append(commands, COMMAND_FORGET, listed->job, listed->task, listed->attempt,
-                            0);
+            commands_append(commands, COMMAND_FORGET, REASON_EXITED, &ref, 0);
     }
 }
 
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -114,13 +114,23 @@
     COMMAND_FORGET /**< Remove an attempt that has exited from the worker's list. */
 } worker_command_op_t;
 
+/** Why a command is sent to a worker. Not part of the protocol. */
+typedef enum {
+    REASON_RECORDED,       /**< COMMAND_RUN: the attempt is in the durable record and not over. */
+    REASON_STOP_REQUESTED, /**< COMMAND_STOP: the recorded attempt is to stop. */
+    REASON_UNRECORDED,     /**< COMMAND_STOP: no record names the attempt. */
+    REASON_JOB_ENDED,      /**< COMMAND_STOP: the job is not live. */
+    REASON_EXITED          /**< COMMAND_FORGET: the attempt has exited and left the record. */
+} command_reason_t;
+
 /** One command to a worker. */
 typedef struct worker_command {
-    worker_command_op_t op; /**< The operation. */
-    char job[ID_BYTES];     /**< The job's id. */
-    uint32_t task;          /**< Index of the task in its job. */
-    uint64_t attempt;       /**< The attempt number. */
-    double grace_s;         /**< For COMMAND_STOP: time that the task has to save, in seconds. */
+    worker_command_op_t op;  /**< The operation. */
+    char job[ID_BYTES];      /**< The job's id. */
+    uint32_t task;           /**< Index of the task in its job. */
+    uint64_t attempt;        /**< The attempt number. */
+    double grace_s;          /**< For COMMAND_STOP: time that the task has to save, in seconds. */
+    command_reason_t reason; /**< Why it is sent. */
 } worker_command_t;
 
 /** A machine type that the cloud offers. */
--- a/tests/io/codec/test_encoding_samples.c
+++ b/tests/io/codec/test_encoding_samples.c
@@ -148,11 +148,11 @@
 static void test_answers_to_workers_match_samples(void **state)
 {
     (void)state;
-    const worker_command_t commands[] = {{COMMAND_RUN, "j-000412", 3, 1ULL << 40, 0},
-                                         {COMMAND_STOP, "j-000398", 4, 6, 2.5},
-                                         {COMMAND_FORGET, "j-000397", 5, 7, 0}};
-    GArray *list = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
-    g_array_append_vals(list, commands, G_N_ELEMENTS(commands));
+    worker_command_t run = {COMMAND_RUN, "j-000412", 3, 1ULL << 40, 0, REASON_RECORDED};
+    worker_command_t stop = {COMMAND_STOP, "j-000398", 4, 6, 2.5, REASON_UNRECORDED};
+    worker_command_t forget = {COMMAND_FORGET, "j-000397", 5, 7, 0, REASON_EXITED};
+    GArray *list = g_array_append_val(g_array_new(FALSE, FALSE, sizeof run), run);
+    g_array_append_val(g_array_append_val(list, stop), forget);
     assert_json_is_sample("worker_answer.json", codec_build_commands(41, list));
     assert_json_is_sample("worker_answer_quiet.json", codec_build_commands(42, NULL));
     assert_json_is_sample("worker_direct.json", codec_build_pushed_commands(43, 31, list));
