--- a/tests/core/partition/copies_exchange.c
+++ b/tests/core/partition/copies_exchange.c
@@ -115,6 +115,25 @@
         world->copies_delivered += execute_push(world, push);
 }
 
+static void keep_copy(world_t *world, const worker_heartbeat_t *heartbeat)
+{
+    worker_heartbeat_t *copy = g_new(worker_heartbeat_t, 1);
+    *copy = *heartbeat;
+    copy->attempts = g_array_copy(heartbeat->attempts);
+    g_ptr_array_add(world->heartbeats, copy);
+}
+
+/* The worker no longer waits for the answer. */
+void world_play_heartbeat_copy(world_t *world)
+{
+    if (world->heartbeats->len == 0)
+        return;
+    const worker_heartbeat_t *copy =
+        g_ptr_array_index(world->heartbeats, world_pick(world, world->heartbeats->len));
+    g_autoptr(GArray) commands = g_array_new(FALSE, FALSE, sizeof(worker_command_t));
+    partition_handle_heartbeat(world->partition, copy, false, world->now, commands);
+}
+
 static void handle_heartbeat(world_t *world, world_machine_t *machine)
 {
     g_array_set_size(machine->answer_commands, 0);
@@ -165,6 +184,7 @@
     switch (machine->hello_phase) {
     case EXCHANGE_IDLE:
         machine->heartbeat = fake_worker_heartbeat(machine->worker);
+        keep_copy(world, &machine->heartbeat);
         machine->hello_phase = EXCHANGE_SENT;
         break;
     case EXCHANGE_SENT:
--- a/tests/core/partition/copies_world.c
+++ b/tests/core/partition/copies_world.c
@@ -39,6 +39,12 @@
     g_free(push);
 }
 
+static void heartbeat_free(gpointer data)
+{
+    worker_heartbeat_clear(data);
+    g_free(data);
+}
+
 static void page_free(gpointer data)
 {
     page_record_t *record = data;
@@ -64,6 +70,7 @@
     world->partition = partition_fixture_new_partition(fixture, world->view);
     world->pages = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, page_free);
     world->copies = g_ptr_array_new_with_free_func(sent_push_free);
+    world->heartbeats = g_ptr_array_new_with_free_func(heartbeat_free);
     world->started = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     world->over = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     world->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -89,6 +96,7 @@
     partition_free(world->partition);
     g_hash_table_unref(world->pages);
     g_ptr_array_unref(world->copies);
+    g_ptr_array_unref(world->heartbeats);
     g_hash_table_unref(world->started);
     g_hash_table_unref(world->over);
     g_hash_table_unref(world->listed);
@@ -308,8 +316,10 @@
         world_play_heartbeat(world);
     else if (luck < 600)
         world_play_push(world);
-    else if (luck < 700)
+    else if (luck < 690)
         world_play_copy(world);
+    else if (luck < 700)
+        world_play_heartbeat_copy(world);
     else if (luck < 780)
         play_commit(world);
     else if (luck < 880)
--- a/tests/core/partition/copies_world.h
+++ b/tests/core/partition/copies_world.h
@@ -56,10 +56,11 @@
     partition_t *partition;
     world_machine_t machines[WORLD_MACHINES];
     world_job_t jobs[WORLD_JOBS];
-    GHashTable *pages;   /* name -> page_record_t, both owned: the durable records */
-    GPtrArray *copies;   /* of sent_push_t, owned: each may be delivered once more at any time */
-    GHashTable *started; /* names of attempts that a worker has started */
-    GHashTable *over;    /* names of attempts that the partition reported as over */
+    GHashTable *pages;     /* name -> page_record_t, both owned: the durable records */
+    GPtrArray *copies;     /* of sent_push_t, owned: each may be delivered once more at any time */
+    GPtrArray *heartbeats; /* of worker_heartbeat_t, owned: each may arrive once more, or late */
+    GHashTable *started;   /* names of attempts that a worker has started */
+    GHashTable *over;      /* names of attempts that the partition reported as over */
     GHashTable *listed; /* name of an exited attempt that the partition no longer knows -> number of
                            answered heartbeats that listed it in this view */
     guint copies_delivered;
@@ -74,10 +75,11 @@
 void world_play_step(world_t *world);
 
 /* Each carries out the next step of an exchange with a random worker: a push, a copy of an earlier
- * push, a heartbeat. */
+ * push, a heartbeat, a copy of an earlier heartbeat. */
 void world_play_push(world_t *world);
 void world_play_copy(world_t *world);
 void world_play_heartbeat(world_t *world);
+void world_play_heartbeat_copy(world_t *world);
 /* Abandon an exchange. */
 void world_machine_drop_push(world_machine_t *machine);
 void world_machine_drop_heartbeat(world_machine_t *machine);
