--- a/tests/core/partition/copies_exchange.c
+++ b/tests/core/partition/copies_exchange.c
@@ -7,7 +7,8 @@
 enum {
     /* An exited attempt that has left the record is forgotten in the answer to the next heartbeat,
      * or to the one after it if it left the record while that answer was on its way. */
-    LISTED_MAX_COUNT = 2
+    LISTED_MAX_COUNT = 2,
+    NEWEST_COPIES_COUNT = 6
 };
 
 void world_machine_drop_heartbeat(world_machine_t *machine)
@@ -109,8 +110,11 @@
 {
     if (world->copies->len == 0)
         return;
+    /* A copy that follows soon after its push meets more states of the exchange. */
+    guint newest = MIN(world->copies->len, NEWEST_COPIES_COUNT);
+    guint first = world_chance(world, 60) ? world->copies->len - newest : 0;
     const sent_push_t *push =
-        g_ptr_array_index(world->copies, world_pick(world, world->copies->len));
+        g_ptr_array_index(world->copies, first + world_pick(world, world->copies->len - first));
     if (world->machines[push->machine].push != push)
         world->copies_delivered += execute_push(world, push);
 }
--- a/tests/core/partition/copies_world.c
+++ b/tests/core/partition/copies_world.c
@@ -263,8 +263,10 @@
     if (is_over(job)) {
         end_job(world, job);
         replace_job(world, job);
-    } else if (!job->is_cancelled && world_chance(world, 15)) {
+    } else if (!job->is_cancelled && world_chance(world, 40)) {
         job->is_cancelled = true;
+        if (world_chance(world, 50))
+            end_job(world, job);
     } else if (job->is_cancelled) {
         end_job(world, job);
     }
--- a/tests/core/partition/test_late_commands_soak.c
+++ b/tests/core/partition/test_late_commands_soak.c
@@ -6,7 +6,7 @@
 
 #include <stdio.h>
 
-enum { DEFAULT_EVENTS = 20000, DEFAULT_CLUSTERS = 20, DEFAULT_SEED = 1204 };
+enum { DEFAULT_EVENTS = 20000, DEFAULT_CLUSTERS = 100, DEFAULT_SEED = 1204 };
 
 static void play_cluster(const partition_fixture_t *fixture, guint seed, guint events)
 {
