Autoscaler: one iteration over the booting instances that count as capacity

The balance and the pools each had the same loop with the same conditions. No change of behaviour; the tests of the autoscaler and its random test pass.

--- a/src/core/autoscaler/autoscaler.c
+++ b/src/core/autoscaler/autoscaler.c
@@ -99,6 +99,20 @@
     return (double)(now - booting->requested_at) > usual_boot_ms * BOOT_OVERDUE_FACTOR;
 }
 
+const machine_type_t *autoscaler_next_booting(GHashTableIter *iter, const GArray *machine_types,
+                                              msec_t now, const booting_instance_t **booting)
+{
+    gpointer value;
+    while (g_hash_table_iter_next(iter, NULL, &value)) {
+        *booting = value;
+        const machine_type_t *machine_type =
+            autoscaler_find_machine_type(machine_types, (*booting)->type);
+        if (machine_type && !autoscaler_is_boot_overdue(*booting, machine_type, now))
+            return machine_type;
+    }
+    return NULL;
+}
+
 static char *refusal_key(const char *type, const char *zone, bool spot)
 {
     return g_strdup_printf("%s %s %s", type, zone, spot ? "spot" : "on-demand");
--- a/src/core/autoscaler/autoscaler_internal.h
+++ b/src/core/autoscaler/autoscaler_internal.h
@@ -81,6 +81,12 @@
 bool autoscaler_is_boot_overdue(const booting_instance_t *booting,
                                 const machine_type_t *machine_type, msec_t now);
 
+/** Finds the next booting instance that counts as capacity at @p now: its type is known and it is
+ * not overdue. @p iter: an iteration over autoscaler_t.booting_instances. Stores the instance in
+ * @p booting and returns its type (both transfer none), or returns NULL if none is left. */
+const machine_type_t *autoscaler_next_booting(GHashTableIter *iter, const GArray *machine_types,
+                                              msec_t now, const booting_instance_t **booting);
+
 /** Returns the machine type with this name, or NULL if there is none; transfer none. */
 const machine_type_t *autoscaler_find_machine_type(const GArray *machine_types, const char *name);
 
--- a/src/core/autoscaler/demand_balance.c
+++ b/src/core/autoscaler/demand_balance.c
@@ -83,14 +83,10 @@
                         const GArray *machine_types, msec_t now)
 {
     GHashTableIter iter;
-    gpointer value;
+    const booting_instance_t *booting;
+    const machine_type_t *machine_type;
     g_hash_table_iter_init(&iter, autoscaler->booting_instances);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const booting_instance_t *booting = value;
-        const machine_type_t *machine_type =
-            autoscaler_find_machine_type(machine_types, booting->type);
-        if (!machine_type || autoscaler_is_boot_overdue(booting, machine_type, now))
-            continue;
+    while ((machine_type = autoscaler_next_booting(&iter, machine_types, now, &booting))) {
         resources_add(&balance->booting, machine_type->capacity, 1);
         balance->on_demand_cpus += booting->is_spot ? 0 : machine_type->capacity.cpus;
     }
--- a/src/core/autoscaler/machine_pools.c
+++ b/src/core/autoscaler/machine_pools.c
@@ -66,14 +66,10 @@
                                   const GArray *machine_types, msec_t now)
 {
     GHashTableIter iter;
-    gpointer value;
+    const booting_instance_t *booting;
+    const machine_type_t *machine_type;
     g_hash_table_iter_init(&iter, autoscaler->booting_instances);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const booting_instance_t *booting = value;
-        const machine_type_t *machine_type =
-            autoscaler_find_machine_type(machine_types, booting->type);
-        if (!machine_type || autoscaler_is_boot_overdue(booting, machine_type, now))
-            continue;
+    while ((machine_type = autoscaler_next_booting(&iter, machine_types, now, &booting))) {
         resources_t capacity = machine_type->capacity;
         guint index = ensure_pool(pools, booting->type, booting->zone, booting->is_spot, capacity);
         machine_pool_at(pools, index)->count++;
