--- a/src/core/autoscaler/autoscaler.c
+++ b/src/core/autoscaler/autoscaler.c
@@ -92,8 +92,10 @@
     return stuck;
 }
 
-bool autoscaler_is_boot_overdue(const booting_instance_t *booting,
-                                const machine_type_t *machine_type, msec_t now)
+/* Returns whether the instance, which is of this type, has been booting for longer than usual. It
+ * may never come up, so it does not count as capacity any more. */
+static bool is_boot_overdue(const booting_instance_t *booting, const machine_type_t *machine_type,
+                            msec_t now)
 {
     double usual_boot_ms = machine_type->boot_s * MS_PER_S;
     return (double)(now - booting->requested_at) > usual_boot_ms * BOOT_OVERDUE_FACTOR;
@@ -107,7 +109,7 @@
         *booting = value;
         const machine_type_t *machine_type =
             autoscaler_find_machine_type(machine_types, (*booting)->type);
-        if (machine_type && !autoscaler_is_boot_overdue(*booting, machine_type, now))
+        if (machine_type && !is_boot_overdue(*booting, machine_type, now))
             return machine_type;
     }
     return NULL;
--- a/src/core/autoscaler/autoscaler_internal.h
+++ b/src/core/autoscaler/autoscaler_internal.h
@@ -76,11 +76,6 @@
 double autoscaler_justified_on_demand_cpus(const leader_t *leader,
                                            const autoscaler_balance_t *balance, double max_wait_s);
 
-/** Returns whether the instance, which is of this type, has been booting for longer than usual. It
- * may never come up, so it does not count as capacity any more. */
-bool autoscaler_is_boot_overdue(const booting_instance_t *booting,
-                                const machine_type_t *machine_type, msec_t now);
-
 /** Finds the next booting instance that counts as capacity at @p now: its type is known and it is
  * not overdue. @p iter: an iteration over autoscaler_t.booting_instances. Stores the instance in
  * @p booting and returns its type (both transfer none), or returns NULL if none is left. */
