--- a/src/io/log.c
+++ b/src/io/log.c
@@ -47,14 +47,9 @@
     return false;
 }
 
-bool log_is_enabled(log_level_t level)
-{
-    return level <= enabled_level;
-}
-
 void log_write(log_level_t level, const char *format, ...)
 {
-    if (!log_is_enabled(level))
+    if (level > enabled_level)
         return;
     char line[LOG_LINE_BYTES];
     va_list args;
--- a/src/io/log.h
+++ b/src/io/log.h
@@ -23,9 +23,6 @@
  * before other threads start. Returns false if the name is unknown. */
 bool log_start(const char *level_name);
 
-/** Returns whether lines of @p level are written. */
-bool log_is_enabled(log_level_t level);
-
 /** Writes a line if @p level is enabled. A line longer than LOG_LINE_BYTES is truncated. */
 void log_write(log_level_t level, const char *format, ...) __attribute__((format(printf, 2, 3)));
 
