Tests: late runs are checked step by step, without loops that may not end

Reading the changed assertions once more: the test of a finished attempt no longer said how soon the attempt is forgotten, and its loop had no end if it never was. It now states each step, and that the late run is refused as soon as the next answer is executed, which is earlier than before the fix. The tests of late copies allow two heartbeats, and one asserts that a copy that is executed while the attempt is remembered starts nothing. No change of src.

--- a/tests/core/partition/test_late_commands.c
+++ b/tests/core/partition/test_late_commands.c
@@ -44,12 +44,14 @@
     return push;
 }
 
+/* Two heartbeats suffice: the first one shows that the attempt has exited, and the second one is
+ * sent after it has left the record. */
 static void exchange_until_forgotten(partition_fixture_t *fixture)
 {
-    do {
-        exchange_heartbeat(fixture);
-        commit_batch(fixture);
-    } while (fixture->worker->attempts->len > 0);
+    exchange_heartbeat(fixture);
+    commit_batch(fixture);
+    exchange_heartbeat(fixture);
+    assert_int_equal(fixture->worker->attempts->len, 0);
 }
 
 static void assert_late_copy_starts_nothing(partition_fixture_t *fixture, received_push_t *push)
@@ -139,6 +141,7 @@
     exited_statistics_t statistics = partition_exited_statistics(fixture->partition, fixture->now);
     assert_int_equal(statistics.count, 1);
     assert_int_equal(statistics.oldest_ms, 10 * MS_PER_S);
+    assert_true(execute(fixture, &push)); /* the worker remembers the attempt */
     assert_late_copy_starts_nothing(fixture, &push);
 }
 
--- a/tests/core/partition/test_partition_proofs.c
+++ b/tests/core/partition/test_partition_proofs.c
@@ -50,15 +50,13 @@
     exchange_heartbeat(fixture); /* the answer to this heartbeat starts the task */
     assert_int_equal(fixture->worker->started_count, 1);
     fake_worker_exit_attempts(fixture->worker, "j-000001", 0, CAUSE_ERROR);
-    do {
-        /* The worker remembers the attempt, or refuses the copy. */
-        fake_worker_handle_push(fixture->worker, fencing_token, 1, late_commands);
-        assert_int_equal(fixture->worker->started_count, 1);
-        assert_true(fixture->worker->attempts->len > 0 ||
-                    fixture->worker->fencing_token > fencing_token);
-        exchange_heartbeat(fixture);
-        commit_batch(fixture);
-    } while (fixture->worker->attempts->len > 0);
+    /* That answer has also raised the token, so the late `run` is refused from then on. */
+    assert_false(fake_worker_handle_push(fixture->worker, fencing_token, 1, late_commands));
+    exchange_heartbeat(fixture);
+    assert_int_equal(count_commands(fixture, COMMAND_FORGET), 0); /* it is still recorded */
+    commit_batch(fixture);
+    exchange_heartbeat(fixture);
+    assert_int_equal(fixture->worker->attempts->len, 0);
     assert_false(fake_worker_handle_push(fixture->worker, fencing_token, 1, late_commands));
     assert_int_equal(fixture->worker->started_count, 1);
     g_array_unref(late_commands);
