Review, cases 4 to 7: build beside the cases of the earlier review

review/build.sh compiles every numbered folder below review together with its own stand-ins, whose names clashed with those of review/standins-2. Checks and bounds are unchanged.

--- a/review/4/case.c
+++ b/review/4/case.c
@@ -1,7 +1,8 @@
 /* A swarm of one-task jobs fills the record of one machine. Another machine is idle. */
 #include <string.h>
 
-#include "stage.h"
+#include "../standins-2/net.c"
+#include "../standins-2/stage.c"
 
 enum {
     JOBS = 84,
@@ -47,7 +48,7 @@
 static void repeat_submissions(void)
 {
     for (int i = 0; i < job_count; i++)
-        if (!jobs[i].accepted_at && now_ms() - jobs[i].submitted_at > 1500)
+        if (!jobs[i].accepted_at && net_now() - jobs[i].submitted_at > 1500)
             user_submit_later(i % NODES, &jobs[i]);
 }
 
@@ -81,19 +82,19 @@
         if (i % 8 == 7)
             repeat_submissions();
     }
-    ms_t swarm_ended_at = now_ms();
-    record("the swarm is over");
-    while (now_ms() - stage_began_at < 117000 && wait <= ALLOWED_MS) {
+    ms_t swarm_ended_at = net_now();
+    stage_record("the swarm is over");
+    while (net_now() - stage_began_at < 117000 && wait <= ALLOWED_MS) {
         net_run(1000);
         wait = longest_wait(&waiting);
-        if (wait > now_ms() - swarm_ended_at)
-            wait = now_ms() - swarm_ended_at;
-        if ((now_ms() - stage_began_at) / 1000 % 3 == 0)
+        if (wait > net_now() - swarm_ended_at)
+            wait = net_now() - swarm_ended_at;
+        if ((net_now() - stage_began_at) / 1000 % 3 == 0)
             repeat_submissions();
-        if (waiting == 0 && now_ms() - stage_began_at > 45000)
+        if (waiting == 0 && net_now() - stage_began_at > 45000)
             break;
     }
-    record("%d jobs wait, the longest for %lld ms since the swarm; on %s %d tasks, on %s %d", waiting,
+    stage_record("%d jobs wait, the longest for %lld ms since the swarm; on %s %d tasks, on %s %d", waiting,
            (long long)wait, workers[0].name, workers[0].task_count, workers[1].name,
            workers[1].task_count);
     stage_end();
--- a/review/7/case.c
+++ b/review/7/case.c
@@ -2,7 +2,8 @@
  * the machines of a partition that is not the largest. */
 #include <string.h>
 
-#include "stage.h"
+#include "../standins-2/net.c"
+#include "../standins-2/stage.c"
 
 enum { WAIT_MS = 90000 };
 
@@ -20,7 +21,7 @@
 
 static void submit(job_t *job)
 {
-    for (int i = 0; i < 5 && user_submit(0, job) != 201; i++)
+    for (int i = 0; i < 5 && stage_submit(0, job) != 201; i++)
         net_run(1000);
 }
 
@@ -69,14 +70,14 @@
     job->memory = 11;
     job->run_s = 50;
     submit(job);
-    ms_t accepted_at = now_ms();
-    while (now_ms() - accepted_at <= WAIT_MS && !job->first_start_at)
+    ms_t accepted_at = net_now();
+    while (net_now() - accepted_at <= WAIT_MS && !job->first_start_at)
         net_run(200);
-    record("equipa-porto runs %.0f CPUs and is guaranteed 48; equipa-lisboa runs %.0f and is "
+    stage_record("equipa-porto runs %.0f CPUs and is guaranteed 48; equipa-lisboa runs %.0f and is "
            "guaranteed 4",
            cpus_of("equipa-porto"), cpus_of("equipa-lisboa"));
-    record("%s of equipa-porto, 4 CPUs: %s after %lld ms", job->id,
-           job->first_start_at ? "started" : "not started", (long long)(now_ms() - accepted_at));
+    stage_record("%s of equipa-porto, 4 CPUs: %s after %lld ms", job->id,
+           job->first_start_at ? "started" : "not started", (long long)(net_now() - accepted_at));
     stage_end();
     return !job->first_start_at;
 }
--- a/review/standins-2/net.c
+++ b/review/standins-2/net.c
@@ -59,7 +59,7 @@
 static connection_t *connections;
 static timer_entry_t *timers;
 
-ms_t now_ms(void)
+ms_t net_now(void)
 {
     struct timespec now;
     clock_gettime(CLOCK_MONOTONIC, &now);
@@ -69,7 +69,7 @@
 void net_after(ms_t delay, void (*run)(void *data), void *data)
 {
     timer_entry_t *timer = calloc(1, sizeof *timer);
-    *timer = (timer_entry_t){.at = now_ms() + delay, .run = run, .data = data};
+    *timer = (timer_entry_t){.at = net_now() + delay, .run = run, .data = data};
     timer_entry_t **place = &timers;
     while (*place && (*place)->at <= timer->at)
         place = &(*place)->next;
@@ -192,7 +192,7 @@
 }
 
 /* The port is outside the range from which the system takes those of outgoing connections. */
-int free_port(void)
+int net_free_port(void)
 {
     static int last;
     if (!last)
@@ -224,7 +224,7 @@
     return fd;
 }
 
-int http_serve(http_handler_t handler, void *data)
+int net_serve(http_handler_t handler, void *data)
 {
     int port = 0;
     connection_t *it = add(listen_any(&port), LISTEN_HTTP);
@@ -354,7 +354,7 @@
     free(call);
 }
 
-void http_call(int port, const char *method, const char *path, json_t *body, ms_t timeout,
+void net_call(int port, const char *method, const char *path, json_t *body, ms_t timeout,
                http_done_t done, void *data)
 {
     char head[800];
@@ -369,7 +369,7 @@
         connection_t *it = add(fd, CLIENT);
         it->done = done;
         it->data = data;
-        it->deadline = now_ms() + timeout;
+        it->deadline = net_now() + timeout;
         snprintf(head, sizeof head,
                  "%s %s HTTP/1.1\r\nHost: local\r\nContent-Type: application/json\r\n"
                  "Content-Length: %zu\r\n\r\n",
@@ -495,11 +495,11 @@
 
 static void expire(void)
 {
-    ms_t now = now_ms();
+    ms_t now = net_now();
     for (connection_t *it = connections; it; it = it->next)
         if (it->kind == CLIENT && !it->is_closed && now >= it->deadline)
             finish(it, 0, NULL);
-    while (timers && timers->at <= now_ms()) {
+    while (timers && timers->at <= net_now()) {
         timer_entry_t *timer = timers;
         timers = timer->next;
         timer->run(timer->data);
@@ -509,12 +509,12 @@
 
 void net_run(ms_t duration)
 {
-    ms_t until = now_ms() + duration;
-    while (now_ms() < until) {
+    ms_t until = net_now() + duration;
+    while (net_now() < until) {
         struct epoll_event events[64];
-        ms_t wait = until - now_ms();
-        if (timers && timers->at - now_ms() < wait)
-            wait = timers->at - now_ms();
+        ms_t wait = until - net_now();
+        if (timers && timers->at - net_now() < wait)
+            wait = timers->at - net_now();
         if (wait > 20)
             wait = 20;
         int count = epoll_wait(epoll_fd, events, 64, (int)(wait > 0 ? wait : 0));
--- a/review/standins-2/net.h
+++ b/review/standins-2/net.h
@@ -10,7 +10,7 @@
 
 typedef int64_t ms_t;
 
-ms_t now_ms(void);
+ms_t net_now(void);
 
 /* Calls run(data) after the delay, once. */
 void net_after(ms_t delay, void (*run)(void *data), void *data);
@@ -32,7 +32,7 @@
 
 /* Starts a server on a free port and returns the port. The handler answers with http_answer(), at
  * once or later, or never. */
-int http_serve(http_handler_t handler, void *data);
+int net_serve(http_handler_t handler, void *data);
 /* Answers a request. Takes the body (may be NULL). */
 void http_answer(uint64_t connection, int status, json_t *body);
 /* Closes the connection without an answer. */
@@ -43,7 +43,7 @@
 /* status: 0 if no answer came in time, or the connection failed. body: borrowed, may be NULL. */
 typedef void (*http_done_t)(void *data, int status, const json_t *body);
 /* Sends a request on a connection of its own. Takes the body (may be NULL). */
-void http_call(int port, const char *method, const char *path, json_t *body, ms_t timeout,
+void net_call(int port, const char *method, const char *path, json_t *body, ms_t timeout,
                http_done_t done, void *data);
 
 /* How a relay treats its connections. */
@@ -61,6 +61,6 @@
 void relay_set(relay_t *relay, relay_mode_t mode);
 
 /* Returns a port that no other program uses now. */
-int free_port(void);
+int net_free_port(void);
 
 #endif
--- a/review/standins-2/stage.c
+++ b/review/standins-2/stage.c
@@ -24,7 +24,7 @@
 bool cloud_is_down;
 
 static FILE *record_file;
-static char work_folder[64];
+static char work_folder[128]; /* run.sh makes and removes it */
 static char program_path[512];
 
 double random_unit(void)
@@ -32,12 +32,12 @@
     return (double)random() / 2147483648.0;
 }
 
-void record(const char *format, ...)
+void stage_record(const char *format, ...)
 {
     va_list args;
     if (!record_file)
         return;
-    fprintf(record_file, "%8.3f ", (double)(now_ms() - stage_began_at) / 1000);
+    fprintf(record_file, "%8.3f ", (double)(net_now() - stage_began_at) / 1000);
     va_start(args, format);
     vfprintf(record_file, format, args);
     va_end(args);
@@ -210,7 +210,7 @@
         if (!is_served(it->node))
             continue;
         json_t *news = news_since(it->under, it->since);
-        if (json_array_size(news) == 0 && now_ms() < it->until) {
+        if (json_array_size(news) == 0 && net_now() < it->until) {
             json_decref(news);
             continue;
         }
@@ -222,7 +222,7 @@
 
 static void expire_grants(void)
 {
-    ms_t now = now_ms();
+    ms_t now = net_now();
     for (int i = 0; i < grant_count; i++) {
         if (now < grants[i].ends_at || is_outage)
             continue;
@@ -245,10 +245,10 @@
 
 void state_outage(bool is_down)
 {
-    record("state service %s", is_down ? "goes down" : "is back");
+    stage_record("state service %s", is_down ? "goes down" : "is back");
     if (is_outage && !is_down)
         for (int i = 0; i < grant_count; i++)
-            grants[i].ends_at = now_ms() + grants[i].life;
+            grants[i].ends_at = net_now() + grants[i].life;
     is_outage = is_down;
     wake_followers();
 }
@@ -273,7 +273,7 @@
         bool is_large = text && strlen(text) > site.value_kb * 1024;
         free(text);
         if (is_large || json_array_size(then) > (size_t)site.txn_ops) {
-            record("state: a transaction is too large");
+            stage_record("state: a transaction is too large");
             json_decref(failed);
             *answer = json_pack("{s:s}", "error", "too large");
             return 400;
@@ -317,7 +317,7 @@
     late_txn_t *late = data;
     json_t *answer = NULL;
     int status = is_outage ? 503 : execute(late->body, &answer);
-    record("state: a late transaction is carried out: %d", status);
+    stage_record("state: a late transaction is carried out: %d", status);
     json_decref(answer);
     json_decref(late->body);
     free(late);
@@ -326,7 +326,7 @@
 /* Returns whether the limits permit the request; takes its tokens. */
 static bool take_tokens(size_t writes)
 {
-    ms_t now = now_ms();
+    ms_t now = net_now();
     double seconds = (double)(now - tokens_at) / 1000;
     tokens_at = now;
     request_tokens += seconds * site.rps;
@@ -385,7 +385,7 @@
     http_parameter(request->query, "Since", since, sizeof since);
     http_parameter(request->query, "BlockMs", block, sizeof block);
     it.since = strtoull(since, NULL, 10);
-    it.until = now_ms() + atoi(block);
+    it.until = net_now() + atoi(block);
     if (follower_count < 256)
         followers[follower_count++] = it;
     wake_followers();
@@ -398,7 +398,7 @@
     if (state_late_share > 0 && first && random_unit() < state_late_share) {
         if (state_loses_answers_only) {
             int status = execute(request->body, &answer);
-            record("state: an answer (%d) to %s is lost", status, nodes[node].name);
+            stage_record("state: an answer (%d) to %s is lost", status, nodes[node].name);
             json_decref(answer);
             return;
         }
@@ -418,14 +418,14 @@
     static uint64_t last_tether;
     if (strcmp(request->path, "/grants") == 0) {
         ms_t life = json_integer_value(json_object_get(request->body, "LifeMs"));
-        grants[grant_count++] = (grant_t){++last_tether, life, now_ms() + life};
+        grants[grant_count++] = (grant_t){++last_tether, life, net_now() + life};
         answer_node(node, request->connection, 200,
                     json_pack("{s:I}", "Tether", (json_int_t)last_tether));
         return;
     }
     grant_t *it = find_grant(strtoull(request->path + strlen("/grants/"), NULL, 10));
     if (it)
-        it->ends_at = now_ms() + it->life;
+        it->ends_at = net_now() + it->life;
     answer_node(node, request->connection, it ? 200 : 404, json_object());
 }
 
@@ -546,9 +546,9 @@
     task->state = EXITED;
     task->cause = cause;
     task->stored = stored;
-    task->since = now_ms();
+    task->since = net_now();
     worker->has_changed = true;
-    record("%s: %s/%d#%llu exits: %s", worker->name, task->job, task->piece,
+    stage_record("%s: %s/%d#%llu exits: %s", worker->name, task->job, task->piece,
            (unsigned long long)task->heave, cause);
 }
 
@@ -556,7 +556,7 @@
 {
     job_t *job = job_find(task->job);
     task->state = RUNNING;
-    task->since = now_ms();
+    task->since = net_now();
     task->saved_ms = job->piece_saved[task->piece];
     ms_t left = (ms_t)(job->run_s * 1000) - task->saved_ms;
     task->ends_at = task->since + (job->piece_done[task->piece] ? 0 : left > 0 ? left : 0);
@@ -609,25 +609,25 @@
     job_t *job = job_find(id);
     const char *cause = refusal(worker, job, piece);
     task_t *task = &worker->tasks[worker->task_count++];
-    *task = (task_t){.piece = piece, .heave = heave, .since = now_ms()};
+    *task = (task_t){.piece = piece, .heave = heave, .since = net_now()};
     snprintf(task->job, sizeof task->job, "%s", id);
     worker->has_changed = true;
-    record("%s: run %s/%d#%llu%s%s", worker->name, id, piece, (unsigned long long)heave,
+    stage_record("%s: run %s/%d#%llu%s%s", worker->name, id, piece, (unsigned long long)heave,
            cause ? " refused: " : "", cause ? cause : "");
     if (cause) {
         exit_task(worker, task, cause, false);
         return;
     }
     task->state = PULLING;
-    task->ends_at = now_ms() + (has_image(worker, job->image) ? 0 : (ms_t)(site.fetch_s * 1000));
-    if (task->ends_at <= now_ms()) {
+    task->ends_at = net_now() + (has_image(worker, job->image) ? 0 : (ms_t)(site.fetch_s * 1000));
+    if (task->ends_at <= net_now()) {
         begin_running(worker, task);
     }
 }
 
 static void save_progress(task_t *task, const job_t *job, bool is_stop)
 {
-    ms_t progress = task->saved_ms + now_ms() - task->since;
+    ms_t progress = task->saved_ms + net_now() - task->since;
     ms_t interval = (ms_t)(job->checkpoint_s * 1000);
     if (interval > 0)
         job->piece_saved[task->piece] = is_stop ? progress : progress / interval * interval;
@@ -641,13 +641,13 @@
             task->state == EXITED)
             continue;
         const job_t *job = job_find(id);
-        record("%s: stop %s/%d#%llu slack %.1f", worker->name, id, piece,
+        stage_record("%s: stop %s/%d#%llu slack %.1f", worker->name, id, piece,
                (unsigned long long)heave, slack);
         if (task->state == RUNNING && job->checkpoint_s > 0 && slack >= job->save_s) {
             save_progress(task, job, true);
             task->state = SAVING;
-            task->since = now_ms();
-            task->ends_at = now_ms() + (ms_t)(job->save_s * 1000);
+            task->since = net_now();
+            task->ends_at = net_now() + (ms_t)(job->save_s * 1000);
             worker->has_changed = true;
         } else if (task->state != SAVING || slack <= 0) {
             if (task->state == RUNNING)
@@ -726,7 +726,7 @@
 {
     late_command_t *late = data;
     if (!late->worker->is_gone && !late->worker->is_hung)
-        record("%s: a late direct command: %d", late->worker->name,
+        stage_record("%s: a late direct command: %d", late->worker->name,
                direct_command(late->worker, late->body));
     json_decref(late->body);
     free(late);
@@ -823,7 +823,7 @@
 {
     report_t *report = data;
     worker_t *worker = report->worker;
-    ms_t now = now_ms();
+    ms_t now = net_now();
     bool is_lost = worker->is_deaf || worker->is_silent || worker->is_gone;
     if (report->number != worker->report_number || worker->is_gone) {
         free(report);
@@ -863,18 +863,18 @@
 static void send_report(worker_t *worker)
 {
     report_t *report = malloc(sizeof *report);
-    *report = (report_t){worker, worker->session, ++worker->report_number, now_ms()};
+    *report = (report_t){worker, worker->session, ++worker->report_number, net_now()};
     worker->is_waiting = true;
     worker->has_changed = false;
-    worker->last_report_at = now_ms();
+    worker->last_report_at = net_now();
     int port = worker->is_mute || worker->is_silent ? 1 : relay_port(nodes[worker->node].fronts[worker->zone]);
-    http_call(port, "POST", "/hello", build_report(worker), 4000, finish_report, report);
+    net_call(port, "POST", "/hello", build_report(worker), 4000, finish_report, report);
 }
 
 static void tick_task(worker_t *worker, task_t *task)
 {
     job_t *job = job_find(task->job);
-    if (task->state == EXITED || now_ms() < task->ends_at)
+    if (task->state == EXITED || net_now() < task->ends_at)
         return;
     if (task->state == PULLING) {
         add_image(worker, job->image);
@@ -895,7 +895,7 @@
 
 static void tick_worker(worker_t *worker)
 {
-    ms_t now = now_ms();
+    ms_t now = net_now();
     if (worker->is_gone || worker->is_hung || now < worker->up_at)
         return;
     if (!worker->is_up) {
@@ -904,10 +904,10 @@
         worker->lease_from = now;
         worker->next_report_at = now;
         worker->node = (int)(random() % NODES);
-        record("%s: up in %s", worker->name, site.zones[worker->zone]);
+        stage_record("%s: up in %s", worker->name, site.zones[worker->zone]);
     }
     if (now - worker->lease_from > (ms_t)(site.lease_s * 1000)) {
-        record("%s: lease of session %llu ends, %d tasks are killed", worker->name,
+        stage_record("%s: lease of session %llu ends, %d tasks are killed", worker->name,
                (unsigned long long)worker->session, worker->task_count);
         counts.lease_losses++;
         worker->task_count = 0;
@@ -934,10 +934,10 @@
 worker_t *worker_add(int type, int zone, bool is_spot, ms_t boot)
 {
     worker_t *worker = &workers[worker_count++];
-    *worker = (worker_t){.type = type, .zone = zone, .is_spot = is_spot, .rented_at = now_ms()};
+    *worker = (worker_t){.type = type, .zone = zone, .is_spot = is_spot, .rented_at = net_now()};
     snprintf(worker->name, sizeof worker->name, "m-%06d", worker_count);
-    worker->up_at = now_ms() + boot;
-    worker->port = http_serve(serve_worker, worker);
+    worker->up_at = net_now() + boot;
+    worker->port = net_serve(serve_worker, worker);
     snprintf(worker->address, sizeof worker->address, "127.0.0.1:%d", worker->port);
     site.types[type].capacity[zone][is_spot]--;
     return worker;
@@ -947,9 +947,9 @@
 {
     if (worker->is_gone)
         return;
-    record("%s: gone with %d tasks", worker->name, worker->task_count);
+    stage_record("%s: gone with %d tasks", worker->name, worker->task_count);
     worker->is_gone = true;
-    worker->down_at = now_ms();
+    worker->down_at = net_now();
     worker->task_count = 0;
     site.types[worker->type].capacity[worker->zone][worker->is_spot]++;
 }
@@ -1019,7 +1019,7 @@
             worker_add(type, zone, is_spot, (ms_t)(site.types[type].boot_s * 1000 * factor));
         json_array_append_new(names, json_string(worker->name));
     }
-    record("cloud: %s rents %zu of %s in %s%s", charter, json_array_size(names),
+    stage_record("cloud: %s rents %zu of %s in %s%s", charter, json_array_size(names),
            site.types[type].name, site.zones[zone], is_spot ? ", spot" : "");
     if (json_array_size(names) == 0) {
         json_decref(names);
@@ -1040,7 +1040,7 @@
     {
         for (int k = 0; k < worker_count; k++)
             if (strcmp(workers[k].name, json_string_value(name)) == 0) {
-                record("cloud: %s is released", workers[k].name);
+                stage_record("cloud: %s is released", workers[k].name);
                 worker_die(&workers[k]);
                 workers[k].down_at = -1; /* not listed any more */
             }
@@ -1052,12 +1052,12 @@
 {
     char since[64];
     http_parameter(request->query, "Since", since, sizeof since);
-    ms_t seen = now_ms() - (ms_t)(site.list_lag_s * 1000);
+    ms_t seen = net_now() - (ms_t)(site.list_lag_s * 1000);
     json_t *list = json_array();
     for (int i = 0; i < worker_count; i++) {
         const worker_t *it = &workers[i];
         if (strcmp(it->name, since) <= 0 || it->rented_at > seen || it->down_at == -1 ||
-            (it->is_gone && now_ms() - it->down_at > 30000))
+            (it->is_gone && net_now() - it->down_at > 30000))
             continue;
         json_array_append_new(
             list, json_pack("{s:s,s:s,s:s,s:s,s:b,s:s,s:f}", "Uid", it->name, "Address",
@@ -1155,14 +1155,14 @@
         _exit(127);
     }
     nodes[node].pid = pid;
-    record("%s: started", nodes[node].name);
+    stage_record("%s: started", nodes[node].name);
 }
 
 void node_kill(int node)
 {
     if (!nodes[node].pid)
         return;
-    record("%s: killed", nodes[node].name);
+    stage_record("%s: killed", nodes[node].name);
     kill(nodes[node].pid, SIGKILL);
     waitpid(nodes[node].pid, NULL, 0);
     nodes[node].pid = 0;
@@ -1170,19 +1170,19 @@
 
 void node_stop(int node)
 {
-    record("%s: stopped (SIGSTOP)", nodes[node].name);
+    stage_record("%s: stopped (SIGSTOP)", nodes[node].name);
     kill(nodes[node].pid, SIGSTOP);
 }
 
 void node_continue(int node)
 {
-    record("%s: continued (SIGCONT)", nodes[node].name);
+    stage_record("%s: continued (SIGCONT)", nodes[node].name);
     kill(nodes[node].pid, SIGCONT);
 }
 
 void node_cut_from_peers(int node, relay_mode_t mode)
 {
-    record("%s: connections to and from the other nodes: %s", nodes[node].name,
+    stage_record("%s: connections to and from the other nodes: %s", nodes[node].name,
            mode == RELAY_PASS ? "pass" : mode == RELAY_SILENT ? "cut" : "refused");
     for (int i = 0; i < NODES; i++) {
         if (i == node)
@@ -1195,7 +1195,7 @@
 void zone_cut(int zone, bool is_cut)
 {
     relay_mode_t mode = is_cut ? RELAY_SILENT : RELAY_PASS;
-    record("zone %s is %s", site.zones[zone], is_cut ? "cut off" : "joined again");
+    stage_record("zone %s is %s", site.zones[zone], is_cut ? "cut off" : "joined again");
     for (int i = 0; i < NODES; i++) {
         bool is_inside = strcmp(nodes[i].zone, site.zones[zone]) == 0;
         if (is_inside) {
@@ -1223,7 +1223,7 @@
         int status;
         if (!nodes[i].pid || waitpid(nodes[i].pid, &status, WNOHANG) != nodes[i].pid)
             continue;
-        record("%s: ended by itself, status %d", nodes[i].name, status);
+        stage_record("%s: ended by itself, status %d", nodes[i].name, status);
         counts.ended_processes++;
         nodes[i].pid = 0;
     }
@@ -1240,13 +1240,13 @@
 bool nodes_wait_ready(ms_t limit)
 {
     bool are_ready[NODES] = {false};
-    ms_t until = now_ms() + limit;
-    while (now_ms() < until) {
+    ms_t until = net_now() + limit;
+    while (net_now() < until) {
         bool all = true;
         for (int i = 0; i < NODES; i++) {
             all = all && are_ready[i];
             if (!are_ready[i])
-                http_call(nodes[i].port, "GET", "/ready", NULL, 1000, note_ready, &are_ready[i]);
+                net_call(nodes[i].port, "GET", "/ready", NULL, 1000, note_ready, &are_ready[i]);
         }
         if (all)
             return true;
@@ -1262,21 +1262,22 @@
     snprintf(path, sizeof path, "%s/record.txt", folder);
     record_file = fopen(path, "w");
     snprintf(program_path, sizeof program_path, "%s", program);
-    snprintf(work_folder, sizeof work_folder, "/tmp/review-XXXXXX");
-    if (!record_file || !mkdtemp(work_folder) || access(program, X_OK) != 0) {
+    const char *given = getenv("REVIEW_FOLDER");
+    snprintf(work_folder, sizeof work_folder, "%s", given ? given : "/tmp/review-XXXXXX");
+    if (!record_file || (!given && !mkdtemp(work_folder)) || access(program, X_OK) != 0) {
         fprintf(stderr, "the case cannot run: no program, record or temporary folder\n");
         exit(2);
     }
     signal(SIGPIPE, SIG_IGN);
-    stage_began_at = now_ms();
+    stage_began_at = net_now();
     for (int i = 0; i < NODES; i++) {
         node_t *node = &nodes[i];
         snprintf(node->name, sizeof node->name, "pulleyhand-%d", i);
         snprintf(node->zone, sizeof node->zone, "%s", site.node_zones[i]);
-        node->port = free_port();
-        node->peer_port = free_port();
-        node->state_port = http_serve(serve_state, node);
-        node->cloud_port = http_serve(serve_cloud, node);
+        node->port = net_free_port();
+        node->peer_port = net_free_port();
+        node->state_port = net_serve(serve_state, node);
+        node->cloud_port = net_serve(serve_cloud, node);
         for (int k = 0; k < ZONES_MAX && site.zones[k]; k++)
             node->fronts[k] = relay_new(node->port);
         snprintf(node->settings, sizeof node->settings, "%s/settings-%d.json", work_folder, i);
@@ -1286,7 +1287,7 @@
         for (int k = 0; k < NODES; k++)
             if (i != k)
                 nodes[i].peers[k] = relay_new(nodes[k].peer_port);
-    tokens_at = now_ms();
+    tokens_at = net_now();
     request_tokens = site.rps;
     write_tokens = site.write_rps;
     for (int i = 0; i < NODES; i++) {
@@ -1307,14 +1308,6 @@
 {
     for (int i = 0; i < NODES; i++)
         node_kill(i);
-    char command[600];
-    if (getenv("KEEP")) {
-        fprintf(stderr, "logs: %s\n", work_folder);
-        return;
-    }
-    snprintf(command, sizeof command, "rm -rf '%s'", work_folder);
-    if (system(command) != 0)
-        fprintf(stderr, "the temporary folder is left\n");
 }
 
 /* ---- The users and the checks ---- */
@@ -1358,14 +1351,14 @@
 static void start_checks(worker_t *worker, const task_t *task)
 {
     job_t *job = job_find(task->job);
-    ms_t now = now_ms();
+    ms_t now = net_now();
     double cpus = 0;
     int on = 0, in_zone = 0, elsewhere = 0;
     counts.starts++;
     job->starts++;
     if (!job->first_start_at)
         job->first_start_at = now;
-    record("%s: %s/%d#%llu starts", worker->name, task->job, task->piece,
+    stage_record("%s: %s/%d#%llu starts", worker->name, task->job, task->piece,
            (unsigned long long)task->heave);
     for (int i = 0; i < worker_count; i++) {
         for (int k = 0; k < workers[i].task_count && !workers[i].is_gone; k++) {
@@ -1382,7 +1375,7 @@
             elsewhere += workers[i].zone != worker->zone;
             if (other != task && other->piece == task->piece) {
                 counts.ran_twice++;
-                record("BROKEN ran_twice: %s/%d is on %s and starts on %s", task->job, task->piece,
+                stage_record("BROKEN ran_twice: %s/%d is on %s and starts on %s", task->job, task->piece,
                        workers[i].name, worker->name);
             }
         }
@@ -1391,17 +1384,17 @@
         if (strcmp(site.teams[i].name, job->team) == 0 && site.teams[i].cpus_max > 0 &&
             cpus > site.teams[i].cpus_max + 1e-6) {
             counts.quota++;
-            record("BROKEN quota: %s uses %.1f", job->team, cpus);
+            stage_record("BROKEN quota: %s uses %.1f", job->team, cpus);
         }
     if ((job->zone[0] && strcmp(job->zone, site.zones[worker->zone]) != 0) ||
         (worker->is_spot && !job->spot) || (job->same_place && elsewhere > 0) ||
         (job->apart && in_zone > (job->pieces + 1) / 2)) {
         counts.wrong_place++;
-        record("BROKEN wrong_place: %s/%d on %s", task->job, task->piece, worker->name);
+        stage_record("BROKEN wrong_place: %s/%d on %s", task->job, task->piece, worker->name);
     }
     if (job->cancelled_at) {
         counts.started_cancelled++;
-        record("STARTED after its cancellation was confirmed %lld ms ago: %s/%d on %s",
+        stage_record("STARTED after its cancellation was confirmed %lld ms ago: %s/%d on %s",
                (long long)(now - job->cancelled_at), task->job, task->piece, worker->name);
     }
 }
@@ -1409,7 +1402,7 @@
 static void tick_cancelled(void *data)
 {
     (void)data;
-    ms_t now = now_ms();
+    ms_t now = net_now();
     for (int i = 0; i < worker_count; i++)
         for (int k = 0; k < workers[i].task_count && !workers[i].is_gone; k++) {
             const task_t *task = &workers[i].tasks[k];
@@ -1417,7 +1410,7 @@
             if (is_on_machine(task) && job->cancelled_at &&
                 now - job->cancelled_at > (ms_t)(site.cancel_s * 1000)) {
                 counts.ran_cancelled++;
-                record("BROKEN ran_cancelled: %s/%d is on %s %lld ms after", task->job,
+                stage_record("BROKEN ran_cancelled: %s/%d is on %s %lld ms after", task->job,
                        task->piece, workers[i].name, (long long)(now - job->cancelled_at));
             }
         }
@@ -1469,14 +1462,14 @@
         if (!is_waiting || !is_room)
             job->waits_since = 0;
         else if (!job->waits_since)
-            job->waits_since = now_ms();
+            job->waits_since = net_now();
     }
     net_after(500, tick_waits, NULL);
 }
 
 ms_t job_waits_ms(const job_t *job)
 {
-    return job->waits_since ? now_ms() - job->waits_since : 0;
+    return job->waits_since ? net_now() - job->waits_since : 0;
 }
 
 bool is_without_trouble(void)
@@ -1495,20 +1488,20 @@
 
 static void judge(job_t *job, int node, char what, ms_t sent_at, int status, const char *trim)
 {
-    ms_t now = now_ms();
+    ms_t now = net_now();
     if (status == 200 || status == 201 || status == 404)
         job->last_answer_at = now;
     if (!trim || (status != 200 && status != 201)) {
         if ((status == 404 || (what == 's' && (status == 400 || status == 422))) &&
             job->accepted_at && job->accepted_at < sent_at) {
             counts.forgotten++;
-            record("BROKEN forgotten: %s answers %d about %s", nodes[node].name, status, job->id);
+            stage_record("BROKEN forgotten: %s answers %d about %s", nodes[node].name, status, job->id);
         }
         return;
     }
     if (what != 's' && !job->submitted_at) {
         counts.invented++;
-        record("BROKEN invented: %s", job->id);
+        stage_record("BROKEN invented: %s", job->id);
     }
     if (!job->accepted_at)
         job->accepted_at = now;
@@ -1518,11 +1511,11 @@
         (job->cancelled_at && job->cancelled_at < sent_at && !is_cancelled) ||
         (is_cancelled && !job->cancel_asked_at)) {
         counts.went_back++;
-        record("BROKEN went_back: %s calls %s %s", nodes[node].name, job->id, trim);
+        stage_record("BROKEN went_back: %s calls %s %s", nodes[node].name, job->id, trim);
     }
     if (is_done && job->done_count < job->pieces) {
         counts.not_done++;
-        record("BROKEN not_done: %s with %d of %d", job->id, job->done_count, job->pieces);
+        stage_record("BROKEN not_done: %s with %d of %d", job->id, job->done_count, job->pieces);
     }
     if (is_done && !job->done_at)
         job->done_at = now;
@@ -1534,7 +1527,7 @@
 {
     user_request_t *request = data;
     const char *trim = json_string_value(json_object_get(body, "Trim"));
-    record("user: %s %s at %s: %d %s",
+    stage_record("user: %s %s at %s: %d %s",
            request->what == 's' ? "submits" : request->what == 'a' ? "cancels" : "asks about",
            request->job->id, nodes[request->node].name, status, trim ? trim : "");
     judge(request->job, request->node, request->what, request->sent_at, status, trim);
@@ -1547,20 +1540,20 @@
 {
     char path[100];
     user_request_t *request = malloc(sizeof *request);
-    *request = (user_request_t){job, node, what, now_ms(), status};
+    *request = (user_request_t){job, node, what, net_now(), status};
     if (what == 's' && !job->submitted_at) {
-        job->submitted_at = now_ms();
+        job->submitted_at = net_now();
         job->piece_done = calloc((size_t)job->pieces, sizeof(bool));
         job->piece_saved = calloc((size_t)job->pieces, sizeof(ms_t));
     }
     if (what == 'a' && !job->cancel_asked_at)
-        job->cancel_asked_at = now_ms();
+        job->cancel_asked_at = net_now();
     snprintf(path, sizeof path, "/v2/runs/%s%s", job->id, what == 'a' ? "/abort" : "");
     if (what == 's')
-        http_call(nodes[node].port, "POST", "/v2/runs", job_body(job), 5000, finish_request,
+        net_call(nodes[node].port, "POST", "/v2/runs", job_body(job), 5000, finish_request,
                   request);
     else
-        http_call(nodes[node].port, what == 'a' ? "POST" : "GET", path, NULL,
+        net_call(nodes[node].port, what == 'a' ? "POST" : "GET", path, NULL,
                   what == 'a' ? 5000 : 2000, finish_request, request);
 }
 
@@ -1573,17 +1566,17 @@
     return status;
 }
 
-int user_submit(int node, job_t *job)
+int stage_submit(int node, job_t *job)
 {
     return wait_for_request(node, job, 's');
 }
 
-int user_abort(int node, job_t *job)
+int stage_abort(int node, job_t *job)
 {
     return wait_for_request(node, job, 'a');
 }
 
-int user_poll(int node, job_t *job)
+int stage_poll(int node, job_t *job)
 {
     return wait_for_request(node, job, 'p');
 }
--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -136,7 +136,7 @@
 extern ms_t stage_began_at;
 
 /* Writes a line with the time to record.txt. */
-void record(const char *format, ...) __attribute__((format(printf, 1, 2)));
+void stage_record(const char *format, ...) __attribute__((format(printf, 1, 2)));
 
 /* Sets the site to a small one of two zones, like the first of the brief. */
 void site_default(void);
@@ -179,9 +179,9 @@
 json_t *job_body(const job_t *job);
 /* Requests of users. They serve events until the answer is there, 5 s at most. Return the status,
  * and copy Trim. */
-int user_submit(int node, job_t *job);
-int user_abort(int node, job_t *job);
-int user_poll(int node, job_t *job);
+int stage_submit(int node, job_t *job);
+int stage_abort(int node, job_t *job);
+int stage_poll(int node, job_t *job);
 /* The same without waiting. */
 void user_submit_later(int node, job_t *job);
 void user_abort_later(int node, job_t *job);
