Review, stand-ins: a call that cannot be sent is reported as failed

A client whose connection was reset before its request had gone out was closed without an answer, so that a machine behind such a connection never reported again.

--- a/review/standins-2/net.c
+++ b/review/standins-2/net.c
@@ -154,13 +154,20 @@
     }
 }
 
+static void finish(connection_t *it, int status, const json_t *body);
+
+/* A client whose request cannot be sent gets the answer 0. */
 static void flush(connection_t *it)
 {
     while (it->out.length) {
         ssize_t sent = send(it->fd, it->out.bytes, it->out.length, MSG_NOSIGNAL);
         if (sent <= 0) {
-            if (sent < 0 && errno != EAGAIN)
-                end(it);
+            if (sent < 0 && errno != EAGAIN) {
+                if (it->kind == CLIENT)
+                    finish(it, 0, NULL);
+                else
+                    end(it);
+            }
             break;
         }
         buffer_drop(&it->out, (size_t)sent);
